--- /dev/null
+++ b/internal/config/decoder/decoder.go
@@ -0,0 +1,238 @@
+// Package decoder reads YAML into typed records and finds every mistake.
+//
+// # What it adds to a YAML library
+//
+// The library stops at some mistakes and says little of others. An operator
+// wants all of them at once, each with its file, line, field, what was found
+// and what is allowed. A [Decoder] walks the library's node tree beside the
+// target type and collects [Problem] values; it fills what it can, so that
+// later checks on the meaning can add theirs to the same list.
+//
+// # Usage
+//
+//	d := decoder.Decoder{File: "settings.yaml"}
+//	d.Decode(source, &settings)
+//	if settings.Host == "" {
+//		d.Report("Host", "nothing", "a name")
+//	}
+//	if err := d.Err(); err != nil { ... }
+//
+// Field paths read like Go: Rules[2].Then.Pool. Fields are matched by their
+// exact Go name. Scalars with an UnmarshalText method parse themselves and
+// return as error what would be allowed.
+package decoder
+
+import (
+	"encoding"
+	"fmt"
+	"reflect"
+	"regexp"
+	"strconv"
+	"strings"
+
+	"go.yaml.in/yaml/v3"
+)
+
+// Decoder collects the problems of one document. The zero value is ready.
+type Decoder struct {
+	// File is the name shown in problems.
+	File string
+
+	problems Problems
+	lines    map[string]int
+}
+
+// Problem is one mistake in a document.
+type Problem struct {
+	File    string
+	Line    int
+	Field   string
+	Found   string
+	Allowed string
+}
+
+// Error formats p as one line that editors can jump to.
+func (p Problem) Error() string {
+	return fmt.Sprintf("%s:%d: %s: found %s; allowed: %s", p.File, p.Line, p.Field, p.Found, p.Allowed)
+}
+
+// Problems is the error that holds all mistakes of a document.
+type Problems []Problem
+
+// Error lists every problem, a line each.
+func (p Problems) Error() string {
+	lines := make([]string, len(p))
+	for i := range p {
+		lines[i] = p[i].Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Decode parses source into target, a pointer to a struct.
+func (d *Decoder) Decode(source []byte, target any) {
+	d.lines = make(map[string]int)
+	var root yaml.Node
+	if err := yaml.Unmarshal(source, &root); err != nil {
+		d.syntax(err)
+		return
+	}
+	if len(root.Content) == 0 {
+		d.problems = append(d.problems, Problem{d.File, 1, "document", "nothing", "a mapping"})
+		return
+	}
+	d.value(root.Content[0], reflect.ValueOf(target).Elem(), "")
+}
+
+// Report adds a problem found by a later check. The line is that of the field
+// or of its nearest parent that is written out.
+func (d *Decoder) Report(field, found, allowed string) {
+	d.problems = append(d.problems, Problem{d.File, d.line(field), field, found, allowed})
+}
+
+// Err returns all problems as one error, or nil.
+func (d *Decoder) Err() error {
+	if len(d.problems) == 0 {
+		return nil
+	}
+	return d.problems
+}
+
+var syntaxLine = regexp.MustCompile(`line (\d+)`)
+
+func (d *Decoder) syntax(err error) {
+	line := 1
+	if m := syntaxLine.FindStringSubmatch(err.Error()); m != nil {
+		line, _ = strconv.Atoi(m[1])
+	}
+	d.problems = append(d.problems, Problem{d.File, line, "document", strings.TrimPrefix(err.Error(), "yaml: "), "YAML"})
+}
+
+func (d *Decoder) line(field string) int {
+	for field != "" {
+		if line, ok := d.lines[field]; ok {
+			return line
+		}
+		field = field[:max(strings.LastIndexAny(field, ".["), 0)]
+	}
+	return 1
+}
+
+func (d *Decoder) value(n *yaml.Node, v reflect.Value, path string) {
+	if n.Kind == yaml.AliasNode {
+		n = n.Alias
+	}
+	d.lines[path] = n.Line
+	if u, ok := v.Addr().Interface().(encoding.TextUnmarshaler); ok {
+		d.text(n, u, path)
+		return
+	}
+	switch v.Kind() {
+	case reflect.Struct:
+		d.record(n, v, path)
+	case reflect.Slice:
+		d.list(n, v, path)
+	default:
+		d.scalar(n, v, path)
+	}
+}
+
+func (d *Decoder) record(n *yaml.Node, v reflect.Value, path string) {
+	if n.Kind != yaml.MappingNode {
+		d.at(n, path, "a mapping of "+fieldNames(v.Type()))
+		return
+	}
+	seen := make(map[string]bool)
+	for i := 0; i+1 < len(n.Content); i += 2 {
+		key := n.Content[i]
+		field := join(path, key.Value)
+		d.lines[field] = key.Line
+		if seen[key.Value] {
+			d.problems = append(d.problems, Problem{d.File, key.Line, field, "the field twice", "each field once"})
+			continue
+		}
+		seen[key.Value] = true
+		sf, ok := v.Type().FieldByName(key.Value)
+		if !ok || !sf.IsExported() {
+			d.problems = append(d.problems, Problem{d.File, key.Line, field, "an unknown field", fieldNames(v.Type())})
+			continue
+		}
+		d.value(n.Content[i+1], v.FieldByIndex(sf.Index), field)
+	}
+}
+
+func (d *Decoder) list(n *yaml.Node, v reflect.Value, path string) {
+	if n.Kind != yaml.SequenceNode {
+		d.at(n, path, "a list")
+		return
+	}
+	out := reflect.MakeSlice(v.Type(), len(n.Content), len(n.Content))
+	for i, item := range n.Content {
+		d.value(item, out.Index(i), fmt.Sprintf("%s[%d]", path, i))
+	}
+	v.Set(out)
+}
+
+func (d *Decoder) text(n *yaml.Node, u encoding.TextUnmarshaler, path string) {
+	if n.Kind != yaml.ScalarNode {
+		d.at(n, path, "a single value")
+		return
+	}
+	if err := u.UnmarshalText([]byte(n.Value)); err != nil {
+		d.at(n, path, err.Error())
+	}
+}
+
+func (d *Decoder) scalar(n *yaml.Node, v reflect.Value, path string) {
+	allowed := map[reflect.Kind]string{
+		reflect.String: "text", reflect.Bool: "true or false",
+		reflect.Int: "a whole number", reflect.Float64: "a number",
+	}[v.Kind()]
+	if n.Kind != yaml.ScalarNode || n.Tag == "!!null" {
+		d.at(n, path, allowed)
+		return
+	}
+	switch v.Kind() {
+	case reflect.String:
+		v.SetString(n.Value)
+		return
+	case reflect.Bool:
+		if b, err := strconv.ParseBool(n.Value); err == nil && n.Tag == "!!bool" {
+			v.SetBool(b)
+			return
+		}
+	case reflect.Int:
+		if i, err := strconv.Atoi(n.Value); err == nil {
+			v.SetInt(int64(i))
+			return
+		}
+	case reflect.Float64:
+		if f, err := strconv.ParseFloat(n.Value, 64); err == nil {
+			v.SetFloat(f)
+			return
+		}
+	}
+	d.at(n, path, allowed)
+}
+
+func (d *Decoder) at(n *yaml.Node, path, allowed string) {
+	found := map[yaml.Kind]string{yaml.MappingNode: "a mapping", yaml.SequenceNode: "a list"}[n.Kind]
+	if found == "" {
+		found = strconv.Quote(n.Value)
+	}
+	d.problems = append(d.problems, Problem{d.File, n.Line, path, found, allowed})
+}
+
+func fieldNames(t reflect.Type) string {
+	var names []string
+	for i := range t.NumField() {
+		names = append(names, t.Field(i).Name)
+	}
+	return strings.Join(names, ", ")
+}
+
+func join(path, field string) string {
+	if path == "" {
+		return field
+	}
+	return path + "." + field
+}
--- /dev/null
+++ b/internal/fleet/leaser/leaser.go
@@ -0,0 +1,206 @@
+// Package leaser holds the lease by which one controller leads a zone.
+//
+// # The lease
+//
+// The lease is one object on the platform. Its holder renews it by
+// conditional update; whoever sees it unchanged for its whole duration, by
+// its own monotonic clock, may take it over. No two clocks are compared. Each
+// taking raises the fencing number, which never falls, as the object is never
+// deleted.
+//
+// # A holder that was paused
+//
+// A lease may lapse while its holder is paused and still believes it leads.
+// The holder's own time therefore runs from before its last renewal was sent,
+// and ends a margin early; [Leaser.Held] is asked right before each order. An
+// order may still be on its way when the lease lapses: engines that honour
+// fencing refuse it once the successor has given one, and for those that do
+// not the successor waits out [OrderTime] before its first order.
+//
+// # A lost answer
+//
+// A renewal whose answer is lost may or may not have taken effect. The holder
+// does not count it; it reads back and goes on from what it finds.
+//
+// # Usage
+//
+//	l := leaser.New(leaser.Config{Store: c, Zone: z, Host: h, Duration: 6 * time.Second})
+//	go l.Serve(ctx)
+//	if number, ok := l.Held(); ok { order(number) }
+package leaser
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"brasschute/internal/core/identifier"
+	"brasschute/internal/platform/inventory"
+	"brasschute/internal/platform/object"
+)
+
+const (
+	// OrderTime is the longest that an order is on its way.
+	OrderTime = 2 * time.Second
+	// A lease is renewed every renewals-th of its duration, and its holder
+	// stops believing in it one marginPart-th early.
+	renewals   = 3
+	marginPart = 5
+)
+
+// Store is the platform's object API.
+type Store interface {
+	Get(ctx context.Context, key string) (object.Object, error)
+	Put(ctx context.Context, key string, ifVersion uint64, value any) (object.Object, error)
+}
+
+// Config names the lease and its candidate.
+type Config struct {
+	Store    Store
+	Zone     identifier.AvailabilityZone
+	Host     identifier.Host
+	Duration time.Duration
+	// Changed is told when leadership is won or lost; may be nil.
+	Changed func(fencing uint64, held bool)
+}
+
+// record is the lease as the platform holds it.
+type record struct {
+	Holder        identifier.Host
+	FencingNumber uint64
+	Duration      time.Duration
+	// Renewal makes each write differ, so that a version shows a renewal.
+	Renewal uint64
+}
+
+// Leaser is one candidate. It is safe for concurrent use.
+type Leaser struct {
+	c Config
+
+	mu    sync.Mutex
+	until time.Time
+	ready time.Time
+	held  record
+
+	// seen is the version last observed, and since when.
+	seen  uint64
+	since time.Time
+}
+
+// New returns a candidate that does not lead.
+func New(c Config) *Leaser {
+	if c.Changed == nil {
+		c.Changed = func(uint64, bool) {}
+	}
+	return &Leaser{c: c}
+}
+
+// Held returns the fencing number if the lease is held right now.
+func (l *Leaser) Held() (fencing uint64, held bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.held.FencingNumber, time.Now().Before(l.until)
+}
+
+// HeldFor is as Held, for orders to engines that ignore the fencing number:
+// it holds only after orders of an earlier leader can no longer be on their
+// way.
+func (l *Leaser) HeldFor() (fencing uint64, held bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	return l.held.FencingNumber, now.Before(l.until) && now.After(l.ready)
+}
+
+// Serve takes part until ctx ends.
+func (l *Leaser) Serve(ctx context.Context) error {
+	for ctx.Err() == nil {
+		l.step(ctx)
+		pause := l.c.Duration / renewals
+		wait(ctx, pause-pause/10+rand.N(pause/5+1))
+	}
+	return ctx.Err()
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+func (l *Leaser) step(ctx context.Context) {
+	_, was := l.Held()
+	l.try(ctx)
+	fencing, is := l.Held()
+	if was != is {
+		l.c.Changed(fencing, is)
+	}
+}
+
+// try reads the lease and renews or takes it, if it may.
+func (l *Leaser) try(ctx context.Context) {
+	begun := time.Now()
+	r, version, err := l.read(ctx)
+	if err != nil {
+		return
+	}
+	if version != l.seen {
+		l.seen, l.since = version, begun
+	}
+	own := r.Holder == l.c.Host && r.FencingNumber == l.held.FencingNumber && r.FencingNumber > 0
+	switch {
+	case own:
+		l.write(ctx, r, version, begun, false)
+	case version == object.Absent || begun.Sub(l.since) > max(r.Duration, l.c.Duration):
+		r.FencingNumber++
+		l.write(ctx, r, version, begun, true)
+	}
+}
+
+func (l *Leaser) read(ctx context.Context) (record, uint64, error) {
+	o, err := l.c.Store.Get(ctx, inventory.LeasePrefix+string(l.c.Zone))
+	if errors.Is(err, object.ErrMissing) {
+		return record{}, object.Absent, nil
+	}
+	if err != nil {
+		return record{}, 0, err
+	}
+	var r record
+	if err := json.Unmarshal(o.Value, &r); err != nil {
+		return record{}, 0, fmt.Errorf("lease: %w", err)
+	}
+	return r, o.Version, nil
+}
+
+func (l *Leaser) write(ctx context.Context, r record, version uint64, begun time.Time, taken bool) {
+	r.Holder = l.c.Host
+	r.Duration = l.c.Duration
+	r.Renewal++
+	o, err := l.c.Store.Put(ctx, inventory.LeasePrefix+string(l.c.Zone), version, r)
+	if errors.Is(err, object.ErrUnknown) && taken {
+		// If the taking took effect, the next round finds this host as holder
+		// with the number remembered here; the lease counts only from then.
+		l.mu.Lock()
+		l.held = r
+		l.mu.Unlock()
+		return
+	}
+	if err != nil {
+		return
+	}
+	l.seen, l.since = o.Version, begun
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.until = begun.Add(l.c.Duration - l.c.Duration/marginPart)
+	l.held = r
+	if taken {
+		l.ready = begun.Add(OrderTime)
+	}
+}
--- /dev/null
+++ b/internal/peer/meter/meter.go
@@ -0,0 +1,77 @@
+// Package meter counts the bytes of connections between peers.
+//
+// # Why it stands at the connection
+//
+// The bound on control traffic is on bytes that leave and reach the host.
+// Counting messages would miss headers and signatures, which outweigh a short
+// message.
+//
+// # Usage
+//
+//	m := new(meter.Meter)
+//	listener = m.Listen(listener)
+//	transport.DialContext = m.Dial(dialer.DialContext)
+//	in, out := m.Bytes()
+package meter
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+)
+
+// Meter counts bytes. The zero value is ready.
+type Meter struct {
+	in  atomic.Int64
+	out atomic.Int64
+}
+
+// Bytes returns the bytes read and written so far.
+func (m *Meter) Bytes() (in, out int64) { return m.in.Load(), m.out.Load() }
+
+// Listen counts the connections that a listener accepts.
+func (m *Meter) Listen(l net.Listener) net.Listener { return &listener{l, m} }
+
+// Dial counts the connections that a dialer makes.
+func (m *Meter) Dial(next func(context.Context, string, string) (net.Conn, error)) func(context.Context, string, string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := next(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &conn{c, m}, nil
+	}
+}
+
+type listener struct {
+	net.Listener
+	m *Meter
+}
+
+// Accept returns the next connection, counted.
+func (l *listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &conn{c, l.m}, nil
+}
+
+type conn struct {
+	net.Conn
+	m *Meter
+}
+
+// Read counts what it reads.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.m.in.Add(int64(n))
+	return n, err
+}
+
+// Write counts what it writes.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.m.out.Add(int64(n))
+	return n, err
+}
--- /dev/null
+++ b/internal/platform/inventory/inventory.go
@@ -0,0 +1,78 @@
+// Package inventory holds the records in which the platform lists hosts.
+//
+// # Keys
+//
+// The platform publishes a [Host] under hosts/ZONE/HOST, some time after the
+// fact, and a [Notice] under notices/ZONE/HOST as soon as it decides to
+// reclaim the host. One object a host keeps a change small: a daemon that
+// watches 1,200 hosts receives the one record that changed.
+//
+// # Usage
+//
+//	var h inventory.Host
+//	err := json.Unmarshal(o.Value, &h)
+package inventory
+
+import (
+	"time"
+
+	"brasschute/internal/config/document"
+	"brasschute/internal/core/identifier"
+)
+
+// The prefixes of the platform's and the system's own objects.
+const (
+	HostPrefix          = "hosts/"
+	NoticePrefix        = "notices/"
+	MemberPrefix        = "members/"
+	ConfigurationKey    = "config/current"
+	ConfigurationPrefix = "config/"
+	ClaimPrefix         = "claims/"
+	LeasePrefix         = "leases/"
+	TrailPrefix         = "trail/"
+)
+
+// State tells what the platform believes of a host.
+type State string
+
+// The states of a host.
+const (
+	StateLive    State = "live"
+	StateLeaving State = "leaving"
+)
+
+// Host is the platform's record of one machine.
+type Host struct {
+	Host             identifier.Host
+	AvailabilityZone identifier.AvailabilityZone
+	Class            document.Class
+	Incarnation      identifier.Incarnation
+	State            State
+	Endpoints        []Endpoint
+}
+
+// Endpoint is one process on a host that serves requests.
+type Endpoint struct {
+	Endpoint identifier.Endpoint
+	Pool     identifier.Pool
+	// Address is IP:port.
+	Address string
+}
+
+// Notice announces that a host will be reclaimed.
+type Notice struct {
+	Host             identifier.Host
+	AvailabilityZone identifier.AvailabilityZone
+	Incarnation      identifier.Incarnation
+	// Deadline is when the host is taken away, by the platform's clock.
+	Deadline time.Time
+}
+
+// Member is an entry daemon's own record, by which peers find it.
+type Member struct {
+	Host             identifier.Host
+	AvailabilityZone identifier.AvailabilityZone
+	Incarnation      identifier.Incarnation
+	// PeerAddress is IP:port of the listener for peers.
+	PeerAddress string
+}
--- /dev/null
+++ b/internal/platform/watcher/watcher.go
@@ -0,0 +1,169 @@
+// Package watcher follows the platform's objects and survives its outages.
+//
+// # How it follows
+//
+// A [Watcher] lists everything once, then waits in a single watch over all
+// prefixes; a waiting watch counts as a platform call, so each daemon keeps
+// one and no more. After a gap it lists again. During an outage it retries
+// with doubling, jittered pauses, so that a fleet does not return as a
+// stampede when the platform heals.
+//
+// # Never backwards
+//
+// A read may be stale: the platform may answer a list from a copy that is
+// behind what this daemon has already seen. The watcher remembers the version
+// of each key and drops older ones, so that a sink never sees an object move
+// back. A list that is behind the last revision seen does not remove keys.
+//
+// # Usage
+//
+//	w := watcher.New(watcher.Config{Platform: c, Sink: s, Prefixes: p})
+//	err := w.Serve(ctx) // under a supervisor
+package watcher
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"brasschute/internal/platform/client"
+	"brasschute/internal/platform/object"
+)
+
+const (
+	defaultWait = 20 * time.Second
+	firstPause  = 100 * time.Millisecond
+	longPause   = 2 * time.Second
+	retainSeen  = 1 << 16
+)
+
+// Platform is what the watcher needs of the platform's client.
+type Platform interface {
+	List(ctx context.Context, prefixes ...string) (client.Page, error)
+	Watch(ctx context.Context, after uint64, wait time.Duration, prefixes ...string) (client.Page, error)
+}
+
+// Sink receives each object once per version, in the order of versions.
+type Sink interface {
+	Apply(object.Object)
+}
+
+// Config names what to follow and who is told.
+type Config struct {
+	Platform Platform
+	Sink     Sink
+	Prefixes []string
+	// Wait is the longest that one watch stays open; 20 s if zero.
+	Wait time.Duration
+	// Report is told of each success (nil) and failure; may be nil.
+	Report func(error)
+}
+
+// Watcher follows a set of prefixes.
+type Watcher struct {
+	c     Config
+	after uint64
+	seen  map[string]uint64
+}
+
+// New returns a watcher that has seen nothing.
+func New(c Config) *Watcher {
+	if c.Wait == 0 {
+		c.Wait = defaultWait
+	}
+	if c.Report == nil {
+		c.Report = func(error) {}
+	}
+	return &Watcher{c: c, seen: make(map[string]uint64)}
+}
+
+// Serve follows until ctx ends.
+func (w *Watcher) Serve(ctx context.Context) error {
+	pause := firstPause
+	listed := false
+	for ctx.Err() == nil {
+		err := w.step(ctx, &listed)
+		if ctx.Err() != nil {
+			break
+		}
+		w.c.Report(err)
+		if err == nil {
+			pause = firstPause
+			continue
+		}
+		sleep(ctx, pause/2+rand.N(pause))
+		pause = min(2*pause, longPause)
+	}
+	return ctx.Err()
+}
+
+func (w *Watcher) step(ctx context.Context, listed *bool) error {
+	if !*listed {
+		if err := w.list(ctx); err != nil {
+			return err
+		}
+		*listed = true
+		return nil
+	}
+	p, err := w.c.Platform.Watch(ctx, w.after, w.c.Wait, w.c.Prefixes...)
+	if errors.Is(err, object.ErrGap) {
+		*listed = false
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	w.apply(p.Objects)
+	w.after = max(w.after, p.Revision)
+	return nil
+}
+
+func (w *Watcher) list(ctx context.Context) error {
+	p, err := w.c.Platform.List(ctx, w.c.Prefixes...)
+	if err != nil {
+		return err
+	}
+	w.apply(p.Objects)
+	if p.Revision >= w.after {
+		w.remove(p.Objects)
+	}
+	w.after = max(w.after, p.Revision)
+	return nil
+}
+
+// remove tells the sink of keys that vanished while nobody watched.
+func (w *Watcher) remove(objects []object.Object) {
+	present := make(map[string]bool, len(objects))
+	for i := range objects {
+		present[objects[i].Key] = true
+	}
+	for key, version := range w.seen {
+		if !present[key] {
+			w.c.Sink.Apply(object.Object{Key: key, Version: version, Deleted: true})
+			delete(w.seen, key)
+		}
+	}
+}
+
+func (w *Watcher) apply(objects []object.Object) {
+	for i := range objects {
+		o := objects[i]
+		if o.Version <= w.seen[o.Key] {
+			continue
+		}
+		if len(w.seen) < retainSeen {
+			w.seen[o.Key] = o.Version
+		}
+		w.c.Sink.Apply(o)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/role/controller/controller.go
@@ -0,0 +1,101 @@
+// Package controller is the role of a controller.
+//
+// # What it does
+//
+// Every entry host runs one. The controllers of a zone compete for the zone's
+// lease; the one that holds it brings the zone's engines to the state that
+// the configuration wants. A controller may pause or die at any time: no
+// request passes through it, and its successor starts from what the platform
+// and the engines themselves say.
+//
+// # Usage
+//
+//	c := controller.New(controller.Config{Settings: s, Logger: l})
+//	err := c.Run(ctx)
+package controller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/thejerf/suture/v4"
+
+	"brasschute/internal/config/keeper"
+	"brasschute/internal/config/settings"
+	"brasschute/internal/engine/caller"
+	"brasschute/internal/fleet/leaser"
+	"brasschute/internal/fleet/reconciler"
+	"brasschute/internal/fleet/trail"
+	"brasschute/internal/peer/ledger"
+	"brasschute/internal/peer/rpc"
+	"brasschute/internal/platform/client"
+	"brasschute/internal/platform/inventory"
+	"brasschute/internal/platform/object"
+	"brasschute/internal/platform/watcher"
+	"brasschute/internal/route/registry"
+)
+
+// Config names what a controller is made of.
+type Config struct {
+	Settings *settings.Settings
+	Logger   *log.Logger
+}
+
+// Controller is one candidate for its zone's lease.
+type Controller struct {
+	c        Config
+	tree     *suture.Supervisor
+	keeper   *keeper.Keeper
+	registry *registry.Registry
+}
+
+// New returns a controller that has not started.
+func New(c Config) *Controller {
+	s := c.Settings
+	k := &Controller{c: c, keeper: keeper.New(keeper.Config{}), tree: suture.NewSimple("controller")}
+	leaving := ledger.New(ledger.Config{Self: &rpc.Member{Host: string(s.Host), AvailabilityZone: string(s.AvailabilityZone)}})
+	k.registry = registry.New(registry.Config{Ledger: leaving})
+	platform := client.New(client.Config{Address: s.Platform.String(), Source: s.Source()})
+	lease := leaser.New(leaser.Config{
+		Store: platform, Zone: s.AvailabilityZone, Host: s.Host, Duration: s.Lease.Duration.Std(), Changed: k.leads,
+	})
+	k.tree.Add(watcher.New(watcher.Config{
+		Platform: platform, Sink: k,
+		Prefixes: []string{
+			inventory.ConfigurationPrefix,
+			inventory.HostPrefix + string(s.AvailabilityZone) + "/",
+			inventory.NoticePrefix + string(s.AvailabilityZone) + "/",
+		},
+	}))
+	k.tree.Add(lease)
+	k.tree.Add(reconciler.New(reconciler.Config{
+		Host: s.Host, Zone: s.AvailabilityZone, Keeper: k.keeper, Registry: k.registry, Caller: caller.New(caller.Config{Source: s.Source()}),
+		Lease: lease, Trail: trail.New(trail.Config{Store: platform, Zone: s.AvailabilityZone}), Logger: c.Logger,
+	}))
+	return k
+}
+
+func (k *Controller) leads(fencing uint64, held bool) {
+	k.c.Logger.Info("lease", "zone", k.c.Settings.AvailabilityZone, "held", held, "fencing", fencing)
+}
+
+// Apply takes in one platform object.
+func (k *Controller) Apply(o object.Object) {
+	k.keeper.Apply(&o)
+	k.registry.Apply(&o)
+}
+
+// Run works until ctx ends. The lease is left to lapse: giving it up early
+// would let a successor order while an own order is still on its way.
+func (k *Controller) Run(ctx context.Context) error {
+	k.c.Logger.Info("controller starts", "zone", k.c.Settings.AvailabilityZone)
+	err := k.tree.Serve(ctx)
+	if err != nil && !errors.Is(err, context.Canceled) {
+		return fmt.Errorf("controller: %w", err)
+	}
+	k.c.Logger.Info("stopped", "at", time.Now().UTC().Format(time.RFC3339))
+	return nil
+}
--- /dev/null
+++ b/internal/role/entry/entry.go
@@ -0,0 +1,453 @@
+// Package entry is the role of an entry daemon.
+//
+// # The supervisor tree
+//
+//	entry
+//	├── watcher      follows the platform
+//	├── exchanger    swaps news with peers
+//	├── poller       observes endpoints
+//	├── registrar    lists this daemon on the platform
+//	├── peers        listener for peers
+//	├── operators    listener for operators
+//	└── callers      listener for callers
+//
+// A service that fails is restarted alone; the path of requests needs none of
+// them but its listener. On a graceful stop the daemon first drains (package
+// handler) while the whole tree still runs, and then ends the tree.
+//
+// # Reasons to stop
+//
+// SIGTERM, an operator's drain, and a reclaim notice for the own host all
+// lead to the same drain; a notice sets the deadline.
+//
+// # Usage
+//
+//	e, err := entry.New(entry.Config{Settings: s, Logger: l})
+//	err = e.Run(ctx) // until ctx ends, then drains
+package entry
+
+import (
+	"context"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/thejerf/suture/v4"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+
+	"brasschute/internal/config/applier"
+	"brasschute/internal/config/keeper"
+	"brasschute/internal/config/settings"
+	"brasschute/internal/core/identifier"
+	"brasschute/internal/engine/caller"
+	"brasschute/internal/fleet/trail"
+	"brasschute/internal/ops/operator"
+	"brasschute/internal/ops/server"
+	"brasschute/internal/peer/exchanger"
+	"brasschute/internal/peer/holder"
+	"brasschute/internal/peer/ledger"
+	"brasschute/internal/peer/meter"
+	"brasschute/internal/peer/rpc"
+	"brasschute/internal/peer/signer"
+	"brasschute/internal/platform/client"
+	"brasschute/internal/platform/inventory"
+	"brasschute/internal/platform/object"
+	"brasschute/internal/platform/watcher"
+	"brasschute/internal/route/budgeter"
+	"brasschute/internal/route/limiter"
+	"brasschute/internal/route/poller"
+	"brasschute/internal/route/registry"
+	"brasschute/internal/serve/carrier"
+	"brasschute/internal/serve/claimer"
+	"brasschute/internal/serve/forwarder"
+	"brasschute/internal/serve/handler"
+	"brasschute/internal/serve/parser"
+	"brasschute/internal/serve/recorder"
+	"brasschute/internal/serve/sealer"
+	"brasschute/internal/serve/streamer"
+)
+
+const (
+	dialTimeout    = time.Second
+	peerIdle       = 90 * time.Second
+	handOverMargin = time.Second
+	reportPeriod   = time.Second
+)
+
+// Config names what a daemon is made of.
+type Config struct {
+	Settings *settings.Settings
+	Logger   *log.Logger
+}
+
+// Entry is one entry daemon.
+type Entry struct {
+	c    Config
+	tree *suture.Supervisor
+
+	platform  *client.Client
+	ledger    *ledger.Ledger
+	keeper    *keeper.Keeper
+	registry  *registry.Registry
+	exchanger *exchanger.Exchanger
+	streamer  *streamer.Streamer
+	claimer   *claimer.Claimer
+	handler   *handler.Handler
+	meter     *meter.Meter
+	reporter  prometheus.Reporter
+	scope     tally.Scope
+	closer    func() error
+
+	started   time.Time
+	reachable atomic.Bool
+	stop      chan time.Time
+
+	mu    sync.Mutex
+	zones map[identifier.AvailabilityZone]bool
+}
+
+// New opens the listeners, so that a port in use is found at once, and builds
+// the daemon.
+func New(c Config) (*Entry, error) {
+	e := &Entry{c: c, started: time.Now(), stop: make(chan time.Time, 1), zones: make(map[identifier.AvailabilityZone]bool)}
+	key, err := hex.DecodeString(c.Settings.PeerKey)
+	if err != nil {
+		return nil, fmt.Errorf("entry: peer key: %w", err)
+	}
+	e.metrics()
+	e.build(key)
+	return e, e.listen(key)
+}
+
+func (e *Entry) metrics() {
+	e.reporter = prometheus.NewReporter(prometheus.Options{})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "brasschute", CachedReporter: e.reporter, Separator: prometheus.DefaultSeparator,
+		SanitizeOptions: &prometheus.DefaultSanitizerOpts, OmitCardinalityMetrics: true,
+	}, reportPeriod)
+	e.scope, e.closer = scope, closer.Close
+}
+
+// build makes the daemon's parts, lowest first.
+func (e *Entry) build(key []byte) {
+	s := e.c.Settings
+	e.meter = new(meter.Meter)
+	e.platform = client.New(client.Config{Address: s.Platform.String(), Source: s.Source()})
+	e.ledger = ledger.New(ledger.Config{Self: &rpc.Member{
+		Host: string(s.Host), AvailabilityZone: string(s.AvailabilityZone), PeerAddress: s.PeerAddress().String(),
+		Incarnation: uint64(e.started.UnixMilli()),
+	}})
+	e.keeper = keeper.New(keeper.Config{Changed: e.configured, Refuse: e.refusedConfiguration})
+	e.registry = registry.New(registry.Config{Ledger: e.ledger, Changed: e.endpointsChanged})
+	records := recorder.New(recorder.Config{})
+	kept := holder.New(holder.Config{})
+	signing := signer.New(signer.Config{Key: key, Host: s.Host})
+	dial := net.Dialer{Timeout: dialTimeout, LocalAddr: s.Source()}
+	e.exchanger = exchanger.New(exchanger.Config{
+		Ledger: e.ledger, Registry: e.registry, Keeper: e.keeper, Holder: kept, Recorder: records, Seeds: seeds(s),
+		Client: &http.Client{Transport: signing.Sign(&http.Transport{
+			DialContext: e.meter.Dial(dial.DialContext), IdleConnTimeout: peerIdle, DisableCompression: true,
+		})},
+	})
+	e.serving(key, records, kept)
+}
+
+func seeds(s *settings.Settings) []string {
+	var out []string
+	for _, a := range s.Seeds {
+		out = append(out, a.String())
+	}
+	return out
+}
+
+// serving makes the parts on the path of requests.
+func (e *Entry) serving(key []byte, records *recorder.Recorder, kept *holder.Holder) {
+	s := e.c.Settings
+	endpoints := caller.New(caller.Config{Source: s.Source()})
+	budget := budgeter.New()
+	e.streamer = streamer.New(streamer.Config{
+		Registry: e.registry, Caller: endpoints, Budgeter: budget, Zone: s.AvailabilityZone,
+		Stall: s.Engine.Stall.Std(), FirstStall: s.Engine.FirstStall.Std(),
+	})
+	e.claimer = claimer.New(claimer.Config{Store: e.platform})
+	e.handler = handler.New(handler.Config{
+		Host: s.Host, Zone: s.AvailabilityZone, Keeper: e.keeper, Limiter: limiter.New(), Registry: e.registry,
+		Parser:   parser.New(parser.Config{MaxBody: int64(s.Limits.BodyBytes), BodyTimeout: s.Limits.BodyTimeout.Std()}),
+		Claimer:  e.claimer,
+		Streamer: e.streamer,
+		Forwarder: forwarder.New(forwarder.Config{
+			Registry: e.registry, Caller: endpoints, Budgeter: budget, Zone: s.AvailabilityZone,
+		}),
+		Carrier:  carrier.New(carrier.Config{Ledger: e.ledger, Holder: kept, Peer: e.exchanger.Peer}),
+		Sealer:   sealer.New(sealer.Config{Key: key}),
+		Recorder: records, Daemons: e.ledger, Logger: e.c.Logger, Metrics: e.scope, Earn: budget.Earn,
+	})
+	e.tree = suture.New("entry", suture.Spec{EventHook: e.event})
+	e.tree.Add(watcher.New(watcher.Config{
+		Platform: e.platform, Sink: e, Report: e.platformReport,
+		Prefixes: []string{inventory.ConfigurationPrefix, inventory.HostPrefix, inventory.NoticePrefix, inventory.MemberPrefix},
+	}))
+	e.tree.Add(e.exchanger)
+	e.tree.Add(poller.New(poller.Config{
+		Registry: e.registry, Ledger: e.ledger, Caller: endpoints, Observed: e.exchanger.Observed,
+	}))
+	e.tree.Add(&registrar{e: e})
+}
+
+// listen opens the listeners and adds their servers to the tree.
+func (e *Entry) listen(key []byte) error {
+	s := e.c.Settings
+	peers := http.NewServeMux()
+	peers.Handle(rpc.PeerPathPrefix, signer.New(signer.Config{
+		Key: key, Host: s.Host, Addresses: []string{s.Peers.String(), s.PeerAddress().String()},
+	}).Verify(rpc.NewPeerServer(e.exchanger)))
+	for _, l := range []struct {
+		name    string
+		address settings.Address
+		handler http.Handler
+	}{
+		{"callers", s.Callers, e.handler},
+		{"operators", s.Operators, e.operators()},
+		{"peers", s.Peers, peers},
+	} {
+		listener, err := net.Listen("tcp", l.address.String())
+		if err != nil {
+			return fmt.Errorf("entry: listener for %s: %w", l.name, err)
+		}
+		if l.name == "peers" {
+			listener = e.meter.Listen(listener)
+		}
+		e.tree.Add(server.New(server.Config{
+			Name: l.name, Listener: listener, Handler: l.handler, HeaderTimeout: s.Limits.HeaderTimeout.Std(),
+			HeaderBytes: s.Limits.HeaderBytes, IdleTimeout: s.Limits.IdleTimeout.Std(),
+		}))
+	}
+	return nil
+}
+
+func (e *Entry) operators() http.Handler {
+	keys := make(map[string]string)
+	for _, k := range e.c.Settings.OperatorKeys {
+		keys[k.KeyHash] = k.Name
+	}
+	o := operator.New(operator.Config{
+		Keys: keys, Keeper: e.keeper, Applier: applier.New(applier.Config{Store: e.platform, Keeper: e.keeper}),
+		Ledger: e.ledger, Registry: e.registry, Recorder: e.handler.Records(), Peer: e.exchanger.Peer, Trails: e.trails,
+		State:    func() string { return e.handler.Phase().String() },
+		InFlight: e.handler.InFlight, PlatformReachable: e.reachable.Load,
+		Drain:  func() { e.leave(time.Now().Add(e.c.Settings.Drain.Patience.Std())) },
+		Logger: e.c.Logger,
+	})
+	mux := http.NewServeMux()
+	mux.Handle(rpc.OperatorPathPrefix, o.Authenticate(rpc.NewOperatorServer(o)))
+	mux.Handle("/metrics", e.reporter.HTTPHandler())
+	mux.HandleFunc("/livez", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	return mux
+}
+
+// trails are those of the zones in which hosts are listed.
+func (e *Entry) trails() []*trail.Trail {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var out []*trail.Trail
+	for zone := range e.zones {
+		out = append(out, trail.New(trail.Config{Store: e.platform, Zone: zone}))
+	}
+	return out
+}
+
+// Run serves until ctx ends, a notice comes or an operator drains the daemon,
+// and then stops gracefully.
+func (e *Entry) Run(ctx context.Context) error {
+	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	done := e.tree.ServeBackground(running)
+	e.c.Logger.Info("entry daemon serves", "callers", e.c.Settings.Callers, "operators", e.c.Settings.Operators,
+		"peers", e.c.Settings.Peers, "zone", e.c.Settings.AvailabilityZone)
+	deadline, err := e.awaitStop(ctx, done)
+	if err != nil {
+		return err
+	}
+	e.c.Logger.Info("draining", "deadline", deadline.UTC().Format(time.RFC3339Nano))
+	e.handler.Drain(e.c.Settings.Drain.BalancerLag.Std(), deadline)
+	e.claimer.Wait()
+	e.deregister(running)
+	cancel()
+	<-done
+	_ = e.closer()
+	e.c.Logger.Info("stopped")
+	return nil
+}
+
+func (e *Entry) awaitStop(ctx context.Context, done <-chan error) (time.Time, error) {
+	select {
+	case <-ctx.Done():
+		return time.Now().Add(e.c.Settings.Drain.Patience.Std()), nil
+	case deadline := <-e.stop:
+		return deadline, nil
+	case err := <-done:
+		return time.Time{}, fmt.Errorf("entry: %w", err)
+	}
+}
+
+// leave asks for a graceful stop; only the first call counts.
+func (e *Entry) leave(deadline time.Time) {
+	select {
+	case e.stop <- deadline:
+	default:
+	}
+}
+
+// Apply takes in one platform object.
+func (e *Entry) Apply(o object.Object) {
+	switch {
+	case strings.HasPrefix(o.Key, inventory.ConfigurationPrefix):
+		e.keeper.Apply(&o)
+	case strings.HasPrefix(o.Key, inventory.MemberPrefix):
+		e.member(&o)
+	default:
+		e.noteZone(o.Key)
+		e.registry.Apply(&o)
+		e.ownNotice(&o)
+	}
+}
+
+func (e *Entry) noteZone(key string) {
+	rest, ok := strings.CutPrefix(key, inventory.HostPrefix)
+	if !ok {
+		return
+	}
+	zone, _, _ := strings.Cut(rest, "/")
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.zones[identifier.AvailabilityZone(zone)] = true
+}
+
+func (e *Entry) member(o *object.Object) {
+	var m inventory.Member
+	if o.Deleted || json.Unmarshal(o.Value, &m) != nil {
+		return
+	}
+	e.ledger.Merge(&rpc.News{Full: true, Members: []*rpc.Member{{
+		Host: string(m.Host), AvailabilityZone: string(m.AvailabilityZone),
+		PeerAddress: m.PeerAddress, Incarnation: uint64(m.Incarnation),
+	}}}, time.Now())
+}
+
+// ownNotice starts the drain when the own host is reclaimed. A notice whose
+// deadline has passed belongs to an earlier host of the same name.
+func (e *Entry) ownNotice(o *object.Object) {
+	var n inventory.Notice
+	if !strings.HasPrefix(o.Key, inventory.NoticePrefix) || o.Deleted || json.Unmarshal(o.Value, &n) != nil {
+		return
+	}
+	if n.Host != e.c.Settings.Host || time.Now().After(n.Deadline) {
+		return
+	}
+	e.c.Logger.Warn("reclaim notice", "deadline", n.Deadline)
+	e.leave(n.Deadline.Add(-handOverMargin))
+}
+
+func (e *Entry) configured(s *keeper.Snapshot) {
+	e.c.Logger.Info("configuration in force", "number", s.Number(), "operator", s.Change.Who)
+	e.scope.Gauge("configuration_number").Update(float64(s.Number()))
+	e.exchanger.Hurry()
+}
+
+func (e *Entry) refusedConfiguration(n identifier.ConfigurationNumber, err error) {
+	e.scope.Counter("configurations_refused").Inc(1)
+	e.c.Logger.Error("configuration refused, the last good one stays in force", "number", n, "error", err)
+}
+
+// endpointsChanged passes on at once that endpoints began to leave, and moves
+// the streams that run there.
+func (e *Entry) endpointsChanged() {
+	e.streamer.Sweep()
+	e.exchanger.Hurry()
+}
+
+func (e *Entry) platformReport(err error) {
+	was := e.reachable.Swap(err == nil)
+	if was != (err == nil) {
+		e.c.Logger.Info("platform", "reachable", err == nil, "error", err)
+	}
+	e.scope.Gauge("platform_calls").Update(float64(e.platform.Calls()))
+	in, out := e.meter.Bytes()
+	e.scope.Gauge("peer_bytes_in").Update(float64(in))
+	e.scope.Gauge("peer_bytes_out").Update(float64(out))
+}
+
+func (e *Entry) event(event suture.Event) {
+	if event.Type() == suture.EventTypeStopTimeout {
+		return
+	}
+	e.c.Logger.Warn("supervisor", "event", event.String())
+}
+
+// registrar lists the daemon on the platform, so that peers find it.
+type registrar struct{ e *Entry }
+
+const (
+	firstPause = 200 * time.Millisecond
+	longPause  = 5 * time.Second
+)
+
+// Serve registers, repeating until it succeeds.
+func (r *registrar) Serve(ctx context.Context) error {
+	pause := firstPause
+	for ctx.Err() == nil {
+		if err := r.e.register(ctx); err == nil {
+			return suture.ErrDoNotRestart
+		}
+		t := time.NewTimer(pause)
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		}
+		t.Stop()
+		pause = min(2*pause, longPause)
+	}
+	return ctx.Err()
+}
+
+func (e *Entry) memberKey() string {
+	return inventory.MemberPrefix + string(e.c.Settings.AvailabilityZone) + "/" + string(e.c.Settings.Host)
+}
+
+func (e *Entry) register(ctx context.Context) error {
+	self := e.ledger.Self()
+	m := inventory.Member{
+		Host: e.c.Settings.Host, AvailabilityZone: e.c.Settings.AvailabilityZone,
+		Incarnation: identifier.Incarnation(self.Incarnation), PeerAddress: self.PeerAddress,
+	}
+	version := object.Absent
+	o, err := e.platform.Get(ctx, e.memberKey())
+	if err == nil {
+		version = o.Version
+	} else if !errors.Is(err, object.ErrMissing) {
+		return err
+	}
+	_, err = e.platform.Put(ctx, e.memberKey(), version, m)
+	return err
+}
+
+// deregister tells peers and the platform that the daemon is gone; neither is
+// needed for safety, both save others a time-out.
+func (e *Entry) deregister(ctx context.Context) {
+	e.ledger.Leave()
+	e.exchanger.Farewell(ctx)
+	o, err := e.platform.Get(ctx, e.memberKey())
+	if err != nil {
+		return
+	}
+	_ = e.platform.Delete(ctx, e.memberKey(), o.Version)
+}
--- /dev/null
+++ b/internal/route/poller/poller.go
@@ -0,0 +1,131 @@
+// Package poller observes the load of endpoints.
+//
+// # Shared observing
+//
+// All daemons of a zone polling all endpoints of the zone would cost each of
+// them traffic that grows with the fleet. Instead each endpoint has one
+// observer, chosen by rendezvous hashing over the zone's living daemons, and
+// the observers pass their reports on through package exchanger.
+//
+// # Usage
+//
+//	p := poller.New(poller.Config{...})
+//	err := p.Serve(ctx)
+package poller
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"brasschute/internal/core/identifier"
+	"brasschute/internal/engine/caller"
+	"brasschute/internal/engine/report"
+	"brasschute/internal/peer/ledger"
+	"brasschute/internal/route/candidate"
+	"brasschute/internal/route/registry"
+)
+
+const (
+	defaultPeriod = time.Second
+	// parallel bounds the polls under way at once.
+	parallel = 16
+)
+
+// Config names the poller's collaborators.
+type Config struct {
+	Registry *registry.Registry
+	Ledger   *ledger.Ledger
+	Caller   *caller.Caller
+	// Observed is given each report, to pass it on.
+	Observed func(r *report.Report, taken time.Time)
+	Period   time.Duration
+}
+
+// Poller polls the endpoints that this daemon observes.
+type Poller struct {
+	c Config
+}
+
+// New returns a poller.
+func New(c Config) *Poller {
+	if c.Period == 0 {
+		c.Period = defaultPeriod
+	}
+	return &Poller{c}
+}
+
+// Serve polls until ctx ends.
+func (p *Poller) Serve(ctx context.Context) error {
+	tick := time.NewTicker(p.c.Period)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+			p.round(ctx)
+		}
+	}
+}
+
+func (p *Poller) round(ctx context.Context) {
+	slots := make(chan struct{}, parallel)
+	var group sync.WaitGroup
+	endpoints := p.c.Registry.Endpoints()
+	observers := p.observers()
+	for i := range endpoints {
+		if !p.mine(&endpoints[i], observers) {
+			continue
+		}
+		slots <- struct{}{}
+		group.Go(func() {
+			p.poll(ctx, endpoints[i].Address)
+			<-slots
+		})
+	}
+	group.Wait()
+}
+
+func (p *Poller) poll(ctx context.Context, address string) {
+	taken := time.Now()
+	r, err := p.c.Caller.Load(ctx, address)
+	if err != nil {
+		return
+	}
+	p.c.Registry.Report(r, taken)
+	p.c.Observed(r, taken)
+}
+
+// observers are the zone's living daemons.
+func (p *Poller) observers() []identifier.Host {
+	self := p.c.Ledger.Self()
+	out := []identifier.Host{identifier.Host(self.Host)}
+	for _, m := range p.c.Ledger.Alive() {
+		if m.AvailabilityZone == self.AvailabilityZone {
+			out = append(out, identifier.Host(m.Host))
+		}
+	}
+	return out
+}
+
+// mine tells whether this daemon, the first of the observers, observes an
+// endpoint.
+func (p *Poller) mine(c *candidate.Candidate, observers []identifier.Host) bool {
+	if string(c.AvailabilityZone) != p.c.Ledger.Self().AvailabilityZone {
+		return false
+	}
+	own := weight(observers[0], c.Endpoint)
+	for _, other := range observers[1:] {
+		if weight(other, c.Endpoint) > own {
+			return false
+		}
+	}
+	return true
+}
+
+func weight(h identifier.Host, e identifier.Endpoint) uint64 {
+	return xxhash.Sum64String(string(h) + "/" + string(e))
+}
--- /dev/null
+++ b/internal/route/registry/registry.go
@@ -0,0 +1,434 @@
+// Package registry is a daemon's live view of the endpoints.
+//
+// # Sources
+//
+// Endpoints come from the platform's host list. Whether one is leaving is
+// believed from whoever says so first: a reclaim notice, the host list, the
+// endpoint's own load report, or a peer; package ledger remembers it for the
+// host's incarnation, and nothing here takes it back.
+//
+// # Choosing and sending
+//
+// [Registry.Choose] counts the chosen endpoint's request as in flight and
+// returns a [Pick]. Between choosing and sending, time passes: a claim may
+// wait for the platform, a dial may hang. So whoever sends asks
+// [Registry.Usable] again as the last thing before the first byte goes out.
+//
+// # Ejection
+//
+// An endpoint that fails [ejectAfter] times in a row is not used for a pause
+// that doubles with each further failure; then it gets single requests until
+// one succeeds. At most half of a pool is ejected at once: if most of a pool
+// fails, the cause is more likely on this side, and the rest must not drown.
+//
+// # Usage
+//
+//	pick, decision := r.Choose(&registry.Query{...})
+//	defer r.Release(pick, err)
+package registry
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"brasschute/internal/config/document"
+	"brasschute/internal/core/identifier"
+	"brasschute/internal/engine/prefix"
+	"brasschute/internal/engine/report"
+	"brasschute/internal/platform/inventory"
+	"brasschute/internal/platform/object"
+	"brasschute/internal/route/candidate"
+	"brasschute/internal/route/indexer"
+	"brasschute/internal/route/selector"
+)
+
+const (
+	ejectAfter = 3
+	firstEject = 2 * time.Second
+	longEject  = 30 * time.Second
+	// unknownNotice stands for the deadline of a host that is leaving at a
+	// time nobody has said: it may go at any moment.
+	unknownNotice = 0
+)
+
+// Ledger remembers leaving hosts.
+type Ledger interface {
+	Leaving(h identifier.Host, i identifier.Incarnation) (time.Time, bool)
+	MarkLeaving(h identifier.Host, i identifier.Incarnation, deadline, now time.Time) bool
+}
+
+// Config names the registry's collaborators.
+type Config struct {
+	Ledger Ledger
+	// Changed is told after endpoints came, went or began to leave; may be
+	// nil.
+	Changed func()
+}
+
+// Query is a request for an endpoint of a pool.
+type Query struct {
+	Pool   identifier.Pool
+	Blocks []prefix.Block
+	// Select holds the rest of the decision's input.
+	Select selector.Query
+}
+
+// Pick is a chosen endpoint with one request counted on it.
+type Pick struct {
+	Endpoint    identifier.Endpoint
+	Host        identifier.Host
+	Incarnation identifier.Incarnation
+	Address     string
+	Pool        identifier.Pool
+
+	id int32
+}
+
+type pool struct {
+	candidates []candidate.Candidate
+	cached     []identifier.Tokens
+}
+
+// Registry is safe for concurrent use.
+type Registry struct {
+	c Config
+
+	mu      sync.Mutex
+	hosts   map[string]inventory.Host
+	pools   map[identifier.Pool]*pool
+	ids     map[identifier.Endpoint]int32
+	place   map[int32]int
+	indexer indexer.Indexer
+}
+
+// New returns a registry without endpoints.
+func New(c Config) *Registry {
+	if c.Changed == nil {
+		c.Changed = func() {}
+	}
+	return &Registry{
+		c: c, hosts: make(map[string]inventory.Host), pools: make(map[identifier.Pool]*pool),
+		ids: make(map[identifier.Endpoint]int32), place: make(map[int32]int),
+	}
+}
+
+// Apply takes in one platform object: a host or a notice. Others are ignored.
+func (r *Registry) Apply(o *object.Object) {
+	switch {
+	case strings.HasPrefix(o.Key, inventory.HostPrefix):
+		r.applyHost(o)
+	case strings.HasPrefix(o.Key, inventory.NoticePrefix):
+		r.applyNotice(o)
+	}
+}
+
+func (r *Registry) applyNotice(o *object.Object) {
+	var n inventory.Notice
+	if o.Deleted || json.Unmarshal(o.Value, &n) != nil {
+		return
+	}
+	r.MarkLeaving(n.Host, n.Incarnation, n.Deadline)
+}
+
+func (r *Registry) applyHost(o *object.Object) {
+	var h inventory.Host
+	if !o.Deleted && json.Unmarshal(o.Value, &h) != nil {
+		return
+	}
+	if h.State == inventory.StateLeaving {
+		r.MarkLeaving(h.Host, h.Incarnation, time.UnixMilli(unknownNotice))
+	}
+	r.mu.Lock()
+	if o.Deleted {
+		delete(r.hosts, o.Key)
+	} else {
+		r.hosts[o.Key] = h
+	}
+	r.rebuild()
+	r.mu.Unlock()
+	r.c.Changed()
+}
+
+// MarkLeaving stops new work to a host's endpoints. It reports whether that
+// was news.
+func (r *Registry) MarkLeaving(h identifier.Host, i identifier.Incarnation, deadline time.Time) bool {
+	if !r.c.Ledger.MarkLeaving(h, i, deadline, time.Now()) {
+		return false
+	}
+	r.Refresh()
+	return true
+}
+
+// Refresh takes over what the ledger says of leaving hosts.
+func (r *Registry) Refresh() {
+	r.mu.Lock()
+	r.each(r.mark)
+	r.mu.Unlock()
+	r.c.Changed()
+}
+
+func (r *Registry) each(f func(*candidate.Candidate)) {
+	for _, p := range r.pools {
+		for i := range p.candidates {
+			f(&p.candidates[i])
+		}
+	}
+}
+
+func (r *Registry) mark(c *candidate.Candidate) {
+	c.Deadline, c.Leaving = r.c.Ledger.Leaving(c.Host, c.Incarnation)
+}
+
+// rebuild lays the pools out anew and keeps what is known of endpoints that
+// stay. The caller holds the lock.
+func (r *Registry) rebuild() {
+	known := make(map[identifier.Endpoint]candidate.Candidate)
+	r.each(func(c *candidate.Candidate) { known[c.Endpoint] = *c })
+	r.pools = make(map[identifier.Pool]*pool)
+	for _, h := range r.hosts {
+		for i := range h.Endpoints {
+			r.add(&h, &h.Endpoints[i], known)
+		}
+	}
+	r.place = make(map[int32]int)
+	for _, p := range r.pools {
+		slices.SortFunc(p.candidates, func(a, b candidate.Candidate) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
+		p.cached = make([]identifier.Tokens, len(p.candidates))
+		for i := range p.candidates {
+			r.place[r.id(p.candidates[i].Endpoint)] = i
+		}
+	}
+}
+
+func (r *Registry) add(h *inventory.Host, e *inventory.Endpoint, known map[identifier.Endpoint]candidate.Candidate) {
+	c, ok := known[e.Endpoint]
+	if !ok || c.Incarnation != h.Incarnation {
+		c = candidate.Candidate{Endpoint: e.Endpoint}
+	}
+	c.Host, c.Incarnation = h.Host, h.Incarnation
+	c.AvailabilityZone, c.Class = h.AvailabilityZone, h.Class
+	c.Pool, c.Address = e.Pool, e.Address
+	r.mark(&c)
+	p := r.pools[e.Pool]
+	if p == nil {
+		p = &pool{}
+		r.pools[e.Pool] = p
+	}
+	p.candidates = append(p.candidates, c)
+}
+
+func (r *Registry) id(e identifier.Endpoint) int32 {
+	id, ok := r.ids[e]
+	if !ok {
+		id = int32(len(r.ids) + 1)
+		r.ids[e] = id
+	}
+	return id
+}
+
+// Choose decides for one request. The pick is nil if no endpoint can serve.
+func (r *Registry) Choose(q *Query) (*Pick, selector.Decision) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.pools[q.Pool]
+	if p == nil {
+		d := selector.Decision{Index: selector.None}
+		d.Excluded.NotFound++
+		return nil, d
+	}
+	r.match(p, q.Blocks)
+	d := selector.Select(&q.Select, p.candidates, p.cached)
+	if d.Index == selector.None {
+		return nil, d
+	}
+	c := &p.candidates[d.Index]
+	uncached := q.Select.PromptTokens - d.Chosen.Cached
+	c.InFlight++
+	c.SentSince++
+	c.SentTokens += uncached
+	id := r.id(c.Endpoint)
+	r.indexer.Add(q.Blocks, id)
+	return &Pick{
+		Endpoint: c.Endpoint, Host: c.Host, Incarnation: c.Incarnation, Address: c.Address, Pool: c.Pool,
+		id: id,
+	}, d
+}
+
+func (r *Registry) match(p *pool, blocks []prefix.Block) {
+	clear(p.cached)
+	r.indexer.Match(blocks, func(id int32, n int) {
+		i, ok := r.place[id]
+		if ok && i < len(p.candidates) && r.ids[p.candidates[i].Endpoint] == id {
+			p.cached[i] = identifier.Tokens(n * prefix.BlockTokens)
+		}
+	})
+}
+
+// find returns a pick's endpoint if it is still the same life of the host.
+// The caller holds the lock.
+func (r *Registry) find(k *Pick) *candidate.Candidate {
+	p := r.pools[k.Pool]
+	if p == nil {
+		return nil
+	}
+	i, ok := r.place[k.id]
+	if !ok || i >= len(p.candidates) || p.candidates[i].Endpoint != k.Endpoint || p.candidates[i].Incarnation != k.Incarnation {
+		return nil
+	}
+	return &p.candidates[i]
+}
+
+// Usable tells whether new work may be sent to a pick right now. Without this
+// check a request chosen before the notice, and held up since, would reach an
+// endpoint that is leaving.
+func (r *Registry) Usable(k *Pick) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := r.find(k)
+	return c != nil && !c.Leaving
+}
+
+// Leaving tells whether a pick's host is leaving, and when if that is known.
+func (r *Registry) Leaving(k *Pick) (deadline time.Time, leaving bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := r.find(k)
+	if c == nil {
+		return time.Time{}, true
+	}
+	return c.Deadline, c.Leaving
+}
+
+// Result tells how a request to an endpoint went.
+type Result int
+
+// The results. Neutral says nothing about the endpoint's health, as when the
+// caller cancelled.
+const (
+	Neutral Result = iota
+	Succeeded
+	Failed
+)
+
+// Release ends a pick's request.
+func (r *Registry) Release(k *Pick, result Result) {
+	r.mu.Lock()
+	c := r.find(k)
+	if c != nil {
+		c.InFlight--
+		r.judge(c, result)
+	}
+	r.mu.Unlock()
+}
+
+func (r *Registry) judge(c *candidate.Candidate, result Result) {
+	switch result {
+	case Succeeded:
+		c.Failures = 0
+		c.EjectedUntil = time.Time{}
+	case Failed:
+		c.Failures++
+		if c.Failures >= ejectAfter && r.mayEject(c.Pool) {
+			pause := min(firstEject<<min(c.Failures-ejectAfter, 4), longEject)
+			c.EjectedUntil = time.Now().Add(pause)
+		}
+	}
+}
+
+func (r *Registry) mayEject(name identifier.Pool) bool {
+	p := r.pools[name]
+	ejected := 0
+	for i := range p.candidates {
+		if p.candidates[i].Ejected(time.Now()) {
+			ejected++
+		}
+	}
+	return 2*(ejected+1) <= len(p.candidates) || len(p.candidates) == 1
+}
+
+// Report takes in a load report, taken at a time of this daemon's clock.
+func (r *Registry) Report(l *report.Report, taken time.Time) {
+	r.mu.Lock()
+	var host identifier.Host
+	var incarnation identifier.Incarnation
+	r.each(func(c *candidate.Candidate) {
+		if c.Endpoint != l.Endpoint || !taken.After(c.Taken) {
+			return
+		}
+		c.Running, c.Queued, c.QueuedTokens, c.Model = l.Running, l.Queued, l.QueuedTokens, l.Model
+		c.Taken = taken
+		c.SentSince, c.SentTokens = 0, 0
+		host, incarnation = c.Host, c.Incarnation
+	})
+	r.mu.Unlock()
+	if l.Leaving && host != "" {
+		r.MarkLeaving(host, incarnation, time.UnixMilli(unknownNotice))
+	}
+}
+
+// Slots returns how many requests a pool takes, given the bound for each
+// endpoint.
+func (r *Registry) Slots(name identifier.Pool, maxInFlight int) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.pools[name]
+	if p == nil {
+		return 0
+	}
+	n := 0
+	for i := range p.candidates {
+		if !p.candidates[i].Leaving && !p.candidates[i].Ejected(time.Now()) {
+			n += maxInFlight
+		}
+	}
+	return n
+}
+
+// Zones counts the zones that list endpoints.
+func (r *Registry) Zones() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	seen := make(map[identifier.AvailabilityZone]bool)
+	r.each(func(c *candidate.Candidate) { seen[c.AvailabilityZone] = true })
+	return len(seen)
+}
+
+// Endpoints returns a copy of all candidates, ordered by name.
+func (r *Registry) Endpoints() []candidate.Candidate {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []candidate.Candidate
+	r.each(func(c *candidate.Candidate) { out = append(out, *c) })
+	slices.SortFunc(out, func(a, b candidate.Candidate) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
+	return out
+}
+
+// Take counts a request on a named endpoint, as a resumption needs that goes
+// back to where its stream runs; nil if the endpoint is not listed.
+func (r *Registry) Take(e identifier.Endpoint) *Pick {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var k *Pick
+	r.each(func(c *candidate.Candidate) {
+		if c.Endpoint == e {
+			c.InFlight++
+			k = &Pick{Endpoint: e, Host: c.Host, Incarnation: c.Incarnation, Address: c.Address, Pool: c.Pool, id: r.id(e)}
+		}
+	})
+	return k
+}
+
+// Class returns the class and zone of a pick's host, for pricing.
+func (r *Registry) Class(k *Pick) (identifier.AvailabilityZone, document.Class) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := r.find(k)
+	if c == nil {
+		return "", ""
+	}
+	return c.AvailabilityZone, c.Class
+}
--- /dev/null
+++ b/internal/serve/carrier/carrier.go
@@ -0,0 +1,143 @@
+// Package carrier moves the state of interrupted requests between daemons.
+//
+// # Where state goes
+//
+// A daemon that leaves hands each unfinished answer to two peers, if it can
+// one in its own zone and one in another: a whole zone is often reclaimed at
+// once. A daemon whose caller's connection breaks keeps the state itself. The
+// resume token names the holders, so that any daemon can fetch it.
+//
+// # Usage
+//
+//	holders := c.HandOver(ctx, envelope)
+//	envelope, ok := c.Fetch(ctx, token)
+package carrier
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"brasschute/internal/core/identifier"
+	"brasschute/internal/peer/holder"
+	"brasschute/internal/peer/ledger"
+	"brasschute/internal/peer/rpc"
+	"brasschute/internal/serve/sealer"
+)
+
+const (
+	copies      = 2
+	callTimeout = time.Second
+)
+
+// Config names the carrier's collaborators.
+type Config struct {
+	Ledger *ledger.Ledger
+	Holder *holder.Holder
+	// Peer returns a client for a peer's address.
+	Peer func(address string) rpc.Peer
+}
+
+// Carrier is safe for concurrent use.
+type Carrier struct {
+	c Config
+}
+
+// New returns a carrier.
+func New(c Config) *Carrier { return &Carrier{c} }
+
+// Own returns this daemon's address as a holder.
+func (c *Carrier) Own() []netip.AddrPort {
+	a, err := netip.ParseAddrPort(c.c.Ledger.Self().PeerAddress)
+	if err != nil {
+		return nil
+	}
+	return []netip.AddrPort{a}
+}
+
+// Keep stores an envelope at this daemon.
+func (c *Carrier) Keep(e *rpc.Envelope) { c.c.Holder.Keep(e) }
+
+// Drop forgets a request whose answer has been delivered whole.
+func (c *Carrier) Drop(o identifier.Organisation, instance identifier.Request) {
+	c.c.Holder.Drop(o, instance)
+}
+
+// HandOver stores an envelope at peers and returns those that have it.
+func (c *Carrier) HandOver(ctx context.Context, e *rpc.Envelope) []netip.AddrPort {
+	var kept []netip.AddrPort
+	for _, m := range c.order() {
+		if len(kept) == copies {
+			break
+		}
+		address, err := netip.ParseAddrPort(m.PeerAddress)
+		if err != nil {
+			continue
+		}
+		if c.store(ctx, m.PeerAddress, e) {
+			kept = append(kept, address)
+		}
+	}
+	return kept
+}
+
+func (c *Carrier) store(ctx context.Context, address string, e *rpc.Envelope) bool {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	reply, err := c.c.Peer(address).Keep(ctx, e)
+	return err == nil && reply.Kept
+}
+
+// order lists living peers: one of the own zone, then one of another, and so
+// on by turns.
+func (c *Carrier) order() []*rpc.Member {
+	zone := c.c.Ledger.Self().AvailabilityZone
+	var near, far []*rpc.Member
+	for _, m := range c.c.Ledger.Alive() {
+		if m.State != rpc.State_ALIVE {
+			continue
+		}
+		if m.AvailabilityZone == zone {
+			near = append(near, m)
+		} else {
+			far = append(far, m)
+		}
+	}
+	var out []*rpc.Member
+	for i := range max(len(near), len(far)) {
+		if i < len(far) {
+			out = append(out, far[i])
+		}
+		if i < len(near) {
+			out = append(out, near[i])
+		}
+	}
+	return out
+}
+
+// Fetch looks for a token's envelope, here first and then at its holders.
+func (c *Carrier) Fetch(ctx context.Context, t *sealer.Token) (*rpc.Envelope, bool) {
+	if e, ok := c.c.Holder.Fetch(t.Organisation, t.Instance); ok {
+		return e, true
+	}
+	own := c.c.Ledger.Self().PeerAddress
+	for _, a := range t.Holders {
+		if a.String() == own {
+			continue
+		}
+		if e := c.fetch(ctx, a.String(), t); e != nil {
+			return e, true
+		}
+	}
+	return nil, false
+}
+
+func (c *Carrier) fetch(ctx context.Context, address string, t *sealer.Token) *rpc.Envelope {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	e, err := c.c.Peer(address).Fetch(ctx, &rpc.FetchRequest{Request: string(t.Instance), Organisation: string(t.Organisation)})
+	if err != nil {
+		return nil
+	}
+	return e
+}
--- /dev/null
+++ b/internal/serve/claimer/claimer.go
@@ -0,0 +1,448 @@
+// Package claimer makes keyed requests run at most once over the whole fleet.
+//
+// # Claims
+//
+// Before the first byte of a keyed request goes to an endpoint, its key is
+// claimed on the platform. A claim holds a random token, by which its owner
+// knows it again, and a digest of the request, so that a key reused with
+// another body is found out. Whoever finds the key claimed by somebody else
+// does not run the request.
+//
+// # Shards and batches
+//
+// Claims are kept in [Shards] objects, chosen by a hash of the key, each
+// written by conditional update only. All claims that arrive while a write is
+// under way go into the next one, so the writes of a daemon do not grow with
+// its requests, and no daemon needs to own a shard: the conditional update
+// alone is what is safe.
+//
+// # Lost answers
+//
+// When the answer to a write is lost, the write may stand, may still come, or
+// may never come. The claimer reads back: finding its token it owns the claim;
+// else it writes again under the version it read. Either that write takes
+// effect, and the lost one can no longer, as its version is gone; or it
+// conflicts, because the lost one took effect, and reading shows the token.
+//
+// A claimer that gives up, as the platform no longer answers, reports that the
+// request did not run, and withdraws the claim in the background. Withdrawing
+// writes the shard even if the claim is not in it: that makes the condition of
+// a write still on its way fail.
+//
+// # Usage
+//
+//	claim, err := c.Claim(ctx, claimer.Key{...})
+//	var d *claimer.Duplicate
+//	if errors.As(err, &d) { answer from d.Prior }
+//	defer claim.Release() // if nothing was sent, or
+//	claim.Finish(status, contentType, body)
+package claimer
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	mathrand "math/rand/v2"
+	"sync"
+	"time"
+
+	"brasschute/internal/core/identifier"
+	"brasschute/internal/platform/inventory"
+	"brasschute/internal/platform/object"
+)
+
+const (
+	// Shards is fixed: changing it would hide earlier claims.
+	Shards = 64
+	// Retention is how long a key is remembered.
+	Retention = 24 * time.Hour
+	// maxShard bounds a shard's entries by their estimated bytes.
+	maxShard   = 256 << 10
+	entryBytes = 160
+	// maxAnswer is the largest answer kept for replay.
+	maxAnswer   = 2 << 10
+	maxTries    = 12
+	retryPause  = 5 * time.Millisecond
+	maxPending  = 4096
+	finishTries = 5
+	backPause   = 500 * time.Millisecond
+	keyBytes    = 16
+	tokenBytes  = 12
+)
+
+// Store is the platform's object API.
+type Store interface {
+	Get(ctx context.Context, key string) (object.Object, error)
+	Put(ctx context.Context, key string, ifVersion uint64, value any) (object.Object, error)
+	// Now is the platform's clock.
+	Now() time.Time
+}
+
+// Config names the store.
+type Config struct {
+	Store Store
+}
+
+// Key names what is claimed.
+type Key struct {
+	Organisation identifier.Organisation
+	Service      identifier.Service
+	Key          string
+	// Digest is that of the request.
+	Digest string
+}
+
+func (k *Key) hash() [sha256.Size]byte {
+	return sha256.Sum256(fmt.Appendf(nil, "%d:%s%d:%s%s", len(k.Organisation), k.Organisation, len(k.Service), k.Service, k.Key))
+}
+
+// Entry is one claim as it is kept.
+type Entry struct {
+	Token  string
+	Digest string
+	// At is the platform's time in Unix seconds.
+	At int64
+	// Done: the request ran; the rest is its answer, if short enough.
+	Done        bool
+	Status      int    `json:",omitempty"`
+	ContentType string `json:",omitempty"`
+	Answer      []byte `json:",omitempty"`
+}
+
+func (e *Entry) bytes() int { return entryBytes + len(e.Answer)*4/3 }
+
+type shard struct {
+	Entries map[string]Entry
+}
+
+// ErrImpossible: the platform could not take the claim; nothing ran.
+var ErrImpossible = errors.New("claim not possible")
+
+// Duplicate is the error of a key that is claimed already.
+type Duplicate struct {
+	Prior Entry
+	// SameRequest tells whether the digests agree.
+	SameRequest bool
+}
+
+// Error names the state of the prior claim.
+func (d *Duplicate) Error() string {
+	return fmt.Sprintf("key claimed already (done: %t, same request: %t)", d.Prior.Done, d.SameRequest)
+}
+
+// Claim is an owned claim.
+type Claim struct {
+	c     *Claimer
+	shard int
+	key   string
+	entry Entry
+}
+
+// Restore rebuilds a claim from its names, for whoever finishes a request
+// that another daemon began.
+func (c *Claimer) Restore(key, token string) *Claim {
+	raw, err := hex.DecodeString(key)
+	if err != nil || len(raw) == 0 {
+		return nil
+	}
+	return &Claim{c: c, shard: int(raw[0]) % Shards, key: key, entry: Entry{Token: token}}
+}
+
+// Names returns what Restore needs.
+func (m *Claim) Names() (key, token string) { return m.key, m.entry.Token }
+
+type verb int
+
+const (
+	claim verb = iota
+	finish
+	withdraw
+)
+
+type operation struct {
+	verb  verb
+	key   string
+	entry Entry
+	tries int
+	done  chan error
+}
+
+type queue struct {
+	pending []*operation
+	busy    bool
+	// value and version are those last seen, to save a read.
+	value   shard
+	version uint64
+	known   bool
+}
+
+// Claimer makes claims. It is safe for concurrent use.
+type Claimer struct {
+	store Store
+
+	mu     sync.Mutex
+	queues [Shards]queue
+	group  sync.WaitGroup
+}
+
+// New returns a claimer.
+func New(c Config) *Claimer { return &Claimer{store: c.Store} }
+
+// Claim claims a key. The error is a *Duplicate, or wraps ErrImpossible or
+// the context's error; after the latter two nothing may be run.
+func (c *Claimer) Claim(ctx context.Context, k *Key) (*Claim, error) {
+	h := k.hash()
+	token := make([]byte, tokenBytes)
+	_, _ = rand.Read(token)
+	m := &Claim{c: c, shard: int(h[0]) % Shards, key: hex.EncodeToString(h[:keyBytes])}
+	m.entry = Entry{Token: base64.RawURLEncoding.EncodeToString(token), Digest: k.Digest}
+	op := &operation{verb: claim, key: m.key, entry: m.entry, done: make(chan error, 1)}
+	if !c.push(m.shard, op) {
+		return nil, fmt.Errorf("%w: too many claims wait", ErrImpossible)
+	}
+	select {
+	case err := <-op.done:
+		if err != nil {
+			return nil, err
+		}
+		return m, nil
+	case <-ctx.Done():
+		m.Release()
+		return nil, fmt.Errorf("%w: %w", ErrImpossible, ctx.Err())
+	}
+}
+
+// Finish records, in the background, that the request ran, and its answer.
+func (m *Claim) Finish(status int, contentType string, answer []byte) {
+	e := m.entry
+	e.Done = true
+	e.Status = status
+	if len(answer) <= maxAnswer {
+		e.ContentType = contentType
+		e.Answer = answer
+	}
+	m.c.push(m.shard, &operation{verb: finish, key: m.key, entry: e, done: make(chan error, 1)})
+}
+
+// Release withdraws, in the background, the claim of a request that did not
+// run, so that it can be tried again.
+func (m *Claim) Release() {
+	m.c.push(m.shard, &operation{verb: withdraw, key: m.key, entry: m.entry, done: make(chan error, 1)})
+}
+
+// Wait returns when no operation is pending any more, for a graceful stop.
+func (c *Claimer) Wait() { c.group.Wait() }
+
+// push queues an operation; it reports false when the queue is full.
+func (c *Claimer) push(i int, op *operation) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	q := &c.queues[i]
+	if len(q.pending) >= maxPending {
+		return false
+	}
+	q.pending = append(q.pending, op)
+	if !q.busy {
+		q.busy = true
+		c.group.Add(1)
+		go c.drain(i)
+	}
+	return true
+}
+
+// drain writes batches until the queue is empty.
+func (c *Claimer) drain(i int) {
+	defer c.group.Done()
+	for {
+		c.mu.Lock()
+		q := &c.queues[i]
+		batch := q.pending
+		q.pending = nil
+		if len(batch) == 0 {
+			q.busy = false
+			c.mu.Unlock()
+			return
+		}
+		c.mu.Unlock()
+		c.flush(i, batch)
+	}
+}
+
+// flush settles one batch.
+func (c *Claimer) flush(i int, batch []*operation) {
+	err := c.settle(context.Background(), i, batch)
+	if err == nil {
+		return
+	}
+	again := false
+	for _, op := range batch {
+		again = c.failed(i, op, err) || again
+	}
+	if again {
+		time.Sleep(backPause)
+	}
+}
+
+// failed answers an operation that could not be written. A claim is given up
+// and withdrawn; the others are tried again a few times.
+func (c *Claimer) failed(i int, op *operation, err error) (again bool) {
+	if op.verb == claim {
+		op.done <- fmt.Errorf("%w: %w", ErrImpossible, err)
+		if errors.Is(err, object.ErrUnavailable) && !errors.Is(err, object.ErrUnknown) {
+			return false
+		}
+		op = &operation{verb: withdraw, key: op.key, entry: op.entry, done: make(chan error, 1)}
+	}
+	op.tries++
+	if op.tries > finishTries {
+		return false
+	}
+	return c.push(i, op)
+}
+
+// settle applies a batch by conditional update, reading again after each
+// conflict or lost answer. An error that may hide an effect wraps
+// object.ErrUnknown.
+func (c *Claimer) settle(ctx context.Context, i int, batch []*operation) error {
+	q := &c.queues[i]
+	var lost error
+	for range maxTries {
+		if !q.known {
+			if err := c.read(ctx, i, q); err != nil {
+				return errors.Join(lost, err)
+			}
+		}
+		stale := q.known
+		next, results, changed := apply(q.value, batch, c.store.Now())
+		if !changed && c.confirm(ctx, i, q, results, stale) {
+			deliver(batch, results)
+			return nil
+		}
+		if !changed {
+			continue
+		}
+		o, err := c.store.Put(ctx, key(i), q.version, next)
+		switch {
+		case err == nil:
+			q.value, q.version = next, o.Version
+			deliver(batch, results)
+			return nil
+		case errors.Is(err, object.ErrUnknown):
+			lost = err
+		case !errors.Is(err, object.ErrConflict):
+			return errors.Join(lost, err)
+		}
+		q.known = false
+		time.Sleep(mathrand.N(retryPause))
+	}
+	return errors.Join(lost, object.ErrConflict)
+}
+
+// confirm tells whether results that need no write may be told. What was
+// decided by a remembered value is decided again by a fresh one: the prior
+// claim may have been withdrawn since.
+func (c *Claimer) confirm(ctx context.Context, i int, q *queue, results []error, remembered bool) bool {
+	if !remembered {
+		return true
+	}
+	for _, err := range results {
+		if err == nil {
+			continue
+		}
+		before := q.version
+		if c.read(ctx, i, q) != nil || q.version == before {
+			return true
+		}
+		return false
+	}
+	return true
+}
+
+func (c *Claimer) read(ctx context.Context, i int, q *queue) error {
+	o, err := c.store.Get(ctx, key(i))
+	if errors.Is(err, object.ErrMissing) {
+		q.value, q.version, q.known = shard{}, object.Absent, true
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	var v shard
+	if err := json.Unmarshal(o.Value, &v); err != nil {
+		return fmt.Errorf("claims: %s: %w", o.Key, err)
+	}
+	q.value, q.version, q.known = v, o.Version, true
+	return nil
+}
+
+func key(i int) string { return fmt.Sprintf("%s%02d", inventory.ClaimPrefix, i) }
+
+func deliver(batch []*operation, results []error) {
+	for n, op := range batch {
+		op.done <- results[n]
+	}
+}
+
+// apply computes a shard's next value and each operation's result. It leaves
+// the given value as it is.
+func apply(v shard, batch []*operation, now time.Time) (next shard, results []error, changed bool) {
+	next.Entries = make(map[string]Entry, len(v.Entries)+len(batch))
+	size := 0
+	for k, e := range v.Entries {
+		if now.Unix()-e.At > int64(Retention.Seconds()) {
+			continue
+		}
+		next.Entries[k] = e
+		size += e.bytes()
+	}
+	results = make([]error, len(batch))
+	for n, op := range batch {
+		did, err := next.one(op, &size, now)
+		results[n] = err
+		changed = changed || did
+	}
+	return next, results, changed
+}
+
+func (v *shard) one(op *operation, size *int, now time.Time) (changed bool, err error) {
+	prior, exists := v.Entries[op.key]
+	owned := exists && prior.Token == op.entry.Token
+	switch op.verb {
+	case claim:
+		if owned {
+			return false, nil
+		}
+		if exists {
+			return false, &Duplicate{Prior: prior, SameRequest: prior.Digest == op.entry.Digest}
+		}
+		if *size+op.entry.bytes() > maxShard {
+			return false, fmt.Errorf("%w: the shard is full of claims younger than %s", ErrImpossible, Retention)
+		}
+		*size += op.entry.bytes()
+		e := op.entry
+		e.At = now.Unix()
+		v.Entries[op.key] = e
+		return true, nil
+	case finish:
+		if !owned || prior.Done {
+			return false, nil
+		}
+		e := op.entry
+		e.At, e.Digest = prior.At, prior.Digest
+		if *size+len(e.Answer)*4/3 > maxShard {
+			e.Answer = nil
+		}
+		v.Entries[op.key] = e
+		return true, nil
+	default:
+		if owned && !prior.Done {
+			delete(v.Entries, op.key)
+		}
+		return true, nil
+	}
+}
--- /dev/null
+++ b/internal/serve/parser/parser.go
@@ -0,0 +1,347 @@
+// Package parser turns a caller's HTTP request into a checked call.
+//
+// # Order of checks
+//
+// The cheap checks come first: who calls, which headers stand twice, how long
+// the body claims to be. Only then is the body read, within a limit of bytes
+// and of time, so that an unknown or slow sender costs next to nothing. All
+// problems found here mean that nothing was sent to any endpoint.
+//
+// # Usage
+//
+//	p := parser.New(parser.Config{MaxBody: 1 << 20, BodyTimeout: 10 * time.Second})
+//	c, problem := p.Parse(w, r, plan, number)
+package parser
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"regexp"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"brasschute/internal/config/compiler"
+	"brasschute/internal/config/document"
+	"brasschute/internal/core/identifier"
+	"brasschute/internal/engine/prefix"
+	"brasschute/internal/serve/call"
+	"brasschute/internal/serve/refusal"
+)
+
+// The paths of callers.
+const (
+	ChatPath        = "/v1/chat/completions"
+	CompletionsPath = "/v1/completions"
+	ServicesPrefix  = "/services/"
+)
+
+const (
+	defaultMaxTokens = 16
+	maxTokens        = 1 << 17
+	maxKey           = 255
+	instanceBytes    = 5
+	digestBytes      = 16
+	bearer           = "Bearer "
+)
+
+// Config bounds what is read.
+type Config struct {
+	// MaxBody is in bytes.
+	MaxBody int64
+	// BodyTimeout bounds the time until the whole body has arrived.
+	BodyTimeout time.Duration
+}
+
+// Parser parses requests. It has no state.
+type Parser struct {
+	c Config
+}
+
+// New returns a parser.
+func New(c Config) *Parser { return &Parser{c} }
+
+// single lists the headers that must not stand twice: with two values, two
+// processes may each act on another one.
+var single = []string{
+	"Authorization", "Content-Type", "Idempotency-Key", "Request-Id", "Request-Timeout", "Traceparent", "Last-Event-Id",
+}
+
+var identifierForm = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$`)
+
+// Identify returns the id of a request, from its header or new. It never
+// fails, so that refusals can name it too.
+func Identify(r *http.Request) identifier.Request {
+	id := r.Header.Get("Request-Id")
+	if identifierForm.MatchString(id) {
+		return identifier.Request(id)
+	}
+	return identifier.Request(uuid.NewString())
+}
+
+// Parse reads and checks one request.
+func (p *Parser) Parse(w http.ResponseWriter, r *http.Request, plan *compiler.Plan, number identifier.ConfigurationNumber) (*call.Call, *refusal.Problem) {
+	c := &call.Call{
+		Request: Identify(r), Received: time.Now(), Plan: plan, Number: number, Rule: compiler.NoRule,
+		Traceparent: r.Header.Get("Traceparent"), LastEventID: r.Header.Get("Last-Event-ID"),
+	}
+	c.Instance = c.Request + "~" + random()
+	if problem := headers(r); problem != nil {
+		return c, problem
+	}
+	o, problem := Authenticate(r, plan)
+	if problem != nil {
+		return c, problem
+	}
+	c.Organisation = o
+	c.Priority = o.Priority
+	if strings.HasPrefix(r.URL.Path, ServicesPrefix) {
+		return c, p.plain(w, r, c)
+	}
+	return c, p.model(w, r, c)
+}
+
+func random() identifier.Request {
+	b := make([]byte, instanceBytes)
+	_, _ = rand.Read(b)
+	return identifier.Request(hex.EncodeToString(b))
+}
+
+func headers(r *http.Request) *refusal.Problem {
+	for _, name := range single {
+		if len(r.Header.Values(name)) > 1 {
+			return refusal.New(refusal.BadRequest, "header "+name+" stands more than once; allowed: once")
+		}
+	}
+	if id := r.Header.Get("Request-Id"); id != "" && !identifierForm.MatchString(id) {
+		return refusal.New(refusal.BadRequest, "Request-Id: allowed are 1 to 64 letters, digits, '.', '_' and '-'")
+	}
+	if len(r.Header.Get("Idempotency-Key")) > maxKey {
+		return refusal.New(refusal.BadRequest, fmt.Sprintf("Idempotency-Key: allowed are %d bytes", maxKey))
+	}
+	return nil
+}
+
+// Authenticate finds the organisation of a request's bearer key.
+func Authenticate(r *http.Request, plan *compiler.Plan) (*document.Organisation, *refusal.Problem) {
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), bearer)
+	if !ok || key == "" {
+		return nil, refusal.New(refusal.Unauthenticated, "Authorization: allowed is 'Bearer' with an organisation's key")
+	}
+	sum := sha256.Sum256([]byte(key))
+	o, ok := plan.Organisation(hex.EncodeToString(sum[:]))
+	if !ok {
+		return nil, refusal.New(refusal.Unauthenticated, "the key belongs to no organisation")
+	}
+	return o, nil
+}
+
+func (p *Parser) plain(w http.ResponseWriter, r *http.Request, c *call.Call) *refusal.Problem {
+	name, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, ServicesPrefix), "/")
+	if problem := service(c, identifier.Service(name), document.KindPlain); problem != nil {
+		return problem
+	}
+	c.Method = r.Method
+	c.Path = "/" + rest
+	if r.URL.RawQuery != "" {
+		c.Path += "?" + r.URL.RawQuery
+	}
+	c.Header = r.Header
+	body, problem := p.body(w, r)
+	if problem != nil {
+		return problem
+	}
+	c.Body = body
+	return finish(r, c)
+}
+
+// input is what the system itself needs of a model request.
+type input struct {
+	Model     string          `json:"model"`
+	Messages  []message       `json:"messages"`
+	Prompt    string          `json:"prompt"`
+	Stream    bool            `json:"stream"`
+	MaxTokens json.RawMessage `json:"max_tokens"`
+	N         *int            `json:"n"`
+}
+
+type message struct {
+	Content json.RawMessage `json:"content"`
+}
+
+type part struct {
+	Text string `json:"text"`
+}
+
+// text returns a message's text, given as a string or as a list of parts.
+func (m *message) text() (string, error) {
+	var s string
+	if err := json.Unmarshal(m.Content, &s); err == nil {
+		return s, nil
+	}
+	var parts []part
+	if err := json.Unmarshal(m.Content, &parts); err != nil {
+		return "", fmt.Errorf("messages: content: allowed is text or a list of text parts")
+	}
+	for i := range parts {
+		s += parts[i].Text
+	}
+	return s, nil
+}
+
+func (p *Parser) model(w http.ResponseWriter, r *http.Request, c *call.Call) *refusal.Problem {
+	if r.Method != http.MethodPost {
+		return refusal.New(refusal.MethodRefused, "allowed: POST")
+	}
+	c.Completions = r.URL.Path == CompletionsPath
+	body, problem := p.body(w, r)
+	if problem != nil {
+		return problem
+	}
+	var in input
+	if err := json.Unmarshal(body, &in); err != nil {
+		return refusal.New(refusal.BadRequest, "body: "+err.Error())
+	}
+	if problem := service(c, identifier.Service(in.Model), document.KindModel); problem != nil {
+		return problem
+	}
+	if err := take(c, &in); err != nil {
+		return refusal.New(refusal.BadRequest, err.Error())
+	}
+	c.Body = body
+	return finish(r, c)
+}
+
+// take copies the checked input into the call.
+func take(c *call.Call, in *input) error {
+	c.Streaming = in.Stream
+	c.Prompt = in.Prompt
+	if c.Completions == (in.Prompt == "") {
+		return fmt.Errorf("body: allowed is 'messages' for %s, 'prompt' for %s", ChatPath, CompletionsPath)
+	}
+	if in.N != nil && *in.N != 1 {
+		return fmt.Errorf("n: found %d; allowed: 1", *in.N)
+	}
+	if !c.Completions && len(in.Messages) == 0 {
+		return errors.New("messages: found none; allowed: one or more")
+	}
+	for i := range in.Messages {
+		text, err := in.Messages[i].text()
+		if err != nil {
+			return err
+		}
+		c.Prompt += text
+	}
+	c.PromptTokens = prefix.Tokens(len(c.Prompt))
+	c.Blocks = prefix.Blocks(nil, c.Prompt)
+	return takeMaxTokens(c, in.MaxTokens)
+}
+
+func takeMaxTokens(c *call.Call, raw json.RawMessage) error {
+	c.MaxTokens = defaultMaxTokens
+	if len(raw) == 0 || string(raw) == "null" {
+		return nil
+	}
+	var n int
+	if err := json.Unmarshal(raw, &n); err != nil || n < 1 || n > maxTokens {
+		return fmt.Errorf("max_tokens: found %s; allowed: 1 to %d", raw, maxTokens)
+	}
+	c.MaxTokens = identifier.Tokens(n)
+	return nil
+}
+
+func service(c *call.Call, name identifier.Service, kind document.Kind) *refusal.Problem {
+	s, ok := c.Plan.Service(name)
+	if !ok || s.Kind != kind {
+		return refusal.New(refusal.UnknownService, fmt.Sprintf("there is no %s service %q", kind, name))
+	}
+	c.Service = s
+	return nil
+}
+
+func (p *Parser) body(w http.ResponseWriter, r *http.Request) ([]byte, *refusal.Problem) {
+	if r.ContentLength > p.c.MaxBody {
+		return nil, tooLarge(p.c.MaxBody)
+	}
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(p.c.BodyTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, p.c.MaxBody))
+	var limit *http.MaxBytesError
+	var timeout net.Error
+	switch {
+	case errors.As(err, &limit):
+		return nil, tooLarge(p.c.MaxBody)
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return nil, refusal.New(refusal.TooSlow, fmt.Sprintf("the body did not arrive within %s", p.c.BodyTimeout))
+	case err != nil:
+		return nil, refusal.New(refusal.BadRequest, "the body was cut")
+	}
+	_ = control.SetReadDeadline(time.Time{})
+	return body, nil
+}
+
+func tooLarge(limit int64) *refusal.Problem {
+	return refusal.New(refusal.TooLarge, fmt.Sprintf("the body is too large; allowed: %d bytes", limit))
+}
+
+// finish sets what depends on caller and service together. Of their words on
+// idempotence the stricter wins.
+func finish(r *http.Request, c *call.Call) *refusal.Problem {
+	c.Key = r.Header.Get("Idempotency-Key")
+	safe := r.Method == http.MethodGet || r.Method == http.MethodHead
+	c.NonIdempotent = c.Key != "" || !c.Service.Idempotent && !safe && c.Service.Kind == document.KindPlain
+	if c.NonIdempotent && c.Key == "" && c.Service.RequireKey {
+		return refusal.New(refusal.KeyRequired, "this service needs an Idempotency-Key")
+	}
+	c.Timeout = c.Service.Timeout.Std()
+	if text := r.Header.Get("Request-Timeout"); text != "" {
+		d, err := time.ParseDuration(text)
+		if err != nil || d <= 0 {
+			return refusal.New(refusal.BadRequest, fmt.Sprintf("Request-Timeout: found %q; allowed: a duration with its unit, as 800ms or 30s", text))
+		}
+		c.Timeout = min(c.Timeout, d)
+	}
+	h := sha256.New()
+	fmt.Fprintf(h, "%s %s\n", r.Method, r.URL.RequestURI())
+	_, _ = h.Write(c.Body)
+	c.Digest = hex.EncodeToString(h.Sum(nil)[:digestBytes])
+	return nil
+}
+
+// Kept is the state of an interrupted model request, as another daemon knew
+// it.
+type Kept struct {
+	Request      identifier.Request
+	Instance     identifier.Request
+	Organisation *document.Organisation
+	Body         []byte
+	Completions  bool
+}
+
+// Restore parses a kept model request again, for whoever carries it on.
+func (p *Parser) Restore(k *Kept, plan *compiler.Plan, number identifier.ConfigurationNumber) (*call.Call, *refusal.Problem) {
+	c := &call.Call{
+		Request: k.Request, Instance: k.Instance, Received: time.Now(), Plan: plan, Number: number,
+		Rule: compiler.NoRule, Organisation: k.Organisation, Completions: k.Completions, Body: k.Body,
+	}
+	var in input
+	if err := json.Unmarshal(k.Body, &in); err != nil {
+		return c, refusal.New(refusal.BadRequest, "body: "+err.Error())
+	}
+	if problem := service(c, identifier.Service(in.Model), document.KindModel); problem != nil {
+		return c, problem
+	}
+	if err := take(c, &in); err != nil {
+		return c, refusal.New(refusal.BadRequest, err.Error())
+	}
+	c.Timeout = c.Service.Timeout.Std()
+	return c, nil
+}
--- /dev/null
+++ b/internal/serve/recorder/recorder.go
@@ -0,0 +1,118 @@
+// Package recorder keeps why each request was decided as it was.
+//
+// # What is recorded
+//
+// A [Record] is plain data: who asked, which configuration and rule decided,
+// how long the request waited, each attempt with the alternatives that were
+// weighed, and how it ended. Refused requests have one too. The newest
+// records stay in memory; they explain recent decisions and are no audit
+// trail.
+//
+// # Usage
+//
+//	rec := recorder.New(recorder.Config{})
+//	rec.Add(record)
+//	record, ok := rec.Find(id)
+package recorder
+
+import (
+	"sync"
+	"time"
+
+	"brasschute/internal/core/identifier"
+)
+
+const defaultSize = 4096
+
+// Config bounds the memory.
+type Config struct {
+	// Size is the number of records kept; 4,096 if zero.
+	Size int
+}
+
+// Alternative is one endpoint that was weighed.
+type Alternative struct {
+	Endpoint     identifier.Endpoint
+	FirstTokenMS float64
+	Cost         float64
+	CachedTokens identifier.Tokens
+	InTarget     bool
+}
+
+// Attempt is one try at one endpoint.
+type Attempt struct {
+	Endpoint identifier.Endpoint
+	// Why says how the endpoint came to be chosen.
+	Why          string
+	Chosen       Alternative
+	Alternatives []Alternative
+	// Excluded says how many endpoints could not serve, by reason.
+	Excluded string
+	// Resumed is the number of tokens the caller already had.
+	Resumed int
+	State   string
+	Outcome string
+}
+
+// Record explains one request.
+type Record struct {
+	Request       identifier.Request
+	Instance      identifier.Request
+	Host          identifier.Host
+	Received      time.Time
+	Organisation  identifier.Organisation
+	Service       identifier.Service
+	Configuration identifier.ConfigurationNumber
+	// Rule is the name of the rule that matched, empty if none did.
+	Rule          string
+	Priority      string
+	Pool          identifier.Pool
+	NonIdempotent bool
+	// Claim tells how the idempotency key was decided, empty without one.
+	Claim    string
+	WaitedMS float64
+	Attempts []Attempt
+	// Outcome is "answered" or the refusal.
+	Outcome          string
+	FirstTokenMS     float64
+	TookMS           float64
+	Cost             float64
+	CompletionTokens identifier.Tokens
+	RecomputedTokens identifier.Tokens
+}
+
+// Recorder keeps the newest records. It is safe for concurrent use.
+type Recorder struct {
+	mu   sync.Mutex
+	ring []*Record
+	next int
+	byID map[identifier.Request]*Record
+}
+
+// New returns an empty recorder.
+func New(c Config) *Recorder {
+	if c.Size == 0 {
+		c.Size = defaultSize
+	}
+	return &Recorder{ring: make([]*Record, c.Size), byID: make(map[identifier.Request]*Record)}
+}
+
+// Add keeps a finished record, which must not be changed any more.
+func (r *Recorder) Add(rec *Record) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if old := r.ring[r.next]; old != nil && r.byID[old.Request] == old {
+		delete(r.byID, old.Request)
+	}
+	r.ring[r.next] = rec
+	r.next = (r.next + 1) % len(r.ring)
+	r.byID[rec.Request] = rec
+}
+
+// Find returns the newest record of a request id.
+func (r *Recorder) Find(id identifier.Request) (*Record, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	rec, ok := r.byID[id]
+	return rec, ok
+}
--- /dev/null
+++ b/internal/serve/streamer/query.go
@@ -0,0 +1,22 @@
+package streamer
+
+import (
+	"time"
+
+	"brasschute/internal/core/identifier"
+	"brasschute/internal/route/candidate"
+	"brasschute/internal/route/selector"
+	"brasschute/internal/serve/call"
+)
+
+// Query builds the routing question of a call.
+func Query(c *call.Call, zone identifier.AvailabilityZone, tried []identifier.Endpoint) selector.Query {
+	return selector.Query{
+		Now: time.Now(), Seed: Seed(c.Instance), Zone: zone, Zones: c.Zones, Model: c.Pool.Model,
+		PromptTokens: c.PromptTokens, OutputTokens: c.MaxTokens, MaxInFlight: c.Pool.MaxInFlight,
+		Prefill: c.Pool.PrefillPerSecond, Decode: c.Pool.DecodePerSecond,
+		Target: c.Plan.Configuration.Routing.FirstToken.Std(), RecomputeWeight: c.Plan.Configuration.Routing.RecomputeWeight,
+		Price: func(k *candidate.Candidate) float64 { return c.Plan.Price(k.AvailabilityZone, k.Class) },
+		Tried: tried,
+	}
+}
