integration: the path through separate processes, and bad input

Cause: the path had run in one process only. Found by the bad-input table: a body above the limit got a connection reset instead of its 413, because the server closed the connection on data that was still arriving.

Ruled out: MaxBytesReader alone (it closes in the same way).

--- /dev/null
+++ b/integration/raw_test.go
@@ -0,0 +1,57 @@
+package integration
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"brasschute/internal/peer/rpc"
+)
+
+// rawExchange sends text and returns what comes back until the end.
+func rawExchange(t *testing.T, address, text string) string {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(patience))
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Fatal(err)
+	}
+	const enough = 12
+	got := make([]byte, enough)
+	n, _ := io.ReadFull(c, got)
+	return string(got[:n])
+}
+
+// truncated sends text and breaks off.
+func truncated(t *testing.T, address, text string) {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Fatal(err)
+	}
+	c.Close()
+}
+
+// audited looks for a step in the trail.
+func audited(d *daemon, what string) error {
+	reply, err := d.operator().Audit(context.Background(), &rpc.AuditRequest{})
+	if err != nil {
+		return err
+	}
+	for _, e := range reply.Entries {
+		if e.What == what {
+			return nil
+		}
+	}
+	return fmt.Errorf("%q is not among %d entries", what, len(reply.Entries))
+}
--- a/internal/config/applier/applier.go
+++ b/internal/config/applier/applier.go
@@ -50,8 +50,8 @@
 	readPause   = 200 * time.Millisecond
 )
 
-// ErrUnknown: the write's answer was lost and the platform cannot be read;
-// the change may be in force.
+// ErrUnknown is returned when the write's answer was lost and the platform
+// cannot be read; the change may be in force.
 var ErrUnknown = errors.New("outcome unknown: the change may be in force; see 'brasschute config history'")
 
 // Conflict is the error of a draft made from another number than the latest.
--- a/internal/ops/commander/commander.go
+++ b/internal/ops/commander/commander.go
@@ -101,29 +101,24 @@
 }
 
 func (k *Commander) commands(p *flaggy.Parser) []command {
+	var out []command
 	add := func(name, description string, run func(context.Context) error) *flaggy.Subcommand {
 		sub := flaggy.NewSubcommand(name)
 		sub.Description = description
 		p.AttachSubcommand(sub, 1)
+		out = append(out, command{sub, run})
 		return sub
 	}
-	var out []command
 	role := func(name, description string, run func(context.Context) error) {
-		sub := add(name, description, run)
-		sub.String(&k.settings, "s", "settings", "settings file (YAML)")
-		out = append(out, command{sub, run})
+		add(name, description, run).String(&k.settings, "s", "settings", "settings file (YAML)")
 	}
 	role("entry", "run an entry daemon", k.entry)
 	role("controller", "run a controller", k.controller)
-	demo := add("demo", "show the whole system in one process", k.demo)
-	demo.Bool(&k.keep, "", "keep", "go on serving")
-	out = append(out, command{demo, k.demo})
-	key := add("key", "print a new random key and its hash", k.newKey)
-	out = append(out, command{key, k.newKey})
+	add("demo", "show the whole system in one process", k.demo).Bool(&k.keep, "", "keep", "go on serving")
+	add("key", "print a new random key and its hash", k.newKey)
 	ask := func(name, description string, run func(context.Context) error) *flaggy.Subcommand {
 		sub := add(name, description, run)
 		k.remote(sub)
-		out = append(out, command{sub, run})
 		return sub
 	}
 	ask("status", "show a daemon's view of the fleet", k.status)
--- a/internal/ops/commander/remote.go
+++ b/internal/ops/commander/remote.go
@@ -1,7 +1,6 @@
 package commander
 
 import (
-	"bufio"
 	"context"
 	"crypto/rand"
 	"encoding/hex"
@@ -155,9 +154,7 @@
 		return err
 	}
 	return k.show(c, func(*explainer.Explainer) {
-		w := bufio.NewWriter(k.c.Output)
-		defer w.Flush()
-		fmt.Fprintf(w, "%s%d\n%s", numberLine, c.Number, c.Source)
+		fmt.Fprintf(k.c.Output, "%s%d\n%s", numberLine, c.Number, c.Source)
 	})
 }
 
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -282,7 +282,7 @@
 	e.claimer.Wait()
 	e.deregister(running)
 	cancel()
-	<-done
+	_ = <-done
 	_ = e.closer()
 	e.c.Logger.Info("stopped")
 	return nil
--- a/internal/serve/claimer/claimer.go
+++ b/internal/serve/claimer/claimer.go
@@ -120,7 +120,8 @@
 	Entries map[string]Entry
 }
 
-// ErrImpossible: the platform could not take the claim; nothing ran.
+// ErrImpossible is returned when the platform could not take the claim;
+// nothing ran.
 var ErrImpossible = errors.New("claim not possible")
 
 // Duplicate is the error of a key that is claimed already.
--- a/internal/serve/handler/handler.go
+++ b/internal/serve/handler/handler.go
@@ -308,7 +308,7 @@
 	}
 	problem := refusal.New(refusal.RefusedByRule, action.Refuse)
 	if action.RetryAfter > 0 {
-		problem.After(action.RetryAfter.Std())
+		problem = problem.After(action.RetryAfter.Std())
 	}
 	return problem
 }
--- a/internal/serve/parser/parser.go
+++ b/internal/serve/parser/parser.go
@@ -50,7 +50,9 @@
 	maxKey           = 255
 	instanceBytes    = 5
 	digestBytes      = 16
-	bearer           = "Bearer "
+	// discarded is how many times the allowed size is read away.
+	discarded = 4
+	bearer    = "Bearer "
 )
 
 // Config bounds what is read.
@@ -268,17 +270,16 @@
 }
 
 func (p *Parser) body(w http.ResponseWriter, r *http.Request) ([]byte, *refusal.Problem) {
-	if r.ContentLength > p.c.MaxBody {
-		return nil, tooLarge(p.c.MaxBody)
-	}
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(p.c.BodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, p.c.MaxBody))
-	var limit *http.MaxBytesError
+	if r.ContentLength > p.c.MaxBody {
+		return nil, p.tooLarge(w, r)
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, p.c.MaxBody+1))
 	var timeout net.Error
 	switch {
-	case errors.As(err, &limit):
-		return nil, tooLarge(p.c.MaxBody)
+	case int64(len(body)) > p.c.MaxBody:
+		return nil, p.tooLarge(w, r)
 	case errors.As(err, &timeout) && timeout.Timeout():
 		return nil, refusal.New(refusal.TooSlow, fmt.Sprintf("the body did not arrive within %s", p.c.BodyTimeout))
 	case err != nil:
@@ -288,8 +289,13 @@
 	return body, nil
 }
 
-func tooLarge(limit int64) *refusal.Problem {
-	return refusal.New(refusal.TooLarge, fmt.Sprintf("the body is too large; allowed: %d bytes", limit))
+// tooLarge refuses a body. The rest of it is read away first, within bounds:
+// a connection that is closed on data still arriving is reset, and the sender
+// would see the reset instead of the refusal.
+func (p *Parser) tooLarge(w http.ResponseWriter, r *http.Request) *refusal.Problem {
+	_, _ = io.CopyN(io.Discard, r.Body, discarded*p.c.MaxBody)
+	w.Header().Set("Connection", "close")
+	return refusal.New(refusal.TooLarge, fmt.Sprintf("the body is too large; allowed: %d bytes", p.c.MaxBody))
 }
 
 // finish sets what depends on caller and service together. Of their words on
--- a/internal/standin/starter/starter.go
+++ b/internal/standin/starter/starter.go
@@ -49,6 +49,7 @@
 type Starter struct {
 	c       Config
 	listen  string
+	public  string
 	lag     time.Duration
 	where   string
 	host    inventory.Host
@@ -62,6 +63,7 @@
 	slots   int
 	ignores bool
 	dedupes bool
+	linger  time.Duration
 }
 
 // New returns a starter.
@@ -87,6 +89,7 @@
 	roles["engine"].Int(&s.prefill, "", "prefill", "tokens read in a second, 0 for at once")
 	roles["engine"].Int(&s.decode, "", "decode", "tokens written in a second, 0 for at once")
 	roles["engine"].Int(&s.slots, "", "slots", "streams that run at once")
+	roles["engine"].Duration(&s.linger, "", "linger", "how long a stream without reader lives on")
 	roles["engine"].Bool(&s.ignores, "", "ignores-fencing", "take orders with an old fencing number")
 	roles["plain"].Bool(&s.dedupes, "", "deduplicates", "run each key at most once")
 	if err := p.ParseArgs(args); err != nil {
@@ -102,6 +105,7 @@
 }
 
 func (s *Starter) endpointFlags(sub *flaggy.Subcommand) {
+	sub.String(&s.public, "", "advertise", "address under which it is listed; the listening one if left out")
 	sub.String(&s.where, "p", "platform", "address of the platform, IP:port")
 	sub.String((*string)(&s.host.Host), "", "host", "name of the host")
 	sub.String(&s.zone, "z", "zone", "availability zone")
@@ -138,18 +142,21 @@
 	if s.name == "" {
 		s.name = string(s.host.Host)
 	}
+	if s.public == "" {
+		s.public = s.listen
+	}
 	s.host.AvailabilityZone = identifier.AvailabilityZone(s.zone)
 	s.host.Class = document.Class(s.class)
 	s.host.State = inventory.StateLive
 	s.host.Incarnation = identifier.Incarnation(time.Now().UnixMilli())
 	s.host.Endpoints = []inventory.Endpoint{{
-		Endpoint: identifier.Endpoint(s.name), Pool: identifier.Pool(s.pool), Address: s.listen,
+		Endpoint: identifier.Endpoint(s.name), Pool: identifier.Pool(s.pool), Address: s.public,
 	}}
 	switch role {
 	case "engine":
 		return engine.New(engine.Config{
 			Endpoint: identifier.Endpoint(s.name), Incarnation: s.host.Incarnation, Model: s.model, Slots: s.slots,
-			PrefillPerSecond: s.prefill, DecodePerSecond: s.decode, IgnoresFencing: s.ignores,
+			PrefillPerSecond: s.prefill, DecodePerSecond: s.decode, IgnoresFencing: s.ignores, Linger: s.linger,
 		})
 	case "plain":
 		return plain.New(plain.Config{
