--- a/internal/fault/injector/injector.go
+++ b/internal/fault/injector/injector.go
@@ -224,7 +224,7 @@
 		time.Sleep(f.Delay)
 	}
 	if answer && f.DropAfter > 0 && k.answered+int64(len(data)) > f.DropAfter {
-		_, _ = to.Write(data[:f.DropAfter-k.answered])
+		_, _ = to.Write(data[:max(f.DropAfter-k.answered, 0)])
 		return false
 	}
 	if answer {
--- a/internal/peer/exchanger/exchanger.go
+++ b/internal/peer/exchanger/exchanger.go
@@ -31,6 +31,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -85,7 +86,6 @@
 
 	mu    sync.Mutex
 	loads map[identifier.Endpoint]load
-	sent  map[identifier.Endpoint]time.Time
 }
 
 var _ rpc.Peer = (*Exchanger)(nil)
@@ -97,7 +97,7 @@
 	}
 	return &Exchanger{
 		c: c, urgent: make(chan struct{}, 1),
-		loads: make(map[identifier.Endpoint]load), sent: make(map[identifier.Endpoint]time.Time),
+		loads: make(map[identifier.Endpoint]load),
 	}
 }
 
@@ -232,21 +232,19 @@
 	now := time.Now()
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	fresh := make([]load, 0, len(x.loads))
 	for endpoint := range x.loads {
 		l := x.loads[endpoint]
 		if now.Sub(l.taken) > loadAge {
 			delete(x.loads, endpoint)
-			delete(x.sent, endpoint)
 			continue
 		}
-		if len(n.Loads) < maxLoads && l.taken.After(x.sent[endpoint]) {
-			n.Loads = append(n.Loads, message(&l, now))
-		}
+		fresh = append(fresh, l)
 	}
-	if x.round%otherZoneEvery != 0 {
-		for _, l := range n.Loads {
-			x.sent[identifier.Endpoint(l.Endpoint)] = now
-		}
+	// The newest are worth most; older ones have had their turns to travel.
+	slices.SortFunc(fresh, func(a, b load) int { return b.taken.Compare(a.taken) })
+	for i := range fresh[:min(len(fresh), maxLoads)] {
+		n.Loads = append(n.Loads, message(&fresh[i], now))
 	}
 }
 
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -59,6 +59,9 @@
 	Outage bool
 	// StaleRevision, if not zero, answers lists as of that revision.
 	StaleRevision uint64
+	// LoseAnswers is the number of writes that take effect and whose answers
+	// are then lost.
+	LoseAnswers int
 	// Forget drops the memory of changes, so that watches meet a gap.
 	Forget bool
 }
@@ -141,7 +144,21 @@
 		http.Error(w, "version conflict", http.StatusPreconditionFailed)
 		return
 	}
-	answer(w, p.store(object.Object{Key: key, Value: value}))
+	o := p.store(object.Object{Key: key, Value: value})
+	if p.faults.LoseAnswers > 0 {
+		p.faults.LoseAnswers--
+		drop(w)
+		return
+	}
+	answer(w, o)
+}
+
+// drop breaks the connection without an answer.
+func drop(w http.ResponseWriter) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err == nil {
+		c.Close()
+	}
 }
 
 func (p *Platform) remove(w http.ResponseWriter, r *http.Request) {
