streamer: go on at a cancelled stream's engine

Cause: a caller that lost its connection came back with its token and got 502 with outcome 'not-run', twice wrong: the daemon had cancelled the stream, went back to its engine as holder again and again, and had forgotten that tokens had already been delivered.

Ruled out: keeping streams of vanished callers alive (the engine must be free within a second).

Change: only the first attempt goes back as to the holder; later ones may start anew there from the delivered tokens. A job that began elsewhere counts as begun.

--- a/integration/raw_test.go
+++ b/integration/raw_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -55,3 +56,6 @@
 	}
 	return fmt.Errorf("%q is not among %d entries", what, len(reply.Entries))
 }
+
+// containsText tells whether a JSON body holds a text, unescaped.
+func containsText(body, text string) bool { return strings.Contains(body, text) }
--- a/internal/config/applier/applier.go
+++ b/internal/config/applier/applier.go
@@ -105,7 +105,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := a.check(d, &stored.Change); err != nil {
+	if err := a.check(d, stored); err != nil {
 		return nil, err
 	}
 	next := a.next(d, stored)
@@ -138,11 +138,19 @@
 	return &s, o.Version, nil
 }
 
+// valid tells whether a stored configuration can be in force anywhere. One
+// that cannot was written past the checks, and no draft can be made from it.
+func valid(s *keeper.Stored) bool {
+	_, err := compiler.Compile("stored", []byte(s.Source))
+	return err == nil
+}
+
 // check compares the draft's origin with the latest number known. The
 // platform's may be lower than the one in force here, after a stale read or a
 // restored backup; the higher one counts.
-func (a *Applier) check(d *Draft, latest *keeper.Change) error {
-	if s := a.c.Keeper.InForce(); s != nil && s.Number() > latest.Number {
+func (a *Applier) check(d *Draft, stored *keeper.Stored) error {
+	latest := &stored.Change
+	if s := a.c.Keeper.InForce(); s != nil && (s.Number() > latest.Number || !valid(stored)) {
 		latest = &s.Change
 	}
 	if d.From != latest.Number {
@@ -156,7 +164,7 @@
 	_, _ = rand.Read(token)
 	next := &keeper.Stored{Source: d.Source}
 	next.Change = keeper.Change{
-		Number: d.From + 1, From: d.From, Who: d.Who, WhenUnixMilli: time.Now().UnixMilli(),
+		Number: max(d.From, old.Change.Number) + 1, From: d.From, Who: d.Who, WhenUnixMilli: time.Now().UnixMilli(),
 		Token: hex.EncodeToString(token), Differs: Differences(old.Source, d.Source),
 	}
 	if old.Change.Number > 0 {
@@ -225,7 +233,7 @@
 		if contains(stored, next.Change.Token) {
 			return true, version, nil
 		}
-		if stored.Change.Number > d.From {
+		if stored.Change.Number >= next.Change.Number {
 			return false, version, &Conflict{From: d.From, Latest: stored.Change}
 		}
 		return false, version, nil
--- a/internal/serve/streamer/streamer.go
+++ b/internal/serve/streamer/streamer.go
@@ -115,6 +115,8 @@
 	moving bool
 	// adopt: only the engine that holds the stream may go on with it.
 	adopt bool
+	// returning: this attempt goes back to the engine that holds the stream.
+	returning bool
 	// returned: the job went back to its engine once after a broken
 	// connection.
 	returned bool
@@ -177,7 +179,7 @@
 }
 
 func (j *Job) outcome() refusal.Outcome {
-	if j.maybeSent {
+	if j.maybeSent || j.Offset > 0 || j.Stream != "" {
 		return refusal.Unknown
 	}
 	return refusal.NotRun
@@ -261,6 +263,7 @@
 func (s *Streamer) choose(j *Job) (*registry.Pick, *recorder.Attempt, *refusal.Problem) {
 	note := recorder.Attempt{Resumed: j.Offset}
 	pick := s.back(j, &note)
+	j.returning = pick != nil
 	if pick == nil && j.adopt {
 		return nil, nil, refusal.New(refusal.EndpointFailed, "the request may have been sent, and its engine no longer answers").
 			With(refusal.Unknown).After(retryAfter)
@@ -351,8 +354,7 @@
 
 // open checks the endpoint a last time and starts or resumes the stream.
 func (s *Streamer) open(ctx context.Context, j *Job, pick *registry.Pick, state *caller.Attempt) (*caller.Stream, error) {
-	returning := pick.Endpoint == j.Endpoint && j.Stream != ""
-	if !returning && !s.c.Registry.Usable(pick) {
+	if !j.returning && !s.c.Registry.Usable(pick) {
 		return nil, errMoving
 	}
 	old, oldAddress := j.Stream, j.Address
@@ -361,13 +363,13 @@
 		j.Stream, j.Endpoint, j.Address = id, pick.Endpoint, pick.Address
 		return s.c.Caller.Complete(ctx, pick.Address, id, engineBody(j.Call), j.Call.NonIdempotent, state)
 	}
-	if !returning && j.Offset == 0 && j.Call.NonIdempotent {
+	if !j.returning && j.Offset == 0 && j.Call.NonIdempotent {
 		if err := s.stop(ctx, j); err != nil {
 			return nil, err
 		}
 	}
-	r := &resumption.Resumption{ID: id, Stream: old, Offset: j.Offset, Original: engineBody(j.Call), HeldOnly: returning}
-	if !returning && j.known() {
+	r := &resumption.Resumption{ID: id, Stream: old, Offset: j.Offset, Original: engineBody(j.Call), HeldOnly: j.returning}
+	if !j.returning && j.known() {
 		r.Delivered = j.Delivered
 		r.KVSource = oldAddress
 	}
@@ -378,7 +380,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if !returning {
+	if !j.returning {
 		go s.cancel(oldAddress, old)
 	}
 	j.Stream, j.Endpoint, j.Address = id, pick.Endpoint, pick.Address
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -62,6 +62,8 @@
 	// LoseAnswers is the number of writes that take effect and whose answers
 	// are then lost.
 	LoseAnswers int
+	// FailAfterLost begins an outage with the first lost answer.
+	FailAfterLost bool
 	// Forget drops the memory of changes, so that watches meet a gap.
 	Forget bool
 }
@@ -147,6 +149,7 @@
 	o := p.store(object.Object{Key: key, Value: value})
 	if p.faults.LoseAnswers > 0 {
 		p.faults.LoseAnswers--
+		p.faults.Outage = p.faults.FailAfterLost
 		drop(w)
 		return
 	}
