handler: hold answers for a witness

Cause: Compliance must witness every rollover confirmation before release; a rule could not say so.

Ruled out: keeping held answers in a daemon's memory (reclaim), storing the answer in the claim (a repeat of the key would get it past the witness).

Change: the action HoldFor names a plain service. A whole answer goes to it first; unless it acknowledges, the answer is kept on the platform, or at peers while that is down, and the caller gets 202 with where and when to collect.

--- a/integration/configuration_test.go
+++ b/integration/configuration_test.go
@@ -10,14 +10,14 @@
 	"sync"
 	"testing"
 
-	"github.com/twitchtv/twirp"
-
 	"brasschute/internal/config/keeper"
 	"brasschute/internal/fault/injector"
 	"brasschute/internal/peer/rpc"
 	"brasschute/internal/platform/inventory"
 	"brasschute/internal/platform/object"
 	"brasschute/internal/standin/platform"
+
+	"github.com/twitchtv/twirp"
 )
 
 // three starts daemons in three zones.
@@ -165,8 +165,8 @@
 		if lost == nil {
 			lost = errs[1]
 		}
-		e, ok := lost.(twirp.Error)
-		if !ok || e.Code() != twirp.Aborted || !strings.Contains(e.Msg(), "conflict") {
+		e := twirpError(lost)
+		if e == nil || e.Code() != twirp.Aborted || !strings.Contains(e.Msg(), "conflict") {
 			t.Fatalf("round %d: %v", round, lost)
 		}
 		for _, d := range f.entries {
@@ -201,7 +201,7 @@
 	f := three(t)
 	f.faults(platform.Faults{LoseAnswers: 1, FailAfterLost: true})
 	_, err := f.entries[0].apply(configuration(ruleNamed("x")), 1)
-	if e, ok := err.(twirp.Error); !ok || e.Code() != twirp.Unknown {
+	if e := twirpError(err); e == nil || e.Code() != twirp.Unknown {
 		t.Fatalf("%v", err)
 	}
 	f.faults(platform.Faults{})
@@ -209,7 +209,7 @@
 	// An apply that cannot even read the platform has changed nothing.
 	f.proxy.Set(zoneNet(1), injector.Fault{Cut: true})
 	_, err = f.entries[0].apply(configuration(ruleNamed("y")), 2)
-	if e, ok := err.(twirp.Error); !ok || e.Code() != twirp.Unavailable || !strings.HasPrefix(e.Msg(), "nothing changed") {
+	if e := twirpError(err); e == nil || e.Code() != twirp.Unavailable || !strings.HasPrefix(e.Msg(), "nothing changed") {
 		t.Fatalf("%v", err)
 	}
 }
@@ -283,8 +283,8 @@
 	f := three(t)
 	bad := strings.ReplaceAll(configuration(ruleNamed("a"), ruleNamed("a")), "Timeout: 60s", "Timeout: 60")
 	_, err := f.entries[0].apply(bad, 1)
-	e, ok := err.(twirp.Error)
-	if !ok || e.Code() != twirp.InvalidArgument {
+	e := twirpError(err)
+	if e == nil || e.Code() != twirp.InvalidArgument {
 		t.Fatalf("%v", err)
 	}
 	for _, part := range []string{"test.yaml:6: Services[0].Timeout: found \"60\"", "Rules[1].Name: found \"a\" a second time", "never reached"} {
--- a/integration/fleet_test.go
+++ b/integration/fleet_test.go
@@ -77,7 +77,7 @@
 	if p.t.Failed() {
 		p.t.Logf("log of %s:\n%s", p.name, text)
 	}
-	p.log.Close()
+	_ = p.log.Close()
 }
 
 func (p *process) kill() {
@@ -105,14 +105,15 @@
 	t        *testing.T
 	platform *process
 	// admin is the platform's own address, proxy that of its proxy.
-	admin    string
-	proxy    *injector.Injector
-	entries  []*daemon
-	engines  []*endpoint
-	plains   []*endpoint
-	next     map[int]int
-	settings string
-	client   *http.Client
+	admin   string
+	proxy   *injector.Injector
+	entries []*daemon
+	engines []*endpoint
+	plains  []*endpoint
+	// witnesses acknowledge held answers.
+	witnesses []*endpoint
+	next      map[int]int
+	client    *http.Client
 }
 
 // daemon is one entry daemon.
@@ -189,8 +190,8 @@
 		append([]string{"--model", "letters-1"}, flags...), &f.engines)
 }
 
-func (f *fleet) addPlain(zone int, flags ...string) *endpoint {
-	return f.addEndpoint(zone, "plain", fmt.Sprintf("ledger-%d", len(f.plains)+1), "ledgers", flags, &f.plains)
+func (f *fleet) addPlain(zone int) {
+	f.addEndpoint(zone, "plain", fmt.Sprintf("ledger-%d", len(f.plains)+1), "ledgers", nil, &f.plains)
 }
 
 func (f *fleet) addEndpoint(zone int, role, name, pool string, flags []string, list *[]*endpoint) *endpoint {
@@ -208,6 +209,10 @@
 	return e
 }
 
+func (f *fleet) addWitness(zone int) {
+	f.addEndpoint(zone, "plain", fmt.Sprintf("witness-%d", len(f.witnesses)+1), "witnesses", nil, &f.witnesses)
+}
+
 // addEntry starts an entry daemon; extra lines go into its settings.
 func (f *fleet) addEntry(zone int, extra ...string) *daemon {
 	f.t.Helper()
@@ -315,7 +320,7 @@
 		if s.ConfigurationNumber == 0 {
 			return fmt.Errorf("no configuration")
 		}
-		return want("endpoints", len(s.Endpoints), len(d.f.engines)+len(d.f.plains))
+		return want("endpoints", len(s.Endpoints), len(d.f.engines)+len(d.f.plains)+len(d.f.witnesses))
 	})
 }
 
@@ -427,7 +432,9 @@
   - {Name: booking, Kind: plain, Pool: ledgers, Timeout: 20s}
   - {Name: confirm, Kind: plain, Pool: ledgers, RequireKey: true, Timeout: 20s}
   - {Name: dedup, Kind: plain, Pool: ledgers, EndpointsDeduplicate: true, Timeout: 20s}
+  - {Name: witness, Kind: plain, Pool: witnesses, Idempotent: true, Timeout: 5s}
 Pools:
+  - {Name: witnesses, MaxInFlight: 50}
   - {Name: engines, Model: letters-1, MaxInFlight: 50, PrefillPerSecond: 10000, DecodePerSecond: 100, HonoursFencing: true}
   - {Name: ledgers, MaxInFlight: 50}
 Rules: [%s]
--- a/integration/membership_test.go
+++ b/integration/membership_test.go
@@ -9,11 +9,11 @@
 	"testing"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"brasschute/internal/fault/injector"
 	"brasschute/internal/peer/rpc"
 	"brasschute/internal/peer/signer"
+
+	"google.golang.org/protobuf/proto"
 )
 
 func TestMembershipOfPausedDaemon(t *testing.T) {
@@ -56,7 +56,7 @@
 }
 
 // forge sends a leaving notice for an engine's host to a daemon.
-func (f *fleet) forge(d *daemon, client *http.Client, headers http.Header) (int, http.Header) {
+func (f *fleet) forge(d *daemon, client *http.Client, headers http.Header) int {
 	f.t.Helper()
 	body, err := proto.Marshal(&rpc.News{
 		Self:    &rpc.Member{Host: "intruder", AvailabilityZone: "zone-1", PeerAddress: "127.9.9.9:1", Incarnation: 1},
@@ -76,10 +76,10 @@
 	}
 	resp, err := client.Do(r)
 	if err != nil {
-		return 0, nil
+		return 0
 	}
 	defer resp.Body.Close()
-	return resp.StatusCode, r.Header
+	return resp.StatusCode
 }
 
 // untouched checks that a forged message changed nothing.
@@ -114,7 +114,7 @@
 		{"meant for another daemon", &http.Client{Transport: misdirected(f, f.entries[1])}},
 	}
 	for _, c := range cases {
-		if status, _ := f.forge(d, c.client, nil); status == http.StatusOK {
+		if status := f.forge(d, c.client, nil); status == http.StatusOK {
 			t.Errorf("%s: accepted", c.name)
 		}
 		d.untouched(t, c.name)
@@ -163,10 +163,10 @@
 	tap := &recording{next: http.DefaultTransport}
 	s := signer.New(signer.Config{Key: bytes.Repeat([]byte{0x5a}, 32), Host: "entry-2"})
 	client := &http.Client{Transport: s.Sign(tap), Timeout: 5 * time.Second}
-	if status, _ := f.forge(d, client, nil); status != http.StatusOK {
+	if status := f.forge(d, client, nil); status != http.StatusOK {
 		t.Fatalf("the genuine message: %d", status)
 	}
-	if status, _ := f.forge(d, http.DefaultClient, tap.header); status != http.StatusUnauthorized {
+	if status := f.forge(d, http.DefaultClient, tap.header); status != http.StatusUnauthorized {
 		t.Fatalf("replayed: %d", status)
 	}
 }
--- a/integration/once_test.go
+++ b/integration/once_test.go
@@ -6,11 +6,11 @@
 	"sync"
 	"testing"
 
-	"pgregory.net/rapid"
-
 	"brasschute/internal/fault/injector"
 	"brasschute/internal/standin/plain"
 	"brasschute/internal/standin/platform"
+
+	"pgregory.net/rapid"
 )
 
 // pair starts two daemons in two zones before two plain services.
--- a/integration/raw_test.go
+++ b/integration/raw_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -10,6 +11,8 @@
 	"time"
 
 	"brasschute/internal/peer/rpc"
+
+	"github.com/twitchtv/twirp"
 )
 
 // rawExchange sends text and returns what comes back until the end.
@@ -59,3 +62,12 @@
 
 // containsText tells whether a JSON body holds a text, unescaped.
 func containsText(body, text string) bool { return strings.Contains(body, text) }
+
+// twirpError returns the remote error inside err, nil if there is none.
+func twirpError(err error) twirp.Error {
+	var e twirp.Error
+	if !errors.As(err, &e) {
+		return nil
+	}
+	return e
+}
--- a/integration/stop_test.go
+++ b/integration/stop_test.go
@@ -39,7 +39,7 @@
 	eventually(t, "refusing", func() error {
 		r := d.do(http.MethodGet, "/services/ledger/x", "")
 		if r.kind() != "draining" || r.outcome() != "not-run" || r.header.Get("Retry-After") == "" {
-			return fmt.Errorf("%d %s %v", r.status, r.body, r.err)
+			return fmt.Errorf("%d %s %w", r.status, r.body, r.err)
 		}
 		return nil
 	})
@@ -169,7 +169,7 @@
 	group.Go(func() { b.watch(stop) })
 	failures := make(chan string, 1000)
 	for i := range 6 {
-		group.Go(func() { b.load(t, i, stop, failures) })
+		group.Go(func() { b.load(i, stop, failures) })
 	}
 	for _, d := range f.entries {
 		d.signal(syscall.SIGTERM)
@@ -202,7 +202,7 @@
 }
 
 // load sends streams and bookings by turns until stopped.
-func (b *balancer) load(t *testing.T, worker int, stop chan struct{}, failures chan string) {
+func (b *balancer) load(worker int, stop chan struct{}, failures chan string) {
 	for n := 0; ; n++ {
 		select {
 		case <-stop:
--- a/internal/config/compiler/compiler.go
+++ b/internal/config/compiler/compiler.go
@@ -20,13 +20,13 @@
 	"fmt"
 	"strings"
 
-	"github.com/expr-lang/expr"
-	"github.com/expr-lang/expr/ast"
-	"github.com/expr-lang/expr/vm"
-
 	"brasschute/internal/config/decoder"
 	"brasschute/internal/config/document"
 	"brasschute/internal/core/identifier"
+
+	"github.com/expr-lang/expr"
+	"github.com/expr-lang/expr/ast"
+	"github.com/expr-lang/expr/vm"
 )
 
 // NoRule is the index that Match returns when no rule holds.
@@ -341,11 +341,20 @@
 	if a.Pool != "" {
 		c.pool(at+"Pool", a.Pool, "")
 	}
+	if a.HoldFor != "" {
+		c.witness(at+"HoldFor", a.HoldFor)
+	}
 	if a.RetryAfter > 0 && a.Refuse == "" {
 		c.d.Report(at+"RetryAfter", a.RetryAfter.String(), "only beside Refuse")
 	}
 }
 
+func (c *checker) witness(field string, name identifier.Service) {
+	if s, ok := c.p.services[name]; !ok || s.Kind != document.KindPlain {
+		c.d.Report(field, fmt.Sprintf("%q", name), "the name of a plain service")
+	}
+}
+
 // nameChecker finds conditions that compare with a name that does not exist:
 // such a rule can never match, mostly for a typing error.
 type nameChecker struct {
--- a/internal/config/document/document.go
+++ b/internal/config/document/document.go
@@ -122,6 +122,9 @@
 	AvailabilityZones []identifier.AvailabilityZone
 	// Refuse, if set, refuses the request and is the reason told.
 	Refuse string
+	// HoldFor names the plain service that must acknowledge the answer before
+	// it is released to the caller.
+	HoldFor identifier.Service
 	// RetryAfter goes with Refuse: when the caller may come back.
 	RetryAfter quantity.Duration
 }
--- a/internal/engine/prefix/prefix.go
+++ b/internal/engine/prefix/prefix.go
@@ -18,9 +18,9 @@
 import (
 	"encoding/binary"
 
-	"github.com/cespare/xxhash/v2"
-
 	"brasschute/internal/core/identifier"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
--- a/internal/fleet/reconciler/reconciler.go
+++ b/internal/fleet/reconciler/reconciler.go
@@ -24,9 +24,6 @@
 	"fmt"
 	"time"
 
-	"github.com/charmbracelet/log"
-	"github.com/google/uuid"
-
 	"brasschute/internal/config/document"
 	"brasschute/internal/config/keeper"
 	"brasschute/internal/core/identifier"
@@ -35,6 +32,9 @@
 	"brasschute/internal/fleet/trail"
 	"brasschute/internal/route/candidate"
 	"brasschute/internal/route/registry"
+
+	"github.com/charmbracelet/log"
+	"github.com/google/uuid"
 )
 
 const (
--- a/internal/ops/commander/commander.go
+++ b/internal/ops/commander/commander.go
@@ -22,14 +22,14 @@
 	"os/signal"
 	"syscall"
 
-	"github.com/integrii/flaggy"
-	"github.com/twitchtv/twirp"
-
 	"brasschute/internal/config/settings"
 	"brasschute/internal/ops/logger"
 	"brasschute/internal/role/controller"
 	"brasschute/internal/role/demonstrator"
 	"brasschute/internal/role/entry"
+
+	"github.com/integrii/flaggy"
+	"github.com/twitchtv/twirp"
 )
 
 // The exit codes.
--- a/internal/ops/commander/remote.go
+++ b/internal/ops/commander/remote.go
@@ -10,13 +10,13 @@
 	"strconv"
 	"strings"
 
-	"google.golang.org/protobuf/encoding/protojson"
-	"google.golang.org/protobuf/proto"
-
 	"brasschute/internal/config/compiler"
 	"brasschute/internal/ops/explainer"
 	"brasschute/internal/peer/rpc"
 	"brasschute/internal/serve/recorder"
+
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
 )
 
 const (
--- a/internal/ops/explainer/explainer.go
+++ b/internal/ops/explainer/explainer.go
@@ -18,10 +18,10 @@
 	"text/tabwriter"
 	"time"
 
-	"github.com/twitchtv/twirp"
-
 	"brasschute/internal/peer/rpc"
 	"brasschute/internal/serve/recorder"
+
+	"github.com/twitchtv/twirp"
 )
 
 // Hash returns the form in which keys stand in settings and configuration.
@@ -67,6 +67,9 @@
 	if r.Claim != "" {
 		e.printf("  idempotency key: %s\n", r.Claim)
 	}
+	if r.Witness != "" {
+		e.printf("  witness: %s\n", r.Witness)
+	}
 	for i := range r.Attempts {
 		e.attempt(i+1, &r.Attempts[i])
 	}
--- a/internal/ops/operator/operator.go
+++ b/internal/ops/operator/operator.go
@@ -33,9 +33,6 @@
 	"sync"
 	"time"
 
-	"github.com/charmbracelet/log"
-	"github.com/twitchtv/twirp"
-
 	"brasschute/internal/config/applier"
 	"brasschute/internal/config/compiler"
 	"brasschute/internal/config/decoder"
@@ -48,6 +45,9 @@
 	"brasschute/internal/route/candidate"
 	"brasschute/internal/route/registry"
 	"brasschute/internal/serve/recorder"
+
+	"github.com/charmbracelet/log"
+	"github.com/twitchtv/twirp"
 )
 
 const (
--- a/internal/peer/exchanger/exchanger.go
+++ b/internal/peer/exchanger/exchanger.go
@@ -35,8 +35,6 @@
 	"sync"
 	"time"
 
-	"github.com/twitchtv/twirp"
-
 	"brasschute/internal/config/keeper"
 	"brasschute/internal/core/identifier"
 	"brasschute/internal/engine/report"
@@ -45,6 +43,8 @@
 	"brasschute/internal/peer/rpc"
 	"brasschute/internal/route/registry"
 	"brasschute/internal/serve/recorder"
+
+	"github.com/twitchtv/twirp"
 )
 
 const (
--- a/internal/peer/holder/holder.go
+++ b/internal/peer/holder/holder.go
@@ -26,10 +26,10 @@
 	"sync"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"brasschute/internal/core/identifier"
 	"brasschute/internal/peer/rpc"
+
+	"google.golang.org/protobuf/proto"
 )
 
 const (
--- a/internal/peer/ledger/ledger.go
+++ b/internal/peer/ledger/ledger.go
@@ -37,10 +37,10 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"brasschute/internal/core/identifier"
 	"brasschute/internal/peer/rpc"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
--- a/internal/platform/inventory/inventory.go
+++ b/internal/platform/inventory/inventory.go
@@ -30,6 +30,7 @@
 	ClaimPrefix         = "claims/"
 	LeasePrefix         = "leases/"
 	TrailPrefix         = "trail/"
+	HeldPrefix          = "held/"
 )
 
 // State tells what the platform believes of a host.
--- a/internal/role/controller/controller.go
+++ b/internal/role/controller/controller.go
@@ -20,9 +20,6 @@
 	"fmt"
 	"time"
 
-	"github.com/charmbracelet/log"
-	"github.com/thejerf/suture/v4"
-
 	"brasschute/internal/config/keeper"
 	"brasschute/internal/config/settings"
 	"brasschute/internal/engine/caller"
@@ -36,6 +33,9 @@
 	"brasschute/internal/platform/object"
 	"brasschute/internal/platform/watcher"
 	"brasschute/internal/route/registry"
+
+	"github.com/charmbracelet/log"
+	"github.com/thejerf/suture/v4"
 )
 
 // Config names what a controller is made of.
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -39,11 +39,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/charmbracelet/log"
-	"github.com/thejerf/suture/v4"
-	"github.com/uber-go/tally/v4"
-	"github.com/uber-go/tally/v4/prometheus"
-
 	"brasschute/internal/config/applier"
 	"brasschute/internal/config/keeper"
 	"brasschute/internal/config/settings"
@@ -74,6 +69,11 @@
 	"brasschute/internal/serve/recorder"
 	"brasschute/internal/serve/sealer"
 	"brasschute/internal/serve/streamer"
+
+	"github.com/charmbracelet/log"
+	"github.com/thejerf/suture/v4"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
 )
 
 const (
@@ -187,7 +187,7 @@
 		Forwarder: forwarder.New(forwarder.Config{
 			Registry: e.registry, Caller: endpoints, Budgeter: budget, Zone: s.AvailabilityZone,
 		}),
-		Carrier:  carrier.New(carrier.Config{Ledger: e.ledger, Holder: kept, Peer: e.exchanger.Peer}),
+		Carrier:  carrier.New(carrier.Config{Ledger: e.ledger, Holder: kept, Peer: e.exchanger.Peer, Store: e.platform}),
 		Sealer:   sealer.New(sealer.Config{Key: key}),
 		Recorder: records, Daemons: e.ledger, Logger: e.c.Logger, Metrics: e.scope, Earn: budget.Earn,
 	})
@@ -282,7 +282,9 @@
 	e.claimer.Wait()
 	e.deregister(running)
 	cancel()
-	_ = <-done
+	if err := <-done; err != nil && !errors.Is(err, context.Canceled) {
+		e.c.Logger.Warn("the tree ended", "error", err)
+	}
 	_ = e.closer()
 	e.c.Logger.Info("stopped")
 	return nil
--- a/internal/route/poller/poller.go
+++ b/internal/route/poller/poller.go
@@ -18,14 +18,14 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"brasschute/internal/core/identifier"
 	"brasschute/internal/engine/caller"
 	"brasschute/internal/engine/report"
 	"brasschute/internal/peer/ledger"
 	"brasschute/internal/route/candidate"
 	"brasschute/internal/route/registry"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
--- a/internal/route/selector/selector.go
+++ b/internal/route/selector/selector.go
@@ -27,10 +27,10 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"brasschute/internal/core/identifier"
 	"brasschute/internal/route/candidate"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // None is the index of a decision that found no endpoint.
--- a/internal/serve/call/call.go
+++ b/internal/serve/call/call.go
@@ -69,4 +69,7 @@
 	Pool     *document.Pool
 	Priority string
 	Zones    []identifier.AvailabilityZone
+	// HoldFor names the service that must acknowledge the answer before it is
+	// released; empty for none.
+	HoldFor identifier.Service
 }
--- a/internal/serve/carrier/carrier.go
+++ b/internal/serve/carrier/carrier.go
@@ -11,10 +11,18 @@
 //
 //	holders := c.HandOver(ctx, envelope)
 //	envelope, ok := c.Fetch(ctx, token)
+//
+// An answer that waits for a witness may wait longer than any host lives, so
+// it is held on the platform; see Hold.
 package carrier
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
 	"net/netip"
 	"time"
 
@@ -22,7 +30,11 @@
 	"brasschute/internal/peer/holder"
 	"brasschute/internal/peer/ledger"
 	"brasschute/internal/peer/rpc"
+	"brasschute/internal/platform/inventory"
+	"brasschute/internal/platform/object"
 	"brasschute/internal/serve/sealer"
+
+	"google.golang.org/protobuf/proto"
 )
 
 const (
@@ -36,6 +48,23 @@
 	Holder *holder.Holder
 	// Peer returns a client for a peer's address.
 	Peer func(address string) rpc.Peer
+	// Store keeps held answers.
+	Store Store
+}
+
+// Store is the platform's object API.
+type Store interface {
+	Get(ctx context.Context, key string) (object.Object, error)
+	Put(ctx context.Context, key string, ifVersion uint64, value any) (object.Object, error)
+	// Now is the platform's clock.
+	Now() time.Time
+}
+
+// Held is an envelope as the platform holds it.
+type Held struct {
+	// AtUnix is the platform's time, in seconds; old answers are swept by it.
+	AtUnix   int64
+	Envelope []byte
 }
 
 // Carrier is safe for concurrent use.
@@ -63,6 +92,41 @@
 	c.c.Holder.Drop(o, instance)
 }
 
+// Hold stores an answer that waits for its witness: on the platform, since it
+// may have to outlast every host of the system; while the platform cannot take
+// it, at this daemon and at peers, which are returned.
+func (c *Carrier) Hold(ctx context.Context, e *rpc.Envelope) []netip.AddrPort {
+	raw, err := proto.Marshal(e)
+	if err == nil {
+		_, err = c.c.Store.Put(ctx, heldKey(e.Organisation, e.Request), object.Absent, Held{AtUnix: c.c.Store.Now().Unix(), Envelope: raw})
+	}
+	// A conflict means that an earlier write with a lost answer stands.
+	if err == nil || errors.Is(err, object.ErrConflict) {
+		return nil
+	}
+	c.c.Holder.Keep(e)
+	return append(c.Own(), c.HandOver(ctx, e)...)
+}
+
+func heldKey(organisation, request string) string {
+	sum := sha256.Sum256(fmt.Appendf(nil, "%d:%s%s", len(organisation), organisation, request))
+	return inventory.HeldPrefix + hex.EncodeToString(sum[:])
+}
+
+// held looks for an answer on the platform.
+func (c *Carrier) held(ctx context.Context, t *sealer.Token) *rpc.Envelope {
+	o, err := c.c.Store.Get(ctx, heldKey(string(t.Organisation), string(t.Instance)))
+	if err != nil {
+		return nil
+	}
+	var s Held
+	e := new(rpc.Envelope)
+	if json.Unmarshal(o.Value, &s) != nil || proto.Unmarshal(s.Envelope, e) != nil {
+		return nil
+	}
+	return e
+}
+
 // HandOver stores an envelope at peers and returns those that have it.
 func (c *Carrier) HandOver(ctx context.Context, e *rpc.Envelope) []netip.AddrPort {
 	var kept []netip.AddrPort
@@ -129,7 +193,8 @@
 			return e, true
 		}
 	}
-	return nil, false
+	e := c.held(ctx, t)
+	return e, e != nil
 }
 
 func (c *Carrier) fetch(ctx context.Context, address string, t *sealer.Token) *rpc.Envelope {
--- a/internal/serve/handler/handler.go
+++ b/internal/serve/handler/handler.go
@@ -32,13 +32,9 @@
 	"context"
 	"errors"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
-	"github.com/charmbracelet/log"
-	"github.com/uber-go/tally/v4"
-
 	"brasschute/internal/config/compiler"
 	"brasschute/internal/config/document"
 	"brasschute/internal/config/keeper"
@@ -54,6 +50,9 @@
 	"brasschute/internal/serve/refusal"
 	"brasschute/internal/serve/sealer"
 	"brasschute/internal/serve/streamer"
+
+	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
 )
 
 const (
@@ -302,6 +301,7 @@
 		c.Pool, _ = c.Plan.Pool(action.Pool)
 	}
 	c.Zones = action.AvailabilityZones
+	c.HoldFor = action.HoldFor
 	rec.Rule, rec.Priority, rec.Pool = c.Plan.RuleName(i), c.Priority, c.Pool.Name
 	if action.Refuse == "" {
 		return nil
@@ -412,6 +412,9 @@
 	case !d.Prior.Done:
 		return refusal.New(refusal.InProgress, "a request with this key is under way, or its daemon failed and its outcome is not known").
 			With(refusal.Unknown).After(retryAfter), false
+	case d.Prior.ContentType == heldType:
+		collect(w, string(d.Prior.Answer))
+		return nil, true
 	case len(d.Prior.Answer) == 0:
 		return refusal.New(refusal.AlreadyRan, "the request with this key ran; its answer is too large to be kept").With(refusal.Ran), false
 	}
@@ -444,15 +447,7 @@
 		h.fail(w, c, rec, err)
 		return
 	}
-	settle(claim, nil, a.Status, a.Header.Get("Content-Type"), a.Body)
-	for name, values := range a.Header {
-		if w.Header().Get(name) == "" {
-			w.Header()[name] = values
-		}
-	}
-	w.Header().Set("Content-Length", strconv.Itoa(len(a.Body)))
-	w.WriteHeader(a.Status)
-	_, _ = w.Write(a.Body)
+	h.release(ctx, w, &finished{c: c, rec: rec, claim: claim, answer: a})
 	h.finish(rec, nil)
 }
 
--- a/internal/serve/handler/model.go
+++ b/internal/serve/handler/model.go
@@ -16,6 +16,7 @@
 	"brasschute/internal/peer/rpc"
 	"brasschute/internal/serve/call"
 	"brasschute/internal/serve/claimer"
+	"brasschute/internal/serve/forwarder"
 	"brasschute/internal/serve/parser"
 	"brasschute/internal/serve/recorder"
 	"brasschute/internal/serve/refusal"
@@ -34,16 +35,15 @@
 // model runs a job to its end and answers in the shape that was asked for.
 func (h *Handler) model(ctx context.Context, w http.ResponseWriter, j *streamer.Job, claim *claimer.Claim) {
 	seal := func(holders []netip.AddrPort) string { return h.seal(j, holders) }
-	var out answer = &collected{w: w, j: j}
-	if j.Call.Streaming {
+	var out answer = &collected{j: j}
+	if j.Call.Streaming && j.Call.HoldFor == "" {
 		out = &events{w: w, j: j, seal: seal, own: h.c.Carrier.Own()}
 	}
 	err := h.c.Streamer.Run(ctx, j, out)
 	switch {
 	case err == nil:
-		body := out.whole()
-		settle(claim, nil, http.StatusOK, "application/json", body)
 		h.c.Carrier.Drop(j.Call.Organisation.Name, j.Call.Instance)
+		h.whole(ctx, w, j, out, claim)
 	case errors.Is(err, streamer.ErrHandOver):
 		h.handOver(w, j, out, claim, seal)
 	default:
@@ -52,6 +52,17 @@
 	h.finish(j.Record, err)
 }
 
+// whole ends a complete answer.
+func (h *Handler) whole(ctx context.Context, w http.ResponseWriter, j *streamer.Job, out answer, claim *claimer.Claim) {
+	body := out.whole()
+	if body == nil {
+		settle(claim, nil, http.StatusOK, "", nil)
+		return
+	}
+	a := &forwarder.Answer{Status: http.StatusOK, Header: http.Header{"Content-Type": {"application/json"}}, Body: body}
+	h.release(ctx, w, &finished{c: j.Call, rec: j.Record, claim: claim, answer: a})
+}
+
 // interrupted ends an answer that cannot be completed now. If the caller is
 // gone, the state is kept for its return.
 func (h *Handler) interrupted(w http.ResponseWriter, j *streamer.Job, out answer, claim *claimer.Claim, err error) {
@@ -99,6 +110,7 @@
 	if claim != nil {
 		e.ClaimKey, e.ClaimToken = claim.Names()
 	}
+	e.HoldFor = string(c.HoldFor)
 	for _, zone := range c.Zones {
 		e.Zones = append(e.Zones, string(zone))
 	}
@@ -170,6 +182,10 @@
 // carryOn finishes the request of an envelope. The caller has t.Offset tokens
 // of those that the envelope knows.
 func (h *Handler) carryOn(ctx context.Context, w http.ResponseWriter, e *rpc.Envelope, t *sealer.Token, rec *recorder.Record) {
+	if e.Held {
+		h.collectHeld(ctx, w, e, rec)
+		return
+	}
 	s := h.c.Keeper.InForce()
 	o := organisation(&s.Plan.Configuration, t.Organisation)
 	c, problem := h.c.Parser.Restore(&parser.Kept{
@@ -180,6 +196,7 @@
 		return
 	}
 	c.NonIdempotent, c.Streaming, c.Priority = e.NonIdempotent, e.Streaming, e.Priority
+	c.HoldFor = identifier.Service(e.HoldFor)
 	c.Pool, _ = c.Plan.Pool(identifier.Pool(e.Pool))
 	if c.Pool == nil {
 		c.Pool, _ = c.Plan.Pool(c.Service.Pool)
@@ -216,7 +233,7 @@
 // and then goes on with the stream. A caller may also be ahead of the state:
 // then nothing is repeated, and the tokens come from the engine or not at all.
 func (h *Handler) catchUp(ctx context.Context, w http.ResponseWriter, j *streamer.Job, offset int, claim *claimer.Claim) {
-	if !j.Call.Streaming {
+	if !j.Call.Streaming || j.Call.HoldFor != "" {
 		h.model(ctx, w, j, claim)
 		return
 	}
@@ -251,7 +268,8 @@
 // answer is the shape in which a caller receives a job.
 type answer interface {
 	streamer.Sink
-	// whole ends a complete answer and returns it, if it is one body.
+	// whole ends a complete answer; if it is one body, it returns that and
+	// leaves its sending to the caller.
 	whole() []byte
 	// refuse ends an answer that cannot be completed.
 	refuse(w http.ResponseWriter, p *refusal.Problem)
@@ -346,7 +364,6 @@
 
 // collected answers with one JSON body.
 type collected struct {
-	w    http.ResponseWriter
 	j    *streamer.Job
 	last *frame.Frame
 }
@@ -375,8 +392,6 @@
 	}
 	out.Choices = []frame.Choice{choice}
 	body, _ := json.Marshal(&out)
-	a.w.Header().Set("Content-Type", "application/json")
-	_, _ = a.w.Write(body)
 	return body
 }
 
--- a/internal/serve/parser/parser.go
+++ b/internal/serve/parser/parser.go
@@ -27,14 +27,14 @@
 	"strings"
 	"time"
 
-	"github.com/google/uuid"
-
 	"brasschute/internal/config/compiler"
 	"brasschute/internal/config/document"
 	"brasschute/internal/core/identifier"
 	"brasschute/internal/engine/prefix"
 	"brasschute/internal/serve/call"
 	"brasschute/internal/serve/refusal"
+
+	"github.com/google/uuid"
 )
 
 // The paths of callers.
--- a/internal/serve/recorder/recorder.go
+++ b/internal/serve/recorder/recorder.go
@@ -71,6 +71,8 @@
 	// Claim tells how the idempotency key was decided, empty without one.
 	Claim    string
 	WaitedMS float64
+	// Witness tells how the witness answered, empty if none was needed.
+	Witness  string
 	Attempts []Attempt
 	// Outcome is "answered" or the refusal.
 	Outcome          string
--- a/internal/serve/sealer/sealer.go
+++ b/internal/serve/sealer/sealer.go
@@ -25,9 +25,9 @@
 	"net/netip"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"brasschute/internal/core/identifier"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // ErrRefused is returned for every token that is not valid here; it does not
--- a/internal/standin/starter/starter.go
+++ b/internal/standin/starter/starter.go
@@ -24,14 +24,14 @@
 	"syscall"
 	"time"
 
-	"github.com/integrii/flaggy"
-
 	"brasschute/internal/config/document"
 	"brasschute/internal/core/identifier"
 	"brasschute/internal/platform/inventory"
 	"brasschute/internal/standin/engine"
 	"brasschute/internal/standin/plain"
 	"brasschute/internal/standin/platform"
+
+	"github.com/integrii/flaggy"
 )
 
 const (
