selector: homes for conversations, load of other daemons, slow engines

Cause, each found by the new experiment (real registry, selector and streamer under a paused clock): reports reset the count of what was sent while they were on their way; nine daemons each counted only their own requests; a preamble common to all conversations drew them to one endpoint; a slow engine looked as fast as its pool.

Ruled out: counting an endpoint's holders to tell a preamble (a preamble that routes requests has one holder for ever).

Change: sends are remembered by time and multiplied by the daemons, drained by the engine's speed and the report's age; a block seen often is common; each conversation has a home by rendezvous hash; first tokens slower than predicted make an endpoint slow until forgiven.

--- a/internal/config/compiler/compiler.go
+++ b/internal/config/compiler/compiler.go
@@ -226,6 +226,7 @@
 		at := fmt.Sprintf("Pools[%d].", i)
 		c.unique(seen, at+"Name", string(o.Name))
 		c.atLeast(at+"MaxInFlight", o.MaxInFlight, 1)
+		c.atLeast(at+"Slots", o.Slots, 0)
 		if o.Model != "" {
 			c.atLeast(at+"PrefillPerSecond", o.PrefillPerSecond, 1)
 			c.atLeast(at+"DecodePerSecond", o.DecodePerSecond, 1)
--- a/internal/config/document/document.go
+++ b/internal/config/document/document.go
@@ -95,6 +95,9 @@
 	Model string
 	// MaxInFlight bounds the requests that one daemon sends to one endpoint.
 	MaxInFlight int
+	// Slots is the number of streams that one engine generates at once, others
+	// wait; 0 if not known.
+	Slots int
 	// HonoursFencing states that the endpoints refuse orders with an old
 	// fencing number.
 	HonoursFencing bool
--- a/internal/engine/caller/caller.go
+++ b/internal/engine/caller/caller.go
@@ -94,12 +94,18 @@
 type Config struct {
 	// Source is the local address to connect from; nil for any.
 	Source net.Addr
+	// Transport, if not nil, takes the place of connections, as in
+	// experiments under a paused clock.
+	Transport http.RoundTripper
 }
 
 // New returns a caller; it connects when used.
 func New(c Config) *Caller {
 	d := net.Dialer{Timeout: dialTimeout, LocalAddr: c.Source}
-	transport := func(fresh bool) *http.Transport {
+	transport := func(fresh bool) http.RoundTripper {
+		if c.Transport != nil {
+			return c.Transport
+		}
 		return &http.Transport{
 			DialContext: d.DialContext, DisableKeepAlives: fresh,
 			MaxIdleConnsPerHost: 16, IdleConnTimeout: idleTimeout, DisableCompression: true,
--- a/internal/peer/ledger/ledger.go
+++ b/internal/peer/ledger/ledger.go
@@ -128,6 +128,19 @@
 	return slices.DeleteFunc(l.Members(), func(m *rpc.Member) bool { return m.State == rpc.State_DEAD })
 }
 
+// Count counts the daemons that are not dead, this one included.
+func (l *Ledger) Count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 1
+	for _, m := range l.members {
+		if m.record.State != rpc.State_DEAD {
+			n++
+		}
+	}
+	return n
+}
+
 // AliveInZone counts the daemons of a zone that are not dead, this one
 // included.
 func (l *Ledger) AliveInZone(zone identifier.AvailabilityZone) int {
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -148,7 +148,7 @@
 		Incarnation: uint64(e.started.UnixMilli()),
 	}})
 	e.keeper = keeper.New(keeper.Config{Changed: e.configured, Refuse: e.refusedConfiguration})
-	e.registry = registry.New(registry.Config{Ledger: e.ledger, Changed: e.endpointsChanged, Price: e.price})
+	e.registry = registry.New(registry.Config{Ledger: e.ledger, Changed: e.endpointsChanged, Price: e.price, Daemons: e.daemons})
 	records := recorder.New(recorder.Config{})
 	kept := holder.New(holder.Config{})
 	signing := signer.New(signer.Config{Key: key, Host: s.Host})
@@ -360,6 +360,9 @@
 	e.leave(n.Deadline.Add(-handOverMargin))
 }
 
+// daemons counts those of the fleet that send to the same endpoints.
+func (e *Entry) daemons() int { return e.ledger.Count() }
+
 // price reads the configuration in force; the registry asks again after each
 // change.
 func (e *Entry) price(zone identifier.AvailabilityZone, class document.Class) float64 {
--- a/internal/route/indexer/indexer.go
+++ b/internal/route/indexer/indexer.go
@@ -24,9 +24,18 @@
 const (
 	generationBlocks = 1 << 15
 	holders          = 4
+	// common is the number of requests with a block after which it counts as
+	// part of a preamble rather than of one conversation.
+	common = 8
 )
 
-type entry [holders]int32
+type entry struct {
+	holders [holders]int32
+	// sent counts the requests with this block that this daemon sent.
+	sent uint8
+}
+
+func (e *entry) empty() bool { return e.holders[0] == 0 }
 
 // Indexer maps blocks to endpoint numbers above zero. The zero value is
 // ready; it is not safe for concurrent use.
@@ -35,21 +44,34 @@
 	older map[prefix.Block]entry
 }
 
-// Add records that an endpoint holds blocks.
-func (x *Indexer) Add(blocks []prefix.Block, id int32) {
+// Sent records that a request with these blocks was sent to an endpoint, which
+// will hold them.
+func (x *Indexer) Sent(blocks []prefix.Block, id int32) {
 	for _, b := range blocks {
 		e := x.get(b)
-		x.put(b, e.with(id))
+		e.add(id)
+		if e.sent < common {
+			e.sent++
+		}
+		x.put(b, e)
 	}
 }
 
+// Add records that an endpoint holds a block.
+func (x *Indexer) Add(b prefix.Block, id int32) {
+	e := x.get(b)
+	e.add(id)
+	x.put(b, e)
+}
+
 // Remove records that an endpoint dropped a block.
 func (x *Indexer) Remove(b prefix.Block, id int32) {
 	e := x.get(b)
-	if e == (entry{}) {
+	if e.empty() {
 		return
 	}
-	x.put(b, e.without(id))
+	e.remove(id)
+	x.put(b, e)
 }
 
 func (x *Indexer) get(b prefix.Block) entry {
@@ -67,29 +89,38 @@
 	x.newer[b] = e
 }
 
-// with puts id first and keeps the latest others.
-func (e entry) with(id int32) entry {
-	out := entry{id}
-	n := 1
-	for _, old := range e {
-		if old != 0 && old != id && n < holders {
-			out[n] = old
+// add puts id first and keeps the latest others.
+func (e *entry) add(id int32) {
+	e.remove(id)
+	copy(e.holders[1:], e.holders[:holders-1])
+	e.holders[0] = id
+}
+
+func (e *entry) remove(id int32) {
+	n := 0
+	for _, old := range e.holders {
+		if old != id {
+			e.holders[n] = old
 			n++
 		}
 	}
-	return out
+	clear(e.holders[n:])
 }
 
-func (e entry) without(id int32) entry {
-	var out entry
-	n := 0
-	for _, old := range e {
-		if old != 0 && old != id {
-			out[n] = old
-			n++
+// Own returns the first block that only few requests have had: blocks before
+// it belong to a common preamble, and this one to the conversation. It returns
+// 0 if there is none.
+//
+// To count the endpoints that hold a block would not do: a preamble that
+// decides where its requests go is held at one endpoint only, and would draw
+// all of them there for ever.
+func (x *Indexer) Own(blocks []prefix.Block) prefix.Block {
+	for _, b := range blocks {
+		if x.get(b).sent < common {
+			return b
 		}
 	}
-	return out
+	return 0
 }
 
 // Match calls f with each endpoint that holds leading blocks and their count;
@@ -97,10 +128,10 @@
 func (x *Indexer) Match(blocks []prefix.Block, f func(id int32, n int)) {
 	for i, b := range blocks {
 		e := x.get(b)
-		if e == (entry{}) {
+		if e.empty() {
 			return
 		}
-		for _, id := range e {
+		for _, id := range e.holders {
 			if id != 0 {
 				f(id, i+1)
 			}
--- a/internal/route/registry/registry.go
+++ b/internal/route/registry/registry.go
@@ -70,6 +70,8 @@
 	Ledger Ledger
 	// Price returns a host's cost per hour; nil for none.
 	Price func(identifier.AvailabilityZone, document.Class) float64
+	// Daemons counts the daemons that send to the same endpoints; nil for 1.
+	Daemons func() int
 	// Changed is told after endpoints came, went or began to leave; may be
 	// nil.
 	Changed func()
@@ -92,6 +94,10 @@
 	Incarnation identifier.Incarnation
 	Address     string
 	Pool        identifier.Pool
+	// PricePerSecond is that of the host.
+	PricePerSecond float64
+	// Predicted is the first token's time, as predicted.
+	Predicted time.Duration
 
 	id int32
 }
@@ -117,6 +123,9 @@
 
 // New returns a registry without endpoints.
 func New(c Config) *Registry {
+	if c.Daemons == nil {
+		c.Daemons = func() int { return 1 }
+	}
 	if c.Price == nil {
 		c.Price = func(identifier.AvailabilityZone, document.Class) float64 { return 0 }
 	}
@@ -260,6 +269,8 @@
 	}
 	r.match(p, q.Blocks)
 	p.refresh(q.Select.Now)
+	q.Select.Daemons = r.c.Daemons()
+	q.Select.Prefix = uint64(r.indexer.Own(q.Blocks))
 	d := r.c.Select(&q.Select, p.candidates, p.cached, p.scratch)
 	if d.Index == selector.None {
 		return nil, d
@@ -267,13 +278,12 @@
 	c := &p.candidates[d.Index]
 	uncached := q.Select.PromptTokens - d.Chosen.Cached
 	c.InFlight++
-	c.SentSince++
-	c.SentTokens += uncached
+	c.Sent(q.Select.Now, uncached)
 	id := r.id(c.Endpoint)
-	r.indexer.Add(q.Blocks, id)
+	r.indexer.Sent(q.Blocks, id)
 	return &Pick{
 		Endpoint: c.Endpoint, Host: c.Host, Incarnation: c.Incarnation, Address: c.Address, Pool: c.Pool,
-		id: id,
+		PricePerSecond: c.PricePerSecond, Predicted: d.Chosen.FirstToken, id: id,
 	}, d
 }
 
@@ -333,6 +343,15 @@
 	return c.Deadline, c.Leaving
 }
 
+// Observe takes in how long a pick's first token took.
+func (r *Registry) Observe(k *Pick, took time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if c := r.find(k); c != nil && k.Predicted > 0 {
+		c.Observe(took, k.Predicted, time.Now())
+	}
+}
+
 // Result tells how a request to an endpoint went.
 type Result int
 
@@ -381,6 +400,18 @@
 	return 2*(ejected+1) <= len(p.candidates) || len(p.candidates) == 1
 }
 
+// Cached takes in an endpoint's cache event, which may be late.
+func (r *Registry) Cached(e identifier.Endpoint, b prefix.Block, stored bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	id := r.id(e)
+	if stored {
+		r.indexer.Add(b, id)
+		return
+	}
+	r.indexer.Remove(b, id)
+}
+
 // Report takes in a load report, taken at a time of this daemon's clock.
 func (r *Registry) Report(l *report.Report, taken time.Time) {
 	r.mu.Lock()
@@ -392,7 +423,6 @@
 		}
 		c.Running, c.Queued, c.QueuedTokens, c.Model = int32(l.Running), int32(l.Queued), l.QueuedTokens, l.Model
 		c.Taken = taken
-		c.SentSince, c.SentTokens = 0, 0
 		c.Refresh(time.Now())
 		host, incarnation = c.Host, c.Incarnation
 	})
@@ -448,7 +478,7 @@
 	r.each(func(c *candidate.Candidate) {
 		if c.Endpoint == e {
 			c.InFlight++
-			k = &Pick{Endpoint: e, Host: c.Host, Incarnation: c.Incarnation, Address: c.Address, Pool: c.Pool, id: r.id(e)}
+			k = &Pick{Endpoint: e, Host: c.Host, Incarnation: c.Incarnation, Address: c.Address, Pool: c.Pool, PricePerSecond: c.PricePerSecond, id: r.id(e)}
 		}
 	})
 	return k
--- a/internal/route/selector/selector.go
+++ b/internal/route/selector/selector.go
@@ -15,6 +15,16 @@
 // among equals a hash of request and endpoint decides, which spreads
 // different requests over different endpoints without talking.
 //
+// # Homes
+//
+// A daemon knows only what it sent itself and the cache events that reached
+// it, yet the turns of a conversation come through any daemon. So each
+// conversation has a home: the endpoint, among the cheapest that may serve,
+// that wins a rendezvous hash of the conversation's prefix. All daemons find
+// the same home without talking, and presume that it has cached what earlier
+// turns sent. Leaving home costs the recomputing of that, by the configured
+// weight; a home that is predicted to miss the target is left all the same.
+//
 // # Usage
 //
 //	d := selector.Select(&q, candidates, cached, scratch)
@@ -53,6 +63,9 @@
 type Query struct {
 	Now  time.Time
 	Seed uint64
+	// Prefix names what the request has in common with earlier turns of its
+	// conversation; 0 if not known.
+	Prefix uint64
 	// Zone is the deciding daemon's; Zones, if not empty, are the only ones
 	// allowed.
 	Zone  identifier.AvailabilityZone
@@ -60,11 +73,17 @@
 	// Model must be loaded; empty for plain services.
 	Model        string
 	PromptTokens identifier.Tokens
+	// Known are the prompt tokens that an earlier turn sent somewhere.
+	Known        identifier.Tokens
 	OutputTokens identifier.Tokens
 	MaxInFlight  int
-	Prefill      int
-	Decode       int
-	Target       time.Duration
+	// Slots is how many streams an engine runs at once; 0 if not known.
+	Slots int
+	// Daemons is how many daemons decide as this one does.
+	Daemons int
+	Prefill int
+	Decode  int
+	Target  time.Duration
 	// RecomputeWeight is the cost of a thousand recomputed tokens.
 	RecomputeWeight float64
 	// Tried lists endpoints that this request must not be sent to again.
@@ -125,6 +144,10 @@
 	}
 	scratch = scratch[:len(candidates)]
 	m := newModel(q, cached)
+	m.home = home(q, candidates)
+	if m.home != None {
+		m.best = max(m.best, q.Known)
+	}
 	var least bounds
 	for i := range scratch {
 		c := &candidates[i]
@@ -132,16 +155,16 @@
 			scratch[i].FirstToken = unusable
 			continue
 		}
-		p := m.predict(c, at(cached, i))
+		p := m.predict(c, m.cached(cached, i))
 		scratch[i] = p
 		least.add(p, m.target)
 		if d.Others < maxAlternatives || m.better(p, &d.Best[maxAlternatives-1]) {
-			d.note(m.alternative(c, p, at(cached, i)))
+			d.note(m.alternative(c, p, m.cached(cached, i)))
 		}
 	}
 	if least.any {
 		d.pick(q, candidates, scratch, &m, &least)
-		d.Chosen = m.alternative(&candidates[d.Index], scratch[d.Index], at(cached, d.Index))
+		d.Chosen = m.alternative(&candidates[d.Index], scratch[d.Index], m.cached(cached, d.Index))
 	}
 	return d
 }
@@ -177,11 +200,15 @@
 // is highest.
 func (d *Decision) pick(q *Query, candidates []candidate.Candidate, scratch []Prediction, m *model, b *bounds) {
 	var highest uint64
+	seed := q.Seed
+	if q.Prefix != 0 {
+		seed = q.Prefix
+	}
 	for i, p := range scratch {
 		if p.FirstToken < 0 || !b.eligible(p, m.target) {
 			continue
 		}
-		h := mix(q.Seed ^ candidates[i].Hash)
+		h := mix(seed ^ candidates[i].Hash)
 		if d.Index == None || h > highest {
 			highest = h
 			d.Index = i
@@ -204,11 +231,43 @@
 	return most
 }
 
-func at(cached []identifier.Tokens, i int) identifier.Tokens {
-	if i >= len(cached) {
-		return 0
+// cached returns the prompt tokens presumed to be cached at a candidate.
+func (m *model) cached(cached []identifier.Tokens, i int) identifier.Tokens {
+	var tokens identifier.Tokens
+	if i < len(cached) {
+		tokens = cached[i]
+	}
+	if i == m.home {
+		tokens = max(tokens, m.q.Known)
+	}
+	return tokens
+}
+
+// cheapEnough is the ratio of prices within which endpoints can be homes.
+const cheapEnough = 1.25
+
+// home returns the endpoint where the turns of a conversation meet, or None.
+func home(q *Query, candidates []candidate.Candidate) int {
+	if q.Prefix == 0 {
+		return None
+	}
+	cheapest := math.MaxFloat64
+	for i := range candidates {
+		if c := &candidates[i]; !c.Leaving && !c.Out && c.PricePerSecond < cheapest {
+			cheapest = c.PricePerSecond
+		}
+	}
+	best, highest := None, uint64(0)
+	for i := range candidates {
+		c := &candidates[i]
+		if c.Leaving || c.Out || c.PricePerSecond > cheapest*cheapEnough {
+			continue
+		}
+		if h := mix(q.Prefix ^ c.Hash); best == None || h > highest {
+			best, highest = i, h
+		}
 	}
-	return cached[i]
+	return best
 }
 
 func usable(q *Query, c *candidate.Candidate, x *Excluded) bool {
@@ -239,6 +298,12 @@
 	perRead float64
 	writing float64
 	perLost float64
+	// drain is what an engine reads in a second, daemons how many times this
+	// daemon's requests the fleet sends.
+	drain   float64
+	daemons float64
+	slots   float64
+	home    int
 }
 
 func newModel(q *Query, cached []identifier.Tokens) model {
@@ -247,6 +312,7 @@
 		q: q, best: mostCached(cached), target: q.Target.Seconds(), perRead: 1 / float64(max(q.Prefill, 1)),
 		writing: float64(q.OutputTokens) / float64(max(q.Decode, 1)), perLost: q.RecomputeWeight / thousand,
 	}
+	m.drain, m.daemons, m.slots = float64(max(q.Prefill, 1)), float64(max(q.Daemons, 1)), float64(q.Slots)
 	if q.Target == 0 {
 		m.target = math.MaxFloat64
 	}
@@ -258,9 +324,13 @@
 // busy and the tokens that it computes though another has them cached.
 func (m *model) predict(c *candidate.Candidate, cached identifier.Tokens) Prediction {
 	uncached := m.q.PromptTokens - min(cached, m.q.PromptTokens)
-	running, ahead := load(c)
+	slow := max(c.Slow, 1)
+	running, ahead := m.load(c, slow)
 	reading := float64(uncached) * m.perRead * (1 + batchSlowdown*running)
-	p := Prediction{FirstToken: float64(ahead)*m.perRead + reading, Cost: c.PricePerSecond * (reading + m.writing)}
+	p := Prediction{FirstToken: (ahead*m.perRead + reading) * slow, Cost: c.PricePerSecond * (reading + m.writing) * slow}
+	if m.slots > 0 && running >= m.slots {
+		p.FirstToken += m.writing * (running - m.slots + 1) / m.slots
+	}
 	if c.AvailabilityZone != m.q.Zone {
 		p.FirstToken += zoneSeconds
 	}
@@ -270,18 +340,31 @@
 	return p
 }
 
-// load estimates the streams running and the prompt tokens ahead: the report
-// corrected by what this daemon sent since, or only the daemon's own share
-// when the report is too old.
-func load(c *candidate.Candidate) (running float64, ahead identifier.Tokens) {
-	if !c.Fresh {
-		return float64(c.InFlight), c.SentTokens
+// load estimates the streams running and the prompt tokens ahead at this
+// moment from a report that is old. To the report comes what was sent since,
+// by this daemon as counted and by the others as if they had done the same;
+// from it goes what the engine has read in the meantime.
+func (m *model) load(c *candidate.Candidate, slow float64) (running, ahead float64) {
+	ahead = float64(c.SentTokens) * m.daemons
+	running = float64(c.SentSince) * m.daemons
+	if c.Fresh {
+		ahead += float64(c.QueuedTokens) + float64(c.Queued)*promptGuess*zeroIf(c.QueuedTokens > 0)
+		running += float64(c.Running + c.Queued)
+	}
+	ahead = max(ahead-float64(c.Age)*m.drain/slow, 0)
+	if m.writing > 0 {
+		// A stream lasts about as long as this one is going to.
+		running -= min(float64(c.Age)/m.writing, 1) * float64(c.Running)
 	}
-	ahead = c.QueuedTokens + c.SentTokens
-	if c.QueuedTokens == 0 {
-		ahead += identifier.Tokens(c.Queued * promptGuess)
+	running = max(running, float64(c.InFlight))
+	return running, ahead
+}
+
+func zeroIf(b bool) float64 {
+	if b {
+		return 0
 	}
-	return float64(max(c.Running+c.SentSince, c.InFlight)), ahead
+	return 1
 }
 
 func (m *model) alternative(c *candidate.Candidate, p Prediction, cached identifier.Tokens) Alternative {
--- a/internal/route/selector/selector_test.go
+++ b/internal/route/selector/selector_test.go
@@ -89,6 +89,7 @@
 		{"own requests count when the report is old", func(_ *Query, c []candidate.Candidate, _ []identifier.Tokens) {
 			c[1].Taken = now.Add(-time.Minute)
 			c[1].Refresh(now)
+			c[1].Age = 0
 			c[1].SentTokens = 9000
 		}, 2},
 	}
--- a/internal/serve/call/call.go
+++ b/internal/serve/call/call.go
@@ -51,6 +51,9 @@
 	Completions bool
 	Prompt      string
 	Blocks      []prefix.Block
+	// Known are the prompt tokens that an earlier turn of the conversation has
+	// sent already.
+	Known identifier.Tokens
 	// PromptTokens is estimated; MaxTokens is what the caller asked for.
 	PromptTokens identifier.Tokens
 	MaxTokens    identifier.Tokens
--- a/internal/serve/parser/parser.go
+++ b/internal/serve/parser/parser.go
@@ -53,6 +53,7 @@
 	// discarded is how many times the allowed size is read away.
 	discarded = 4
 	bearer    = "Bearer "
+	assistant = "assistant"
 )
 
 // Config bounds what is read.
@@ -176,6 +177,7 @@
 }
 
 type message struct {
+	Role    string          `json:"role"`
 	Content json.RawMessage `json:"content"`
 }
 
@@ -240,6 +242,10 @@
 		if err != nil {
 			return err
 		}
+		if in.Messages[i].Role == assistant {
+			// The engine answered what stands before: it has read that.
+			c.Known = prefix.Tokens(len(c.Prompt))
+		}
 		c.Prompt += text
 	}
 	c.PromptTokens = prefix.Tokens(len(c.Prompt))
--- a/internal/serve/streamer/streamer.go
+++ b/internal/serve/streamer/streamer.go
@@ -207,7 +207,11 @@
 		return problem
 	}
 	result := registry.Neutral
-	defer func() { s.c.Registry.Release(pick, result) }()
+	begun := time.Now()
+	defer func() {
+		j.Record.Cost += pick.PricePerSecond * time.Since(begun).Seconds()
+		s.c.Registry.Release(pick, result)
+	}()
 	j.attempts++
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -223,7 +227,7 @@
 		return cause(ctx, err)
 	}
 	defer stream.Close()
-	err = s.relay(ctx, cancel, j, stream, sink)
+	err = s.relay(ctx, cancel, j, stream, &timed{Sink: sink, s: s, pick: pick, begun: begun})
 	if err == nil {
 		note.Outcome = "whole"
 		result = registry.Succeeded
@@ -251,6 +255,24 @@
 	j.tried = append(j.tried, pick.Endpoint)
 }
 
+// timed tells the registry when an attempt's first frame came.
+type timed struct {
+	Sink
+	s     *Streamer
+	pick  *registry.Pick
+	begun time.Time
+	told  bool
+}
+
+// Frame passes a frame on.
+func (t *timed) Frame(f *frame.Frame) error {
+	if !t.told {
+		t.told = true
+		t.s.c.Registry.Observe(t.pick, time.Since(t.begun))
+	}
+	return t.Sink.Frame(f)
+}
+
 // cause prefers the reason for which this side ended the attempt.
 func cause(ctx context.Context, err error) error {
 	if c := context.Cause(ctx); c != nil {
--- a/internal/standin/engine/cache.go
+++ b/internal/standin/engine/cache.go
@@ -112,7 +112,7 @@
 	if err != nil {
 		return
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := e.c.Transport.RoundTrip(req)
 	if err != nil {
 		return
 	}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -69,6 +69,8 @@
 	IgnoresFencing bool
 	// LoadLag makes load reports show the past.
 	LoadLag time.Duration
+	// Transport reaches other engines to import cache from; nil for HTTP.
+	Transport http.RoundTripper
 }
 
 // Behaviour is what tests and experiments switch. The zero value is a healthy
@@ -95,12 +97,16 @@
 	c   Config
 	mux http.ServeMux
 
-	mu         sync.Mutex
-	changed    *sync.Cond
-	behaviour  Behaviour
-	streams    map[string]*stream
-	running    int
-	queued     int
+	mu        sync.Mutex
+	changed   *sync.Cond
+	behaviour Behaviour
+	streams   map[string]*stream
+	running   int
+	queued    int
+	// waiting are the prompt tokens not read yet; reading lets one prompt be
+	// read at a time, so that prompts queue as they do on an accelerator.
+	waiting    int
+	reading    chan struct{}
 	executions map[string]int
 	fencing    uint64
 	orders     []order.Order
@@ -132,11 +138,15 @@
 	if c.CacheBlocks == 0 {
 		c.CacheBlocks = defaultBlocks
 	}
+	if c.Transport == nil {
+		c.Transport = http.DefaultTransport
+	}
 	if c.Linger == 0 {
 		c.Linger = defaultLinger
 	}
 	e := &Engine{c: c, streams: make(map[string]*stream), executions: make(map[string]int)}
 	e.cache = newBlockCache(c.CacheBlocks)
+	e.reading = make(chan struct{}, 1)
 	e.changed = sync.NewCond(&e.mu)
 	e.mux.HandleFunc("POST /v1/chat/completions", e.complete)
 	e.mux.HandleFunc("POST /v1/streams/resume", e.resume)
@@ -232,7 +242,7 @@
 	if delivered > 0 {
 		s.usage.RecomputedTokens = identifier.Tokens(uncached)
 	}
-	e.pause(uncached, e.c.PrefillPerSecond)
+	e.read(uncached)
 	e.mu.Lock()
 	e.cache.add(blocks)
 	e.mu.Unlock()
@@ -241,6 +251,24 @@
 	}
 }
 
+// read spends the time of reading a prompt.
+func (e *Engine) read(tokens int) {
+	if e.c.PrefillPerSecond == 0 {
+		return
+	}
+	e.wait(tokens)
+	e.reading <- struct{}{}
+	e.pause(tokens, e.c.PrefillPerSecond)
+	<-e.reading
+	e.wait(-tokens)
+}
+
+func (e *Engine) wait(tokens int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.waiting += tokens
+}
+
 func (e *Engine) acquire(s *stream) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -405,7 +433,8 @@
 func (e *Engine) load(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	now := report.Report{
-		Endpoint: e.c.Endpoint, Taken: time.Now(), Running: e.running, Queued: e.queued, Model: e.c.Model,
+		Endpoint: e.c.Endpoint, Taken: time.Now(), Running: e.running, Queued: e.queued,
+		QueuedTokens: identifier.Tokens(e.waiting), Model: e.c.Model,
 		FencingNumber: e.fencing, Leaving: e.behaviour.Leaving, Incarnation: e.c.Incarnation,
 	}
 	shown := e.lagging(now)
