exchanger: a quiet fleet's traffic does not grow with it

Cause: the benchmark of idle daemons showed 1.2 KB/s each for 2 and 2.4 KB/s for 64, above the bound of 2: each join set all records travelling again, 21 times from each daemon, and a third of each message were headers.

Ruled out: a longer period (news would be slower, the growth the same).

Change: records from a full message are not passed on; a change is passed on log(n)+2 times; signatures are cut to 128 bits and needless headers left out.

Also: evacuation of caches, homes by price and weight, the table of experiments.

--- a/integration/fleet_test.go
+++ b/integration/fleet_test.go
@@ -38,7 +38,7 @@
 
 // process is one started process.
 type process struct {
-	t      *testing.T
+	t      testing.TB
 	name   string
 	cmd    *exec.Cmd
 	log    *os.File
@@ -46,7 +46,7 @@
 }
 
 // start runs the test binary in a role.
-func start(t *testing.T, role, name string, args ...string) *process {
+func start(t testing.TB, role, name string, args ...string) *process {
 	t.Helper()
 	log, err := os.Create(filepath.Join(t.TempDir(), name+".log"))
 	if err != nil {
@@ -102,7 +102,7 @@
 
 // fleet is a system of processes in zones.
 type fleet struct {
-	t        *testing.T
+	t        testing.TB
 	platform *process
 	// admin is the platform's own address, proxy that of its proxy.
 	admin   string
@@ -144,7 +144,7 @@
 func zoneNet(z int) string { return fmt.Sprintf("127.%d.0.0/16", z) }
 
 // newFleet starts a platform; more is added by the test.
-func newFleet(t *testing.T) *fleet {
+func newFleet(t testing.TB) *fleet {
 	t.Helper()
 	f := &fleet{t: t, next: make(map[int]int)}
 	f.client = &http.Client{
@@ -169,7 +169,7 @@
 }
 
 // freeAddress returns an address whose port is free now.
-func freeAddress(t *testing.T, ip string) string {
+func freeAddress(t testing.TB, ip string) string {
 	t.Helper()
 	l, err := net.Listen("tcp", ip+":0")
 	if err != nil {
--- a/integration/main_test.go
+++ b/integration/main_test.go
@@ -48,7 +48,7 @@
 )
 
 // eventually waits until f returns nil.
-func eventually(t *testing.T, what string, f func() error) {
+func eventually(t testing.TB, what string, f func() error) {
 	t.Helper()
 	deadline := time.Now().Add(patience)
 	for {
--- a/internal/engine/caller/caller.go
+++ b/internal/engine/caller/caller.go
@@ -44,6 +44,7 @@
 	"brasschute/internal/core/identifier"
 	"brasschute/internal/engine/frame"
 	"brasschute/internal/engine/order"
+	"brasschute/internal/engine/prefix"
 	"brasschute/internal/engine/report"
 	"brasschute/internal/engine/resumption"
 )
@@ -217,6 +218,18 @@
 	return &r, err
 }
 
+// Importation asks an engine to copy cache blocks from another.
+type Importation struct {
+	// Source is IP:port of the engine that holds them.
+	Source string
+	Blocks []prefix.Block
+}
+
+// Import makes an engine copy cache blocks.
+func (c *Caller) Import(ctx context.Context, address string, i *Importation) error {
+	return c.simple(ctx, http.MethodPost, "http://"+address+"/v1/kv/import", i, nil)
+}
+
 // Order gives an engine its wanted state.
 func (c *Caller) Order(ctx context.Context, address string, o *order.Order) error {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
--- a/internal/measure/baseline/baseline.go
+++ b/internal/measure/baseline/baseline.go
@@ -94,8 +94,8 @@
 	return best
 }
 
-func inFlight(c *candidate.Candidate) int32 {
-	return max(c.Running+c.Queued+c.SentSince, c.InFlight)
+func inFlight(c *candidate.Candidate) int {
+	return max(c.Running+c.Queued, int(c.InFlight))
 }
 
 // highest is rendezvous hashing.
--- a/internal/measure/experiment/experiment_test.go
+++ b/internal/measure/experiment/experiment_test.go
@@ -32,6 +32,7 @@
 	"brasschute/internal/platform/inventory"
 	"brasschute/internal/platform/object"
 	"brasschute/internal/route/budgeter"
+	"brasschute/internal/route/evacuator"
 	"brasschute/internal/route/registry"
 	"brasschute/internal/serve/call"
 	"brasschute/internal/serve/recorder"
@@ -81,8 +82,8 @@
 
 func setups() []setup {
 	return []setup{
-		{mix: workload.Werkbrug(), prefill: 9000, decode: 60, cheap: 0.9, dear: 2.61, weight: 0.01},
-		{mix: workload.HarrowbyTrent(), prefill: 6000, decode: 40, cheap: 1.9, dear: 5.51, weight: 0.5},
+		{mix: workload.Werkbrug(), prefill: 9000, decode: 60, cheap: 0.9, dear: 2.61, weight: 0.0002},
+		{mix: workload.HarrowbyTrent(), prefill: 6000, decode: 40, cheap: 1.9, dear: 5.51, weight: 0.05},
 	}
 }
 
@@ -103,8 +104,9 @@
 }
 
 type daemon struct {
-	registry *registry.Registry
-	streamer *streamer.Streamer
+	registry  *registry.Registry
+	streamer  *streamer.Streamer
+	evacuator *evacuator.Evacuator
 }
 
 // RoundTrip calls a stand-in engine without a network.
@@ -215,13 +217,21 @@
 	}
 	d := &daemon{}
 	c.Changed = func() {
-		if d.streamer != nil {
-			d.streamer.Sweep()
+		if d.streamer == nil {
+			return
+		}
+		d.streamer.Sweep()
+		if d.evacuator != nil {
+			d.evacuator.Hurry()
 		}
 	}
 	d.registry = registry.New(c)
+	reach := caller.New(caller.Config{Transport: b})
+	if b.policy == ours {
+		d.evacuator = evacuator.New(evacuator.Config{Registry: d.registry, Caller: reach})
+	}
 	d.streamer = streamer.New(streamer.Config{
-		Registry: d.registry, Caller: caller.New(caller.Config{Transport: b}), Budgeter: budgeter.New(), Zone: zone(i),
+		Registry: d.registry, Caller: reach, Budgeter: budgeter.New(), Zone: zone(i),
 	})
 	b.daemons = append(b.daemons, d)
 	for n := range b.hosts {
@@ -357,7 +367,7 @@
 	c := &call.Call{
 		Request: identifier.Request(fmt.Sprint(n)), Instance: identifier.Request(fmt.Sprintf("%d~%d", n, b.seed)), Received: time.Now(),
 		Plan: b.plan, Service: service, Pool: b.pool, Body: body, Prompt: r.Prompt, Blocks: prefix.Blocks(nil, r.Prompt),
-		PromptTokens: prefix.Tokens(len(r.Prompt)), MaxTokens: r.Output, Known: r.Known, Streaming: true,
+		PromptTokens: prefix.Tokens(len(r.Prompt)), MaxTokens: r.Output, Known: r.Known, Conversation: r.Conversation, Streaming: true,
 	}
 	rec := &recorder.Record{}
 	out := &sink{begun: time.Now()}
@@ -383,6 +393,11 @@
 		b := newBench(t, s, policy, seed)
 		ctx, cancel := context.WithCancel(context.Background())
 		go b.observe(ctx)
+		for _, d := range b.daemons {
+			if d.evacuator != nil {
+				go func() { _ = d.evacuator.Serve(ctx) }()
+			}
+		}
 		go b.disturb(sc, length)
 		w := workload.New(s.mix, seed)
 		end := time.Now().Add(length)
--- a/internal/measure/workload/workload.go
+++ b/internal/measure/workload/workload.go
@@ -23,6 +23,8 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"brasschute/internal/core/identifier"
 	"brasschute/internal/engine/prefix"
 )
@@ -75,6 +77,8 @@
 	Pause        time.Duration
 	Organisation identifier.Organisation
 	Prompt       string
+	// Conversation is a hash that the turns of a conversation share.
+	Conversation uint64
 	Output       identifier.Tokens
 	// Known are the prompt tokens that an earlier turn already sent.
 	Known identifier.Tokens
@@ -83,6 +87,7 @@
 type conversation struct {
 	organisation identifier.Organisation
 	text         string
+	hash         uint64
 	known        int
 	left         int
 	// ready is when the caller has read the answer and asks again.
@@ -134,7 +139,7 @@
 	c.ready = w.now + leastThink + time.Duration(w.rand.Int64N(int64(spreadThink)))
 	r := Request{
 		Pause:        pause,
-		Organisation: c.organisation, Prompt: c.text, Output: identifier.Tokens(w.between(w.mix.Output)), Known: prefix.Tokens(c.known),
+		Organisation: c.organisation, Prompt: c.text, Conversation: c.hash, Output: identifier.Tokens(w.between(w.mix.Output)), Known: prefix.Tokens(c.known),
 	}
 	c.known = len(c.text)
 	c.left--
@@ -156,6 +161,7 @@
 		history = w.mix.LongHistory
 	}
 	c := &conversation{organisation: w.organisation(), text: w.preamble + w.text(w.between(history)), left: w.between(w.mix.Turns)}
+	c.hash = xxhash.Sum64String(c.text)
 	w.open = append(w.open, c)
 	return c
 }
--- a/internal/peer/ledger/ledger.go
+++ b/internal/peer/ledger/ledger.go
@@ -47,6 +47,8 @@
 	// newsMembers and newsLeaving bound a message that is not full.
 	newsMembers = 6
 	newsLeaving = 16
+	// spare is added to the logarithm of the members in limit.
+	spare = 2
 	// maxMembers and maxLeaving bound what is believed from others.
 	maxMembers = 1024
 	maxLeaving = 8192
@@ -244,13 +246,13 @@
 func (l *Ledger) Full() *rpc.News {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	n := &rpc.News{Self: l.copySelf(), Digest: l.digest()}
+	n := &rpc.News{Self: l.copySelf(), Digest: l.digest(), Full: true}
 	l.fill(n, true)
 	return n
 }
 
 func (l *Ledger) fill(n *rpc.News, full bool) {
-	limit := 3 * bits.Len(uint(len(l.members)+1))
+	limit := l.limit()
 	for _, m := range l.leastSent(full, limit) {
 		m.sent++
 		n.Members = append(n.Members, clone(m.record))
@@ -264,6 +266,10 @@
 	}
 }
 
+// limit is how often a daemon passes a change on: often enough that it reaches
+// all with high probability; the digest catches the rest.
+func (l *Ledger) limit() int { return spare + bits.Len(uint(len(l.members)+1)) }
+
 func (l *Ledger) leastSent(full bool, limit int) []*member {
 	out := make([]*member, 0, len(l.members))
 	for _, m := range l.members {
@@ -323,6 +329,9 @@
 	}
 	for _, m := range n.Members {
 		l.merge(m, now)
+		if n.Full {
+			l.settled(m)
+		}
 	}
 	var fresh []*rpc.Leaving
 	for _, d := range n.Leaving {
@@ -334,6 +343,15 @@
 	return fresh
 }
 
+// settled stops a record from being passed on: it came in a full message, of
+// which every daemon has had one. Without this, each join would set all
+// records travelling again.
+func (l *Ledger) settled(in *rpc.Member) {
+	if m := l.members[identifier.Host(in.Host)]; m != nil && m.record.Incarnation == in.Incarnation {
+		m.sent = max(m.sent, l.limit())
+	}
+}
+
 func (l *Ledger) compare(n *rpc.News) {
 	if n.Digest == l.digest() || n.Full {
 		l.differs = 0
--- a/internal/peer/signer/signer.go
+++ b/internal/peer/signer/signer.go
@@ -45,6 +45,7 @@
 
 	scheme     = "Peer"
 	nonceBytes = 12
+	macBytes   = 16
 	maxMessage = 8 << 20
 	// maxNonces bounds the memory of nonces in each half of the window; at
 	// the limit calls are refused, since forgetting one would allow replay.
@@ -112,7 +113,7 @@
 	for _, part := range parts {
 		fmt.Fprintf(h, "%d:%s", len(part), part)
 	}
-	return base64.RawURLEncoding.EncodeToString(h.Sum(nil))
+	return base64.RawURLEncoding.EncodeToString(h.Sum(nil)[:macBytes])
 }
 
 func (s *Signer) callMAC(c *credentials, address, path string, body []byte) string {
@@ -149,6 +150,9 @@
 	c.mac = t.s.callMAC(&c, r.URL.Host, r.URL.Path, body)
 	signed := r.Clone(r.Context())
 	signed.Header.Set("Authorization", c.header())
+	// Each byte of a message counts against the bound on control traffic.
+	signed.Header.Set("User-Agent", "")
+	signed.Header.Del("Twirp-Version")
 	signed.Body = io.NopCloser(bytes.NewReader(body))
 	signed.ContentLength = int64(len(body))
 	resp, err := t.next.RoundTrip(signed)
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -6,7 +6,9 @@
 //	├── watcher      follows the platform
 //	├── exchanger    swaps news with peers
 //	├── poller       observes endpoints
+//	├── evacuator    saves caches of engines that leave
 //	├── registrar    lists this daemon on the platform
+//	├── gauges       keeps metrics up to date
 //	├── peers        listener for peers
 //	├── operators    listener for operators
 //	└── callers      listener for callers
@@ -59,6 +61,7 @@
 	"brasschute/internal/platform/object"
 	"brasschute/internal/platform/watcher"
 	"brasschute/internal/route/budgeter"
+	"brasschute/internal/route/evacuator"
 	"brasschute/internal/route/limiter"
 	"brasschute/internal/route/poller"
 	"brasschute/internal/route/registry"
@@ -101,6 +104,7 @@
 	registry  *registry.Registry
 	exchanger *exchanger.Exchanger
 	streamer  *streamer.Streamer
+	evacuator *evacuator.Evacuator
 	claimer   *claimer.Claimer
 	handler   *handler.Handler
 	meter     *meter.Meter
@@ -175,6 +179,7 @@
 	s := e.c.Settings
 	endpoints := caller.New(caller.Config{Source: s.Source()})
 	budget := budgeter.New()
+	e.evacuator = evacuator.New(evacuator.Config{Registry: e.registry, Caller: endpoints})
 	e.streamer = streamer.New(streamer.Config{
 		Registry: e.registry, Caller: endpoints, Budgeter: budget, Zone: s.AvailabilityZone,
 		Stall: s.Engine.Stall.Std(), FirstStall: s.Engine.FirstStall.Std(),
@@ -198,10 +203,12 @@
 		Prefixes: []string{inventory.ConfigurationPrefix, inventory.HostPrefix, inventory.NoticePrefix, inventory.MemberPrefix},
 	}))
 	e.tree.Add(e.exchanger)
+	e.tree.Add(e.evacuator)
 	e.tree.Add(poller.New(poller.Config{
 		Registry: e.registry, Ledger: e.ledger, Caller: endpoints, Observed: e.exchanger.Observed,
 	}))
 	e.tree.Add(&registrar{e: e})
+	e.tree.Add(&gauges{e: e})
 }
 
 // listen opens the listeners and adds their servers to the tree.
@@ -389,6 +396,7 @@
 // the streams that run there.
 func (e *Entry) endpointsChanged() {
 	e.streamer.Sweep()
+	e.evacuator.Hurry()
 	e.exchanger.Hurry()
 }
 
@@ -397,10 +405,32 @@
 	if was != (err == nil) {
 		e.c.Logger.Info("platform", "reachable", err == nil, "error", err)
 	}
-	e.scope.Gauge("platform_calls").Update(float64(e.platform.Calls()))
+}
+
+// gauges keeps the metrics that nothing else updates.
+type gauges struct{ e *Entry }
+
+// Serve updates the gauges until ctx ends.
+func (g *gauges) Serve(ctx context.Context) error {
+	tick := time.NewTicker(reportPeriod)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+			g.e.gauge()
+		}
+	}
+}
+
+func (e *Entry) gauge() {
 	in, out := e.meter.Bytes()
 	e.scope.Gauge("peer_bytes_in").Update(float64(in))
 	e.scope.Gauge("peer_bytes_out").Update(float64(out))
+	e.scope.Gauge("platform_calls").Update(float64(e.platform.Calls()))
+	e.scope.Gauge("requests_in_flight").Update(float64(e.handler.InFlight()))
+	e.scope.Gauge("members").Update(float64(e.ledger.Count()))
 }
 
 func (e *Entry) event(event suture.Event) {
--- a/internal/route/candidate/candidate.go
+++ b/internal/route/candidate/candidate.go
@@ -2,7 +2,7 @@
 //
 // # Two kinds of knowledge
 //
-// What the daemon did itself (InFlight, SentSince) is exact and new. What the
+// What the daemon did itself (InFlight, Sent) is exact and new. What the
 // endpoint reports (Running, QueuedTokens) is complete but old. A decision
 // needs both: the report, plus what was sent since it was taken.
 //
@@ -32,17 +32,12 @@
 	Suspect bool
 	// Fresh: the report is young enough to be believed.
 	Fresh bool
-	// InFlight counts this daemon's requests; SentSince and SentTokens those
-	// sent after Taken and their uncached prompt tokens.
-	InFlight  int32
-	SentSince int32
-	// Age is that of the report, in seconds.
-	Age     float32
-	Running int32
-	Queued  int32
-	// QueuedTokens and SentTokens are prompt tokens ahead of a new request.
-	QueuedTokens identifier.Tokens
-	SentTokens   identifier.Tokens
+	// InFlight counts this daemon's requests.
+	InFlight int32
+	// Ahead estimates the prompt tokens that the endpoint reads before a new
+	// request's, Streams the streams that it runs: see Refresh.
+	Ahead   float64
+	Streams float64
 	// Slow is how many times longer than predicted first tokens took of late;
 	// 0 counts as 1.
 	Slow float64
@@ -67,13 +62,21 @@
 	EjectedUntil time.Time
 	Failures     int
 
-	// Taken is when Running, Queued, QueuedTokens and Model were reported, by
-	// this daemon's clock.
-	Taken time.Time
+	// Running, Queued and QueuedTokens are as reported at Taken, by this
+	// daemon's clock; they say nothing once a report is stale.
+	Running      int
+	Queued       int
+	QueuedTokens identifier.Tokens
+	Taken        time.Time
 	// observed is when Slow was last brought up to date.
 	observed time.Time
-	// sends are the requests behind SentSince, oldest first.
+	// sends are this daemon's requests since Taken, oldest first.
 	sends []send
+	// tokenRate and rate are the tokens and requests that this daemon sends in
+	// a second, over rateTime, as of rated.
+	tokenRate float64
+	rate      float64
+	rated     time.Time
 }
 
 type send struct {
@@ -81,8 +84,24 @@
 	tokens identifier.Tokens
 }
 
-// maxSends bounds the requests that are remembered one by one.
-const maxSends = 256
+const (
+	// maxSends bounds the requests that are remembered one by one.
+	maxSends = 256
+	// promptGuess stands for the prompt of a queued request of unknown size.
+	promptGuess = 256
+	// rateTime is the time over which rates are averaged.
+	rateTime = 10 * time.Second
+)
+
+// Pace is what the estimates need to know besides the candidate.
+type Pace struct {
+	// Drain is the number of prompt tokens that an endpoint reads in a second,
+	// Writing the seconds that a stream lasts.
+	Drain   float64
+	Writing float64
+	// Others counts the other daemons.
+	Others float64
+}
 
 // Sent counts a request with its uncached prompt tokens.
 func (c *Candidate) Sent(at time.Time, tokens identifier.Tokens) {
@@ -90,36 +109,74 @@
 		c.sends = append(c.sends[:0], c.sends[1:]...)
 	}
 	c.sends = append(c.sends, send{at, tokens})
-	c.SentSince++
-	c.SentTokens += tokens
+	c.decay(at)
+	c.tokenRate += float64(tokens) / rateTime.Seconds()
+	c.rate += 1 / rateTime.Seconds()
+	c.Ahead += float64(tokens)
+	c.Streams++
+}
+
+func (c *Candidate) decay(now time.Time) {
+	part := math.Exp(-now.Sub(c.rated).Seconds() / rateTime.Seconds())
+	c.tokenRate *= part
+	c.rate *= part
+	c.rated = now
 }
 
-// count adds up what was sent after the report was taken, or, without a report
-// that can be believed, in the time after which one is stale. A report arrives
-// late: what was sent while it was on its way is not in it.
-func (c *Candidate) count(now time.Time) {
+// estimate carries an old report forward to now. What this daemon sent since
+// is known one by one; a report arrives late, so what was sent while it was on
+// its way is not in it. The other daemons are taken to send what this one
+// sends on average: to multiply its single requests would turn each into a
+// crowd. In between the endpoint reads at its pace.
+func (c *Candidate) estimate(now time.Time, p Pace) {
 	from := c.Taken
+	backlog := float64(c.QueuedTokens)
+	if backlog == 0 {
+		backlog = float64(c.Queued * promptGuess)
+	}
 	if !c.Fresh {
-		from = now.Add(-staleAfter)
+		from, backlog = now.Add(-staleAfter), 0
 	}
 	n := 0
 	for n < len(c.sends) && !c.sends[n].at.After(from) {
 		n++
 	}
 	c.sends = append(c.sends[:0], c.sends[n:]...)
-	c.SentSince, c.SentTokens = int32(len(c.sends)), 0
+	c.decay(now)
+	net := p.Drain/max(c.Slow, 1) - p.Others*c.tokenRate
+	last := from
 	for i := range c.sends {
-		c.SentTokens += c.sends[i].tokens
+		backlog = max(backlog-net*c.sends[i].at.Sub(last).Seconds(), 0) + float64(c.sends[i].tokens)
+		last = c.sends[i].at
 	}
+	c.Ahead = max(backlog-net*now.Sub(last).Seconds(), 0)
+	c.Streams = c.streams(now, p)
+}
+
+func (c *Candidate) streams(now time.Time, p Pace) float64 {
+	own := float64(c.InFlight)
+	if !c.Fresh {
+		return own * (1 + p.Others)
+	}
+	age := now.Sub(c.Taken).Seconds()
+	left := 1.0
+	if p.Writing > 0 {
+		left = max(1-age/p.Writing, 0)
+	}
+	came := float64(len(c.sends)) + p.Others*c.rate*min(age, max(p.Writing, 1))
+	return max(float64(c.Running+c.Queued)*left+came, own)
 }
 
 // staleAfter is the age at which a report says nothing any more.
 const staleAfter = 10 * time.Second
 
 const (
-	// slowWeight is the weight of the newest observation in Slow.
-	slowWeight = 0.3
-	slowMost   = 20
+	// slower and faster are the weights of the newest observation in Slow. A
+	// single late token has many causes, a single early one only a healthy
+	// endpoint.
+	slower   = 0.1
+	faster   = 0.4
+	slowMost = 20
 	// slowHalf is the time in which an unused endpoint loses half of its bad
 	// name: without it a slow endpoint would never be tried again.
 	slowHalf = 20 * time.Second
@@ -127,10 +184,14 @@
 
 // Observe takes in how long a first token took against its prediction.
 func (c *Candidate) Observe(took, predicted time.Duration, now time.Time) {
-	const least = 5 * time.Millisecond
+	const least = 50 * time.Millisecond
 	ratio := min(float64(took+least)/float64(predicted+least), slowMost)
 	slow := max(c.Slow, 1)
-	c.Slow = max(slow+slowWeight*(ratio-slow), 1)
+	weight := faster
+	if ratio > slow {
+		weight = slower
+	}
+	c.Slow = max(slow+weight*(ratio-slow), 1)
 	c.observed = now
 }
 
@@ -145,14 +206,12 @@
 // Refresh sets the fields that depend on the time. Decisions read them many
 // times between two changes, and comparing times for each would cost more
 // than all else.
-func (c *Candidate) Refresh(now time.Time) {
+func (c *Candidate) Refresh(now time.Time, p Pace) {
 	c.Out = c.Ejected(now)
 	c.Suspect = c.Failures > 0
-	age := now.Sub(c.Taken)
-	c.Fresh = age <= staleAfter
-	c.Age = float32(min(age, staleAfter).Seconds())
-	c.count(now)
+	c.Fresh = now.Sub(c.Taken) <= staleAfter
 	c.forgive(now)
+	c.estimate(now, p)
 }
 
 // Ejected tells whether the endpoint is out of use at a time.
--- a/internal/route/registry/registry.go
+++ b/internal/route/registry/registry.go
@@ -107,6 +107,7 @@
 	cached     []identifier.Tokens
 	scratch    []selector.Prediction
 	refreshed  time.Time
+	pace       candidate.Pace
 }
 
 // Registry is safe for concurrent use.
@@ -119,8 +120,30 @@
 	ids     map[identifier.Endpoint]int32
 	place   map[int32]int
 	indexer indexer.Indexer
+	// conversations are those sent to each endpoint, newest turn only.
+	conversations map[uint64]*Conversation
 }
 
+// Conversation is what this daemon knows of where a conversation's cache is.
+type Conversation struct {
+	Prefix uint64
+	// Premium is that of the configuration; see selector.Premium.
+	Premium  float64
+	Pool     identifier.Pool
+	Endpoint identifier.Endpoint
+	Host     identifier.Host
+	Address  string
+	Blocks   []prefix.Block
+	Last     time.Time
+}
+
+const (
+	// maxConversations bounds what is remembered; when it is reached, those
+	// older than conversationAge go, or else the new one is not remembered.
+	maxConversations = 4096
+	conversationAge  = 10 * time.Minute
+)
+
 // New returns a registry without endpoints.
 func New(c Config) *Registry {
 	if c.Daemons == nil {
@@ -137,7 +160,7 @@
 	}
 	return &Registry{
 		c: c, hosts: make(map[string]inventory.Host), pools: make(map[identifier.Pool]*pool),
-		ids: make(map[identifier.Endpoint]int32), place: make(map[int32]int),
+		ids: make(map[identifier.Endpoint]int32), place: make(map[int32]int), conversations: make(map[uint64]*Conversation),
 	}
 }
 
@@ -268,9 +291,14 @@
 		return nil, d
 	}
 	r.match(p, q.Blocks)
+	p.pace = candidate.Pace{
+		Drain: float64(q.Select.Prefill), Others: float64(r.c.Daemons() - 1),
+		Writing: float64(q.Select.OutputTokens) / float64(max(q.Select.Decode, 1)),
+	}
 	p.refresh(q.Select.Now)
-	q.Select.Daemons = r.c.Daemons()
-	q.Select.Prefix = uint64(r.indexer.Own(q.Blocks))
+	if q.Select.Prefix == 0 {
+		q.Select.Prefix = uint64(r.indexer.Own(q.Blocks))
+	}
 	d := r.c.Select(&q.Select, p.candidates, p.cached, p.scratch)
 	if d.Index == selector.None {
 		return nil, d
@@ -281,6 +309,7 @@
 	c.Sent(q.Select.Now, uncached)
 	id := r.id(c.Endpoint)
 	r.indexer.Sent(q.Blocks, id)
+	r.remember(q, c)
 	return &Pick{
 		Endpoint: c.Endpoint, Host: c.Host, Incarnation: c.Incarnation, Address: c.Address, Pool: c.Pool,
 		PricePerSecond: c.PricePerSecond, Predicted: d.Chosen.FirstToken, id: id,
@@ -294,7 +323,7 @@
 	}
 	p.refreshed = now
 	for i := range p.candidates {
-		p.candidates[i].Refresh(now)
+		p.candidates[i].Refresh(now, p.pace)
 	}
 }
 
@@ -343,6 +372,70 @@
 	return c.Deadline, c.Leaving
 }
 
+// remember notes where a conversation's newest turn went. The caller holds
+// the lock.
+func (r *Registry) remember(q *Query, c *candidate.Candidate) {
+	if q.Select.Prefix == 0 || len(q.Blocks) == 0 {
+		return
+	}
+	if len(r.conversations) >= maxConversations {
+		r.forget(q.Select.Now)
+	}
+	if len(r.conversations) >= maxConversations && r.conversations[q.Select.Prefix] == nil {
+		return
+	}
+	r.conversations[q.Select.Prefix] = &Conversation{
+		Prefix: q.Select.Prefix, Premium: selector.Premium(q.Select.RecomputeWeight), Pool: q.Pool, Endpoint: c.Endpoint, Host: c.Host, Address: c.Address,
+		Blocks: q.Blocks, Last: q.Select.Now,
+	}
+}
+
+func (r *Registry) forget(now time.Time) {
+	for prefix, c := range r.conversations {
+		if now.Sub(c.Last) > conversationAge {
+			delete(r.conversations, prefix)
+		}
+	}
+}
+
+// Evacuees takes out the conversations whose cache is on leaving hosts.
+func (r *Registry) Evacuees() []*Conversation {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	leaving := make(map[identifier.Endpoint]bool)
+	r.each(func(c *candidate.Candidate) { leaving[c.Endpoint] = c.Leaving })
+	var out []*Conversation
+	for prefix, c := range r.conversations {
+		if leaving[c.Endpoint] {
+			out = append(out, c)
+			delete(r.conversations, prefix)
+		}
+	}
+	return out
+}
+
+// Settle chooses the new home of a conversation and returns its address, empty
+// if there is none, and notes the conversation there.
+func (r *Registry) Settle(c *Conversation) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.pools[c.Pool]
+	if p == nil {
+		return ""
+	}
+	i := selector.Home(c.Prefix, c.Premium, p.candidates)
+	if i == selector.None {
+		return ""
+	}
+	k := &p.candidates[i]
+	c.Endpoint, c.Host, c.Address = k.Endpoint, k.Host, k.Address
+	r.conversations[c.Prefix] = c
+	for _, b := range c.Blocks {
+		r.indexer.Add(b, r.id(k.Endpoint))
+	}
+	return k.Address
+}
+
 // Observe takes in how long a pick's first token took.
 func (r *Registry) Observe(k *Pick, took time.Duration) {
 	r.mu.Lock()
@@ -386,7 +479,7 @@
 			c.EjectedUntil = time.Now().Add(pause)
 		}
 	}
-	c.Refresh(time.Now())
+	c.Refresh(time.Now(), r.pools[c.Pool].pace)
 }
 
 func (r *Registry) mayEject(name identifier.Pool) bool {
@@ -421,9 +514,9 @@
 		if c.Endpoint != l.Endpoint || !taken.After(c.Taken) {
 			return
 		}
-		c.Running, c.Queued, c.QueuedTokens, c.Model = int32(l.Running), int32(l.Queued), l.QueuedTokens, l.Model
+		c.Running, c.Queued, c.QueuedTokens, c.Model = l.Running, l.Queued, l.QueuedTokens, l.Model
 		c.Taken = taken
-		c.Refresh(time.Now())
+		c.Refresh(time.Now(), r.pools[c.Pool].pace)
 		host, incarnation = c.Host, c.Incarnation
 	})
 	r.mu.Unlock()
--- a/internal/route/selector/selector.go
+++ b/internal/route/selector/selector.go
@@ -53,8 +53,12 @@
 	zoneSeconds = 0.002
 	// nearlyEqual is the ratio under which two costs count as equal.
 	nearlyEqual = 1.05
-	// promptGuess stands for the prompt of a queued request of unknown size.
-	promptGuess = 256
+	// nextTurn is the share of requests after which their conversation goes
+	// on.
+	nextTurn = 0.5
+	// homeTolerance is the ratio of first tokens up to which a conversation
+	// stays at home when no endpoint meets the target.
+	homeTolerance = 1.3
 	// batchSlowdown is the share by which each running stream slows reading.
 	batchSlowdown = 0.02
 )
@@ -78,9 +82,7 @@
 	OutputTokens identifier.Tokens
 	MaxInFlight  int
 	// Slots is how many streams an engine runs at once; 0 if not known.
-	Slots int
-	// Daemons is how many daemons decide as this one does.
-	Daemons int
+	Slots   int
 	Prefill int
 	Decode  int
 	Target  time.Duration
@@ -144,9 +146,10 @@
 	}
 	scratch = scratch[:len(candidates)]
 	m := newModel(q, cached)
-	m.home = home(q, candidates)
+	m.home = Home(q.Prefix, Premium(q.RecomputeWeight), candidates)
 	if m.home != None {
 		m.best = max(m.best, q.Known)
+		m.away = m.perLost * float64(q.PromptTokens) * nextTurn
 	}
 	var least bounds
 	for i := range scratch {
@@ -156,6 +159,9 @@
 			continue
 		}
 		p := m.predict(c, m.cached(cached, i))
+		if m.home != None && i != m.home {
+			p.Cost += m.away
+		}
 		scratch[i] = p
 		least.add(p, m.target)
 		if d.Others < maxAlternatives || m.better(p, &d.Best[maxAlternatives-1]) {
@@ -196,9 +202,19 @@
 	return p.FirstToken <= b.soonest*nearlyEqual
 }
 
-// pick takes, among the eligible, the one whose hash with the request's seed
+// homely tells whether p is good enough to stay at home: as good as any, or,
+// if none meets the target, not much later than the soonest.
+func (b *bounds) homely(p Prediction, target float64) bool {
+	return b.eligible(p, target) || !b.inTarget && p.FirstToken <= b.soonest*homeTolerance
+}
+
+// pick takes home, or, among the eligible, the one whose hash with the request's seed
 // is highest.
 func (d *Decision) pick(q *Query, candidates []candidate.Candidate, scratch []Prediction, m *model, b *bounds) {
+	if m.home != None && scratch[m.home].FirstToken >= 0 && b.homely(scratch[m.home], m.target) {
+		d.Index = m.home
+		return
+	}
 	var highest uint64
 	seed := q.Seed
 	if q.Prefix != 0 {
@@ -243,12 +259,18 @@
 	return tokens
 }
 
-// cheapEnough is the ratio of prices within which endpoints can be homes.
-const cheapEnough = 1.25
+// Premium returns how much more a second of an endpoint may cost than of the
+// cheapest for it to be a home. Homes on few cheap endpoints share little
+// cache; on all endpoints they share much and cost more. What the recomputing
+// of a usual prompt counts for decides.
+func Premium(recomputeWeight float64) float64 {
+	const usualPrompt = 1 // in thousands of tokens
+	return recomputeWeight * usualPrompt * nextTurn
+}
 
-// home returns the endpoint where the turns of a conversation meet, or None.
-func home(q *Query, candidates []candidate.Candidate) int {
-	if q.Prefix == 0 {
+// Home returns the endpoint where the turns of a conversation meet, or None.
+func Home(prefix uint64, premium float64, candidates []candidate.Candidate) int {
+	if prefix == 0 {
 		return None
 	}
 	cheapest := math.MaxFloat64
@@ -260,10 +282,10 @@
 	best, highest := None, uint64(0)
 	for i := range candidates {
 		c := &candidates[i]
-		if c.Leaving || c.Out || c.PricePerSecond > cheapest*cheapEnough {
+		if c.Leaving || c.Out || c.PricePerSecond > cheapest+premium {
 			continue
 		}
-		if h := mix(q.Prefix ^ c.Hash); best == None || h > highest {
+		if h := mix(prefix ^ c.Hash); best == None || h > highest {
 			best, highest = i, h
 		}
 	}
@@ -298,12 +320,11 @@
 	perRead float64
 	writing float64
 	perLost float64
-	// drain is what an engine reads in a second, daemons how many times this
-	// daemon's requests the fleet sends.
-	drain   float64
-	daemons float64
 	slots   float64
 	home    int
+	// away is the cost of serving a conversation away from home: the next turn
+	// will look for its cache there.
+	away float64
 }
 
 func newModel(q *Query, cached []identifier.Tokens) model {
@@ -312,7 +333,7 @@
 		q: q, best: mostCached(cached), target: q.Target.Seconds(), perRead: 1 / float64(max(q.Prefill, 1)),
 		writing: float64(q.OutputTokens) / float64(max(q.Decode, 1)), perLost: q.RecomputeWeight / thousand,
 	}
-	m.drain, m.daemons, m.slots = float64(max(q.Prefill, 1)), float64(max(q.Daemons, 1)), float64(q.Slots)
+	m.slots = float64(q.Slots)
 	if q.Target == 0 {
 		m.target = math.MaxFloat64
 	}
@@ -325,11 +346,10 @@
 func (m *model) predict(c *candidate.Candidate, cached identifier.Tokens) Prediction {
 	uncached := m.q.PromptTokens - min(cached, m.q.PromptTokens)
 	slow := max(c.Slow, 1)
-	running, ahead := m.load(c, slow)
-	reading := float64(uncached) * m.perRead * (1 + batchSlowdown*running)
-	p := Prediction{FirstToken: (ahead*m.perRead + reading) * slow, Cost: c.PricePerSecond * (reading + m.writing) * slow}
-	if m.slots > 0 && running >= m.slots {
-		p.FirstToken += m.writing * (running - m.slots + 1) / m.slots
+	reading := float64(uncached) * m.perRead * (1 + batchSlowdown*c.Streams)
+	p := Prediction{FirstToken: (c.Ahead*m.perRead + reading) * slow, Cost: c.PricePerSecond * (reading + m.writing) * slow}
+	if m.slots > 0 && c.Streams >= m.slots {
+		p.FirstToken += m.writing * (c.Streams - m.slots + 1) / m.slots
 	}
 	if c.AvailabilityZone != m.q.Zone {
 		p.FirstToken += zoneSeconds
@@ -340,33 +360,6 @@
 	return p
 }
 
-// load estimates the streams running and the prompt tokens ahead at this
-// moment from a report that is old. To the report comes what was sent since,
-// by this daemon as counted and by the others as if they had done the same;
-// from it goes what the engine has read in the meantime.
-func (m *model) load(c *candidate.Candidate, slow float64) (running, ahead float64) {
-	ahead = float64(c.SentTokens) * m.daemons
-	running = float64(c.SentSince) * m.daemons
-	if c.Fresh {
-		ahead += float64(c.QueuedTokens) + float64(c.Queued)*promptGuess*zeroIf(c.QueuedTokens > 0)
-		running += float64(c.Running + c.Queued)
-	}
-	ahead = max(ahead-float64(c.Age)*m.drain/slow, 0)
-	if m.writing > 0 {
-		// A stream lasts about as long as this one is going to.
-		running -= min(float64(c.Age)/m.writing, 1) * float64(c.Running)
-	}
-	running = max(running, float64(c.InFlight))
-	return running, ahead
-}
-
-func zeroIf(b bool) float64 {
-	if b {
-		return 0
-	}
-	return 1
-}
-
 func (m *model) alternative(c *candidate.Candidate, p Prediction, cached identifier.Tokens) Alternative {
 	return Alternative{
 		Endpoint: c.Endpoint, FirstToken: time.Duration(p.FirstToken * float64(time.Second)), Cost: p.Cost,
--- a/internal/route/selector/selector_test.go
+++ b/internal/route/selector/selector_test.go
@@ -24,7 +24,7 @@
 	for i := range out {
 		out[i] = candidate.Candidate{
 			Endpoint: identifier.Endpoint(fmt.Sprintf("e%d", i)), AvailabilityZone: "z0", Model: "m", Taken: now,
-			Running: int32(i % 5), Queued: int32(i % 3), PricePerSecond: 1, Hash: xxhash.Sum64String(fmt.Sprint(i)), Fresh: true,
+			Streams: float64(i % 5), PricePerSecond: 1, Hash: xxhash.Sum64String(fmt.Sprint(i)), Fresh: true,
 		}
 	}
 	return out
@@ -38,9 +38,9 @@
 		count  func(*Excluded) int
 	}{
 		{"leaving", func(c *candidate.Candidate) { c.Leaving = true }, func(x *Excluded) int { return x.Leaving }},
-		{"ejected", func(c *candidate.Candidate) { c.EjectedUntil = now.Add(time.Second); c.Refresh(now) }, func(x *Excluded) int { return x.Ejected }},
+		{"ejected", func(c *candidate.Candidate) { c.EjectedUntil = now.Add(time.Second); c.Refresh(now, candidate.Pace{}) }, func(x *Excluded) int { return x.Ejected }},
 		{"full", func(c *candidate.Candidate) { c.InFlight = 8 }, func(x *Excluded) int { return x.Full }},
-		{"probed already", func(c *candidate.Candidate) { c.Failures, c.InFlight = 3, 1; c.Refresh(now) }, func(x *Excluded) int { return x.Full }},
+		{"probed already", func(c *candidate.Candidate) { c.Failures, c.InFlight = 3, 1; c.Refresh(now, candidate.Pace{}) }, func(x *Excluded) int { return x.Full }},
 		{"zone", func(c *candidate.Candidate) { c.AvailabilityZone = "z9" }, func(x *Excluded) int { return x.Zone }},
 		{"model", func(c *candidate.Candidate) { c.Model = "other" }, func(x *Excluded) int { return x.Model }},
 		{"tried", func(c *candidate.Candidate) { c.Endpoint = "gone" }, func(x *Excluded) int { return x.Tried }},
@@ -74,9 +74,9 @@
 		want   int
 	}{
 		{"cheapest in target", func(*Query, []candidate.Candidate, []identifier.Tokens) {}, 1},
-		{"cheap but too slow", func(_ *Query, c []candidate.Candidate, _ []identifier.Tokens) { c[1].QueuedTokens = 9000 }, 2},
+		{"cheap but too slow", func(_ *Query, c []candidate.Candidate, _ []identifier.Tokens) { c[1].Ahead = 9000 }, 2},
 		{"none in target: soonest", func(_ *Query, c []candidate.Candidate, _ []identifier.Tokens) {
-			c[0].QueuedTokens, c[1].QueuedTokens, c[2].QueuedTokens = 9000, 20000, 30000
+			c[0].Ahead, c[1].Ahead, c[2].Ahead = 9000, 20000, 30000
 		}, 0},
 		{"cached prefix outweighs price", func(q *Query, _ []candidate.Candidate, cached []identifier.Tokens) {
 			cached[0] = 640
@@ -88,9 +88,8 @@
 		}, 1},
 		{"own requests count when the report is old", func(_ *Query, c []candidate.Candidate, _ []identifier.Tokens) {
 			c[1].Taken = now.Add(-time.Minute)
-			c[1].Refresh(now)
-			c[1].Age = 0
-			c[1].SentTokens = 9000
+			c[1].Sent(now, 9000)
+			c[1].Refresh(now, candidate.Pace{Drain: 8000})
 		}, 2},
 	}
 	for _, c := range cases {
@@ -99,7 +98,7 @@
 			list := candidates(3, now)
 			for i := range list {
 				list[i].PricePerSecond = price[list[i].Endpoint] / time.Hour.Seconds()
-				list[i].Running, list[i].Queued = 0, 0
+				list[i].Streams = 0
 			}
 			cached := make([]identifier.Tokens, 3)
 			c.change(q, list, cached)
@@ -119,7 +118,7 @@
 		for i := range list {
 			list[i].Leaving = rapid.Bool().Draw(rt, "leaving")
 			list[i].InFlight = rapid.Int32Range(0, 8).Draw(rt, "in flight")
-			list[i].QueuedTokens = identifier.Tokens(rapid.IntRange(0, 5000).Draw(rt, "queued"))
+			list[i].Ahead = rapid.Float64Range(0, 5000).Draw(rt, "ahead")
 		}
 		q := query(now)
 		q.Seed = rapid.Uint64().Draw(rt, "seed")
@@ -151,9 +150,9 @@
 	now := time.Now()
 	list := candidates(12, now)
 	for i := range list {
-		list[i].Running, list[i].Queued, list[i].QueuedTokens = 2, 0, 100
+		list[i].Streams, list[i].Ahead = 2, 100
 	}
-	list[5].QueuedTokens = 90
+	list[5].Ahead = 90
 	count := make([]int, len(list))
 	const requests = 900
 	for i := range requests {
--- a/internal/serve/call/call.go
+++ b/internal/serve/call/call.go
@@ -51,6 +51,9 @@
 	Completions bool
 	Prompt      string
 	Blocks      []prefix.Block
+	// Conversation is a hash that the turns of one conversation share, 0 if
+	// not known.
+	Conversation uint64
 	// Known are the prompt tokens that an earlier turn of the conversation has
 	// sent already.
 	Known identifier.Tokens
--- a/internal/serve/parser/parser.go
+++ b/internal/serve/parser/parser.go
@@ -34,6 +34,7 @@
 	"brasschute/internal/serve/call"
 	"brasschute/internal/serve/refusal"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 )
 
@@ -54,6 +55,7 @@
 	discarded = 4
 	bearer    = "Bearer "
 	assistant = "assistant"
+	user      = "user"
 )
 
 // Config bounds what is read.
@@ -246,6 +248,11 @@
 			// The engine answered what stands before: it has read that.
 			c.Known = prefix.Tokens(len(c.Prompt))
 		}
+		if c.Conversation == 0 && in.Messages[i].Role == user {
+			// What stands before the first question is a preamble that many
+			// conversations share.
+			c.Conversation = xxhash.Sum64String(string(c.Organisation.Name) + text)
+		}
 		c.Prompt += text
 	}
 	c.PromptTokens = prefix.Tokens(len(c.Prompt))
--- a/internal/standin/engine/cache.go
+++ b/internal/standin/engine/cache.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"bytes"
 	"container/list"
 	"context"
 	"encoding/json"
@@ -103,15 +104,42 @@
 	answer(w, prefix.Blocks(nil, s.prompt))
 }
 
-// importBlocks copies a stream's cache blocks from another engine. Failing is
-// no error: the tokens are then computed again.
-func (e *Engine) importBlocks(ctx context.Context, source, id string) {
-	ctx, cancel := context.WithTimeout(ctx, importTimeout)
+// exportKV answers with those of the blocks asked for that are cached.
+func (e *Engine) exportKV(w http.ResponseWriter, r *http.Request) {
+	var asked []prefix.Block
+	if json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(&asked) != nil {
+		http.Error(w, "a list of blocks", http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	answer(w, asked[:e.cache.match(asked)])
+}
+
+// importKV copies blocks from the engine that holds them.
+func (e *Engine) importKV(w http.ResponseWriter, r *http.Request) {
+	var in struct {
+		Source string
+		Blocks []prefix.Block
+	}
+	if json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(&in) != nil {
+		http.Error(w, "a source and a list of blocks", http.StatusBadRequest)
+		return
+	}
+	body, _ := json.Marshal(in.Blocks)
+	ctx, cancel := context.WithTimeout(r.Context(), importTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+source+"/v1/kv/"+id, nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+in.Source+"/v1/kv/export", bytes.NewReader(body))
 	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	e.take(req)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// take adds the blocks that another engine answers with to the cache.
+func (e *Engine) take(req *http.Request) {
 	resp, err := e.c.Transport.RoundTrip(req)
 	if err != nil {
 		return
@@ -125,3 +153,15 @@
 	defer e.mu.Unlock()
 	e.cache.add(blocks)
 }
+
+// importBlocks copies a stream's cache blocks from another engine. Failing is
+// no error: the tokens are then computed again.
+func (e *Engine) importBlocks(ctx context.Context, source, id string) {
+	ctx, cancel := context.WithTimeout(ctx, importTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+source+"/v1/kv/"+id, nil)
+	if err != nil {
+		return
+	}
+	e.take(req)
+}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -20,6 +20,8 @@
 //	DELETE /v1/streams/ID        cancel
 //	GET    /v1/load              load report
 //	GET    /v1/kv/ID             cache blocks of a stream
+//	POST   /v1/kv/import         copy cache blocks from another engine
+//	POST   /v1/kv/export         those of the blocks named that are held
 //	GET    /v1/cache/events      changes of the prefix cache
 //	POST   /v1/orders            wanted state
 //	GET    /admin/executions     how often each request began
@@ -153,6 +155,8 @@
 	e.mux.HandleFunc("DELETE /v1/streams/{id}", e.cancel)
 	e.mux.HandleFunc("GET /v1/load", e.load)
 	e.mux.HandleFunc("GET /v1/kv/{id}", e.export)
+	e.mux.HandleFunc("POST /v1/kv/import", e.importKV)
+	e.mux.HandleFunc("POST /v1/kv/export", e.exportKV)
 	e.mux.HandleFunc("GET /v1/cache/events", e.events)
 	e.mux.HandleFunc("POST /v1/orders", e.order)
 	e.mux.HandleFunc("GET /admin/executions", e.listExecutions)
