--- /dev/null
+++ b/internal/fleet/leaser/leaser_test.go
@@ -0,0 +1,223 @@
+package leaser
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"brasschute/internal/core/identifier"
+	"brasschute/internal/platform/object"
+)
+
+const duration = 6 * time.Second
+
+// store is a platform whose failures can be switched.
+type store struct {
+	mu   sync.Mutex
+	o    object.Object
+	lose bool
+	down bool
+}
+
+func (s *store) Get(context.Context, string) (object.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return object.Object{}, object.ErrUnavailable
+	}
+	if s.o.Version == object.Absent {
+		return s.o, object.ErrMissing
+	}
+	return s.o, nil
+}
+
+func (s *store) Put(_ context.Context, _ string, ifVersion uint64, value any) (object.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return object.Object{}, object.ErrUnavailable
+	}
+	if s.o.Version != ifVersion {
+		return object.Object{}, object.ErrConflict
+	}
+	raw, _ := json.Marshal(value)
+	s.o = object.Object{Version: ifVersion + 1, Value: raw}
+	if s.lose {
+		return object.Object{}, object.ErrUnknown
+	}
+	return s.o, nil
+}
+
+func candidateOf(s *store, host string) *Leaser {
+	return New(Config{Store: s, Zone: "z", Host: identifier.Host(host), Duration: duration})
+}
+
+func TestLeaseFaults(t *testing.T) {
+	// Two candidates and one fault: never may both hold the lease, and after
+	// the fault one of them must.
+	cases := []struct {
+		name  string
+		fault func(s *store)
+		after time.Duration
+		// fencing is the number held at the end, at least.
+		fencing uint64
+	}{
+		{"none", func(*store) {}, time.Minute, 1},
+		{"outage longer than the lease", func(s *store) { s.down = true }, time.Minute, 1},
+		{"answers lost", func(s *store) { s.lose = true }, time.Minute, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &store{}
+				ctx, cancel := context.WithCancel(t.Context())
+				a, b := candidateOf(s, "a"), candidateOf(s, "b")
+				for _, l := range []*Leaser{a, b} {
+					go func() { _ = l.Serve(ctx) }()
+				}
+				time.Sleep(20 * time.Second)
+				s.set(c.fault)
+				watchBoth(t, a, b, c.after)
+				s.set(func(s *store) { s.down, s.lose = false, false })
+				watchBoth(t, a, b, time.Minute)
+				n, heldA := a.Held()
+				m, heldB := b.Held()
+				if heldA == heldB || max(n, m) < c.fencing {
+					t.Errorf("a holds %d: %t, b holds %d: %t", n, heldA, m, heldB)
+				}
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+func (s *store) set(f func(*store)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(s)
+}
+
+func watchBoth(t *testing.T, a, b *Leaser, d time.Duration) {
+	t.Helper()
+	for range int(d / (50 * time.Millisecond)) {
+		_, heldA := a.Held()
+		_, heldB := b.Held()
+		if heldA && heldB {
+			t.Fatal("two hold the lease at once")
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func TestLeaseOfPausedHolder(t *testing.T) {
+	// The holder is paused past its lease and wakes up believing that it
+	// leads. It must find the lease lapsed before it gives an order, and the
+	// successor's fencing number must be higher.
+	synctest.Test(t, func(t *testing.T) {
+		s := &store{}
+		a, b := candidateOf(s, "a"), candidateOf(s, "b")
+		a.step(t.Context())
+		first, held := a.Held()
+		if !held {
+			t.Fatal("a does not hold")
+		}
+		// a does no step any more: it is paused.
+		for range 10 {
+			b.step(t.Context())
+			time.Sleep(duration / 4)
+			_, heldA := a.Held()
+			_, heldB := b.Held()
+			if heldA && heldB {
+				t.Fatal("two hold the lease at once")
+			}
+		}
+		second, held := b.Held()
+		if !held || second <= first {
+			t.Fatalf("b holds %d: %t, after %d", second, held, first)
+		}
+		if _, held := a.Held(); held {
+			t.Fatal("a still believes")
+		}
+		a.step(t.Context())
+		if _, held := a.Held(); held {
+			t.Fatal("a took the lease back")
+		}
+	})
+}
+
+func TestLeaseSuccessorWaitsForOldOrders(t *testing.T) {
+	// Engines that ignore fencing numbers may still get an order that the old
+	// leader sent at the last moment. The successor may order them only after
+	// the longest time that an order is on its way.
+	synctest.Test(t, func(t *testing.T) {
+		l := candidateOf(&store{}, "a")
+		l.step(t.Context())
+		if _, held := l.HeldFor(); held {
+			t.Fatal("orders at once")
+		}
+		time.Sleep(OrderTime + time.Millisecond)
+		if _, held := l.HeldFor(); !held {
+			t.Fatal("never orders")
+		}
+	})
+}
+
+// move is one step of a random schedule.
+type move struct {
+	Who        int
+	Pause      time.Duration
+	Lose, Down bool
+}
+
+func TestLeaseNeverTwoHolders(t *testing.T) {
+	// Any schedule of steps, pauses and faults of three candidates.
+	moves := rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) move {
+		return move{
+			Who: rapid.IntRange(0, 2).Draw(rt, "who"), Pause: time.Duration(rapid.IntRange(0, 4000).Draw(rt, "ms")) * time.Millisecond,
+			Lose: rapid.IntRange(0, 4).Draw(rt, "lose") == 0, Down: rapid.IntRange(0, 4).Draw(rt, "down") == 0,
+		}
+	}), 1, 60)
+	rapid.Check(t, func(rt *rapid.T) {
+		schedule := moves.Draw(rt, "schedule")
+		failure := ""
+		synctest.Test(t, func(*testing.T) { failure = play(schedule) })
+		if failure != "" {
+			rt.Fatal(failure)
+		}
+	})
+}
+
+// play carries a schedule out and describes what it broke.
+func play(schedule []move) string {
+	s := &store{}
+	all := []*Leaser{candidateOf(s, "0"), candidateOf(s, "1"), candidateOf(s, "2")}
+	fencing := uint64(0)
+	for _, m := range schedule {
+		s.set(func(s *store) { s.lose, s.down = m.Lose, m.Down })
+		all[m.Who].step(context.Background())
+		time.Sleep(m.Pause)
+		holders := 0
+		for _, l := range all {
+			n, held := l.Held()
+			if !held {
+				continue
+			}
+			holders++
+			if n < fencing {
+				return fmt.Sprintf("the fencing number fell from %d to %d", fencing, n)
+			}
+			fencing = n
+		}
+		if holders > 1 {
+			return fmt.Sprintf("%d holders", holders)
+		}
+	}
+	return ""
+}
--- a/internal/peer/exchanger/exchanger.go
+++ b/internal/peer/exchanger/exchanger.go
@@ -55,8 +55,10 @@
 	// to a member held for dead.
 	otherZoneEvery = 4
 	deadEvery      = 10
-	maxLoads       = 16
-	loadAge        = 8 * time.Second
+	// maxLoads keeps a message, four of which pass through a daemon each period,
+	// within the bound on control traffic.
+	maxLoads = 8
+	loadAge  = 8 * time.Second
 )
 
 // Config names the exchanger's collaborators.
--- a/internal/route/evacuator/evacuator.go
+++ b/internal/route/evacuator/evacuator.go
@@ -32,6 +32,8 @@
 	// parallel bounds the imports that one daemon has under way.
 	parallel = 8
 	timeout  = 2 * time.Second
+	// gatherTime is short against the seconds of a notice.
+	gatherTime = 250 * time.Millisecond
 )
 
 // Caller reaches engines.
@@ -75,11 +77,23 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-e.urgent:
+			e.gather(ctx)
 			e.round(ctx)
 		}
 	}
 }
 
+// gather waits until a wave of notices is in: a cache that moves to a host
+// which is the next to leave would be lost on the way.
+func (e *Evacuator) gather(ctx context.Context) {
+	t := time.NewTimer(gatherTime)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
 func (e *Evacuator) round(ctx context.Context) {
 	slots := make(chan struct{}, parallel)
 	var group sync.WaitGroup
--- a/internal/route/selector/selector.go
+++ b/internal/route/selector/selector.go
@@ -56,9 +56,9 @@
 	// nextTurn is the share of requests after which their conversation goes
 	// on.
 	nextTurn = 0.5
-	// homeTolerance is the ratio of first tokens up to which a conversation
-	// stays at home when no endpoint meets the target.
-	homeTolerance = 1.3
+	// homeTolerance is the ratio of predicted first tokens up to which a
+	// conversation may stay at home though another endpoint would be sooner.
+	homeTolerance = 2
 	// batchSlowdown is the share by which each running stream slows reading.
 	batchSlowdown = 0.02
 )
@@ -202,16 +202,21 @@
 	return p.FirstToken <= b.soonest*nearlyEqual
 }
 
-// homely tells whether p is good enough to stay at home: as good as any, or,
-// if none meets the target, not much later than the soonest.
-func (b *bounds) homely(p Prediction, target float64) bool {
-	return b.eligible(p, target) || !b.inTarget && p.FirstToken <= b.soonest*homeTolerance
+// homely tells whether p is good enough to stay at home: as good as any; or
+// not much later than the target, or the soonest, if what is lost by leaving
+// outweighs the price of the request. Predictions from old reports err to the
+// late side more often than not, and the caches lost by leaving are certain.
+func (m *model) homely(b *bounds, p Prediction) bool {
+	if b.eligible(p, m.target) {
+		return true
+	}
+	return m.away > p.Cost && p.FirstToken <= max(m.target, b.soonest)*homeTolerance
 }
 
 // pick takes home, or, among the eligible, the one whose hash with the request's seed
 // is highest.
 func (d *Decision) pick(q *Query, candidates []candidate.Candidate, scratch []Prediction, m *model, b *bounds) {
-	if m.home != None && scratch[m.home].FirstToken >= 0 && b.homely(scratch[m.home], m.target) {
+	if m.home != None && scratch[m.home].FirstToken >= 0 && m.homely(b, scratch[m.home]) {
 		d.Index = m.home
 		return
 	}
