--- a/internal/serve/claimer/claimer.go
+++ b/internal/serve/claimer/claimer.go
@@ -12,8 +12,9 @@
 //
 // Claims are kept in [Shards] objects, chosen by a hash of the key, each
 // written by conditional update only. All claims that arrive while a write is
-// under way go into the next one, so the writes of a daemon do not grow with
-// its requests, and no daemon needs to own a shard: the conditional update
+// under way go into the next one, and what is recorded after a request waits
+// a little for a claim to travel with, so that a busy daemon makes less than
+// one write a request. No daemon needs to own a shard: the conditional update
 // alone is what is safe.
 //
 // # Lost answers
@@ -71,6 +72,7 @@
 	maxPending  = 4096
 	finishTries = 5
 	backPause   = 500 * time.Millisecond
+	companyTime = 400 * time.Millisecond
 	keyBytes    = 16
 	tokenBytes  = 12
 )
@@ -176,6 +178,8 @@
 type queue struct {
 	pending []*operation
 	busy    bool
+	// wake interrupts the wait for company of a batch without a claim.
+	wake chan struct{}
 	// value and version are those last seen, to save a read.
 	value   shard
 	version uint64
@@ -248,6 +252,10 @@
 		return false
 	}
 	q.pending = append(q.pending, op)
+	if op.verb == claim && q.wake != nil {
+		close(q.wake)
+		q.wake = nil
+	}
 	if !q.busy {
 		q.busy = true
 		c.group.Add(1)
@@ -260,6 +268,7 @@
 func (c *Claimer) drain(i int) {
 	defer c.group.Done()
 	for {
+		c.company(i)
 		c.mu.Lock()
 		q := &c.queues[i]
 		batch := q.pending
@@ -274,6 +283,32 @@
 	}
 }
 
+// company lets operations for which nobody waits wait a little for a claim to
+// share its write with; else each claim would cost two writes.
+func (c *Claimer) company(i int) {
+	c.mu.Lock()
+	q := &c.queues[i]
+	for _, op := range q.pending {
+		if op.verb == claim {
+			c.mu.Unlock()
+			return
+		}
+	}
+	if len(q.pending) == 0 {
+		c.mu.Unlock()
+		return
+	}
+	wake := make(chan struct{})
+	q.wake = wake
+	c.mu.Unlock()
+	t := time.NewTimer(companyTime)
+	defer t.Stop()
+	select {
+	case <-wake:
+	case <-t.C:
+	}
+}
+
 // flush settles one batch.
 func (c *Claimer) flush(i int, batch []*operation) {
 	err := c.settle(context.Background(), i, batch)
