compiler: conditions that can never hold are found

Cause: the table of mistakes showed that '1 > 2' passed validation; the library folds no comparisons.

Ruled out: asking the library's optimizer (it folds only arithmetic).

Change: a condition that asks for no fact is evaluated once; one that wants a fact to be two things is refused.

--- a/integration/capacity_test.go
+++ b/integration/capacity_test.go
@@ -27,10 +27,9 @@
 
 // usage is what a daemon has used since it started.
 type usage struct {
-	cpu     time.Duration
-	bytes   float64
-	memory  float64
-	goodput float64
+	cpu    time.Duration
+	bytes  float64
+	memory float64
 }
 
 const (
--- a/internal/config/compiler/compiler.go
+++ b/internal/config/compiler/compiler.go
@@ -322,14 +322,47 @@
 	}
 	c.p.conditions = append(c.p.conditions, program)
 	root := program.Node()
-	if b, ok := root.(*ast.BoolNode); ok && !b.Value {
-		c.d.Report(field, "a condition that never holds", "one that can hold")
-	}
 	names := nameChecker{c: c, field: field}
 	ast.Walk(&root, &names)
+	if !names.asks {
+		return c.constant(field, program)
+	}
+	if contradicts(root, make(map[string]string)) {
+		c.d.Report(field, "a condition that never holds: it wants one fact to be two things", "one that can hold")
+	}
 	return root.String()
 }
 
+// constant evaluates a condition that asks for no fact.
+func (c *checker) constant(field string, program *vm.Program) string {
+	out, err := expr.Run(program, &Facts{})
+	if err != nil || out != true {
+		c.d.Report(field, "a condition that never holds", "one that can hold")
+		return ""
+	}
+	return "true"
+}
+
+// contradicts finds a fact that is compared with two different texts within
+// one conjunction.
+func contradicts(n ast.Node, seen map[string]string) bool {
+	b, ok := n.(*ast.BinaryNode)
+	if !ok {
+		return false
+	}
+	if b.Operator == "&&" || b.Operator == "and" {
+		return contradicts(b.Left, seen) || contradicts(b.Right, seen)
+	}
+	id, isID := b.Left.(*ast.IdentifierNode)
+	text, isText := b.Right.(*ast.StringNode)
+	if b.Operator != "==" || !isID || !isText {
+		return false
+	}
+	before, twice := seen[id.Value]
+	seen[id.Value] = text.Value
+	return twice && before != text.Value
+}
+
 func firstLine(text string) string {
 	line, _, _ := strings.Cut(text, "\n")
 	return line
@@ -361,12 +394,17 @@
 type nameChecker struct {
 	c     *checker
 	field string
+	// asks is set when the condition asks for any fact.
+	asks bool
 }
 
 var _ ast.Visitor = (*nameChecker)(nil)
 
 // Visit looks at one node of a condition.
 func (n *nameChecker) Visit(node *ast.Node) {
+	if _, ok := (*node).(*ast.IdentifierNode); ok {
+		n.asks = true
+	}
 	b, ok := (*node).(*ast.BinaryNode)
 	if !ok || b.Operator != "==" {
 		return
--- a/internal/measure/experiment/experiment_test.go
+++ b/internal/measure/experiment/experiment_test.go
@@ -126,13 +126,13 @@
 	go func() {
 		b.engines[i].ServeHTTP(w, r)
 		w.WriteHeader(http.StatusOK)
-		out.Close()
+		_ = out.Close()
 	}()
 	select {
 	case status := <-w.ready:
 		return &http.Response{StatusCode: status, Header: w.header, Body: in, Request: r, ContentLength: -1}, nil
 	case <-r.Context().Done():
-		in.Close()
+		_ = in.Close()
 		return nil, r.Context().Err()
 	}
 }
--- a/internal/peer/ledger/ledger_test.go
+++ b/internal/peer/ledger/ledger_test.go
@@ -15,7 +15,7 @@
 	return &rpc.Member{Host: host, AvailabilityZone: "z", PeerAddress: "127.0.0.1:" + host, Incarnation: incarnation, State: s}
 }
 
-func newLedger(host string) *Ledger { return New(Config{Self: record(host, 1, rpc.State_ALIVE)}) }
+func newLedger() *Ledger { return New(Config{Self: record("1", 1, rpc.State_ALIVE)}) }
 
 func news(members ...*rpc.Member) *rpc.News { return &rpc.News{Members: members} }
 
@@ -28,7 +28,7 @@
 			return record(fmt.Sprint(rapid.IntRange(2, 4).Draw(rt, "host")), rapid.Uint64Range(1, 4).Draw(rt, "incarnation"),
 				rpc.State(rapid.IntRange(0, 2).Draw(rt, "state")))
 		}), 1, 12).Draw(rt, "records")
-		a, b := newLedger("1"), newLedger("1")
+		a, b := newLedger(), newLedger()
 		for _, r := range records {
 			a.Merge(news(r), now)
 		}
@@ -48,7 +48,7 @@
 func TestLeavingNeverUnspreads(t *testing.T) {
 	now := time.Now()
 	rapid.Check(t, func(rt *rapid.T) {
-		l := newLedger("1")
+		l := newLedger()
 		var highest uint64
 		for _, i := range rapid.SliceOfN(rapid.Uint64Range(1, 9), 1, 20).Draw(rt, "incarnations") {
 			l.Merge(&rpc.News{Leaving: []*rpc.Leaving{{Host: "h", Incarnation: i}}}, now)
@@ -76,7 +76,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			l := newLedger("1")
+			l := newLedger()
 			l.Merge(news(c.in), time.Now())
 			if got := l.Self(); got.Incarnation != c.want || got.State != rpc.State_ALIVE {
 				t.Errorf("%v", got)
@@ -87,7 +87,7 @@
 
 func TestSuspicion(t *testing.T) {
 	now := time.Now()
-	l := newLedger("1")
+	l := newLedger()
 	l.Merge(news(record("2", 1, rpc.State_ALIVE)), now)
 	l.MarkUnreachable("2", now)
 	l.Tick(now.Add(suspicion / 2))
@@ -106,7 +106,7 @@
 
 func TestMessagesStayBounded(t *testing.T) {
 	now := time.Now()
-	l := newLedger("1")
+	l := newLedger()
 	for i := range 60 {
 		l.Merge(news(record(fmt.Sprint(i+2), 1, rpc.State_ALIVE)), now)
 		l.MarkLeaving(identifier.Host(fmt.Sprint(i)), 1, now, now)
