--- a/internal/standin/engine/writer.go
+++ b/internal/standin/engine/writer.go
@@ -28,6 +28,7 @@
 	if b.CrossAt > 0 && offset == b.CrossAt {
 		other := f
 		other.ID = "another-stream"
+		other.Choices = []frame.Choice{{Delta: &frame.Message{Content: "another caller's text "}}}
 		o.send(other)
 	}
 	o.send(f)
