sweeper, poller: nothing is left on the platform for ever; cache events

Ruled out: removing a member when its peers hold it for dead (a cut-off zone would be forgotten).

Change: daemons renew their record, the zone's leader removes what is past its age by the platform's clock; each engine's observer reads its cache events. Two tests found too weak by taking their guards away are as strict as their stories now.

--- a/integration/configuration_test.go
+++ b/integration/configuration_test.go
@@ -271,6 +271,13 @@
 	}
 	f.entries[0].mustApply(configuration(ruleNamed("x")), 1)
 	f.raw(inventory.ConfigurationKey, o.Value)
+	// A host that is listed after the restore shows that each daemon has seen
+	// the restored object too.
+	f.addPlain(1)
+	f.ready()
+	for _, d := range f.entries {
+		d.inForce(2)
+	}
 	a := f.entries[1].mustApply(configuration(ruleNamed("y")), 2)
 	if a.Number != 3 || len(a.InForce) != 3 {
 		t.Fatalf("%v", a)
--- a/integration/fleet_test.go
+++ b/integration/fleet_test.go
@@ -255,8 +255,9 @@
 }
 
 // addController starts a controller.
-func (f *fleet) addController(zone int, name string) *process {
+func (f *fleet) addController(name string) *process {
 	f.t.Helper()
+	const zone = 1
 	ip := f.ip(zone)
 	file := filepath.Join(f.t.TempDir(), name+".yaml")
 	text := fmt.Sprintf(`
--- a/integration/reclaim_test.go
+++ b/integration/reclaim_test.go
@@ -72,7 +72,7 @@
 		t.Fatal(err)
 	}
 	rec := f.entries[0].explain("letter")
-	if len(rec.Attempts) != 2 || rec.Attempts[1].Resumed != gateAt {
+	if len(rec.Attempts) != 2 || rec.Attempts[1].Resumed != gateAt || rec.Attempts[0].Outcome != "the engine's host is leaving" {
 		t.Fatalf("attempts: %+v", rec.Attempts)
 	}
 	// The question is shorter than a cache block, so all of it is computed
--- a/internal/engine/caller/caller.go
+++ b/internal/engine/caller/caller.go
@@ -218,6 +218,29 @@
 	return &r, err
 }
 
+// CacheEvent is one change of an engine's prefix cache.
+type CacheEvent struct {
+	Number uint64
+	Block  prefix.Block
+	Stored bool
+}
+
+// CacheEvents are the changes that an engine still remembers; some may be
+// missing.
+type CacheEvents struct {
+	Next   uint64
+	Events []CacheEvent
+}
+
+// CacheEvents asks an engine for the changes of its cache after a number.
+func (c *Caller) CacheEvents(ctx context.Context, address string, after uint64) (*CacheEvents, error) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	var e CacheEvents
+	err := c.simple(ctx, http.MethodGet, fmt.Sprintf("http://%s/v1/cache/events?after=%d", address, after), nil, &e)
+	return &e, err
+}
+
 // Importation asks an engine to copy cache blocks from another.
 type Importation struct {
 	// Source is IP:port of the engine that holds them.
--- a/internal/platform/inventory/inventory.go
+++ b/internal/platform/inventory/inventory.go
@@ -76,4 +76,6 @@
 	Incarnation      identifier.Incarnation
 	// PeerAddress is IP:port of the listener for peers.
 	PeerAddress string
+	// RenewedUnix is the platform's time of the last renewal, in seconds.
+	RenewedUnix int64
 }
--- a/internal/role/controller/controller.go
+++ b/internal/role/controller/controller.go
@@ -25,6 +25,7 @@
 	"brasschute/internal/engine/caller"
 	"brasschute/internal/fleet/leaser"
 	"brasschute/internal/fleet/reconciler"
+	"brasschute/internal/fleet/sweeper"
 	"brasschute/internal/fleet/trail"
 	"brasschute/internal/peer/ledger"
 	"brasschute/internal/peer/rpc"
@@ -71,6 +72,7 @@
 		},
 	}))
 	k.tree.Add(lease)
+	k.tree.Add(sweeper.New(sweeper.Config{Store: platform, Zone: s.AvailabilityZone, Lease: lease}))
 	k.tree.Add(reconciler.New(reconciler.Config{
 		Host: s.Host, Zone: s.AvailabilityZone, Keeper: k.keeper, Registry: k.registry, Caller: caller.New(caller.Config{Source: s.Source()}),
 		Lease: lease, Trail: trail.New(trail.Config{Store: platform, Zone: s.AvailabilityZone}), Logger: c.Logger,
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -448,16 +448,20 @@
 const (
 	firstPause = 200 * time.Millisecond
 	longPause  = 5 * time.Second
+	// renewPause leaves several renewals within the age at which a record
+	// counts as left behind; see package sweeper.
+	renewPause = 15 * time.Minute
 )
 
-// Serve registers, repeating until it succeeds.
+// Serve registers, repeating until it succeeds, and then renews now and then.
 func (r *registrar) Serve(ctx context.Context) error {
 	pause := firstPause
 	for ctx.Err() == nil {
+		next := pause
 		if err := r.e.register(ctx); err == nil {
-			return suture.ErrDoNotRestart
+			pause, next = firstPause, renewPause
 		}
-		t := time.NewTimer(pause)
+		t := time.NewTimer(next)
 		select {
 		case <-ctx.Done():
 		case <-t.C:
@@ -480,6 +484,7 @@
 	}
 	version := object.Absent
 	o, err := e.platform.Get(ctx, e.memberKey())
+	m.RenewedUnix = e.platform.Now().Unix()
 	if err == nil {
 		version = o.Version
 	} else if !errors.Is(err, object.ErrMissing) {
--- a/internal/route/poller/poller.go
+++ b/internal/route/poller/poller.go
@@ -47,6 +47,10 @@
 // Poller polls the endpoints that this daemon observes.
 type Poller struct {
 	c Config
+
+	mu sync.Mutex
+	// events are the numbers up to which cache events have been read.
+	events map[identifier.Endpoint]uint64
 }
 
 // New returns a poller.
@@ -54,7 +58,7 @@
 	if c.Period == 0 {
 		c.Period = defaultPeriod
 	}
-	return &Poller{c}
+	return &Poller{c: c, events: make(map[identifier.Endpoint]uint64)}
 }
 
 // Serve polls until ctx ends.
@@ -82,21 +86,54 @@
 		}
 		slots <- struct{}{}
 		group.Go(func() {
-			p.poll(ctx, endpoints[i].Address)
+			p.poll(ctx, &endpoints[i])
 			<-slots
 		})
 	}
 	group.Wait()
 }
 
-func (p *Poller) poll(ctx context.Context, address string) {
+func (p *Poller) poll(ctx context.Context, c *candidate.Candidate) {
 	taken := time.Now()
-	r, err := p.c.Caller.Load(ctx, address)
+	r, err := p.c.Caller.Load(ctx, c.Address)
 	if err != nil {
 		return
 	}
 	p.c.Registry.Report(r, taken)
 	p.c.Observed(r, taken)
+	if r.Model != "" {
+		p.cache(ctx, c)
+	}
+}
+
+// cache reads an engine's cache events. They stay with this daemon: to pass
+// them on would cost more than the hint is worth.
+func (p *Poller) cache(ctx context.Context, c *candidate.Candidate) {
+	p.mu.Lock()
+	after := p.events[c.Endpoint]
+	p.mu.Unlock()
+	e, err := p.c.Caller.CacheEvents(ctx, c.Address, after)
+	if err != nil {
+		return
+	}
+	for i := range e.Events {
+		p.c.Registry.Cached(c.Endpoint, e.Events[i].Block, e.Events[i].Stored)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.events[c.Endpoint] = e.Next
+	p.forget()
+}
+
+// maxEndpoints bounds the memory of event numbers.
+const maxEndpoints = 4096
+
+// forget drops all numbers when there are too many, as of endpoints long gone;
+// the events are then read again. The caller holds the lock.
+func (p *Poller) forget() {
+	if len(p.events) > maxEndpoints {
+		clear(p.events)
+	}
 }
 
 // observers are the zone's living daemons.
