--- a/integration/configuration_test.go
+++ b/integration/configuration_test.go
@@ -173,6 +173,11 @@
 			d.inForce(from + 1)
 		}
 	}
+	// One after the other is no race for the platform, yet the second draft
+	// was made without the first one's change.
+	if _, err := f.entries[2].apply(configuration(ruleNamed("late")), 1); twirpError(err) == nil || twirpError(err).Code() != twirp.Aborted {
+		t.Fatalf("a draft from an old number: %v", err)
+	}
 }
 
 func TestConfigurationAnswerLostAfterWrite(t *testing.T) {
