integration: tests that did not prove their guards do so now

Cause: each guard was taken away on a scratch copy and its test run. Four tests passed all the same: duplicate headers were refused for their empty body anyway; a configuration in force for a moment was not seen; calls during an outage were not counted; the check at send time was not reached.

Change: those tests are stricter: valid bodies, the daemons' logs checked in every test for configurations that do not rise, refused calls counted, a table for the check at send time.

--- a/integration/fleet_test.go
+++ b/integration/fleet_test.go
@@ -74,12 +74,35 @@
 	if bytes.Contains(text, []byte("WARNING: DATA RACE")) || bytes.Contains(text, []byte("panic:")) {
 		p.t.Errorf("%s: data race or panic", p.name)
 	}
+	if last, next := fell(text); next > 0 {
+		p.t.Errorf("%s: configuration %d came into force after %d", p.name, next, last)
+	}
 	if p.t.Failed() {
 		p.t.Logf("log of %s:\n%s", p.name, text)
 	}
 	_ = p.log.Close()
 }
 
+// fell finds, in a daemon's log, a configuration that came into force after
+// one with the same or a higher number. Asking the daemon would miss one that
+// was in force for a moment only.
+func fell(log []byte) (last, next uint64) {
+	for line := range bytes.Lines(log) {
+		var entry struct {
+			Msg    string
+			Number uint64
+		}
+		if json.Unmarshal(line, &entry) != nil || entry.Msg != "configuration in force" {
+			continue
+		}
+		if entry.Number <= last {
+			return last, entry.Number
+		}
+		last = entry.Number
+	}
+	return 0, 0
+}
+
 func (p *process) kill() {
 	_ = p.cmd.Process.Kill()
 	<-p.exited
--- a/integration/partition_test.go
+++ b/integration/partition_test.go
@@ -135,6 +135,10 @@
 	if err := f.get("http://"+f.admin+"/admin/calls", &before); err != nil {
 		t.Fatal(err)
 	}
+	// Without pauses that grow, the daemons would call thousands of times.
+	if most := int64(100 * len(f.entries)); before.Refused > most {
+		t.Errorf("%d calls during the outage, at most %d expected", before.Refused, most)
+	}
 	f.faults(platform.Faults{})
 	f.entries[0].mustApply(configuration(ruleNamed("x")), 1)
 	for _, d := range f.entries {
--- a/integration/path_test.go
+++ b/integration/path_test.go
@@ -137,11 +137,12 @@
 	d.mustApply(configuration(), 0)
 	f.ready()
 	head := "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer desk-key\r\n"
+	body := fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(chat(1, false)), chat(1, false))
 	cases := []struct{ name, text, status string }{
 		{"slow body", head + "Content-Length: 50\r\n\r\n{", "408"},
 		{"slow header", "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n", ""},
-		{"duplicate key", head + "Idempotency-Key: a\r\nIdempotency-Key: b\r\nContent-Length: 0\r\n\r\n", "400"},
-		{"duplicate authorization", head + "Authorization: Bearer branch-key\r\nContent-Length: 0\r\n\r\n", "400"},
+		{"duplicate key", head + "Idempotency-Key: a\r\nIdempotency-Key: b\r\n" + body, "400"},
+		{"duplicate authorization", head + "Authorization: Bearer branch-key\r\n" + body, "400"},
 		{"two lengths", head + "Content-Length: 5\r\nContent-Length: 6\r\n\r\nhello", "400"},
 		{"not HTTP", "hello\r\n\r\n", "400"},
 	}
--- a/integration/reclaim_test.go
+++ b/integration/reclaim_test.go
@@ -322,10 +322,10 @@
 	return "not listed"
 }
 
-func TestReclaimCheckAtSendTime(t *testing.T) {
-	// A keyed call chose its endpoint and then waits for a slow platform. In
-	// the meantime the endpoint begins to leave. The call must not be sent
-	// there any more, though it was chosen before.
+func TestReclaimWhileACallWaits(t *testing.T) {
+	// A keyed call waits for a slow platform. In the meantime an endpoint
+	// begins to leave. The call must not be sent there any more, though it was
+	// accepted while the endpoint was still in use.
 	f := newFleet(t)
 	f.addPlain(1)
 	f.addPlain(1)
--- /dev/null
+++ b/internal/route/registry/registry_test.go
@@ -0,0 +1,109 @@
+package registry
+
+import (
+	"encoding/json"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"brasschute/internal/core/identifier"
+	"brasschute/internal/peer/ledger"
+	"brasschute/internal/peer/rpc"
+	"brasschute/internal/platform/inventory"
+	"brasschute/internal/platform/object"
+	"brasschute/internal/route/selector"
+)
+
+func newRegistry(t *testing.T, hosts ...string) *Registry {
+	t.Helper()
+	r := New(Config{Ledger: ledger.New(ledger.Config{Self: &rpc.Member{Host: "entry"}})})
+	for _, h := range hosts {
+		list(t, r, h, 1, inventory.StateLive)
+	}
+	return r
+}
+
+func list(t *testing.T, r *Registry, host string, incarnation identifier.Incarnation, s inventory.State) {
+	t.Helper()
+	value, err := json.Marshal(inventory.Host{
+		Host: identifier.Host(host), Incarnation: incarnation, State: s, AvailabilityZone: "z",
+		Endpoints: []inventory.Endpoint{{Endpoint: identifier.Endpoint("on-" + host), Pool: "p", Address: "a"}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Apply(&object.Object{Key: inventory.HostPrefix + "z/" + host, Value: value})
+}
+
+func choose(r *Registry) *Pick {
+	pick, _ := r.Choose(&Query{Pool: "p", Select: selector.Query{Now: time.Now(), MaxInFlight: 100}})
+	return pick
+}
+
+func TestUsableAfterChoice(t *testing.T) {
+	// An endpoint is chosen; before the first byte goes out something happens
+	// to its host. The check at send time must see it, or new work reaches an
+	// endpoint that is leaving, or another process at the same address.
+	cases := []struct {
+		name   string
+		happen func(t *testing.T, r *Registry)
+		usable bool
+	}{
+		{"nothing", func(*testing.T, *Registry) {}, true},
+		{"reclaim notice", func(_ *testing.T, r *Registry) { r.MarkLeaving("h", 1, time.Now()) }, false},
+		{"notice of an earlier life", func(_ *testing.T, r *Registry) { r.MarkLeaving("h", 0, time.Now()) }, true},
+		{"leaving in the host list", func(t *testing.T, r *Registry) { list(t, r, "h", 1, inventory.StateLeaving) }, false},
+		{"host replaced", func(t *testing.T, r *Registry) { list(t, r, "h", 2, inventory.StateLive) }, false},
+		{"host gone", func(_ *testing.T, r *Registry) {
+			r.Apply(&object.Object{Key: inventory.HostPrefix + "z/h", Deleted: true})
+		}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRegistry(t, "h")
+			pick := choose(r)
+			c.happen(t, r)
+			if got := r.Usable(pick); got != c.usable {
+				t.Errorf("usable: %t", got)
+			}
+			r.Release(pick, Succeeded)
+		})
+	}
+}
+
+func TestEjection(t *testing.T) {
+	// All endpoints fail several times in a row. Never more than half of the
+	// pool may be ejected; after the pause each gets one request at a time,
+	// until one succeeds.
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegistry(t, "a", "b", "c", "d")
+		for range ejectAfter + 1 {
+			for _, c := range r.Endpoints() {
+				r.Release(r.Take(c.Endpoint), Failed)
+			}
+		}
+		out := 0
+		for _, c := range r.Endpoints() {
+			if c.Ejected(time.Now()) {
+				out++
+			}
+		}
+		if out != 2 {
+			t.Fatalf("%d of 4 ejected", out)
+		}
+		time.Sleep(time.Minute)
+		var probes []*Pick
+		for pick := choose(r); pick != nil; pick = choose(r) {
+			probes = append(probes, pick)
+		}
+		if len(probes) != 4 {
+			t.Fatalf("%d probes at once", len(probes))
+		}
+		r.Release(probes[0], Succeeded)
+		for range 5 {
+			if pick := choose(r); pick == nil || pick.Endpoint != probes[0].Endpoint {
+				t.Fatalf("not brought back: %v", pick)
+			}
+		}
+	})
+}
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -73,6 +73,8 @@
 	Reads   int64
 	Writes  int64
 	Watches int64
+	// Refused counts the calls during outages.
+	Refused int64
 	// Waiting is the number of watches open now.
 	Waiting int64
 }
@@ -111,9 +113,12 @@
 // ServeHTTP answers one call.
 func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	p.mu.Lock()
-	out := p.faults.Outage
+	out := p.faults.Outage && !strings.HasPrefix(r.URL.Path, "/admin/")
+	if out {
+		p.calls.Refused++
+	}
 	p.mu.Unlock()
-	if out && !strings.HasPrefix(r.URL.Path, "/admin/") {
+	if out {
 		http.Error(w, "outage", http.StatusServiceUnavailable)
 		return
 	}
