registry, streamer, entry: large files split by concept; plots

Also: the tables of experiments can be drawn (-plots), and a test of a long partition that heals while the platform is down.

--- a/integration/membership_test.go
+++ b/integration/membership_test.go
@@ -12,6 +12,7 @@
 	"brasschute/internal/fault/injector"
 	"brasschute/internal/peer/rpc"
 	"brasschute/internal/peer/signer"
+	"brasschute/internal/standin/platform"
 
 	"google.golang.org/protobuf/proto"
 )
@@ -196,3 +197,19 @@
 		t.Fatalf("%v %v", s, err)
 	}
 }
+
+func TestMembershipHealsAfterLongPartition(t *testing.T) {
+	// A zone is cut off until both sides hold each other for dead, and the cut
+	// heals while the platform is down. Somebody must try the dead again, or
+	// the two sides would never meet.
+	f := three(t)
+	f.isolate(3, true)
+	f.entries[0].believes("entry-3", rpc.State_DEAD)
+	f.entries[2].believes("entry-1", rpc.State_DEAD)
+	f.entries[2].believes("entry-2", rpc.State_DEAD)
+	f.faults(platform.Faults{Outage: true})
+	f.isolate(3, false)
+	f.entries[0].believes("entry-3", rpc.State_ALIVE)
+	f.entries[1].believes("entry-3", rpc.State_ALIVE)
+	f.entries[2].believes("entry-1", rpc.State_ALIVE)
+}
--- a/internal/measure/experiment/experiment_test.go
+++ b/internal/measure/experiment/experiment_test.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"testing"
@@ -25,6 +26,7 @@
 	"brasschute/internal/engine/prefix"
 	"brasschute/internal/engine/report"
 	"brasschute/internal/measure/baseline"
+	"brasschute/internal/measure/plotter"
 	"brasschute/internal/measure/result"
 	"brasschute/internal/measure/workload"
 	"brasschute/internal/peer/ledger"
@@ -45,6 +47,7 @@
 	seedFlag = flag.Uint64("seed", 1, "seed of the workload")
 	longFlag = flag.Duration("length", 2*time.Minute, "length of a run, in paused time")
 	planFlag = flag.Bool("full", false, "run all policies and scenarios")
+	plotFlag = flag.String("plots", "", "folder to draw the tables into")
 )
 
 const (
@@ -436,12 +439,52 @@
 	}
 	out := os.Stdout
 	for _, s := range setups() {
+		d := newDrawing(s.mix.Name)
 		for _, sc := range []scenario{steady, slowOne, reclaim} {
 			fmt.Fprintf(out, "\n%s, %s, seed %d, %s\n\n%s\n", s.mix.Name, sc, *seedFlag, *longFlag, result.Header)
 			for _, p := range policies() {
 				sum := run(t, s, p, sc, *seedFlag, *longFlag)
 				fmt.Fprintln(out, sum.Row(p))
+				d.add(p, &sum)
 			}
 		}
+		d.save(t)
+	}
+}
+
+// drawing collects the two measures of one user's runs.
+type drawing struct {
+	user string
+	cost map[string][]float64
+	lost map[string][]float64
+}
+
+func newDrawing(user string) *drawing {
+	return &drawing{user: user, cost: make(map[string][]float64), lost: make(map[string][]float64)}
+}
+
+func (d *drawing) add(policy string, s *result.Summary) {
+	d.cost[policy] = append(d.cost[policy], s.CostPerThousand)
+	d.lost[policy] = append(d.lost[policy], float64(s.Recomputed))
+}
+
+func (d *drawing) save(t *testing.T) {
+	t.Helper()
+	if *plotFlag == "" {
+		return
+	}
+	name := strings.ToLower(strings.ReplaceAll(strings.ReplaceAll(d.user, " & ", "-"), " ", "-"))
+	d.draw(t, d.cost, "cost per thousand requests in target", name+"-cost.png")
+	d.draw(t, d.lost, "recomputed tokens", name+"-recomputed.png")
+}
+
+func (d *drawing) draw(t *testing.T, series map[string][]float64, unit, file string) {
+	t.Helper()
+	p := plotter.New(plotter.Config{Title: fmt.Sprintf("%s, seed %d", d.user, *seedFlag), Unit: unit})
+	for _, policy := range policies() {
+		p.Add(policy, series[policy])
+	}
+	if err := p.Save(filepath.Join(*plotFlag, file), []string{string(steady), string(slowOne), string(reclaim)}); err != nil {
+		t.Fatal(err)
 	}
 }
--- a/internal/route/registry/registry.go
+++ b/internal/route/registry/registry.go
@@ -124,19 +124,6 @@
 	conversations map[uint64]*Conversation
 }
 
-// Conversation is what this daemon knows of where a conversation's cache is.
-type Conversation struct {
-	Prefix uint64
-	// Premium is that of the configuration; see selector.Premium.
-	Premium  float64
-	Pool     identifier.Pool
-	Endpoint identifier.Endpoint
-	Host     identifier.Host
-	Address  string
-	Blocks   []prefix.Block
-	Last     time.Time
-}
-
 const (
 	// maxConversations bounds what is remembered; when it is reached, those
 	// older than conversationAge go, or else the new one is not remembered.
@@ -372,70 +359,6 @@
 	return c.Deadline, c.Leaving
 }
 
-// remember notes where a conversation's newest turn went. The caller holds
-// the lock.
-func (r *Registry) remember(q *Query, c *candidate.Candidate) {
-	if q.Select.Prefix == 0 || len(q.Blocks) == 0 {
-		return
-	}
-	if len(r.conversations) >= maxConversations {
-		r.forget(q.Select.Now)
-	}
-	if len(r.conversations) >= maxConversations && r.conversations[q.Select.Prefix] == nil {
-		return
-	}
-	r.conversations[q.Select.Prefix] = &Conversation{
-		Prefix: q.Select.Prefix, Premium: selector.Premium(q.Select.RecomputeWeight), Pool: q.Pool, Endpoint: c.Endpoint, Host: c.Host, Address: c.Address,
-		Blocks: q.Blocks, Last: q.Select.Now,
-	}
-}
-
-func (r *Registry) forget(now time.Time) {
-	for prefix, c := range r.conversations {
-		if now.Sub(c.Last) > conversationAge {
-			delete(r.conversations, prefix)
-		}
-	}
-}
-
-// Evacuees takes out the conversations whose cache is on leaving hosts.
-func (r *Registry) Evacuees() []*Conversation {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	leaving := make(map[identifier.Endpoint]bool)
-	r.each(func(c *candidate.Candidate) { leaving[c.Endpoint] = c.Leaving })
-	var out []*Conversation
-	for prefix, c := range r.conversations {
-		if leaving[c.Endpoint] {
-			out = append(out, c)
-			delete(r.conversations, prefix)
-		}
-	}
-	return out
-}
-
-// Settle chooses the new home of a conversation and returns its address, empty
-// if there is none, and notes the conversation there.
-func (r *Registry) Settle(c *Conversation) string {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	p := r.pools[c.Pool]
-	if p == nil {
-		return ""
-	}
-	i := selector.Home(c.Prefix, c.Premium, p.candidates)
-	if i == selector.None {
-		return ""
-	}
-	k := &p.candidates[i]
-	c.Endpoint, c.Host, c.Address = k.Endpoint, k.Host, k.Address
-	r.conversations[c.Prefix] = c
-	for _, b := range c.Blocks {
-		r.indexer.Add(b, r.id(k.Endpoint))
-	}
-	return k.Address
-}
-
 // Observe takes in how long a pick's first token took.
 func (r *Registry) Observe(k *Pick, took time.Duration) {
 	r.mu.Lock()
--- a/internal/serve/streamer/streamer.go
+++ b/internal/serve/streamer/streamer.go
@@ -31,9 +31,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
-	"fmt"
 	"io"
 	"sync"
 	"time"
@@ -41,7 +39,6 @@
 	"brasschute/internal/core/identifier"
 	"brasschute/internal/engine/caller"
 	"brasschute/internal/engine/frame"
-	"brasschute/internal/engine/resumption"
 	"brasschute/internal/route/budgeter"
 	"brasschute/internal/route/registry"
 	"brasschute/internal/route/selector"
@@ -125,12 +122,6 @@
 // known tells whether another engine could go on.
 func (j *Job) known() bool { return len(j.Delivered) == j.Offset }
 
-type active struct {
-	pick   *registry.Pick
-	cancel context.CancelCauseFunc
-	timer  *time.Timer
-}
-
 // Streamer runs jobs. It is safe for concurrent use.
 type Streamer struct {
 	c Config
@@ -255,24 +246,6 @@
 	j.tried = append(j.tried, pick.Endpoint)
 }
 
-// timed tells the registry when an attempt's first frame came.
-type timed struct {
-	Sink
-	s     *Streamer
-	pick  *registry.Pick
-	begun time.Time
-	told  bool
-}
-
-// Frame passes a frame on.
-func (t *timed) Frame(f *frame.Frame) error {
-	if !t.told {
-		t.told = true
-		t.s.c.Registry.Observe(t.pick, time.Since(t.begun))
-	}
-	return t.Sink.Frame(f)
-}
-
 // cause prefers the reason for which this side ended the attempt.
 func cause(ctx context.Context, err error) error {
 	if c := context.Cause(ctx); c != nil {
@@ -340,117 +313,6 @@
 	}
 }
 
-// Explain copies a decision into an attempt's record.
-func Explain(note *recorder.Attempt, d *selector.Decision) {
-	x := d.Excluded
-	note.Excluded = fmt.Sprintf("%d leaving, %d ejected, %d full, %d in other zones, %d with another model, %d tried",
-		x.Leaving, x.Ejected, x.Full, x.Zone, x.Model, x.Tried)
-	if d.Index == selector.None {
-		return
-	}
-	note.Why = "soonest: none is predicted to meet the target"
-	if d.Chosen.InTarget {
-		note.Why = "cheapest of those predicted to meet the target"
-	}
-	note.Chosen = alternative(&d.Chosen)
-	for i := range d.Others {
-		note.Alternatives = append(note.Alternatives, alternative(&d.Best[i]))
-	}
-}
-
-func alternative(a *selector.Alternative) recorder.Alternative {
-	return recorder.Alternative{
-		Endpoint: a.Endpoint, FirstTokenMS: float64(a.FirstToken.Microseconds()) / 1000,
-		Cost: a.Cost, CachedTokens: a.Cached, InTarget: a.InTarget,
-	}
-}
-
-// Seed returns the routing seed of a request.
-func Seed(id identifier.Request) uint64 {
-	h := uint64(fnvOffset)
-	for i := range len(id) {
-		h = (h ^ uint64(id[i])) * fnvPrime
-	}
-	return h
-}
-
-// open checks the endpoint a last time and starts or resumes the stream.
-func (s *Streamer) open(ctx context.Context, j *Job, pick *registry.Pick, state *caller.Attempt) (*caller.Stream, error) {
-	if !j.returning && !s.c.Registry.Usable(pick) {
-		return nil, errMoving
-	}
-	old, oldAddress := j.Stream, j.Address
-	id := fmt.Sprintf("%s.%d", j.Call.Instance, j.Offset*maxAttempts+j.attempts)
-	if old == "" {
-		j.Stream, j.Endpoint, j.Address = id, pick.Endpoint, pick.Address
-		return s.c.Caller.Complete(ctx, pick.Address, id, engineBody(j.Call), j.Call.NonIdempotent, state)
-	}
-	if !j.returning && j.Offset == 0 && j.Call.NonIdempotent {
-		if err := s.stop(ctx, j); err != nil {
-			return nil, err
-		}
-	}
-	r := &resumption.Resumption{ID: id, Stream: old, Offset: j.Offset, Original: engineBody(j.Call), HeldOnly: j.returning}
-	if !j.returning && j.known() {
-		r.Delivered = j.Delivered
-		r.KVSource = oldAddress
-	}
-	stream, err := s.c.Caller.Resume(ctx, pick.Address, r, state)
-	if err != nil && state.State() == caller.MaybeSent {
-		go s.cancel(pick.Address, id)
-	}
-	if err != nil {
-		return nil, err
-	}
-	if !j.returning {
-		go s.cancel(oldAddress, old)
-	}
-	j.Stream, j.Endpoint, j.Address = id, pick.Endpoint, pick.Address
-	return stream, nil
-}
-
-// stop makes the engine of a stream without tokens confirm that it dropped
-// it. Until then a start elsewhere could make a non-idempotent request run
-// twice: the first engine may be merely cut off, and go on.
-func (s *Streamer) stop(ctx context.Context, j *Job) error {
-	if err := s.c.Caller.Cancel(ctx, j.Address, j.Stream); err != nil {
-		j.adopt = true
-		return fmt.Errorf("%w: %w", errRunning, err)
-	}
-	return nil
-}
-
-// notOpened notes what a failed opening allows next.
-func (s *Streamer) notOpened(ctx context.Context, j *Job, pick *registry.Pick, state *caller.Attempt, err error) registry.Result {
-	refused := errors.Is(err, caller.ErrNotRun) || errors.Is(err, caller.ErrNotHeld)
-	sent := state.State() != caller.Unsent && !refused
-	j.moving = errors.Is(err, errMoving)
-	if j.moving {
-		j.tried = append(j.tried, pick.Endpoint)
-		return registry.Neutral
-	}
-	if errors.Is(err, errRunning) {
-		return registry.Neutral
-	}
-	fresh := j.Offset == 0 && !j.adopt && !j.began
-	j.maybeSent = j.maybeSent || sent
-	switch {
-	case fresh && !sent:
-		j.Stream, j.Endpoint, j.Address = "", "", ""
-	case fresh && j.Call.NonIdempotent:
-		j.adopt = true
-		return registry.Failed
-	case fresh:
-		go s.cancel(j.Address, j.Stream)
-		j.Stream, j.Endpoint, j.Address = "", "", ""
-	}
-	j.tried = append(j.tried, pick.Endpoint)
-	if ctx.Err() != nil || refused {
-		return registry.Neutral
-	}
-	return registry.Failed
-}
-
 // relay passes frames on until the stream is whole or broken.
 func (s *Streamer) relay(ctx context.Context, cancel context.CancelCauseFunc, j *Job, stream *caller.Stream, sink Sink) error {
 	j.maybeSent, j.began = true, true
@@ -492,87 +354,3 @@
 	}
 	j.Offset++
 }
-
-// engineBody is the caller's body with the pool's model instead of the
-// service's name. Members that the system does not know pass through, which
-// is why this is a map.
-func engineBody(c *call.Call) []byte {
-	var members map[string]json.RawMessage
-	if err := json.Unmarshal(c.Body, &members); err != nil {
-		return c.Body
-	}
-	members["model"], _ = json.Marshal(c.Pool.Model)
-	members["stream"] = json.RawMessage("true")
-	out, err := json.Marshal(members)
-	if err != nil {
-		return c.Body
-	}
-	return out
-}
-
-// enter lists an attempt for the sweep; the first sweep is made at once, as
-// the host may have begun to leave since it was chosen.
-func (s *Streamer) enter(pick *registry.Pick, cancel context.CancelCauseFunc) *active {
-	a := &active{pick: pick, cancel: cancel}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.active[a] = true
-	if s.over {
-		cancel(ErrHandOver)
-	}
-	s.schedule(a)
-	return a
-}
-
-func (s *Streamer) exit(a *active) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.active, a)
-	if a.timer != nil {
-		a.timer.Stop()
-	}
-}
-
-// Sweep looks for streams whose engine has begun to leave. It is called after
-// each change of the registry.
-func (s *Streamer) Sweep() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for a := range s.active {
-		s.schedule(a)
-	}
-}
-
-func (s *Streamer) schedule(a *active) {
-	if a.timer != nil {
-		return
-	}
-	deadline, leaving := s.c.Registry.Leaving(a.pick)
-	if !leaving {
-		return
-	}
-	a.timer = time.AfterFunc(time.Until(deadline)-moveMargin, func() { a.cancel(errMoving) })
-}
-
-// HandOver interrupts all streams, present and future.
-func (s *Streamer) HandOver() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.over = true
-	for a := range s.active {
-		a.cancel(ErrHandOver)
-	}
-}
-
-// free stops what the job's engine still does for it.
-func (s *Streamer) free(j *Job) {
-	if j.Stream != "" {
-		go s.cancel(j.Address, j.Stream)
-	}
-}
-
-func (s *Streamer) cancel(address, stream string) {
-	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
-	defer cancel()
-	_ = s.c.Caller.Cancel(ctx, address, stream)
-}
