repairer: pools are kept at their wanted size through waves of reclaims

Cause: replacing reclaimed engines was left to people.

Change: the zone's leader compares wanted and listed hosts, writes down what it will ask for, asks the cloud with those tokens, and goes on at the next best place when one refuses; models load within a rate, idle engines first; 'status' shows wanted, live and what is being done.

Found on the way. By running the fleets of tests in parallel: streams that had begun were given up while their pool was full for a moment, now they wait for their deadline; a booking could be sent across a cut between zones though its own zone had an endpoint, now the own zone goes first among equals; a fresh connection that was reset before the first byte counts as unsent.

--- a/internal/config/compiler/compiler.go
+++ b/internal/config/compiler/compiler.go
@@ -232,6 +232,19 @@
 			c.atLeast(at+"DecodePerSecond", o.DecodePerSecond, 1)
 		}
 		c.p.pools[o.Name] = o
+		c.wanted(at+"Wanted", o.Wanted)
+	}
+}
+
+func (c *checker) wanted(field string, list []document.Wanted) {
+	seen := make(map[string]bool)
+	for i, w := range list {
+		at := fmt.Sprintf("%s[%d].", field, i)
+		c.unique(seen, at+"AvailabilityZone", string(w.AvailabilityZone))
+		c.atLeast(at+"Hosts", w.Hosts, 0)
+		if len(c.p.Configuration.Prices) == 0 {
+			c.d.Report(at+"Hosts", "a wanted size without Prices", "Prices, so that hosts can be chosen")
+		}
 	}
 }
 
@@ -281,6 +294,10 @@
 		}
 		c.p.prices[key] = price.PerHour
 	}
+	if c.p.Configuration.Fleet.SpendingPerHour < 0 {
+		c.d.Report("Fleet.SpendingPerHour", fmt.Sprint(c.p.Configuration.Fleet.SpendingPerHour), "0 or more")
+	}
+	c.atLeast("Fleet.LoadsPerMinute", c.p.Configuration.Fleet.LoadsPerMinute, 0)
 	if c.p.Configuration.Routing.FirstToken <= 0 {
 		c.d.Report("Routing.FirstToken", c.p.Configuration.Routing.FirstToken.String(), "a duration above 0")
 	}
--- a/internal/config/document/document.go
+++ b/internal/config/document/document.go
@@ -53,6 +53,8 @@
 	Rules []Rule
 	// Prices gives the cost of a host by availability zone and class.
 	Prices []Price
+	// Fleet bounds what the system rents by itself.
+	Fleet Fleet
 	// Routing weighs cost against latency and recomputed tokens.
 	Routing Routing
 }
@@ -105,6 +107,24 @@
 	// reads and writes in a second; routing predicts with them.
 	PrefillPerSecond int
 	DecodePerSecond  int
+	// Wanted is the number of hosts to keep on behalf of each zone. A zone
+	// that is not named is left as it is.
+	Wanted []Wanted
+}
+
+// Wanted is the size of a pool in one zone.
+type Wanted struct {
+	AvailabilityZone identifier.AvailabilityZone
+	Hosts            int
+}
+
+// Fleet bounds what the system rents by itself.
+type Fleet struct {
+	// SpendingPerHour bounds the price of all hosts together; 0 for no bound.
+	SpendingPerHour float64
+	// LoadsPerMinute bounds the models that one zone's engines are ordered to
+	// load, for the weight store's sake; 0 for no bound.
+	LoadsPerMinute int
 }
 
 // Rule is one line of policy: when this holds, then do that.
--- a/internal/engine/caller/caller.go
+++ b/internal/engine/caller/caller.go
@@ -2,8 +2,9 @@
 //
 // # States of an attempt
 //
-// An attempt is [Unsent] until a connection has been obtained, [MaybeSent]
-// from then on, and [Answered] once the endpoint's status is known. Only an
+// An attempt is [Unsent] until bytes have gone out, or on a reused connection
+// until that has been obtained, [MaybeSent] from then on, and [Answered] once
+// the endpoint's status is known. Only an
 // unsent attempt, or one that the endpoint explicitly refused, may be
 // reported as "not run": after the first byte is on its way nobody on this
 // side can tell whether it was read.
@@ -108,7 +109,7 @@
 			return c.Transport
 		}
 		return &http.Transport{
-			DialContext: d.DialContext, DisableKeepAlives: fresh,
+			DialContext: watch(d.DialContext), DisableKeepAlives: fresh,
 			MaxIdleConnsPerHost: 16, IdleConnTimeout: idleTimeout, DisableCompression: true,
 		}
 	}
@@ -133,10 +134,7 @@
 // Do performs one HTTP call. Once says that it may not be repeated: then the
 // connection is fresh. Whoever calls must close the response's body.
 func (c *Caller) Do(r *http.Request, payload []byte, once bool, a *Attempt) (*http.Response, error) {
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) {
-		a.state.Store(int32(MaybeSent))
-	}}
-	r = r.WithContext(httptrace.WithClientTrace(r.Context(), trace))
+	r = r.WithContext(c.traced(r.Context(), once, a))
 	r.Body = io.NopCloser(body{bytes.NewReader(payload)})
 	r.GetBody = nil
 	r.ContentLength = int64(len(payload))
@@ -152,6 +150,50 @@
 	return resp, nil
 }
 
+type attemptKey struct{}
+
+// traced makes the state follow the attempt. On a fresh connection the first
+// write decides: if the kernel took no byte, as when the other side had reset
+// the connection by then, nothing can have been read.
+func (c *Caller) traced(ctx context.Context, once bool, a *Attempt) context.Context {
+	if once {
+		return context.WithValue(ctx, attemptKey{}, a)
+	}
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) {
+		a.state.Store(int32(MaybeSent))
+	}})
+}
+
+// watched is a fresh connection that tells its attempt of the first byte.
+type watched struct {
+	net.Conn
+	a    *Attempt
+	sent bool
+}
+
+// Write marks the attempt before it writes, and takes that back only if not
+// one byte left.
+func (w *watched) Write(p []byte) (int, error) {
+	w.a.state.CompareAndSwap(int32(Unsent), int32(MaybeSent))
+	n, err := w.Conn.Write(p)
+	if n == 0 && err != nil && !w.sent {
+		w.a.state.CompareAndSwap(int32(MaybeSent), int32(Unsent))
+	}
+	w.sent = w.sent || n > 0
+	return n, err
+}
+
+func watch(next func(context.Context, string, string) (net.Conn, error)) func(context.Context, string, string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := next(ctx, network, address)
+		a, ok := ctx.Value(attemptKey{}).(*Attempt)
+		if err != nil || !ok {
+			return conn, err
+		}
+		return &watched{Conn: conn, a: a}, nil
+	}
+}
+
 // Complete starts a stream.
 func (c *Caller) Complete(ctx context.Context, address, id string, payload []byte, once bool, a *Attempt) (*Stream, error) {
 	return c.open(ctx, address, "/v1/chat/completions", id, payload, 0, once, a)
--- /dev/null
+++ b/internal/engine/caller/caller_test.go
@@ -0,0 +1,132 @@
+package caller
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// endpoint accepts connections and treats each as told.
+func endpoint(t *testing.T, treat func(net.Conn)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go treat(c)
+		}
+	}()
+	return l.Addr().String()
+}
+
+func reset(c net.Conn) {
+	_ = c.(*net.TCPConn).SetLinger(0)
+	_ = c.Close()
+}
+
+func TestAttemptStates(t *testing.T) {
+	// What a caller is told depends on how far an attempt got. Where a byte
+	// may have been read the state must never be "unsent".
+	closed := func() string {
+		l, _ := net.Listen("tcp", "127.0.0.1:0")
+		defer l.Close()
+		return l.Addr().String()
+	}()
+	read := make(chan bool, 4)
+	cases := []struct {
+		name    string
+		address string
+		want    State
+	}{
+		{"connection refused", closed, Unsent},
+		{"reset after reading", endpoint(t, func(c net.Conn) {
+			_, _ = io.ReadFull(c, make([]byte, 1))
+			read <- true
+			reset(c)
+		}), MaybeSent},
+		{"closed without an answer", endpoint(t, func(c net.Conn) {
+			_, _ = io.ReadFull(c, make([]byte, 1))
+			_ = c.Close()
+		}), MaybeSent},
+		{"answered", endpoint(t, func(c net.Conn) {
+			_, _ = io.ReadFull(c, make([]byte, 1))
+			_, _ = io.WriteString(c, "HTTP/1.1 204 No Content\r\n\r\n")
+		}), Answered},
+	}
+	for _, c := range cases {
+		for _, once := range []bool{true, false} {
+			t.Run(c.name, func(t *testing.T) {
+				ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+				defer cancel()
+				r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.address, http.NoBody)
+				if err != nil {
+					t.Fatal(err)
+				}
+				// The transport takes this header as leave to repeat.
+				r.Header.Set("Idempotency-Key", "k")
+				var a Attempt
+				resp, err := New(Config{}).Do(r, []byte("body"), once, &a)
+				if err == nil {
+					_ = resp.Body.Close()
+				}
+				if a.State() != c.want {
+					t.Errorf("once %t: %s, error %v", once, a.State(), err)
+				}
+			})
+		}
+	}
+	if len(read) == 0 {
+		t.Error("nothing was read")
+	}
+}
+
+func TestOnceIsNeverRepeatedByTheTransport(t *testing.T) {
+	// An endpoint answers the first call and keeps the connection. It reads
+	// the second call and breaks off. The transport would send that again on
+	// a new connection by itself, and the booking would run twice.
+	calls := make(chan bool, 10)
+	first := true
+	address := endpoint(t, func(c net.Conn) {
+		in := bufio.NewReader(c)
+		for {
+			r, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			calls <- true
+			if !first {
+				reset(c)
+				return
+			}
+			first = false
+			_, _ = io.WriteString(c, "HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	c := New(Config{})
+	for range 2 {
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+address, http.NoBody)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Header.Set("Idempotency-Key", "k")
+		var a Attempt
+		if resp, err := c.Do(r, []byte("body"), true, &a); err == nil {
+			_ = resp.Body.Close()
+		}
+	}
+	if n := len(calls); n != 2 {
+		t.Errorf("%d calls reached the endpoint, want 2", n)
+	}
+}
--- a/internal/fleet/reconciler/reconciler.go
+++ b/internal/fleet/reconciler/reconciler.go
@@ -4,8 +4,9 @@
 //
 // The configuration names the model of each pool. The leader of a zone asks
 // each engine of the zone what it has loaded and orders what differs. In one
-// round it orders at most a quarter of a pool, so that a rollout of a new
-// version leaves enough engines of the old one serving.
+// round it changes at most a quarter of a pool's engines that serve another
+// version, so that a rollout leaves enough of the old one serving. Engines
+// without a model come first, and all loads keep within the configured rate.
 //
 // # Orders of two leaders
 //
@@ -35,6 +36,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/google/uuid"
+	"golang.org/x/time/rate"
 )
 
 const (
@@ -64,7 +66,8 @@
 
 // Reconciler works while its controller leads.
 type Reconciler struct {
-	c Config
+	c     Config
+	loads *rate.Limiter
 }
 
 // New returns a reconciler.
@@ -72,7 +75,7 @@
 	if c.Period == 0 {
 		c.Period = defaultPeriod
 	}
-	return &Reconciler{c}
+	return &Reconciler{c: c}
 }
 
 // Serve reconciles until ctx ends.
@@ -94,47 +97,76 @@
 	if _, held := r.c.Lease.Held(); !held || s == nil {
 		return
 	}
+	r.limit(s.Plan.Configuration.Fleet.LoadsPerMinute)
 	endpoints := r.c.Registry.Endpoints()
+	var idle, other []task
 	for i := range s.Plan.Configuration.Pools {
 		if p := &s.Plan.Configuration.Pools[i]; p.Model != "" {
-			r.pool(ctx, p, endpoints)
+			a, b := r.pool(ctx, p, endpoints)
+			idle, other = append(idle, a...), append(other, b...)
 		}
 	}
+	// Engines without any model serve nobody yet: they come first.
+	for _, t := range append(idle, other...) {
+		if !r.loads.Allow() {
+			return
+		}
+		r.order(ctx, &t)
+	}
+}
+
+// limit brings the rate of loads in line with the configuration. A change
+// starts with an empty allowance, so that it does not grant a burst.
+func (r *Reconciler) limit(perMinute int) {
+	want := rate.Inf
+	if perMinute > 0 {
+		want = rate.Limit(float64(perMinute) / time.Minute.Seconds())
+	}
+	if r.loads == nil || r.loads.Limit() != want {
+		r.loads = rate.NewLimiter(want, 1)
+	}
 }
 
-func (r *Reconciler) pool(ctx context.Context, p *document.Pool, endpoints []candidate.Candidate) {
-	var mine []candidate.Candidate
+// task is an engine that is to load another model.
+type task struct {
+	pool     *document.Pool
+	endpoint candidate.Candidate
+	had      string
+}
+
+// pool lists the engines that lack the wanted model: those that have none, and
+// as many of the others as a rollout may change at once.
+func (r *Reconciler) pool(ctx context.Context, p *document.Pool, endpoints []candidate.Candidate) (idle, other []task) {
+	count := 0
 	for i := range endpoints {
 		c := &endpoints[i]
-		if c.Pool == p.Name && c.AvailabilityZone == r.c.Zone && !c.Leaving {
-			mine = append(mine, *c)
+		if c.Pool != p.Name || c.AvailabilityZone != r.c.Zone || c.Leaving {
+			continue
 		}
-	}
-	left := max(len(mine)/rolloutPart, 1)
-	for i := range mine {
-		if left > 0 && r.engine(ctx, p, &mine[i]) {
-			left--
+		count++
+		load, err := r.c.Caller.Load(ctx, c.Address)
+		switch {
+		case err != nil || load.Model == p.Model:
+		case load.Model == "":
+			idle = append(idle, task{p, *c, load.Model})
+		default:
+			other = append(other, task{p, *c, load.Model})
 		}
 	}
+	return idle, other[:min(len(other), max(count/rolloutPart, 1))]
 }
 
-// engine orders the wanted model if the engine has another; it reports
-// whether it did.
-func (r *Reconciler) engine(ctx context.Context, p *document.Pool, c *candidate.Candidate) bool {
-	load, err := r.c.Caller.Load(ctx, c.Address)
-	if err != nil || load.Model == p.Model {
-		return false
-	}
+// order gives the order, if the lease still allows it.
+func (r *Reconciler) order(ctx context.Context, t *task) {
 	fencing, held := r.c.Lease.Held()
-	if !p.HonoursFencing {
+	if !t.pool.HonoursFencing {
 		fencing, held = r.c.Lease.HeldFor()
 	}
 	if !held {
-		return false
+		return
 	}
-	err = r.c.Caller.Order(ctx, c.Address, &order.Order{FencingNumber: fencing, Model: p.Model})
-	r.note(ctx, p, c, load.Model, fencing, err)
-	return true
+	err := r.c.Caller.Order(ctx, t.endpoint.Address, &order.Order{FencingNumber: fencing, Model: t.pool.Model})
+	r.note(ctx, t.pool, &t.endpoint, t.had, fencing, err)
 }
 
 func (r *Reconciler) note(ctx context.Context, p *document.Pool, c *candidate.Candidate, had string, fencing uint64, err error) {
--- a/internal/ops/explainer/explainer.go
+++ b/internal/ops/explainer/explainer.go
@@ -133,6 +133,7 @@
 		rows = append(rows, []string{m.Host, m.AvailabilityZone, strings.ToLower(m.State.String()), m.PeerAddress})
 	}
 	e.table(rows)
+	e.repairs(s)
 	rows = [][]string{{"ENDPOINT", "ZONE", "POOL", "STATE", "IN FLIGHT", "RUNNING", "QUEUED", "MODEL"}}
 	for _, p := range s.Endpoints {
 		rows = append(rows, []string{
@@ -142,6 +143,19 @@
 	e.table(rows)
 }
 
+func (e *Explainer) repairs(s *rpc.StatusReply) {
+	if len(s.Repairs) == 0 {
+		return
+	}
+	rows := [][]string{{"WANTED IN", "POOL", "WANTED", "LIVE", "LEAVING", "ASKED", "DOING"}}
+	for _, r := range s.Repairs {
+		rows = append(rows, []string{
+			r.AvailabilityZone, r.Pool, fmt.Sprint(r.Wanted), fmt.Sprint(r.Live), fmt.Sprint(r.Leaving), fmt.Sprint(r.Asked), r.Doing,
+		})
+	}
+	e.table(rows)
+}
+
 // Applied writes who has a configuration in force.
 func (e *Explainer) Applied(a *rpc.Applied) {
 	e.printf("configuration %d accepted\nin force at %s\n", a.Number, strings.Join(a.InForce, ", "))
--- a/internal/ops/operator/operator.go
+++ b/internal/ops/operator/operator.go
@@ -36,8 +36,11 @@
 	"brasschute/internal/config/applier"
 	"brasschute/internal/config/compiler"
 	"brasschute/internal/config/decoder"
+	"brasschute/internal/config/document"
 	"brasschute/internal/config/keeper"
 	"brasschute/internal/core/identifier"
+	"brasschute/internal/fleet/planner"
+	"brasschute/internal/fleet/repairer"
 	"brasschute/internal/fleet/trail"
 	"brasschute/internal/peer/exchanger"
 	"brasschute/internal/peer/ledger"
@@ -72,6 +75,8 @@
 	Peer func(address string) rpc.Peer
 	// Trails returns the zones' trails that are known.
 	Trails func() []*trail.Trail
+	// Repairs returns the record of a zone's repair.
+	Repairs func(ctx context.Context, zone identifier.AvailabilityZone) (*repairer.Record, error)
 	// State, InFlight and PlatformReachable describe the daemon.
 	State             func() string
 	InFlight          func() int
@@ -235,7 +240,7 @@
 }
 
 // Status describes the daemon and what it knows of the fleet.
-func (o *Operator) Status(context.Context, *rpc.StatusRequest) (*rpc.StatusReply, error) {
+func (o *Operator) Status(ctx context.Context, _ *rpc.StatusRequest) (*rpc.StatusReply, error) {
 	self := o.c.Ledger.Self()
 	out := &rpc.StatusReply{
 		Host: self.Host, AvailabilityZone: self.AvailabilityZone, State: o.c.State(),
@@ -246,9 +251,60 @@
 	for i := range endpoints {
 		out.Endpoints = append(out.Endpoints, status(&endpoints[i]))
 	}
+	out.Repairs = o.repairs(ctx)
 	return out, nil
 }
 
+// repairs compares each pool with its wanted size, zone by zone.
+func (o *Operator) repairs(ctx context.Context) []*rpc.RepairStatus {
+	s := o.c.Keeper.InForce()
+	if s == nil {
+		return nil
+	}
+	var out []*rpc.RepairStatus
+	for i := range s.Plan.Configuration.Pools {
+		p := &s.Plan.Configuration.Pools[i]
+		for _, w := range p.Wanted {
+			out = append(out, o.repair(ctx, &s.Plan.Configuration, p.Name, w))
+		}
+	}
+	return out
+}
+
+func (o *Operator) repair(ctx context.Context, c *document.Configuration, pool identifier.Pool, w document.Wanted) *rpc.RepairStatus {
+	v := &planner.View{
+		Zone: w.AvailabilityZone, Pool: pool, Wanted: w.Hosts, Hosts: o.c.Registry.Hosts(), Leaving: o.c.Registry.HostLeaving,
+		Now: time.Now(), Prices: c.Prices, SpendingPerHour: c.Fleet.SpendingPerHour,
+	}
+	out := &rpc.RepairStatus{Pool: string(pool), AvailabilityZone: string(w.AvailabilityZone), Wanted: uint32(w.Hosts)}
+	record, err := o.c.Repairs(ctx, w.AvailabilityZone)
+	if err != nil {
+		out.Doing = "not known: " + err.Error()
+		record = &repairer.Record{}
+	}
+	v.Pending, v.Refused = record.Pending(), record.Resting()
+	d := planner.Plan(v)
+	out.Live, out.Leaving, out.Asked = uint32(d.Live), uint32(d.Leaving), uint32(d.Pending)
+	if out.Doing == "" {
+		out.Doing = doing(&d)
+	}
+	return out
+}
+
+func doing(d *planner.Decision) string {
+	switch {
+	case d.Missing > 0:
+		return fmt.Sprintf("%d cannot be started: %s", d.Missing, d.Why)
+	case len(d.Start) > 0:
+		return fmt.Sprintf("about to ask for %d", len(d.Start))
+	case d.Pending > 0:
+		return fmt.Sprintf("waiting for %d to be listed", d.Pending)
+	case len(d.Stop) > 0:
+		return fmt.Sprintf("giving %d back", len(d.Stop))
+	}
+	return "nothing to do"
+}
+
 func status(c *candidate.Candidate) *rpc.EndpointStatus {
 	state := "usable"
 	switch {
--- a/internal/platform/inventory/inventory.go
+++ b/internal/platform/inventory/inventory.go
@@ -31,6 +31,7 @@
 	LeasePrefix         = "leases/"
 	TrailPrefix         = "trail/"
 	HeldPrefix          = "held/"
+	RepairPrefix        = "repairs/"
 )
 
 // State tells what the platform believes of a host.
@@ -49,7 +50,9 @@
 	Class            document.Class
 	Incarnation      identifier.Incarnation
 	State            State
-	Endpoints        []Endpoint
+	// Owner is the zone on whose behalf the host was started, if another.
+	Owner     identifier.AvailabilityZone `json:",omitempty"`
+	Endpoints []Endpoint
 }
 
 // Endpoint is one process on a host that serves requests.
--- a/internal/role/controller/controller.go
+++ b/internal/role/controller/controller.go
@@ -25,11 +25,13 @@
 	"brasschute/internal/engine/caller"
 	"brasschute/internal/fleet/leaser"
 	"brasschute/internal/fleet/reconciler"
+	"brasschute/internal/fleet/repairer"
 	"brasschute/internal/fleet/sweeper"
 	"brasschute/internal/fleet/trail"
 	"brasschute/internal/peer/ledger"
 	"brasschute/internal/peer/rpc"
 	"brasschute/internal/platform/client"
+	"brasschute/internal/platform/cloud"
 	"brasschute/internal/platform/inventory"
 	"brasschute/internal/platform/object"
 	"brasschute/internal/platform/watcher"
@@ -67,15 +69,20 @@
 		Platform: platform, Sink: k,
 		Prefixes: []string{
 			inventory.ConfigurationPrefix,
-			inventory.HostPrefix + string(s.AvailabilityZone) + "/",
-			inventory.NoticePrefix + string(s.AvailabilityZone) + "/",
+			inventory.HostPrefix,
+			inventory.NoticePrefix,
 		},
 	}))
 	k.tree.Add(lease)
 	k.tree.Add(sweeper.New(sweeper.Config{Store: platform, Zone: s.AvailabilityZone, Lease: lease}))
+	steps := trail.New(trail.Config{Store: platform, Zone: s.AvailabilityZone})
+	k.tree.Add(repairer.New(repairer.Config{
+		Host: s.Host, Zone: s.AvailabilityZone, Keeper: k.keeper, Hosts: k.registry, Store: platform,
+		Cloud: cloud.New(cloud.Config{Address: s.Platform.String(), Source: s.Source()}), Lease: lease, Trail: steps, Logger: c.Logger,
+	}))
 	k.tree.Add(reconciler.New(reconciler.Config{
 		Host: s.Host, Zone: s.AvailabilityZone, Keeper: k.keeper, Registry: k.registry, Caller: caller.New(caller.Config{Source: s.Source()}),
-		Lease: lease, Trail: trail.New(trail.Config{Store: platform, Zone: s.AvailabilityZone}), Logger: c.Logger,
+		Lease: lease, Trail: steps, Logger: c.Logger,
 	}))
 	return k
 }
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -47,6 +47,7 @@
 	"brasschute/internal/config/settings"
 	"brasschute/internal/core/identifier"
 	"brasschute/internal/engine/caller"
+	"brasschute/internal/fleet/repairer"
 	"brasschute/internal/fleet/trail"
 	"brasschute/internal/ops/operator"
 	"brasschute/internal/ops/server"
@@ -252,6 +253,7 @@
 	o := operator.New(operator.Config{
 		Keys: keys, Keeper: e.keeper, Applier: applier.New(applier.Config{Store: e.platform, Keeper: e.keeper}),
 		Ledger: e.ledger, Registry: e.registry, Recorder: e.handler.Records(), Peer: e.exchanger.Peer, Trails: e.trails,
+		Repairs:  e.repairs,
 		State:    func() string { return e.handler.Phase().String() },
 		InFlight: e.handler.InFlight, PlatformReachable: e.reachable.Load,
 		Drain:  func() { e.leave(time.Now().Add(e.c.Settings.Drain.Patience.Std())) },
@@ -275,6 +277,22 @@
 	return out
 }
 
+// repairs reads a zone's repair record from the platform.
+func (e *Entry) repairs(ctx context.Context, zone identifier.AvailabilityZone) (*repairer.Record, error) {
+	var record repairer.Record
+	o, err := e.platform.Get(ctx, repairer.Key(zone))
+	if errors.Is(err, object.ErrMissing) {
+		return &record, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	if err := json.Unmarshal(o.Value, &record); err != nil {
+		return nil, fmt.Errorf("repair record: %w", err)
+	}
+	return &record, nil
+}
+
 // Run serves until ctx ends, a notice comes or an operator drains the daemon,
 // and then stops gracefully.
 func (e *Entry) Run(ctx context.Context) error {
--- a/internal/route/candidate/candidate.go
+++ b/internal/route/candidate/candidate.go
@@ -30,6 +30,9 @@
 	Out     bool
 	// Suspect: failed last, and gets one request at a time.
 	Suspect bool
+	// Reported: there has been a report in this life of the host; without one
+	// the model is not known.
+	Reported bool
 	// Fresh: the report is young enough to be believed.
 	Fresh bool
 	// InFlight counts this daemon's requests.
--- a/internal/route/registry/registry.go
+++ b/internal/route/registry/registry.go
@@ -438,7 +438,7 @@
 			return
 		}
 		c.Running, c.Queued, c.QueuedTokens, c.Model = l.Running, l.Queued, l.QueuedTokens, l.Model
-		c.Taken = taken
+		c.Taken, c.Reported = taken, true
 		c.Refresh(time.Now(), r.pools[c.Pool].pace)
 		host, incarnation = c.Host, c.Incarnation
 	})
@@ -466,6 +466,24 @@
 	return n
 }
 
+// Hosts returns a copy of the hosts that are listed.
+func (r *Registry) Hosts() []inventory.Host {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make([]inventory.Host, 0, len(r.hosts))
+	for _, h := range r.hosts {
+		out = append(out, h)
+	}
+	slices.SortFunc(out, func(a, b inventory.Host) int { return cmp.Compare(a.Host, b.Host) })
+	return out
+}
+
+// HostLeaving tells whether this life of a host is known to leave.
+func (r *Registry) HostLeaving(h *inventory.Host) bool {
+	_, leaving := r.c.Ledger.Leaving(h.Host, h.Incarnation)
+	return leaving
+}
+
 // Zones counts the zones that list endpoints.
 func (r *Registry) Zones() int {
 	r.mu.Lock()
--- a/internal/route/selector/selector.go
+++ b/internal/route/selector/selector.go
@@ -214,7 +214,8 @@
 }
 
 // pick takes home, or, among the eligible, the one whose hash with the request's seed
-// is highest.
+// is highest. Those of the own zone go first: a request that stays in its zone
+// is not exposed to a cut between zones.
 func (d *Decision) pick(q *Query, candidates []candidate.Candidate, scratch []Prediction, m *model, b *bounds) {
 	if m.home != None && scratch[m.home].FirstToken >= 0 && m.homely(b, scratch[m.home]) {
 		d.Index = m.home
@@ -225,15 +226,21 @@
 	if q.Prefix != 0 {
 		seed = q.Prefix
 	}
+	near := false
 	for i, p := range scratch {
 		if p.FirstToken < 0 || !b.eligible(p, m.target) {
 			continue
 		}
+		own := candidates[i].AvailabilityZone == q.Zone
+		if near && !own {
+			continue
+		}
 		h := mix(seed ^ candidates[i].Hash)
-		if d.Index == None || h > highest {
+		if d.Index == None || own && !near || h > highest {
 			highest = h
 			d.Index = i
 		}
+		near = near || own
 	}
 }
 
@@ -305,7 +312,7 @@
 		x.Ejected++
 	case len(q.Zones) > 0 && !slices.Contains(q.Zones, c.AvailabilityZone):
 		x.Zone++
-	case q.Model != "" && c.Model != "" && c.Model != q.Model:
+	case q.Model != "" && c.Reported && c.Model != q.Model:
 		x.Model++
 	case len(q.Tried) > 0 && slices.Contains(q.Tried, c.Endpoint):
 		x.Tried++
--- a/internal/serve/streamer/active.go
+++ b/internal/serve/streamer/active.go
@@ -76,6 +76,12 @@
 	a.timer = time.AfterFunc(time.Until(deadline)-moveMargin, func() { a.cancel(errMoving) })
 }
 
+func (s *Streamer) handsOver() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.over
+}
+
 // HandOver interrupts all streams, present and future.
 func (s *Streamer) HandOver() {
 	s.mu.Lock()
--- a/internal/serve/streamer/streamer.go
+++ b/internal/serve/streamer/streamer.go
@@ -55,6 +55,7 @@
 	// retryAfter is told to callers when no endpoint can serve.
 	retryAfter  = 2 * time.Second
 	maxAttempts = 8
+	restTime    = 100 * time.Millisecond
 	// seedHash mixes the request's name into a routing seed (FNV-1a).
 	fnvOffset = 14695981039346656037
 	fnvPrime  = 1099511628211
@@ -67,6 +68,7 @@
 	errMoving   = errors.New("the engine's host is leaving")
 	errStalled  = errors.New("no token in time")
 	errRunning  = errors.New("the engine did not confirm that it stopped")
+	errNone     = errors.New("no engine can go on with the stream now")
 )
 
 // Sink receives the frames of an answer. An error means that the caller is
@@ -151,16 +153,37 @@
 		if err == nil || errors.Is(err, ErrHandOver) {
 			return err
 		}
+		if errors.Is(err, errNone) && s.rest(ctx, j) {
+			continue
+		}
 		if ctx.Err() != nil {
 			s.free(j)
 			return s.ended(ctx, j)
 		}
+		if errors.Is(err, errNone) {
+			return ErrHandOver
+		}
 		if problem := s.final(j, err); problem != nil {
 			return problem
 		}
 	}
 }
 
+// rest waits before a job that has begun looks for an engine again; false means
+// that its time is over, or that the daemon leaves. What was accepted is not
+// given up for a pool that is full, ejected or being replaced at this moment.
+func (s *Streamer) rest(ctx context.Context, j *Job) bool {
+	j.tried = nil
+	t := time.NewTimer(restTime)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return !s.handsOver()
+	}
+}
+
 // ended tells a passed deadline from a caller that is gone.
 func (s *Streamer) ended(ctx context.Context, j *Job) error {
 	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
@@ -169,8 +192,11 @@
 	return refusal.New(refusal.DeadlinePassed, "the deadline passed").With(j.outcome()).After(retryAfter)
 }
 
+// begun tells whether an engine may have started the job.
+func (j *Job) begun() bool { return j.maybeSent || j.Offset > 0 || j.Stream != "" }
+
 func (j *Job) outcome() refusal.Outcome {
-	if j.maybeSent || j.Offset > 0 || j.Stream != "" {
+	if j.begun() {
 		return refusal.Unknown
 	}
 	return refusal.NotRun
@@ -193,9 +219,9 @@
 
 // attempt runs the job at one engine.
 func (s *Streamer) attempt(ctx context.Context, j *Job, sink Sink) error {
-	pick, note, problem := s.choose(j)
-	if problem != nil {
-		return problem
+	pick, note, err := s.choose(j)
+	if err != nil {
+		return err
 	}
 	result := registry.Neutral
 	begun := time.Now()
@@ -255,7 +281,7 @@
 }
 
 // choose finds the engine for the next attempt.
-func (s *Streamer) choose(j *Job) (*registry.Pick, *recorder.Attempt, *refusal.Problem) {
+func (s *Streamer) choose(j *Job) (*registry.Pick, *recorder.Attempt, error) {
 	note := recorder.Attempt{Resumed: j.Offset}
 	pick := s.back(j, &note)
 	j.returning = pick != nil
@@ -273,6 +299,9 @@
 		}
 		Explain(&note, &d)
 	}
+	if pick == nil && j.begun() {
+		return nil, nil, errNone
+	}
 	if pick == nil {
 		j.Record.Attempts = append(j.Record.Attempts, note)
 		return nil, nil, refusal.New(refusal.NoEndpoint, "no endpoint can serve: "+note.Excluded).With(j.outcome()).After(retryAfter)
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -21,7 +21,10 @@
 //	GET    /v1/watch?prefix=P&after=R&wait=20s
 //	POST   /admin/hosts               register a host; listed after the lag
 //	POST   /admin/notices             announce a reclaim; at once
-//	POST   /admin/faults              outage, stale reads
+//	POST   /cloud/hosts               start a host, once a token
+//	DELETE /cloud/hosts/HOST          give a host back; it gets a notice
+//	POST   /admin/waves               reclaim a zone's hosts
+//	POST   /admin/faults              outage, stale reads, refused starts
 //	GET    /admin/calls               counts of calls
 package platform
 
@@ -36,6 +39,7 @@
 	"sync"
 	"time"
 
+	"brasschute/internal/core/identifier"
 	"brasschute/internal/platform/client"
 	"brasschute/internal/platform/inventory"
 	"brasschute/internal/platform/object"
@@ -51,6 +55,10 @@
 type Config struct {
 	// HostLag is the time until a host's change shows in the list.
 	HostLag time.Duration
+	// StartTime is how long a rented host takes to come up, StopNotice the
+	// notice of one that is given back.
+	StartTime  time.Duration
+	StopNotice time.Duration
 }
 
 // Faults are the ways of failing that can be switched on.
@@ -64,6 +72,11 @@
 	LoseAnswers int
 	// FailAfterLost begins an outage with the first lost answer.
 	FailAfterLost bool
+	// RefuseStarts lists places, as zone/class, or * for all, where the cloud
+	// has nothing to give.
+	RefuseStarts []string
+	// LoseStarts is the number of starts whose answers are lost.
+	LoseStarts int
 	// Forget drops the memory of changes, so that watches meet a gap.
 	Forget bool
 }
@@ -91,13 +104,22 @@
 	changed  chan struct{}
 	faults   Faults
 	calls    Calls
+
+	tokens     map[string]identifier.Host
+	rented     map[identifier.Host]*rented
+	registered map[identifier.Host]inventory.Host
+	cloudCalls CloudCalls
 }
 
 var _ http.Handler = (*Platform)(nil)
 
 // New returns an empty platform.
 func New(c Config) *Platform {
-	p := &Platform{c: c, objects: make(map[string]object.Object), changed: make(chan struct{})}
+	p := &Platform{
+		c: c, objects: make(map[string]object.Object), changed: make(chan struct{}), tokens: make(map[string]identifier.Host),
+		rented: make(map[identifier.Host]*rented), registered: make(map[identifier.Host]inventory.Host),
+	}
+	p.cloudPaths()
 	p.mux.HandleFunc("GET /v1/objects/{key...}", p.get)
 	p.mux.HandleFunc("PUT /v1/objects/{key...}", p.put)
 	p.mux.HandleFunc("DELETE /v1/objects/{key...}", p.remove)
@@ -321,16 +343,20 @@
 func (p *Platform) Register(h inventory.Host) {
 	value, _ := json.Marshal(h)
 	key := inventory.HostPrefix + string(h.AvailabilityZone) + "/" + string(h.Host)
+	p.mu.Lock()
+	p.registered[h.Host] = h
+	p.mu.Unlock()
 	time.AfterFunc(p.c.HostLag, func() { p.write(key, value) })
 }
 
-// Announce publishes a reclaim notice at once and marks the host as leaving in
-// the list after the lag.
+// Announce publishes a reclaim notice at once, marks the host as leaving in
+// the list after the lag, and takes it away at the deadline.
 func (p *Platform) Announce(n inventory.Notice) {
 	value, _ := json.Marshal(n)
 	place := string(n.AvailabilityZone) + "/" + string(n.Host)
 	p.write(inventory.NoticePrefix+place, value)
 	time.AfterFunc(p.c.HostLag, func() { p.markLeaving(inventory.HostPrefix + place) })
+	time.AfterFunc(time.Until(n.Deadline), func() { p.take(&n) })
 }
 
 func (p *Platform) markLeaving(key string) {
--- a/internal/standin/starter/starter.go
+++ b/internal/standin/starter/starter.go
@@ -64,6 +64,8 @@
 	ignores bool
 	dedupes bool
 	linger  time.Duration
+	start   time.Duration
+	notice  time.Duration
 }
 
 // New returns a starter.
@@ -83,6 +85,8 @@
 		roles[role] = sub
 	}
 	roles["platform"].Duration(&s.lag, "", "lag", "time until a host's change shows in the list")
+	roles["platform"].Duration(&s.start, "", "start-time", "time until a rented host is up")
+	roles["platform"].Duration(&s.notice, "", "stop-notice", "notice of a host that is given back")
 	s.endpointFlags(roles["engine"])
 	s.endpointFlags(roles["plain"])
 	roles["engine"].String(&s.model, "m", "model", "model that is loaded")
@@ -163,7 +167,7 @@
 			Endpoint: identifier.Endpoint(s.name), Incarnation: s.host.Incarnation, Deduplicates: s.dedupes,
 		})
 	}
-	return platform.New(platform.Config{HostLag: s.lag})
+	return platform.New(platform.Config{HostLag: s.lag, StartTime: s.start, StopNotice: s.notice})
 }
 
 // register lists the host; the platform may start later than its hosts.
