--- a/internal/config/applier/applier.go
+++ b/internal/config/applier/applier.go
@@ -37,6 +37,7 @@
 	"brasschute/internal/config/compiler"
 	"brasschute/internal/config/keeper"
 	"brasschute/internal/core/identifier"
+	"brasschute/internal/core/waiter"
 	"brasschute/internal/platform/inventory"
 	"brasschute/internal/platform/object"
 )
@@ -227,7 +228,7 @@
 	for range readBacks {
 		stored, version, err := a.read(ctx)
 		if err != nil {
-			pause(ctx)
+			waiter.For(ctx, readPause)
 			continue
 		}
 		if contains(stored, next.Change.Token) {
@@ -253,15 +254,6 @@
 	return false
 }
 
-func pause(ctx context.Context) {
-	t := time.NewTimer(readPause)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // History returns the newest changes, up to a limit, newest first.
 func (a *Applier) History(ctx context.Context, limit int) ([]keeper.Change, error) {
 	stored, _, err := a.read(ctx)
--- a/internal/engine/caller/caller.go
+++ b/internal/engine/caller/caller.go
@@ -42,7 +42,6 @@
 	"sync/atomic"
 	"time"
 
-	"brasschute/internal/core/identifier"
 	"brasschute/internal/engine/frame"
 	"brasschute/internal/engine/order"
 	"brasschute/internal/engine/prefix"
@@ -388,6 +387,3 @@
 	s.cancel()
 	_ = s.body.Close()
 }
-
-// ID returns the id under which the engine runs the stream.
-func (s *Stream) ID() identifier.Request { return identifier.Request(s.id) }
--- a/internal/fleet/leaser/leaser.go
+++ b/internal/fleet/leaser/leaser.go
@@ -39,6 +39,7 @@
 	"time"
 
 	"brasschute/internal/core/identifier"
+	"brasschute/internal/core/waiter"
 	"brasschute/internal/platform/inventory"
 	"brasschute/internal/platform/object"
 )
@@ -121,20 +122,11 @@
 	for ctx.Err() == nil {
 		l.step(ctx)
 		pause := l.c.Duration / renewals
-		wait(ctx, pause-pause/10+rand.N(pause/5+1))
+		waiter.For(ctx, pause-pause/10+rand.N(pause/5+1))
 	}
 	return ctx.Err()
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 func (l *Leaser) step(ctx context.Context) {
 	_, was := l.Held()
 	l.try(ctx)
--- a/internal/fleet/reconciler/reconciler.go
+++ b/internal/fleet/reconciler/reconciler.go
@@ -28,6 +28,7 @@
 	"brasschute/internal/config/document"
 	"brasschute/internal/config/keeper"
 	"brasschute/internal/core/identifier"
+	"brasschute/internal/core/waiter"
 	"brasschute/internal/engine/caller"
 	"brasschute/internal/engine/order"
 	"brasschute/internal/fleet/trail"
@@ -80,16 +81,7 @@
 
 // Serve reconciles until ctx ends.
 func (r *Reconciler) Serve(ctx context.Context) error {
-	tick := time.NewTicker(r.c.Period)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-tick.C:
-			r.round(ctx)
-		}
-	}
+	return waiter.Every(ctx, r.c.Period, r.round)
 }
 
 func (r *Reconciler) round(ctx context.Context) {
--- a/internal/fleet/repairer/repairer.go
+++ b/internal/fleet/repairer/repairer.go
@@ -42,6 +42,7 @@
 	"brasschute/internal/config/document"
 	"brasschute/internal/config/keeper"
 	"brasschute/internal/core/identifier"
+	"brasschute/internal/core/waiter"
 	"brasschute/internal/fleet/planner"
 	"brasschute/internal/fleet/trail"
 	"brasschute/internal/platform/cloud"
@@ -160,16 +161,7 @@
 
 // Serve repairs until ctx ends.
 func (r *Repairer) Serve(ctx context.Context) error {
-	tick := time.NewTicker(r.c.Period)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-tick.C:
-			r.round(ctx)
-		}
-	}
+	return waiter.Every(ctx, r.c.Period, r.round)
 }
 
 // round does what can be done now. Any failure ends it; the next one starts
--- a/internal/fleet/sweeper/sweeper.go
+++ b/internal/fleet/sweeper/sweeper.go
@@ -25,6 +25,7 @@
 	"time"
 
 	"brasschute/internal/core/identifier"
+	"brasschute/internal/core/waiter"
 	"brasschute/internal/platform/client"
 	"brasschute/internal/platform/inventory"
 	"brasschute/internal/platform/object"
@@ -35,7 +36,7 @@
 	defaultPeriod = 10 * time.Minute
 	// MemberAge is the age at which a record of a member is removed; daemons
 	// renew theirs several times within it.
-	MemberAge = time.Hour
+	MemberAge = 4 * time.Hour
 	// HeldAge is how long an answer waits for its caller.
 	HeldAge = 7 * 24 * time.Hour
 )
@@ -76,21 +77,13 @@
 
 // Serve sweeps until ctx ends.
 func (s *Sweeper) Serve(ctx context.Context) error {
-	tick := time.NewTicker(s.c.Period)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-tick.C:
-			if _, held := s.c.Lease.Held(); held {
-				s.sweep(ctx)
-			}
-		}
-	}
+	return waiter.Every(ctx, s.c.Period, s.sweep)
 }
 
 func (s *Sweeper) sweep(ctx context.Context) {
+	if _, held := s.c.Lease.Held(); !held {
+		return
+	}
 	page, err := s.c.Store.List(ctx, inventory.MemberPrefix+string(s.c.Zone)+"/", inventory.HeldPrefix)
 	if err != nil {
 		return
--- a/internal/measure/sender/sender.go
+++ b/internal/measure/sender/sender.go
@@ -30,6 +30,7 @@
 	"time"
 
 	"brasschute/internal/core/identifier"
+	"brasschute/internal/core/waiter"
 	"brasschute/internal/engine/frame"
 	"brasschute/internal/engine/prefix"
 	"brasschute/internal/measure/result"
@@ -77,7 +78,7 @@
 	end := time.Now().Add(s.c.Length)
 	for n := 0; n < s.c.Requests && time.Now().Before(end) && ctx.Err() == nil; n++ {
 		r := w.Next()
-		pause(ctx, r.Pause)
+		waiter.For(ctx, r.Pause)
 		select {
 		case slots <- struct{}{}:
 			group.Go(func() {
@@ -92,15 +93,6 @@
 	return s.result.Summary()
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 type message struct {
 	Role    string `json:"role"`
 	Content string `json:"content"`
--- a/internal/platform/watcher/watcher.go
+++ b/internal/platform/watcher/watcher.go
@@ -32,6 +32,7 @@
 	"math/rand/v2"
 	"time"
 
+	"brasschute/internal/core/waiter"
 	"brasschute/internal/platform/client"
 	"brasschute/internal/platform/object"
 )
@@ -99,7 +100,7 @@
 			pause = firstPause
 			continue
 		}
-		sleep(ctx, pause/2+rand.N(pause))
+		waiter.For(ctx, pause/2+rand.N(pause))
 		pause = min(2*pause, longPause)
 	}
 	return ctx.Err()
@@ -124,7 +125,7 @@
 	w.apply(p.Objects)
 	w.after = max(w.after, p.Revision)
 	if len(p.Objects) > 0 {
-		sleep(ctx, rest/2+rand.N(rest/2))
+		waiter.For(ctx, rest/2+rand.N(rest/2))
 	}
 	return nil
 }
@@ -168,12 +169,3 @@
 		w.c.Sink.Apply(o)
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/role/entry/registrar.go
+++ b/internal/role/entry/registrar.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"errors"
-	"time"
 
 	"brasschute/internal/core/identifier"
+	"brasschute/internal/core/waiter"
 	"brasschute/internal/platform/inventory"
 	"brasschute/internal/platform/object"
 )
@@ -15,16 +15,7 @@
 
 // Serve updates the gauges until ctx ends.
 func (g *gauges) Serve(ctx context.Context) error {
-	tick := time.NewTicker(reportPeriod)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-tick.C:
-			g.e.gauge()
-		}
-	}
+	return waiter.Every(ctx, reportPeriod, func(context.Context) { g.e.gauge() })
 }
 
 func (e *Entry) gauge() {
@@ -47,12 +38,7 @@
 		if err := r.e.register(ctx); err == nil {
 			pause, next = firstPause, renewPause
 		}
-		t := time.NewTimer(next)
-		select {
-		case <-ctx.Done():
-		case <-t.C:
-		}
-		t.Stop()
+		waiter.For(ctx, next)
 		pause = min(2*pause, longPause)
 	}
 	return ctx.Err()
--- a/internal/route/evacuator/evacuator.go
+++ b/internal/route/evacuator/evacuator.go
@@ -24,6 +24,7 @@
 	"sync"
 	"time"
 
+	"brasschute/internal/core/waiter"
 	"brasschute/internal/engine/caller"
 	"brasschute/internal/route/registry"
 )
@@ -77,23 +78,14 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-e.urgent:
-			e.gather(ctx)
+			// Until a wave of notices is in: a cache that moves to a host which
+			// is the next to leave would be lost on the way.
+			waiter.For(ctx, gatherTime)
 			e.round(ctx)
 		}
 	}
 }
 
-// gather waits until a wave of notices is in: a cache that moves to a host
-// which is the next to leave would be lost on the way.
-func (e *Evacuator) gather(ctx context.Context) {
-	t := time.NewTimer(gatherTime)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 func (e *Evacuator) round(ctx context.Context) {
 	slots := make(chan struct{}, parallel)
 	var group sync.WaitGroup
--- a/internal/route/poller/poller.go
+++ b/internal/route/poller/poller.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"brasschute/internal/core/identifier"
+	"brasschute/internal/core/waiter"
 	"brasschute/internal/engine/caller"
 	"brasschute/internal/engine/report"
 	"brasschute/internal/peer/ledger"
@@ -63,16 +64,7 @@
 
 // Serve polls until ctx ends.
 func (p *Poller) Serve(ctx context.Context) error {
-	tick := time.NewTicker(p.c.Period)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-tick.C:
-			p.round(ctx)
-		}
-	}
+	return waiter.Every(ctx, p.c.Period, p.round)
 }
 
 func (p *Poller) round(ctx context.Context) {
--- a/internal/route/registry/registry.go
+++ b/internal/route/registry/registry.go
@@ -517,14 +517,3 @@
 	})
 	return k
 }
-
-// Class returns the class and zone of a pick's host, for pricing.
-func (r *Registry) Class(k *Pick) (identifier.AvailabilityZone, document.Class) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	c := r.find(k)
-	if c == nil {
-		return "", ""
-	}
-	return c.AvailabilityZone, c.Class
-}
--- a/internal/serve/streamer/streamer.go
+++ b/internal/serve/streamer/streamer.go
@@ -37,6 +37,7 @@
 	"time"
 
 	"brasschute/internal/core/identifier"
+	"brasschute/internal/core/waiter"
 	"brasschute/internal/engine/caller"
 	"brasschute/internal/engine/frame"
 	"brasschute/internal/route/budgeter"
@@ -174,14 +175,7 @@
 // given up for a pool that is full, ejected or being replaced at this moment.
 func (s *Streamer) rest(ctx context.Context, j *Job) bool {
 	j.tried = nil
-	t := time.NewTimer(restTime)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return !s.handsOver()
-	}
+	return waiter.For(ctx, restTime) && !s.handsOver()
 }
 
 // ended tells a passed deadline from a caller that is gone.
