integration: each fleet has addresses of its own

Cause: one of ten runs of the suite failed: an engine could not listen, since a process of another fleet, connecting from the same address, had been given its port. It came with running fleets in parallel.

Change: addresses are 127.zone.fleet.number.

--- a/integration/fleet_test.go
+++ b/integration/fleet_test.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -136,7 +137,11 @@
 	// witnesses acknowledge held answers.
 	witnesses []*endpoint
 	next      map[int]int
-	client    *http.Client
+	// number is part of the fleet\'s addresses. Fleets that shared addresses
+	// would take each other\'s ports: a process connects from its own address,
+	// and the kernel gives it any port that is free there.
+	number int
+	client *http.Client
 }
 
 // daemon is one entry daemon.
@@ -166,6 +171,15 @@
 
 func zoneNet(z int) string { return fmt.Sprintf("127.%d.0.0/16", z) }
 
+// fleets counts the fleets that were started.
+var fleets atomic.Int32
+
+const (
+	maxFleets = 250
+	// platformZone is the network of the platform itself.
+	platformZone = 100
+)
+
 // newFleet starts a platform; more is added by the test.
 func newFleet(t testing.TB) *fleet {
 	t.Helper()
@@ -173,12 +187,12 @@
 		// Fleets share nothing but the machine.
 		p.Parallel()
 	}
-	f := &fleet{t: t, next: make(map[int]int)}
+	f := &fleet{t: t, next: make(map[int]int), number: int(fleets.Add(1)-1)%maxFleets + 1}
 	f.client = &http.Client{
 		Transport:     &http.Transport{DisableKeepAlives: true},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
-	f.admin = freeAddress(t, "127.0.0.1")
+	f.admin = freeAddress(t, f.ip(platformZone))
 	f.platform = start(t, "standin", "platform", "platform", "--listen", f.admin)
 	eventually(t, "platform", func() error { return f.get("http://"+f.admin+"/admin/calls", new(platform.Calls)) })
 	f.proxy = f.newProxy("127.0.0.1", f.admin)
@@ -219,7 +233,7 @@
 // ip returns the next address of a zone.
 func (f *fleet) ip(zone int) string {
 	f.next[zone]++
-	return fmt.Sprintf("127.%d.0.%d", zone, f.next[zone])
+	return fmt.Sprintf("127.%d.%d.%d", zone, f.number, f.next[zone])
 }
 
 func (f *fleet) addEngine(zone int, flags ...string) *endpoint {
--- a/integration/main_test.go
+++ b/integration/main_test.go
@@ -10,8 +10,8 @@
 //
 // # Addresses
 //
-// Zone z has the network 127.z.0.0/16 and each process an address of its own
-// in it, from which it also connects. Every process stands behind its own
+// Zone z has the network 127.z.0.0/16, fleet f the part 127.z.f.0/24, and each
+// process an address of its own in it, from which it also connects. Every process stands behind its own
 // proxy, which tells callers apart by their address.
 //
 // # Time
