streamer: streams that have begun wait for an engine until their deadline

Ruled out: more attempts without pauses (they end as fast).

Change: a job whose tokens are known rests, up to a second, and looks again. Explanations keep 32 attempts.

--- a/integration/reclaim_test.go
+++ b/integration/reclaim_test.go
@@ -126,6 +126,37 @@
 	}
 }
 
+func TestReclaimWaitsForAnEngine(t *testing.T) {
+	// In mid-stream the engine dies, and for a while no other one can be
+	// reached: replacements are refused, or a switch is down. The letter was
+	// accepted and its deadline is far: it must go on when an engine is back.
+	f := gated(t, 2)
+	d := f.entries[0]
+	s := d.open(letterTokens, "Request-Id", "letter")
+	middle(t, s)
+	first := f.holding("letter")
+	for _, e := range f.engines {
+		e.proxy.Set(injector.All, injector.Fault{Cut: true})
+	}
+	for _, e := range f.engines {
+		eventually(t, e.name+" given up", func() error {
+			if state := d.endpointState(e.name); state != "ejected" && state != "failing" {
+				return fmt.Errorf("%s", state)
+			}
+			return nil
+		})
+	}
+	for _, e := range f.engines {
+		if e != first {
+			e.gate(0)
+			e.proxy.Set(injector.All, injector.Fault{})
+		}
+	}
+	if err := s.check(letterTokens); err != nil {
+		t.Fatal(err)
+	}
+}
+
 func TestReclaimOfEntryMidStream(t *testing.T) {
 	// The entry host is reclaimed in mid-stream. Its daemon hands the stream
 	// to peers and tells the caller, who comes back to any other daemon with
--- a/internal/serve/streamer/open.go
+++ b/internal/serve/streamer/open.go
@@ -43,6 +43,7 @@
 	if !j.returning {
 		go s.cancel(oldAddress, old)
 	}
+	j.away = false
 	j.Stream, j.Endpoint, j.Address = id, pick.Endpoint, pick.Address
 	return stream, nil
 }
@@ -72,6 +73,7 @@
 	}
 	fresh := j.Offset == 0 && !j.adopt && !j.began
 	j.maybeSent = j.maybeSent || sent
+	j.away = j.away || j.returning
 	switch {
 	case fresh && !sent:
 		j.Stream, j.Endpoint, j.Address = "", "", ""
--- a/internal/serve/streamer/streamer.go
+++ b/internal/serve/streamer/streamer.go
@@ -56,7 +56,10 @@
 	// retryAfter is told to callers when no endpoint can serve.
 	retryAfter  = 2 * time.Second
 	maxAttempts = 8
-	restTime    = 100 * time.Millisecond
+	restTime    = 50 * time.Millisecond
+	longRest    = time.Second
+	// maxNotes bounds the attempts that an explanation keeps.
+	maxNotes = 32
 	// seedHash mixes the request's name into a routing seed (FNV-1a).
 	fnvOffset = 14695981039346656037
 	fnvPrime  = 1099511628211
@@ -117,6 +120,9 @@
 	adopt bool
 	// returning: this attempt goes back to the engine that holds the stream.
 	returning bool
+	// away: the engine that holds the stream could not be reached again, so
+	// that others come first from now on.
+	away bool
 	// returned: the job went back to its engine once after a broken
 	// connection.
 	returned bool
@@ -164,18 +170,26 @@
 		if errors.Is(err, errNone) {
 			return ErrHandOver
 		}
-		if problem := s.final(j, err); problem != nil {
+		problem := s.final(j, err)
+		if problem != nil && (!j.mayWait(problem) || !s.rest(ctx, j)) {
 			return problem
 		}
 	}
 }
 
+// mayWait tells whether a problem is one that time may mend: another engine
+// could go on from the tokens that are known.
+func (j *Job) mayWait(p *refusal.Problem) bool {
+	return p.Kind() == refusal.EndpointFailed && j.begun() && j.known() && !j.adopt
+}
+
 // rest waits before a job that has begun looks for an engine again; false means
 // that its time is over, or that the daemon leaves. What was accepted is not
 // given up for a pool that is full, ejected or being replaced at this moment.
 func (s *Streamer) rest(ctx context.Context, j *Job) bool {
 	j.tried = nil
-	return waiter.For(ctx, restTime) && !s.handsOver()
+	pause := min(restTime*time.Duration(j.attempts), longRest)
+	return waiter.For(ctx, pause) && !s.handsOver()
 }
 
 // ended tells a passed deadline from a caller that is gone.
@@ -297,18 +311,28 @@
 		return nil, nil, errNone
 	}
 	if pick == nil {
-		j.Record.Attempts = append(j.Record.Attempts, note)
+		j.note(&note)
 		return nil, nil, refusal.New(refusal.NoEndpoint, "no endpoint can serve: "+note.Excluded).With(j.outcome()).After(retryAfter)
 	}
 	note.Endpoint = pick.Endpoint
-	j.Record.Attempts = append(j.Record.Attempts, note)
-	return pick, &j.Record.Attempts[len(j.Record.Attempts)-1], nil
+	return pick, j.note(&note), nil
+}
+
+// note keeps an attempt for the explanation: the first ones, and the last in
+// the place of those that were too many.
+func (j *Job) note(a *recorder.Attempt) *recorder.Attempt {
+	if len(j.Record.Attempts) < maxNotes {
+		j.Record.Attempts = append(j.Record.Attempts, *a)
+	} else {
+		j.Record.Attempts[maxNotes-1] = *a
+	}
+	return &j.Record.Attempts[len(j.Record.Attempts)-1]
 }
 
 // back returns to the engine that holds the stream, if there is one and the
 // job has not just left it.
 func (s *Streamer) back(j *Job, note *recorder.Attempt) *registry.Pick {
-	if j.Stream == "" || j.moving || contains(j.tried, j.Endpoint) {
+	if j.Stream == "" || j.moving || j.away || contains(j.tried, j.Endpoint) {
 		return nil
 	}
 	pick := s.c.Registry.Take(j.Endpoint)
