caller: the caller's trace reaches the engine

Cause: Traceparent was echoed and passed to plain services, but not to engines.

Change: an attempt carries it.

--- a/integration/path_test.go
+++ b/integration/path_test.go
@@ -50,6 +50,30 @@
 	check()
 }
 
+func TestPathCarriesTraceAndRequestID(t *testing.T) {
+	// A caller traces its request through its own systems: the trace id must
+	// reach the engine and come back, and so must the request's own id.
+	f, d := small(t)
+	const trace = "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01"
+	r := d.do(http.MethodPost, "/v1/chat/completions", chat(2, false), "Traceparent", trace, "Request-Id", "mine")
+	if r.status != http.StatusOK || r.header.Get("Traceparent") != trace || r.header.Get("Request-Id") != "mine" {
+		t.Fatalf("%d %v", r.status, r.header)
+	}
+	found := false
+	for _, e := range f.engines {
+		var traces map[string]string
+		if err := f.get("http://"+e.address+"/admin/traces", &traces); err != nil {
+			t.Fatal(err)
+		}
+		for id, got := range traces {
+			found = found || strings.HasPrefix(id, "mine~") && got == trace
+		}
+	}
+	if !found {
+		t.Fatal("the trace did not reach an engine")
+	}
+}
+
 func TestPathRuleChangesNextDecision(t *testing.T) {
 	// An operator adds a rule that refuses a branch's letters; the next
 	// request must be refused by it, and the explanation must name the rule
--- a/internal/engine/caller/caller.go
+++ b/internal/engine/caller/caller.go
@@ -121,6 +121,9 @@
 
 // Attempt is one call to one endpoint. Its state may be read at any time.
 type Attempt struct {
+	// Traceparent is passed on to the endpoint, if not empty.
+	Traceparent string
+
 	state atomic.Int32
 }
 
@@ -136,6 +139,9 @@
 	r = r.WithContext(c.traced(r.Context(), once, a))
 	r.Body = io.NopCloser(body{bytes.NewReader(payload)})
 	r.GetBody = nil
+	if a.Traceparent != "" {
+		r.Header.Set("Traceparent", a.Traceparent)
+	}
 	r.ContentLength = int64(len(payload))
 	client := &c.reused
 	if once {
--- a/internal/measure/plotter/plotter.go
+++ b/internal/measure/plotter/plotter.go
@@ -20,6 +20,8 @@
 	barWidth = 12 * vg.Millimeter / 3
 	width    = 24 * vg.Centimeter
 	height   = 11 * vg.Centimeter
+	// margin is the room beside the outer groups, in groups.
+	margin = 0.5
 )
 
 // Config labels a chart.
@@ -64,6 +66,8 @@
 		chart.Legend.Add(p.names[i], bars)
 	}
 	chart.NominalX(groups...)
+	chart.X.Min, chart.X.Max = -margin, float64(len(groups)-1)+margin
+	chart.Legend.Padding = vg.Millimeter
 	// Room for the legend above the bars.
 	const head = 1.45
 	chart.Y.Max *= head
--- a/internal/serve/streamer/streamer.go
+++ b/internal/serve/streamer/streamer.go
@@ -243,7 +243,7 @@
 	a := s.enter(pick, cancel)
 	defer s.exit(a)
 
-	var state caller.Attempt
+	state := caller.Attempt{Traceparent: j.Call.Traceparent}
 	stream, err := s.open(ctx, j, pick, &state)
 	note.State = state.State().String()
 	if err != nil {
--- a/internal/standin/engine/admin.go
+++ b/internal/standin/engine/admin.go
@@ -67,6 +67,12 @@
 	answer(w, e.executions)
 }
 
+func (e *Engine) listTraces(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	answer(w, e.traces)
+}
+
 func (e *Engine) setBehaviour(w http.ResponseWriter, r *http.Request) {
 	var b Behaviour
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(&b); err != nil {
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -25,6 +25,7 @@
 //	GET    /v1/cache/events      changes of the prefix cache
 //	POST   /v1/orders            wanted state
 //	GET    /admin/executions     how often each request began
+//	GET    /admin/traces         the Traceparent of each stream
 //	POST   /admin/behaviour      gates and faults, see Behaviour
 package engine
 
@@ -110,10 +111,12 @@
 	waiting    int
 	reading    chan struct{}
 	executions map[string]int
-	fencing    uint64
-	orders     []order.Order
-	cache      blockCache
-	reports    []report.Report
+	// traces are the trace ids that came with streams.
+	traces  map[string]string
+	fencing uint64
+	orders  []order.Order
+	cache   blockCache
+	reports []report.Report
 }
 
 // stream is one generation in progress or kept for resumption.
@@ -146,7 +149,7 @@
 	if c.Linger == 0 {
 		c.Linger = defaultLinger
 	}
-	e := &Engine{c: c, streams: make(map[string]*stream), executions: make(map[string]int)}
+	e := &Engine{c: c, streams: make(map[string]*stream), executions: make(map[string]int), traces: make(map[string]string)}
 	e.cache = newBlockCache(c.CacheBlocks)
 	e.reading = make(chan struct{}, 1)
 	e.changed = sync.NewCond(&e.mu)
@@ -160,6 +163,7 @@
 	e.mux.HandleFunc("GET /v1/cache/events", e.events)
 	e.mux.HandleFunc("POST /v1/orders", e.order)
 	e.mux.HandleFunc("GET /admin/executions", e.listExecutions)
+	e.mux.HandleFunc("GET /admin/traces", e.listTraces)
 	e.mux.HandleFunc("GET /admin/orders", e.listOrders)
 	e.mux.HandleFunc("POST /admin/behaviour", e.setBehaviour)
 	return e
@@ -197,6 +201,9 @@
 		e.refuse(w, code)
 		return
 	}
+	e.mu.Lock()
+	e.traces[s.id] = r.Header.Get("Traceparent")
+	e.mu.Unlock()
 	e.serve(w, r, s, r.Header.Get("Request-Id"), 0)
 }
 
