--- a/integration/reclaim_test.go
+++ b/integration/reclaim_test.go
@@ -40,15 +40,15 @@
 	}
 }
 
-// holding returns the engine that runs a request.
-func (f *fleet) holding(id string) *endpoint {
+// holding returns the engine that runs the request "letter".
+func (f *fleet) holding() *endpoint {
 	f.t.Helper()
 	for _, e := range f.engines {
-		if total(id, e) > 0 {
+		if total("letter", e) > 0 {
 			return e
 		}
 	}
-	f.t.Fatal("no engine runs ", id)
+	f.t.Fatal("no engine runs the letter")
 	return nil
 }
 
@@ -65,7 +65,7 @@
 	f := gated(t, 2)
 	s := f.entries[0].open(letterTokens, "Request-Id", "letter")
 	middle(t, s)
-	first := f.holding("letter")
+	first := f.holding()
 	f.gateAllBut(first, 0)
 	f.announce(first.name+"-host", first.zone, time.Now().Add(2*time.Second))
 	if err := s.check(letterTokens); err != nil {
@@ -112,7 +112,7 @@
 			f.gateAll(gateAt)
 			s := d.open(letterTokens, "Request-Id", "letter")
 			middle(t, s)
-			first := f.holding("letter")
+			first := f.holding()
 			for _, e := range f.engines {
 				if e != first {
 					e.gate(0)
@@ -134,7 +134,7 @@
 	d := f.entries[0]
 	s := d.open(letterTokens, "Request-Id", "letter")
 	middle(t, s)
-	first := f.holding("letter")
+	first := f.holding()
 	for _, e := range f.engines {
 		e.proxy.Set(injector.All, injector.Fault{Cut: true})
 	}
@@ -183,7 +183,7 @@
 	f := gated(t, 2)
 	s := f.entries[0].open(letterTokens, "Request-Id", "letter")
 	middle(t, s)
-	first := f.holding("letter")
+	first := f.holding()
 	f.announce("entry-1", 1, time.Now().Add(4*time.Second))
 	s.wait()
 	first.kill()
