--- a/integration/fleet_test.go
+++ b/integration/fleet_test.go
@@ -201,12 +201,18 @@
 
 func (f *fleet) newProxy(ip, target string) *injector.Injector {
 	f.t.Helper()
-	p, err := injector.New(injector.Config{Listen: ip + ":0", Target: target})
-	if err != nil {
-		f.t.Fatal(err)
+	for {
+		p, err := injector.New(injector.Config{Listen: ip + ":0", Target: target})
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		f.t.Cleanup(p.Close)
+		// The kernel may offer a port that was promised to a process which
+		// has not bound it yet.
+		if _, promised := given.LoadOrStore(p.Address(), true); !promised {
+			return p
+		}
 	}
-	f.t.Cleanup(p.Close)
-	return p
 }
 
 // given holds the addresses that were handed out: the kernel may offer a port
