--- a/integration/fleet_test.go
+++ b/integration/fleet_test.go
@@ -206,12 +206,14 @@
 		if err != nil {
 			f.t.Fatal(err)
 		}
-		f.t.Cleanup(p.Close)
 		// The kernel may offer a port that was promised to a process which
-		// has not bound it yet.
-		if _, promised := given.LoadOrStore(p.Address(), true); !promised {
-			return p
+		// has not bound it yet; that one must be given up at once.
+		if _, promised := given.LoadOrStore(p.Address(), true); promised {
+			p.Close()
+			continue
 		}
+		f.t.Cleanup(p.Close)
+		return p
 	}
 }
 
