gateway: duties, digests between daemons, quota, size of the pool

Change: lease (shared with the controller's), reports settled in the store before they are sent, pool sized by uncached prompt tokens, digests swapped by each pair of daemons once a second, quota as the fleet's token bucket.

--- a/internal/config/deployment/deployment.go
+++ b/internal/config/deployment/deployment.go
@@ -38,6 +38,10 @@
 	RetryWindow  time.Duration
 	// QuotaWindow is the span over which an organisation's quota is judged.
 	QuotaWindow time.Duration
+	// QuotaOverage, a part of the quota, and QuotaSlack, in the quotas' unit,
+	// are tolerated beyond it.
+	QuotaOverage float64
+	QuotaSlack   float64
 	// UsageWindow is the span of one usage report.
 	UsageWindow time.Duration
 	// UsageDue is how long after its end a window's report is due.
--- a/internal/fleet/leaser/leaser.go
+++ b/internal/fleet/leaser/leaser.go
@@ -65,6 +65,11 @@
 	Zone     identifier.AvailabilityZone
 	Host     identifier.Host
 	Duration time.Duration
+	// Key is the lease's object; that of the zone if empty.
+	Key string
+	// Now is a clock that does not stand still while the host is suspended, as
+	// uptimer.Now; time.Now if nil.
+	Now func() time.Time
 	// Changed is told when leadership is won or lost; may be nil.
 	Changed func(fencing uint64, held bool)
 }
@@ -76,6 +81,8 @@
 	Duration      time.Duration
 	// Renewal makes each write differ, so that a version shows a renewal.
 	Renewal uint64
+	// Released: the holder has stopped, and anyone may take the lease.
+	Released bool `json:",omitempty"`
 }
 
 // Leaser is one candidate. It is safe for concurrent use.
@@ -97,6 +104,12 @@
 	if c.Changed == nil {
 		c.Changed = func(uint64, bool) {}
 	}
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	if c.Key == "" {
+		c.Key = inventory.LeasePrefix + string(c.Zone)
+	}
 	return &Leaser{c: c}
 }
 
@@ -104,7 +117,7 @@
 func (l *Leaser) Held() (fencing uint64, held bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.held.FencingNumber, time.Now().Before(l.until)
+	return l.held.FencingNumber, l.c.Now().Before(l.until)
 }
 
 // HeldFor is as Held, for orders to engines that ignore the fencing number:
@@ -113,7 +126,7 @@
 func (l *Leaser) HeldFor() (fencing uint64, held bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := time.Now()
+	now := l.c.Now()
 	return l.held.FencingNumber, now.Before(l.until) && now.After(l.ready)
 }
 
@@ -127,6 +140,24 @@
 	return ctx.Err()
 }
 
+// Release gives up the lease, if it is held, so that a successor need not wait
+// until it lapses. The candidate must not be served any more.
+func (l *Leaser) Release(ctx context.Context) error {
+	l.mu.Lock()
+	r, version, held := l.held, l.seen, l.c.Now().Before(l.until)
+	l.until = time.Time{}
+	l.mu.Unlock()
+	if !held {
+		return nil
+	}
+	r.Renewal++
+	r.Released = true
+	if _, err := l.c.Store.Put(ctx, l.c.Key, version, r); err != nil {
+		return fmt.Errorf("lease: release: %w", err)
+	}
+	return nil
+}
+
 func (l *Leaser) step(ctx context.Context) {
 	_, was := l.Held()
 	l.try(ctx)
@@ -138,7 +169,7 @@
 
 // try reads the lease and renews or takes it, if it may.
 func (l *Leaser) try(ctx context.Context) {
-	begun := time.Now()
+	begun := l.c.Now()
 	r, version, err := l.read(ctx)
 	if err != nil {
 		return
@@ -150,14 +181,14 @@
 	switch {
 	case own:
 		l.write(ctx, r, version, begun, false)
-	case version == object.Absent || begun.Sub(l.since) > max(r.Duration, l.c.Duration):
+	case version == object.Absent || r.Released || begun.Sub(l.since) > max(r.Duration, l.c.Duration):
 		r.FencingNumber++
 		l.write(ctx, r, version, begun, true)
 	}
 }
 
 func (l *Leaser) read(ctx context.Context) (record, uint64, error) {
-	o, err := l.c.Store.Get(ctx, inventory.LeasePrefix+string(l.c.Zone))
+	o, err := l.c.Store.Get(ctx, l.c.Key)
 	if errors.Is(err, object.ErrMissing) {
 		return record{}, object.Absent, nil
 	}
@@ -175,7 +206,8 @@
 	r.Holder = l.c.Host
 	r.Duration = l.c.Duration
 	r.Renewal++
-	o, err := l.c.Store.Put(ctx, inventory.LeasePrefix+string(l.c.Zone), version, r)
+	r.Released = false
+	o, err := l.c.Store.Put(ctx, l.c.Key, version, r)
 	if errors.Is(err, object.ErrUnknown) && taken {
 		// If the taking took effect, the next round finds this host as holder
 		// with the number remembered here; the lease counts only from then.
--- /dev/null
+++ b/internal/fleet/orderer/orderer.go
@@ -0,0 +1,162 @@
+// Package orderer carries out what the sizer decides.
+//
+// # Orders that converge
+//
+// An order states the wanted number, not a change, so repeating it does no
+// harm. It is given when the wanted number differs from the last one ordered,
+// again after a failure, and again every [repeat] while what is listed differs:
+// an order whose answer was lost, or a predecessor's, is thereby overcome.
+//
+// # Slow to shrink
+//
+// A fleet that follows each dip of the load pays for engines that start with
+// empty caches. Numbers go up at once and down only when a lower one has been
+// wanted for [calm].
+//
+// # Usage
+//
+//	o := orderer.New(orderer.Config{...})
+//	o.Step(ctx, fencing, services) // once a second while the duty is held
+package orderer
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"brasschute/internal/config/catalog"
+	"brasschute/internal/config/document"
+	"brasschute/internal/core/identifier"
+	"brasschute/internal/fleet/sizer"
+	"brasschute/internal/platform/object"
+	"brasschute/internal/route/demander"
+
+	"github.com/charmbracelet/log"
+)
+
+const (
+	// calm is a few times what an engine needs to start.
+	calm   = 8 * time.Second
+	repeat = 6 * time.Second
+	// dryTime is how long a zone that had no reclaimable endpoints is not
+	// asked again.
+	dryTime = 3 * time.Second
+	// firstNeed is the number of engines that a service is taken to need until
+	// its demand has been seen for firstTime.
+	firstNeed = 4
+	firstTime = 15 * time.Second
+)
+
+// Config names the orderer's collaborators.
+type Config struct {
+	Order  func(ctx context.Context, fencing uint64, s identifier.Service, z identifier.AvailabilityZone, class document.Class, wanted int) error
+	Logger *log.Logger
+}
+
+// Service is one that can be scaled, as it is now.
+type Service struct {
+	Service identifier.Service
+	Scale   *catalog.Scale
+	Demand  demander.Demand
+	Zones   []sizer.Zone
+}
+
+type key struct {
+	service identifier.Service
+	zone    identifier.AvailabilityZone
+	class   document.Class
+}
+
+type state struct {
+	ordered  int
+	at       time.Time
+	wantless time.Time
+	dry      time.Time
+	known    bool
+}
+
+// Orderer gives orders. It is for one goroutine.
+type Orderer struct {
+	c       Config
+	started time.Time
+	fencing uint64
+	states  map[key]*state
+}
+
+// New returns an orderer that has ordered nothing.
+func New(c Config) *Orderer {
+	return &Orderer{c: c, started: time.Now(), states: make(map[key]*state)}
+}
+
+// Step gives the orders that are needed now.
+func (o *Orderer) Step(ctx context.Context, fencing uint64, services []Service) {
+	if fencing != o.fencing {
+		o.fencing = fencing
+		o.states = make(map[key]*state)
+	}
+	for i := range services {
+		o.service(ctx, &services[i])
+	}
+}
+
+func (o *Orderer) service(ctx context.Context, s *Service) {
+	now := time.Now()
+	for i := range s.Zones {
+		s.Zones[i].Dry = now.Sub(o.state(s, s.Zones[i].Zone, document.ClassReclaimable).dry) < dryTime
+	}
+	in := &sizer.Input{Scale: s.Scale, Demand: s.Demand, Zones: s.Zones}
+	if now.Sub(o.started) < firstTime {
+		in.Floor = firstNeed
+	}
+	listed := make(map[identifier.AvailabilityZone]sizer.Zone, len(s.Zones))
+	for _, z := range s.Zones {
+		listed[z.Zone] = z
+	}
+	for _, w := range sizer.Size(in) {
+		z := listed[w.Zone]
+		o.order(ctx, s, w.Zone, document.ClassReclaimable, w.Reclaimable, z.Reclaimable)
+		o.order(ctx, s, w.Zone, document.ClassOnDemand, w.OnDemand, z.OnDemand)
+	}
+}
+
+func (o *Orderer) state(s *Service, z identifier.AvailabilityZone, class document.Class) *state {
+	k := key{s.Service, z, class}
+	t := o.states[k]
+	if t == nil {
+		t = new(state)
+		o.states[k] = t
+	}
+	return t
+}
+
+// order gives one order if it is due.
+func (o *Orderer) order(ctx context.Context, s *Service, z identifier.AvailabilityZone, class document.Class, wanted, listed int) {
+	t := o.state(s, z, class)
+	now := time.Now()
+	if !t.known {
+		t.ordered, t.known = listed, true
+	}
+	if wanted >= t.ordered {
+		t.wantless = time.Time{}
+	} else if t.wantless.IsZero() {
+		t.wantless = now
+	}
+	dry := now.Sub(t.dry) < dryTime
+	switch {
+	case wanted > t.ordered && !dry:
+	case wanted < t.ordered && (now.Sub(t.wantless) > calm || now.Sub(o.started) < calm):
+	case wanted == t.ordered && listed != t.ordered && now.Sub(t.at) > repeat && !dry:
+	default:
+		return
+	}
+	err := o.c.Order(ctx, o.fencing, s.Service, z, class, wanted)
+	o.c.Logger.Info("endpoints ordered", "service", s.Service, "zone", z, "class", class, "wanted", wanted, "before", t.ordered,
+		"listed", listed, "fencing", o.fencing, "tokens_per_second", int(s.Demand.Tokens), "running", s.Demand.Running, "error", err)
+	t.at = now
+	switch {
+	case err == nil:
+		t.ordered = wanted
+	case errors.Is(err, object.ErrConflict):
+		t.dry = now
+	}
+}
--- /dev/null
+++ b/internal/fleet/tallier/tallier.go
@@ -0,0 +1,81 @@
+// Package tallier counts the requests that began to run, by organisation and
+// window of usage.
+//
+// # Usage
+//
+//	t := tallier.New(tallier.Config{Window: 5 * time.Second, Now: clock.Now})
+//	t.Began("desk")
+//	counts := t.Counts() // of the last windows
+package tallier
+
+import (
+	"sync"
+	"time"
+
+	"brasschute/internal/core/identifier"
+)
+
+// kept is how many windows are remembered: a window is reported within two
+// windows of its end, and one more is for late news.
+const kept = 5
+
+// Config says how long a window is and what time it is.
+type Config struct {
+	Window time.Duration
+	Now    func() time.Time
+}
+
+// Count is the number of an organisation's requests in one window.
+type Count struct {
+	Window       int64
+	Organisation identifier.Organisation
+	Requests     int
+}
+
+type key struct {
+	window       int64
+	organisation identifier.Organisation
+}
+
+// Tallier counts. It is safe for concurrent use.
+type Tallier struct {
+	c Config
+
+	mu     sync.Mutex
+	counts map[key]int
+}
+
+// New returns a tallier that has counted nothing.
+func New(c Config) *Tallier { return &Tallier{c: c, counts: make(map[key]int)} }
+
+// Window is the number of the window at a time: windows count from 1970.
+func (t *Tallier) Window(at time.Time) int64 { return at.UnixNano() / int64(t.c.Window) }
+
+// End is when a window ends.
+func (t *Tallier) End(window int64) time.Time { return time.Unix(0, (window+1)*int64(t.c.Window)) }
+
+// Began counts a request that begins to run now.
+func (t *Tallier) Began(o identifier.Organisation) {
+	window := t.Window(t.c.Now())
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, known := t.counts[key{window, o}]; !known {
+		for k := range t.counts {
+			if k.window <= window-kept {
+				delete(t.counts, k)
+			}
+		}
+	}
+	t.counts[key{window, o}]++
+}
+
+// Counts returns what was counted in the last windows.
+func (t *Tallier) Counts() []Count {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]Count, 0, len(t.counts))
+	for k, n := range t.counts {
+		out = append(out, Count{k.window, k.organisation, n})
+	}
+	return out
+}
--- a/internal/measure/experiment/experiment_test.go
+++ b/internal/measure/experiment/experiment_test.go
@@ -237,7 +237,7 @@
 		d.evacuator = evacuator.New(evacuator.Config{Registry: d.registry, Caller: reach})
 	}
 	d.streamer = streamer.New(streamer.Config{
-		Registry: d.registry, Caller: reach, Budgeter: budgeter.New(), Zone: zone(i),
+		Registry: d.registry, Caller: reach, Budgeter: budgeter.New(budgeter.Config{}), Zone: zone(i),
 	})
 	b.daemons = append(b.daemons, d)
 	for n := range b.hosts {
--- /dev/null
+++ b/internal/peer/swapper/swapper.go
@@ -0,0 +1,249 @@
+// Package swapper exchanges digests with the other daemons of the fleet.
+//
+// # Who calls whom
+//
+// Once a period each pair of daemons swaps digests in one call, made by the one
+// whose host name is lower. So news of a daemon is at most a period old at
+// every other one, and survives the daemon's end there. Addresses come from the
+// settings' seeds, the store, and the digests themselves; one that has not
+// answered for [forget] is dropped.
+//
+// # Usage
+//
+//	s := swapper.New(swapper.Config{Self: build, Gatherer: &g, ...})
+//	go s.Serve(ctx)
+//	server := rpc.NewFleetServer(s)
+package swapper
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"brasschute/internal/core/identifier"
+	"brasschute/internal/core/waiter"
+	"brasschute/internal/peer/gatherer"
+	"brasschute/internal/peer/rpc"
+
+	"github.com/charmbracelet/log"
+	"github.com/thejerf/suture/v4"
+)
+
+const (
+	// period is how old news may get. An organisation at eight times its usual
+	// load sends some 10% of its quota's window in a second.
+	period = time.Second
+	// perPeer lengthens the period of large fleets: with 60 daemons each makes
+	// and takes 30 calls in 2 s, 1% of the processor time of a small host.
+	perPeer = 33 * time.Millisecond
+	// callTimeout is below the period, so that a silent peer holds up nothing.
+	callTimeout = 700 * time.Millisecond
+	// forget is how long an address is tried in vain.
+	forget = 60 * time.Second
+	// slowAfter is when a silent address is tried only each fifth period.
+	slowAfter = 5 * time.Second
+	slowEach  = 5
+	// heardLately bounds the addresses that are passed on.
+	heardLately = 10 * time.Second
+	// parallel bounds the calls under way.
+	parallel = 16
+)
+
+// Config names the swapper's collaborators.
+type Config struct {
+	Host identifier.Host
+	// Address is this daemon's own.
+	Address string
+	// Self builds this daemon's digest.
+	Self     func() *rpc.Digest
+	Gatherer *gatherer.Gatherer
+	// Heard is told of each new digest of another daemon.
+	Heard func(*rpc.Digest)
+	// Objects returns what a daemon that can't read the store needs.
+	Objects func() []*rpc.StoredObject
+	Client  *http.Client
+	Logger  *log.Logger
+}
+
+type peer struct {
+	host identifier.Host
+	// answered is when it last answered or called; added when it became known.
+	answered time.Time
+	added    time.Time
+	lost     bool
+	busy     bool
+}
+
+// Swapper exchanges digests. It is safe for concurrent use.
+type Swapper struct {
+	c Config
+
+	mu    sync.Mutex
+	peers map[string]*peer
+	round int
+}
+
+var (
+	_ rpc.Fleet      = (*Swapper)(nil)
+	_ suture.Service = (*Swapper)(nil)
+)
+
+// New returns a swapper that knows no peers.
+func New(c Config) *Swapper { return &Swapper{c: c, peers: make(map[string]*peer)} }
+
+// Add makes an address known.
+func (s *Swapper) Add(address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.add(address)
+}
+
+func (s *Swapper) add(address string) *peer {
+	p := s.peers[address]
+	if p == nil && address != "" {
+		p = &peer{added: time.Now()}
+		s.peers[address] = p
+	}
+	return p
+}
+
+// Serve swaps until ctx ends.
+func (s *Swapper) Serve(ctx context.Context) error {
+	slots := make(chan struct{}, parallel)
+	for ctx.Err() == nil {
+		addresses, pause := s.due()
+		for _, address := range addresses {
+			select {
+			case slots <- struct{}{}:
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+			go func() {
+				defer func() { <-slots }()
+				s.swap(ctx, address)
+			}()
+		}
+		waiter.For(ctx, pause)
+	}
+	return ctx.Err()
+}
+
+// due returns the addresses to call now and the time until the next round.
+func (s *Swapper) due() ([]string, time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.round++
+	var out []string
+	for address, p := range s.peers {
+		last := p.answered
+		if last.IsZero() {
+			last = p.added
+		}
+		silent := now.Sub(last)
+		if silent > forget || address == s.c.Address {
+			delete(s.peers, address)
+			continue
+		}
+		// The pair's other daemon calls, unless it has fallen silent: then it
+		// may not know this one.
+		theirs := p.host != "" && p.host < s.c.Host && silent < 3*period
+		slow := silent > slowAfter && s.round%slowEach != 0
+		if !theirs && !slow && !p.busy {
+			p.busy = true
+			out = append(out, address)
+		}
+	}
+	return out, max(period, time.Duration(len(s.peers))*perPeer)
+}
+
+func (s *Swapper) swap(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	d, err := rpc.NewFleetProtobufClient("http://"+address, s.c.Client).Swap(ctx, s.c.Self())
+	s.mu.Lock()
+	if p := s.peers[address]; p != nil {
+		p.busy = false
+		if err != nil && !p.lost && p.host != "" {
+			p.lost = true
+			s.c.Logger.Warn("peer lost", "peer", p.host, "address", address, "silent_ms", time.Since(p.answered).Milliseconds(), "error", err)
+		}
+	}
+	s.mu.Unlock()
+	if err == nil {
+		s.merge(d, address)
+	}
+}
+
+// merge takes in a digest that came from, or leads to, an address.
+func (s *Swapper) merge(d *rpc.Digest, address string) {
+	s.mu.Lock()
+	p := s.add(address)
+	if p != nil {
+		if p.lost {
+			s.c.Logger.Info("peer regained", "peer", d.GetHost(), "address", address)
+		}
+		p.lost = false
+		p.host, p.answered = identifier.Host(d.GetHost()), time.Now()
+	}
+	for _, other := range d.GetPeers() {
+		s.add(other)
+	}
+	s.mu.Unlock()
+	if s.c.Gatherer.Merge(d, time.Now()) {
+		s.c.Heard(d)
+	}
+}
+
+// Lately returns the addresses of daemons that answered lately.
+func (s *Swapper) Lately() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []string
+	for address, p := range s.peers {
+		if time.Since(p.answered) < heardLately {
+			out = append(out, address)
+		}
+	}
+	return out
+}
+
+// Known returns all addresses, best first: those that answered lately.
+func (s *Swapper) Known() []string {
+	out := s.Lately()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for address, p := range s.peers {
+		if time.Since(p.answered) >= heardLately {
+			out = append(out, address)
+		}
+	}
+	return out
+}
+
+// Swap answers a peer's call.
+func (s *Swapper) Swap(_ context.Context, d *rpc.Digest) (*rpc.Digest, error) {
+	s.merge(d, d.GetAddress())
+	return s.c.Self(), nil
+}
+
+// Snapshot answers a peer that can't read the store.
+func (s *Swapper) Snapshot(context.Context, *rpc.SnapshotRequest) (*rpc.SnapshotReply, error) {
+	return &rpc.SnapshotReply{Objects: s.c.Objects()}, nil
+}
+
+// Ask returns a peer's snapshot, of the first one that answers.
+func (s *Swapper) Ask(ctx context.Context) ([]*rpc.StoredObject, error) {
+	var last error
+	for _, address := range s.Known() {
+		one, cancel := context.WithTimeout(ctx, callTimeout)
+		reply, err := rpc.NewFleetProtobufClient("http://"+address, s.c.Client).Snapshot(one, &rpc.SnapshotRequest{})
+		cancel()
+		if err == nil && len(reply.GetObjects()) > 0 {
+			return reply.GetObjects(), nil
+		}
+		last = err
+	}
+	return nil, last
+}
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -181,7 +181,7 @@
 func (e *Entry) serving(key []byte, records *recorder.Recorder, kept *holder.Holder) {
 	s := e.c.Settings
 	endpoints := caller.New(caller.Config{Source: s.Source()})
-	budget := budgeter.New()
+	budget := budgeter.New(budgeter.Config{})
 	e.evacuator = evacuator.New(evacuator.Config{Registry: e.registry, Caller: endpoints})
 	e.streamer = streamer.New(streamer.Config{
 		Registry: e.registry, Caller: endpoints, Budgeter: budget, Zone: s.AvailabilityZone,
--- /dev/null
+++ b/internal/role/gateway/duties.go
@@ -0,0 +1,209 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"brasschute/internal/config/document"
+	"brasschute/internal/core/identifier"
+	"brasschute/internal/core/uptimer"
+	"brasschute/internal/core/waiter"
+	"brasschute/internal/fleet/accountant"
+	"brasschute/internal/fleet/leaser"
+	"brasschute/internal/fleet/orderer"
+	"brasschute/internal/fleet/sizer"
+	"brasschute/internal/platform/inventory"
+	"brasschute/internal/route/demander"
+	"brasschute/platform"
+)
+
+const (
+	// leaseKey is the lease under which one daemon holds all duties.
+	leaseKey = "leases/duties"
+	// leaseFactor makes the lease longer than the shortest time that the
+	// platform allows between holders: each renewal is two calls, and a duty
+	// may rest for some seconds.
+	leaseFactor = 2
+	// dutyPause is how often the holder looks at what is due.
+	dutyPause = 500 * time.Millisecond
+	// settleTime is how long counts of other daemons take: a period of the
+	// exchange of digests, and a margin.
+	settleTime = 1700 * time.Millisecond
+	// dueMargin is kept from the time at which a report is due.
+	dueMargin = 500 * time.Millisecond
+)
+
+// duties are the parts that only the holder of the lease acts in.
+type duties struct {
+	g          *Gateway
+	cloud      *platform.Cloud
+	accountant *accountant.Accountant
+	orderer    *orderer.Orderer
+}
+
+func (g *Gateway) buildDuties() {
+	d := g.c.Deployment
+	if !d.Reports && !d.Orders {
+		return
+	}
+	g.lease = leaser.New(leaser.Config{
+		Store: g.store, Key: leaseKey, Host: d.Host, Duration: leaseFactor * d.Bounds.LeaseTime, Now: uptimer.Now,
+		Changed: func(fencing uint64, held bool) {
+			g.c.Logger.Info("duties", "held", held, "fencing", fencing)
+		},
+	})
+	u := &duties{g: g, cloud: platform.NewCloud(d.Cloud.String())}
+	u.accountant = accountant.New(accountant.Config{
+		Store: g.store, Now: g.clock.Now, Window: d.Bounds.UsageWindow, Due: d.Bounds.UsageDue - dueMargin, Settle: settleTime,
+		Count: u.count, Report: u.report, Logger: g.c.Logger,
+	})
+	u.orderer = orderer.New(orderer.Config{Order: u.order, Logger: g.c.Logger})
+	g.tree.Add(service(g.keepLease))
+	g.tree.Add(service(u.serve))
+}
+
+func (g *Gateway) keepLease(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		for !g.stopping.Load() && waiter.For(ctx, dutyPause) {
+		}
+		cancel()
+	}()
+	return g.lease.Serve(ctx)
+}
+
+// release gives the duties to the next holder at once.
+func (g *Gateway) release(ctx context.Context) {
+	if g.lease == nil {
+		return
+	}
+	if err := g.lease.Release(ctx); err != nil {
+		g.c.Logger.Warn("lease not released, it lapses", "error", err)
+	}
+}
+
+func (u *duties) serve(ctx context.Context) error {
+	return waiter.Every(ctx, dutyPause, func(ctx context.Context) {
+		fencing, held := u.g.lease.HeldFor()
+		if !held || u.g.stopping.Load() {
+			return
+		}
+		if u.g.c.Deployment.Reports {
+			u.accountant.Step(ctx, fencing)
+		}
+		if u.g.c.Deployment.Orders {
+			u.orderer.Step(ctx, fencing, u.services())
+		}
+	})
+}
+
+// mandate names the holder, if the lease is still held right before a call.
+func (u *duties) mandate(fencing uint64) (platform.Mandate, error) {
+	now, held := u.g.lease.HeldFor()
+	if !held || now != fencing {
+		return platform.Mandate{}, errNotHeld
+	}
+	return platform.Mandate{Host: u.g.c.Deployment.Host, Fencing: fencing}, nil
+}
+
+func (u *duties) report(ctx context.Context, fencing uint64, window int64, counts map[identifier.Organisation]int) error {
+	m, err := u.mandate(fencing)
+	if err != nil {
+		return err
+	}
+	return u.cloud.Report(ctx, m, window, counts)
+}
+
+func (u *duties) order(ctx context.Context, fencing uint64, s identifier.Service, z identifier.AvailabilityZone, class document.Class, wanted int) error {
+	m, err := u.mandate(fencing)
+	if err != nil {
+		return err
+	}
+	return u.cloud.Order(ctx, m, s, z, class, wanted)
+}
+
+// count sums what all daemons counted in a window, those that ended since
+// included.
+func (u *duties) count(window int64) map[identifier.Organisation]int {
+	out := make(map[identifier.Organisation]int)
+	if c := u.g.versioner.InForce(); c != nil {
+		for _, o := range c.Organisations() {
+			out[o.Name] = 0
+		}
+	}
+	for _, n := range u.g.tallier.Counts() {
+		if n.Window == window {
+			out[n.Organisation] += n.Requests
+		}
+	}
+	for _, e := range u.g.gatherer.Entries(time.Now()) {
+		for _, n := range e.Digest.GetCounts() {
+			if n.GetWindow() == window {
+				out[identifier.Organisation(n.GetOrganisation())] += int(n.GetCount())
+			}
+		}
+	}
+	return out
+}
+
+// services describes what can be scaled, as it is now.
+func (u *duties) services() []orderer.Service {
+	c := u.g.versioner.InForce()
+	if c == nil {
+		return nil
+	}
+	demands := u.demands()
+	var out []orderer.Service
+	for _, s := range c.Services() {
+		if s.Scale == nil {
+			continue
+		}
+		out = append(out, orderer.Service{Service: s.Name, Scale: s.Scale, Demand: demands[s.Name], Zones: u.zones(s.Name, s.Scale.Prices)})
+	}
+	return out
+}
+
+// demands sums those of all daemons.
+func (u *duties) demands() map[identifier.Service]demander.Demand {
+	out := u.g.demander.Demands()
+	for _, e := range u.g.gatherer.Latest(time.Now()) {
+		for _, n := range e.Digest.GetDemands() {
+			s := identifier.Service(n.GetService())
+			sum := out[s]
+			sum.Add(demander.Demand{
+				Running: int(n.GetRunning()), Requests: n.GetRequestsPerSecond(), Tokens: n.GetTokensPerSecond(), Refused: n.GetRefusedPerSecond(),
+			})
+			out[s] = sum
+		}
+	}
+	return out
+}
+
+// zones counts a service's endpoints that are not leaving.
+func (u *duties) zones(s identifier.Service, prices map[identifier.AvailabilityZone]float64) []sizer.Zone {
+	counts := make(map[identifier.AvailabilityZone]*sizer.Zone, len(prices))
+	out := make([]sizer.Zone, 0, len(prices))
+	for zone := range prices {
+		out = append(out, sizer.Zone{Zone: zone})
+	}
+	for i := range out {
+		counts[out[i].Zone] = &out[i]
+	}
+	for _, h := range u.g.registry.Hosts() {
+		z := counts[h.AvailabilityZone]
+		if z == nil || h.State == inventory.StateLeaving || h.Endpoints[0].Pool != identifier.Pool(s) {
+			continue
+		}
+		if h.Class == document.ClassReclaimable {
+			z.Reclaimable++
+		} else {
+			z.OnDemand++
+		}
+	}
+	return out
+}
+
+// errNotHeld: the lease lapsed between the decision and the call.
+var errNotHeld = errors.New("the duty is not held any more")
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -32,26 +32,34 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"brasschute/internal/config/deployment"
 	"brasschute/internal/config/document"
 	"brasschute/internal/config/versioner"
+	"brasschute/internal/core/chronometer"
 	"brasschute/internal/core/identifier"
 	"brasschute/internal/core/waiter"
 	"brasschute/internal/engine/sender"
+	"brasschute/internal/fleet/leaser"
+	"brasschute/internal/fleet/tallier"
 	"brasschute/internal/ops/chronicler"
 	"brasschute/internal/ops/server"
+	"brasschute/internal/peer/gatherer"
 	"brasschute/internal/peer/ledger"
 	"brasschute/internal/peer/rpc"
+	"brasschute/internal/peer/swapper"
 	"brasschute/internal/platform/object"
 	"brasschute/internal/platform/watcher"
+	"brasschute/internal/route/allotter"
+	"brasschute/internal/route/budgeter"
+	"brasschute/internal/route/demander"
 	"brasschute/internal/route/registry"
 	"brasschute/internal/serve/placer"
 	"brasschute/internal/serve/receiver"
 	"brasschute/internal/serve/relayer"
-	"brasschute/internal/serve/request"
 	"brasschute/platform"
 
 	"github.com/charmbracelet/log"
@@ -102,13 +110,29 @@
 	scope     tally.Scope
 	closer    func() error
 
+	clock    *chronometer.Chronometer
+	tallier  *tallier.Tallier
+	allotter *allotter.Allotter
+	demander demander.Demander
+	gatherer gatherer.Gatherer
+	swapper  *swapper.Swapper
+	lease    *leaser.Leaser
+	sequence atomic.Uint64
+	started  time.Time
+
 	stopping atomic.Bool
 	listed   atomic.Bool
+
+	mu      sync.Mutex
+	budgets map[identifier.Service]*budgeter.Budgeter
+	// objects are the configuration and the endpoints' records as the store
+	// has them, for peers that can't read it.
+	objects map[string]object.Object
 }
 
 // New opens the listeners and builds the daemon.
 func New(c Config) (*Gateway, error) {
-	g := &Gateway{c: c}
+	g := &Gateway{c: c, started: time.Now(), objects: make(map[string]object.Object)}
 	g.reporter = prometheus.NewReporter(prometheus.Options{})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "brasschute", CachedReporter: g.reporter, Separator: prometheus.DefaultSeparator,
@@ -123,13 +147,19 @@
 	d := g.c.Deployment
 	g.tree = suture.New("gateway", suture.Spec{EventHook: g.event})
 	g.store = platform.NewStore(d.Store.String())
+	g.clock = chronometer.New(chronometer.Config{})
+	g.tallier = tallier.New(tallier.Config{Window: d.Bounds.UsageWindow, Now: g.clock.Now})
+	g.allotter = allotter.New(allotter.Config{
+		Window: d.Bounds.QuotaWindow, Overage: d.Bounds.QuotaOverage, Slack: d.Bounds.QuotaSlack, Daemons: fewestDaemons(d),
+	})
+	g.budgets = make(map[identifier.Service]*budgeter.Budgeter)
 	g.ledger = ledger.New(ledger.Config{Self: &rpc.Member{Host: string(d.Host), AvailabilityZone: string(d.AvailabilityZone), PeerAddress: d.Peers.String()}})
-	g.registry = registry.New(registry.Config{Ledger: g.ledger})
+	g.registry = registry.New(registry.Config{Ledger: g.ledger, Daemons: g.daemons})
 	opened := g.scope.Counter("endpoint_connections_opened")
 	g.sender = sender.New(sender.Config{Dialer: platform.Dialer(), Opened: func() { opened.Inc(1) }})
 	relay := relayer.New(relayer.Config{
 		Registry: g.registry, Placer: placer.New(placer.Config{Registry: g.registry, Zone: d.AvailabilityZone}),
-		Sender: g.sender, Codec: platform.Codec{}, Budget: g, Began: g.began,
+		Sender: g.sender, Codec: platform.Codec{}, Budget: g, Began: g.began, Demand: &g.demander,
 	})
 	g.receiver = receiver.New(receiver.Config{
 		Versioner: &g.versioner, Relayer: relay, Quota: g, Decode: platform.DecodeRequest, Refuse: platform.Codec{}.EncodeRefusal,
@@ -138,16 +168,10 @@
 	g.tree.Add(g.follow("configuration", platform.CatalogKind, g.configuration))
 	g.tree.Add(g.follow("endpoints", platform.EndpointKind, g.endpoint))
 	g.tree.Add(service(g.prune))
+	g.buildPeers()
+	g.buildDuties()
 }
 
-// Spend grants a repeated send.
-func (g *Gateway) Spend(identifier.Service) bool { return true }
-
-// Admit admits a request.
-func (g *Gateway) Admit(*request.Request) time.Duration { return 0 }
-
-func (g *Gateway) began(*request.Request) {}
-
 // service is a function as a supervised service.
 type service func(context.Context) error
 
@@ -182,6 +206,7 @@
 	if o.Key != platform.CatalogKey || o.Deleted {
 		return
 	}
+	g.remember(o)
 	c, err := platform.DecodeCatalog(o.Value)
 	if err != nil {
 		g.scope.Counter("configurations_refused").Inc(1)
@@ -198,6 +223,7 @@
 
 func (g *Gateway) endpoint(o object.Object) {
 	id := strings.TrimPrefix(o.Key, platform.EndpointKind+"/")
+	g.remember(o)
 	if o.Deleted {
 		g.registry.Remove(id)
 		g.c.Logger.Info("endpoint gone", "endpoint", id, "revision", o.Version)
@@ -235,6 +261,7 @@
 	}{
 		{"callers", d.Callers, g.receiver, &g.callers},
 		{"readiness", d.Readiness, http.HandlerFunc(g.ready), nil},
+		{"peers", d.Peers, rpc.NewFleetServer(g.swapper), nil},
 		{"metrics", d.Metrics, g.reporter.HTTPHandler(), nil},
 	} {
 		if !l.address.IsValid() {
@@ -294,6 +321,7 @@
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	waiter.For(ctx, balancerLag)
+	g.release(ctx)
 	if err := g.callers.Shutdown(ctx); err != nil {
 		g.c.Logger.Warn("requests cut off by the end of the grace time", "error", err)
 	}
@@ -304,4 +332,3 @@
 		g.c.Logger.Warn("supervisor", "event", event.String())
 	}
 }
-
--- /dev/null
+++ b/internal/route/allotter/allotter.go
@@ -0,0 +1,282 @@
+// Package allotter keeps organisations within their quotas over all daemons.
+//
+// # The load it answers
+//
+// Clients spread unevenly over daemons, and one organisation may suddenly send
+// several times its usual. Equal shares would refuse most of an organisation's
+// requests at the daemon that its clients happen to use while the quota is
+// mostly unused. So each daemon keeps the whole fleet's token bucket: its own
+// charges count exactly, those of others as their running totals come in, and
+// in between by their last rate. What the others charged unseen makes the
+// bucket's level negative, and is paid back before more is admitted.
+//
+// # When others are silent
+//
+// A daemon that has not been heard for [silence] may be dead, or cut off and
+// still serving. Until it is forgotten, an equal part of the quota is set aside
+// for it: both sides of a cut then stay within the quota together. A daemon that
+// has just started sets aside the parts of all others until it has heard them,
+// and takes over the lowest level that they report.
+//
+// # Usage
+//
+//	if after := a.Admit(organisation, charge); after > 0 { refuse }
+//	a.Heard(host, incarnation, accounts)
+package allotter
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"brasschute/internal/config/catalog"
+	"brasschute/internal/core/identifier"
+)
+
+const (
+	// silence is several periods of the exchange of digests.
+	silence = 4 * time.Second
+	// memory is how long a silent daemon's part is set aside. A killed process
+	// is back within a few seconds; one that is gone for good is not.
+	memory = 30 * time.Second
+	// extrapolate bounds for how long a daemon's last rate is carried on.
+	extrapolate = 3 * time.Second
+	// usedPart is the part of the tolerated overage that is given out: without
+	// it news that comes late would refuse requests below the limit. The rest is
+	// for a sudden load at all daemons at once.
+	usedPart = 0.5
+	// leastRetry and mostRetry bound what a refused client is told; the
+	// spread keeps the refused from returning together.
+	leastRetry = 300 * time.Millisecond
+	mostRetry  = 3 * time.Second
+)
+
+// Config says what the quotas are judged by.
+type Config struct {
+	// Window is the span over which a quota holds; Overage, a part of it, and
+	// Slack, in the unit of charges, are tolerated beyond.
+	Window  time.Duration
+	Overage float64
+	Slack   float64
+	// Daemons estimates the number of daemons before any was heard.
+	Daemons int
+}
+
+// Account is what one daemon tells of an organisation.
+type Account struct {
+	// Total is all that it charged since its start.
+	Total float64
+	// Level is its estimate of the fleet's bucket.
+	Level float64
+}
+
+// bucket is the fleet's, as this daemon sees it.
+type bucket struct {
+	level float64
+	at    time.Time
+	own   float64
+	// rate and burst are those in force, after the silent daemons' parts.
+	rate  float64
+	burst float64
+}
+
+func (b *bucket) refill(now time.Time) {
+	b.level = min(b.burst, b.level+b.rate*now.Sub(b.at).Seconds())
+	b.at = now
+}
+
+// remote is what one other daemon charged.
+type remote struct {
+	heard time.Time
+	byOrg map[identifier.Organisation]*count
+}
+
+type count struct{ total, rate float64 }
+
+type remoteKey struct {
+	host        identifier.Host
+	incarnation uint64
+}
+
+// Allotter admits requests. It is safe for concurrent use.
+type Allotter struct {
+	c     Config
+	start time.Time
+
+	mu      sync.Mutex
+	buckets map[identifier.Organisation]*bucket
+	others  map[remoteKey]*remote
+	// low holds the levels that were taken over.
+	low map[identifier.Organisation]float64
+}
+
+// New returns an allotter that has charged nothing.
+func New(c Config) *Allotter {
+	return &Allotter{
+		c: c, start: time.Now(), buckets: make(map[identifier.Organisation]*bucket),
+		others: make(map[remoteKey]*remote), low: make(map[identifier.Organisation]float64),
+	}
+}
+
+// Verdict is the answer to one request, with the inputs that decided it.
+type Verdict struct {
+	// RetryAfter is when there may be room, 0 if the request was admitted.
+	RetryAfter time.Duration
+	// Level is what the fleet's bucket held, and Rate its refill in a second.
+	Level float64
+	Rate  float64
+	// Reserved is the part set aside for daemons that are not heard.
+	Reserved float64
+}
+
+// Admit charges a request to its organisation, unless there is no room for it.
+func (a *Allotter) Admit(o *catalog.Organisation, charge float64) Verdict {
+	if o == nil {
+		return Verdict{}
+	}
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	b := a.bucket(o, now)
+	v := Verdict{Level: b.level - a.unseen(o.Name, now), Rate: b.rate, Reserved: a.reserved(now)}
+	if o.RatePerSecond > 0 {
+		if missing := charge - v.Level; missing > 0 {
+			v.RetryAfter = retry(missing, b.rate)
+			return v
+		}
+	}
+	b.level -= charge
+	b.own += charge
+	return v
+}
+
+// rate is what a quota gives out in a second: the stated rate, and a part of
+// what is tolerated beyond the quota within a window.
+func (a *Allotter) rate(o *catalog.Organisation) float64 {
+	window := a.c.Window.Seconds()
+	tolerated := (o.RatePerSecond*window+o.Burst)*a.c.Overage + a.c.Slack
+	return o.RatePerSecond + usedPart*tolerated/window
+}
+
+// bucket returns an organisation's bucket as of now.
+func (a *Allotter) bucket(o *catalog.Organisation, now time.Time) *bucket {
+	part := 1 - a.reserved(now)
+	b := a.buckets[o.Name]
+	if b == nil {
+		b = &bucket{level: o.Burst * part, at: now, burst: o.Burst * part}
+		if level, ok := a.low[o.Name]; ok {
+			b.level = min(b.level, level)
+		}
+		a.buckets[o.Name] = b
+	}
+	b.refill(now)
+	b.rate, b.burst = a.rate(o)*part, o.Burst*part
+	return b
+}
+
+func retry(missing, rate float64) time.Duration {
+	wait := mostRetry
+	if rate > 0 {
+		wait = time.Duration(missing / rate * float64(time.Second))
+	}
+	wait = min(max(wait, leastRetry), mostRetry)
+	return wait + rand.N(wait/2)
+}
+
+// unseen estimates what the other daemons charged since they were heard.
+func (a *Allotter) unseen(o identifier.Organisation, now time.Time) float64 {
+	charged := 0.0
+	for _, r := range a.others {
+		if n := r.byOrg[o]; n != nil && now.Sub(r.heard) < extrapolate {
+			charged += n.rate * now.Sub(r.heard).Seconds()
+		}
+	}
+	return charged
+}
+
+// reserved is the part of each quota that is set aside for daemons that are
+// not heard.
+func (a *Allotter) reserved(now time.Time) float64 {
+	latest := make(map[identifier.Host]time.Time, len(a.others))
+	for k, r := range a.others {
+		if now.Sub(r.heard) > memory {
+			delete(a.others, k)
+			continue
+		}
+		if r.heard.After(latest[k.host]) {
+			latest[k.host] = r.heard
+		}
+	}
+	silent, all := 0, len(latest)+1
+	for _, heard := range latest {
+		if now.Sub(heard) > silence {
+			silent++
+		}
+	}
+	if now.Sub(a.start) < silence && all < a.c.Daemons {
+		silent += a.c.Daemons - all
+		all = a.c.Daemons
+	}
+	return float64(silent) / float64(all)
+}
+
+// Accounts returns what is to be told to the others.
+func (a *Allotter) Accounts() map[identifier.Organisation]Account {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	out := make(map[identifier.Organisation]Account, len(a.buckets))
+	now := time.Now()
+	for name, b := range a.buckets {
+		b.refill(now)
+		out[name] = Account{Total: b.own, Level: b.level}
+	}
+	return out
+}
+
+// Heard takes in another daemon's accounts. What it charged since it was heard
+// last is taken from the bucket now.
+func (a *Allotter) Heard(host identifier.Host, incarnation uint64, accounts map[identifier.Organisation]Account) {
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	k := remoteKey{host, incarnation}
+	r := a.others[k]
+	first := r == nil
+	if first {
+		r = &remote{byOrg: make(map[identifier.Organisation]*count)}
+		a.others[k] = r
+	}
+	since := now.Sub(r.heard).Seconds()
+	for name, account := range accounts {
+		n := r.byOrg[name]
+		if n == nil {
+			n = new(count)
+			r.byOrg[name] = n
+		}
+		delta := max(account.Total-n.total, 0)
+		n.total = max(n.total, account.Total)
+		if first && now.Sub(a.start) < silence {
+			// All that it charged before this daemon started is in its level.
+			a.adopt(name, account.Level)
+			continue
+		}
+		if b := a.buckets[name]; b != nil {
+			b.refill(now)
+			b.level -= delta
+		}
+		if since > 0 && !first {
+			n.rate = delta / since
+		}
+	}
+	r.heard = now
+}
+
+// adopt takes over the level that a daemon with a longer memory reports.
+func (a *Allotter) adopt(o identifier.Organisation, level float64) {
+	if old, ok := a.low[o]; !ok || level < old {
+		a.low[o] = level
+	}
+	if b := a.buckets[o]; b != nil {
+		b.level = min(b.level, level)
+	}
+}
--- a/internal/route/budgeter/budgeter.go
+++ b/internal/route/budgeter/budgeter.go
@@ -15,25 +15,43 @@
 import "sync"
 
 const (
-	share   = 0.2
-	reserve = 50
+	defaultShare   = 0.2
+	defaultReserve = 50
 )
 
+// Config sets the bound.
+type Config struct {
+	// Share is the part of a retry that a request earns; 0.2 if zero.
+	Share float64
+	// Reserve is how many retries may be saved up; 50 if zero.
+	Reserve float64
+}
+
 // Budgeter counts retries that may be made. The zero value is empty; New
 // starts with a full reserve.
 type Budgeter struct {
-	mu     sync.Mutex
-	tokens float64
+	mu      sync.Mutex
+	share   float64
+	reserve float64
+	tokens  float64
 }
 
 // New returns a budgeter with a full reserve.
-func New() *Budgeter { return &Budgeter{tokens: reserve} }
+func New(c Config) *Budgeter {
+	if c.Share == 0 {
+		c.Share = defaultShare
+	}
+	if c.Reserve == 0 {
+		c.Reserve = defaultReserve
+	}
+	return &Budgeter{share: c.Share, reserve: c.Reserve, tokens: c.Reserve}
+}
 
 // Earn credits one request.
 func (b *Budgeter) Earn() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.tokens = min(b.tokens+share, reserve)
+	b.tokens = min(b.tokens+b.share, b.reserve)
 }
 
 // Spend takes one retry; false means that there is none left.
--- a/internal/serve/placer/placer.go
+++ b/internal/serve/placer/placer.go
@@ -46,7 +46,7 @@
 	homeTokens identifier.Tokens = 1000
 	// prefillPerSecond is the number of prompt tokens that an engine is taken
 	// to read in a second until its answers show how slow it is.
-	prefillPerSecond = 50_000
+	prefillPerSecond = 40_000
 	// decodePerSecond is the number of tokens that one stream gets in a second.
 	decodePerSecond = 100
 	// plainSlots bounds the requests of this host at one plain endpoint, whose
--- a/internal/serve/receiver/receiver.go
+++ b/internal/serve/receiver/receiver.go
@@ -23,6 +23,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"sync"
@@ -32,6 +33,7 @@
 	"brasschute/internal/config/catalog"
 	"brasschute/internal/config/versioner"
 	"brasschute/internal/core/identifier"
+	"brasschute/internal/route/allotter"
 	"brasschute/internal/serve/refusal"
 	"brasschute/internal/serve/relayer"
 	"brasschute/internal/serve/request"
@@ -56,8 +58,7 @@
 
 // Quota admits requests within their organisations' quotas.
 type Quota interface {
-	// Admit returns 0, or when there will be room for the request.
-	Admit(q *request.Request) (retryAfter time.Duration)
+	Admit(q *request.Request) allotter.Verdict
 }
 
 // Observer is told of each request's end.
@@ -147,9 +148,11 @@
 
 func (v *Receiver) serve(w http.ResponseWriter, r *http.Request, c *catalog.Catalog, q *request.Request) {
 	v.c.Arrived(q)
-	if after := v.c.Quota.Admit(q); after > 0 {
+	if verdict := v.c.Quota.Admit(q); verdict.RetryAfter > 0 {
 		v.refuse(w, q, &relayer.Result{Outcome: relayer.NotRun, Refusal: &relayer.Refusal{
-			Status: http.StatusTooManyRequests, Reason: "not run: over the organisation's quota", RetryAfter: after,
+			Status: http.StatusTooManyRequests, RetryAfter: verdict.RetryAfter,
+			Reason: fmt.Sprintf("not run: over the organisation's quota: charge %.0f, left %.0f, %.0f a second, %.2f set aside",
+				q.Charge(), verdict.Level, verdict.Rate, verdict.Reserved),
 		}})
 		return
 	}
--- a/internal/serve/relayer/relayer.go
+++ b/internal/serve/relayer/relayer.go
@@ -75,6 +75,15 @@
 	Budget   Budget
 	// Began is told once of each request that began to run.
 	Began func(*request.Request)
+	// Demand is told of placed and refused requests.
+	Demand Demand
+}
+
+// Demand measures what is asked of services.
+type Demand interface {
+	Placed(s identifier.Service, uncached identifier.Tokens)
+	Ended(s identifier.Service)
+	Refused(s identifier.Service)
 }
 
 // Outcome says how a request ended.
@@ -203,6 +212,7 @@
 	pick, d := j.r.c.Placer.Place(j.q, j.service, j.tried)
 	if pick == nil {
 		j.res.Excluded = d.Excluded
+		j.r.c.Demand.Refused(j.q.Service)
 		j.giveUp("no endpoint can serve", shortage)
 		return nil, true
 	}
@@ -235,7 +245,12 @@
 // attempt sends the request to one endpoint and relays the answer.
 func (j *job) attempt(ctx context.Context, pick *registry.Pick) error {
 	result := registry.Neutral
-	defer func() { j.r.c.Registry.Release(pick, result) }()
+	uncached := j.q.PromptTokens - j.res.Attempts[len(j.res.Attempts)-1].Cached
+	j.r.c.Demand.Placed(j.q.Service, uncached)
+	defer func() {
+		j.r.c.Registry.Release(pick, result)
+		j.r.c.Demand.Ended(j.q.Service)
+	}()
 	// Time has passed since the choice when the request waited; a leaving
 	// endpoint must not get it any more.
 	if !j.r.c.Registry.Usable(pick) {
