gateway: configuration and leaving endpoints spread by digests; short watches

Cause: a store that drops its history leaves open watches silent until the next change (410 came 5 s late), and one that turns some daemons away leaves these with an old configuration. Ruled out: lost connections (the watch stayed open), stale lists. Change: a watch lasts 0.6 of the shortest bound; a peer's digest with a higher number makes a daemon fetch that configuration; buckets of quotas start empty.

--- a/internal/config/deployment/deployment.go
+++ b/internal/config/deployment/deployment.go
@@ -27,6 +27,8 @@
 type Bounds struct {
 	// DrainTime is how long a leaving endpoint still takes requests.
 	DrainTime time.Duration
+	// ApplyTime is how long an accepted configuration may take to be in force.
+	ApplyTime time.Duration
 	// Grace is the time between the order to stop and the kill.
 	Grace time.Duration
 	// LeaseTime is the shortest time between two holders of a duty.
@@ -116,7 +118,7 @@
 		field string
 		value time.Duration
 	}{
-		{"drain time", d.Bounds.DrainTime}, {"grace time", d.Bounds.Grace}, {"lease time", d.Bounds.LeaseTime},
+		{"drain time", d.Bounds.DrainTime}, {"apply time", d.Bounds.ApplyTime}, {"grace time", d.Bounds.Grace}, {"lease time", d.Bounds.LeaseTime},
 		{"retry window", d.Bounds.RetryWindow}, {"quota window", d.Bounds.QuotaWindow},
 		{"usage window", d.Bounds.UsageWindow},
 	} {
--- a/internal/peer/swapper/swapper.go
+++ b/internal/peer/swapper/swapper.go
@@ -17,6 +17,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"sync"
 	"time"
@@ -238,12 +239,21 @@
 	var last error
 	for _, address := range s.Known() {
 		one, cancel := context.WithTimeout(ctx, callTimeout)
-		reply, err := rpc.NewFleetProtobufClient("http://"+address, s.c.Client).Snapshot(one, &rpc.SnapshotRequest{})
+		objects, err := s.AskOne(one, address)
 		cancel()
-		if err == nil && len(reply.GetObjects()) > 0 {
-			return reply.GetObjects(), nil
+		if err == nil && len(objects) > 0 {
+			return objects, nil
 		}
 		last = err
 	}
 	return nil, last
 }
+
+// AskOne returns the snapshot of the peer at an address.
+func (s *Swapper) AskOne(ctx context.Context, address string) ([]*rpc.StoredObject, error) {
+	reply, err := rpc.NewFleetProtobufClient("http://"+address, s.c.Client).Snapshot(ctx, &rpc.SnapshotRequest{})
+	if err != nil {
+		return nil, fmt.Errorf("snapshot of %s: %w", address, err)
+	}
+	return reply.GetObjects(), nil
+}
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -74,9 +74,11 @@
 	balancerLag = 3 * time.Second
 	// stopMargin is left of the grace time for the process to end by itself.
 	stopMargin = 500 * time.Millisecond
-	// watchWait is the longest that one watch stays open. Silence is noticed
-	// by the kernel's probes (package platform), so it need not be short.
-	watchWait = 25 * time.Second
+	// watchPart of the time within which a change must be in force is how long
+	// one watch stays open. A store that drops its history leaves open watches
+	// waiting, without the changes made meanwhile; only the next call learns of
+	// the gap. What is left of the time is for a list and a pause after an error.
+	watchPart = 0.6
 	// prunePause is well below the shortest time that an endpoint keeps an idle
 	// connection (whole seconds).
 	prunePause   = 500 * time.Millisecond
@@ -122,6 +124,8 @@
 
 	stopping atomic.Bool
 	listed   atomic.Bool
+	// fetching: a newer configuration is on its way from a peer.
+	fetching atomic.Bool
 
 	mu      sync.Mutex
 	budgets map[identifier.Service]*budgeter.Budgeter
@@ -188,7 +192,8 @@
 func (g *Gateway) follow(what, kind string, apply func(object.Object)) *watcher.Watcher {
 	var lost time.Time
 	return watcher.New(watcher.Config{
-		Platform: g.store, Sink: sink(apply), Prefixes: []string{kind}, Wait: watchWait,
+		Platform: g.store, Sink: sink(apply), Prefixes: []string{kind},
+		Wait: time.Duration(watchPart * float64(min(g.c.Deployment.Bounds.ApplyTime, g.c.Deployment.Bounds.DrainTime))),
 		Report: func(err error) {
 			switch {
 			case err != nil && lost.IsZero():
--- a/internal/role/gateway/news.go
+++ b/internal/role/gateway/news.go
@@ -10,6 +10,7 @@
 	"brasschute/internal/core/waiter"
 	"brasschute/internal/peer/rpc"
 	"brasschute/internal/peer/swapper"
+	"brasschute/internal/platform/inventory"
 	"brasschute/internal/platform/object"
 	"brasschute/internal/route/allotter"
 	"brasschute/internal/route/budgeter"
@@ -20,6 +21,11 @@
 const (
 	// askPause is how often a daemon that knows no configuration asks peers.
 	askPause = 300 * time.Millisecond
+	// fetchTimeout bounds the fetch of a configuration from a peer: up to a
+	// megabyte within a region.
+	fetchTimeout = time.Second
+	// firstIncarnation is that of every endpoint: each start has a new id.
+	firstIncarnation identifier.Incarnation = 1
 	// peerIdle keeps connections between peers open over several periods.
 	peerIdle = 30 * time.Second
 )
@@ -68,9 +74,8 @@
 			TokensPerSecond: n.Tokens, RefusedPerSecond: n.Refused,
 		})
 	}
-	if g.swapper != nil {
-		out.Peers = g.swapper.Lately()
-	}
+	out.Leaving = g.leaving()
+	out.Peers = g.swapper.Lately()
 	return out
 }
 
@@ -82,9 +87,55 @@
 		accounts[identifier.Organisation(c.GetOrganisation())] = allotter.Account{Total: c.GetTotal(), Level: c.GetLevel()}
 	}
 	g.allotter.Heard(host, d.GetIncarnation(), accounts)
+	g.spread(d)
 	g.clock.Heard(host, time.UnixMilli(d.GetUnixMilli()))
 }
 
+// spread takes over what a peer believes and this daemon does not know yet: the
+// store may turn some daemons away, or be cut off from them, while it serves the
+// others.
+func (g *Gateway) spread(d *rpc.Digest) {
+	for _, id := range d.GetLeaving() {
+		if g.registry.MarkLeaving(identifier.Host(id), firstIncarnation, time.Time{}) {
+			g.c.Logger.Info("endpoint leaving", "endpoint", id, "source", d.GetHost())
+		}
+	}
+	c := g.versioner.InForce()
+	if c != nil && uint64(c.Number()) < d.GetConfigurationNumber() && g.fetching.CompareAndSwap(false, true) {
+		go func() {
+			defer g.fetching.Store(false)
+			g.fetch(d.GetAddress())
+		}()
+	}
+}
+
+// fetch takes the configuration from a peer that has a newer one.
+func (g *Gateway) fetch(address string) {
+	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+	defer cancel()
+	objects, err := g.swapper.AskOne(ctx, address)
+	if err != nil {
+		g.c.Logger.Warn("newer configuration not fetched from a peer", "address", address, "error", err)
+		return
+	}
+	for _, o := range objects {
+		if o.GetKey() == platform.CatalogKey {
+			g.configuration(object.Object{Key: o.GetKey(), Version: o.GetVersion(), Value: o.GetValue()})
+		}
+	}
+}
+
+// leaving lists the endpoints that are listed and known to leave.
+func (g *Gateway) leaving() []string {
+	var out []string
+	for _, h := range g.registry.Hosts() {
+		if h.State == inventory.StateLeaving {
+			out = append(out, string(h.Host))
+		}
+	}
+	return out
+}
+
 // remember keeps an object as the store has it.
 func (g *Gateway) remember(o object.Object) {
 	g.mu.Lock()
--- a/internal/route/allotter/allotter.go
+++ b/internal/route/allotter/allotter.go
@@ -163,7 +163,9 @@
 	part := 1 - a.reserved(now)
 	b := a.buckets[o.Name]
 	if b == nil {
-		b = &bucket{level: o.Burst * part, at: now, burst: o.Burst * part}
+		// Empty: what the daemons before this one gave out of the burst is not
+		// known. It fills up before a new fleet's first clients come.
+		b = &bucket{at: a.start, burst: o.Burst * part, rate: a.rate(o) * part}
 		if level, ok := a.low[o.Name]; ok {
 			b.level = min(b.level, level)
 		}
