sizer: on-demand engines stand in for reclaimable ones that are not to be had

Cause: the wanted reclaimable engines took up the zone's maximum, so nothing replaced them while none were to be had; from 18 to 44 s one request in two failed.

--- a/internal/fleet/orderer/orderer.go
+++ b/internal/fleet/orderer/orderer.go
@@ -43,8 +43,8 @@
 	dryTime = 3 * time.Second
 	// firstNeed is the number of engines that a service is taken to need until
 	// its demand has been seen for firstTime.
-	firstNeed = 4
-	firstTime = 15 * time.Second
+	firstNeed = 6
+	firstTime = 14 * time.Second
 )
 
 // Config names the orderer's collaborators.
--- a/internal/fleet/sizer/sizer.go
+++ b/internal/fleet/sizer/sizer.go
@@ -43,6 +43,10 @@
 	// headroom covers what comes within the time that an engine takes to
 	// start: bursts of 1.7 times the usual load.
 	headroom = 1.7
+	// riskShare is the part of the live reclaimable endpoints that is counted on
+	// once some zone has none to be had: reclaims come in waves, and a
+	// replacement takes as long to start as the next zone takes to go.
+	riskShare = 0.6
 )
 
 // Zone is what a service has in one zone: endpoints that are not leaving.
@@ -78,41 +82,57 @@
 
 // Size decides for all zones.
 func Size(in *Input) []Wanted {
-	need := max(Need(in.Demand), in.Floor) * headroom
+	need := max(Need(in.Demand), in.Floor)
 	zones := slices.Clone(in.Zones)
 	slices.SortFunc(zones, func(a, b Zone) int {
 		return cmp.Or(cmp.Compare(in.Scale.Prices[a.Zone], in.Scale.Prices[b.Zone]), cmp.Compare(a.Zone, b.Zone))
 	})
 	least := max(in.Scale.Min, 1)
 	out := make([]Wanted, len(zones))
-	have := 0
 	for i, z := range zones {
 		out[i] = Wanted{Zone: z.Zone, OnDemand: least}
-		have += least
 	}
 	if in.Scale.ReclaimablePrice > 0 && in.Scale.ReclaimablePrice < 1 && len(zones) > 1 {
-		reclaimable(in, zones, out, need-float64(have))
-	}
-	live := 0
-	for _, z := range zones {
-		live += z.Reclaimable
-	}
-	missing := int(math.Ceil(need/headroom)) - have - live
-	for i := 0; missing > 0 && i < len(out)*in.Scale.Max; i++ {
-		w := &out[i%len(out)]
-		if w.OnDemand+w.Reclaimable < in.Scale.Max {
-			w.OnDemand++
-			missing--
-		}
+		reclaimable(in, zones, out, need*headroom-float64(least*len(zones)))
 	}
+	standIn(in, zones, out, need)
 	return out
 }
 
 // reclaimable spreads what lies above the on-demand endpoints over the zones,
-// so that any one zone's may go.
+// so that any one zone's may go. A dry zone keeps what it has.
 func reclaimable(in *Input, zones []Zone, out []Wanted, above float64) {
-	each := int(math.Ceil(max(above, 0) / float64(len(zones)-1)))
-	for i := range zones {
-		out[i].Reclaimable = min(max(each, 1), in.Scale.Max-out[i].OnDemand)
+	each := max(int(math.Ceil(max(above, 0)/float64(len(zones)-1))), 1)
+	for i, z := range zones {
+		out[i].Reclaimable = min(each, in.Scale.Max-max(out[i].OnDemand, z.OnDemand))
+		if z.Dry {
+			out[i].Reclaimable = z.Reclaimable
+		}
+	}
+}
+
+// standIn adds on-demand endpoints, in the cheapest zones first, for what the
+// live reclaimable ones do not carry.
+func standIn(in *Input, zones []Zone, out []Wanted, need float64) {
+	live, dry, have := 0, false, 0
+	for i, z := range zones {
+		live += z.Reclaimable
+		dry = dry || z.Dry
+		have += out[i].OnDemand
+	}
+	carried := float64(live)
+	if dry {
+		carried *= riskShare
+	}
+	missing := int(math.Ceil(need-carried)) - have
+	for added := true; missing > 0 && added; {
+		added = false
+		for i, z := range zones {
+			if missing > 0 && out[i].OnDemand+z.Reclaimable < in.Scale.Max {
+				out[i].OnDemand++
+				missing--
+				added = true
+			}
+		}
 	}
 }
