--- a/internal/route/allotter/allotter.go
+++ b/internal/route/allotter/allotter.go
@@ -41,10 +41,18 @@
 	memory = 30 * time.Second
 	// extrapolate bounds for how long a daemon's last rate is carried on.
 	extrapolate = 3 * time.Second
-	// usedPart is the part of the tolerated overage that is given out: without
-	// it news that comes late would refuse requests below the limit. The rest is
-	// for a sudden load at all daemons at once.
-	usedPart = 0.5
+	// unseenTime is the time's worth of a quota that is kept of the tolerated
+	// overage: a sudden load at all daemons at once goes unseen for a period of
+	// the digests. Measured, at eight times an organisation's usual load: 1.45 s.
+	unseenTime = 1900 * time.Millisecond
+	// usedPart of what the overage leaves is given out: without it, news that
+	// comes late would refuse requests below the limit.
+	usedPart = 0.8
+	// outdated is the age of news from which on a daemon's charges are not
+	// counted one by one: its level has absorbed them. To deduct the charges of
+	// several seconds at once from a bucket that was full meanwhile put a daemon
+	// that had heard nobody two seconds' worth of a quota below the others.
+	outdated = 2500 * time.Millisecond
 	// leastRetry and mostRetry bound what a refused client is told; the
 	// spread keeps the refused from returning together.
 	leastRetry = 300 * time.Millisecond
@@ -155,7 +163,8 @@
 func (a *Allotter) rate(o *catalog.Organisation) float64 {
 	window := a.c.Window.Seconds()
 	tolerated := (o.RatePerSecond*window+o.Burst)*a.c.Overage + a.c.Slack
-	return o.RatePerSecond + usedPart*tolerated/window
+	spare := max(tolerated-o.RatePerSecond*unseenTime.Seconds(), 0)
+	return o.RatePerSecond + usedPart*spare/window
 }
 
 // bucket returns an organisation's bucket as of now.
@@ -257,8 +266,8 @@
 		}
 		delta := max(account.Total-n.total, 0)
 		n.total = max(n.total, account.Total)
-		if first && now.Sub(a.start) < silence {
-			// All that it charged before this daemon started is in its level.
+		if first && now.Sub(a.start) < silence || !first && now.Sub(r.heard) > outdated {
+			// All that it charged meanwhile is in its level.
 			a.adopt(name, account.Level)
 			continue
 		}
