allotter: shares by demand when a quota's bucket runs low

Cause: all daemons gave out the last part of a bucket at once, unseen, and then refused everything until the news had passed (levels between +100 K and -700 K).

--- a/internal/role/gateway/news.go
+++ b/internal/role/gateway/news.go
@@ -66,7 +66,7 @@
 		out.Counts = append(out.Counts, &rpc.WindowCount{Window: n.Window, Organisation: string(n.Organisation), Count: uint32(n.Requests)})
 	}
 	for name, account := range g.allotter.Accounts() {
-		out.Charges = append(out.Charges, &rpc.Charge{Organisation: string(name), Total: account.Total, Level: account.Level})
+		out.Charges = append(out.Charges, &rpc.Charge{Organisation: string(name), Total: account.Total, Level: account.Level, AskedPerSecond: account.Asked})
 	}
 	for name, n := range g.demander.Demands() {
 		out.Demands = append(out.Demands, &rpc.Demand{
@@ -84,7 +84,7 @@
 	host := identifier.Host(d.GetHost())
 	accounts := make(map[identifier.Organisation]allotter.Account, len(d.GetCharges()))
 	for _, c := range d.GetCharges() {
-		accounts[identifier.Organisation(c.GetOrganisation())] = allotter.Account{Total: c.GetTotal(), Level: c.GetLevel()}
+		accounts[identifier.Organisation(c.GetOrganisation())] = allotter.Account{Total: c.GetTotal(), Level: c.GetLevel(), Asked: c.GetAskedPerSecond()}
 	}
 	g.allotter.Heard(host, d.GetIncarnation(), accounts)
 	g.spread(d)
--- a/internal/route/allotter/allotter.go
+++ b/internal/route/allotter/allotter.go
@@ -10,6 +10,11 @@
 // in between by their last rate. What the others charged unseen makes the
 // bucket's level negative, and is paid back before more is admitted.
 //
+// While the fleet's bucket is well filled, or less is asked for than flows into
+// it, it alone decides. Under a higher demand, when it runs low, all daemons would empty its last part at once and then refuse everything until
+// the news of it has passed: so from there on each gives out only its share of
+// the rate, in proportion to what its clients ask for.
+//
 // # When others are silent
 //
 // A daemon that has not been heard for [silence] may be dead, or cut off and
@@ -25,6 +30,7 @@
 package allotter
 
 import (
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -53,6 +59,13 @@
 	// several seconds at once from a bucket that was full meanwhile put a daemon
 	// that had heard nobody two seconds' worth of a quota below the others.
 	outdated = 2500 * time.Millisecond
+	// lowPart of the burst is the level below which shares decide: what all
+	// daemons give out unseen within a period of the digests.
+	lowPart = 0.7
+	// demandHalf is the time in which an old demand loses half of its weight.
+	demandHalf = time.Second
+	// leastShare is the part of an equal share that every daemon has.
+	leastShare = 0.25
 	// leastRetry and mostRetry bound what a refused client is told; the
 	// spread keeps the refused from returning together.
 	leastRetry = 300 * time.Millisecond
@@ -76,6 +89,8 @@
 	Total float64
 	// Level is its estimate of the fleet's bucket.
 	Level float64
+	// Asked is what its clients ask for in a second, refused or not.
+	Asked float64
 }
 
 // bucket is the fleet's, as this daemon sees it.
@@ -86,20 +101,42 @@
 	// rate and burst are those in force, after the silent daemons' parts.
 	rate  float64
 	burst float64
+	// share is this daemon's part of the fleet's demand; part is a bucket that
+	// fills with that share of the rate. asked is the demand here, all that of
+	// the fleet.
+	share float64
+	all   float64
+	part  float64
+	asked float64
 }
 
 func (b *bucket) refill(now time.Time) {
-	b.level = min(b.burst, b.level+b.rate*now.Sub(b.at).Seconds())
+	passed := now.Sub(b.at).Seconds()
+	b.level = min(b.burst, b.level+b.rate*passed)
+	b.part = min(b.share*b.burst, b.part+b.share*b.rate*passed)
+	b.asked *= math.Exp2(-passed / demandHalf.Seconds())
 	b.at = now
 }
 
+// missing tells how much of a charge there is no room for; none if it is
+// not above zero.
+func (b *bucket) missing(charge, level float64) float64 {
+	missing := charge - level
+	if level < lowPart*b.burst && b.all > b.rate {
+		missing = max(missing, min(charge, b.share*b.burst)-b.part)
+	}
+	return missing
+}
+
 // remote is what one other daemon charged.
 type remote struct {
 	heard time.Time
 	byOrg map[identifier.Organisation]*count
 }
 
-type count struct{ total, rate float64 }
+// count is one organisation's: rate is what it charges in a second, asked what
+// its clients ask for.
+type count struct{ total, rate, asked float64 }
 
 type remoteKey struct {
 	host        identifier.Host
@@ -146,14 +183,16 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	b := a.bucket(o, now)
+	b.asked += charge * math.Ln2 / demandHalf.Seconds()
 	v := Verdict{Level: b.level - a.unseen(o.Name, now), Rate: b.rate, Reserved: a.reserved(now)}
 	if o.RatePerSecond > 0 {
-		if missing := charge - v.Level; missing > 0 {
-			v.RetryAfter = retry(missing, b.rate)
+		if missing := b.missing(charge, v.Level); missing > 0 {
+			v.RetryAfter = retry(missing, b.rate*b.share)
 			return v
 		}
 	}
 	b.level -= charge
+	b.part = max(b.part-charge, -b.share*b.burst)
 	b.own += charge
 	return v
 }
@@ -182,6 +221,7 @@
 	}
 	b.refill(now)
 	b.rate, b.burst = a.rate(o)*part, o.Burst*part
+	b.share, b.all = a.share(o.Name, b.asked)
 	return b
 }
 
@@ -205,6 +245,24 @@
 	return charged
 }
 
+// share is this daemon's part of what is asked of an organisation's quota, and
+// all that is asked.
+func (a *Allotter) share(o identifier.Organisation, asked float64) (share, all float64) {
+	daemons := 1
+	all = asked
+	for _, r := range a.others {
+		daemons++
+		if n := r.byOrg[o]; n != nil {
+			all += n.asked
+		}
+	}
+	equal := 1 / float64(daemons)
+	if all <= 0 {
+		return equal, 0
+	}
+	return max(asked/all, leastShare*equal), all
+}
+
 // reserved is the part of each quota that is set aside for daemons that are
 // not heard.
 func (a *Allotter) reserved(now time.Time) float64 {
@@ -239,7 +297,7 @@
 	now := time.Now()
 	for name, b := range a.buckets {
 		b.refill(now)
-		out[name] = Account{Total: b.own, Level: b.level}
+		out[name] = Account{Total: b.own, Level: b.level, Asked: b.asked}
 	}
 	return out
 }
@@ -264,6 +322,7 @@
 			n = new(count)
 			r.byOrg[name] = n
 		}
+		n.asked = account.Asked
 		delta := max(account.Total-n.total, 0)
 		n.total = max(n.total, account.Total)
 		if first && now.Sub(a.start) < silence || !first && now.Sub(r.heard) > outdated {
