--- a/internal/ops/commander/commander.go
+++ b/internal/ops/commander/commander.go
@@ -22,6 +22,7 @@
 	"os/signal"
 	"syscall"
 
+	"brasschute/internal/config/deployment"
 	"brasschute/internal/config/settings"
 	"brasschute/internal/ops/logger"
 	"brasschute/internal/ops/queuer"
@@ -256,7 +257,13 @@
 // gateway runs a daemon on the hosting platform. Its log goes to standard
 // output, through a queue that never blocks the daemon.
 func (k *Commander) gateway(ctx context.Context) error {
-	d, err := platform.ReadDeployment(os.Getenv(platform.SettingsVariable))
+	// By default a hang-up would end the process, and so would a write to a log
+	// that nobody reads any more.
+	hint := make(chan os.Signal, 1)
+	signal.Notify(hint, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE)
+	path := os.Getenv(platform.SettingsVariable)
+	d, err := platform.ReadDeployment(path)
 	if err != nil {
 		return err
 	}
@@ -264,7 +271,8 @@
 	defer lines.Flush()
 	go func() { _ = lines.Serve(context.WithoutCancel(ctx)) }()
 	g, err := gateway.New(gateway.Config{
-		Deployment: d, Logger: logger.New(logger.Config{Level: "info", Format: "json", Output: lines, Host: string(d.Host)}),
+		Deployment: d, Read: func() (*deployment.Deployment, error) { return platform.ReadDeployment(path) }, Hint: hint,
+		Logger: logger.New(logger.Config{Level: "info", Format: "json", Output: lines, Host: string(d.Host)}),
 	})
 	if err != nil {
 		return err
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -31,6 +31,8 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
+	"reflect"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -83,6 +85,9 @@
 	// connection (whole seconds).
 	prunePause   = 500 * time.Millisecond
 	reportPeriod = time.Second
+	// rereadPause is how often the settings are looked at without a hint; they
+	// are a few kilobytes.
+	rereadPause = 5 * time.Second
 	// headerBytes and the times bound what clients send; they are above what
 	// configurations ask of well-behaved clients.
 	headerBytes   = 16 << 10
@@ -94,6 +99,11 @@
 type Config struct {
 	Deployment *deployment.Deployment
 	Logger     *log.Logger
+	// Read reads the deployment again, which may change while the daemon runs;
+	// nil if it does not.
+	Read func() (*deployment.Deployment, error)
+	// Hint receives when the deployment is said to have changed; may be nil.
+	Hint <-chan os.Signal
 }
 
 // Gateway is one daemon.
@@ -172,6 +182,9 @@
 	g.tree.Add(g.follow("configuration", platform.CatalogKind, g.configuration))
 	g.tree.Add(g.follow("endpoints", platform.EndpointKind, g.endpoint))
 	g.tree.Add(service(g.prune))
+	if g.c.Read != nil {
+		g.tree.Add(service(g.reread))
+	}
 	g.buildPeers()
 	g.buildDuties()
 }
@@ -245,6 +258,34 @@
 		e.Host.Endpoints[0].Pool, "address", e.Host.Endpoints[0].Address, "state", e.Host.State, "reclaimable", e.Host.Class == document.ClassReclaimable)
 }
 
+// reread takes over a changed deployment: on a hint, and now and then without
+// one. Only the seeds can change what a running daemon does; an unreadable file
+// leaves everything as it is.
+func (g *Gateway) reread(ctx context.Context) error {
+	seen := g.c.Deployment
+	tick := time.NewTicker(rereadPause)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-g.c.Hint:
+		case <-tick.C:
+		}
+		d, err := g.c.Read()
+		switch {
+		case err != nil:
+			g.c.Logger.Error("settings not read again, the old ones stay in force", "error", err)
+		case !reflect.DeepEqual(d, seen):
+			seen = d
+			g.c.Logger.Info("settings read again", "seeds", len(d.Seeds))
+			for _, seed := range d.Seeds {
+				g.swapper.Add(seed.String())
+			}
+		}
+	}
+}
+
 func (g *Gateway) prune(ctx context.Context) error {
 	return waiter.Every(ctx, prunePause, func(context.Context) {
 		addresses := make(map[string]bool)
--- a/internal/role/gateway/news.go
+++ b/internal/role/gateway/news.go
@@ -16,6 +16,8 @@
 	"brasschute/internal/route/budgeter"
 	"brasschute/internal/serve/request"
 	"brasschute/platform"
+
+	"github.com/thejerf/suture/v4"
 )
 
 const (
@@ -163,10 +165,10 @@
 	for ctx.Err() == nil && (g.versioner.InForce() == nil || !g.listed.Load()) {
 		waiter.For(ctx, askPause)
 		if g.versioner.InForce() != nil && g.listed.Load() {
-			return nil
+			return suture.ErrDoNotRestart
 		}
 		objects, err := g.swapper.Ask(ctx)
-		if err != nil {
+		if err != nil || len(objects) == 0 {
 			continue
 		}
 		g.c.Logger.Info("beliefs taken from a peer", "objects", len(objects))
@@ -174,8 +176,7 @@
 			g.take(object.Object{Key: o.GetKey(), Version: o.GetVersion(), Value: o.GetValue()})
 		}
 	}
-	<-ctx.Done()
-	return ctx.Err()
+	return suture.ErrDoNotRestart
 }
 
 func (g *Gateway) take(o object.Object) {
