--- a/internal/config/deployment/deployment.go
+++ b/internal/config/deployment/deployment.go
@@ -76,7 +76,9 @@
 	Orders  bool
 	// MemoryBytes is the limit at which the process is killed.
 	MemoryBytes int64
-	Bounds      Bounds
+	// FirstStart: the whole system starts for the first time.
+	FirstStart bool
+	Bounds     Bounds
 }
 
 // Check reports every field that a daemon can't run with, naming the file, the
--- a/internal/fleet/accountant/accountant.go
+++ b/internal/fleet/accountant/accountant.go
@@ -8,6 +8,13 @@
 // differ. So a window's counts are settled in the store by a conditional write
 // before they are first sent: whoever sends, sends what stands there.
 //
+// # When every daemon is killed
+//
+// The counts of an open window are known to all daemons, and so survive any one
+// of them. In case all are killed at once, the holder also keeps their sums in
+// the store, with the names of the daemons that they include: a successor adds
+// those that it has heard itself and that are not among them.
+//
 // # Usage
 //
 //	a := accountant.New(accountant.Config{...})
@@ -19,6 +26,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"brasschute/internal/core/identifier"
@@ -34,6 +42,11 @@
 	// kept is how many settled windows the object holds: more than can still
 	// be due.
 	kept = 8
+	// open is how many windows before the present one may still be open.
+	open = 2
+	// savePause is how old the saved counts may be: a fifth of a window, of
+	// which the tolerance of a report allows to miss a quarter.
+	savePause = time.Second
 )
 
 // Store holds the settled counts.
@@ -52,24 +65,45 @@
 	// counts of other daemons take to arrive.
 	Due    time.Duration
 	Settle time.Duration
-	// Count returns what all daemons counted in a window.
-	Count func(window int64) map[identifier.Organisation]int
+	// Counted returns what each daemon counted, as far as it is known.
+	Counted func() []Counted
+	// Organisations are those that a report names, counted or not.
+	Organisations func() []identifier.Organisation
 	// Report sends a window's counts.
-	Report func(ctx context.Context, fencing uint64, window int64, counts map[identifier.Organisation]int) error
+	Report func(ctx context.Context, fencing uint64, window int64, counts Counts) error
 	Logger *log.Logger
 }
 
-// settled is a window whose counts are final.
-type settled struct {
+// Source names one incarnation of a daemon.
+type Source uint64
+
+// Counts are numbers of requests.
+type Counts map[identifier.Organisation]int
+
+// Counted is what one daemon counted, by window.
+type Counted struct {
+	Source  Source
+	Windows map[int64]Counts
+}
+
+// window holds counts: final ones of a settled window, or those so far of an
+// open one.
+type window struct {
 	Window int64
-	Counts map[identifier.Organisation]int
+	Counts Counts
 }
 
-type record struct{ Windows []settled }
+// record is the store's object.
+type record struct {
+	Windows []window
+	// Open holds what was counted in windows that are not settled, by Sources.
+	Open    []window
+	Sources []Source
+}
 
-func (r *record) find(window int64) *settled {
+func (r *record) find(number int64) *window {
 	for i := range r.Windows {
-		if r.Windows[i].Window == window {
+		if r.Windows[i].Window == number {
 			return &r.Windows[i]
 		}
 	}
@@ -84,6 +118,10 @@
 	version uint64
 	known   bool
 	sent    map[int64]bool
+	// inherited are open windows as a predecessor left them, and from whom.
+	inherited []window
+	from      []Source
+	saved     time.Time
 }
 
 // New returns an accountant that has sent nothing.
@@ -113,43 +151,110 @@
 			delete(a.sent, window)
 		}
 	}
+	a.save(ctx)
+}
+
+// save keeps the open windows in the store.
+func (a *Accountant) save(ctx context.Context) {
+	if time.Since(a.saved) < savePause {
+		return
+	}
+	if !a.known {
+		if err := a.read(ctx); err != nil {
+			a.c.Logger.Warn("settled windows not read", "error", err)
+			return
+		}
+	}
+	if err := a.write(ctx, a.record.Windows); err != nil {
+		a.c.Logger.Warn("open windows not saved", "error", err)
+	}
 }
 
-func (a *Accountant) report(ctx context.Context, window int64) error {
-	s, err := a.settle(ctx, window)
+func (a *Accountant) report(ctx context.Context, number int64) error {
+	w, err := a.settle(ctx, number)
 	if err != nil {
 		return err
 	}
-	if err := a.c.Report(ctx, a.fencing, window, s.Counts); err != nil {
+	if err := a.c.Report(ctx, a.fencing, number, w.Counts); err != nil {
 		return err
 	}
-	a.sent[window] = true
-	a.c.Logger.Info("usage reported", "window", window, "fencing", a.fencing, "counts", fmt.Sprint(s.Counts))
+	a.sent[number] = true
+	a.c.Logger.Info("usage reported", "window", number, "fencing", a.fencing, "counts", fmt.Sprint(w.Counts))
 	return nil
 }
 
 // settle returns a window's final counts.
-func (a *Accountant) settle(ctx context.Context, window int64) (*settled, error) {
+func (a *Accountant) settle(ctx context.Context, number int64) (*window, error) {
 	if !a.known {
 		if err := a.read(ctx); err != nil {
 			return nil, err
 		}
 	}
-	if s := a.record.find(window); s != nil {
-		return s, nil
+	if w := a.record.find(number); w != nil {
+		return w, nil
+	}
+	next := append(slices.Clone(a.record.Windows), window{number, a.sum(number, a.c.Counted())})
+	if len(next) > kept {
+		next = next[len(next)-kept:]
+	}
+	if err := a.write(ctx, next); err != nil {
+		return nil, fmt.Errorf("settle: %w", err)
 	}
-	next := record{Windows: append(append([]settled(nil), a.record.Windows...), settled{window, a.c.Count(window)})}
-	if len(next.Windows) > kept {
-		next.Windows = next.Windows[len(next.Windows)-kept:]
+	return a.record.find(number), nil
+}
+
+// write stores settled windows and what is counted of open ones.
+func (a *Accountant) write(ctx context.Context, windows []window) error {
+	counted := a.c.Counted()
+	next := record{Windows: windows, Sources: slices.Clone(a.from)}
+	newest := a.c.Now().UnixNano() / int64(a.c.Window)
+	for number := newest - open; number <= newest; number++ {
+		if (&record{Windows: windows}).find(number) == nil {
+			next.Open = append(next.Open, window{number, a.sum(number, counted)})
+		}
+	}
+	for _, c := range counted {
+		if !slices.Contains(next.Sources, c.Source) {
+			next.Sources = append(next.Sources, c.Source)
+		}
 	}
 	o, err := a.c.Store.Put(ctx, Key, a.version, next)
 	if err != nil {
 		// Lost or refused: read again before anything is sent.
 		a.known = false
-		return nil, fmt.Errorf("settle: %w", err)
+		return err
+	}
+	a.record, a.version, a.saved = next, o.Version, time.Now()
+	return nil
+}
+
+// sum adds up a window: what was inherited, or what the same daemons are known
+// to have counted if that is more, and what others counted.
+func (a *Accountant) sum(number int64, counted []Counted) Counts {
+	out, same := make(Counts), make(Counts)
+	for _, o := range a.c.Organisations() {
+		out[o] = 0
+	}
+	for _, c := range counted {
+		into := out
+		if slices.Contains(a.from, c.Source) {
+			into = same
+		}
+		for o, n := range c.Windows[number] {
+			into[o] += n
+		}
+	}
+	for _, w := range a.inherited {
+		if w.Window == number {
+			for o, n := range w.Counts {
+				same[o] = max(same[o], n)
+			}
+		}
+	}
+	for o, n := range same {
+		out[o] += n
 	}
-	a.record, a.version = next, o.Version
-	return a.record.find(window), nil
+	return out
 }
 
 func (a *Accountant) read(ctx context.Context) error {
@@ -166,5 +271,6 @@
 		return fmt.Errorf("read settled windows: %w", err)
 	}
 	a.record, a.version, a.known = r, o.Version, true
+	a.inherited, a.from = r.Open, r.Sources
 	return nil
 }
--- a/internal/fleet/leaser/leaser.go
+++ b/internal/fleet/leaser/leaser.go
@@ -45,7 +45,8 @@
 )
 
 const (
-	// OrderTime is the longest that an order is on its way.
+	// OrderTime is the longest that an order is on its way, unless the
+	// configuration says otherwise.
 	OrderTime = 2 * time.Second
 	// A lease is renewed every renewals-th of its duration, and its holder
 	// stops believing in it one marginPart-th early.
@@ -70,6 +71,12 @@
 	// Now is a clock that does not stand still while the host is suspended, as
 	// uptimer.Now; time.Now if nil.
 	Now func() time.Time
+	// OrderTime is how long a new holder waits for its predecessor's orders;
+	// the constant of that name if zero.
+	OrderTime time.Duration
+	// Led tells that another candidate is known to hold the lease now: then
+	// the store need not be asked. Nil if that is never known.
+	Led func() bool
 	// Changed is told when leadership is won or lost; may be nil.
 	Changed func(fencing uint64, held bool)
 }
@@ -97,6 +104,8 @@
 	// seen is the version last observed, and since when.
 	seen  uint64
 	since time.Time
+	// sure: seen is the version of the own last write.
+	sure bool
 }
 
 // New returns a candidate that does not lead.
@@ -104,6 +113,12 @@
 	if c.Changed == nil {
 		c.Changed = func(uint64, bool) {}
 	}
+	if c.OrderTime == 0 {
+		c.OrderTime = OrderTime
+	}
+	if c.Led == nil {
+		c.Led = func() bool { return false }
+	}
 	if c.Now == nil {
 		c.Now = time.Now
 	}
@@ -167,9 +182,17 @@
 	}
 }
 
-// try reads the lease and renews or takes it, if it may.
+// try reads the lease and renews or takes it, if it may. A holder whose last
+// renewal was acknowledged knows the version, and renews without reading.
 func (l *Leaser) try(ctx context.Context) {
 	begun := l.c.Now()
+	if _, held := l.Held(); held && l.sure {
+		l.write(ctx, l.held, l.seen, begun, false)
+		return
+	}
+	if l.c.Led() {
+		return
+	}
 	r, version, err := l.read(ctx)
 	if err != nil {
 		return
@@ -178,10 +201,12 @@
 		l.seen, l.since = version, begun
 	}
 	own := r.Holder == l.c.Host && r.FencingNumber == l.held.FencingNumber && r.FencingNumber > 0
+	// The holder's process was killed, and this is the next one on its host.
+	again := r.Holder == l.c.Host && !own
 	switch {
 	case own:
 		l.write(ctx, r, version, begun, false)
-	case version == object.Absent || r.Released || begun.Sub(l.since) > max(r.Duration, l.c.Duration):
+	case again || version == object.Absent || r.Released || begun.Sub(l.since) > max(r.Duration, l.c.Duration):
 		r.FencingNumber++
 		l.write(ctx, r, version, begun, true)
 	}
@@ -216,6 +241,7 @@
 		l.mu.Unlock()
 		return
 	}
+	l.sure = err == nil
 	if err != nil {
 		return
 	}
@@ -225,6 +251,6 @@
 	l.until = begun.Add(l.c.Duration - l.c.Duration/marginPart)
 	l.held = r
 	if taken {
-		l.ready = begun.Add(OrderTime)
+		l.ready = begun.Add(l.c.OrderTime)
 	}
 }
--- a/internal/fleet/orderer/orderer.go
+++ b/internal/fleet/orderer/orderer.go
@@ -11,7 +11,9 @@
 //
 // A fleet that follows each dip of the load pays for engines that start with
 // empty caches. Numbers go up at once and down only when a lower one has been
-// wanted for [calm].
+// wanted for [calm]; the need itself fades over [fade]. A new holder knows
+// neither its predecessor's orders nor, after a mass failure, the load: it takes
+// the endpoints that it finds for what is needed.
 //
 // # Usage
 //
@@ -22,6 +24,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"time"
 
 	"brasschute/internal/config/catalog"
@@ -38,6 +41,8 @@
 	// calm is a few times what an engine needs to start.
 	calm   = 8 * time.Second
 	repeat = 6 * time.Second
+	// fade is the time in which a need that has passed loses two thirds.
+	fade = 10 * time.Second
 	// dryTime is how long a zone that had no reclaimable endpoints is not
 	// asked again.
 	dryTime = 3 * time.Second
@@ -51,6 +56,8 @@
 type Config struct {
 	Order  func(ctx context.Context, fencing uint64, s identifier.Service, z identifier.AvailabilityZone, class document.Class, wanted int) error
 	Logger *log.Logger
+	// Fresh: the whole fleet starts for the first time, and has no load yet.
+	Fresh bool
 }
 
 // Service is one that can be scaled, as it is now.
@@ -81,11 +88,27 @@
 	started time.Time
 	fencing uint64
 	states  map[key]*state
+	needs   map[identifier.Service]*need
+	// since is when this holder began.
+	since time.Time
+}
+
+// need is the engines that a service needed of late.
+type need struct {
+	engines float64
+	at      time.Time
+}
+
+// keep lets an old need fade and takes in the present one.
+func (n *need) keep(engines float64, now time.Time) float64 {
+	n.engines = max(engines, n.engines*math.Exp(-now.Sub(n.at).Seconds()/fade.Seconds()))
+	n.at = now
+	return n.engines
 }
 
 // New returns an orderer that has ordered nothing.
 func New(c Config) *Orderer {
-	return &Orderer{c: c, started: time.Now(), states: make(map[key]*state)}
+	return &Orderer{c: c, started: time.Now(), states: make(map[key]*state), needs: make(map[identifier.Service]*need)}
 }
 
 // Step gives the orders that are needed now.
@@ -93,6 +116,8 @@
 	if fencing != o.fencing {
 		o.fencing = fencing
 		o.states = make(map[key]*state)
+		o.needs = make(map[identifier.Service]*need)
+		o.since = time.Now()
 	}
 	for i := range services {
 		o.service(ctx, &services[i])
@@ -105,9 +130,7 @@
 		s.Zones[i].Dry = now.Sub(o.state(s, s.Zones[i].Zone, document.ClassReclaimable).dry) < dryTime
 	}
 	in := &sizer.Input{Scale: s.Scale, Demand: s.Demand, Zones: s.Zones}
-	if now.Sub(o.started) < firstTime {
-		in.Floor = firstNeed
-	}
+	in.Floor = o.floor(s, now)
 	listed := make(map[identifier.AvailabilityZone]sizer.Zone, len(s.Zones))
 	for _, z := range s.Zones {
 		listed[z.Zone] = z
@@ -119,6 +142,28 @@
 	}
 }
 
+// floor is what a service needed of late.
+func (o *Orderer) floor(s *Service, now time.Time) float64 {
+	if o.fresh(now, firstTime) {
+		return firstNeed
+	}
+	n := o.needs[s.Service]
+	if n == nil {
+		found := 0
+		for _, z := range s.Zones {
+			found += z.OnDemand + z.Reclaimable
+		}
+		n = &need{engines: float64(found) / sizer.Headroom, at: now}
+		o.needs[s.Service] = n
+	}
+	return n.keep(sizer.Need(s.Demand), now)
+}
+
+// fresh tells whether the whole fleet has started less than a time ago.
+func (o *Orderer) fresh(now time.Time, than time.Duration) bool {
+	return o.c.Fresh && now.Sub(o.started) < than
+}
+
 func (o *Orderer) state(s *Service, z identifier.AvailabilityZone, class document.Class) *state {
 	k := key{s.Service, z, class}
 	t := o.states[k]
@@ -136,7 +181,7 @@
 	if !t.known {
 		t.ordered, t.known = listed, true
 	}
-	if wanted >= t.ordered {
+	if wanted >= max(t.ordered, listed) {
 		t.wantless = time.Time{}
 	} else if t.wantless.IsZero() {
 		t.wantless = now
@@ -144,8 +189,8 @@
 	dry := now.Sub(t.dry) < dryTime
 	switch {
 	case wanted > t.ordered && !dry:
-	case wanted < t.ordered && (now.Sub(t.wantless) > calm || now.Sub(o.started) < calm):
-	case wanted == t.ordered && listed != t.ordered && now.Sub(t.at) > repeat && !dry:
+	case wanted < max(t.ordered, listed) && (now.Sub(t.wantless) > calm || o.fresh(now, calm)) && (wanted < t.ordered || now.Sub(t.at) > repeat):
+	case wanted == t.ordered && listed < t.ordered && now.Sub(t.at) > repeat && !dry:
 	default:
 		return
 	}
--- a/internal/fleet/sizer/sizer.go
+++ b/internal/fleet/sizer/sizer.go
@@ -40,9 +40,9 @@
 	// runningPerEngine is the number of running requests for which one is
 	// wanted: a step of a batch grows by a tenth of a millisecond for each.
 	runningPerEngine = 40
-	// headroom covers what comes within the time that an engine takes to
+	// Headroom covers what comes within the time that an engine takes to
 	// start: bursts of 1.7 times the usual load.
-	headroom = 1.7
+	Headroom = 1.7
 	// riskShare is the part of the live reclaimable endpoints that is counted on
 	// once some zone has none to be had: reclaims come in waves, and a
 	// replacement takes as long to start as the next zone takes to go.
@@ -93,7 +93,7 @@
 		out[i] = Wanted{Zone: z.Zone, OnDemand: least}
 	}
 	if in.Scale.ReclaimablePrice > 0 && in.Scale.ReclaimablePrice < 1 && len(zones) > 1 {
-		reclaimable(in, zones, out, need*headroom-float64(least*len(zones)))
+		reclaimable(in, zones, out, need*Headroom-float64(least*len(zones)))
 	}
 	standIn(in, zones, out, need)
 	return out
--- a/internal/role/gateway/duties.go
+++ b/internal/role/gateway/duties.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"time"
 
 	"brasschute/internal/config/document"
@@ -13,18 +14,23 @@
 	"brasschute/internal/fleet/leaser"
 	"brasschute/internal/fleet/orderer"
 	"brasschute/internal/fleet/sizer"
+	"brasschute/internal/peer/gatherer"
 	"brasschute/internal/platform/inventory"
 	"brasschute/internal/route/demander"
 	"brasschute/platform"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
 	// leaseKey is the lease under which one daemon holds all duties.
 	leaseKey = "leases/duties"
-	// leaseFactor makes the lease longer than the shortest time that the
-	// platform allows between holders: each renewal is two calls, and a duty
-	// may rest for some seconds.
-	leaseFactor = 2
+	// orderTime is the longest that a call of a former holder is on its way:
+	// calls end after a second on this side.
+	orderTime = time.Second
+	// ledTime is the age of a peer's digest up to which the peer is believed to
+	// hold the lease.
+	ledTime = 1500 * time.Millisecond
 	// dutyPause is how often the holder looks at what is due.
 	dutyPause = 500 * time.Millisecond
 	// settleTime is how long counts of other daemons take: a period of the
@@ -48,7 +54,8 @@
 		return
 	}
 	g.lease = leaser.New(leaser.Config{
-		Store: g.store, Key: leaseKey, Host: d.Host, Duration: leaseFactor * d.Bounds.LeaseTime, Now: uptimer.Now,
+		Store: g.store, Key: leaseKey, Host: d.Host, Duration: d.Bounds.LeaseTime, Now: uptimer.Now,
+		OrderTime: orderTime, Led: g.led,
 		Changed: func(fencing uint64, held bool) {
 			g.c.Logger.Info("duties", "held", held, "fencing", fencing)
 		},
@@ -56,9 +63,9 @@
 	u := &duties{g: g, cloud: platform.NewCloud(d.Cloud.String())}
 	u.accountant = accountant.New(accountant.Config{
 		Store: g.store, Now: g.clock.Now, Window: d.Bounds.UsageWindow, Due: d.Bounds.UsageDue - dueMargin, Settle: settleTime,
-		Count: u.count, Report: u.report, Logger: g.c.Logger,
+		Counted: u.counted, Organisations: u.organisations, Report: u.report, Logger: g.c.Logger,
 	})
-	u.orderer = orderer.New(orderer.Config{Order: u.order, Logger: g.c.Logger})
+	u.orderer = orderer.New(orderer.Config{Order: u.order, Logger: g.c.Logger, Fresh: d.FirstStart})
 	g.tree.Add(service(g.keepLease))
 	g.tree.Add(service(u.serve))
 }
@@ -108,7 +115,7 @@
 	return platform.Mandate{Host: u.g.c.Deployment.Host, Fencing: fencing}, nil
 }
 
-func (u *duties) report(ctx context.Context, fencing uint64, window int64, counts map[identifier.Organisation]int) error {
+func (u *duties) report(ctx context.Context, fencing uint64, window int64, counts accountant.Counts) error {
 	m, err := u.mandate(fencing)
 	if err != nil {
 		return err
@@ -124,30 +131,48 @@
 	return u.cloud.Order(ctx, m, s, z, class, wanted)
 }
 
-// count sums what all daemons counted in a window, those that ended since
-// included.
-func (u *duties) count(window int64) map[identifier.Organisation]int {
-	out := make(map[identifier.Organisation]int)
-	if c := u.g.versioner.InForce(); c != nil {
-		for _, o := range c.Organisations() {
-			out[o.Name] = 0
+// counted returns what each daemon counted, those that ended since included.
+func (u *duties) counted() []accountant.Counted {
+	var out []accountant.Counted
+	own := u.g.digest()
+	for _, e := range append(u.g.gatherer.Entries(time.Now()), gatherer.Entry{Digest: own}) {
+		d := e.Digest
+		name := d.GetHost() + "/" + strconv.FormatUint(d.GetIncarnation(), 16)
+		c := accountant.Counted{Source: accountant.Source(xxhash.Sum64String(name)), Windows: make(map[int64]accountant.Counts)}
+		for _, n := range d.GetCounts() {
+			if c.Windows[n.GetWindow()] == nil {
+				c.Windows[n.GetWindow()] = make(accountant.Counts)
+			}
+			c.Windows[n.GetWindow()][identifier.Organisation(n.GetOrganisation())] += int(n.GetCount())
 		}
+		out = append(out, c)
 	}
-	for _, n := range u.g.tallier.Counts() {
-		if n.Window == window {
-			out[n.Organisation] += n.Requests
-		}
+	return out
+}
+
+func (u *duties) organisations() []identifier.Organisation {
+	c := u.g.versioner.InForce()
+	if c == nil {
+		return nil
 	}
-	for _, e := range u.g.gatherer.Entries(time.Now()) {
-		for _, n := range e.Digest.GetCounts() {
-			if n.GetWindow() == window {
-				out[identifier.Organisation(n.GetOrganisation())] += int(n.GetCount())
-			}
-		}
+	var out []identifier.Organisation
+	for _, o := range c.Organisations() {
+		out = append(out, o.Name)
 	}
 	return out
 }
 
+// led tells whether a peer said lately that it holds the duties.
+func (g *Gateway) led() bool {
+	now := time.Now()
+	for _, e := range g.gatherer.Latest(now) {
+		if e.Digest.GetHoldsDuties() && now.Sub(e.Heard) < ledTime {
+			return true
+		}
+	}
+	return false
+}
+
 // services describes what can be scaled, as it is now.
 func (u *duties) services() []orderer.Service {
 	c := u.g.versioner.InForce()
--- a/internal/role/gateway/news.go
+++ b/internal/role/gateway/news.go
@@ -14,6 +14,7 @@
 	"brasschute/internal/platform/object"
 	"brasschute/internal/route/allotter"
 	"brasschute/internal/route/budgeter"
+	"brasschute/internal/route/candidate"
 	"brasschute/internal/serve/request"
 	"brasschute/platform"
 
@@ -28,6 +29,10 @@
 	fetchTimeout = time.Second
 	// firstIncarnation is that of every endpoint: each start has a new id.
 	firstIncarnation identifier.Incarnation = 1
+	// learnPause is how often the peers' loads are summed: several times in a
+	// period of the digests. loadAge is when a load says nothing any more.
+	learnPause = 250 * time.Millisecond
+	loadAge    = 4 * time.Second
 	// peerIdle keeps connections between peers open over several periods.
 	peerIdle = 30 * time.Second
 )
@@ -51,6 +56,7 @@
 	}
 	g.tree.Add(g.swapper)
 	g.tree.Add(service(g.askPeers))
+	g.tree.Add(service(g.learn))
 }
 
 // digest tells the peers what this daemon knows of its own doing.
@@ -76,6 +82,12 @@
 			TokensPerSecond: n.Tokens, RefusedPerSecond: n.Refused,
 		})
 	}
+	for _, l := range g.registry.Loads(time.Now()) {
+		out.Loads = append(out.Loads, &rpc.EndpointLoad{Endpoint: string(l.Endpoint), TokensPerSecond: l.TokensPerSecond, Running: uint32(l.Running)})
+	}
+	if g.lease != nil {
+		_, out.HoldsDuties = g.lease.Held()
+	}
 	out.Leaving = g.leaving()
 	out.Peers = g.swapper.Lately()
 	return out
@@ -93,6 +105,26 @@
 	g.clock.Heard(host, time.UnixMilli(d.GetUnixMilli()))
 }
 
+// learn sums what the other daemons send to each endpoint.
+func (g *Gateway) learn(ctx context.Context) error {
+	return waiter.Every(ctx, learnPause, func(context.Context) {
+		now := time.Now()
+		others := make(map[identifier.Endpoint]candidate.Others)
+		for _, e := range g.gatherer.Latest(now) {
+			if now.Sub(e.Heard) > loadAge {
+				continue
+			}
+			for _, l := range e.Digest.GetLoads() {
+				sum := others[identifier.Endpoint(l.GetEndpoint())]
+				sum.TokensPerSecond += l.GetTokensPerSecond()
+				sum.Running += int(l.GetRunning())
+				others[identifier.Endpoint(l.GetEndpoint())] = sum
+			}
+		}
+		g.registry.Learn(others)
+	})
+}
+
 // spread takes over what a peer believes and this daemon does not know yet: the
 // store may turn some daemons away, or be cut off from them, while it serves the
 // others.
--- a/internal/route/candidate/candidate.go
+++ b/internal/route/candidate/candidate.go
@@ -41,6 +41,9 @@
 	// request's, Streams the streams that it runs: see Refresh.
 	Ahead   float64
 	Streams float64
+	// Busy is the part of its reading time that the endpoint is taken to spend
+	// on all daemons' prompts, where that is known: see Others.
+	Busy float64
 	// Slow is how many times longer than predicted first tokens took of late;
 	// 0 counts as 1.
 	Slow float64
@@ -80,6 +83,19 @@
 	tokenRate float64
 	rate      float64
 	rated     time.Time
+	// recent is the own token rate over recentTime, as of recently.
+	recent   float64
+	recently time.Time
+	// others is what the other daemons say they send here, if known.
+	others Others
+	known  bool
+}
+
+// Others is what the other daemons of the fleet send to one endpoint.
+type Others struct {
+	// TokensPerSecond are uncached prompt tokens, Running requests.
+	TokensPerSecond float64
+	Running         int
 }
 
 type send struct {
@@ -94,6 +110,14 @@
 	promptGuess = 256
 	// rateTime is the time over which rates are averaged.
 	rateTime = 10 * time.Second
+	// recentTime is the time over which the rate is averaged that daemons tell
+	// each other: twice the period of their news.
+	recentTime = 2 * time.Second
+	// usualPrompt is the uncached part of a usual prompt, in tokens: what a
+	// new one waits for when it finds the endpoint reading.
+	usualPrompt = 4000
+	// mostBusy keeps the predicted wait finite.
+	mostBusy = 0.95
 )
 
 // Pace is what the estimates need to know besides the candidate.
@@ -117,6 +141,29 @@
 	c.rate += 1 / rateTime.Seconds()
 	c.Ahead += float64(tokens)
 	c.Streams++
+	c.Recent(at)
+	c.recent += float64(tokens) / recentTime.Seconds()
+}
+
+// Recent returns the uncached prompt tokens that this daemon sends here in a
+// second, of late.
+func (c *Candidate) Recent(now time.Time) float64 {
+	c.recent *= math.Exp(-now.Sub(c.recently).Seconds() / recentTime.Seconds())
+	c.recently = now
+	return c.recent
+}
+
+// Learn takes in what the other daemons send here. From then on their load is
+// no longer guessed from the own.
+func (c *Candidate) Learn(o Others) { c.others, c.known = o, true }
+
+// fleet estimates the load from what all daemons say they send: the wait of a
+// queue that is served at the endpoint's pace.
+func (c *Candidate) fleet(now time.Time, p Pace) {
+	rate := c.others.TokensPerSecond + c.Recent(now)
+	c.Busy = min(rate*max(c.Slow, 1)/max(p.Drain, 1), mostBusy)
+	c.Ahead = usualPrompt * c.Busy / (1 - c.Busy)
+	c.Streams = float64(c.others.Running) + float64(c.InFlight)
 }
 
 func (c *Candidate) decay(now time.Time) {
@@ -214,6 +261,10 @@
 	c.Suspect = c.Failures > 0
 	c.Fresh = now.Sub(c.Taken) <= staleAfter
 	c.forgive(now)
+	if c.known {
+		c.fleet(now, p)
+		return
+	}
 	c.estimate(now, p)
 }
 
--- a/internal/route/registry/registry.go
+++ b/internal/route/registry/registry.go
@@ -393,6 +393,33 @@
 	}
 }
 
+// Load is what this daemon sends to an endpoint.
+type Load struct {
+	Endpoint identifier.Endpoint
+	candidate.Others
+}
+
+// Loads returns what this daemon sends to the endpoints that it uses.
+func (r *Registry) Loads(now time.Time) []Load {
+	const least = 1 // token a second
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []Load
+	r.each(func(c *candidate.Candidate) {
+		if rate := c.Recent(now); rate >= least || c.InFlight > 0 {
+			out = append(out, Load{c.Endpoint, candidate.Others{TokensPerSecond: rate, Running: int(c.InFlight)}})
+		}
+	})
+	return out
+}
+
+// Learn takes in what the other daemons send to each endpoint.
+func (r *Registry) Learn(others map[identifier.Endpoint]candidate.Others) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.each(func(c *candidate.Candidate) { c.Learn(others[c.Endpoint]) })
+}
+
 // Result tells how a request to an endpoint went.
 type Result int
 
--- a/internal/route/selector/selector.go
+++ b/internal/route/selector/selector.go
@@ -91,6 +91,10 @@
 	// ZoneCost is the cost of carrying the request and its answer to another
 	// zone and back.
 	ZoneCost float64
+	// LateCost is what a first token after the target costs. Where it is set,
+	// the place with the lowest cost is taken, that of being late included;
+	// otherwise the target is met first, and cost decides among the rest.
+	LateCost float64
 	// Tried lists endpoints that this request must not be sent to again.
 	Tried []identifier.Endpoint
 }
@@ -220,6 +224,10 @@
 // is highest. Those of the own zone go first: a request that stays in its zone
 // is not exposed to a cut between zones.
 func (d *Decision) pick(q *Query, candidates []candidate.Candidate, scratch []Prediction, m *model, b *bounds) {
+	if q.LateCost > 0 {
+		d.cheapest(q, candidates, scratch, m)
+		return
+	}
 	if m.home != None && scratch[m.home].FirstToken >= 0 && m.homely(b, scratch[m.home]) {
 		d.Index = m.home
 		return
@@ -247,6 +255,50 @@
 	}
 }
 
+const (
+	// lateFrom is the part of the target from which on a predicted first token
+	// may turn out late: predictions err by a factor of three in both
+	// directions (95 in 100, measured under load).
+	lateFrom = 0.25
+	// indifferent is the cost within which places count as equal, so that not
+	// all daemons choose the same one.
+	indifferent = 0.01
+)
+
+// late is the likelihood that a first token comes after the target.
+func (m *model) late(firstToken float64) float64 {
+	at := firstToken / m.target
+	switch {
+	case at <= lateFrom:
+		return 0
+	case at >= 1:
+		return min(at, 2) / 2
+	}
+	at = (at - lateFrom) / (1 - lateFrom)
+	return at * at / 2
+}
+
+// cheapest takes the lowest cost, that of being late included. Among places that
+// are as good, a hash decides.
+func (d *Decision) cheapest(q *Query, candidates []candidate.Candidate, scratch []Prediction, m *model) {
+	least := math.MaxFloat64
+	for i := range scratch {
+		if scratch[i].FirstToken >= 0 {
+			scratch[i].Cost += q.LateCost * m.late(scratch[i].FirstToken)
+			least = min(least, scratch[i].Cost)
+		}
+	}
+	var highest uint64
+	for i, p := range scratch {
+		if p.FirstToken < 0 || p.Cost > least+indifferent*max(q.LateCost, 1) {
+			continue
+		}
+		if h := mix(q.Seed ^ candidates[i].Hash); d.Index == None || h > highest {
+			highest, d.Index = h, i
+		}
+	}
+}
+
 // mix spreads the bits of a combined hash (the finalizer of SplitMix64).
 func mix(x uint64) uint64 {
 	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
--- a/internal/serve/placer/placer.go
+++ b/internal/serve/placer/placer.go
@@ -38,6 +38,12 @@
 	// zoneCostPerByte is the cost of carrying a byte between zones, in the
 	// same unit.
 	zoneCostPerByte = 1.2e-6
+	// worthPerToken, with output tokens counting outputFactor times as they take
+	// more of an engine's time, is a request's worth per token; leastWorth is
+	// that of the smallest one.
+	worthPerToken = 1.6e-4
+	outputFactor  = 10
+	leastWorth    = 0.2
 	// eventBytes is the usual size of one event on the wire.
 	eventBytes = 64
 	// homeTokens is the size of shared prompt parts from which on a request
@@ -79,7 +85,7 @@
 		Select: selector.Query{
 			Now: now, Seed: streamer.Seed(q.ID), Zone: p.c.Zone, PromptTokens: q.PromptTokens, OutputTokens: q.OutputTokens,
 			MaxInFlight: plainSlots, Prefill: prefillPerSecond, Decode: decodePerSecond, Target: max(q.Route.Objective-now.Sub(q.Received), time.Millisecond),
-			RecomputeWeight: recomputeWeight, Tried: tried,
+			RecomputeWeight: recomputeWeight, Tried: tried, LateCost: lateCost(q),
 			ZoneCost: zoneCostPerByte * float64(len(q.Body)+eventBytes*int(q.OutputTokens)/tokensPerEvent(s)),
 		},
 	}
@@ -93,6 +99,16 @@
 	return p.c.Registry.Choose(query)
 }
 
+// lateCost is what a late answer loses: nine tenths of the worth of a request,
+// which is taken to grow with the tokens that its organisation pays for. A plain
+// call counts as one.
+func lateCost(q *request.Request) float64 {
+	if !q.Sized {
+		return 1
+	}
+	return max(worthPerToken*float64(q.PromptTokens+outputFactor*q.OutputTokens), leastWorth)
+}
+
 func tokensPerEvent(s *catalog.Service) int {
 	if s == nil || s.Engine == nil {
 		return 1
