--- a/integration/fleet_test.go
+++ b/integration/fleet_test.go
@@ -48,6 +48,12 @@
 
 // start runs the test binary in a role.
 func start(t testing.TB, role, name string, args ...string) *process {
+	t.Helper()
+	return startWith(t, nil, role, name, args...)
+}
+
+// startWith is as start, with variables in the process's environment.
+func startWith(t testing.TB, env []string, role, name string, args ...string) *process {
 	t.Helper()
 	log, err := os.Create(filepath.Join(t.TempDir(), name+".log"))
 	if err != nil {
@@ -55,7 +61,7 @@
 	}
 	p := &process{t: t, name: name, log: log, exited: make(chan struct{})}
 	p.cmd = exec.Command(os.Args[0], args...)
-	p.cmd.Env = append(os.Environ(), roleVariable+"="+role)
+	p.cmd.Env = append(append(os.Environ(), roleVariable+"="+role), env...)
 	p.cmd.Stdout, p.cmd.Stderr = log, log
 	if err := p.cmd.Start(); err != nil {
 		t.Fatal(err)
--- /dev/null
+++ b/integration/gateway_test.go
@@ -0,0 +1,364 @@
+package integration
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"brasschute/internal/standin/hosting"
+	"brasschute/platform"
+)
+
+func TestHostedRequestsAreServed(t *testing.T) {
+	s := newSite(t)
+	lm := s.engine(hosting.Config{ID: "i-lm", Service: modelService, Events: 12})
+	app := s.engine(hosting.Config{ID: "i-app", Service: plainService})
+	h := s.host()
+	stream := h.send(hostedRequest{Target: streamPath + "a?b=c", Key: deskKey, Body: "text", Header: map[string]string{"Token-Count": "100,24"}})
+	if stream.err != nil || stream.status != http.StatusOK || stream.body != streamText(1, 12) {
+		t.Fatalf("stream: %+v", stream)
+	}
+	if got := stream.header.Get("Response-Stamp"); got != "stamp-i-lm" {
+		t.Errorf("signature %q", got)
+	}
+	run := lm.Runs()[0]
+	if run.Tenant != deskName || run.Target != streamPath+"a?b=c" || run.Body != "text" || run.Header.Get("Authorization") != "" {
+		t.Errorf("run: %+v", run)
+	}
+	plain := h.send(hostedRequest{Target: onceTarget, Key: deskKey})
+	if plain.err != nil || plain.body != app.Text() {
+		t.Errorf("plain: %+v", plain)
+	}
+}
+
+// A client could act for another organisation, take an engine's reserved
+// memory, or read on in another's run, by sending the headers that are the
+// daemon's to set. None of them may reach an engine as the client wrote it.
+func TestHeadersOfTheDaemonCannotBeForged(t *testing.T) {
+	s := newSite(t)
+	lm := s.engine(hosting.Config{ID: "i-lm", Service: modelService, Events: 1})
+	h := s.host()
+	forged := []string{"Tenant", "Hold", "Pin-Ms", "Kv-From", "Kv-Backup", "Kv-Fetch", "Expect-Instance", "Expect-Version", "Request-Urgency"}
+	header := map[string]string{"Connection": "X-Private", "X-Private": "forged", "X-Kept": "kept"}
+	for _, name := range forged {
+		header[name] = "forged"
+	}
+	if a := h.send(hostedRequest{Target: streamPath, Key: deskKey, Header: header}); a.status != http.StatusOK {
+		t.Fatalf("answer: %+v", a)
+	}
+	run := lm.Runs()[0]
+	for _, name := range append(forged, "X-Private") {
+		if run.Header.Get(name) == "forged" {
+			t.Errorf("the engine got %s from the client", name)
+		}
+	}
+	if run.Header.Get("X-Kept") != "kept" || run.Tenant != deskName {
+		t.Errorf("run: %+v", run.Header)
+	}
+}
+
+func TestHostedRefusals(t *testing.T) {
+	s := newSite(t)
+	app := s.engine(hosting.Config{ID: "i-app", Service: plainService})
+	h := s.host()
+	cases := []struct {
+		name   string
+		q      hostedRequest
+		status int
+	}{
+		{"unknown path", hostedRequest{Target: "/nothing/", Key: deskKey}, http.StatusNotFound},
+		{"unknown key", hostedRequest{Target: onceTarget, Key: "other"}, http.StatusUnauthorized},
+		{"no key", hostedRequest{Target: onceTarget}, http.StatusUnauthorized},
+		{"bad deadline", hostedRequest{Target: onceTarget, Key: deskKey, Header: map[string]string{"Deadline-Ms": "soon"}}, http.StatusBadRequest},
+		{"bad tokens", hostedRequest{Target: onceTarget, Key: deskKey, Header: map[string]string{"Token-Count": "a,b"}}, http.StatusBadRequest},
+		{"bad event number", hostedRequest{Target: streamPath, Key: deskKey, Header: map[string]string{"Last-Event-Id": "-4"}}, http.StatusBadRequest},
+		{"large body", hostedRequest{Target: onceTarget, Key: deskKey, Body: strings.Repeat("x", 1<<17)}, http.StatusRequestEntityTooLarge},
+		{"large header", hostedRequest{Target: onceTarget, Key: deskKey, Header: map[string]string{"X-Large": strings.Repeat("x", 1<<16)}}, http.StatusRequestHeaderFieldsTooLarge},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			a := h.send(c.q)
+			if a.status != c.status || a.header.Get("Response-Stamp") != "" {
+				t.Errorf("got %d %v (%v), want %d without a signature", a.status, a.body, a.err, c.status)
+			}
+		})
+	}
+	if n := app.Arrived(); n != 0 {
+		t.Errorf("%d refused requests reached the engine", n)
+	}
+}
+
+// An engine fails in each of its ways while a posting is under way that opens a
+// bond. The posting must run at most once, and a status that promises "not run"
+// may only come if it did not run.
+func TestPostingsRunAtMostOnce(t *testing.T) {
+	cases := []struct {
+		how    hosting.Behaviour
+		name   string
+		status int
+		runs   int
+	}{
+		{hosting.Refuse, "refused", http.StatusOK, 1},
+		{hosting.Misdirect, "address taken over", http.StatusOK, 1},
+		{hosting.Fail, "failed", http.StatusInternalServerError, 1},
+		{hosting.Drop, "answer lost", http.StatusBadGateway, 1},
+		{hosting.Break, "answer cut", http.StatusBadGateway, 1},
+		{hosting.Unsigned, "not signed", http.StatusBadGateway, 1},
+		{hosting.Encoded, "encoded", http.StatusBadGateway, 1},
+		{hosting.Unframed, "no length", http.StatusOK, 1},
+		{hosting.Foreign, "late answer of another request first", http.StatusOK, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSite(t)
+			first, second := true, s.engine(hosting.Config{ID: "i-1", Service: plainService})
+			other := s.engine(hosting.Config{ID: "i-2", Service: plainService})
+			once := func(*http.Request) hosting.Behaviour {
+				if first {
+					first = false
+					return c.how
+				}
+				return hosting.Serve
+			}
+			second.Behave(once)
+			other.Behave(once)
+			h := s.host()
+			a := h.send(hostedRequest{Target: onceTarget, Key: deskKey})
+			if a.status != c.status {
+				t.Errorf("status %d (%v) %q, want %d", a.status, a.err, a.body, c.status)
+			}
+			if runs := len(second.Runs()) + len(other.Runs()); runs != c.runs {
+				t.Errorf("%d runs, want %d", runs, c.runs)
+			}
+		})
+	}
+}
+
+// A lookup may be repeated: whatever one engine does to it, the other's answer
+// reaches the client.
+func TestLookupsAreRepeated(t *testing.T) {
+	for _, how := range []hosting.Behaviour{hosting.Refuse, hosting.Fail, hosting.Drop, hosting.Break, hosting.Unsigned, hosting.Encoded} {
+		t.Run(fmt.Sprint(how), func(t *testing.T) {
+			s := newSite(t)
+			bad := s.engine(hosting.Config{ID: "i-bad", Service: plainService})
+			bad.Behave(func(*http.Request) hosting.Behaviour { return how })
+			s.engine(hosting.Config{ID: "i-good", Service: plainService})
+			h := s.host()
+			for range 6 {
+				if a := h.send(hostedRequest{Method: http.MethodGet, Target: againPath, Key: deskKey}); a.status != http.StatusOK || a.body != "answer of i-good" {
+					t.Fatalf("answer: %+v", a)
+				}
+			}
+		})
+	}
+}
+
+// An engine sends a second answer after a whole one, on a connection that the
+// daemon keeps. The next client would get the answer to another request if the
+// connection were used again without a look at what arrived on it.
+func TestSecondAnswersReachNobody(t *testing.T) {
+	s := newSite(t)
+	app := s.engine(hosting.Config{ID: "i-app", Service: plainService})
+	app.Behave(func(*http.Request) hosting.Behaviour { return hosting.Twice })
+	h := s.host()
+	for range 10 {
+		if a := h.send(hostedRequest{Target: onceTarget, Key: deskKey}); a.body != app.Text() {
+			t.Fatalf("answer: %+v", a)
+		}
+	}
+}
+
+// An engine dies in the middle of an event. A letter goes on at another engine
+// after its last whole event, and the client sees each event once; a stream that
+// may not be resumed ends visibly cut, never as if it were complete.
+func TestBrokenStreams(t *testing.T) {
+	for _, resumable := range []bool{true, false} {
+		t.Run(fmt.Sprintf("resumable %v", resumable), func(t *testing.T) {
+			s := newSite(t)
+			s.configure(func(c *hostedConfig) { c.Routes[0].Resumable = resumable })
+			bad := s.engine(hosting.Config{ID: "i-bad", Service: modelService, Events: 10})
+			broken := false
+			breakOnce := func(*http.Request) hosting.Behaviour {
+				if broken {
+					return hosting.Serve
+				}
+				broken = true
+				return hosting.Break
+			}
+			bad.Behave(breakOnce)
+			good := s.engine(hosting.Config{ID: "i-good", Service: modelService, Events: 10})
+			good.Behave(breakOnce)
+			h := s.host()
+			a := h.send(hostedRequest{Target: streamPath, Key: deskKey})
+			if resumable && (a.err != nil || a.body != streamText(1, 10)) {
+				t.Fatalf("answer: %+v", a)
+			}
+			if !resumable && (a.err == nil || !strings.HasPrefix(streamText(1, 10), a.body)) {
+				t.Fatalf("answer: %+v", a)
+			}
+			if runs := len(bad.Runs()) + len(good.Runs()); resumable && runs != 2 || !resumable && runs != 1 {
+				t.Errorf("%d runs", runs)
+			}
+		})
+	}
+}
+
+// A client leaves while its engine is at work. The engine must learn of it, or
+// it works for nobody until the deadline.
+func TestEnginesLearnThatTheClientLeft(t *testing.T) {
+	s := newSite(t)
+	app := s.engine(hosting.Config{ID: "i-app", Service: plainService})
+	app.Behave(func(*http.Request) hosting.Behaviour { return hosting.Hold })
+	h := s.host()
+	c := dialHost(t, h)
+	fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: leaver\r\nAuthorization: Bearer %s\r\nContent-Length: 0\r\n\r\n", onceTarget, hostedDomain, deskKey)
+	eventually(t, "the engine works", func() error { return want("held", app.Holding(), 1) })
+	_ = c.Close()
+	eventually(t, "the engine learns", func() error { return want("held", app.Holding(), 0) })
+}
+
+// The store drops its history while watches are open: they stay open and hear
+// nothing, and without another change nobody would learn of this one until the
+// watch ends. So no watch may ask to wait as long as a change may take.
+func TestWatchesAreShort(t *testing.T) {
+	s := newSite(t)
+	s.engine(hosting.Config{ID: "i-app", Service: plainService})
+	h := s.host()
+	version := 0
+	s.store.Compact(func() {
+		s.configure(func(*hostedConfig) {})
+		version = s.config.Version
+	})
+	eventually(t, "in force", func() error { return want("configuration", h.inForce(), version) })
+	for _, c := range s.store.Calls() {
+		if c.Wait >= 2*time.Second {
+			t.Fatalf("a watch of %s waits %v", c.Kind, c.Wait)
+		}
+	}
+}
+
+// The store turns one daemon away and serves the other. A change reaches the
+// other's clients at once, and the first one's only if the daemons tell each
+// other: keys that were taken away would go on to work there.
+func TestDaemonsTellEachOther(t *testing.T) {
+	for name, fault := range map[string]hosting.Fault{"busy": hosting.Busy, "many": hosting.Many, "reset": hosting.Reset, "silent": hosting.Silent} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t)
+			app := s.engine(hosting.Config{ID: "i-1", Service: plainService})
+			s.engine(hosting.Config{ID: "i-2", Service: plainService})
+			a, b := s.host(), s.host()
+			s.store.SetFault(func(c hosting.Call) hosting.Fault {
+				if c.Caller == b.name {
+					return fault
+				}
+				return hosting.None
+			})
+			s.configure(func(c *hostedConfig) { c.Tenants[0].ApiKeys = []string{"new-key"} })
+			for _, h := range []*gatewayHost{a, b} {
+				eventually(t, h.name, func() error {
+					return want("old key", h.send(hostedRequest{Target: onceTarget, Key: deskKey}).status, http.StatusUnauthorized)
+				})
+			}
+			s.store.Write(platform.EndpointKind, "i-1", app.Record("draining"))
+			eventually(t, "leaving known", func() error {
+				for _, line := range b.lines("endpoint leaving") {
+					if line["endpoint"] == "i-1" {
+						return nil
+					}
+				}
+				return fmt.Errorf("%s does not know that i-1 leaves", b.name)
+			})
+			before := app.Arrived()
+			for range 10 {
+				if got := b.send(hostedRequest{Target: onceTarget, Key: "new-key"}); got.status != http.StatusOK {
+					t.Fatalf("answer: %+v", got)
+				}
+			}
+			if got := app.Arrived(); got != before {
+				t.Errorf("%d requests reached the leaving engine", got-before)
+			}
+		})
+	}
+}
+
+// A daemon starts while the store does not answer. It knows no routes and no
+// keys: to answer 404 or 401 would be a lie that clients do not repeat after.
+// It says 503 until a peer tells it what it needs.
+func TestStartWithoutTheStore(t *testing.T) {
+	s := newSite(t)
+	s.engine(hosting.Config{ID: "i-app", Service: plainService})
+	s.store.SetFault(func(hosting.Call) hosting.Fault { return hosting.Busy })
+	alone := s.unready()
+	eventually(t, "answers", func() error {
+		return want("status", alone.send(hostedRequest{Target: onceTarget, Key: deskKey}).status, http.StatusServiceUnavailable)
+	})
+	if err := alone.ready(http.StatusServiceUnavailable); err != nil {
+		t.Error(err)
+	}
+	s.store.SetFault(nil)
+	alone.awaitReady()
+	s.store.SetFault(func(hosting.Call) hosting.Fault { return hosting.Reset })
+	second := s.host()
+	if a := second.send(hostedRequest{Target: onceTarget, Key: deskKey}); a.status != http.StatusOK {
+		t.Errorf("answer: %+v", a)
+	}
+}
+
+// The platform says by SIGHUP that the settings have changed. A process that
+// does not handle the signal ends, and with it every request in flight.
+func TestHangUpReadsTheSettingsAgain(t *testing.T) {
+	s := newSite(t)
+	s.engine(hosting.Config{ID: "i-app", Service: plainService})
+	h := s.host()
+	h.writeSettings("")
+	other := s.unready()
+	h.writeSettings("# a new seed")
+	h.signal(syscall.SIGHUP)
+	eventually(t, "read again", func() error {
+		if len(h.lines("settings read again")) == 0 {
+			return fmt.Errorf("not read")
+		}
+		return nil
+	})
+	other.awaitReady()
+	if a := h.send(hostedRequest{Target: onceTarget, Key: deskKey}); a.status != http.StatusOK {
+		t.Errorf("answer: %+v", a)
+	}
+}
+
+// A daemon is stopped while it answers requests and clients keep connections
+// open. What it has read is answered; kept connections are told to close; new
+// connections are served until the balancer has seen that it is not ready.
+func TestStopCutsNothingOff(t *testing.T) {
+	s := newSite(t)
+	app := s.engine(hosting.Config{ID: "i-app", Service: plainService})
+	h := s.host()
+	kept := dialHost(t, h)
+	once := func(id string) string {
+		return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nAuthorization: Bearer %s\r\nContent-Length: 0\r\n\r\n", onceTarget, hostedDomain, id, deskKey)
+	}
+	if _, closing := exchange(t, kept, once("before")); closing {
+		t.Fatal("the connection closes before the stop")
+	}
+	app.Behave(func(*http.Request) hosting.Behaviour { return hosting.Hold })
+	held := make(chan hostedAnswer, 1)
+	go func() { held <- h.send(hostedRequest{Target: onceTarget, Key: deskKey}) }()
+	eventually(t, "the engine works", func() error { return want("held", app.Holding(), 1) })
+	h.signal(syscall.SIGTERM)
+	eventually(t, "not ready", func() error { return h.ready(http.StatusServiceUnavailable) })
+	app.Behave(func(*http.Request) hosting.Behaviour { return hosting.Serve })
+	if status, closing := exchange(t, kept, once("after")); status != http.StatusOK || !closing {
+		t.Errorf("kept connection: status %d, closing %v", status, closing)
+	}
+	if a := h.send(hostedRequest{Target: onceTarget, Key: deskKey}); a.status != http.StatusOK {
+		t.Errorf("new connection: %+v", a)
+	}
+	app.Release()
+	if a := <-held; a.status != http.StatusOK {
+		t.Errorf("held request: %+v", a)
+	}
+	h.stopped()
+}
--- a/internal/engine/sender/sender.go
+++ b/internal/engine/sender/sender.go
@@ -43,6 +43,9 @@
 var (
 	// ErrUnsent: no byte of the request left this host.
 	ErrUnsent = errors.New("request not sent")
+	// ErrWithdrawn: the request was not to be sent any more once the connection
+	// stood; nothing left this host.
+	ErrWithdrawn = errors.New("request withdrawn before it was sent")
 	// ErrLost: the request may have been received, and no answer came.
 	ErrLost = errors.New("no answer")
 	// ErrBroken: the answer was not understood, or ended early.
@@ -86,6 +89,9 @@
 	Host    string
 	Header  http.Header
 	Body    []byte
+	// Ready is asked right before the first byte goes out, after the time that
+	// a connection takes; nil for always.
+	Ready func() bool
 	// Own tells whether an answer's headers belong to this request; an answer
 	// to another one is skipped. Nil for any.
 	Own func(http.Header) bool
@@ -139,6 +145,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnsent, err)
 	}
+	if m.Ready != nil && !m.Ready() {
+		_ = l.Close()
+		return nil, ErrWithdrawn
+	}
 	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
 	r, err := newRequest(m)
 	if err != nil {
--- a/internal/fleet/orderer/orderer.go
+++ b/internal/fleet/orderer/orderer.go
@@ -46,9 +46,10 @@
 	// dryTime is how long a zone that had no reclaimable endpoints is not
 	// asked again.
 	dryTime = 3 * time.Second
-	// firstNeed is the number of engines that a service is taken to need until
-	// its demand has been seen for firstTime.
-	firstNeed = 6
+	// firstPart of the endpoints that a new fleet finds is what a service is
+	// taken to need until its demand has been seen for firstTime: operators start
+	// with enough for the peak.
+	firstPart = 0.5
 	firstTime = 14 * time.Second
 )
 
@@ -89,8 +90,8 @@
 	fencing uint64
 	states  map[key]*state
 	needs   map[identifier.Service]*need
-	// since is when this holder began.
-	since time.Time
+	// found is the most endpoints that a new fleet had.
+	found map[identifier.Service]int
 }
 
 // need is the engines that a service needed of late.
@@ -108,7 +109,7 @@
 
 // New returns an orderer that has ordered nothing.
 func New(c Config) *Orderer {
-	return &Orderer{c: c, started: time.Now(), states: make(map[key]*state), needs: make(map[identifier.Service]*need)}
+	return &Orderer{c: c, started: time.Now(), states: make(map[key]*state), needs: make(map[identifier.Service]*need), found: make(map[identifier.Service]int)}
 }
 
 // Step gives the orders that are needed now.
@@ -117,7 +118,6 @@
 		o.fencing = fencing
 		o.states = make(map[key]*state)
 		o.needs = make(map[identifier.Service]*need)
-		o.since = time.Now()
 	}
 	for i := range services {
 		o.service(ctx, &services[i])
@@ -144,15 +144,16 @@
 
 // floor is what a service needed of late.
 func (o *Orderer) floor(s *Service, now time.Time) float64 {
+	n := o.needs[s.Service]
+	found := 0
+	for _, z := range s.Zones {
+		found += z.OnDemand
+	}
 	if o.fresh(now, firstTime) {
-		return firstNeed
+		o.found[s.Service] = max(o.found[s.Service], found)
+		return firstPart * float64(o.found[s.Service])
 	}
-	n := o.needs[s.Service]
 	if n == nil {
-		found := 0
-		for _, z := range s.Zones {
-			found += z.OnDemand + z.Reclaimable
-		}
 		n = &need{engines: float64(found) / sizer.Headroom, at: now}
 		o.needs[s.Service] = n
 	}
--- a/internal/serve/relayer/relayer.go
+++ b/internal/serve/relayer/relayer.go
@@ -236,7 +236,6 @@
 var (
 	errRefused = errors.New("the endpoint refused, not run")
 	errFailed  = errors.New("the endpoint ran the request and failed")
-	errLeaving = errors.New("the endpoint began to leave")
 	errGap     = errors.New("an event of the stream is missing")
 	// errClient: the client's connection failed while it was written to.
 	errClient = errors.New("the client's connection failed")
@@ -251,19 +250,13 @@
 		j.r.c.Registry.Release(pick, result)
 		j.r.c.Demand.Ended(j.q.Service)
 	}()
-	// Time has passed since the choice when the request waited; a leaving
-	// endpoint must not get it any more.
-	if !j.r.c.Registry.Usable(pick) {
-		j.unsent++
-		return errLeaving
-	}
 	begun := time.Now()
 	x, err := j.r.c.Sender.Send(ctx, j.message(pick))
 	if err != nil {
-		if ctx.Err() == nil {
+		if ctx.Err() == nil && !errors.Is(err, sender.ErrWithdrawn) {
 			result = registry.Failed
 		}
-		if errors.Is(err, sender.ErrUnsent) {
+		if unsent(err) {
 			j.unsent++
 		} else {
 			j.sends++
@@ -287,6 +280,11 @@
 	return err
 }
 
+// unsent tells whether no byte of a request left this host.
+func unsent(err error) bool {
+	return errors.Is(err, sender.ErrUnsent) || errors.Is(err, sender.ErrWithdrawn)
+}
+
 // judge says what an attempt's end tells about the endpoint's health.
 func judge(ctx context.Context, err error) registry.Result {
 	switch {
@@ -303,6 +301,9 @@
 	return &sender.Message{
 		Address: pick.Address, Method: j.q.Method, Target: j.q.Target, Host: j.q.Host, Body: j.q.Body,
 		Header: codec.EncodeRequest(j.q, pick.Endpoint, time.Until(j.q.Deadline()), j.last),
+		// Connecting takes time; an endpoint that began to leave meanwhile must
+		// not get the request any more.
+		Ready: func() bool { return j.r.c.Registry.Usable(pick) },
 		Own: func(h http.Header) bool {
 			id := codec.DecodeReply(0, h).ID
 			return id == "" || id == j.q.ID
@@ -378,7 +379,7 @@
 
 // mayTry tells whether another endpoint may get the request now.
 func (j *job) mayTry(err error) bool {
-	if errors.Is(err, sender.ErrUnsent) || errors.Is(err, errLeaving) {
+	if unsent(err) {
 		return j.unsent < maxUnsent
 	}
 	if j.mayHaveRun && !j.q.Route.Repeatable() || j.sends >= j.q.Route.MaxAttempts {
--- /dev/null
+++ b/internal/standin/hosting/hosting.go
@@ -0,0 +1,273 @@
+// Package hosting is a small stand-in for the hosting platform: its store, its
+// cloud and its engines, by the published protocol.
+//
+// # What it is for
+//
+// Tests start it in their own process and real daemons against it. It keeps
+// what it saw, so that a test can tell from the outside what was run, by whom
+// and how often, and it misbehaves on demand: a store that answers 409, 410 or
+// 429, loses answers, turns some hosts away or drops its history below open
+// watches; engines that refuse, break off, answer twice, or stay silent.
+//
+// # Usage
+//
+//	store := hosting.NewStore()
+//	engine := hosting.NewEngine(hosting.Config{ID: "i-1", Service: "lm"})
+//	go http.Serve(listener, engine)
+//	store.Write("servers", "i-1", engine.Record("ready"))
+package hosting
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Behaviour is how an engine treats a request.
+type Behaviour int
+
+// The behaviours.
+const (
+	// Serve runs the request.
+	Serve Behaviour = iota
+	// Refuse answers that it did not run.
+	Refuse
+	// Misdirect answers that another engine has the address.
+	Misdirect
+	// Fail runs it and answers 500.
+	Fail
+	// Drop runs it and closes the connection without an answer.
+	Drop
+	// Break runs it and breaks off in the middle of the answer, of an event
+	// where it streams.
+	Break
+	// Hold runs it and waits until Release.
+	Hold
+	// Twice answers, and then sends a second answer to nobody.
+	Twice
+	// Unsigned answers without the engine's signature.
+	Unsigned
+	// Encoded answers with a body in an encoding that nobody asked for.
+	Encoded
+	// Unframed answers without a length; the connection's end ends it.
+	Unframed
+	// Foreign answers with the id of another request first.
+	Foreign
+)
+
+// Run is a request that an engine began to work on.
+type Run struct {
+	Request string
+	Tenant  string
+	Header  http.Header
+	Method  string
+	Target  string
+	Body    string
+	// After is the number of the event after which the run goes on.
+	After int
+}
+
+// Config describes an engine.
+type Config struct {
+	ID      string
+	Service string
+	Zone    string
+	Address string
+	// Events is the length of a stream; 0 for plain answers.
+	Events int
+	Spot   bool
+}
+
+// Engine is one engine. It is an http.Handler and safe for concurrent use.
+type Engine struct {
+	c Config
+
+	mu      sync.Mutex
+	behave  func(*http.Request) Behaviour
+	runs    []Run
+	arrived int
+	hold    chan struct{}
+	holding int
+}
+
+// NewEngine returns an engine that serves.
+func NewEngine(c Config) *Engine { return &Engine{c: c, hold: make(chan struct{})} }
+
+// Behave makes the engine ask how to treat each request.
+func (e *Engine) Behave(f func(*http.Request) Behaviour) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.behave = f
+}
+
+// Release lets held requests go on.
+func (e *Engine) Release() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	close(e.hold)
+	e.hold = make(chan struct{})
+}
+
+// Runs returns what the engine ran, in the order of its beginning.
+func (e *Engine) Runs() []Run {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]Run(nil), e.runs...)
+}
+
+// Arrived counts the requests that reached the engine, refused ones too.
+func (e *Engine) Arrived() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.arrived
+}
+
+// Holding counts the requests that wait for Release.
+func (e *Engine) Holding() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.holding
+}
+
+// Record is the engine's entry in the store.
+func (e *Engine) Record(state string) map[string]any {
+	return map[string]any{
+		"Service": e.c.Service, "Address": e.c.Address, "Zone": e.c.Zone, "State": state, "Slots": 8, "Spot": e.c.Spot,
+	}
+}
+
+// ServeHTTP takes one request.
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	e.mu.Lock()
+	e.arrived++
+	behave := e.behave
+	e.mu.Unlock()
+	how := Serve
+	if behave != nil {
+		how = behave(r)
+	}
+	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+	w.Header().Set("Server-Load", "1,0,8")
+	if expected := r.Header.Get("Expect-Instance"); how == Misdirect || expected != "" && expected != e.c.ID {
+		w.Header().Set("Instance-Id", e.c.ID)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if how == Refuse {
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	run := Run{
+		Request: r.Header.Get("Request-Id"), Tenant: r.Header.Get("Tenant"), Header: r.Header.Clone(), Method: r.Method,
+		Target: r.RequestURI, Body: string(body), After: after,
+	}
+	e.mu.Lock()
+	e.runs = append(e.runs, run)
+	e.mu.Unlock()
+	e.run(w, r, how, after)
+}
+
+func (e *Engine) run(w http.ResponseWriter, r *http.Request, how Behaviour, after int) {
+	if how != Unsigned {
+		w.Header().Set("Response-Stamp", "stamp-"+e.c.ID)
+	}
+	switch how {
+	case Fail:
+		w.WriteHeader(http.StatusInternalServerError)
+		_, _ = io.WriteString(w, "failed")
+		return
+	case Drop:
+		panic(http.ErrAbortHandler)
+	case Hold:
+		e.wait(r)
+	case Encoded:
+		w.Header().Set("Content-Encoding", "gzip")
+	case Unframed, Twice, Foreign:
+		e.raw(w, r, how)
+		return
+	}
+	if e.c.Events == 0 {
+		e.plain(w, how)
+		return
+	}
+	e.stream(w, how, after)
+}
+
+// Text is the body of an engine's plain answer.
+func (e *Engine) Text() string { return "answer of " + e.c.ID }
+
+func (e *Engine) wait(r *http.Request) {
+	e.mu.Lock()
+	hold := e.hold
+	e.holding++
+	e.mu.Unlock()
+	select {
+	case <-hold:
+	case <-r.Context().Done():
+	}
+	e.mu.Lock()
+	e.holding--
+	e.mu.Unlock()
+}
+
+func (e *Engine) plain(w http.ResponseWriter, how Behaviour) {
+	text := e.Text()
+	if how == Break {
+		w.Header().Set("Content-Length", fmt.Sprint(len(text)))
+		_, _ = io.WriteString(w, text[:len(text)/2])
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = io.WriteString(w, text)
+}
+
+// Event is the text of one event of a stream.
+func Event(n int) string { return fmt.Sprintf("id: %d\ndata: piece %d\n\n", n, n) }
+
+func (e *Engine) stream(w http.ResponseWriter, how Behaviour, after int) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	flush := http.NewResponseController(w).Flush
+	for n := after + 1; n <= e.c.Events; n++ {
+		if how == Break && n > e.c.Events/2 {
+			_, _ = io.WriteString(w, Event(n)[:10])
+			_ = flush()
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = io.WriteString(w, Event(n))
+		_ = flush()
+	}
+}
+
+// raw writes answers that the server's library would not.
+func (e *Engine) raw(w http.ResponseWriter, r *http.Request, how Behaviour) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	id, text := r.Header.Get("Request-Id"), e.Text()
+	switch how {
+	case Unframed:
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Stamp: s\r\nConnection: close\r\n\r\n%s", id, text)
+	case Foreign:
+		e.write(conn, "another-request", "not yours")
+		e.write(conn, id, text)
+	case Twice:
+		e.write(conn, id, text)
+		e.write(conn, id, "second answer")
+		// The connection stays open for the next request, which must not be
+		// answered with what is left on it.
+		_ = conn.SetReadDeadline(time.Now().Add(time.Second))
+		_, _ = io.Copy(io.Discard, conn)
+	}
+}
+
+func (e *Engine) write(conn net.Conn, id, text string) {
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Stamp: stamp-%s\r\nContent-Length: %d\r\n\r\n%s", id, e.c.ID, len(text), text)
+}
