gateway: few daemons follow the store in a large fleet, the others follow them

Change: a mirror of the store's objects with their ends; digests tell the highest revision; whoever lags fetches the difference from the peer that is ahead. Orders of a fresh fleet wait until its endpoints are listed, and zones that have no reclaimable endpoints are left alone.

--- a/internal/fleet/orderer/orderer.go
+++ b/internal/fleet/orderer/orderer.go
@@ -51,6 +51,9 @@
 	// with enough for the peak.
 	firstPart = 0.5
 	firstTime = 14 * time.Second
+	// listTime is how long the endpoints of a new fleet take to list themselves:
+	// three of their heartbeats.
+	listTime = 3500 * time.Millisecond
 )
 
 // Config names the orderer's collaborators.
@@ -126,6 +129,9 @@
 
 func (o *Orderer) service(ctx context.Context, s *Service) {
 	now := time.Now()
+	if o.fresh(now, listTime) {
+		return
+	}
 	for i := range s.Zones {
 		s.Zones[i].Dry = now.Sub(o.state(s, s.Zones[i].Zone, document.ClassReclaimable).dry) < dryTime
 	}
@@ -187,11 +193,13 @@
 	} else if t.wantless.IsZero() {
 		t.wantless = now
 	}
-	dry := now.Sub(t.dry) < dryTime
+	if now.Sub(t.dry) < dryTime {
+		return
+	}
 	switch {
-	case wanted > t.ordered && !dry:
+	case wanted > t.ordered:
 	case wanted < max(t.ordered, listed) && (now.Sub(t.wantless) > calm || o.fresh(now, calm)) && (wanted < t.ordered || now.Sub(t.at) > repeat):
-	case wanted == t.ordered && listed < t.ordered && now.Sub(t.at) > repeat && !dry:
+	case wanted == t.ordered && listed < t.ordered && now.Sub(t.at) > repeat:
 	default:
 		return
 	}
--- a/internal/fleet/sizer/sizer.go
+++ b/internal/fleet/sizer/sizer.go
@@ -100,14 +100,11 @@
 }
 
 // reclaimable spreads what lies above the on-demand endpoints over the zones,
-// so that any one zone's may go. A dry zone keeps what it has.
+// so that any one zone's may go.
 func reclaimable(in *Input, zones []Zone, out []Wanted, above float64) {
 	each := max(int(math.Ceil(max(above, 0)/float64(len(zones)-1))), 1)
 	for i, z := range zones {
 		out[i].Reclaimable = min(each, in.Scale.Max-max(out[i].OnDemand, z.OnDemand))
-		if z.Dry {
-			out[i].Reclaimable = z.Reclaimable
-		}
 	}
 }
 
--- /dev/null
+++ b/internal/peer/mirror/mirror.go
@@ -0,0 +1,107 @@
+// Package mirror keeps the platform's objects as a daemon last knew them, so
+// that a peer can follow them without asking the platform.
+//
+// # Why
+//
+// Each call to the platform has its price, and its rate is shared: sixty daemons
+// that follow the same lists pay sixty times for one change. So a few daemons
+// watch the store, and the others take from them what changed after the highest
+// revision that they have. Revisions are the store's own, hence the same at every
+// daemon; the end of an object is kept as a change, too.
+//
+// # Usage
+//
+//	if m.Apply(o) { use(o) }
+//	changes := m.Since("servers", revision)
+package mirror
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"sync"
+
+	"brasschute/internal/platform/object"
+)
+
+// maxEnds bounds the ends of objects that are remembered: hours of a fleet that
+// replaces an endpoint every few seconds. The oldest are forgotten.
+const maxEnds = 4096
+
+// Mirror holds objects by key. The zero value holds none; it is safe for
+// concurrent use.
+type Mirror struct {
+	mu      sync.Mutex
+	objects map[string]object.Object
+	ends    int
+}
+
+// Apply takes in an object and reports whether it was news. An object that has
+// ended does not return: keys of endpoints are never used again, and others are
+// replaced, not deleted.
+func (m *Mirror) Apply(o object.Object) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.objects == nil {
+		m.objects = make(map[string]object.Object)
+	}
+	old, known := m.objects[o.Key]
+	if known && (old.Version >= o.Version && !o.Deleted || old.Deleted) {
+		return false
+	}
+	if o.Deleted {
+		o.Value = nil
+		o.Version = max(o.Version, old.Version)
+		m.ends++
+	}
+	m.objects[o.Key] = o
+	if m.ends > maxEnds {
+		m.forget()
+	}
+	return true
+}
+
+// forget drops the older half of the ends.
+func (m *Mirror) forget() {
+	var ended []object.Object
+	for _, o := range m.objects {
+		if o.Deleted {
+			ended = append(ended, o)
+		}
+	}
+	slices.SortFunc(ended, func(a, b object.Object) int { return cmp.Compare(a.Version, b.Version) })
+	for _, o := range ended[:len(ended)/2] {
+		delete(m.objects, o.Key)
+		m.ends--
+	}
+}
+
+// Revision is the highest version of a kind's objects.
+func (m *Mirror) Revision(kind string) uint64 {
+	var highest uint64
+	m.each(kind, func(o object.Object) { highest = max(highest, o.Version) })
+	return highest
+}
+
+// Since returns the objects of a kind that changed or ended after a revision, in
+// the order of their versions.
+func (m *Mirror) Since(kind string, after uint64) []object.Object {
+	var out []object.Object
+	m.each(kind, func(o object.Object) {
+		if o.Version > after {
+			out = append(out, o)
+		}
+	})
+	slices.SortFunc(out, func(a, b object.Object) int { return cmp.Compare(a.Version, b.Version) })
+	return out
+}
+
+func (m *Mirror) each(kind string, f func(object.Object)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for key, o := range m.objects {
+		if strings.HasPrefix(key, kind+"/") {
+			f(o)
+		}
+	}
+}
--- a/internal/peer/swapper/swapper.go
+++ b/internal/peer/swapper/swapper.go
@@ -40,6 +40,8 @@
 	perPeer = 33 * time.Millisecond
 	// callTimeout is below the period, so that a silent peer holds up nothing.
 	callTimeout = 700 * time.Millisecond
+	// leastPause is the pause between two rounds in a hurry.
+	leastPause = 200 * time.Millisecond
 	// forget is how long an address is tried in vain.
 	forget = 60 * time.Second
 	// slowAfter is when a silent address is tried only each fifth period.
@@ -61,8 +63,9 @@
 	Gatherer *gatherer.Gatherer
 	// Heard is told of each new digest of another daemon.
 	Heard func(*rpc.Digest)
-	// Objects returns what a daemon that can't read the store needs.
-	Objects func() []*rpc.StoredObject
+	// Objects returns the store's objects of a kind, or of all kinds, that
+	// changed after a revision.
+	Objects func(kind string, after uint64) []*rpc.StoredObject
 	Client  *http.Client
 	Logger  *log.Logger
 }
@@ -80,6 +83,9 @@
 type Swapper struct {
 	c Config
 
+	// hurry wakes the next round.
+	hurry chan struct{}
+
 	mu    sync.Mutex
 	peers map[string]*peer
 	round int
@@ -91,7 +97,17 @@
 )
 
 // New returns a swapper that knows no peers.
-func New(c Config) *Swapper { return &Swapper{c: c, peers: make(map[string]*peer)} }
+func New(c Config) *Swapper {
+	return &Swapper{c: c, peers: make(map[string]*peer), hurry: make(chan struct{}, 1)}
+}
+
+// Hurry swaps with all peers soon, as there is news.
+func (s *Swapper) Hurry() {
+	select {
+	case s.hurry <- struct{}{}:
+	default:
+	}
+}
 
 // Add makes an address known.
 func (s *Swapper) Add(address string) {
@@ -112,8 +128,9 @@
 // Serve swaps until ctx ends.
 func (s *Swapper) Serve(ctx context.Context) error {
 	slots := make(chan struct{}, parallel)
+	hurried := false
 	for ctx.Err() == nil {
-		addresses, pause := s.due()
+		addresses, pause := s.due(hurried)
 		for _, address := range addresses {
 			select {
 			case slots <- struct{}{}:
@@ -125,13 +142,28 @@
 				s.swap(ctx, address)
 			}()
 		}
-		waiter.For(ctx, pause)
+		waiter.For(ctx, leastPause)
+		hurried = s.rest(ctx, pause-leastPause)
 	}
 	return ctx.Err()
 }
 
-// due returns the addresses to call now and the time until the next round.
-func (s *Swapper) due() ([]string, time.Duration) {
+// rest waits until the next round and tells whether it comes early.
+func (s *Swapper) rest(ctx context.Context, pause time.Duration) (hurried bool) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-s.hurry:
+		return true
+	}
+	return false
+}
+
+// due returns the addresses to call now and the time until the next round. A
+// daemon in a hurry calls also those that would call it.
+func (s *Swapper) due(hurried bool) ([]string, time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
@@ -149,7 +181,7 @@
 		}
 		// The pair's other daemon calls, unless it has fallen silent: then it
 		// may not know this one.
-		theirs := p.host != "" && p.host < s.c.Host && silent < 3*period
+		theirs := !hurried && p.host != "" && p.host < s.c.Host && silent < 3*period
 		slow := silent > slowAfter && s.round%slowEach != 0
 		if !theirs && !slow && !p.busy {
 			p.busy = true
@@ -230,8 +262,8 @@
 }
 
 // Snapshot answers a peer that can't read the store.
-func (s *Swapper) Snapshot(context.Context, *rpc.SnapshotRequest) (*rpc.SnapshotReply, error) {
-	return &rpc.SnapshotReply{Objects: s.c.Objects()}, nil
+func (s *Swapper) Snapshot(_ context.Context, r *rpc.SnapshotRequest) (*rpc.SnapshotReply, error) {
+	return &rpc.SnapshotReply{Objects: s.c.Objects(r.GetKind(), r.GetAfter())}, nil
 }
 
 // Ask returns a peer's snapshot, of the first one that answers.
@@ -239,7 +271,7 @@
 	var last error
 	for _, address := range s.Known() {
 		one, cancel := context.WithTimeout(ctx, callTimeout)
-		objects, err := s.AskOne(one, address)
+		objects, err := s.AskOne(one, address, "", 0)
 		cancel()
 		if err == nil && len(objects) > 0 {
 			return objects, nil
@@ -249,9 +281,10 @@
 	return nil, last
 }
 
-// AskOne returns the snapshot of the peer at an address.
-func (s *Swapper) AskOne(ctx context.Context, address string) ([]*rpc.StoredObject, error) {
-	reply, err := rpc.NewFleetProtobufClient("http://"+address, s.c.Client).Snapshot(ctx, &rpc.SnapshotRequest{})
+// AskOne returns what the peer at an address knows of a kind, or of all kinds,
+// after a revision.
+func (s *Swapper) AskOne(ctx context.Context, address, kind string, after uint64) ([]*rpc.StoredObject, error) {
+	reply, err := rpc.NewFleetProtobufClient("http://"+address, s.c.Client).Snapshot(ctx, &rpc.SnapshotRequest{Kind: kind, After: after})
 	if err != nil {
 		return nil, fmt.Errorf("snapshot of %s: %w", address, err)
 	}
--- a/internal/platform/watcher/watcher.go
+++ b/internal/platform/watcher/watcher.go
@@ -44,6 +44,8 @@
 	retainSeen  = 1 << 16
 	// rest is the pause after a watch that brought something.
 	rest = 500 * time.Millisecond
+	// idlePause is how long an idle watcher may go on though it is needed.
+	idlePause = 250 * time.Millisecond
 )
 
 // Platform is what the watcher needs of the platform's client.
@@ -64,6 +66,9 @@
 	Prefixes []string
 	// Wait is the longest that one watch stays open; 20 s if zero.
 	Wait time.Duration
+	// Idle tells that others follow the objects for this daemon, and no call
+	// need be made; nil for never.
+	Idle func() bool
 	// Report is told of each success (nil) and failure; may be nil.
 	Report func(error)
 }
@@ -80,6 +85,9 @@
 	if c.Wait == 0 {
 		c.Wait = defaultWait
 	}
+	if c.Idle == nil {
+		c.Idle = func() bool { return false }
+	}
 	if c.Report == nil {
 		c.Report = func(error) {}
 	}
@@ -91,6 +99,10 @@
 	pause := firstPause
 	listed := false
 	for ctx.Err() == nil {
+		if listed && w.c.Idle() {
+			listed = w.idle(ctx)
+			continue
+		}
 		err := w.step(ctx, &listed)
 		if ctx.Err() != nil {
 			break
@@ -106,6 +118,14 @@
 	return ctx.Err()
 }
 
+// idle waits until the objects are to be followed again. What changed meanwhile
+// takes a list.
+func (w *Watcher) idle(ctx context.Context) (listed bool) {
+	for w.c.Idle() && waiter.For(ctx, idlePause) {
+	}
+	return false
+}
+
 func (w *Watcher) step(ctx context.Context, listed *bool) error {
 	if !*listed {
 		if err := w.list(ctx); err != nil {
@@ -137,21 +157,21 @@
 	}
 	w.apply(p.Objects)
 	if p.Revision >= w.after {
-		w.remove(p.Objects)
+		w.remove(p.Objects, p.Revision)
 	}
 	w.after = max(w.after, p.Revision)
 	return nil
 }
 
 // remove tells the sink of keys that vanished while nobody watched.
-func (w *Watcher) remove(objects []object.Object) {
+func (w *Watcher) remove(objects []object.Object, revision uint64) {
 	present := make(map[string]bool, len(objects))
 	for i := range objects {
 		present[objects[i].Key] = true
 	}
 	for key, version := range w.seen {
 		if !present[key] {
-			w.c.Sink.Apply(object.Object{Key: key, Version: version, Deleted: true})
+			w.c.Sink.Apply(object.Object{Key: key, Version: max(version, revision), Deleted: true})
 			delete(w.seen, key)
 		}
 	}
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -51,6 +51,7 @@
 	"brasschute/internal/ops/server"
 	"brasschute/internal/peer/gatherer"
 	"brasschute/internal/peer/ledger"
+	"brasschute/internal/peer/mirror"
 	"brasschute/internal/peer/rpc"
 	"brasschute/internal/peer/swapper"
 	"brasschute/internal/platform/object"
@@ -127,6 +128,7 @@
 	allotter *allotter.Allotter
 	demander demander.Demander
 	gatherer gatherer.Gatherer
+	mirror   mirror.Mirror
 	swapper  *swapper.Swapper
 	lease    *leaser.Leaser
 	sequence atomic.Uint64
@@ -134,19 +136,20 @@
 
 	stopping atomic.Bool
 	listed   atomic.Bool
-	// fetching: a newer configuration is on its way from a peer.
-	fetching atomic.Bool
+	// fetchingCatalog, fetchingEndpoints: newer ones are on their way from a
+	// peer.
+	fetchingCatalog   atomic.Bool
+	fetchingEndpoints atomic.Bool
+	// storeHeard is when the store last answered, in nanoseconds from 1970.
+	storeHeard atomic.Int64
 
 	mu      sync.Mutex
 	budgets map[identifier.Service]*budgeter.Budgeter
-	// objects are the configuration and the endpoints' records as the store
-	// has them, for peers that can't read it.
-	objects map[string]object.Object
 }
 
 // New opens the listeners and builds the daemon.
 func New(c Config) (*Gateway, error) {
-	g := &Gateway{c: c, started: time.Now(), objects: make(map[string]object.Object)}
+	g := &Gateway{c: c, started: time.Now()}
 	g.reporter = prometheus.NewReporter(prometheus.Options{})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "brasschute", CachedReporter: g.reporter, Separator: prometheus.DefaultSeparator,
@@ -179,8 +182,8 @@
 		Versioner: &g.versioner, Relayer: relay, Quota: g, Decode: platform.DecodeRequest, Refuse: platform.Codec{}.EncodeRefusal,
 		Observer: chronicler.New(chronicler.Config{Logger: g.c.Logger, Metrics: g.scope}),
 	})
-	g.tree.Add(g.follow("configuration", platform.CatalogKind, g.configuration))
-	g.tree.Add(g.follow("endpoints", platform.EndpointKind, g.endpoint))
+	g.tree.Add(g.follow("configuration", platform.CatalogKind))
+	g.tree.Add(g.follow("endpoints", platform.EndpointKind))
 	g.tree.Add(service(g.prune))
 	if g.c.Read != nil {
 		g.tree.Add(service(g.reread))
@@ -202,12 +205,15 @@
 
 // follow watches one kind of objects. A dependency that is lost or regained is
 // logged once.
-func (g *Gateway) follow(what, kind string, apply func(object.Object)) *watcher.Watcher {
+func (g *Gateway) follow(what, kind string) *watcher.Watcher {
 	var lost time.Time
 	return watcher.New(watcher.Config{
-		Platform: g.store, Sink: sink(apply), Prefixes: []string{kind},
+		Platform: g.store, Sink: sink(g.take), Prefixes: []string{kind}, Idle: func() bool { return !g.follows() },
 		Wait: time.Duration(watchPart * float64(min(g.c.Deployment.Bounds.ApplyTime, g.c.Deployment.Bounds.DrainTime))),
 		Report: func(err error) {
+			if err == nil {
+				g.storeHeard.Store(time.Now().UnixNano())
+			}
 			switch {
 			case err != nil && lost.IsZero():
 				lost = time.Now()
@@ -224,7 +230,6 @@
 	if o.Key != platform.CatalogKey || o.Deleted {
 		return
 	}
-	g.remember(o)
 	c, err := platform.DecodeCatalog(o.Value)
 	if err != nil {
 		g.scope.Counter("configurations_refused").Inc(1)
@@ -241,7 +246,6 @@
 
 func (g *Gateway) endpoint(o object.Object) {
 	id := strings.TrimPrefix(o.Key, platform.EndpointKind+"/")
-	g.remember(o)
 	if o.Deleted {
 		g.registry.Remove(id)
 		g.c.Logger.Info("endpoint gone", "endpoint", id, "revision", o.Version)
--- a/internal/role/gateway/news.go
+++ b/internal/role/gateway/news.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/http"
+	"strings"
+	"sync/atomic"
 	"time"
 
 	"brasschute/internal/config/deployment"
@@ -18,6 +20,7 @@
 	"brasschute/internal/serve/request"
 	"brasschute/platform"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/thejerf/suture/v4"
 )
 
@@ -33,6 +36,16 @@
 	// period of the digests. loadAge is when a load says nothing any more.
 	learnPause = 250 * time.Millisecond
 	loadAge    = 4 * time.Second
+	// observerAge is when a silent daemon no longer counts as following the
+	// store for others.
+	observerAge = 3 * time.Second
+	// In a fleet of up to smallFleet daemons all follow the store, as the loss of
+	// some would otherwise leave few that do. Beyond, one in perObserver does,
+	// and leastObservers at least: a mass failure that kills six in ten kills
+	// all of eight once in sixty times.
+	smallFleet     = 16
+	leastObservers = 8
+	perObserver    = 10
 	// peerIdle keeps connections between peers open over several periods.
 	peerIdle = 30 * time.Second
 )
@@ -46,7 +59,7 @@
 func (g *Gateway) buildPeers() {
 	d := g.c.Deployment
 	g.swapper = swapper.New(swapper.Config{
-		Host: d.Host, Address: d.Peers.String(), Self: g.digest, Gatherer: &g.gatherer, Heard: g.heard, Objects: g.snapshot, Logger: g.c.Logger,
+		Host: d.Host, Address: d.Peers.String(), Self: g.digest, Gatherer: &g.gatherer, Heard: g.heard, Objects: g.changes, Logger: g.c.Logger,
 		Client: &http.Client{Transport: &http.Transport{
 			DialContext: platform.Dialer().DialContext, IdleConnTimeout: peerIdle, DisableCompression: true,
 		}},
@@ -88,6 +101,8 @@
 	if g.lease != nil {
 		_, out.HoldsDuties = g.lease.Held()
 	}
+	out.EndpointsRevision = g.mirror.Revision(platform.EndpointKind)
+	out.Observing = g.follows() && time.Since(time.Unix(0, g.storeHeard.Load())) < observerAge
 	out.Leaving = g.leaving()
 	out.Peers = g.swapper.Lately()
 	return out
@@ -127,36 +142,68 @@
 
 // spread takes over what a peer believes and this daemon does not know yet: the
 // store may turn some daemons away, or be cut off from them, while it serves the
-// others.
+// others; and in a large fleet only a few follow it.
 func (g *Gateway) spread(d *rpc.Digest) {
 	for _, id := range d.GetLeaving() {
 		if g.registry.MarkLeaving(identifier.Host(id), firstIncarnation, time.Time{}) {
 			g.c.Logger.Info("endpoint leaving", "endpoint", id, "source", d.GetHost())
 		}
 	}
-	c := g.versioner.InForce()
-	if c != nil && uint64(c.Number()) < d.GetConfigurationNumber() && g.fetching.CompareAndSwap(false, true) {
-		go func() {
-			defer g.fetching.Store(false)
-			g.fetch(d.GetAddress())
-		}()
+	if c := g.versioner.InForce(); c != nil && uint64(c.Number()) < d.GetConfigurationNumber() {
+		g.fetch(&g.fetchingCatalog, d, platform.CatalogKind, 0)
+	}
+	if known := g.mirror.Revision(platform.EndpointKind); known > 0 && known < d.GetEndpointsRevision() {
+		g.fetch(&g.fetchingEndpoints, d, platform.EndpointKind, known)
 	}
 }
 
-// fetch takes the configuration from a peer that has a newer one.
-func (g *Gateway) fetch(address string) {
-	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
-	defer cancel()
-	objects, err := g.swapper.AskOne(ctx, address)
-	if err != nil {
-		g.c.Logger.Warn("newer configuration not fetched from a peer", "address", address, "error", err)
+// fetch takes over what a peer knows of a kind after a revision. One fetch of a
+// kind is under way at a time.
+func (g *Gateway) fetch(busy *atomic.Bool, d *rpc.Digest, kind string, after uint64) {
+	if !busy.CompareAndSwap(false, true) {
 		return
 	}
+	go func() {
+		defer busy.Store(false)
+		ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+		defer cancel()
+		objects, err := g.swapper.AskOne(ctx, d.GetAddress(), kind, after)
+		if err != nil {
+			g.c.Logger.Warn("newer objects not fetched from a peer", "peer", d.GetHost(), "kind", kind, "error", err)
+			return
+		}
+		g.takeAll(objects)
+	}()
+}
+
+func (g *Gateway) takeAll(objects []*rpc.StoredObject) {
 	for _, o := range objects {
-		if o.GetKey() == platform.CatalogKey {
-			g.configuration(object.Object{Key: o.GetKey(), Version: o.GetVersion(), Value: o.GetValue()})
+		g.take(object.Object{Key: o.GetKey(), Version: o.GetVersion(), Value: o.GetValue(), Deleted: o.GetDeleted()})
+	}
+}
+
+// follows tells whether this daemon follows the store itself. In a small fleet
+// all do. In a large one those few do whose names hash lowest among the living;
+// any other one does as soon as it hears less than two that say they reach the
+// store.
+func (g *Gateway) follows() bool {
+	now := time.Now()
+	self := g.c.Deployment.Host
+	own := xxhash.Sum64String(string(self))
+	daemons, before, observers := 1, 0, 0
+	for host, e := range g.gatherer.Latest(now) {
+		if now.Sub(e.Heard) > observerAge || e.Digest.GetStopping() {
+			continue
+		}
+		daemons++
+		if xxhash.Sum64String(string(host)) < own {
+			before++
+		}
+		if e.Digest.GetObserving() {
+			observers++
 		}
 	}
+	return daemons <= smallFleet || before < max(leastObservers, daemons/perObserver) || observers < 2
 }
 
 // leaving lists the endpoints that are listed and known to leave.
@@ -170,23 +217,18 @@
 	return out
 }
 
-// remember keeps an object as the store has it.
-func (g *Gateway) remember(o object.Object) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if o.Deleted {
-		delete(g.objects, o.Key)
-		return
+// changes returns the store's objects that changed after a revision, as this
+// daemon knows them; of all kinds that peers may need if kind is empty.
+func (g *Gateway) changes(kind string, after uint64) []*rpc.StoredObject {
+	kinds := []string{kind}
+	if kind == "" {
+		kinds = []string{platform.CatalogKind, platform.EndpointKind}
 	}
-	g.objects[o.Key] = o
-}
-
-func (g *Gateway) snapshot() []*rpc.StoredObject {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	out := make([]*rpc.StoredObject, 0, len(g.objects))
-	for key, o := range g.objects {
-		out = append(out, &rpc.StoredObject{Key: key, Version: o.Version, Value: o.Value})
+	var out []*rpc.StoredObject
+	for _, kind := range kinds {
+		for _, o := range g.mirror.Since(kind, after) {
+			out = append(out, &rpc.StoredObject{Key: o.Key, Version: o.Version, Value: o.Value, Deleted: o.Deleted})
+		}
 	}
 	return out
 }
@@ -204,19 +246,22 @@
 			continue
 		}
 		g.c.Logger.Info("beliefs taken from a peer", "objects", len(objects))
-		for _, o := range objects {
-			g.take(object.Object{Key: o.GetKey(), Version: o.GetVersion(), Value: o.GetValue()})
-		}
+		g.takeAll(objects)
 	}
 	return suture.ErrDoNotRestart
 }
 
+// take takes in an object from the store or a peer.
 func (g *Gateway) take(o object.Object) {
-	if o.Key == platform.CatalogKey {
-		g.configuration(o)
+	if !g.mirror.Apply(o) {
 		return
 	}
-	g.endpoint(o)
+	if strings.HasPrefix(o.Key, platform.CatalogKind+"/") {
+		g.configuration(o)
+	} else {
+		g.endpoint(o)
+	}
+	g.swapper.Hurry()
 }
 
 // Admit admits a request within its organisation's quota.
