--- a/internal/fleet/accountant/accountant.go
+++ b/internal/fleet/accountant/accountant.go
@@ -64,7 +64,7 @@
 	// Due is how long after its end a window may be reported; Settle how long
 	// counts of other daemons take to arrive.
 	Due    time.Duration
-	Settle time.Duration
+	Settle func() time.Duration
 	// Counted returns what each daemon counted, as far as it is known.
 	Counted func() []Counted
 	// Organisations are those that a report names, counted or not.
@@ -135,7 +135,7 @@
 		a.fencing, a.known = fencing, false
 	}
 	now := a.c.Now()
-	newest := now.Add(-a.c.Settle).UnixNano()/int64(a.c.Window) - 1
+	newest := now.Add(-a.c.Settle()).UnixNano()/int64(a.c.Window) - 1
 	oldest := now.Add(-a.c.Due).UnixNano() / int64(a.c.Window)
 	for window := oldest; window <= newest; window++ {
 		if a.sent[window] {
--- a/internal/fleet/orderer/orderer.go
+++ b/internal/fleet/orderer/orderer.go
@@ -47,10 +47,11 @@
 	// asked again.
 	dryTime = 3 * time.Second
 	// firstPart of the endpoints that a new fleet finds is what a service is
-	// taken to need until its demand has been seen for firstTime: operators start
-	// with enough for the peak.
-	firstPart = 0.5
-	firstTime = 14 * time.Second
+	// taken to need until firstTime, when its demand has been seen: operators start
+	// with enough for the peak, and the first requests find no prompt cached, which
+	// takes as much as the peak.
+	firstPart = 0.65
+	firstTime = 17 * time.Second
 	// listTime is how long the endpoints of a new fleet take to list themselves:
 	// three of their heartbeats.
 	listTime = 3500 * time.Millisecond
--- a/internal/peer/swapper/swapper.go
+++ b/internal/peer/swapper/swapper.go
@@ -6,7 +6,14 @@
 // whose host name is lower. So news of a daemon is at most a period old at
 // every other one, and survives the daemon's end there. Addresses come from the
 // settings' seeds, the store, and the digests themselves; one that has not
-// answered for [forget] is dropped.
+// answered for [forget] is dropped. Bytes between availability zones are dear:
+// in a large fleet, pairs in different zones swap half as often.
+//
+// # News
+//
+// A change of the configuration or of an endpoint does not wait for the next
+// round: [Swapper.Hurry] sends all peers a note of a few dozen bytes, and those
+// that lag ask for the difference.
 //
 // # Usage
 //
@@ -40,8 +47,12 @@
 	perPeer = 33 * time.Millisecond
 	// callTimeout is below the period, so that a silent peer holds up nothing.
 	callTimeout = 700 * time.Millisecond
-	// leastPause is the pause between two rounds in a hurry.
+	// leastPause is the pause after a round of notes.
 	leastPause = 200 * time.Millisecond
+	// Beyond smallFleet peers, pairs in different zones swap each farFactor-th
+	// round.
+	smallFleet = 16
+	farFactor  = 2
 	// forget is how long an address is tried in vain.
 	forget = 60 * time.Second
 	// slowAfter is when a silent address is tried only each fifth period.
@@ -56,13 +67,17 @@
 // Config names the swapper's collaborators.
 type Config struct {
 	Host identifier.Host
+	Zone identifier.AvailabilityZone
 	// Address is this daemon's own.
 	Address string
 	// Self builds this daemon's digest.
 	Self     func() *rpc.Digest
 	Gatherer *gatherer.Gatherer
-	// Heard is told of each new digest of another daemon.
+	// Heard is told of each new digest of another daemon, Noted of each note.
 	Heard func(*rpc.Digest)
+	Noted func(*rpc.Note)
+	// Note builds this daemon's note.
+	Note func() *rpc.Note
 	// Objects returns the store's objects of a kind, or of all kinds, that
 	// changed after a revision.
 	Objects func(kind string, after uint64) []*rpc.StoredObject
@@ -72,6 +87,7 @@
 
 type peer struct {
 	host identifier.Host
+	zone identifier.AvailabilityZone
 	// answered is when it last answered or called; added when it became known.
 	answered time.Time
 	added    time.Time
@@ -128,42 +144,48 @@
 // Serve swaps until ctx ends.
 func (s *Swapper) Serve(ctx context.Context) error {
 	slots := make(chan struct{}, parallel)
-	hurried := false
-	for ctx.Err() == nil {
-		addresses, pause := s.due(hurried)
+	each := func(addresses []string, call func(context.Context, string)) {
 		for _, address := range addresses {
 			select {
 			case slots <- struct{}{}:
 			case <-ctx.Done():
-				return ctx.Err()
+				return
 			}
 			go func() {
 				defer func() { <-slots }()
-				s.swap(ctx, address)
+				call(ctx, address)
 			}()
 		}
-		waiter.For(ctx, leastPause)
-		hurried = s.rest(ctx, pause-leastPause)
+	}
+	next := time.Now()
+	for ctx.Err() == nil {
+		timer := time.NewTimer(time.Until(next))
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+			addresses, pause := s.due()
+			each(addresses, s.swap)
+			next = time.Now().Add(pause)
+		case <-s.hurry:
+			each(s.Lately(), s.notice)
+			waiter.For(ctx, leastPause)
+		}
+		timer.Stop()
 	}
 	return ctx.Err()
 }
 
-// rest waits until the next round and tells whether it comes early.
-func (s *Swapper) rest(ctx context.Context, pause time.Duration) (hurried bool) {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	case <-s.hurry:
-		return true
-	}
-	return false
+// Period is how old the news of a peer in the same zone may be.
+func (s *Swapper) Period() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.period()
 }
 
-// due returns the addresses to call now and the time until the next round. A
-// daemon in a hurry calls also those that would call it.
-func (s *Swapper) due(hurried bool) ([]string, time.Duration) {
+func (s *Swapper) period() time.Duration { return max(period, time.Duration(len(s.peers))*perPeer) }
+
+// due returns the addresses to call now and the time until the next round.
+func (s *Swapper) due() ([]string, time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
@@ -179,16 +201,40 @@
 			delete(s.peers, address)
 			continue
 		}
-		// The pair's other daemon calls, unless it has fallen silent: then it
-		// may not know this one.
-		theirs := !hurried && p.host != "" && p.host < s.c.Host && silent < 3*period
-		slow := silent > slowAfter && s.round%slowEach != 0
-		if !theirs && !slow && !p.busy {
+		if !p.busy && s.mine(p, silent) {
 			p.busy = true
 			out = append(out, address)
 		}
 	}
-	return out, max(period, time.Duration(len(s.peers))*perPeer)
+	return out, s.period()
+}
+
+// mine tells whether it is for this daemon, and time, to call a peer.
+func (s *Swapper) mine(p *peer, silent time.Duration) bool {
+	far := p.zone != s.c.Zone && len(s.peers) > smallFleet
+	usual := s.period()
+	if far {
+		usual *= farFactor
+	}
+	switch {
+	case silent > slowAfter+usual:
+		return s.round%slowEach == 0
+	case far && p.host != "" && s.round%farFactor != 0:
+		return false
+	}
+	// The pair's other daemon calls, unless it has fallen silent: then it may
+	// not know this one.
+	return p.host == "" || p.host >= s.c.Host || silent >= 2*usual+time.Second
+}
+
+// notice sends a peer this daemon's note. A note that is lost is made up for by
+// the next digest.
+func (s *Swapper) notice(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if _, err := rpc.NewFleetProtobufClient("http://"+address, s.c.Client).Notice(ctx, s.c.Note()); err != nil {
+		s.c.Logger.Debug("note not delivered", "address", address, "error", err)
+	}
 }
 
 func (s *Swapper) swap(ctx context.Context, address string) {
@@ -218,7 +264,7 @@
 			s.c.Logger.Info("peer regained", "peer", d.GetHost(), "address", address)
 		}
 		p.lost = false
-		p.host, p.answered = identifier.Host(d.GetHost()), time.Now()
+		p.host, p.zone, p.answered = identifier.Host(d.GetHost()), identifier.AvailabilityZone(d.GetAvailabilityZone()), time.Now()
 	}
 	for _, other := range d.GetPeers() {
 		s.add(other)
@@ -261,6 +307,12 @@
 	return s.c.Self(), nil
 }
 
+// Notice takes in a peer's note.
+func (s *Swapper) Notice(_ context.Context, n *rpc.Note) (*rpc.NoteReply, error) {
+	s.c.Noted(n)
+	return &rpc.NoteReply{}, nil
+}
+
 // Snapshot answers a peer that can't read the store.
 func (s *Swapper) Snapshot(_ context.Context, r *rpc.SnapshotRequest) (*rpc.SnapshotReply, error) {
 	return &rpc.SnapshotReply{Objects: s.c.Objects(r.GetKind(), r.GetAfter())}, nil
--- a/internal/role/gateway/duties.go
+++ b/internal/role/gateway/duties.go
@@ -28,14 +28,13 @@
 	// orderTime is the longest that a call of a former holder is on its way:
 	// calls end after a second on this side.
 	orderTime = time.Second
-	// ledTime is the age of a peer's digest up to which the peer is believed to
-	// hold the lease.
-	ledTime = 1500 * time.Millisecond
+	// ledTime is added to the period of the digests for the age of a peer's
+	// digest up to which the peer is believed to hold the lease.
+	ledTime = 500 * time.Millisecond
 	// dutyPause is how often the holder looks at what is due.
 	dutyPause = 500 * time.Millisecond
-	// settleTime is how long counts of other daemons take: a period of the
-	// exchange of digests, and a margin.
-	settleTime = 1700 * time.Millisecond
+	// settleMargin is added to the time that counts of other daemons take.
+	settleMargin = 700 * time.Millisecond
 	// dueMargin is kept from the time at which a report is due.
 	dueMargin = 500 * time.Millisecond
 )
@@ -62,7 +61,7 @@
 	})
 	u := &duties{g: g, cloud: platform.NewCloud(d.Cloud.String())}
 	u.accountant = accountant.New(accountant.Config{
-		Store: g.store, Now: g.clock.Now, Window: d.Bounds.UsageWindow, Due: d.Bounds.UsageDue - dueMargin, Settle: settleTime,
+		Store: g.store, Now: g.clock.Now, Window: d.Bounds.UsageWindow, Due: d.Bounds.UsageDue - dueMargin, Settle: g.settleTime,
 		Counted: u.counted, Organisations: u.organisations, Report: u.report, Logger: g.c.Logger,
 	})
 	u.orderer = orderer.New(orderer.Config{Order: u.order, Logger: g.c.Logger, Fresh: d.FirstStart})
@@ -70,6 +69,16 @@
 	g.tree.Add(service(u.serve))
 }
 
+// settleTime is how long counts of other daemons take: a round of the digests,
+// of which the far ones come each second.
+func (g *Gateway) settleTime() time.Duration {
+	p := g.swapper.Period()
+	if p > time.Second {
+		p *= 2
+	}
+	return p + settleMargin
+}
+
 func (g *Gateway) keepLease(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -162,11 +171,19 @@
 	return out
 }
 
-// led tells whether a peer said lately that it holds the duties.
+// led tells whether a peer said lately that it holds the duties. In a large fleet
+// only those daemons stand for them that follow the store.
 func (g *Gateway) led() bool {
+	if !g.follows() {
+		return true
+	}
 	now := time.Now()
+	age := g.swapper.Period()
+	if age > time.Second {
+		age *= 2
+	}
 	for _, e := range g.gatherer.Latest(now) {
-		if e.Digest.GetHoldsDuties() && now.Sub(e.Heard) < ledTime {
+		if e.Digest.GetHoldsDuties() && now.Sub(e.Heard) < age+ledTime {
 			return true
 		}
 	}
--- a/internal/role/gateway/news.go
+++ b/internal/role/gateway/news.go
@@ -25,6 +25,11 @@
 )
 
 const (
+	// openWindows is how many windows of usage before the present one peers are
+	// told of.
+	openWindows = 2
+	// peersEach-th digests list the peers' addresses, which seldom change.
+	peersEach = 8
 	// askPause is how often a daemon that knows no configuration asks peers.
 	askPause = 300 * time.Millisecond
 	// fetchTimeout bounds the fetch of a configuration from a peer: up to a
@@ -37,8 +42,10 @@
 	learnPause = 250 * time.Millisecond
 	loadAge    = 4 * time.Second
 	// observerAge is when a silent daemon no longer counts as following the
-	// store for others.
-	observerAge = 3 * time.Second
+	// store for others; in a large fleet it is observerPeriods of the digests, as
+	// those of far daemons come each second period only.
+	observerAge     = 3 * time.Second
+	observerPeriods = 3
 	// In a fleet of up to smallFleet daemons all follow the store, as the loss of
 	// some would otherwise leave few that do. Beyond, one in perObserver does,
 	// and leastObservers at least: a mass failure that kills six in ten kills
@@ -59,7 +66,8 @@
 func (g *Gateway) buildPeers() {
 	d := g.c.Deployment
 	g.swapper = swapper.New(swapper.Config{
-		Host: d.Host, Address: d.Peers.String(), Self: g.digest, Gatherer: &g.gatherer, Heard: g.heard, Objects: g.changes, Logger: g.c.Logger,
+		Host: d.Host, Zone: d.AvailabilityZone, Address: d.Peers.String(), Gatherer: &g.gatherer, Logger: g.c.Logger,
+		Self: g.digest, Heard: g.heard, Note: g.note, Noted: g.noted, Objects: g.changes,
 		Client: &http.Client{Transport: &http.Transport{
 			DialContext: platform.Dialer().DialContext, IdleConnTimeout: peerIdle, DisableCompression: true,
 		}},
@@ -83,7 +91,11 @@
 	if c := g.versioner.InForce(); c != nil {
 		out.ConfigurationNumber = uint64(c.Number())
 	}
+	oldest := g.tallier.Window(g.clock.Now()) - openWindows
 	for _, n := range g.tallier.Counts() {
+		if n.Window < oldest {
+			continue
+		}
 		out.Counts = append(out.Counts, &rpc.WindowCount{Window: n.Window, Organisation: string(n.Organisation), Count: uint32(n.Requests)})
 	}
 	for name, account := range g.allotter.Accounts() {
@@ -102,9 +114,11 @@
 		_, out.HoldsDuties = g.lease.Held()
 	}
 	out.EndpointsRevision = g.mirror.Revision(platform.EndpointKind)
-	out.Observing = g.follows() && time.Since(time.Unix(0, g.storeHeard.Load())) < observerAge
+	out.Observing = g.follows() && time.Since(time.Unix(0, g.storeHeard.Load())) < g.observerAge()
 	out.Leaving = g.leaving()
-	out.Peers = g.swapper.Lately()
+	if out.Sequence%peersEach == 1 {
+		out.Peers = g.swapper.Lately()
+	}
 	return out
 }
 
@@ -157,6 +171,22 @@
 	}
 }
 
+// note is what peers should know at once.
+func (g *Gateway) note() *rpc.Note {
+	d := g.c.Deployment
+	out := &rpc.Note{Host: string(d.Host), Address: d.Peers.String(), EndpointsRevision: g.mirror.Revision(platform.EndpointKind)}
+	if c := g.versioner.InForce(); c != nil {
+		out.ConfigurationNumber = uint64(c.Number())
+	}
+	return out
+}
+
+func (g *Gateway) noted(n *rpc.Note) {
+	g.spread(&rpc.Digest{
+		Host: n.GetHost(), Address: n.GetAddress(), ConfigurationNumber: n.GetConfigurationNumber(), EndpointsRevision: n.GetEndpointsRevision(),
+	})
+}
+
 // fetch takes over what a peer knows of a kind after a revision. One fetch of a
 // kind is under way at a time.
 func (g *Gateway) fetch(busy *atomic.Bool, d *rpc.Digest, kind string, after uint64) {
@@ -188,11 +218,12 @@
 // store.
 func (g *Gateway) follows() bool {
 	now := time.Now()
+	age := g.observerAge()
 	self := g.c.Deployment.Host
 	own := xxhash.Sum64String(string(self))
 	daemons, before, observers := 1, 0, 0
 	for host, e := range g.gatherer.Latest(now) {
-		if now.Sub(e.Heard) > observerAge || e.Digest.GetStopping() {
+		if now.Sub(e.Heard) > age || e.Digest.GetStopping() {
 			continue
 		}
 		daemons++
@@ -206,6 +237,10 @@
 	return daemons <= smallFleet || before < max(leastObservers, daemons/perObserver) || observers < 2
 }
 
+func (g *Gateway) observerAge() time.Duration {
+	return max(observerAge, observerPeriods*g.swapper.Period())
+}
+
 // leaving lists the endpoints that are listed and known to leave.
 func (g *Gateway) leaving() []string {
 	var out []string
@@ -261,7 +296,9 @@
 	} else {
 		g.endpoint(o)
 	}
-	g.swapper.Hurry()
+	if g.follows() {
+		g.swapper.Hurry()
+	}
 }
 
 // Admit admits a request within its organisation's quota.
--- a/internal/route/allotter/allotter.go
+++ b/internal/route/allotter/allotter.go
@@ -51,14 +51,17 @@
 	// overage: a sudden load at all daemons at once goes unseen for a period of
 	// the digests. Measured, at eight times an organisation's usual load: 1.45 s.
 	unseenTime = 1900 * time.Millisecond
-	// usedPart of what the overage leaves is given out: without it, news that
-	// comes late would refuse requests below the limit.
-	usedPart = 0.8
+	// depthPart and ratePart of what the overage leaves are given out, as a
+	// deeper bucket and as a higher rate: without them, news that comes late
+	// would refuse requests below the limit. A bucket as deep as an
+	// organisation's burst alone refused 7 in 100 requests of 61 daemons.
+	depthPart = 0.5
+	ratePart  = 0.3
 	// outdated is the age of news from which on a daemon's charges are not
 	// counted one by one: its level has absorbed them. To deduct the charges of
 	// several seconds at once from a bucket that was full meanwhile put a daemon
 	// that had heard nobody two seconds' worth of a quota below the others.
-	outdated = 2500 * time.Millisecond
+	outdated = 5 * time.Second
 	// lowPart of the burst is the level below which shares decide: what all
 	// daemons give out unseen within a period of the digests.
 	lowPart = 0.7
@@ -197,30 +200,31 @@
 	return v
 }
 
-// rate is what a quota gives out in a second: the stated rate, and a part of
-// what is tolerated beyond the quota within a window.
-func (a *Allotter) rate(o *catalog.Organisation) float64 {
+// terms are what a quota gives out: the stated rate and burst, and parts of what
+// is tolerated beyond the quota within a window.
+func (a *Allotter) terms(o *catalog.Organisation) (rate, burst float64) {
 	window := a.c.Window.Seconds()
 	tolerated := (o.RatePerSecond*window+o.Burst)*a.c.Overage + a.c.Slack
 	spare := max(tolerated-o.RatePerSecond*unseenTime.Seconds(), 0)
-	return o.RatePerSecond + usedPart*spare/window
+	return o.RatePerSecond + ratePart*spare/window, o.Burst + depthPart*spare
 }
 
 // bucket returns an organisation's bucket as of now.
 func (a *Allotter) bucket(o *catalog.Organisation, now time.Time) *bucket {
 	part := 1 - a.reserved(now)
+	rate, burst := a.terms(o)
 	b := a.buckets[o.Name]
 	if b == nil {
 		// Empty: what the daemons before this one gave out of the burst is not
 		// known. It fills up before a new fleet's first clients come.
-		b = &bucket{at: a.start, burst: o.Burst * part, rate: a.rate(o) * part}
+		b = &bucket{at: a.start, burst: burst * part, rate: rate * part}
 		if level, ok := a.low[o.Name]; ok {
 			b.level = min(b.level, level)
 		}
 		a.buckets[o.Name] = b
 	}
 	b.refill(now)
-	b.rate, b.burst = a.rate(o)*part, o.Burst*part
+	b.rate, b.burst = rate*part, burst*part
 	b.share, b.all = a.share(o.Name, b.asked)
 	return b
 }
--- a/internal/route/registry/registry.go
+++ b/internal/route/registry/registry.go
@@ -401,12 +401,12 @@
 
 // Loads returns what this daemon sends to the endpoints that it uses.
 func (r *Registry) Loads(now time.Time) []Load {
-	const least = 1 // token a second
+	const least = 300 // tokens a second, a hundredth of what an engine reads
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var out []Load
 	r.each(func(c *candidate.Candidate) {
-		if rate := c.Recent(now); rate >= least || c.InFlight > 0 {
+		if rate := c.Recent(now); rate >= least {
 			out = append(out, Load{c.Endpoint, candidate.Others{TokensPerSecond: rate, Running: int(c.InFlight)}})
 		}
 	})
