--- a/internal/role/gateway/duties.go
+++ b/internal/role/gateway/duties.go
@@ -69,16 +69,19 @@
 	g.tree.Add(service(u.serve))
 }
 
-// settleTime is how long counts of other daemons take: a round of the digests,
-// of which the far ones come each second.
-func (g *Gateway) settleTime() time.Duration {
+// newsAge is how old the news of a peer may get: a round of the digests, of which
+// those of far peers come each second one in a large fleet.
+func (g *Gateway) newsAge() time.Duration {
 	p := g.swapper.Period()
 	if p > time.Second {
 		p *= 2
 	}
-	return p + settleMargin
+	return p
 }
 
+// settleTime is how long counts of other daemons take.
+func (g *Gateway) settleTime() time.Duration { return g.newsAge() + settleMargin }
+
 func (g *Gateway) keepLease(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -178,10 +181,7 @@
 		return true
 	}
 	now := time.Now()
-	age := g.swapper.Period()
-	if age > time.Second {
-		age *= 2
-	}
+	age := g.newsAge()
 	for _, e := range g.gatherer.Latest(now) {
 		if e.Digest.GetHoldsDuties() && now.Sub(e.Heard) < age+ledTime {
 			return true
--- a/internal/route/allotter/allotter.go
+++ b/internal/route/allotter/allotter.go
@@ -40,33 +40,43 @@
 )
 
 const (
-	// silence is several periods of the exchange of digests.
-	silence = 4 * time.Second
+	// A daemon counts as silent after silentNews times the age that news usually
+	// reaches, and after leastSilence at least. Until then its last rate is
+	// carried on.
+	silentNews   = 2.5
+	leastSilence = 3 * time.Second
 	// memory is how long a silent daemon's part is set aside. A killed process
 	// is back within a few seconds; one that is gone for good is not.
 	memory = 30 * time.Second
-	// extrapolate bounds for how long a daemon's last rate is carried on.
-	extrapolate = 3 * time.Second
 	// unseenTime is the time's worth of a quota that is kept of the tolerated
 	// overage: a sudden load at all daemons at once goes unseen for a period of
 	// the digests. Measured, at eight times an organisation's usual load: 1.45 s.
-	unseenTime = 1900 * time.Millisecond
+	unseenTime = 2200 * time.Millisecond
 	// depthPart and ratePart of what the overage leaves are given out, as a
 	// deeper bucket and as a higher rate: without them, news that comes late
 	// would refuse requests below the limit. A bucket as deep as an
 	// organisation's burst alone refused 7 in 100 requests of 61 daemons.
 	depthPart = 0.5
 	ratePart  = 0.3
-	// outdated is the age of news from which on a daemon's charges are not
-	// counted one by one: its level has absorbed them. To deduct the charges of
-	// several seconds at once from a bucket that was full meanwhile put a daemon
-	// that had heard nobody two seconds' worth of a quota below the others.
-	outdated = 5 * time.Second
 	// lowPart of the burst is the level below which shares decide: what all
 	// daemons give out unseen within a period of the digests.
 	lowPart = 0.7
+	// partTime is how much of its share a daemon may save up. The parts of all
+	// daemons are given out at once when the bucket has filled up again.
+	partTime = 400 * time.Millisecond
 	// demandHalf is the time in which an old demand loses half of its weight.
-	demandHalf = time.Second
+	demandHalf = 2 * time.Second
+	// overload is how many times its rate an organisation must ask for before
+	// shares decide: single large requests make the demand of a second uneven.
+	overload = 1.2
+	// rateWeight is the weight of the newest rate of another daemon: single
+	// large requests make it uneven.
+	rateWeight = 0.5
+	// leastMissing makes an empty part refuse, in the unit of charges.
+	leastMissing = 1
+	// reservedAge is how old the count of silent daemons may be. To count anew
+	// for each request took 15 µs with 60 daemons, against 4 µs.
+	reservedAge = 100 * time.Millisecond
 	// leastShare is the part of an equal share that every daemon has.
 	leastShare = 0.25
 	// leastRetry and mostRetry bound what a refused client is told; the
@@ -82,6 +92,8 @@
 	Window  time.Duration
 	Overage float64
 	Slack   float64
+	// News is the age that the news of a daemon may reach; a second if nil.
+	News func() time.Duration
 	// Daemons estimates the number of daemons before any was heard.
 	Daemons int
 }
@@ -113,10 +125,13 @@
 	asked float64
 }
 
-func (b *bucket) refill(now time.Time) {
+// refill brings the bucket to a time. What others are taken to have charged
+// unseen makes room at the top: had the bucket overflowed meanwhile, their
+// charges would be paid for twice when they are heard.
+func (b *bucket) refill(now time.Time, unseen float64) {
 	passed := now.Sub(b.at).Seconds()
-	b.level = min(b.burst, b.level+b.rate*passed)
-	b.part = min(b.share*b.burst, b.part+b.share*b.rate*passed)
+	b.level = min(b.burst+unseen, b.level+b.rate*passed)
+	b.part = min(b.share*b.rate*partTime.Seconds(), b.part+b.share*b.rate*passed)
 	b.asked *= math.Exp2(-passed / demandHalf.Seconds())
 	b.at = now
 }
@@ -125,8 +140,10 @@
 // not above zero.
 func (b *bucket) missing(charge, level float64) float64 {
 	missing := charge - level
-	if level < lowPart*b.burst && b.all > b.rate {
-		missing = max(missing, min(charge, b.share*b.burst)-b.part)
+	if level < lowPart*b.burst && b.all > overload*b.rate && b.part <= 0 {
+		// The part may have gone below zero for a request larger than itself:
+		// in a large fleet a part is smaller than most requests.
+		missing = max(missing, leastMissing-b.part)
 	}
 	return missing
 }
@@ -154,12 +171,18 @@
 	mu      sync.Mutex
 	buckets map[identifier.Organisation]*bucket
 	others  map[remoteKey]*remote
+	// aside is the part set aside for silent daemons, as counted last.
+	aside   float64
+	counted time.Time
 	// low holds the levels that were taken over.
 	low map[identifier.Organisation]float64
 }
 
 // New returns an allotter that has charged nothing.
 func New(c Config) *Allotter {
+	if c.News == nil {
+		c.News = func() time.Duration { return time.Second }
+	}
 	return &Allotter{
 		c: c, start: time.Now(), buckets: make(map[identifier.Organisation]*bucket),
 		others: make(map[remoteKey]*remote), low: make(map[identifier.Organisation]float64),
@@ -177,6 +200,11 @@
 	Reserved float64
 }
 
+// silence is the time after which a daemon counts as silent.
+func (a *Allotter) silence() time.Duration {
+	return max(leastSilence, time.Duration(silentNews*float64(a.c.News())))
+}
+
 // Admit charges a request to its organisation, unless there is no room for it.
 func (a *Allotter) Admit(o *catalog.Organisation, charge float64) Verdict {
 	if o == nil {
@@ -195,7 +223,7 @@
 		}
 	}
 	b.level -= charge
-	b.part = max(b.part-charge, -b.share*b.burst)
+	b.part = max(b.part-charge, -b.burst)
 	b.own += charge
 	return v
 }
@@ -223,7 +251,8 @@
 		}
 		a.buckets[o.Name] = b
 	}
-	b.refill(now)
+	b.refill(now, a.unseen(o.Name, now))
+	b.level -= a.overdue(o.Name, now)
 	b.rate, b.burst = rate*part, burst*part
 	b.share, b.all = a.share(o.Name, b.asked)
 	return b
@@ -240,15 +269,29 @@
 
 // unseen estimates what the other daemons charged since they were heard.
 func (a *Allotter) unseen(o identifier.Organisation, now time.Time) float64 {
-	charged := 0.0
+	charged, silence := 0.0, a.silence()
 	for _, r := range a.others {
-		if n := r.byOrg[o]; n != nil && now.Sub(r.heard) < extrapolate {
+		if n := r.byOrg[o]; n != nil && now.Sub(r.heard) < silence {
 			charged += n.rate * now.Sub(r.heard).Seconds()
 		}
 	}
 	return charged
 }
 
+// overdue is what daemons that have fallen silent are taken to have charged until
+// their parts are set aside. It is charged once: were it forgotten instead, a cut
+// would give out three seconds' worth of the quota again.
+func (a *Allotter) overdue(o identifier.Organisation, now time.Time) float64 {
+	charged, silence := 0.0, a.silence()
+	for _, r := range a.others {
+		if n := r.byOrg[o]; n != nil && now.Sub(r.heard) >= silence {
+			charged += n.rate * silence.Seconds()
+			n.rate = 0
+		}
+	}
+	return charged
+}
+
 // share is this daemon's part of what is asked of an organisation's quota, and
 // all that is asked.
 func (a *Allotter) share(o identifier.Organisation, asked float64) (share, all float64) {
@@ -270,6 +313,14 @@
 // reserved is the part of each quota that is set aside for daemons that are
 // not heard.
 func (a *Allotter) reserved(now time.Time) float64 {
+	if now.Sub(a.counted) < reservedAge {
+		return a.aside
+	}
+	a.counted, a.aside = now, a.countSilent(now)
+	return a.aside
+}
+
+func (a *Allotter) countSilent(now time.Time) float64 {
 	latest := make(map[identifier.Host]time.Time, len(a.others))
 	for k, r := range a.others {
 		if now.Sub(r.heard) > memory {
@@ -280,7 +331,7 @@
 			latest[k.host] = r.heard
 		}
 	}
-	silent, all := 0, len(latest)+1
+	silent, all, silence := 0, len(latest)+1, a.silence()
 	for _, heard := range latest {
 		if now.Sub(heard) > silence {
 			silent++
@@ -300,7 +351,7 @@
 	out := make(map[identifier.Organisation]Account, len(a.buckets))
 	now := time.Now()
 	for name, b := range a.buckets {
-		b.refill(now)
+		b.refill(now, a.unseen(name, now))
 		out[name] = Account{Total: b.own, Level: b.level, Asked: b.asked}
 	}
 	return out
@@ -329,17 +380,17 @@
 		n.asked = account.Asked
 		delta := max(account.Total-n.total, 0)
 		n.total = max(n.total, account.Total)
-		if first && now.Sub(a.start) < silence || !first && now.Sub(r.heard) > outdated {
+		if first && now.Sub(a.start) < a.silence() || !first && now.Sub(r.heard) >= a.silence() {
 			// All that it charged meanwhile is in its level.
 			a.adopt(name, account.Level)
 			continue
 		}
 		if b := a.buckets[name]; b != nil {
-			b.refill(now)
+			b.refill(now, a.unseen(name, now))
 			b.level -= delta
 		}
 		if since > 0 && !first {
-			n.rate = delta / since
+			n.rate += rateWeight * (delta/since - n.rate)
 		}
 	}
 	r.heard = now
