--- /dev/null
+++ b/internal/engine/sender/sender_test.go
@@ -0,0 +1,194 @@
+package sender
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"brasschute/internal/standin/hosting"
+)
+
+func newSender(t *testing.T) (*Sender, *atomic.Int32) {
+	t.Helper()
+	opened := new(atomic.Int32)
+	return New(Config{Dialer: &net.Dialer{}, Opened: func() { opened.Add(1) }}), opened
+}
+
+func serve(t *testing.T, e *hosting.Engine) string {
+	t.Helper()
+	server := httptest.NewServer(e)
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+func message(address, id string) *Message {
+	return &Message{
+		Address: address, Method: http.MethodPost, Target: "/x/a%2Fb?c=%20", Host: "desk.example", Body: []byte("body"),
+		Header: http.Header{"Request-Id": {id}},
+		Own:    func(h http.Header) bool { return h.Get("Request-Id") == id },
+	}
+}
+
+func exchange(t *testing.T, s *Sender, m *Message) (string, error) {
+	t.Helper()
+	x, err := s.Send(t.Context(), m)
+	if err != nil {
+		return "", err
+	}
+	defer x.Close()
+	body, err := io.ReadAll(x.Body)
+	return string(body), err
+}
+
+func TestSendPassesTheMessageOn(t *testing.T) {
+	e := hosting.NewEngine(hosting.Config{ID: "i-1"})
+	s, opened := newSender(t)
+	address := serve(t, e)
+	for range 5 {
+		if body, err := exchange(t, s, message(address, "r-1")); err != nil || body != e.Text() {
+			t.Fatalf("%q, %v", body, err)
+		}
+	}
+	run := e.Runs()[0]
+	if run.Target != "/x/a%2Fb?c=%20" || run.Body != "body" || run.Header.Get("User-Agent") != "" {
+		t.Errorf("run %+v", run)
+	}
+	if n := opened.Load(); n != 1 {
+		t.Errorf("%d connections for 5 requests in a row", n)
+	}
+}
+
+// An engine closes a kept connection that the sender believes to be good. What is
+// sent on it would be lost without an answer, and a posting could not be sent
+// again. The sender looks at the connection first, and opens another one.
+func TestClosedConnectionsAreNotUsed(t *testing.T) {
+	e := hosting.NewEngine(hosting.Config{ID: "i-1"})
+	server := httptest.NewServer(e)
+	defer server.Close()
+	s, opened := newSender(t)
+	address := server.Listener.Addr().String()
+	if _, err := exchange(t, s, message(address, "r-1")); err != nil {
+		t.Fatal(err)
+	}
+	server.CloseClientConnections()
+	for range 20 {
+		if _, err := exchange(t, s, message(address, "r-2")); err != nil {
+			t.Fatalf("after the close: %v", err)
+		}
+	}
+	if n := opened.Load(); n != 2 {
+		t.Errorf("%d connections", n)
+	}
+}
+
+func TestErrorsTellHowFarARequestGot(t *testing.T) {
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	nobody := closed.Addr().String()
+	_ = closed.Close()
+	s, _ := newSender(t)
+	if _, err := exchange(t, s, message(nobody, "r")); !errors.Is(err, ErrUnsent) {
+		t.Errorf("nobody listens: %v", err)
+	}
+	dropping := hosting.NewEngine(hosting.Config{ID: "i-1"})
+	dropping.Behave(func(*http.Request) hosting.Behaviour { return hosting.Drop })
+	if _, err := exchange(t, s, message(serve(t, dropping), "r")); !errors.Is(err, ErrLost) {
+		t.Errorf("no answer: %v", err)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = c.Read(make([]byte, 4096))
+			_, _ = io.WriteString(c, "these bytes are no answer\r\n\r\n")
+			_ = c.Close()
+		}
+	}()
+	if _, err := exchange(t, s, message(l.Addr().String(), "r")); !errors.Is(err, ErrBroken) {
+		t.Errorf("no HTTP: %v", err)
+	}
+}
+
+// slowDialer opens a connection only when the test lets it.
+type slowDialer struct{ let chan struct{} }
+
+func (d *slowDialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	<-d.let
+	return (&net.Dialer{}).DialContext(ctx, network, address)
+}
+
+// An engine begins to leave while the connection to it is being opened. It was
+// right to choose it, and would be wrong to send it work now.
+func TestLeavingWhileConnecting(t *testing.T) {
+	e := hosting.NewEngine(hosting.Config{ID: "i-1"})
+	d := &slowDialer{let: make(chan struct{})}
+	s := New(Config{Dialer: d})
+	var leaving atomic.Bool
+	m := message(serve(t, e), "r-1")
+	m.Ready = func() bool { return !leaving.Load() }
+	done := make(chan error, 1)
+	go func() {
+		_, err := s.Send(context.Background(), m)
+		done <- err
+	}()
+	leaving.Store(true)
+	close(d.let)
+	if err := <-done; !errors.Is(err, ErrWithdrawn) {
+		t.Errorf("error %v", err)
+	}
+	if n := e.Arrived(); n != 0 {
+		t.Errorf("%d requests reached the leaving engine", n)
+	}
+}
+
+func TestPrune(t *testing.T) {
+	e := hosting.NewEngine(hosting.Config{ID: "i-1"})
+	s, opened := newSender(t)
+	address := serve(t, e)
+	for _, listed := range []bool{true, false} {
+		if _, err := exchange(t, s, message(address, "r")); err != nil {
+			t.Fatal(err)
+		}
+		s.Prune(func(string) bool { return listed })
+	}
+	if _, err := exchange(t, s, message(address, "r")); err != nil {
+		t.Fatal(err)
+	}
+	if n := opened.Load(); n != 2 {
+		t.Errorf("%d connections, want the second one after the address was no longer listed", n)
+	}
+}
+
+func BenchmarkSend(b *testing.B) {
+	e := hosting.NewEngine(hosting.Config{ID: "i-1"})
+	server := httptest.NewServer(e)
+	defer server.Close()
+	s := New(Config{Dialer: &net.Dialer{Timeout: time.Second}})
+	m := message(server.Listener.Addr().String(), "r")
+	m.Body = []byte(strings.Repeat("x", 17_000))
+	b.ReportAllocs()
+	for b.Loop() {
+		x, err := s.Send(context.Background(), m)
+		if err != nil {
+			b.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, x.Body)
+		x.Close()
+	}
+}
--- a/internal/fleet/accountant/accountant.go
+++ b/internal/fleet/accountant/accountant.go
@@ -127,8 +127,8 @@
 // New returns an accountant that has sent nothing.
 func New(c Config) *Accountant { return &Accountant{c: c, sent: make(map[int64]bool)} }
 
-// Step settles and sends the windows that are due. Each step ends with the
-// first failure; what is left is for the next one.
+// Step settles and sends the windows that are due. A report that fails is sent
+// again with the next step, and does not hold up the others.
 func (a *Accountant) Step(ctx context.Context, fencing uint64) {
 	if fencing != a.fencing {
 		// Another holder may have settled windows in between.
@@ -143,7 +143,6 @@
 		}
 		if err := a.report(ctx, window); err != nil {
 			a.c.Logger.Warn("usage not reported yet", "window", window, "fencing", fencing, "error", err)
-			return
 		}
 	}
 	for window := range a.sent {
--- /dev/null
+++ b/internal/fleet/leaser/hosted_test.go
@@ -0,0 +1,110 @@
+package leaser
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"brasschute/internal/core/identifier"
+	"brasschute/internal/platform/object"
+)
+
+// The holder's process is killed and starts again on its host within half a
+// second. To wait until its own old lease lapses would leave the duties undone
+// for nothing: the two are one holder.
+func TestNextProcessOfTheHolderTakesOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := new(store)
+		old := candidateOf(s, "a")
+		old.step(context.Background())
+		first, held := old.Held()
+		if !held {
+			t.Fatal("not held")
+		}
+		next, other := candidateOf(s, "a"), candidateOf(s, "b")
+		other.step(context.Background())
+		next.step(context.Background())
+		second, held := next.Held()
+		if !held || second <= first {
+			t.Errorf("held %v with number %d after %d", held, second, first)
+		}
+		if _, held := other.Held(); held {
+			t.Error("another host holds it too")
+		}
+		if _, may := next.HeldFor(); may {
+			t.Error("it acts while orders of the killed process may be on their way")
+		}
+		time.Sleep(OrderTime + time.Millisecond)
+		if _, may := next.HeldFor(); !may {
+			t.Error("it never acts")
+		}
+	})
+}
+
+func TestReleaseLetsTheNextOneIn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := new(store)
+		a, b := candidateOf(s, "a"), candidateOf(s, "b")
+		a.step(context.Background())
+		if err := a.Release(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		if _, held := a.Held(); held {
+			t.Error("still held")
+		}
+		b.step(context.Background())
+		if _, held := b.Held(); !held {
+			t.Error("not taken over")
+		}
+	})
+}
+
+// A holder that renews each second needs not read what it wrote itself, and the
+// others need not ask while a peer tells them who holds it.
+func TestFewCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &counting{store: new(store)}
+		a := New(Config{Store: s, Zone: "z", Host: "a", Duration: duration})
+		b := New(Config{Store: s, Zone: "z", Host: identifier.Host("b"), Duration: duration, Led: func() bool { return true }})
+		a.step(context.Background())
+		s.calls = 0
+		for range 10 {
+			a.step(context.Background())
+			b.step(context.Background())
+			time.Sleep(duration / renewals)
+		}
+		if s.calls != 10 {
+			t.Errorf("%d calls for 10 renewals", s.calls)
+		}
+	})
+}
+
+// A suspended holder's monotonic clock stands still. By the clock that counts the
+// suspension its lease has lapsed.
+func TestSuspendedHolderKnows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		suspended := time.Duration(0)
+		a := New(Config{Store: new(store), Zone: "z", Host: "a", Duration: duration, Now: func() time.Time { return time.Now().Add(suspended) }})
+		a.step(context.Background())
+		suspended = duration
+		if _, held := a.Held(); held {
+			t.Error("held after a suspension longer than the lease")
+		}
+	})
+}
+
+type counting struct {
+	*store
+	calls int
+}
+
+func (c *counting) Get(ctx context.Context, key string) (object.Object, error) {
+	c.calls++
+	return c.store.Get(ctx, key)
+}
+
+func (c *counting) Put(ctx context.Context, key string, ifVersion uint64, value any) (object.Object, error) {
+	c.calls++
+	return c.store.Put(ctx, key, ifVersion, value)
+}
--- /dev/null
+++ b/internal/fleet/orderer/orderer_test.go
@@ -0,0 +1,168 @@
+package orderer
+
+import (
+	"context"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"brasschute/internal/config/catalog"
+	"brasschute/internal/config/document"
+	"brasschute/internal/core/identifier"
+	"brasschute/internal/fleet/sizer"
+	"brasschute/internal/platform/object"
+	"brasschute/internal/route/demander"
+)
+
+// cloud keeps what was ordered. Reclaimable endpoints start at once, unless none
+// are to be had; an order whose answer is lost is carried out all the same.
+type cloud struct {
+	onDemand, reclaimable map[identifier.AvailabilityZone]int
+	dry, lose             bool
+	orders                int
+}
+
+func newCloud(onDemand int) *cloud {
+	c := &cloud{onDemand: make(map[identifier.AvailabilityZone]int), reclaimable: make(map[identifier.AvailabilityZone]int)}
+	for _, z := range []identifier.AvailabilityZone{"a", "b", "c", "d"} {
+		c.onDemand[z] = onDemand
+		c.reclaimable[z] = 0
+	}
+	return c
+}
+
+func (c *cloud) order(_ context.Context, _ uint64, _ identifier.Service, z identifier.AvailabilityZone, class document.Class, wanted int) error {
+	c.orders++
+	if class == document.ClassReclaimable {
+		if c.dry && wanted > c.reclaimable[z] {
+			return object.ErrConflict
+		}
+		c.reclaimable[z] = wanted
+	} else {
+		c.onDemand[z] = wanted
+	}
+	if c.lose {
+		return object.ErrUnknown
+	}
+	return nil
+}
+
+func (c *cloud) service(tokens float64) []Service {
+	s := Service{
+		Service: "lm", Demand: demander.Demand{Tokens: tokens},
+		Scale: &catalog.Scale{Min: 1, Max: 6, ReclaimablePrice: 0.15, Prices: map[identifier.AvailabilityZone]float64{"a": 1, "b": 1, "c": 1, "d": 1}},
+	}
+	for z := range c.onDemand {
+		s.Zones = append(s.Zones, sizer.Zone{Zone: z, OnDemand: c.onDemand[z], Reclaimable: c.reclaimable[z]})
+	}
+	return []Service{s}
+}
+
+func (c *cloud) engines() int {
+	n := 0
+	for z := range c.onDemand {
+		n += c.onDemand[z] + c.reclaimable[z]
+	}
+	return n
+}
+
+func newOrderer(c *cloud, fresh bool) *Orderer {
+	return New(Config{Order: c.order, Logger: log.New(io.Discard), Fresh: fresh})
+}
+
+// run steps for a time, twice a second.
+func run(o *Orderer, c *cloud, fencing uint64, tokens float64, d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(500 * time.Millisecond) {
+		o.Step(context.Background(), fencing, c.service(tokens))
+	}
+}
+
+// The holder of the duty is killed while the fleet is loaded, and all daemons
+// with it: the next holder has seen no load yet. It must not take the silence for
+// a quiet fleet and give back the engines that the load needs.
+func TestNewHolderKeepsWhatItFinds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCloud(3)
+		run(newOrderer(c, true), c, 1, 200_000, 40*time.Second)
+		before := c.engines()
+		run(newOrderer(c, false), c, 2, 0, 5*time.Second)
+		if got := c.engines(); got < before {
+			t.Errorf("%d engines five seconds after the change of holders, %d before", got, before)
+		}
+	})
+}
+
+// A new fleet lists its engines over some seconds. A decision made before would
+// take two engines for all there are, and order the others away.
+func TestNewFleetIsAwaited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCloud(3)
+		o := newOrderer(c, true)
+		o.Step(context.Background(), 1, (&cloud{onDemand: map[identifier.AvailabilityZone]int{"a": 1, "b": 0, "c": 0, "d": 0}, reclaimable: map[identifier.AvailabilityZone]int{}}).service(0))
+		if c.orders != 0 {
+			t.Errorf("%d orders before the engines are listed", c.orders)
+		}
+		run(o, c, 1, 0, 10*time.Second)
+		if c.engines() < 8 {
+			t.Errorf("%d engines for the first load", c.engines())
+		}
+	})
+}
+
+func TestShrinksAfterTheLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCloud(3)
+		o := newOrderer(c, true)
+		run(o, c, 1, 250_000, 30*time.Second)
+		high := c.engines()
+		run(o, c, 1, 10_000, 4*time.Second)
+		if got := c.engines(); got != high {
+			t.Errorf("%d engines after a dip of four seconds, %d before", got, high)
+		}
+		run(o, c, 1, 10_000, 60*time.Second)
+		if got := c.engines(); got > 8 {
+			t.Errorf("%d engines a minute after the load has gone", got)
+		}
+		calls := c.orders
+		run(o, c, 1, 10_000, time.Minute)
+		if c.orders != calls {
+			t.Errorf("%d orders though nothing changes", c.orders-calls)
+		}
+	})
+}
+
+func TestLostAnswersConverge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCloud(3)
+		c.lose = true
+		o := newOrderer(c, true)
+		run(o, c, 1, 200_000, 20*time.Second)
+		c.lose = false
+		run(o, c, 1, 200_000, 20*time.Second)
+		lost := c.engines()
+		clean := newCloud(3)
+		run(newOrderer(clean, true), clean, 1, 200_000, 40*time.Second)
+		if got := clean.engines(); got != lost {
+			t.Errorf("%d engines after lost answers, %d without", lost, got)
+		}
+	})
+}
+
+// Zones that have no reclaimable engines are asked again now and then, not at
+// each step: every call has its price.
+func TestDryZonesAreAskedSeldom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCloud(3)
+		c.dry = true
+		run(newOrderer(c, true), c, 1, 100_000, 30*time.Second)
+		if c.orders > 60 {
+			t.Errorf("%d orders in 30 s", c.orders)
+		}
+		if c.engines() < 7 {
+			t.Errorf("%d engines for a load of 7", c.engines())
+		}
+	})
+}
