--- a/internal/fleet/accountant/accountant.go
+++ b/internal/fleet/accountant/accountant.go
@@ -39,11 +39,9 @@
 const Key = "reports/usage"
 
 const (
-	// kept is how many settled windows the object holds: more than can still
-	// be due.
-	kept = 8
-	// open is how many windows before the present one may still be open.
-	open = 2
+	// spare is how many settled windows the object holds beyond those that can
+	// still be due.
+	spare = 3
 	// savePause is how old the saved counts may be: a fifth of a window, of
 	// which the tolerance of a report allows to miss a quarter.
 	savePause = time.Second
@@ -193,7 +191,7 @@
 		return w, nil
 	}
 	next := append(slices.Clone(a.record.Windows), window{number, a.sum(number, a.c.Counted())})
-	if len(next) > kept {
+	if kept := a.open() + spare; len(next) > kept {
 		next = next[len(next)-kept:]
 	}
 	if err := a.write(ctx, next); err != nil {
@@ -202,12 +200,15 @@
 	return a.record.find(number), nil
 }
 
+// open is how many windows before the present one may still be open.
+func (a *Accountant) open() int { return int(a.c.Due/a.c.Window) + 1 }
+
 // write stores settled windows and what is counted of open ones.
 func (a *Accountant) write(ctx context.Context, windows []window) error {
 	counted := a.c.Counted()
 	next := record{Windows: windows, Sources: slices.Clone(a.from)}
 	newest := a.c.Now().UnixNano() / int64(a.c.Window)
-	for number := newest - open; number <= newest; number++ {
+	for number := newest - int64(a.open()); number <= newest; number++ {
 		if (&record{Windows: windows}).find(number) == nil {
 			next.Open = append(next.Open, window{number, a.sum(number, counted)})
 		}
--- a/internal/fleet/tallier/tallier.go
+++ b/internal/fleet/tallier/tallier.go
@@ -15,13 +15,11 @@
 	"brasschute/internal/core/identifier"
 )
 
-// kept is how many windows are remembered: a window is reported within two
-// windows of its end, and one more is for late news.
-const kept = 5
-
-// Config says how long a window is and what time it is.
+// Config says how long a window is, how long after its end it may still be asked
+// for, and what time it is.
 type Config struct {
 	Window time.Duration
+	Keep   time.Duration
 	Now    func() time.Time
 }
 
@@ -61,7 +59,7 @@
 	defer t.mu.Unlock()
 	if _, known := t.counts[key{window, o}]; !known {
 		for k := range t.counts {
-			if k.window <= window-kept {
+			if k.window < t.oldest() {
 				delete(t.counts, k)
 			}
 		}
@@ -69,12 +67,19 @@
 	t.counts[key{window, o}]++
 }
 
+// oldest is the first window that may still be asked for.
+func (t *Tallier) oldest() int64 { return t.Window(t.c.Now().Add(-t.c.Keep)) }
+
 // Counts returns what was counted in the last windows.
 func (t *Tallier) Counts() []Count {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	out := make([]Count, 0, len(t.counts))
+	oldest := t.oldest()
 	for k, n := range t.counts {
+		if k.window < oldest {
+			continue
+		}
 		out = append(out, Count{k.window, k.organisation, n})
 	}
 	return out
--- /dev/null
+++ b/internal/peer/mirror/mirror_test.go
@@ -0,0 +1,59 @@
+package mirror
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"brasschute/internal/platform/object"
+)
+
+func TestEndsAreFinal(t *testing.T) {
+	var m Mirror
+	m.Apply(object.Object{Key: "servers/a", Version: 3})
+	m.Apply(object.Object{Key: "servers/a", Version: 5, Deleted: true})
+	if m.Apply(object.Object{Key: "servers/a", Version: 4}) || m.Apply(object.Object{Key: "servers/a", Version: 9}) {
+		t.Error("an endpoint that has ended came back")
+	}
+	changes := m.Since("servers", 4)
+	if len(changes) != 1 || !changes[0].Deleted || m.Revision("servers") != 5 || m.Revision("config") != 0 {
+		t.Errorf("changes %+v, revision %d", changes, m.Revision("servers"))
+	}
+}
+
+// Two daemons see the store's changes in any order, late and twice, and one
+// follows the other: in the end both hold the same.
+func TestFollowersAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var ahead, behind Mirror
+		n := rapid.IntRange(1, 40).Draw(t, "changes")
+		for version := range n {
+			o := object.Object{Key: fmt.Sprintf("servers/%d", rapid.IntRange(0, 5).Draw(t, "key")), Version: uint64(version + 1)}
+			o.Deleted = rapid.IntRange(0, 4).Draw(t, "end") == 0
+			ahead.Apply(o)
+			if rapid.Bool().Draw(t, "follow") {
+				for _, c := range ahead.Since("servers", behind.Revision("servers")) {
+					behind.Apply(c)
+				}
+			}
+		}
+		for _, c := range ahead.Since("servers", behind.Revision("servers")) {
+			behind.Apply(c)
+			behind.Apply(c)
+		}
+		if a, b := fmt.Sprint(ahead.Since("servers", 0)), fmt.Sprint(behind.Since("servers", 0)); a != b {
+			t.Fatalf("ahead %s\nbehind %s", a, b)
+		}
+	})
+}
+
+func TestEndsAreBounded(t *testing.T) {
+	var m Mirror
+	for n := range 3 * maxEnds {
+		m.Apply(object.Object{Key: fmt.Sprintf("servers/%d", n), Version: uint64(n + 1), Deleted: true})
+	}
+	if got := len(m.Since("servers", 0)); got > maxEnds {
+		t.Errorf("%d ends remembered", got)
+	}
+}
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -165,7 +165,7 @@
 	g.tree = suture.New("gateway", suture.Spec{EventHook: g.event})
 	g.store = platform.NewStore(d.Store.String())
 	g.clock = chronometer.New(chronometer.Config{})
-	g.tallier = tallier.New(tallier.Config{Window: d.Bounds.UsageWindow, Now: g.clock.Now})
+	g.tallier = tallier.New(tallier.Config{Window: d.Bounds.UsageWindow, Keep: d.Bounds.UsageDue, Now: g.clock.Now})
 	g.allotter = allotter.New(allotter.Config{
 		Window: d.Bounds.QuotaWindow, Overage: d.Bounds.QuotaOverage, Slack: d.Bounds.QuotaSlack, News: g.newsAge, Daemons: fewestDaemons(d),
 	})
--- a/internal/role/gateway/news.go
+++ b/internal/role/gateway/news.go
@@ -25,9 +25,6 @@
 )
 
 const (
-	// openWindows is how many windows of usage before the present one peers are
-	// told of.
-	openWindows = 2
 	// peersEach-th digests list the peers' addresses, which seldom change.
 	peersEach = 8
 	// askPause is how often a daemon that knows no configuration asks peers.
@@ -91,11 +88,7 @@
 	if c := g.versioner.InForce(); c != nil {
 		out.ConfigurationNumber = uint64(c.Number())
 	}
-	oldest := g.tallier.Window(g.clock.Now()) - openWindows
 	for _, n := range g.tallier.Counts() {
-		if n.Window < oldest {
-			continue
-		}
 		out.Counts = append(out.Counts, &rpc.WindowCount{Window: n.Window, Organisation: string(n.Organisation), Count: uint32(n.Requests)})
 	}
 	for name, account := range g.allotter.Accounts() {
--- a/internal/route/selector/selector_test.go
+++ b/internal/route/selector/selector_test.go
@@ -183,3 +183,55 @@
 		})
 	}
 }
+
+// All requests of a popular prompt go to its home until the home is so busy that
+// they come too late there. Then reading the prompt once more elsewhere is cheaper
+// than a late answer; at a calm home it is not.
+func TestLateCostLeavesABusyHome(t *testing.T) {
+	now := time.Now()
+	q := query(now)
+	q.Prefix, q.Known, q.PromptTokens, q.RecomputeWeight, q.LateCost, q.Target = 99, 13_000, 17_000, 0.027, 2.7, time.Second
+	q.Prefill, q.MaxInFlight = 40_000, 128
+	list := candidates(4, now)
+	for i := range list {
+		list[i].Streams = 0
+	}
+	home := Home(q.Prefix, Premium(q.RecomputeWeight), list)
+	for _, ahead := range []float64{0, 5_000} {
+		list[home].Ahead = ahead
+		if d := Select(q, list, nil, nil); d.Index != home {
+			t.Errorf("%.0f tokens ahead at home: went to %d", ahead, d.Index)
+		}
+	}
+	list[home].Ahead = 80_000
+	if d := Select(q, list, nil, nil); d.Index == home {
+		t.Error("stayed at a home that answers two seconds late")
+	}
+}
+
+// Small prompts have no home. They stay in their zone, as the bytes between zones
+// cost more than reading a few hundred tokens twice, and spread over its engines.
+func TestZoneCostKeepsSmallPromptsAtHome(t *testing.T) {
+	now := time.Now()
+	q := query(now)
+	q.LateCost, q.ZoneCost, q.RecomputeWeight, q.Target, q.Prefill = 0.3, 0.012, 0.027, time.Second, 40_000
+	list := candidates(8, now)
+	for i := range list {
+		list[i].Streams = 0
+		if i%2 == 1 {
+			list[i].AvailabilityZone = "z1"
+		}
+	}
+	seen := make(map[int]int)
+	for seed := range uint64(400) {
+		q.Seed = seed
+		d := Select(q, list, nil, nil)
+		if list[d.Index].AvailabilityZone != q.Zone {
+			t.Fatalf("seed %d left its zone", seed)
+		}
+		seen[d.Index]++
+	}
+	if len(seen) != 4 {
+		t.Errorf("%d of 4 engines used", len(seen))
+	}
+}
