--- a/internal/config/deployment/deployment.go
+++ b/internal/config/deployment/deployment.go
@@ -98,8 +98,10 @@
 		field   string
 		address netip.AddrPort
 	}{
-		{"address for callers", d.Callers}, {"address for readiness", d.Readiness},
-		{"address for peers", d.Peers}, {"address of the store", d.Store},
+		{"address for callers", d.Callers},
+		{"address for readiness", d.Readiness},
+		{"address for peers", d.Peers},
+		{"address of the store", d.Store},
 	} {
 		if !a.address.IsValid() || a.address.Port() == 0 {
 			report(a.field, "no address", "IP:port")
@@ -120,8 +122,12 @@
 		field string
 		value time.Duration
 	}{
-		{"drain time", d.Bounds.DrainTime}, {"apply time", d.Bounds.ApplyTime}, {"grace time", d.Bounds.Grace}, {"lease time", d.Bounds.LeaseTime},
-		{"retry window", d.Bounds.RetryWindow}, {"quota window", d.Bounds.QuotaWindow},
+		{"drain time", d.Bounds.DrainTime},
+		{"apply time", d.Bounds.ApplyTime},
+		{"grace time", d.Bounds.Grace},
+		{"lease time", d.Bounds.LeaseTime},
+		{"retry window", d.Bounds.RetryWindow},
+		{"quota window", d.Bounds.QuotaWindow},
 		{"usage window", d.Bounds.UsageWindow},
 	} {
 		if b.value <= 0 || b.value > longest {
--- a/internal/engine/sender/sender.go
+++ b/internal/engine/sender/sender.go
@@ -185,7 +185,7 @@
 		if _, err := l.reader.Peek(1); err != nil {
 			return nil, fmt.Errorf("%w: %w", ErrLost, err)
 		}
-		resp, err := http.ReadResponse(l.reader, r)
+		resp, err := http.ReadResponse(l.reader, r) //nolint:bodyclose // Exchange.Close ends it
 		if err != nil {
 			return nil, fmt.Errorf("%w: %w", ErrBroken, err)
 		}
@@ -209,12 +209,11 @@
 }
 
 func newRequest(m *Message) (*http.Request, error) {
-	u, err := url.ParseRequestURI(m.Target)
-	if err != nil {
+	if _, err := url.ParseRequestURI(m.Target); err != nil {
 		return nil, fmt.Errorf("target: %w", err)
 	}
 	// Opaque keeps the target as the client wrote it.
-	u = &url.URL{Scheme: "http", Host: m.Host, Opaque: m.Target, RawQuery: ""}
+	u := &url.URL{Scheme: "http", Host: m.Host, Opaque: m.Target, RawQuery: ""}
 	r := &http.Request{
 		Method: m.Method, URL: u, Host: m.Host, Header: m.Header, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		ContentLength: int64(len(m.Body)),
--- a/internal/fleet/orderer/orderer_test.go
+++ b/internal/fleet/orderer/orderer_test.go
@@ -25,10 +25,10 @@
 	orders                int
 }
 
-func newCloud(onDemand int) *cloud {
+func newCloud() *cloud {
 	c := &cloud{onDemand: make(map[identifier.AvailabilityZone]int), reclaimable: make(map[identifier.AvailabilityZone]int)}
 	for _, z := range []identifier.AvailabilityZone{"a", "b", "c", "d"} {
-		c.onDemand[z] = onDemand
+		c.onDemand[z] = 3
 		c.reclaimable[z] = 0
 	}
 	return c
@@ -85,7 +85,7 @@
 // a quiet fleet and give back the engines that the load needs.
 func TestNewHolderKeepsWhatItFinds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := newCloud(3)
+		c := newCloud()
 		run(newOrderer(c, true), c, 1, 200_000, 40*time.Second)
 		before := c.engines()
 		run(newOrderer(c, false), c, 2, 0, 5*time.Second)
@@ -99,7 +99,7 @@
 // take two engines for all there are, and order the others away.
 func TestNewFleetIsAwaited(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := newCloud(3)
+		c := newCloud()
 		o := newOrderer(c, true)
 		o.Step(context.Background(), 1, (&cloud{onDemand: map[identifier.AvailabilityZone]int{"a": 1, "b": 0, "c": 0, "d": 0}, reclaimable: map[identifier.AvailabilityZone]int{}}).service(0))
 		if c.orders != 0 {
@@ -114,7 +114,7 @@
 
 func TestShrinksAfterTheLoad(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := newCloud(3)
+		c := newCloud()
 		o := newOrderer(c, true)
 		run(o, c, 1, 250_000, 30*time.Second)
 		high := c.engines()
@@ -136,14 +136,14 @@
 
 func TestLostAnswersConverge(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := newCloud(3)
+		c := newCloud()
 		c.lose = true
 		o := newOrderer(c, true)
 		run(o, c, 1, 200_000, 20*time.Second)
 		c.lose = false
 		run(o, c, 1, 200_000, 20*time.Second)
 		lost := c.engines()
-		clean := newCloud(3)
+		clean := newCloud()
 		run(newOrderer(clean, true), clean, 1, 200_000, 40*time.Second)
 		if got := clean.engines(); got != lost {
 			t.Errorf("%d engines after lost answers, %d without", lost, got)
@@ -155,7 +155,7 @@
 // each step: every call has its price.
 func TestDryZonesAreAskedSeldom(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := newCloud(3)
+		c := newCloud()
 		c.dry = true
 		run(newOrderer(c, true), c, 1, 100_000, 30*time.Second)
 		if c.orders > 60 {
--- a/internal/fleet/sweeper/sweeper.go
+++ b/internal/fleet/sweeper/sweeper.go
@@ -26,7 +26,6 @@
 
 	"brasschute/internal/core/identifier"
 	"brasschute/internal/core/waiter"
-	"brasschute/internal/platform/client"
 	"brasschute/internal/platform/inventory"
 	"brasschute/internal/platform/object"
 	"brasschute/internal/serve/carrier"
@@ -43,7 +42,7 @@
 
 // Store is the platform's object API.
 type Store interface {
-	List(ctx context.Context, prefixes ...string) (client.Page, error)
+	List(ctx context.Context, prefixes ...string) (object.Page, error)
 	Delete(ctx context.Context, key string, ifVersion uint64) error
 	// Now is the platform's clock.
 	Now() time.Time
--- a/internal/fleet/sweeper/sweeper_test.go
+++ b/internal/fleet/sweeper/sweeper_test.go
@@ -7,7 +7,6 @@
 	"testing/synctest"
 	"time"
 
-	"brasschute/internal/platform/client"
 	"brasschute/internal/platform/inventory"
 	"brasschute/internal/platform/object"
 	"brasschute/internal/serve/carrier"
@@ -17,8 +16,8 @@
 
 func (s store) Now() time.Time { return time.Now() }
 
-func (s store) List(context.Context, ...string) (client.Page, error) {
-	var p client.Page
+func (s store) List(context.Context, ...string) (object.Page, error) {
+	var p object.Page
 	for _, o := range s {
 		p.Objects = append(p.Objects, o)
 	}
--- a/internal/platform/client/client.go
+++ b/internal/platform/client/client.go
@@ -115,17 +115,11 @@
 	return c.do(ctx, http.MethodDelete, "objects/"+key, condition(ifVersion), nil, nil)
 }
 
-// Page is an answer of List or Watch: objects and the revision they show.
-type Page struct {
-	Revision uint64
-	Objects  []object.Object
-}
-
 // List reads all objects under the prefixes.
-func (c *Client) List(ctx context.Context, prefixes ...string) (Page, error) {
+func (c *Client) List(ctx context.Context, prefixes ...string) (object.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	var p Page
+	var p object.Page
 	err := c.do(ctx, http.MethodGet, "objects?"+url.Values{"prefix": prefixes}.Encode(), nil, nil, &p)
 	return p, err
 }
@@ -133,13 +127,13 @@
 // Watch waits until objects under the prefixes change after a revision, or
 // until wait is over, and returns the changed ones. It is one platform call
 // however many prefixes it names.
-func (c *Client) Watch(ctx context.Context, after uint64, wait time.Duration, prefixes ...string) (Page, error) {
+func (c *Client) Watch(ctx context.Context, after uint64, wait time.Duration, prefixes ...string) (object.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+c.timeout)
 	defer cancel()
 	q := url.Values{"prefix": prefixes}
 	q.Set("after", strconv.FormatUint(after, 10))
 	q.Set("wait", wait.String())
-	var p Page
+	var p object.Page
 	err := c.do(ctx, http.MethodGet, "watch?"+q.Encode(), nil, nil, &p)
 	return p, err
 }
--- a/internal/platform/object/object.go
+++ b/internal/platform/object/object.go
@@ -47,3 +47,9 @@
 	Deleted bool `json:",omitempty"`
 	Value   json.RawMessage
 }
+
+// Page is an answer of List or Watch: objects and the revision they show.
+type Page struct {
+	Revision uint64
+	Objects  []Object
+}
--- a/internal/platform/watcher/watcher.go
+++ b/internal/platform/watcher/watcher.go
@@ -33,7 +33,6 @@
 	"time"
 
 	"brasschute/internal/core/waiter"
-	"brasschute/internal/platform/client"
 	"brasschute/internal/platform/object"
 )
 
@@ -50,8 +49,8 @@
 
 // Platform is what the watcher needs of the platform's client.
 type Platform interface {
-	List(ctx context.Context, prefixes ...string) (client.Page, error)
-	Watch(ctx context.Context, after uint64, wait time.Duration, prefixes ...string) (client.Page, error)
+	List(ctx context.Context, prefixes ...string) (object.Page, error)
+	Watch(ctx context.Context, after uint64, wait time.Duration, prefixes ...string) (object.Page, error)
 }
 
 // Sink receives each object once per version, in the order of versions.
--- a/internal/platform/watcher/watcher_test.go
+++ b/internal/platform/watcher/watcher_test.go
@@ -6,37 +6,36 @@
 	"testing/synctest"
 	"time"
 
-	"brasschute/internal/platform/client"
 	"brasschute/internal/platform/object"
 )
 
 // script answers each call with the next page.
 type script struct {
-	pages []client.Page
+	pages []object.Page
 	errs  []error
 	lists int
 }
 
-func (s *script) next() (client.Page, error) {
+func (s *script) next() (object.Page, error) {
 	if len(s.pages) == 0 {
-		return client.Page{}, object.ErrUnavailable
+		return object.Page{}, object.ErrUnavailable
 	}
 	p, err := s.pages[0], s.errs[0]
 	s.pages, s.errs = s.pages[1:], s.errs[1:]
 	return p, err
 }
 
-func (s *script) List(context.Context, ...string) (client.Page, error) {
+func (s *script) List(context.Context, ...string) (object.Page, error) {
 	s.lists++
 	return s.next()
 }
 
-func (s *script) Watch(context.Context, uint64, time.Duration, ...string) (client.Page, error) {
+func (s *script) Watch(context.Context, uint64, time.Duration, ...string) (object.Page, error) {
 	return s.next()
 }
 
 func (s *script) then(err error, revision uint64, objects ...object.Object) *script {
-	s.pages = append(s.pages, client.Page{Revision: revision, Objects: objects})
+	s.pages = append(s.pages, object.Page{Revision: revision, Objects: objects})
 	s.errs = append(s.errs, err)
 	return s
 }
--- a/internal/route/allotter/allotter_test.go
+++ b/internal/route/allotter/allotter_test.go
@@ -15,6 +15,10 @@
 	window  = 8 * time.Second
 	overage = 0.1
 	period  = time.Second
+	daemons = 8
+	// tokens is the mean size of a request.
+	tokens = 13_000.0
+	slack  = 190_000
 )
 
 // fleet is a set of daemons that tell each other their accounts once a period.
@@ -30,10 +34,10 @@
 	tokens float64
 }
 
-func newFleet(n int, slack float64) *fleet {
+func newFleet() *fleet {
 	f := new(fleet)
-	for range n {
-		f.daemons = append(f.daemons, New(Config{Window: window, Overage: overage, Slack: slack, Daemons: n}))
+	for range daemons {
+		f.daemons = append(f.daemons, New(Config{Window: window, Overage: overage, Slack: slack, Daemons: daemons}))
 	}
 	return f
 }
@@ -76,7 +80,7 @@
 
 // load sends requests of an organisation for a time, unevenly over the daemons,
 // and returns the share that was admitted.
-func (f *fleet) load(r *rand.Rand, o *catalog.Organisation, perSecond float64, tokens float64, d time.Duration, cut func(int, int) bool) float64 {
+func (f *fleet) load(r *rand.Rand, o *catalog.Organisation, perSecond float64, d time.Duration, cut func(int, int) bool) float64 {
 	const step = 10 * time.Millisecond
 	sent, admitted, ideal := 0, 0, 0
 	level, at := o.Burst, time.Now()
@@ -120,11 +124,10 @@
 		synctest.Test(t, func(t *testing.T) {
 			r := rand.New(rand.NewPCG(seed, 1))
 			o := &catalog.Organisation{Name: "desk", RatePerSecond: 200_000, Burst: 200_000}
-			const slack = 190_000
-			f := newFleet(8, slack)
-			f.load(r, o, 8, 13_000, 10*time.Second, connected)
+			f := newFleet()
+			f.load(r, o, 8, 10*time.Second, connected)
 			f.admitted = nil
-			if share := f.load(r, o, 64, 13_000, 16*time.Second, connected); share > 0.45 {
+			if share := f.load(r, o, 64, 16*time.Second, connected); share > 0.45 {
 				t.Errorf("seed %d: %.2f of an eightfold load admitted", seed, share)
 			}
 			limit := (o.RatePerSecond*window.Seconds()+o.Burst)*(1+overage) + slack
@@ -145,9 +148,9 @@
 		synctest.Test(t, func(t *testing.T) {
 			r := rand.New(rand.NewPCG(seed, 2))
 			o := &catalog.Organisation{Name: "desk", RatePerSecond: 100_000, Burst: 100_000}
-			f := newFleet(8, 190_000)
-			f.load(r, o, 4, 13_000, 10*time.Second, connected)
-			share := f.load(r, o, 4.2, 13_000, 40*time.Second, connected)
+			f := newFleet()
+			f.load(r, o, 4, 10*time.Second, connected)
+			share := f.load(r, o, 4.2, 40*time.Second, connected)
 			if ideal := f.ideal; share < ideal-0.01 {
 				t.Errorf("seed %d: %.3f admitted, one bucket for all would admit %.3f", seed, share, ideal)
 			}
@@ -161,11 +164,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		r := rand.New(rand.NewPCG(7, 3))
 		o := &catalog.Organisation{Name: "desk", RatePerSecond: 200_000, Burst: 200_000}
-		const slack = 190_000
-		f := newFleet(8, slack)
-		f.load(r, o, 64, 13_000, 10*time.Second, connected)
+		f := newFleet()
+		f.load(r, o, 64, 10*time.Second, connected)
 		side := func(i int) bool { return i < 2 }
-		f.load(r, o, 64, 13_000, 12*time.Second, func(from, to int) bool { return side(from) != side(to) })
+		f.load(r, o, 64, 12*time.Second, func(from, to int) bool { return side(from) != side(to) })
 		limit := (o.RatePerSecond*window.Seconds()+o.Burst)*(1+overage) + slack
 		if got := f.most(); got > limit {
 			t.Errorf("%.0f tokens in a window, limit %.0f", got, limit)
@@ -180,14 +182,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		r := rand.New(rand.NewPCG(8, 4))
 		o := &catalog.Organisation{Name: "desk", RatePerSecond: 200_000, Burst: 200_000}
-		const slack = 190_000
-		f := newFleet(8, slack)
-		f.load(r, o, 64, 13_000, 10*time.Second, connected)
+		f := newFleet()
+		f.load(r, o, 64, 10*time.Second, connected)
 		for i := range f.daemons {
 			f.daemons[i] = New(Config{Window: window, Overage: overage, Slack: slack, Daemons: 5})
 		}
 		time.Sleep(500 * time.Millisecond)
-		f.load(r, o, 64, 13_000, 10*time.Second, connected)
+		f.load(r, o, 64, 10*time.Second, connected)
 		limit := (o.RatePerSecond*window.Seconds()+o.Burst)*(1+overage) + slack
 		if got := f.most(); got > limit {
 			t.Errorf("%.0f tokens in a window, limit %.0f", got, limit)
@@ -202,10 +203,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		r := rand.New(rand.NewPCG(9, 5))
 		o := &catalog.Organisation{Name: "desk", RatePerSecond: 200_000, Burst: 200_000}
-		f := newFleet(8, 190_000)
+		f := newFleet()
 		alone := func(from, to int) bool { return from == 7 || to == 7 }
-		f.load(r, o, 12, 13_000, 10*time.Second, connected)
-		f.load(r, o, 12, 13_000, 8*time.Second, alone)
+		f.load(r, o, 12, 10*time.Second, connected)
+		f.load(r, o, 12, 8*time.Second, alone)
 		f.tell(connected)
 		level := f.daemons[7].Accounts()[o.Name].Level
 		others := f.daemons[1].Accounts()[o.Name].Level
@@ -230,7 +231,7 @@
 // Before the count of silent daemons was kept: 14.6 µs and 10.8 KB for each
 // request, with 60 daemons; after: 4.4 µs and none.
 func BenchmarkAdmit(b *testing.B) {
-	a := New(Config{Window: window, Overage: overage, Slack: 190_000})
+	a := New(Config{Window: window, Overage: overage, Slack: slack})
 	o := &catalog.Organisation{Name: "desk", RatePerSecond: 1e12, Burst: 1e12}
 	for n := range 60 {
 		a.Heard(identifier.Host(fmt.Sprint(n)), 1, map[identifier.Organisation]Account{"desk": {Total: 1}})
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -40,7 +40,6 @@
 	"time"
 
 	"brasschute/internal/core/identifier"
-	"brasschute/internal/platform/client"
 	"brasschute/internal/platform/inventory"
 	"brasschute/internal/platform/object"
 )
@@ -236,7 +235,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.calls.Reads++
-	page := client.Page{Revision: p.revision}
+	page := object.Page{Revision: p.revision}
 	objects := p.objects
 	if stale := p.faults.StaleRevision; stale > 0 {
 		page.Revision = stale
@@ -299,7 +298,7 @@
 
 // await returns the changes after a revision, or an empty page when ctx ends;
 // ok is false when the changes are no longer remembered.
-func (p *Platform) await(ctx context.Context, after uint64, prefixes []string) (page client.Page, ok bool) {
+func (p *Platform) await(ctx context.Context, after uint64, prefixes []string) (page object.Page, ok bool) {
 	for {
 		p.mu.Lock()
 		page, ok = p.since(after, prefixes)
@@ -316,8 +315,8 @@
 	}
 }
 
-func (p *Platform) since(after uint64, prefixes []string) (client.Page, bool) {
-	page := client.Page{Revision: p.revision}
+func (p *Platform) since(after uint64, prefixes []string) (object.Page, bool) {
+	page := object.Page{Revision: p.revision}
 	if after > p.revision || after < p.revision && (len(p.history) == 0 || p.history[0].Version > after+1) {
 		return page, false
 	}
