relayer: repeatable requests leave silent endpoints, which lose their good name

Cause: an endpoint that goes dark kept each request until its client gave up, and was never ejected, as the end of the time says nothing about it.

--- a/integration/gateway_test.go
+++ b/integration/gateway_test.go
@@ -362,3 +362,19 @@
 	}
 	h.stopped()
 }
+
+// An engine goes dark: it takes requests and never answers. A lookup goes to
+// another engine long before its client would give up.
+func TestSilentEngines(t *testing.T) {
+	s := newSite(t)
+	dark := s.engine(hosting.Config{ID: "i-dark", Service: plainService})
+	dark.Behave(func(*http.Request) hosting.Behaviour { return hosting.Hold })
+	s.engine(hosting.Config{ID: "i-good", Service: plainService})
+	h := s.host()
+	for range 6 {
+		if a := h.send(hostedRequest{Method: http.MethodGet, Target: againPath, Key: deskKey}); a.status != http.StatusOK || a.body != "answer of i-good" {
+			t.Fatalf("answer: %+v", a)
+		}
+	}
+	eventually(t, "nobody waits at the dark engine", func() error { return want("held", dark.Holding(), 0) })
+}
--- a/internal/serve/relayer/relayer.go
+++ b/internal/serve/relayer/relayer.go
@@ -49,6 +49,13 @@
 	retryAfter = 200 * time.Millisecond
 	// shortage is told when no endpoint is known: a replacement takes seconds.
 	shortage = time.Second
+	// silentObjectives is how many times a route's objective an endpoint may stay
+	// silent before a request that may be repeated goes to another one. Clients
+	// give up after four times the objective.
+	silentObjectives = 2
+	// leastSilence is far above the time in which a plain call is answered when
+	// its endpoint is sound (30 ms).
+	leastSilence = 300 * time.Millisecond
 	// leastTime is the least time left with which a request is still sent: a
 	// round trip and a few milliseconds of work.
 	leastTime = 20 * time.Millisecond
@@ -235,6 +242,7 @@
 // Failures of an attempt, besides those of package sender.
 var (
 	errRefused = errors.New("the endpoint refused, not run")
+	errSilent  = errors.New("the endpoint stays silent")
 	errFailed  = errors.New("the endpoint ran the request and failed")
 	errGap     = errors.New("an event of the stream is missing")
 	// errClient: the client's connection failed while it was written to.
@@ -251,10 +259,14 @@
 		j.r.c.Demand.Ended(j.q.Service)
 	}()
 	begun := time.Now()
+	outer := ctx
+	ctx, heard := j.listen(ctx)
+	defer heard()
 	x, err := j.r.c.Sender.Send(ctx, j.message(pick))
 	if err != nil {
-		if ctx.Err() == nil && !errors.Is(err, sender.ErrWithdrawn) {
-			result = registry.Failed
+		result = j.judge(outer, err, begun)
+		if errors.Is(context.Cause(ctx), errSilent) {
+			err = fmt.Errorf("%w: %w", errSilent, err)
 		}
 		if unsent(err) {
 			j.unsent++
@@ -275,8 +287,14 @@
 		return fmt.Errorf("%w (status %d)", errRefused, x.Status)
 	}
 	j.mayHaveRun = true
-	err = j.take(ctx, x, &reply, pick, begun)
-	result = judge(ctx, err)
+	if j.q.Route.Kind != catalog.Streaming {
+		heard()
+	}
+	err = j.take(ctx, x, &reply, pick, begun, heard)
+	result = j.judge(outer, err, begun)
+	if err != nil && errors.Is(context.Cause(ctx), errSilent) {
+		err = fmt.Errorf("%w: %w", errSilent, err)
+	}
 	return err
 }
 
@@ -285,12 +303,34 @@
 	return errors.Is(err, sender.ErrUnsent) || errors.Is(err, sender.ErrWithdrawn)
 }
 
-// judge says what an attempt's end tells about the endpoint's health.
-func judge(ctx context.Context, err error) registry.Result {
+// listen ends an attempt whose endpoint stays silent for too long, where another
+// one may get the request. An endpoint that has gone dark would otherwise keep
+// it until the client gives up. heard stops the watch.
+func (j *job) listen(ctx context.Context) (watched context.Context, heard func()) {
+	if !j.q.Route.Repeatable() || j.sends+1 >= j.q.Route.MaxAttempts || j.res.Events > 0 {
+		return ctx, func() {}
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	timer := time.AfterFunc(j.longSilence(), func() { cancel(errSilent) })
+	return ctx, func() { timer.Stop() }
+}
+
+// longSilence is the time without a byte after which an endpoint is not waited
+// for any more where there is a choice.
+func (j *job) longSilence() time.Duration {
+	return max(silentObjectives*j.q.Route.Objective, leastSilence)
+}
+
+// judge says what an attempt's end tells about the endpoint's health. When the
+// time was up, or the client left, a long silence counts against it: else one
+// that has gone dark would be chosen again and again.
+func (j *job) judge(ctx context.Context, err error, begun time.Time) registry.Result {
 	switch {
 	case err == nil:
 		return registry.Succeeded
-	case ctx.Err() != nil || errors.Is(err, errClient) || errors.Is(err, errFailed):
+	case errors.Is(err, errClient), errors.Is(err, errFailed), errors.Is(err, sender.ErrWithdrawn):
+		return registry.Neutral
+	case ctx.Err() != nil && (j.head || time.Since(begun) < j.longSilence()):
 		return registry.Neutral
 	}
 	return registry.Failed
@@ -313,13 +353,13 @@
 }
 
 // take relays what an endpoint answered.
-func (j *job) take(ctx context.Context, x *sender.Exchange, reply *request.Reply, pick *registry.Pick, begun time.Time) error {
+func (j *job) take(ctx context.Context, x *sender.Exchange, reply *request.Reply, pick *registry.Pick, begun time.Time, heard func()) error {
 	success := reply.Status >= http.StatusOK && reply.Status < http.StatusMultipleChoices
 	if success && (!reply.Stamped || reply.Encoded || reply.ID != j.q.ID) {
 		return fmt.Errorf("%w: not signed, encoded or of another request", sender.ErrBroken)
 	}
 	if success && j.q.Route.Kind == catalog.Streaming {
-		return j.stream(ctx, x, pick, begun)
+		return j.stream(ctx, x, pick, begun, heard)
 	}
 	body, err := io.ReadAll(io.LimitReader(x.Body, maxAnswer+1))
 	if err != nil || len(body) > maxAnswer {
--- a/internal/serve/relayer/stream.go
+++ b/internal/serve/relayer/stream.go
@@ -23,7 +23,7 @@
 // stream relays events as they come. Only whole events go out: what an engine
 // wrote of an event before it broke off must not stand before another engine's
 // repeat of it.
-func (j *job) stream(ctx context.Context, x *sender.Exchange, pick *registry.Pick, begun time.Time) error {
+func (j *job) stream(ctx context.Context, x *sender.Exchange, pick *registry.Pick, begun time.Time, heard func()) error {
 	buffer := make([]byte, 0, readSize)
 	chunk := make([]byte, readSize)
 	for {
@@ -31,6 +31,7 @@
 		buffer = append(buffer, chunk[:n]...)
 		whole, rest := events(buffer)
 		if len(whole) > 0 {
+			heard()
 			if j.res.Events == 0 {
 				j.r.c.Registry.Observe(pick, time.Since(begun))
 			}
