--- a/internal/engine/sender/sender.go
+++ b/internal/engine/sender/sender.go
@@ -54,8 +54,9 @@
 
 const (
 	// dialTimeout is far above the round trip between zones (a few
-	// milliseconds) and leaves time for another endpoint.
-	dialTimeout = 500 * time.Millisecond
+	// milliseconds) and leaves time for another endpoint within an objective of a
+	// second.
+	dialTimeout = 300 * time.Millisecond
 	// maxIdle is how many idle connections are kept to one endpoint; more than
 	// a batch's share of one host would only hold descriptors.
 	maxIdle = 16
--- a/internal/route/registry/registry.go
+++ b/internal/route/registry/registry.go
@@ -429,6 +429,10 @@
 	Neutral Result = iota
 	Succeeded
 	Failed
+	// Unreachable: no connection came about. That says for certain that this
+	// host can't use the endpoint now, so it is ejected at once, and however
+	// many of its pool are.
+	Unreachable
 )
 
 // Release ends a pick's request.
@@ -447,6 +451,9 @@
 	case Succeeded:
 		c.Failures = 0
 		c.EjectedUntil = time.Time{}
+	case Unreachable:
+		c.Failures = max(c.Failures+1, ejectAfter)
+		c.EjectedUntil = time.Now().Add(firstEject)
 	case Failed:
 		c.Failures++
 		if c.Failures >= ejectAfter && r.mayEject(c.Pool) {
--- a/internal/route/registry/registry_test.go
+++ b/internal/route/registry/registry_test.go
@@ -107,3 +107,32 @@
 		}
 	})
 }
+
+func TestUnreachableEndpointsAreLeftAtOnce(t *testing.T) {
+	// A zone is cut off. Each request of its daemons tried three endpoints
+	// beyond the cut one after the other, half a second each, and was then
+	// refused. One failed connection is enough to leave an endpoint for a
+	// while, and all of them may be left.
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegistry(t, "a", "b", "c", "d")
+		for range 4 {
+			pick := choose(r)
+			if pick == nil {
+				t.Fatal("left before it was tried")
+			}
+			r.Release(pick, Unreachable)
+		}
+		if pick := choose(r); pick != nil {
+			t.Fatalf("%s was chosen again at once", pick.Endpoint)
+		}
+		time.Sleep(firstEject + refreshPause)
+		pick := choose(r)
+		if pick == nil {
+			t.Fatal("never tried again")
+		}
+		r.Release(pick, Succeeded)
+		if again := choose(r); again == nil || again.Endpoint != pick.Endpoint {
+			t.Fatal("not brought back by a success")
+		}
+	})
+}
--- a/internal/serve/relayer/relayer.go
+++ b/internal/serve/relayer/relayer.go
@@ -328,6 +328,8 @@
 	switch {
 	case err == nil:
 		return registry.Succeeded
+	case errors.Is(err, sender.ErrUnsent) && ctx.Err() == nil:
+		return registry.Unreachable
 	case errors.Is(err, errClient), errors.Is(err, errFailed), errors.Is(err, sender.ErrWithdrawn):
 		return registry.Neutral
 	case ctx.Err() != nil && (j.head || time.Since(begun) < j.longSilence()):
