--- a/internal/peer/swapper/swapper.go
+++ b/internal/peer/swapper/swapper.go
@@ -169,6 +169,8 @@
 		case <-s.hurry:
 			each(s.Lately(), s.notice)
 			waiter.For(ctx, leastPause)
+			// Once more: a link may lose the first, and a digest comes late.
+			each(s.Lately(), s.notice)
 		}
 		timer.Stop()
 	}
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -81,7 +81,7 @@
 	// one watch stays open. A store that drops its history leaves open watches
 	// waiting, without the changes made meanwhile; only the next call learns of
 	// the gap. What is left of the time is for a list and a pause after an error.
-	watchPart = 0.6
+	watchPart = 0.45
 	// prunePause is well below the shortest time that an endpoint keeps an idle
 	// connection (whole seconds).
 	prunePause   = 500 * time.Millisecond
@@ -136,10 +136,9 @@
 
 	stopping atomic.Bool
 	listed   atomic.Bool
-	// fetchingCatalog, fetchingEndpoints: newer ones are on their way from a
-	// peer.
-	fetchingCatalog   atomic.Bool
-	fetchingEndpoints atomic.Bool
+	// catalogs and endpoints follow the peers that are ahead.
+	catalogs  *fetcher
+	endpoints *fetcher
 	// storeHeard is when the store last answered, in nanoseconds from 1970.
 	storeHeard atomic.Int64
 
--- a/internal/role/gateway/news.go
+++ b/internal/role/gateway/news.go
@@ -4,7 +4,7 @@
 	"context"
 	"net/http"
 	"strings"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"brasschute/internal/config/deployment"
@@ -72,6 +72,8 @@
 	for _, seed := range d.Seeds {
 		g.swapper.Add(seed.String())
 	}
+	g.catalogs = &fetcher{g: g, kind: platform.CatalogKind, since: func() uint64 { return 0 }}
+	g.endpoints = &fetcher{g: g, kind: platform.EndpointKind, since: func() uint64 { return g.mirror.Revision(platform.EndpointKind) }}
 	g.tree.Add(g.swapper)
 	g.tree.Add(service(g.askPeers))
 	g.tree.Add(service(g.learn))
@@ -157,13 +159,70 @@
 		}
 	}
 	if c := g.versioner.InForce(); c != nil && uint64(c.Number()) < d.GetConfigurationNumber() {
-		g.fetch(&g.fetchingCatalog, d, platform.CatalogKind, 0)
+		g.catalogs.want(d.GetAddress())
 	}
 	if known := g.mirror.Revision(platform.EndpointKind); known > 0 && known < d.GetEndpointsRevision() {
-		g.fetch(&g.fetchingEndpoints, d, platform.EndpointKind, known)
+		g.endpoints.want(d.GetAddress())
 	}
 }
 
+// fetcher takes over from peers what they know of a kind. News that comes while
+// a fetch is under way leads to another one: were it dropped, the daemon would
+// lag until the next digest, for seconds in a large fleet.
+type fetcher struct {
+	g    *Gateway
+	kind string
+	// since returns the revision after which objects are wanted.
+	since func() uint64
+
+	mu     sync.Mutex
+	busy   bool
+	wanted string
+}
+
+// want asks the peer at an address, now or after the fetch under way.
+func (f *fetcher) want(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.wanted = address
+	if !f.busy {
+		f.busy = true
+		go f.run()
+	}
+}
+
+func (f *fetcher) run() {
+	for {
+		f.mu.Lock()
+		address := f.wanted
+		f.wanted = ""
+		f.busy = address != ""
+		f.mu.Unlock()
+		if address == "" {
+			return
+		}
+		f.fetch(address)
+	}
+}
+
+// fetch asks a peer, and if it does not answer any others that do.
+func (f *fetcher) fetch(address string) {
+	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+	defer cancel()
+	objects, err := f.g.swapper.AskOne(ctx, address, f.kind, f.since())
+	for _, other := range f.g.swapper.Lately() {
+		if err == nil || ctx.Err() != nil {
+			break
+		}
+		objects, err = f.g.swapper.AskOne(ctx, other, f.kind, f.since())
+	}
+	if err != nil {
+		f.g.c.Logger.Warn("newer objects not fetched from peers", "address", address, "kind", f.kind, "error", err)
+		return
+	}
+	f.g.takeAll(objects)
+}
+
 // note is what peers should know at once.
 func (g *Gateway) note() *rpc.Note {
 	d := g.c.Deployment
@@ -180,25 +239,6 @@
 	})
 }
 
-// fetch takes over what a peer knows of a kind after a revision. One fetch of a
-// kind is under way at a time.
-func (g *Gateway) fetch(busy *atomic.Bool, d *rpc.Digest, kind string, after uint64) {
-	if !busy.CompareAndSwap(false, true) {
-		return
-	}
-	go func() {
-		defer busy.Store(false)
-		ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
-		defer cancel()
-		objects, err := g.swapper.AskOne(ctx, d.GetAddress(), kind, after)
-		if err != nil {
-			g.c.Logger.Warn("newer objects not fetched from a peer", "peer", d.GetHost(), "kind", kind, "error", err)
-			return
-		}
-		g.takeAll(objects)
-	}()
-}
-
 func (g *Gateway) takeAll(objects []*rpc.StoredObject) {
 	for _, o := range objects {
 		g.take(object.Object{Key: o.GetKey(), Version: o.GetVersion(), Value: o.GetValue(), Deleted: o.GetDeleted()})
