--- a/integration/duties_test.go
+++ b/integration/duties_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
+	"os/exec"
 	"strings"
 	"testing"
 
@@ -231,3 +233,34 @@
 		return fmt.Errorf("there is none")
 	})
 }
+
+func TestCommandsForTheHostingPlatform(t *testing.T) {
+	s := newSite(t)
+	s.engine(hosting.Config{ID: "i-app", Service: plainService})
+	h := s.host()
+	out := runCommand(t, 0, "beliefs", h.ip+":7600")
+	for _, word := range []string{`"Configuration": 2`, `"Endpoint": "i-app"`, `"FollowsStore": true`} {
+		if !strings.Contains(out, word) {
+			t.Errorf("no %s in %s", word, out)
+		}
+	}
+	if out := runCommand(t, 0, "settings", h.file); !strings.Contains(out, "valid, for host "+h.name) {
+		t.Errorf("settings: %s", out)
+	}
+	h.writeSettings(`Zone = `)
+	if out := runCommand(t, 3, "settings", h.file); !strings.Contains(out, h.file) {
+		t.Errorf("settings: %s", out)
+	}
+}
+
+// runCommand runs the command line and checks its exit code.
+func runCommand(t *testing.T, code int, args ...string) string {
+	t.Helper()
+	cmd := exec.Command(os.Args[0], args...)
+	cmd.Env = append(os.Environ(), roleVariable+"=brasschute")
+	out, _ := cmd.CombinedOutput()
+	if got := cmd.ProcessState.ExitCode(); got != code {
+		t.Errorf("%v: exit code %d, want %d: %s", args, got, code, out)
+	}
+	return string(out)
+}
--- /dev/null
+++ b/internal/role/gateway/beliefs.go
@@ -0,0 +1,97 @@
+package gateway
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"brasschute/internal/core/identifier"
+	"brasschute/internal/route/allotter"
+	"brasschute/internal/route/demander"
+)
+
+// BeliefsPath is where the metrics' listener tells what the daemon believes.
+const BeliefsPath = "/beliefs"
+
+// Beliefs is what a daemon takes for true, with the age or version of each.
+type Beliefs struct {
+	Host          identifier.Host
+	Configuration identifier.ConfigurationNumber
+	// FollowsStore: the daemon watches the store itself. StoreAgeMS is the
+	// time since the store answered, -1 if it never did.
+	FollowsStore bool
+	StoreAgeMS   int64
+	HoldsDuties  bool
+	Fencing      uint64
+	Peers        []PeerBelief
+	Endpoints    []EndpointBelief
+	Quotas       map[identifier.Organisation]allotter.Account
+	Demands      map[identifier.Service]demander.Demand
+}
+
+// PeerBelief is a daemon that was heard.
+type PeerBelief struct {
+	Host          string
+	AgeMS         int64
+	Configuration uint64
+	HoldsDuties   bool
+}
+
+// EndpointBelief is an endpoint as the daemon sees it.
+type EndpointBelief struct {
+	Endpoint identifier.Endpoint
+	Service  identifier.Pool
+	Zone     identifier.AvailabilityZone
+	Leaving  bool
+	Ejected  bool
+	Failures int
+	InFlight int32
+	// Busy is the part of its reading time that all daemons use, Slow how many
+	// times longer than predicted its first events took.
+	Busy float64
+	Slow float64
+}
+
+// beliefs answers with the daemon's beliefs as JSON.
+func (g *Gateway) beliefs(w http.ResponseWriter, _ *http.Request) {
+	now := time.Now()
+	b := Beliefs{
+		Host: g.c.Deployment.Host, FollowsStore: g.follows(), StoreAgeMS: -1,
+		Quotas: g.allotter.Accounts(), Demands: g.demander.Demands(),
+	}
+	if c := g.versioner.InForce(); c != nil {
+		b.Configuration = c.Number()
+	}
+	if at := g.storeHeard.Load(); at > 0 {
+		b.StoreAgeMS = now.Sub(time.Unix(0, at)).Milliseconds()
+	}
+	if g.lease != nil {
+		b.Fencing, b.HoldsDuties = g.lease.Held()
+	}
+	for _, e := range g.gatherer.Latest(now) {
+		b.Peers = append(b.Peers, PeerBelief{
+			Host: e.Digest.GetHost(), AgeMS: now.Sub(e.Heard).Milliseconds(),
+			Configuration: e.Digest.GetConfigurationNumber(), HoldsDuties: e.Digest.GetHoldsDuties(),
+		})
+	}
+	for _, c := range g.registry.Endpoints() {
+		b.Endpoints = append(b.Endpoints, EndpointBelief{
+			Endpoint: c.Endpoint, Service: c.Pool, Zone: c.AvailabilityZone, Leaving: c.Leaving, Ejected: c.Ejected(now),
+			Failures: c.Failures, InFlight: c.InFlight, Busy: c.Busy, Slow: c.Slow,
+		})
+	}
+	w.Header().Set("Content-Type", "application/json")
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	if err := encoder.Encode(b); err != nil {
+		g.c.Logger.Warn("beliefs not told", "error", err)
+	}
+}
+
+// metrics serves counters, and beliefs beside them.
+func (g *Gateway) metrics() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/", g.reporter.HTTPHandler())
+	mux.HandleFunc("GET "+BeliefsPath, g.beliefs)
+	return mux
+}
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -311,7 +311,7 @@
 		{"callers", d.Callers, g.receiver, &g.callers},
 		{"readiness", d.Readiness, http.HandlerFunc(g.ready), nil},
 		{"peers", d.Peers, rpc.NewFleetServer(g.swapper), nil},
-		{"metrics", d.Metrics, g.reporter.HTTPHandler(), nil},
+		{"metrics", d.Metrics, g.metrics(), nil},
 	} {
 		if !l.address.IsValid() {
 			continue
