--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -49,6 +49,7 @@
 	"brasschute/internal/fleet/tallier"
 	"brasschute/internal/ops/chronicler"
 	"brasschute/internal/ops/server"
+	"brasschute/internal/peer/fetcher"
 	"brasschute/internal/peer/gatherer"
 	"brasschute/internal/peer/ledger"
 	"brasschute/internal/peer/mirror"
@@ -137,8 +138,8 @@
 	stopping atomic.Bool
 	listed   atomic.Bool
 	// catalogs and endpoints follow the peers that are ahead.
-	catalogs  *fetcher
-	endpoints *fetcher
+	catalogs  *fetcher.Fetcher
+	endpoints *fetcher.Fetcher
 	// storeHeard is when the store last answered, in nanoseconds from 1970.
 	storeHeard atomic.Int64
 
--- a/internal/role/gateway/news.go
+++ b/internal/role/gateway/news.go
@@ -4,12 +4,12 @@
 	"context"
 	"net/http"
 	"strings"
-	"sync"
 	"time"
 
 	"brasschute/internal/config/deployment"
 	"brasschute/internal/core/identifier"
 	"brasschute/internal/core/waiter"
+	"brasschute/internal/peer/fetcher"
 	"brasschute/internal/peer/rpc"
 	"brasschute/internal/peer/swapper"
 	"brasschute/internal/platform/inventory"
@@ -29,9 +29,6 @@
 	peersEach = 8
 	// askPause is how often a daemon that knows no configuration asks peers.
 	askPause = 300 * time.Millisecond
-	// fetchTimeout bounds the fetch of a configuration from a peer: up to a
-	// megabyte within a region.
-	fetchTimeout = time.Second
 	// firstIncarnation is that of every endpoint: each start has a new id.
 	firstIncarnation identifier.Incarnation = 1
 	// learnPause is how often the peers' loads are summed: several times in a
@@ -72,8 +69,11 @@
 	for _, seed := range d.Seeds {
 		g.swapper.Add(seed.String())
 	}
-	g.catalogs = &fetcher{g: g, kind: platform.CatalogKind, since: func() uint64 { return 0 }}
-	g.endpoints = &fetcher{g: g, kind: platform.EndpointKind, since: func() uint64 { return g.mirror.Revision(platform.EndpointKind) }}
+	ahead := fetcher.Config{Ask: g.swapper.AskOne, Others: g.swapper.Lately, Take: g.takeAll, Logger: g.c.Logger}
+	ahead.Kind, ahead.Since = platform.CatalogKind, func() uint64 { return 0 }
+	g.catalogs = fetcher.New(ahead)
+	ahead.Kind, ahead.Since = platform.EndpointKind, func() uint64 { return g.mirror.Revision(platform.EndpointKind) }
+	g.endpoints = fetcher.New(ahead)
 	g.tree.Add(g.swapper)
 	g.tree.Add(service(g.askPeers))
 	g.tree.Add(service(g.learn))
@@ -159,70 +159,13 @@
 		}
 	}
 	if c := g.versioner.InForce(); c != nil && uint64(c.Number()) < d.GetConfigurationNumber() {
-		g.catalogs.want(d.GetAddress())
+		g.catalogs.Want(d.GetAddress())
 	}
 	if known := g.mirror.Revision(platform.EndpointKind); known > 0 && known < d.GetEndpointsRevision() {
-		g.endpoints.want(d.GetAddress())
+		g.endpoints.Want(d.GetAddress())
 	}
 }
 
-// fetcher takes over from peers what they know of a kind. News that comes while
-// a fetch is under way leads to another one: were it dropped, the daemon would
-// lag until the next digest, for seconds in a large fleet.
-type fetcher struct {
-	g    *Gateway
-	kind string
-	// since returns the revision after which objects are wanted.
-	since func() uint64
-
-	mu     sync.Mutex
-	busy   bool
-	wanted string
-}
-
-// want asks the peer at an address, now or after the fetch under way.
-func (f *fetcher) want(address string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.wanted = address
-	if !f.busy {
-		f.busy = true
-		go f.run()
-	}
-}
-
-func (f *fetcher) run() {
-	for {
-		f.mu.Lock()
-		address := f.wanted
-		f.wanted = ""
-		f.busy = address != ""
-		f.mu.Unlock()
-		if address == "" {
-			return
-		}
-		f.fetch(address)
-	}
-}
-
-// fetch asks a peer, and if it does not answer any others that do.
-func (f *fetcher) fetch(address string) {
-	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
-	defer cancel()
-	objects, err := f.g.swapper.AskOne(ctx, address, f.kind, f.since())
-	for _, other := range f.g.swapper.Lately() {
-		if err == nil || ctx.Err() != nil {
-			break
-		}
-		objects, err = f.g.swapper.AskOne(ctx, other, f.kind, f.since())
-	}
-	if err != nil {
-		f.g.c.Logger.Warn("newer objects not fetched from peers", "address", address, "kind", f.kind, "error", err)
-		return
-	}
-	f.g.takeAll(objects)
-}
-
 // note is what peers should know at once.
 func (g *Gateway) note() *rpc.Note {
 	d := g.c.Deployment
