--- /dev/null
+++ b/internal/role/gateway/admission.go
@@ -0,0 +1,52 @@
+package gateway
+
+import (
+	"time"
+
+	"brasschute/internal/core/identifier"
+	"brasschute/internal/route/allotter"
+	"brasschute/internal/route/budgeter"
+	"brasschute/internal/serve/request"
+)
+
+// Admit admits a request within its organisation's quota.
+func (g *Gateway) Admit(q *request.Request) allotter.Verdict {
+	g.budget(q.Service).Earn()
+	return g.allotter.Admit(q.Organisation, q.Charge())
+}
+
+// Spend grants a repeated send to a service.
+func (g *Gateway) Spend(s identifier.Service) bool { return g.budget(s).Spend() }
+
+// budget returns a service's retry budget: of the constant part each daemon has
+// an equal share, so that all together stay within it.
+func (g *Gateway) budget(s identifier.Service) *budgeter.Budgeter {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	b := g.budgets[s]
+	if b == nil {
+		bounds := g.c.Deployment.Bounds
+		daemons := max(len(g.gatherer.Latest(time.Now()))+1, fewestDaemons(g.c.Deployment)+1)
+		b = budgeter.New(budgeter.Config{
+			Share:   bounds.RetryShare * budgetMargin,
+			Reserve: max(bounds.RetryReserve*budgetMargin/float64(daemons), 1),
+		})
+		g.budgets[s] = b
+	}
+	return b
+}
+
+// budgetMargin leaves room for daemons that start anew with a full reserve.
+const budgetMargin = 0.7
+
+// began counts a request that began to run.
+func (g *Gateway) began(q *request.Request) {
+	if q.Organisation != nil {
+		g.tallier.Began(q.Organisation.Name)
+	}
+}
+
+// daemons counts those that send to the same endpoints.
+func (g *Gateway) daemons() int {
+	return len(g.gatherer.Latest(time.Now())) + 1
+}
--- a/internal/role/gateway/news.go
+++ b/internal/role/gateway/news.go
@@ -15,12 +15,9 @@
 	"brasschute/internal/platform/inventory"
 	"brasschute/internal/platform/object"
 	"brasschute/internal/route/allotter"
-	"brasschute/internal/route/budgeter"
 	"brasschute/internal/route/candidate"
-	"brasschute/internal/serve/request"
 	"brasschute/platform"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/thejerf/suture/v4"
 )
 
@@ -32,21 +29,11 @@
 	// firstIncarnation is that of every endpoint: each start has a new id.
 	firstIncarnation identifier.Incarnation = 1
 	// learnPause is how often the peers' loads are summed: several times in a
-	// period of the digests. loadAge is when a load says nothing any more.
-	learnPause = 250 * time.Millisecond
-	loadAge    = 4 * time.Second
-	// observerAge is when a silent daemon no longer counts as following the
-	// store for others; in a large fleet it is observerPeriods of the digests, as
-	// those of far daemons come each second period only.
-	observerAge     = 3 * time.Second
-	observerPeriods = 3
-	// In a fleet of up to smallFleet daemons all follow the store, as the loss of
-	// some would otherwise leave few that do. Beyond, one in perObserver does,
-	// and leastObservers at least: a mass failure that kills six in ten kills
-	// all of eight once in sixty times.
-	smallFleet     = 16
-	leastObservers = 8
-	perObserver    = 10
+	// period of the digests. A load says nothing any more after loadNews times
+	// the age that news reaches, and leastLoadAge at least.
+	learnPause   = 250 * time.Millisecond
+	loadNews     = 2.5
+	leastLoadAge = 4 * time.Second
 	// peerIdle keeps connections between peers open over several periods.
 	peerIdle = 30 * time.Second
 )
@@ -133,9 +120,10 @@
 func (g *Gateway) learn(ctx context.Context) error {
 	return waiter.Every(ctx, learnPause, func(context.Context) {
 		now := time.Now()
+		age := max(leastLoadAge, time.Duration(loadNews*float64(g.newsAge())))
 		others := make(map[identifier.Endpoint]candidate.Others)
 		for _, e := range g.gatherer.Latest(now) {
-			if now.Sub(e.Heard) > loadAge {
+			if now.Sub(e.Heard) > age {
 				continue
 			}
 			for _, l := range e.Digest.GetLoads() {
@@ -188,35 +176,6 @@
 	}
 }
 
-// follows tells whether this daemon follows the store itself. In a small fleet
-// all do. In a large one those few do whose names hash lowest among the living;
-// any other one does as soon as it hears less than two that say they reach the
-// store.
-func (g *Gateway) follows() bool {
-	now := time.Now()
-	age := g.observerAge()
-	self := g.c.Deployment.Host
-	own := xxhash.Sum64String(string(self))
-	daemons, before, observers := 1, 0, 0
-	for host, e := range g.gatherer.Latest(now) {
-		if now.Sub(e.Heard) > age || e.Digest.GetStopping() {
-			continue
-		}
-		daemons++
-		if xxhash.Sum64String(string(host)) < own {
-			before++
-		}
-		if e.Digest.GetObserving() {
-			observers++
-		}
-	}
-	return daemons <= smallFleet || before < max(leastObservers, daemons/perObserver) || observers < 2
-}
-
-func (g *Gateway) observerAge() time.Duration {
-	return max(observerAge, observerPeriods*g.swapper.Period())
-}
-
 // leaving lists the endpoints that are listed and known to leave.
 func (g *Gateway) leaving() []string {
 	var out []string
@@ -276,45 +235,3 @@
 		g.swapper.Hurry()
 	}
 }
-
-// Admit admits a request within its organisation's quota.
-func (g *Gateway) Admit(q *request.Request) allotter.Verdict {
-	g.budget(q.Service).Earn()
-	return g.allotter.Admit(q.Organisation, q.Charge())
-}
-
-// Spend grants a repeated send to a service.
-func (g *Gateway) Spend(s identifier.Service) bool { return g.budget(s).Spend() }
-
-// budget returns a service's retry budget: of the constant part each daemon has
-// an equal share, so that all together stay within it.
-func (g *Gateway) budget(s identifier.Service) *budgeter.Budgeter {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	b := g.budgets[s]
-	if b == nil {
-		bounds := g.c.Deployment.Bounds
-		daemons := max(len(g.gatherer.Latest(time.Now()))+1, fewestDaemons(g.c.Deployment)+1)
-		b = budgeter.New(budgeter.Config{
-			Share:   bounds.RetryShare * budgetMargin,
-			Reserve: max(bounds.RetryReserve*budgetMargin/float64(daemons), 1),
-		})
-		g.budgets[s] = b
-	}
-	return b
-}
-
-// budgetMargin leaves room for daemons that start anew with a full reserve.
-const budgetMargin = 0.7
-
-// began counts a request that began to run.
-func (g *Gateway) began(q *request.Request) {
-	if q.Organisation != nil {
-		g.tallier.Began(q.Organisation.Name)
-	}
-}
-
-// daemons counts those that send to the same endpoints.
-func (g *Gateway) daemons() int {
-	return len(g.gatherer.Latest(time.Now())) + 1
-}
