--- a/internal/platform/client/client.go
+++ b/internal/platform/client/client.go
@@ -20,7 +20,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -156,7 +155,7 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return c.lost(method, err)
+		return object.Lost(method, err)
 	}
 	defer resp.Body.Close()
 	if at, err := http.ParseTime(resp.Header.Get("Date")); err == nil {
@@ -167,7 +166,7 @@
 	}
 	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
 	if err != nil {
-		return c.lost(method, err)
+		return object.Lost(method, err)
 	}
 	if out == nil {
 		return nil
@@ -178,18 +177,6 @@
 	return nil
 }
 
-// lost classifies a call without a whole answer. Only a failed dial proves
-// that a write did not reach the platform; after that the answer may have been
-// lost on its way back, so the write may stand.
-func (c *Client) lost(method string, err error) error {
-	var op *net.OpError
-	dialFailed := errors.As(err, &op) && op.Op == "dial"
-	if method == http.MethodGet || dialFailed {
-		return fmt.Errorf("%w: %w", object.ErrUnavailable, err)
-	}
-	return fmt.Errorf("%w: %w", object.ErrUnknown, err)
-}
-
 func status(code int) error {
 	switch code {
 	case http.StatusOK, http.StatusCreated, http.StatusNoContent:
--- a/internal/platform/object/object.go
+++ b/internal/platform/object/object.go
@@ -18,6 +18,9 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
+	"net"
+	"net/http"
 )
 
 // Failures that the platform's client returns.
@@ -53,3 +56,14 @@
 	Revision uint64
 	Objects  []Object
 }
+
+// Lost classifies a call over HTTP that got no whole answer. Only a failed dial
+// proves that a write did not reach the store; after that the answer may have been
+// lost on its way back, so the write may stand.
+func Lost(method string, err error) error {
+	var op *net.OpError
+	if method == http.MethodGet || errors.As(err, &op) && op.Op == "dial" {
+		return fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	return fmt.Errorf("%w: %w", ErrUnknown, err)
+}
--- a/internal/role/gateway/duties.go
+++ b/internal/role/gateway/duties.go
@@ -143,6 +143,7 @@
 	if err == nil {
 		version = o.Version
 	} else if !errors.Is(err, object.ErrMissing) {
+		u.g.c.Logger.Warn("size of the fleet not stored", "error", err)
 		return
 	}
 	if _, err := u.g.store.Put(ctx, fleetKey, version, fleetRecord{daemons}); err != nil {
