gateway: the holder tells those that stand for the duties each second

Cause: in a fleet of 61 a candidate asked the store for the lease only after four seconds without a digest of its holder.

--- a/internal/peer/swapper/swapper.go
+++ b/internal/peer/swapper/swapper.go
@@ -138,6 +138,13 @@
 
 const everyone = -1
 
+// Tell sends this daemon's note to some addresses now.
+func (s *Swapper) Tell(ctx context.Context, addresses []string) {
+	for _, address := range addresses {
+		go s.notice(ctx, address)
+	}
+}
+
 // some returns up to n of the peers that answered lately, at random.
 func (s *Swapper) some(n int) []string {
 	list := s.Lately()
--- a/internal/role/gateway/duties.go
+++ b/internal/role/gateway/duties.go
@@ -31,9 +31,10 @@
 	// orderTime is the longest that a call of a former holder is on its way:
 	// calls end after a second on this side.
 	orderTime = time.Second
-	// ledTime is added to the period of the digests for the age of a peer's
-	// digest up to which the peer is believed to hold the lease.
-	ledTime = 500 * time.Millisecond
+	// ledTime is how long a peer is believed to hold the lease after it has said
+	// so: the holder tells those that stand for it once in tellPause.
+	ledTime   = 1500 * time.Millisecond
+	tellPause = time.Second
 	// dutyPause is how often the holder looks at what is due.
 	dutyPause = 500 * time.Millisecond
 	// settleMargin is added to the time that counts of other daemons take.
@@ -48,6 +49,8 @@
 	cloud      *platform.Cloud
 	accountant *accountant.Accountant
 	orderer    *orderer.Orderer
+	// told is when the others were last told that the duties are held.
+	told time.Time
 }
 
 func (g *Gateway) buildDuties() {
@@ -111,6 +114,9 @@
 
 func (u *duties) serve(ctx context.Context) error {
 	return waiter.Every(ctx, dutyPause, func(ctx context.Context) {
+		if _, held := u.g.lease.Held(); held && !u.g.stopping.Load() {
+			u.tell(ctx)
+		}
 		fencing, held := u.g.lease.HeldFor()
 		if !held || u.g.stopping.Load() {
 			return
@@ -234,14 +240,25 @@
 	if !g.follows() {
 		return true
 	}
+	return time.Since(time.Unix(0, g.ledAt.Load())) < ledTime
+}
+
+// tell lets the daemons that stand for the duties know that they are held. In a
+// large fleet digests come too seldom for that, each four seconds, and a killed
+// holder's duties would rest for as much longer.
+func (u *duties) tell(ctx context.Context) {
 	now := time.Now()
-	age := g.newsAge()
-	for _, e := range g.gatherer.Latest(now) {
-		if e.Digest.GetHoldsDuties() && now.Sub(e.Heard) < age+ledTime {
-			return true
+	if now.Sub(u.told) < tellPause {
+		return
+	}
+	u.told = now
+	var addresses []string
+	for _, e := range u.g.gatherer.Latest(now) {
+		if e.Digest.GetObserving() {
+			addresses = append(addresses, e.Digest.GetAddress())
 		}
 	}
-	return false
+	u.g.swapper.Tell(ctx, addresses)
 }
 
 // services describes what can be scaled, as it is now.
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -135,6 +135,9 @@
 	sequence atomic.Uint64
 	// toldSize is the fleet's size as the store or a peer told it.
 	toldSize atomic.Int64
+	// ledAt is when a peer last said that it holds the duties, in nanoseconds
+	// from 1970.
+	ledAt atomic.Int64
 	// storedSize is the size that the store holds.
 	storedSize atomic.Int64
 	started    time.Time
--- a/internal/role/gateway/news.go
+++ b/internal/role/gateway/news.go
@@ -108,6 +108,9 @@
 	g.toldSize.Store(max(g.toldSize.Load(), int64(d.GetFleet())))
 	g.allotter.Heard(host, d.GetIncarnation(), accounts)
 	g.spread(d)
+	if d.GetHoldsDuties() {
+		g.ledAt.Store(time.Now().UnixNano())
+	}
 	g.clock.Heard(host, time.UnixMilli(d.GetUnixMilli()))
 }
 
@@ -154,6 +157,9 @@
 	d := g.c.Deployment
 	out := &rpc.Note{Host: string(d.Host), Address: d.Peers.String(), EndpointsRevision: g.mirror.Revision(platform.EndpointKind)}
 	out.Leaving = g.leaving()
+	if g.lease != nil {
+		_, out.HoldsDuties = g.lease.Held()
+	}
 	if c := g.versioner.InForce(); c != nil {
 		out.ConfigurationNumber = uint64(c.Number())
 	}
@@ -161,6 +167,9 @@
 }
 
 func (g *Gateway) noted(n *rpc.Note) {
+	if n.GetHoldsDuties() {
+		g.ledAt.Store(time.Now().UnixNano())
+	}
 	g.spread(&rpc.Digest{
 		Host: n.GetHost(), Address: n.GetAddress(), ConfigurationNumber: n.GetConfigurationNumber(), EndpointsRevision: n.GetEndpointsRevision(),
 		Leaving: n.GetLeaving(),
