--- a/internal/route/allotter/allotter.go
+++ b/internal/route/allotter/allotter.go
@@ -48,11 +48,12 @@
 	// memory is how long a silent daemon's part is set aside. A killed process
 	// is back within a few seconds; one that is gone for good is not.
 	memory = 30 * time.Second
-	// unseenTime and unseenNews times the age that news reaches are the time's
-	// worth of a quota that is kept of the tolerated overage: a sudden load at
-	// all daemons at once goes unseen until news comes. Measured, at eight times
-	// an organisation's usual load and news of a second: 1.45 s.
-	unseenTime = 1700 * time.Millisecond
+	// unseenTime is the time's worth of a quota that is kept of the tolerated
+	// overage: a sudden load at all daemons at once goes unseen until news comes.
+	// Measured, at eight times an organisation's usual load and news of usualNews:
+	// 1.45 s. Later news keeps unseenNews of its delay besides.
+	unseenTime = 2200 * time.Millisecond
+	usualNews  = time.Second
 	unseenNews = 0.5
 	// leastBurst of an organisation's burst is given out at once even where the
 	// overage is too small for what goes unseen.
@@ -249,10 +250,10 @@
 func (a *Allotter) terms(o *catalog.Organisation) (rate, burst float64) {
 	window := a.c.Window.Seconds()
 	tolerated := (o.RatePerSecond*window+o.Burst)*a.c.Overage + a.c.Slack
-	unseen := unseenTime.Seconds() + unseenNews*a.c.News().Seconds()
-	spare := tolerated - o.RatePerSecond*unseen
+	late := unseenNews * max(a.c.News()-usualNews, 0).Seconds() * o.RatePerSecond
+	spare := tolerated - o.RatePerSecond*unseenTime.Seconds() - late
 	if spare < 0 {
-		return o.RatePerSecond, max(o.Burst+depthPart*spare, leastBurst*o.Burst)
+		return o.RatePerSecond, max(o.Burst-depthPart*min(-spare, late), leastBurst*o.Burst)
 	}
 	return o.RatePerSecond + ratePart*spare/window, o.Burst + depthPart*spare
 }
