allotter: a new daemon does not pay for what others charged before

Cause: peers that were heard first only after three seconds had all their charges since their start deducted, millions of tokens; the daemon refused nearly all requests for a quarter of a minute after each restart.

--- a/internal/role/gateway/news.go
+++ b/internal/role/gateway/news.go
@@ -21,7 +21,8 @@
 )
 
 const (
-	// peersEach-th digests list the peers' addresses, which seldom change.
+	// In a large fleet each peersEach-th digest lists the peers' addresses, which
+	// seldom change.
 	peersEach = 8
 	// askPause is how often a daemon that knows no configuration asks peers.
 	askPause = 300 * time.Millisecond
@@ -92,7 +93,7 @@
 	out.EndpointsRevision = g.mirror.Revision(platform.EndpointKind)
 	out.Observing = g.follows() && time.Since(time.Unix(0, g.storeHeard.Load())) < g.observerAge()
 	out.Leaving = g.leaving()
-	if out.Sequence%peersEach == 1 {
+	if len(g.gatherer.Latest(time.Now())) < smallFleet || out.Sequence%peersEach == 1 {
 		out.Peers = g.swapper.Lately()
 	}
 	return out
--- a/internal/route/allotter/allotter.go
+++ b/internal/route/allotter/allotter.go
@@ -417,8 +417,10 @@
 		n.asked = account.Asked
 		delta := max(account.Total-n.total, 0)
 		n.total = max(n.total, account.Total)
-		if first && now.Sub(a.start) < a.silence() || !first && now.Sub(r.heard) >= a.silence() {
-			// All that it charged meanwhile is in its level.
+		if first || now.Sub(r.heard) >= a.silence() {
+			// All that it charged meanwhile is in its level. To deduct what it
+			// charged since its start put a new daemon, which hears some of the
+			// others only after seconds, twenty seconds' worth below them.
 			a.adopt(name, account.Level)
 			continue
 		}
--- a/internal/route/allotter/allotter_test.go
+++ b/internal/route/allotter/allotter_test.go
@@ -243,3 +243,26 @@
 		a.Admit(o, 1)
 	}
 }
+
+// A daemon is stopped and starts again, and hears the others one by one over six
+// seconds. What they charged in the minutes before is not to be paid again: it
+// refused nearly all requests for a quarter of a minute.
+func TestNewcomerDoesNotPayForThePast(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := rand.New(rand.NewPCG(12, 7))
+		o := &catalog.Organisation{Name: "desk", RatePerSecond: 100_000, Burst: 100_000}
+		f := newFleet()
+		f.load(r, o, 4.2, 60*time.Second, connected)
+		f.daemons[0] = New(Config{Window: window, Overage: overage, Slack: slack, Daemons: daemonCount})
+		f.admit(0, o, 1)
+		for n := 1; n < daemons; n++ {
+			time.Sleep(800 * time.Millisecond)
+			for k := 1; k <= n; k++ {
+				f.daemons[0].Heard(identifier.Host(fmt.Sprint(k)), 1, f.daemons[k].Accounts())
+			}
+		}
+		if level := f.daemons[0].Accounts()[o.Name].Level; level < -o.RatePerSecond {
+			t.Errorf("level %.0f", level)
+		}
+	})
+}
