--- a/integration/gateway_test.go
+++ b/integration/gateway_test.go
@@ -394,7 +394,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer reader.Close()
+	defer func() { _ = reader.Close() }()
 	const smallest = 4096
 	if _, err := unix.FcntlInt(writer.Fd(), unix.F_SETPIPE_SZ, smallest); err != nil {
 		t.Fatal(err)
@@ -405,7 +405,9 @@
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
-	_ = writer.Close()
+	if err := writer.Close(); err != nil {
+		t.Fatal(err)
+	}
 	defer func() {
 		_ = cmd.Process.Kill()
 		_ = cmd.Wait()
