queuer: the test of a blocked output adds up all notices

It wanted one notice with all missing lines; the writer may take a line while others are still being dropped, and then tells of the rest in a second notice. The sum was right each time.

--- a/internal/ops/queuer/queuer_test.go
+++ b/internal/ops/queuer/queuer_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"strings"
 	"sync"
@@ -46,13 +47,37 @@
 		fmt.Fprintf(q, "the last line\n")
 		synctest.Wait()
 		text := out.got.String()
-		if !strings.Contains(text, fmt.Sprintf(`"count":%d`, dropped)) || !strings.HasSuffix(text, "the last line\n") {
-			t.Errorf("written: %q", text)
+		if told := missing(t, text); told != dropped || !strings.HasSuffix(text, "the last line\n") {
+			t.Errorf("%d lines are said to be missing, %d are; written: %q", told, dropped, text)
+		}
+		if written := int64(strings.Count(text, "line ")); written+dropped != lines {
+			t.Errorf("%d lines written and %d dropped of %d", written, dropped, lines)
 		}
 		cancel()
 	})
 }
 
+// missing sums the lines that notices say are missing. The writer may take a line
+// while others are still being dropped, so there may be several notices.
+func missing(t *testing.T, text string) int64 {
+	t.Helper()
+	sum := int64(0)
+	for line := range strings.Lines(text) {
+		var notice struct {
+			Msg   string
+			Count int64
+		}
+		if !strings.HasPrefix(line, "{") {
+			continue
+		}
+		if err := json.Unmarshal([]byte(line), &notice); err != nil {
+			t.Fatalf("%q: %v", line, err)
+		}
+		sum += notice.Count
+	}
+	return sum
+}
+
 func TestFlushWritesWhatIsQueued(t *testing.T) {
 	var out bytes.Buffer
 	q := New(Config{Output: &out})
