receiver: drop the count of requests in flight that nobody reads

Cause: Drain returned a channel that was never closed, and Idle was never called; the count behind them took a mutex twice per request. Ruled out: a caller elsewhere: the only call is the gateway's Drain(), which ignores what it returns; the drain waits on the server's own Shutdown. Change: the channel, the count and Idle are gone; Drain only sets its flag. Figures: none taken; behaviour is unchanged. Conclusion: less state on the path of every request.

--- a/internal/serve/receiver/receiver.go
+++ b/internal/serve/receiver/receiver.go
@@ -26,7 +26,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -84,10 +83,6 @@
 type Receiver struct {
 	c        Config
 	draining atomic.Bool
-
-	mu       sync.Mutex
-	inFlight int
-	idle     chan struct{}
 }
 
 var _ http.Handler = (*Receiver)(nil)
@@ -97,33 +92,14 @@
 	if c.Arrived == nil {
 		c.Arrived = func(*request.Request) {}
 	}
-	return &Receiver{c: c, idle: make(chan struct{})}
-}
-
-// Drain makes every answer from now on close its connection, and returns a
-// channel that closes when no request is in flight.
-func (v *Receiver) Drain() <-chan struct{} {
-	v.draining.Store(true)
-	return v.idle
+	return &Receiver{c: c}
 }
 
-// Idle tells whether no request is being answered.
-func (v *Receiver) Idle() bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.inFlight == 0
-}
-
-func (v *Receiver) enter(n int) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.inFlight += n
-}
+// Drain makes every answer from now on close its connection.
+func (v *Receiver) Drain() { v.draining.Store(true) }
 
 // ServeHTTP answers one request.
 func (v *Receiver) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	v.enter(1)
-	defer v.enter(-1)
 	if v.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
