gateway: lists of endpoints are taken in at once, readiness waits for the whole list

The mirror had the same fault: a peer that asked while a list was taken in got the highest revision of a part, and never asked for the rest. Change: watcher's sink, mirror and registry take what a list or a watch brought in one step. The registry is laid out once for a list, not once an endpoint.

--- a/integration/gateway_test.go
+++ b/integration/gateway_test.go
@@ -160,6 +160,31 @@
 	}
 }
 
+// A daemon starts beside many engines. It said that it was ready once the first of
+// them was taken in; the balancer sent requests at once, and those that needed
+// another engine failed with 502 although it was listed. Readiness must wait for
+// the whole list.
+func TestReadinessWaitsForTheWholeList(t *testing.T) {
+	const engines = 1500
+	s := newSite(t)
+	for n := range engines {
+		id := fmt.Sprintf("i-%04d", n)
+		s.store.Write(platform.EndpointKind, id, hosting.NewEngine(hosting.Config{
+			ID: id, Service: plainService, Zone: "hall-a", Address: fmt.Sprintf("127.250.%d.%d:8080", n/200, n%200+1),
+		}).Record("ready"))
+	}
+	h := s.unready()
+	// Asked without a pause, as a single question may come after the list.
+	for until := time.Now().Add(patience); h.ready(http.StatusOK) != nil; {
+		if time.Now().After(until) {
+			t.Fatal("never ready")
+		}
+	}
+	if n := len(h.beliefs(t).Endpoints); n != engines {
+		t.Errorf("ready with %d of %d engines", n, engines)
+	}
+}
+
 // An engine sends a second answer after a whole one, on a connection that the
 // daemon keeps. The next client would get the answer to another request if the
 // connection were used again without a look at what arrived on it.
--- a/integration/hosted_test.go
+++ b/integration/hosted_test.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"testing"
 
+	"brasschute/internal/role/gateway"
 	"brasschute/internal/standin/hosting"
 	"brasschute/platform"
 )
@@ -162,7 +163,7 @@
 func (s *site) unready() *gatewayHost {
 	s.t.Helper()
 	s.next++
-	h := &gatewayHost{s: s, name: fmt.Sprintf("front-%d", s.next), ip: fmt.Sprintf("127.200.%d.%d", s.number, s.next)}
+	h := &gatewayHost{s: s, name: fmt.Sprintf("front-%d", s.next), ip: fmt.Sprintf("127.%d.%d.%d", 200+s.number>>8, s.number&0xff, s.next)}
 	h.storeAt = s.serve(s.store.For(h.name))
 	h.file = filepath.Join(s.t.TempDir(), "boot.toml")
 	h.writeSettings("")
@@ -235,6 +236,21 @@
 	return want("readiness", resp.StatusCode, status)
 }
 
+// beliefs asks a daemon what it believes.
+func (h *gatewayHost) beliefs(t testing.TB) gateway.Beliefs {
+	t.Helper()
+	resp, err := h.s.client.Get("http://" + h.ip + ":7600" + gateway.BeliefsPath)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var b gateway.Beliefs
+	if err := json.NewDecoder(resp.Body).Decode(&b); err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
 // hostedRequest is one client request.
 type hostedRequest struct {
 	ID     string
--- a/internal/peer/mirror/mirror.go
+++ b/internal/peer/mirror/mirror.go
@@ -11,7 +11,7 @@
 //
 // # Usage
 //
-//	if m.Apply(o) { use(o) }
+//	use(m.Apply(objects))
 //	changes := m.Since("servers", revision)
 package mirror
 
@@ -36,15 +36,31 @@
 	ends    int
 }
 
-// Apply takes in an object and reports whether it was news. An object that has
-// ended does not return: keys of endpoints are never used again, and others are
-// replaced, not deleted.
-func (m *Mirror) Apply(o object.Object) bool {
+// Apply takes in what one list, or one watch, brought and returns what was news of
+// it. It takes all or nothing: whoever asked for the changes in between would take
+// the highest revision of a part for all that there is, and never ask for the
+// rest. An object that has ended does not return: keys of endpoints are never
+// used again, and others are replaced, not deleted.
+func (m *Mirror) Apply(objects []object.Object) (news []object.Object) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.objects == nil {
-		m.objects = make(map[string]object.Object)
+		m.objects = make(map[string]object.Object, len(objects))
 	}
+	for _, o := range objects {
+		if m.apply(o) {
+			news = append(news, o)
+		}
+	}
+	if m.ends > maxEnds {
+		m.forget()
+	}
+	return news
+}
+
+// apply takes in one object and reports whether it was news. The caller holds
+// the lock.
+func (m *Mirror) apply(o object.Object) bool {
 	old, known := m.objects[o.Key]
 	if known && (old.Version >= o.Version && !o.Deleted || old.Deleted) {
 		return false
@@ -55,9 +71,6 @@
 		m.ends++
 	}
 	m.objects[o.Key] = o
-	if m.ends > maxEnds {
-		m.forget()
-	}
 	return true
 }
 
--- a/internal/peer/mirror/mirror_test.go
+++ b/internal/peer/mirror/mirror_test.go
@@ -9,11 +9,14 @@
 	"brasschute/internal/platform/object"
 )
 
+// one takes in one object.
+func (m *Mirror) one(o object.Object) bool { return len(m.Apply([]object.Object{o})) == 1 }
+
 func TestEndsAreFinal(t *testing.T) {
 	var m Mirror
-	m.Apply(object.Object{Key: "servers/a", Version: 3})
-	m.Apply(object.Object{Key: "servers/a", Version: 5, Deleted: true})
-	if m.Apply(object.Object{Key: "servers/a", Version: 4}) || m.Apply(object.Object{Key: "servers/a", Version: 9}) {
+	m.one(object.Object{Key: "servers/a", Version: 3})
+	m.one(object.Object{Key: "servers/a", Version: 5, Deleted: true})
+	if m.one(object.Object{Key: "servers/a", Version: 4}) || m.one(object.Object{Key: "servers/a", Version: 9}) {
 		t.Error("an endpoint that has ended came back")
 	}
 	changes := m.Since("servers", 4)
@@ -31,16 +34,16 @@
 		for version := range n {
 			o := object.Object{Key: fmt.Sprintf("servers/%d", rapid.IntRange(0, 5).Draw(t, "key")), Version: uint64(version + 1)}
 			o.Deleted = rapid.IntRange(0, 4).Draw(t, "end") == 0
-			ahead.Apply(o)
+			ahead.one(o)
 			if rapid.Bool().Draw(t, "follow") {
 				for _, c := range ahead.Since("servers", behind.Revision("servers")) {
-					behind.Apply(c)
+					behind.one(c)
 				}
 			}
 		}
 		for _, c := range ahead.Since("servers", behind.Revision("servers")) {
-			behind.Apply(c)
-			behind.Apply(c)
+			behind.one(c)
+			behind.one(c)
 		}
 		if a, b := fmt.Sprint(ahead.Since("servers", 0)), fmt.Sprint(behind.Since("servers", 0)); a != b {
 			t.Fatalf("ahead %s\nbehind %s", a, b)
@@ -51,7 +54,7 @@
 func TestEndsAreBounded(t *testing.T) {
 	var m Mirror
 	for n := range 3 * maxEnds {
-		m.Apply(object.Object{Key: fmt.Sprintf("servers/%d", n), Version: uint64(n + 1), Deleted: true})
+		m.one(object.Object{Key: fmt.Sprintf("servers/%d", n), Version: uint64(n + 1), Deleted: true})
 	}
 	if got := len(m.Since("servers", 0)); got > maxEnds {
 		t.Errorf("%d ends remembered", got)
--- a/internal/platform/watcher/watcher.go
+++ b/internal/platform/watcher/watcher.go
@@ -53,9 +53,11 @@
 	Watch(ctx context.Context, after uint64, wait time.Duration, prefixes ...string) (object.Page, error)
 }
 
-// Sink receives each object once per version, in the order of versions.
+// Sink receives each object once per version. What one list or one watch brought
+// comes in one call, the ends of objects included: half of a list taken for the
+// whole would be passed on, or requests placed by it.
 type Sink interface {
-	Apply(object.Object)
+	Apply([]object.Object)
 }
 
 // Config names what to follow and who is told.
@@ -141,7 +143,7 @@
 	if err != nil {
 		return err
 	}
-	w.apply(p.Objects)
+	w.apply(w.news(p.Objects))
 	w.after = max(w.after, p.Revision)
 	if len(p.Objects) > 0 {
 		waiter.For(ctx, rest/2+rand.N(rest/2))
@@ -154,29 +156,39 @@
 	if err != nil {
 		return err
 	}
-	w.apply(p.Objects)
+	news := w.news(p.Objects)
 	if p.Revision >= w.after {
-		w.remove(p.Objects, p.Revision)
+		news = append(news, w.vanished(p.Objects, p.Revision)...)
 	}
+	w.apply(news)
 	w.after = max(w.after, p.Revision)
 	return nil
 }
 
-// remove tells the sink of keys that vanished while nobody watched.
-func (w *Watcher) remove(objects []object.Object, revision uint64) {
+// apply tells the sink if there is news.
+func (w *Watcher) apply(news []object.Object) {
+	if len(news) > 0 {
+		w.c.Sink.Apply(news)
+	}
+}
+
+// vanished returns the ends of keys that vanished while nobody watched.
+func (w *Watcher) vanished(objects []object.Object, revision uint64) (ends []object.Object) {
 	present := make(map[string]bool, len(objects))
 	for i := range objects {
 		present[objects[i].Key] = true
 	}
 	for key, version := range w.seen {
 		if !present[key] {
-			w.c.Sink.Apply(object.Object{Key: key, Version: max(version, revision), Deleted: true})
+			ends = append(ends, object.Object{Key: key, Version: max(version, revision), Deleted: true})
 			delete(w.seen, key)
 		}
 	}
+	return ends
 }
 
-func (w *Watcher) apply(objects []object.Object) {
+// news returns the objects that are newer than what was seen of them.
+func (w *Watcher) news(objects []object.Object) (news []object.Object) {
 	for i := range objects {
 		o := objects[i]
 		if o.Version <= w.seen[o.Key] {
@@ -185,6 +197,7 @@
 		if len(w.seen) < retainSeen {
 			w.seen[o.Key] = o.Version
 		}
-		w.c.Sink.Apply(o)
+		news = append(news, o)
 	}
+	return news
 }
--- a/internal/platform/watcher/watcher_test.go
+++ b/internal/platform/watcher/watcher_test.go
@@ -42,12 +42,39 @@
 
 type sink map[string]uint64
 
-func (s sink) Apply(o object.Object) {
-	if o.Deleted {
-		delete(s, o.Key)
-		return
+func (s sink) Apply(objects []object.Object) {
+	for _, o := range objects {
+		if o.Deleted {
+			delete(s, o.Key)
+			continue
+		}
+		s[o.Key] = o.Version
 	}
-	s[o.Key] = o.Version
+}
+
+// calls counts the objects of each call.
+type calls []int
+
+func (c *calls) Apply(objects []object.Object) { *c = append(*c, len(objects)) }
+
+// A daemon told others of a list of endpoints while it was half taken in; they
+// took the highest revision for all that there was, and never asked for the
+// rest. A list, with the ends that it shows, must come in one call.
+func TestListsComeWhole(t *testing.T) {
+	at := func(key string, version uint64) object.Object { return object.Object{Key: key, Version: version} }
+	s := new(script).then(nil, 9, at("a", 9), at("b", 4), at("c", 7)).then(object.ErrGap, 0).then(nil, 12, at("a", 11))
+	synctest.Test(t, func(t *testing.T) {
+		var got calls
+		ctx, cancel := context.WithCancel(t.Context())
+		w := New(Config{Platform: s, Sink: &got, Prefixes: []string{""}})
+		go func() { _ = w.Serve(ctx) }()
+		time.Sleep(time.Second)
+		cancel()
+		synctest.Wait()
+		if len(got) != 2 || got[0] != 3 || got[1] != 3 {
+			t.Errorf("objects by call: %v, want three (all), three (one changed, two gone)", got)
+		}
+	})
 }
 
 func TestWatcherDropsOldVersions(t *testing.T) {
--- a/internal/role/controller/controller.go
+++ b/internal/role/controller/controller.go
@@ -91,10 +91,12 @@
 	k.c.Logger.Info("lease", "zone", k.c.Settings.AvailabilityZone, "held", held, "fencing", fencing)
 }
 
-// Apply takes in one platform object.
-func (k *Controller) Apply(o object.Object) {
-	k.keeper.Apply(&o)
-	k.registry.Apply(&o)
+// Apply takes in platform objects.
+func (k *Controller) Apply(objects []object.Object) {
+	for i := range objects {
+		k.keeper.Apply(&objects[i])
+		k.registry.Apply(&objects[i])
+	}
 }
 
 // Run works until ctx ends. The lease is left to lapse: giving it up early
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -338,7 +338,13 @@
 }
 
 // Apply takes in one platform object.
-func (e *Entry) Apply(o object.Object) {
+func (e *Entry) Apply(objects []object.Object) {
+	for _, o := range objects {
+		e.apply(o)
+	}
+}
+
+func (e *Entry) apply(o object.Object) {
 	switch {
 	case strings.HasPrefix(o.Key, inventory.ConfigurationPrefix):
 		e.keeper.Apply(&o)
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -55,6 +55,7 @@
 	"brasschute/internal/peer/mirror"
 	"brasschute/internal/peer/rpc"
 	"brasschute/internal/peer/swapper"
+	"brasschute/internal/platform/inventory"
 	"brasschute/internal/platform/object"
 	"brasschute/internal/platform/watcher"
 	"brasschute/internal/route/allotter"
@@ -205,10 +206,10 @@
 // Serve runs the function.
 func (s service) Serve(ctx context.Context) error { return s(ctx) }
 
-type sink func(object.Object)
+type sink func([]object.Object)
 
-// Apply takes in one object.
-func (s sink) Apply(o object.Object) { s(o) }
+// Apply takes in objects.
+func (s sink) Apply(objects []object.Object) { s(objects) }
 
 // follow watches one kind of objects. A dependency that is lost or regained is
 // logged once.
@@ -251,22 +252,34 @@
 		"organisations", len(c.Organisations()))
 }
 
-func (g *Gateway) endpoint(o object.Object) {
-	id := strings.TrimPrefix(o.Key, platform.EndpointKind+"/")
+// endpointsChanged takes in what changed of the list of endpoints, at once: a daemon that
+// is ready knows the whole list, not its first entry.
+func (g *Gateway) endpointsChanged(objects []object.Object) {
+	listed := make(map[string]*inventory.Host, len(objects))
+	for i := range objects {
+		id := strings.TrimPrefix(objects[i].Key, platform.EndpointKind+"/")
+		if h, err := g.endpoint(id, &objects[i]); err == nil {
+			listed[id] = h
+		}
+	}
+	g.registry.Put(listed)
+	g.listed.Store(g.listed.Load() || len(g.registry.Hosts()) > 0)
+}
+
+// endpoint decodes the record of an endpoint; none if it is gone.
+func (g *Gateway) endpoint(id string, o *object.Object) (*inventory.Host, error) {
 	if o.Deleted {
-		g.registry.Remove(id)
 		g.c.Logger.Info("endpoint gone", "endpoint", id, "revision", o.Version)
-		return
+		return nil, nil
 	}
 	e, err := platform.DecodeEndpoint(id, o.Value)
 	if err != nil {
 		g.c.Logger.Error("endpoint's record not understood", "endpoint", id, "revision", o.Version, "error", err)
-		return
+		return nil, fmt.Errorf("gateway: %w", err)
 	}
-	g.registry.Put(id, &e.Host)
-	g.listed.Store(true)
 	g.c.Logger.Info("endpoint listed", "endpoint", id, "revision", o.Version, "zone", e.Host.AvailabilityZone, "service",
 		e.Host.Endpoints[0].Pool, "address", e.Host.Endpoints[0].Address, "state", e.Host.State, "reclaimable", e.Host.Class == document.ClassReclaimable)
+	return &e.Host, nil
 }
 
 // reread takes over a changed deployment: on a hint, and now and then without
--- a/internal/role/gateway/news.go
+++ b/internal/role/gateway/news.go
@@ -178,9 +178,11 @@
 }
 
 func (g *Gateway) takeAll(objects []*rpc.StoredObject) {
+	out := make([]object.Object, 0, len(objects))
 	for _, o := range objects {
-		g.take(object.Object{Key: o.GetKey(), Version: o.GetVersion(), Value: o.GetValue(), Deleted: o.GetDeleted()})
+		out = append(out, object.Object{Key: o.GetKey(), Version: o.GetVersion(), Value: o.GetValue(), Deleted: o.GetDeleted()})
 	}
+	g.take(out)
 }
 
 // leaving lists the endpoints that are listed and known to leave.
@@ -228,15 +230,22 @@
 	return suture.ErrDoNotRestart
 }
 
-// take takes in an object from the store or a peer.
-func (g *Gateway) take(o object.Object) {
-	if !g.mirror.Apply(o) {
+// take takes in what the store or a peer told at once.
+func (g *Gateway) take(objects []object.Object) {
+	news := g.mirror.Apply(objects)
+	if len(news) == 0 {
 		return
 	}
-	if strings.HasPrefix(o.Key, platform.CatalogKind+"/") {
-		g.configuration(o)
-	} else {
-		g.endpoint(o)
+	var endpoints []object.Object
+	for _, o := range news {
+		if strings.HasPrefix(o.Key, platform.CatalogKind+"/") {
+			g.configuration(o)
+		} else {
+			endpoints = append(endpoints, o)
+		}
+	}
+	if len(endpoints) > 0 {
+		g.endpointsChanged(endpoints)
 	}
 	g.swapper.Hurry(g.follows())
 }
--- a/internal/route/registry/registry.go
+++ b/internal/route/registry/registry.go
@@ -174,32 +174,32 @@
 
 func (r *Registry) applyHost(o *object.Object) {
 	if o.Deleted {
-		r.Remove(o.Key)
+		r.Put(map[string]*inventory.Host{o.Key: nil})
 		return
 	}
 	var h inventory.Host
 	if json.Unmarshal(o.Value, &h) != nil {
 		return
 	}
-	r.Put(o.Key, &h)
+	r.Put(map[string]*inventory.Host{o.Key: &h})
 }
 
-// Put takes in what is listed of a host under a key.
-func (r *Registry) Put(key string, h *inventory.Host) {
-	if h.State == inventory.StateLeaving {
-		r.MarkLeaving(h.Host, h.Incarnation, time.UnixMilli(unknownNotice))
+// Put takes in at once what is listed of hosts, by key; a nil host is not listed
+// any more.
+func (r *Registry) Put(listed map[string]*inventory.Host) {
+	for _, h := range listed {
+		if h != nil && h.State == inventory.StateLeaving {
+			r.MarkLeaving(h.Host, h.Incarnation, time.UnixMilli(unknownNotice))
+		}
 	}
 	r.mu.Lock()
-	r.hosts[key] = *h
-	r.rebuild()
-	r.mu.Unlock()
-	r.c.Changed()
-}
-
-// Remove forgets the host that was listed under a key.
-func (r *Registry) Remove(key string) {
-	r.mu.Lock()
-	delete(r.hosts, key)
+	for key, h := range listed {
+		if h == nil {
+			delete(r.hosts, key)
+			continue
+		}
+		r.hosts[key] = *h
+	}
 	r.rebuild()
 	r.mu.Unlock()
 	r.c.Changed()
