watcher: a list ends what only peers had told

Cause: a daemon of a large fleet that begins to follow the store lists it, and ended only keys that it had seen there itself. Change: the watcher asks what is known otherwise, and ends what the list lacks.

--- a/internal/peer/mirror/mirror.go
+++ b/internal/peer/mirror/mirror.go
@@ -96,6 +96,17 @@
 	return highest
 }
 
+// Known returns the keys and versions of a kind's objects that have not ended.
+func (m *Mirror) Known(kind string) map[string]uint64 {
+	out := make(map[string]uint64)
+	m.each(kind, func(o object.Object) {
+		if !o.Deleted {
+			out[o.Key] = o.Version
+		}
+	})
+	return out
+}
+
 // Since returns the objects of a kind that changed or ended after a revision, in
 // the order of their versions.
 func (m *Mirror) Since(kind string, after uint64) []object.Object {
--- a/internal/platform/watcher/watcher.go
+++ b/internal/platform/watcher/watcher.go
@@ -67,6 +67,10 @@
 	Prefixes []string
 	// Wait is the longest that one watch stays open; 20 s if zero.
 	Wait time.Duration
+	// Known returns the keys, with their versions, that were learned from others
+	// than the platform; may be nil. A list ends those of them that it does not
+	// show and that are not newer.
+	Known func() map[string]uint64
 	// Idle tells that others follow the objects for this daemon, and no call
 	// need be made; nil for never.
 	Idle func() bool
@@ -89,6 +93,9 @@
 	if c.Idle == nil {
 		c.Idle = func() bool { return false }
 	}
+	if c.Known == nil {
+		c.Known = func() map[string]uint64 { return nil }
+	}
 	if c.Report == nil {
 		c.Report = func(error) {}
 	}
@@ -178,6 +185,11 @@
 	for i := range objects {
 		present[objects[i].Key] = true
 	}
+	for key, version := range w.c.Known() {
+		if !present[key] && version <= revision && w.seen[key] == 0 {
+			ends = append(ends, object.Object{Key: key, Version: revision, Deleted: true})
+		}
+	}
 	for key, version := range w.seen {
 		if !present[key] {
 			ends = append(ends, object.Object{Key: key, Version: max(version, revision), Deleted: true})
--- a/internal/platform/watcher/watcher_test.go
+++ b/internal/platform/watcher/watcher_test.go
@@ -132,3 +132,25 @@
 		}
 	})
 }
+
+// In a large fleet a daemon took an endpoint from its peers, the endpoint ended, and
+// the daemon began to follow the store itself. The list did not show the endpoint
+// any more, which it had never seen there, so it went on sending requests to it,
+// seconds after it had left. What others told must end with the list, too, unless it
+// is newer than the list.
+func TestListEndsWhatPeersTold(t *testing.T) {
+	at := func(key string, version uint64) object.Object { return object.Object{Key: key, Version: version} }
+	s := new(script).then(nil, 9, at("a", 9))
+	synctest.Test(t, func(t *testing.T) {
+		got := sink{"a": 9, "ended": 5, "newer": 11}
+		ctx, cancel := context.WithCancel(t.Context())
+		w := New(Config{Platform: s, Sink: got, Prefixes: []string{""}, Known: func() map[string]uint64 { return map[string]uint64{"a": 9, "ended": 5, "newer": 11} }})
+		go func() { _ = w.Serve(ctx) }()
+		time.Sleep(time.Second)
+		cancel()
+		synctest.Wait()
+		if _, there := got["ended"]; there || got["newer"] != 11 || got["a"] != 9 {
+			t.Errorf("after the list: %v", got)
+		}
+	})
+}
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -217,6 +217,7 @@
 	var lost time.Time
 	return watcher.New(watcher.Config{
 		Platform: g.store, Sink: sink(g.take), Prefixes: []string{kind}, Idle: func() bool { return !g.follows() },
+		Known: func() map[string]uint64 { return g.mirror.Known(kind) },
 		Wait: time.Duration(watchPart * float64(min(g.c.Deployment.Bounds.ApplyTime, g.c.Deployment.Bounds.DrainTime))),
 		Report: func(err error) {
 			if err == nil {
