endpoints: lapsed entries are awaited, ends of lists and of peers agree; orders answer reclaims

Cause: a daemon that lists the store when it has just come back took every lapsed entry for ended, for good; and a peer that lagged could bring back an endpoint that had ended. Change: a list after a failure or a time without following ends nothing for 2.3 s, and asks peers that follow which have ended; an entry returns with a higher version; what a peer tells below the own revision and is not known has ended. Cause: after a reclaim nothing was ordered for up to six seconds, as the orders stood; on-demand engines were given back at the second of the first load and between reclaims. Change: a loss of most of a zone's reclaimable engines is answered at the next step, the zone counts as dry, nothing is given back for 7 s; nor in the first 5 s of load.

--- a/internal/fleet/orderer/orderer.go
+++ b/internal/fleet/orderer/orderer.go
@@ -15,6 +15,13 @@
 // neither its predecessor's orders nor, after a mass failure, the load: it takes
 // the endpoints that it finds for what is needed.
 //
+// # Reclaims
+//
+// Reclaimable endpoints of a zone go all at once, with two seconds' notice, and
+// none are to be had for a while; the next zone often follows. So a loss is answered
+// at the next step, the zone counts as having none until an order is accepted
+// there, and until then nothing is given back.
+//
 // # Usage
 //
 //	o := orderer.New(orderer.Config{...})
@@ -52,6 +59,14 @@
 	// takes as much as the peak.
 	firstPart = 0.65
 	firstTime = 17 * time.Second
+	// firstLoad is how long after the first request nothing is given back: the rates
+	// of all daemons, summed from news that is seconds old, then show the load.
+	firstLoad = 5 * time.Second
+	// lostPart of a zone's reclaimable endpoints gone at once is a reclaim, and not
+	// a crash. lostTime is how long none are taken to be had there (14 s and more,
+	// as published) unless an order shows otherwise.
+	lostPart = 0.6
+	lostTime = 14 * time.Second
 	// listTime is how long the endpoints of a new fleet take to list themselves:
 	// three of their heartbeats.
 	listTime = 3500 * time.Millisecond
@@ -80,11 +95,24 @@
 }
 
 type state struct {
-	ordered  int
+	ordered int
+	// at is when the last order was given, wantless since when less is wanted, dry
+	// when an order was last turned down, lost when the endpoints were reclaimed.
 	at       time.Time
 	wantless time.Time
 	dry      time.Time
-	known    bool
+	lost     time.Time
+	// listed is how many endpoints there were at the last step.
+	listed int
+	known  bool
+}
+
+// see takes in how many endpoints are listed. A loss makes an order due.
+func (t *state) see(listed int, now time.Time) {
+	if listed <= int(float64(t.listed)*(1-lostPart)) && t.listed-listed > 1 {
+		t.lost, t.at, t.dry = now, time.Time{}, time.Time{}
+	}
+	t.listed = listed
 }
 
 // Orderer gives orders. It is for one goroutine.
@@ -96,6 +124,8 @@
 	needs   map[identifier.Service]*need
 	// found is the most endpoints that a new fleet had.
 	found map[identifier.Service]int
+	// asked is when the first request for a service was seen.
+	asked map[identifier.Service]time.Time
 }
 
 // need is the engines that a service needed of late.
@@ -113,7 +143,7 @@
 
 // New returns an orderer that has ordered nothing.
 func New(c Config) *Orderer {
-	return &Orderer{c: c, started: time.Now(), states: make(map[key]*state), needs: make(map[identifier.Service]*need), found: make(map[identifier.Service]int)}
+	return &Orderer{c: c, started: time.Now(), states: make(map[key]*state), needs: make(map[identifier.Service]*need), found: make(map[identifier.Service]int), asked: make(map[identifier.Service]time.Time)}
 }
 
 // Step gives the orders that are needed now.
@@ -133,8 +163,13 @@
 	if o.fresh(now, listTime) {
 		return
 	}
+	keep := o.firstLoad(s, now)
 	for i := range s.Zones {
-		s.Zones[i].Dry = now.Sub(o.state(s, s.Zones[i].Zone, document.ClassReclaimable).dry) < dryTime
+		z := &s.Zones[i]
+		t := o.state(s, z.Zone, document.ClassReclaimable)
+		t.see(z.Reclaimable, now)
+		z.Dry = now.Sub(t.dry) < dryTime || now.Sub(t.lost) < lostTime
+		keep = keep || now.Sub(t.lost) < 7*time.Second
 	}
 	in := &sizer.Input{Scale: s.Scale, Demand: s.Demand, Zones: s.Zones}
 	in.Floor = o.floor(s, now)
@@ -144,8 +179,8 @@
 	}
 	for _, w := range sizer.Size(in) {
 		z := listed[w.Zone]
-		o.order(ctx, s, w.Zone, document.ClassReclaimable, w.Reclaimable, z.Reclaimable)
-		o.order(ctx, s, w.Zone, document.ClassOnDemand, w.OnDemand, z.OnDemand)
+		o.order(ctx, s, w.Zone, document.ClassReclaimable, w.Reclaimable, z.Reclaimable, keep)
+		o.order(ctx, s, w.Zone, document.ClassOnDemand, w.OnDemand, z.OnDemand, keep)
 	}
 }
 
@@ -167,6 +202,17 @@
 	return n.keep(sizer.Need(s.Demand), now)
 }
 
+// firstLoad tells whether a service's first requests are still so few seconds ago
+// that its load is not known. Before them, what a new fleet found is cut to size.
+func (o *Orderer) firstLoad(s *Service, now time.Time) bool {
+	at, ok := o.asked[s.Service]
+	if !ok && s.Demand != (demander.Demand{}) {
+		at, ok = now, true
+		o.asked[s.Service] = now
+	}
+	return ok && now.Sub(at) < firstLoad
+}
+
 // fresh tells whether the whole fleet has started less than a time ago.
 func (o *Orderer) fresh(now time.Time, than time.Duration) bool {
 	return o.c.Fresh && now.Sub(o.started) < than
@@ -182,14 +228,14 @@
 	return t
 }
 
-// order gives one order if it is due.
-func (o *Orderer) order(ctx context.Context, s *Service, z identifier.AvailabilityZone, class document.Class, wanted, listed int) {
+// order gives one order if it is due; keep: nothing is given back now.
+func (o *Orderer) order(ctx context.Context, s *Service, z identifier.AvailabilityZone, class document.Class, wanted, listed int, keep bool) {
 	t := o.state(s, z, class)
 	now := time.Now()
 	if !t.known {
 		t.ordered, t.known = listed, true
 	}
-	if wanted >= max(t.ordered, listed) {
+	if wanted >= max(t.ordered, listed) || keep {
 		t.wantless = time.Time{}
 	} else if t.wantless.IsZero() {
 		t.wantless = now
@@ -199,6 +245,8 @@
 	}
 	switch {
 	case wanted > t.ordered:
+	case wanted < max(t.ordered, listed) && keep:
+		return
 	case wanted < max(t.ordered, listed) && (now.Sub(t.wantless) > calm || o.fresh(now, calm)) && (wanted < t.ordered || now.Sub(t.at) > repeat):
 	case wanted == t.ordered && listed < t.ordered && now.Sub(t.at) > repeat:
 	default:
@@ -211,6 +259,7 @@
 	switch {
 	case err == nil:
 		t.ordered = wanted
+		t.lost = time.Time{}
 	case errors.Is(err, object.ErrConflict):
 		t.dry = now
 	}
--- a/internal/fleet/orderer/orderer_test.go
+++ b/internal/fleet/orderer/orderer_test.go
@@ -23,10 +23,15 @@
 	onDemand, reclaimable map[identifier.AvailabilityZone]int
 	dry, lose             bool
 	orders                int
+	most                  int
+	// boot is how long reclaimable engines take to start; starting are those that
+	// were ordered.
+	boot     time.Duration
+	starting []start
 }
 
 func newCloud() *cloud {
-	c := &cloud{onDemand: make(map[identifier.AvailabilityZone]int), reclaimable: make(map[identifier.AvailabilityZone]int)}
+	c := &cloud{most: 6, onDemand: make(map[identifier.AvailabilityZone]int), reclaimable: make(map[identifier.AvailabilityZone]int)}
 	for _, z := range []identifier.AvailabilityZone{"a", "b", "c", "d"} {
 		c.onDemand[z] = 3
 		c.reclaimable[z] = 0
@@ -40,7 +45,8 @@
 		if c.dry && wanted > c.reclaimable[z] {
 			return object.ErrConflict
 		}
-		c.reclaimable[z] = wanted
+		c.starting = append(c.starting, start{z, wanted, time.Now().Add(c.boot)})
+		c.boots()
 	} else {
 		c.onDemand[z] = wanted
 	}
@@ -50,10 +56,26 @@
 	return nil
 }
 
+// start is an order of reclaimable engines that is being carried out.
+type start struct {
+	zone   identifier.AvailabilityZone
+	wanted int
+	at     time.Time
+}
+
+// boots lists the engines that have started.
+func (c *cloud) boots() {
+	for len(c.starting) > 0 && !time.Now().Before(c.starting[0].at) {
+		c.reclaimable[c.starting[0].zone] = c.starting[0].wanted
+		c.starting = c.starting[1:]
+	}
+}
+
 func (c *cloud) service(tokens float64) []Service {
+	c.boots()
 	s := Service{
 		Service: "lm", Demand: demander.Demand{Tokens: tokens},
-		Scale: &catalog.Scale{Min: 1, Max: 6, ReclaimablePrice: 0.15, Prices: map[identifier.AvailabilityZone]float64{"a": 1, "b": 1, "c": 1, "d": 1}},
+		Scale: &catalog.Scale{Min: 1, Max: c.most, ReclaimablePrice: 0.15, Prices: map[identifier.AvailabilityZone]float64{"a": 1, "b": 1, "c": 1, "d": 1}},
 	}
 	for z := range c.onDemand {
 		s.Zones = append(s.Zones, sizer.Zone{Zone: z, OnDemand: c.onDemand[z], Reclaimable: c.reclaimable[z]})
@@ -166,3 +188,77 @@
 		}
 	})
 }
+
+// reclaim takes all reclaimable engines of a zone.
+func (c *cloud) reclaim(z identifier.AvailabilityZone) {
+	c.reclaimable[z] = 0
+	c.dry = true
+}
+
+// The load has just grown, and new orders were given, when the reclaimable engines
+// of a zone are taken and none are to be had. The orders stand, so nothing was
+// ordered for six seconds more, and requests queued at what was left until
+// replacements had started, ten seconds after the notice.
+func TestReclaimIsAnsweredAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCloud()
+		c.most = 20
+		for z := range c.onDemand {
+			c.onDemand[z] = 12
+		}
+		o := newOrderer(c, true)
+		run(o, c, 1, 300_000, 40*time.Second)
+		run(o, c, 1, 640_000, 2*time.Second)
+		before := c.onDemand["a"] + c.onDemand["b"] + c.onDemand["c"] + c.onDemand["d"]
+		c.reclaim("a")
+		run(o, c, 1, 640_000, 1500*time.Millisecond)
+		after := c.onDemand["a"] + c.onDemand["b"] + c.onDemand["c"] + c.onDemand["d"]
+		// 46 engines are needed; of three zones' 57 reclaimable ones 0.6 are counted on.
+		if after < before+4 {
+			t.Errorf("%d on-demand engines ordered 1.5 s after the notice, %d before", after, before)
+		}
+	})
+}
+
+// Reclaims come in waves. A calm second between two of them is no reason to give
+// on-demand engines back.
+func TestNothingIsGivenBackBetweenReclaims(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCloud()
+		c.most = 30
+		for z := range c.onDemand {
+			c.onDemand[z] = 12
+		}
+		c.boot = 6 * time.Second
+		o := newOrderer(c, true)
+		run(o, c, 1, 100_000, 14*time.Second)
+		before := c.onDemand["b"]
+		c.reclaim("a")
+		run(o, c, 1, 100_000, 10*time.Second)
+		if c.onDemand["b"] < before {
+			t.Errorf("%d on-demand engines in a zone ten seconds after a reclaim, %d before", c.onDemand["b"], before)
+		}
+	})
+}
+
+// A fleet starts a quarter of a minute before its first clients. Reclaimable
+// engines had stood in for the on-demand ones by then, which were given back at the
+// very second in which the load began, with all caches cold and the first
+// reclaim under way.
+func TestFirstLoadFindsThePool(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCloud()
+		c.most = 30
+		for z := range c.onDemand {
+			c.onDemand[z] = 15
+		}
+		c.boot = 5 * time.Second
+		o := newOrderer(c, true)
+		run(o, c, 1, 0, 14*time.Second)
+		before := c.engines()
+		run(o, c, 1, 150_000, 4*time.Second)
+		if got := c.engines(); got < before {
+			t.Errorf("%d engines four seconds after the first requests, %d before", got, before)
+		}
+	})
+}
--- a/internal/peer/mirror/mirror.go
+++ b/internal/peer/mirror/mirror.go
@@ -39,8 +39,8 @@
 // Apply takes in what one list, or one watch, brought and returns what was news of
 // it. It takes all or nothing: whoever asked for the changes in between would take
 // the highest revision of a part for all that there is, and never ask for the
-// rest. An object that has ended does not return: keys of endpoints are never
-// used again, and others are replaced, not deleted.
+// rest. An object that has ended returns only with a higher version: entries that
+// lapsed while the platform was away.
 func (m *Mirror) Apply(objects []object.Object) (news []object.Object) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -58,20 +58,48 @@
 	return news
 }
 
+// Hear takes in what a peer told, as Apply does. A mirror shows all that happened
+// up to its revision, so an object that it does not have, and that is not newer, has
+// ended: a peer that lags, or that missed the end, must not bring it back.
+func (m *Mirror) Hear(objects []object.Object) (news []object.Object) {
+	revisions := make(map[string]uint64)
+	var newer []object.Object
+	for _, o := range objects {
+		kind, _, _ := strings.Cut(o.Key, "/")
+		if _, ok := revisions[kind]; !ok {
+			revisions[kind] = m.Revision(kind)
+		}
+		if o.Deleted || o.Version > revisions[kind] {
+			newer = append(newer, o)
+		}
+	}
+	return m.Apply(newer)
+}
+
 // apply takes in one object and reports whether it was news. The caller holds
 // the lock.
 func (m *Mirror) apply(o object.Object) bool {
 	old, known := m.objects[o.Key]
-	if known && (old.Version >= o.Version && !o.Deleted || old.Deleted) {
+	if known && (o.Version < old.Version || o.Version == old.Version && (!o.Deleted || old.Deleted)) {
 		return false
 	}
 	if o.Deleted {
 		o.Value = nil
-		o.Version = max(o.Version, old.Version)
-		m.ends++
+	}
+	if o.Deleted != old.Deleted {
+		m.count(o.Deleted)
 	}
 	m.objects[o.Key] = o
-	return true
+	return !o.Deleted || !old.Deleted
+}
+
+// count keeps the number of ends.
+func (m *Mirror) count(end bool) {
+	if end {
+		m.ends++
+		return
+	}
+	m.ends--
 }
 
 // forget drops the older half of the ends.
--- a/internal/peer/mirror/mirror_test.go
+++ b/internal/peer/mirror/mirror_test.go
@@ -16,15 +16,29 @@
 	var m Mirror
 	m.one(object.Object{Key: "servers/a", Version: 3})
 	m.one(object.Object{Key: "servers/a", Version: 5, Deleted: true})
-	if m.one(object.Object{Key: "servers/a", Version: 4}) || m.one(object.Object{Key: "servers/a", Version: 9}) {
+	if m.one(object.Object{Key: "servers/a", Version: 4}) || m.one(object.Object{Key: "servers/a", Version: 5}) {
 		t.Error("an endpoint that has ended came back")
 	}
+	if news := m.Hear([]object.Object{{Key: "servers/b", Version: 5}}); len(news) > 0 {
+		t.Error("a peer that lags brought back an endpoint that had ended before")
+	}
 	changes := m.Since("servers", 4)
 	if len(changes) != 1 || !changes[0].Deleted || m.Revision("servers") != 5 || m.Revision("config") != 0 {
 		t.Errorf("changes %+v, revision %d", changes, m.Revision("servers"))
 	}
 }
 
+// The store is away, and the entry of an endpoint that lives lapses; it comes back
+// with a new version. A daemon that took the end for final never used it again.
+func TestLapsedEndpointsReturn(t *testing.T) {
+	var m Mirror
+	m.Apply([]object.Object{{Key: "servers/a", Version: 3}})
+	m.Apply([]object.Object{{Key: "servers/a", Version: 5, Deleted: true}})
+	if !m.one(object.Object{Key: "servers/a", Version: 6}) || len(m.Known("servers")) != 1 || m.ends != 0 {
+		t.Errorf("known %v, %d ends", m.Known("servers"), m.ends)
+	}
+}
+
 // Two daemons see the store's changes in any order, late and twice, and one
 // follows the other: in the end both hold the same.
 func TestFollowersAgree(t *testing.T) {
--- a/internal/platform/watcher/watcher.go
+++ b/internal/platform/watcher/watcher.go
@@ -20,6 +20,14 @@
 // of each key and drops older ones, so that a sink never sees an object move
 // back. A list that is behind the last revision seen does not remove keys.
 //
+// # Entries that lapse
+//
+// Objects that are kept alive by their owners lapse while the platform is away, and
+// are back within two seconds of its return. A list that this daemon makes when the
+// platform has just come back, or when it has not followed the platform itself for a
+// while, ends nothing; a second one does, [settle] later. In between others may
+// know which of the missing objects have really ended ([Config.Doubt]).
+//
 // # Usage
 //
 //	w := watcher.New(watcher.Config{Platform: c, Sink: s, Prefixes: p})
@@ -43,6 +51,9 @@
 	retainSeen  = 1 << 16
 	// rest is the pause after a watch that brought something.
 	rest = 500 * time.Millisecond
+	// settle is how long after the platform's return lists may lack objects that
+	// have not ended: two seconds, as published, and a margin.
+	settle = 2300 * time.Millisecond
 	// idlePause is how long an idle watcher may go on though it is needed.
 	idlePause = 250 * time.Millisecond
 )
@@ -71,6 +82,9 @@
 	// than the platform; may be nil. A list ends those of them that it does not
 	// show and that are not newer.
 	Known func() map[string]uint64
+	// Doubt is told that a list lacked objects that may have ended, or lapsed; may
+	// be nil.
+	Doubt func()
 	// Idle tells that others follow the objects for this daemon, and no call
 	// need be made; nil for never.
 	Idle func() bool
@@ -83,6 +97,12 @@
 	c     Config
 	after uint64
 	seen  map[string]uint64
+	// away: the last call failed, or the platform has not been followed. trusted is
+	// from when on a list ends what it lacks, relist when the next one is due, if
+	// it is.
+	away    bool
+	trusted time.Time
+	relist  time.Time
 }
 
 // New returns a watcher that has seen nothing.
@@ -99,7 +119,10 @@
 	if c.Report == nil {
 		c.Report = func(error) {}
 	}
-	return &Watcher{c: c, seen: make(map[string]uint64)}
+	if c.Doubt == nil {
+		c.Doubt = func() {}
+	}
+	return &Watcher{c: c, seen: make(map[string]uint64), away: true}
 }
 
 // Serve follows until ctx ends.
@@ -116,6 +139,7 @@
 			break
 		}
 		w.c.Report(err)
+		w.away = w.away || err != nil
 		if err == nil {
 			pause = firstPause
 			continue
@@ -131,18 +155,31 @@
 func (w *Watcher) idle(ctx context.Context) (listed bool) {
 	for w.c.Idle() && waiter.For(ctx, idlePause) {
 	}
+	w.away = true
 	return false
 }
 
+// heard notes that a call succeeded.
+func (w *Watcher) heard() {
+	if w.away {
+		w.away = false
+		w.trusted = time.Now().Add(settle)
+	}
+}
+
 func (w *Watcher) step(ctx context.Context, listed *bool) error {
-	if !*listed {
+	wait := w.c.Wait
+	if !w.relist.IsZero() {
+		wait = min(wait, time.Until(w.relist))
+	}
+	if !*listed || wait <= 0 {
 		if err := w.list(ctx); err != nil {
 			return err
 		}
 		*listed = true
 		return nil
 	}
-	p, err := w.c.Platform.Watch(ctx, w.after, w.c.Wait, w.c.Prefixes...)
+	p, err := w.c.Platform.Watch(ctx, w.after, wait, w.c.Prefixes...)
 	if errors.Is(err, object.ErrGap) {
 		*listed = false
 		return nil
@@ -150,6 +187,7 @@
 	if err != nil {
 		return err
 	}
+	w.heard()
 	w.apply(w.news(p.Objects))
 	w.after = max(w.after, p.Revision)
 	if len(p.Objects) > 0 {
@@ -163,12 +201,30 @@
 	if err != nil {
 		return err
 	}
+	w.heard()
+	due := !w.relist.IsZero()
+	w.relist = time.Time{}
+	known := w.c.Known()
 	news := w.news(p.Objects)
+	var ends []object.Object
 	if p.Revision >= w.after {
-		news = append(news, w.vanished(p.Objects, p.Revision)...)
+		ends = w.vanished(&p, known)
+	}
+	stale := p.Revision < w.after
+	doubt := len(ends) > 0 && time.Now().Before(w.trusted)
+	if !doubt {
+		news = append(news, w.news(ends)...)
 	}
 	w.apply(news)
 	w.after = max(w.after, p.Revision)
+	switch {
+	case doubt:
+		w.relist = w.trusted
+		w.c.Doubt()
+	case due && stale:
+		// A stale list ends nothing, and the ends are still due.
+		w.relist = time.Now().Add(firstPause)
+	}
 	return nil
 }
 
@@ -179,21 +235,21 @@
 	}
 }
 
-// vanished returns the ends of keys that vanished while nobody watched.
-func (w *Watcher) vanished(objects []object.Object, revision uint64) (ends []object.Object) {
-	present := make(map[string]bool, len(objects))
-	for i := range objects {
-		present[objects[i].Key] = true
+// vanished returns the ends of objects that a list lacks: those seen here, and those
+// that others told of and that are not newer.
+func (w *Watcher) vanished(p *object.Page, known map[string]uint64) (ends []object.Object) {
+	present := make(map[string]bool, len(p.Objects))
+	for i := range p.Objects {
+		present[p.Objects[i].Key] = true
 	}
-	for key, version := range w.c.Known() {
-		if !present[key] && version <= revision && w.seen[key] == 0 {
-			ends = append(ends, object.Object{Key: key, Version: revision, Deleted: true})
+	for key, version := range known {
+		if !present[key] && version <= p.Revision && w.seen[key] == 0 {
+			ends = append(ends, object.Object{Key: key, Version: p.Revision, Deleted: true})
 		}
 	}
 	for key, version := range w.seen {
 		if !present[key] {
-			ends = append(ends, object.Object{Key: key, Version: max(version, revision), Deleted: true})
-			delete(w.seen, key)
+			ends = append(ends, object.Object{Key: key, Version: max(version, p.Revision), Deleted: true})
 		}
 	}
 	return ends
@@ -203,10 +259,12 @@
 func (w *Watcher) news(objects []object.Object) (news []object.Object) {
 	for i := range objects {
 		o := objects[i]
-		if o.Version <= w.seen[o.Key] {
+		if seen := w.seen[o.Key]; o.Version < seen || o.Version == seen && !o.Deleted {
 			continue
 		}
-		if len(w.seen) < retainSeen {
+		if o.Deleted {
+			delete(w.seen, o.Key)
+		} else if len(w.seen) < retainSeen {
 			w.seen[o.Key] = o.Version
 		}
 		news = append(news, o)
--- a/internal/platform/watcher/watcher_test.go
+++ b/internal/platform/watcher/watcher_test.go
@@ -6,14 +6,19 @@
 	"testing/synctest"
 	"time"
 
+	"brasschute/internal/core/waiter"
 	"brasschute/internal/platform/object"
 )
 
-// script answers each call with the next page.
+// script answers each call with the next page. When there are no more, lists are as
+// the last one and watches bring nothing.
 type script struct {
 	pages []object.Page
 	errs  []error
 	lists int
+	last  object.Page
+	// pause is how long each watch takes.
+	pause time.Duration
 }
 
 func (s *script) next() (object.Page, error) {
@@ -27,15 +32,24 @@
 
 func (s *script) List(context.Context, ...string) (object.Page, error) {
 	s.lists++
+	if len(s.pages) == 0 && s.last.Revision > 0 {
+		return s.last, nil
+	}
 	return s.next()
 }
 
-func (s *script) Watch(context.Context, uint64, time.Duration, ...string) (object.Page, error) {
+func (s *script) Watch(ctx context.Context, _ uint64, wait time.Duration, _ ...string) (object.Page, error) {
+	if len(s.pages) == 0 {
+		waiter.For(ctx, wait)
+		return object.Page{}, nil
+	}
+	waiter.For(ctx, s.pause)
 	return s.next()
 }
 
 func (s *script) then(err error, revision uint64, objects ...object.Object) *script {
-	s.pages = append(s.pages, object.Page{Revision: revision, Objects: objects})
+	s.last = object.Page{Revision: revision, Objects: objects}
+	s.pages = append(s.pages, s.last)
 	s.errs = append(s.errs, err)
 	return s
 }
@@ -63,12 +77,13 @@
 func TestListsComeWhole(t *testing.T) {
 	at := func(key string, version uint64) object.Object { return object.Object{Key: key, Version: version} }
 	s := new(script).then(nil, 9, at("a", 9), at("b", 4), at("c", 7)).then(object.ErrGap, 0).then(nil, 12, at("a", 11))
+	s.pause = 3 * time.Second
 	synctest.Test(t, func(t *testing.T) {
 		var got calls
 		ctx, cancel := context.WithCancel(t.Context())
 		w := New(Config{Platform: s, Sink: &got, Prefixes: []string{""}})
 		go func() { _ = w.Serve(ctx) }()
-		time.Sleep(time.Second)
+		time.Sleep(5 * time.Second)
 		cancel()
 		synctest.Wait()
 		if len(got) != 2 || got[0] != 3 || got[1] != 3 {
@@ -146,7 +161,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		w := New(Config{Platform: s, Sink: got, Prefixes: []string{""}, Known: func() map[string]uint64 { return map[string]uint64{"a": 9, "ended": 5, "newer": 11} }})
 		go func() { _ = w.Serve(ctx) }()
-		time.Sleep(time.Second)
+		time.Sleep(3 * time.Second)
 		cancel()
 		synctest.Wait()
 		if _, there := got["ended"]; there || got["newer"] != 11 || got["a"] != 9 {
@@ -154,3 +169,31 @@
 		}
 	})
 }
+
+// The store is away for seconds, and the entries of all endpoints lapse, though all
+// of them live. The first list after its return is empty; two seconds later they are
+// back. A daemon that took them for ended refused every request meanwhile. One that
+// is missing from the second list, too, has ended.
+func TestLapsedEntriesAreAwaited(t *testing.T) {
+	at := func(key string, version uint64) object.Object { return object.Object{Key: key, Version: version} }
+	s := new(script).then(nil, 9, at("a", 9), at("b", 8)).then(object.ErrUnavailable, 0).then(object.ErrGap, 0).
+		then(nil, 20).then(nil, 31, at("a", 30))
+	s.pause = 300 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		got, doubts, missing := make(sink), 0, 0
+		ctx, cancel := context.WithCancel(t.Context())
+		w := New(Config{Platform: s, Sink: got, Prefixes: []string{""}, Doubt: func() { doubts++ }})
+		go func() { _ = w.Serve(ctx) }()
+		for range 60 {
+			time.Sleep(100 * time.Millisecond)
+			if _, there := got["a"]; !there {
+				missing++
+			}
+		}
+		cancel()
+		synctest.Wait()
+		if _, there := got["b"]; there || got["a"] != 30 || missing > 0 || doubts == 0 {
+			t.Errorf("in the end %v; missing in %d of 60 looks, %d doubts", got, missing, doubts)
+		}
+	})
+}
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -215,10 +215,15 @@
 // logged once.
 func (g *Gateway) follow(what, kind string) *watcher.Watcher {
 	var lost time.Time
+	var before uint64
 	return watcher.New(watcher.Config{
 		Platform: g.store, Sink: sink(g.take), Prefixes: []string{kind}, Idle: func() bool { return !g.follows() },
-		Known: func() map[string]uint64 { return g.mirror.Known(kind) },
-		Wait: time.Duration(watchPart * float64(min(g.c.Deployment.Bounds.ApplyTime, g.c.Deployment.Bounds.DrainTime))),
+		Known: func() map[string]uint64 {
+			before = g.mirror.Revision(kind)
+			return g.mirror.Known(kind)
+		},
+		Doubt: func() { go g.ask(kind, before) },
+		Wait:  time.Duration(watchPart * float64(min(g.c.Deployment.Bounds.ApplyTime, g.c.Deployment.Bounds.DrainTime))),
 		Report: func(err error) {
 			if err == nil {
 				g.storeHeard.Store(time.Now().UnixNano())
--- a/internal/role/gateway/news.go
+++ b/internal/role/gateway/news.go
@@ -28,6 +28,10 @@
 	askPause = 300 * time.Millisecond
 	// firstIncarnation is that of every endpoint: each start has a new id.
 	firstIncarnation identifier.Incarnation = 1
+	// askSome is how many peers are asked whether objects that a list lacks have
+	// ended, within askTime: one may lag.
+	askSome = 2
+	askTime = time.Second
 	// learnPause is how often the peers' loads are summed: several times in a
 	// period of the digests. A load says nothing any more after loadNews times
 	// the age that news reaches, and leastLoadAge at least.
@@ -185,7 +189,7 @@
 	for _, o := range objects {
 		out = append(out, object.Object{Key: o.GetKey(), Version: o.GetVersion(), Value: o.GetValue(), Deleted: o.GetDeleted()})
 	}
-	g.take(out)
+	g.spreadNews(g.mirror.Hear(out))
 }
 
 // leaving lists the endpoints that are listed and known to leave.
@@ -233,9 +237,30 @@
 	return suture.ErrDoNotRestart
 }
 
-// take takes in what the store or a peer told at once.
-func (g *Gateway) take(objects []object.Object) {
-	news := g.mirror.Apply(objects)
+// ask takes over the changes after a revision from peers that follow the store: a
+// list that this daemon made lacks objects, which may have ended or lapsed.
+func (g *Gateway) ask(kind string, after uint64) {
+	ctx, cancel := context.WithTimeout(context.Background(), askTime)
+	defer cancel()
+	asked := 0
+	for _, e := range g.gatherer.Latest(time.Now()) {
+		if asked == askSome || !e.Digest.GetObserving() {
+			continue
+		}
+		asked++
+		objects, err := g.swapper.AskOne(ctx, e.Digest.GetAddress(), kind, after)
+		g.c.Logger.Info("list lacks objects, peer asked", "kind", kind, "after", after, "peer", e.Digest.GetHost(), "objects", len(objects), "error", err)
+		if err == nil {
+			g.takeAll(objects)
+		}
+	}
+}
+
+// take takes in what the store told at once.
+func (g *Gateway) take(objects []object.Object) { g.spreadNews(g.mirror.Apply(objects)) }
+
+// spreadNews acts by what is new, and tells peers of it.
+func (g *Gateway) spreadNews(news []object.Object) {
 	if len(news) == 0 {
 		return
 	}
