gateway: new processes find the fleet in the store and call it at once

Change: the store's record of the fleet's size has the addresses, too; a process calls those that it has not heard each quarter of a second for four seconds; it tries again to read the record. Also: the lease's service ends quietly when the daemon stops (five lines of supervisor noise for each stop).

--- a/integration/duties_test.go
+++ b/integration/duties_test.go
@@ -264,3 +264,36 @@
 	}
 	return string(out)
 }
+
+// All daemons are killed, and one comes back whose seeds are gone for good. It knew
+// nobody until somebody called it, and gave out only its part of each quota. The
+// store has the addresses of the fleet.
+func TestProcessFindsItsPeersInTheStore(t *testing.T) {
+	s := newSite(t)
+	s.duties = `["usage"]`
+	s.engine(hosting.Config{ID: "i-app", Service: plainService})
+	first, second := s.host(), s.host()
+	eventually(t, "the fleet's addresses in the store", func() error {
+		spec := string(s.store.Spec("fleet", "size"))
+		for _, h := range []*gatewayHost{first, second} {
+			if !strings.Contains(spec, h.ip+":8109") {
+				return fmt.Errorf("stored: %q", spec)
+			}
+		}
+		return nil
+	})
+	s.hosts = nil
+	third := s.stopped()
+	text, err := os.ReadFile(third.file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(third.file, []byte(strings.Replace(string(text), "FirstStart = true", "FirstStart = false", 1)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	third.start()
+	third.awaitReady()
+	eventually(t, "peers of a process without seeds", func() error {
+		return want("peers", len(third.beliefs(t).Peers), 2)
+	})
+}
--- a/integration/hosted_test.go
+++ b/integration/hosted_test.go
@@ -161,13 +161,20 @@
 }
 
 func (s *site) unready() *gatewayHost {
+	s.t.Helper()
+	h := s.stopped()
+	h.start()
+	return h
+}
+
+// stopped prepares a host whose daemon has not started.
+func (s *site) stopped() *gatewayHost {
 	s.t.Helper()
 	s.next++
 	h := &gatewayHost{s: s, name: fmt.Sprintf("front-%d", s.next), ip: fmt.Sprintf("127.%d.%d.%d", 200+s.number>>8, s.number&0xff, s.next)}
 	h.storeAt = s.serve(s.store.For(h.name))
 	h.file = filepath.Join(s.t.TempDir(), "boot.toml")
 	h.writeSettings("")
-	h.start()
 	s.hosts = append(s.hosts, h)
 	return h
 }
--- a/internal/peer/swapper/swapper.go
+++ b/internal/peer/swapper/swapper.go
@@ -54,6 +54,12 @@
 	// round.
 	smallFleet = 16
 	farFactor  = 2
+	// eager is how long after its start a daemon calls those that it has not heard
+	// yet each eagerPause. Until it hears the others it gives out its own part of
+	// each quota only, a sixtieth in a fleet of sixty: with rounds of two seconds a
+	// fleet that was killed as a whole refused most requests for three seconds.
+	eager      = 4 * time.Second
+	eagerPause = 250 * time.Millisecond
 	// forget is how long an address is tried in vain.
 	forget = 60 * time.Second
 	// slowAfter is when a silent address is tried only each fifth period.
@@ -106,6 +112,8 @@
 	mu    sync.Mutex
 	peers map[string]*peer
 	round int
+	// next is when the next round is due that calls the known peers, too.
+	started, next time.Time
 }
 
 var (
@@ -115,7 +123,7 @@
 
 // New returns a swapper that knows no peers.
 func New(c Config) *Swapper {
-	return &Swapper{c: c, peers: make(map[string]*peer), hurry: make(chan int, 1)}
+	return &Swapper{c: c, peers: make(map[string]*peer), hurry: make(chan int, 1), started: time.Now()}
 }
 
 // Hurry sends notes soon, as there is news: to all peers, or only to Forward of
@@ -221,7 +229,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	s.round++
+	regular := !now.Before(s.next)
+	if regular {
+		s.round++
+		s.next = now.Add(s.period())
+	}
 	var out []string
 	for address, p := range s.peers {
 		last := p.answered
@@ -233,12 +245,16 @@
 			delete(s.peers, address)
 			continue
 		}
-		if !p.busy && s.mine(p, silent) {
+		if !p.busy && (regular && s.mine(p, silent) || !regular && p.host == "") {
 			p.busy = true
 			out = append(out, address)
 		}
 	}
-	return out, s.period()
+	pause := time.Until(s.next)
+	if now.Sub(s.started) < eager {
+		pause = min(pause, eagerPause)
+	}
+	return out, pause
 }
 
 // mine tells whether it is for this daemon, and time, to call a peer.
--- a/internal/role/gateway/duties.go
+++ b/internal/role/gateway/duties.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
+	"slices"
 	"strconv"
 	"time"
 
@@ -37,6 +39,11 @@
 	tellPause = time.Second
 	// dutyPause is how often the holder looks at what is due.
 	dutyPause = 500 * time.Millisecond
+	// sizePause is how often the size of the fleet is looked at: an address that
+	// comes is stored soon, a few that come together in one call.
+	sizePause = 2 * time.Second
+	// sizeTries is how often a new process tries to read it, each sizePause.
+	sizeTries = 5
 	// settleMargin is added to the time that counts of other daemons take.
 	settleMargin = 700 * time.Millisecond
 	// dueMargin is kept from the time at which a report is due.
@@ -51,6 +58,9 @@
 	orderer    *orderer.Orderer
 	// told is when the others were last told that the duties are held.
 	told time.Time
+	// sized is when the fleet's size was last looked at, addresses those stored.
+	sized     time.Time
+	addresses []string
 }
 
 func (g *Gateway) buildDuties() {
@@ -99,7 +109,11 @@
 		}
 		cancel()
 	}()
-	return g.lease.Serve(ctx)
+	err := g.lease.Serve(ctx)
+	if g.stopping.Load() {
+		return suture.ErrDoNotRestart
+	}
+	return err
 }
 
 // release gives the duties to the next holder at once.
@@ -131,17 +145,29 @@
 	})
 }
 
-// fleetKey is the store's object with the size of the fleet, for processes that
-// start when nobody else is left to tell.
+// fleetKey is the store's object with the size of the fleet and its addresses, for
+// processes that start when nobody else is left to tell.
 const fleetKey = "fleet/size"
 
 // fleetRecord is the content of that object.
-type fleetRecord struct{ Daemons int }
+type fleetRecord struct {
+	Daemons int
+	// Addresses are those at which peers are called.
+	Addresses []string
+}
 
-// keepSize writes the fleet's size down when it has grown.
+// keepSize writes the fleet's size and addresses down when it has grown, or when
+// daemons have come at other addresses.
 func (u *duties) keepSize(ctx context.Context) {
+	now := time.Now()
+	if now.Sub(u.sized) < sizePause {
+		return
+	}
+	u.sized = now
 	daemons := u.g.daemons()
-	if int64(daemons) <= u.g.storedSize.Load() {
+	addresses := append(u.g.swapper.Lately(), u.g.c.Deployment.Peers.String())
+	slices.Sort(addresses)
+	if int64(daemons) <= u.g.storedSize.Load() && !u.unknown(addresses) {
 		return
 	}
 	version := object.Absent
@@ -152,32 +178,58 @@
 		u.g.c.Logger.Warn("size of the fleet not stored", "error", err)
 		return
 	}
-	if _, err := u.g.store.Put(ctx, fleetKey, version, fleetRecord{daemons}); err != nil {
+	record := fleetRecord{max(daemons, int(u.g.storedSize.Load())), addresses}
+	if _, err := u.g.store.Put(ctx, fleetKey, version, record); err != nil {
 		u.g.c.Logger.Warn("size of the fleet not stored", "error", err)
 		return
 	}
-	u.g.storedSize.Store(int64(daemons))
+	u.g.storedSize.Store(int64(record.Daemons))
+	u.addresses = addresses
 }
 
-// readSize reads the fleet's size at the start, in case no peer can tell.
+// unknown tells whether some addresses are not among those stored.
+func (u *duties) unknown(addresses []string) bool {
+	for _, a := range addresses {
+		if _, found := slices.BinarySearch(u.addresses, a); !found {
+			return true
+		}
+	}
+	return false
+}
+
+// readSize reads the fleet's size and addresses at the start, in case no peer can
+// tell. It tries again for a while: a store that is away for a moment is no reason to
+// take a fleet of sixty for one of four.
 func (g *Gateway) readSize(ctx context.Context) error {
-	var r fleetRecord
-	o, err := g.store.Get(ctx, fleetKey)
-	switch {
-	case errors.Is(err, object.ErrMissing):
-	case err != nil:
-		g.c.Logger.Warn("size of the fleet not read", "error", err)
-	default:
-		if err := json.Unmarshal(o.Value, &r); err != nil {
-			g.c.Logger.Warn("size of the fleet not read", "error", err)
+	for n := 0; n < sizeTries && ctx.Err() == nil; n++ {
+		err := g.tryReadSize(ctx)
+		if err == nil || errors.Is(err, object.ErrMissing) {
 			break
 		}
-		g.toldSize.Store(max(g.toldSize.Load(), int64(r.Daemons)))
-		g.storedSize.Store(int64(r.Daemons))
+		g.c.Logger.Warn("size of the fleet not read", "error", err)
+		waiter.For(ctx, sizePause)
 	}
 	return suture.ErrDoNotRestart
 }
 
+func (g *Gateway) tryReadSize(ctx context.Context) error {
+	o, err := g.store.Get(ctx, fleetKey)
+	if err != nil {
+		return err
+	}
+	var r fleetRecord
+	if err := json.Unmarshal(o.Value, &r); err != nil {
+		return fmt.Errorf("gateway: %s: %w", fleetKey, err)
+	}
+	g.toldSize.Store(max(g.toldSize.Load(), int64(r.Daemons)))
+	g.storedSize.Store(int64(r.Daemons))
+	for _, address := range r.Addresses {
+		g.swapper.Add(address)
+	}
+	g.c.Logger.Info("fleet read from the store", "daemons", r.Daemons, "addresses", len(r.Addresses), "revision", o.Version)
+	return nil
+}
+
 // mandate names the holder, if the lease is still held right before a call.
 func (u *duties) mandate(fencing uint64) (platform.Mandate, error) {
 	now, held := u.g.lease.HeldFor()
