--- a/internal/fleet/orderer/orderer.go
+++ b/internal/fleet/orderer/orderer.go
@@ -237,7 +237,7 @@
 	if !t.known {
 		t.ordered, t.known = listed, true
 	}
-	if wanted >= max(t.ordered, listed) || keep {
+	if wanted >= max(t.ordered, listed) {
 		t.wantless = time.Time{}
 	} else if t.wantless.IsZero() {
 		t.wantless = now
--- a/internal/fleet/orderer/orderer_test.go
+++ b/internal/fleet/orderer/orderer_test.go
@@ -262,3 +262,22 @@
 		}
 	})
 }
+
+// At the most endpoints that a zone may have, on-demand ones leave no room for the
+// reclaimable ones that are to follow them. Both were given back at once, and
+// ordered again a second later: of 30 engines 12 were left under a full load.
+func TestPoolDoesNotFlapAtItsMost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCloud()
+		o := newOrderer(c, true)
+		run(o, c, 1, 250_000, 6*time.Second)
+		least := c.engines()
+		for range 60 {
+			run(o, c, 1, 250_000, 500*time.Millisecond)
+			least = min(least, c.engines())
+		}
+		if least < 18 {
+			t.Errorf("only %d engines at one moment, 18 are needed", least)
+		}
+	})
+}
--- a/internal/fleet/sizer/sizer.go
+++ b/internal/fleet/sizer/sizer.go
@@ -113,7 +113,10 @@
 func reclaimable(in *Input, zones []Zone, out []Wanted, above float64) {
 	each := max(int(math.Ceil(max(above, 0)/float64(len(zones)-1))), 1)
 	for i, z := range zones {
-		out[i].Reclaimable = min(each, in.Scale.Max-max(out[i].OnDemand, z.OnDemand))
+		room := in.Scale.Max - max(out[i].OnDemand, z.OnDemand)
+		// Those that live have their room: to give them back for on-demand ones
+		// that are to go, too, left a third of the pool for a second.
+		out[i].Reclaimable = min(each, max(room, z.Reclaimable))
 	}
 }
 
