gateway: one place for the age of news, the number in force and the holder's word; log why endpoints were excluded

Left over from earlier: the parts of a prompt were hashed twice for each request (Shared and the placer's blocks name the same); newsAge repeated the swapper's period; number and holder were filled in twice; Excluded was collected and not logged. Behaviour unchanged but for the log field.

--- a/internal/ops/chronicler/chronicler.go
+++ b/internal/ops/chronicler/chronicler.go
@@ -19,6 +19,7 @@
 	"sync"
 	"time"
 
+	"brasschute/internal/route/selector"
 	"brasschute/internal/serve/relayer"
 	"brasschute/internal/serve/request"
 
@@ -111,9 +112,17 @@
 	if len(r.Attempts) > 0 {
 		fields = append(fields, "attempts", attempts(r.Attempts))
 	}
+	if r.Excluded != (selector.Excluded{}) {
+		fields = append(fields, "excluded", excluded(&r.Excluded))
+	}
 	c.c.Logger.Info("request ended", fields...)
 }
 
+// excluded says why endpoints could not be chosen.
+func excluded(x *selector.Excluded) string {
+	return fmt.Sprintf("%d leaving, %d ejected, %d full, %d tried, %d unknown service", x.Leaving, x.Ejected, x.Full, x.Tried, x.NotFound)
+}
+
 func attempts(list []relayer.Attempt) string {
 	var b strings.Builder
 	for i, a := range list {
--- a/internal/ops/chronicler/chronicler_test.go
+++ b/internal/ops/chronicler/chronicler_test.go
@@ -10,6 +10,7 @@
 
 	"brasschute/internal/config/catalog"
 	"brasschute/internal/ops/logger"
+	"brasschute/internal/route/selector"
 	"brasschute/internal/serve/relayer"
 	"brasschute/internal/serve/request"
 )
@@ -19,7 +20,7 @@
 		ID: "r-1", Received: time.Now(), Number: 7, Service: "lm", Route: &catalog.Route{Name: "letters"},
 		Organisation: &catalog.Organisation{Name: "desk"}, Patience: time.Second, PromptTokens: 17_000,
 	}
-	return q, &relayer.Result{Outcome: relayer.Unknown, Status: 502, Reason: "no answer", Attempts: []relayer.Attempt{
+	return q, &relayer.Result{Outcome: relayer.Unknown, Status: 502, Reason: "no answer", Excluded: selector.Excluded{Leaving: 3, Tried: 1}, Attempts: []relayer.Attempt{
 		{Endpoint: "i-1", Predicted: 30 * time.Millisecond, Cached: 13_000, Took: 5 * time.Millisecond, Outcome: "no answer"},
 	}}
 }
@@ -35,7 +36,7 @@
 	if lines < failedPerSecond || lines > 2*failedPerSecond {
 		t.Errorf("%d lines at once, the bound is %d a second", lines, failedPerSecond)
 	}
-	for _, word := range []string{`"request":"r-1"`, `"outcome":"unknown"`, `"configuration":7`, "i-1 at 0ms predicted 30ms cached 13000"} {
+	for _, word := range []string{`"request":"r-1"`, `"outcome":"unknown"`, `"configuration":7`, "i-1 at 0ms predicted 30ms cached 13000", "3 leaving, 0 ejected, 0 full, 1 tried"} {
 		if !strings.Contains(out.String(), word) {
 			t.Errorf("no %s in a line", word)
 		}
--- a/internal/peer/swapper/swapper.go
+++ b/internal/peer/swapper/swapper.go
@@ -222,6 +222,16 @@
 	return s.period()
 }
 
+// NewsAge is how old the news of a peer may get: a round, of which far peers take
+// part in each second one only in a large fleet.
+func (s *Swapper) NewsAge() time.Duration {
+	p := s.Period()
+	if p > period {
+		p *= farFactor
+	}
+	return p
+}
+
 func (s *Swapper) period() time.Duration { return max(period, time.Duration(len(s.peers))*perPeer) }
 
 // due returns the addresses to call now and the time until the next round.
--- a/internal/role/gateway/duties.go
+++ b/internal/role/gateway/duties.go
@@ -70,7 +70,7 @@
 	}
 	g.lease = leaser.New(leaser.Config{
 		Store: g.store, Key: leaseKey, Host: d.Host, Duration: d.Bounds.LeaseTime, Now: uptimer.Now,
-		OrderTime: orderTime, Led: g.led,
+		OrderTime: orderTime, Led: g.isLed,
 		Changed: func(fencing uint64, held bool) {
 			g.c.Logger.Info("duties", "held", held, "fencing", fencing)
 		},
@@ -88,18 +88,8 @@
 	g.tree.Add(service(u.serve))
 }
 
-// newsAge is how old the news of a peer may get: a round of the digests, of which
-// those of far peers come each second one in a large fleet.
-func (g *Gateway) newsAge() time.Duration {
-	p := g.swapper.Period()
-	if p > time.Second {
-		p *= 2
-	}
-	return p
-}
-
 // settleTime is how long counts of other daemons take.
-func (g *Gateway) settleTime() time.Duration { return g.newsAge() + settleMargin }
+func (g *Gateway) settleTime() time.Duration { return g.swapper.NewsAge() + settleMargin }
 
 func (g *Gateway) keepLease(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
@@ -286,9 +276,9 @@
 	return out
 }
 
-// led tells whether a peer said lately that it holds the duties. In a large fleet
+// isLed tells whether a peer said lately that it holds the duties. In a large fleet
 // only those daemons stand for them that follow the store.
-func (g *Gateway) led() bool {
+func (g *Gateway) isLed() bool {
 	if !g.follows() {
 		return true
 	}
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -175,7 +175,7 @@
 	g.clock = chronometer.New(chronometer.Config{})
 	g.tallier = tallier.New(tallier.Config{Window: d.Bounds.UsageWindow, Keep: d.Bounds.UsageDue, Now: g.clock.Now})
 	g.allotter = allotter.New(allotter.Config{
-		Window: d.Bounds.QuotaWindow, Overage: d.Bounds.QuotaOverage, Slack: d.Bounds.QuotaSlack, News: g.newsAge, Daemons: g.fleetSize,
+		Window: d.Bounds.QuotaWindow, Overage: d.Bounds.QuotaOverage, Slack: d.Bounds.QuotaSlack, News: func() time.Duration { return g.swapper.NewsAge() }, Daemons: g.fleetSize,
 	})
 	g.budgets = make(map[identifier.Service]*budgeter.Budgeter)
 	g.ledger = ledger.New(ledger.Config{Self: &rpc.Member{Host: string(d.Host), AvailabilityZone: string(d.AvailabilityZone), PeerAddress: d.Peers.String()}})
--- a/internal/role/gateway/news.go
+++ b/internal/role/gateway/news.go
@@ -73,9 +73,7 @@
 		AgeMilli: time.Since(g.started).Milliseconds(),
 		Stopping: g.stopping.Load(),
 	}
-	if c := g.versioner.InForce(); c != nil {
-		out.ConfigurationNumber = uint64(c.Number())
-	}
+	out.ConfigurationNumber = g.number()
 	for _, n := range g.tallier.Counts() {
 		out.Counts = append(out.Counts, &rpc.WindowCount{Window: n.Window, Organisation: string(n.Organisation), Count: uint32(n.Requests)})
 	}
@@ -116,17 +114,22 @@
 		Host: host, Incarnation: d.GetIncarnation(), Age: time.Duration(d.GetAgeMilli()) * time.Millisecond, Accounts: accounts,
 	})
 	g.spread(d)
-	if d.GetHoldsDuties() {
+	g.led(d.GetHoldsDuties())
+	g.clock.Heard(host, time.UnixMilli(d.GetUnixMilli()))
+}
+
+// led notes that a peer says it holds the duties.
+func (g *Gateway) led(holds bool) {
+	if holds {
 		g.ledAt.Store(time.Now().UnixNano())
 	}
-	g.clock.Heard(host, time.UnixMilli(d.GetUnixMilli()))
 }
 
 // learn sums what the other daemons send to each endpoint.
 func (g *Gateway) learn(ctx context.Context) error {
 	return waiter.Every(ctx, learnPause, func(context.Context) {
 		now := time.Now()
-		age := max(leastLoadAge, time.Duration(loadNews*float64(g.newsAge())))
+		age := max(leastLoadAge, time.Duration(loadNews*float64(g.swapper.NewsAge())))
 		others := make(map[identifier.Endpoint]candidate.Others)
 		for _, e := range g.gatherer.Latest(now) {
 			if now.Sub(e.Heard) > age {
@@ -168,16 +171,20 @@
 	if g.lease != nil {
 		out.HoldsDuties = g.lease.Sure()
 	}
+	out.ConfigurationNumber = g.number()
+	return out
+}
+
+// number is that of the configuration in force, 0 for none.
+func (g *Gateway) number() uint64 {
 	if c := g.versioner.InForce(); c != nil {
-		out.ConfigurationNumber = uint64(c.Number())
+		return uint64(c.Number())
 	}
-	return out
+	return 0
 }
 
 func (g *Gateway) noted(n *rpc.Note) {
-	if n.GetHoldsDuties() {
-		g.ledAt.Store(time.Now().UnixNano())
-	}
+	g.led(n.GetHoldsDuties())
 	g.spread(&rpc.Digest{
 		Host: n.GetHost(), Address: n.GetAddress(), ConfigurationNumber: n.GetConfigurationNumber(), EndpointsRevision: n.GetEndpointsRevision(),
 		Leaving: n.GetLeaving(),
--- a/internal/serve/placer/placer.go
+++ b/internal/serve/placer/placer.go
@@ -79,7 +79,6 @@
 func (p *Placer) Place(q *request.Request, s *catalog.Service, tried []identifier.Endpoint) (*registry.Pick, selector.Decision) {
 	now := time.Now()
 	blocks, sizes := parts(q)
-	shared, hash := q.Shared()
 	query := &registry.Query{
 		Pool: identifier.Pool(q.Service), Blocks: blocks, Sizes: sizes,
 		Select: selector.Query{
@@ -93,8 +92,9 @@
 		query.Select.Slots = max(s.Engine.Slots, 1)
 		query.Select.MaxInFlight = query.Select.Slots
 	}
-	if shared >= homeTokens {
-		query.Select.Prefix, query.Select.Known = hash, shared
+	// The last block names all shared parts.
+	if n := len(blocks); n > 0 && sizes[n-1] >= homeTokens {
+		query.Select.Prefix, query.Select.Known = uint64(blocks[n-1]), sizes[n-1]
 	}
 	return p.c.Registry.Choose(query)
 }
--- a/internal/serve/request/request.go
+++ b/internal/serve/request/request.go
@@ -12,8 +12,6 @@
 
 	"brasschute/internal/config/catalog"
 	"brasschute/internal/core/identifier"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // Part is one piece of a prompt. Requests that begin with the same parts can
@@ -81,22 +79,6 @@
 	return r.Route.Rank
 }
 
-// Shared returns the tokens of the parts that other requests may have too, and
-// a hash of these parts, 0 if there are none.
-func (r *Request) Shared() (identifier.Tokens, uint64) {
-	if len(r.Parts) < 2 {
-		return 0, 0
-	}
-	var tokens identifier.Tokens
-	d := xxhash.New()
-	for _, p := range r.Parts[:len(r.Parts)-1] {
-		tokens += p.Tokens
-		_, _ = d.WriteString(p.ID)
-		_, _ = d.WriteString("/")
-	}
-	return tokens, d.Sum64()
-}
-
 // Charge is what the request counts against its organisation's quota.
 func (r *Request) Charge() float64 {
 	switch {
