swapper: young daemons swap each second, with all peers

Cause: processes that start together hear each other at once, before any request, and then not for five seconds in a fleet of sixty (rounds of two seconds, far peers in each second one). Ruled out: a backlog above the quotas (tokens admitted before are half of them). Change: for eight seconds after its start a daemon makes rounds each second, with far peers in each; rounds get a jitter of a fifth.

--- a/internal/peer/swapper/swapper.go
+++ b/internal/peer/swapper/swapper.go
@@ -54,12 +54,19 @@
 	// round.
 	smallFleet = 16
 	farFactor  = 2
+	// jitterPart is the part of a pause by which rounds come earlier or later.
+	jitterPart = 5
 	// eager is how long after its start a daemon calls those that it has not heard
 	// yet each eagerPause. Until it hears the others it gives out its own part of
 	// each quota only, a sixtieth in a fleet of sixty: with rounds of two seconds a
 	// fleet that was killed as a whole refused most requests for three seconds.
 	eager      = 4 * time.Second
 	eagerPause = 250 * time.Millisecond
+	// young is how long after its start a daemon makes rounds of a small fleet's
+	// period, with far peers in each: until it has heard a peer twice it does not
+	// know its rates, and buckets that had filled up meanwhile lay one and a half
+	// seconds' worth of a quota too low, five seconds after a loss of all power.
+	young = 8 * time.Second
 	// forget is how long an address is tried in vain.
 	forget = 60 * time.Second
 	// slowAfter is when a silent address is tried only each fifth period.
@@ -242,7 +249,9 @@
 	regular := !now.Before(s.next)
 	if regular {
 		s.round++
-		s.next = now.Add(s.period())
+		// The daemons of a fleet start together; their rounds need not stay so.
+		pause := s.pause(now)
+		s.next = now.Add(pause - pause/jitterPart + rand.N(2*pause/jitterPart))
 	}
 	var out []string
 	for address, p := range s.peers {
@@ -267,10 +276,20 @@
 	return out, pause
 }
 
+func (s *Swapper) isYoung(now time.Time) bool { return now.Sub(s.started) < young }
+
+// pause is the time between two rounds.
+func (s *Swapper) pause(now time.Time) time.Duration {
+	if s.isYoung(now) {
+		return period
+	}
+	return s.period()
+}
+
 // mine tells whether it is for this daemon, and time, to call a peer.
 func (s *Swapper) mine(p *peer, silent time.Duration) bool {
-	far := p.zone != s.c.Zone && len(s.peers) > smallFleet
-	usual := s.period()
+	far := p.zone != s.c.Zone && len(s.peers) > smallFleet && !s.isYoung(time.Now())
+	usual := s.pause(time.Now())
 	if far {
 		usual *= farFactor
 	}
--- a/internal/route/allotter/large_test.go
+++ b/internal/route/allotter/large_test.go
@@ -20,6 +20,8 @@
 	next  int
 	due   float64
 	order []int
+	// quiet: nobody swaps by itself.
+	quiet bool
 	// lives counts the processes of each host, born is when the last one began.
 	// tail makes a few requests many times as large as the mean.
 	tail  bool
@@ -93,7 +95,7 @@
 				admitted++
 			}
 		}
-		for l.due += pairs; l.due >= 1; l.due-- {
+		for l.due += pairs; l.due >= 1 && !l.quiet; l.due-- {
 			l.next = (l.next + 1) % (many * many)
 			if a, b := l.order[l.next]%many, l.order[l.next]/many; a < b {
 				l.hear(a, b)
@@ -269,3 +271,43 @@
 		})
 	}
 }
+
+// all makes all pairs swap.
+func (l *large) all() {
+	for a := range many {
+		for b := range many {
+			if a != b {
+				l.hear(a, b)
+			}
+		}
+	}
+}
+
+// All hosts lose power at half of each quota, and hear each other in their first
+// moments, when none has been asked for anything yet. As they start together their
+// rounds come together, too: with the next one after five seconds, buckets seemed
+// full until then and took the others' charges all at once, and the sixth second
+// refused a third of the requests. Young daemons swap each second.
+func TestPowerLossIsForgottenSoon(t *testing.T) {
+	for _, rate := range []float64{260_000, 540_000} {
+		t.Run(fmt.Sprint(rate), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := newLarge(uint64(rate))
+				o := &catalog.Organisation{Name: "desk", RatePerSecond: rate, Burst: rate}
+				l.load(o, 0.55*rate/tokens, 14*time.Second)
+				for i := range l.daemons {
+					l.restart(i)
+				}
+				l.quiet = true
+				l.all()
+				for second := range 10 {
+					share, ideal := l.load(o, 0.55*rate/tokens, time.Second)
+					if second > 0 && share < ideal-0.1 {
+						t.Errorf("second %d: %.2f admitted, one bucket for all would admit %.2f", second, share, ideal)
+					}
+					l.all()
+				}
+			})
+		})
+	}
+}
