mirror: a list is not a history; a list in doubt is not passed on

A daemon that had just begun to follow the store listed it, and passed its list on as the changes since an older revision. Ruled out: lost notes (all other ends reached everybody in 0.3 s), restarts (the daemons concerned ran all the while). Change: a mirror knows from which revision on its history is whole; who asks from before gets all objects, and ends what is missing. While a list is in doubt its revision is not told, and nothing is handed out. TestNewcomersListIsNotAHistory fails without.

--- a/internal/peer/fetcher/fetcher.go
+++ b/internal/peer/fetcher/fetcher.go
@@ -32,13 +32,13 @@
 	// Kind of the objects that are fetched.
 	Kind string
 	// Ask returns what a peer knows of a kind after a revision.
-	Ask func(ctx context.Context, address, kind string, after uint64) ([]*rpc.StoredObject, error)
+	Ask func(ctx context.Context, address, kind string, after uint64) (*rpc.SnapshotReply, error)
 	// Others are peers to ask when one does not answer.
 	Others func() []string
 	// Since is the revision after which objects are wanted.
 	Since func() uint64
-	// Take takes the objects in.
-	Take   func([]*rpc.StoredObject)
+	// Take takes in what a peer knows.
+	Take   func(kind string, r *rpc.SnapshotReply)
 	Logger *log.Logger
 }
 
@@ -84,16 +84,16 @@
 func (f *Fetcher) fetch(address string) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	objects, err := f.c.Ask(ctx, address, f.c.Kind, f.c.Since())
+	reply, err := f.c.Ask(ctx, address, f.c.Kind, f.c.Since())
 	for _, other := range f.c.Others() {
 		if err == nil || ctx.Err() != nil {
 			break
 		}
-		objects, err = f.c.Ask(ctx, other, f.c.Kind, f.c.Since())
+		reply, err = f.c.Ask(ctx, other, f.c.Kind, f.c.Since())
 	}
 	if err != nil {
 		f.c.Logger.Warn("newer objects not fetched from peers", "address", address, "kind", f.c.Kind, "error", err)
 		return
 	}
-	f.c.Take(objects)
+	f.c.Take(f.c.Kind, reply)
 }
--- a/internal/peer/fetcher/fetcher_test.go
+++ b/internal/peer/fetcher/fetcher_test.go
@@ -21,12 +21,12 @@
 		answer := make(chan struct{})
 		f := New(Config{
 			Kind: "servers", Logger: log.New(io.Discard), Others: func() []string { return nil }, Since: func() uint64 { return taken },
-			Ask: func(context.Context, string, string, uint64) ([]*rpc.StoredObject, error) {
-				found := []*rpc.StoredObject{{Version: revision}}
+			Ask: func(context.Context, string, string, uint64) (*rpc.SnapshotReply, error) {
+				found := &rpc.SnapshotReply{Revision: revision}
 				<-answer
 				return found, nil
 			},
-			Take: func(objects []*rpc.StoredObject) { taken = objects[0].GetVersion() },
+			Take: func(_ string, r *rpc.SnapshotReply) { taken = r.GetRevision() },
 		})
 		f.Want("a")
 		synctest.Wait()
@@ -49,14 +49,14 @@
 		taken := false
 		f := New(Config{
 			Logger: log.New(io.Discard), Others: func() []string { return []string{"b", "c"} }, Since: func() uint64 { return 0 },
-			Ask: func(_ context.Context, address, _ string, _ uint64) ([]*rpc.StoredObject, error) {
+			Ask: func(_ context.Context, address, _ string, _ uint64) (*rpc.SnapshotReply, error) {
 				asked = append(asked, address)
 				if address != "c" {
 					return nil, errors.New("silent")
 				}
 				return nil, nil
 			},
-			Take: func([]*rpc.StoredObject) { taken = true },
+			Take: func(string, *rpc.SnapshotReply) { taken = true },
 		})
 		f.Want("a")
 		synctest.Wait()
--- a/internal/peer/mirror/mirror.go
+++ b/internal/peer/mirror/mirror.go
@@ -9,14 +9,23 @@
 // revision that they have. Revisions are the store's own, hence the same at every
 // daemon; the end of an object is kept as a change, too.
 //
+// # Gaps
+//
+// A daemon that lists the store does not see what ended before, so it can't tell
+// others all changes after an older revision. One that passed on such a list as
+// changes left its peers with endpoints that had ended, for good. [Mirror.Listed]
+// marks from where on the history is whole; [Mirror.Changes] hands out everything to
+// those who ask from before, and nothing while a list is in doubt.
+//
 // # Usage
 //
 //	use(m.Apply(objects))
-//	changes := m.Since("servers", revision)
+//	changes, full, err := m.Changes("servers", revision)
 package mirror
 
 import (
 	"cmp"
+	"errors"
 	"slices"
 	"strings"
 	"sync"
@@ -34,8 +43,16 @@
 	mu      sync.Mutex
 	objects map[string]object.Object
 	ends    int
+	// whole is, by kind, the revision from which on all changes are known; doubt the
+	// one up to which they are while a list is in doubt.
+	whole map[string]uint64
+	doubt map[string]uint64
 }
 
+// ErrDoubt: the last list lacked objects of which it is not known yet whether they
+// have ended.
+var ErrDoubt = errors.New("mirror: list in doubt")
+
 // Apply takes in what one list, or one watch, brought and returns what was news of
 // it. It takes all or nothing: whoever asked for the changes in between would take
 // the highest revision of a part for all that there is, and never ask for the
@@ -117,8 +134,86 @@
 	}
 }
 
-// Revision is the highest version of a kind's objects.
+// Revision is that up to which all changes of a kind's objects are known: the
+// highest version, unless a list is in doubt.
 func (m *Mirror) Revision(kind string) uint64 {
+	highest := m.highest(kind)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if known, in := m.doubt[kind]; in {
+		return min(highest, known)
+	}
+	return highest
+}
+
+// Listed notes that a list of a kind, as of a revision, is about to be applied. gap:
+// changes before it have gone unseen. doubt: it lacks objects that may have ended.
+func (m *Mirror) Listed(kind string, revision uint64, gap, doubt bool) {
+	known := m.Revision(kind)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.whole == nil {
+		m.whole, m.doubt = make(map[string]uint64), make(map[string]uint64)
+	}
+	_, was := m.doubt[kind]
+	switch {
+	case doubt && !was:
+		m.doubt[kind] = known
+	case !doubt:
+		delete(m.doubt, kind)
+	}
+	if gap || was {
+		m.whole[kind] = max(m.whole[kind], revision)
+	}
+}
+
+// Changes returns the changes of a kind after a revision, or all objects where not
+// all changes since are known. It fails while a list is in doubt, but for those who
+// know nothing.
+func (m *Mirror) Changes(kind string, after uint64) (changes []object.Object, full bool, err error) {
+	doubt := m.doubts(kind)
+	m.mu.Lock()
+	full = after < m.whole[kind]
+	m.mu.Unlock()
+	switch {
+	case after == 0:
+		return m.Since(kind, 0), false, nil
+	case doubt:
+		return nil, false, ErrDoubt
+	case full:
+		return m.Since(kind, 0), true, nil
+	}
+	return m.Since(kind, after), false, nil
+}
+
+// Replace takes in all objects of a kind as a peer knows them up to a revision. What
+// is missing has ended.
+func (m *Mirror) Replace(kind string, objects []object.Object, revision uint64) (news []object.Object) {
+	present := make(map[string]bool, len(objects))
+	for i := range objects {
+		present[objects[i].Key] = true
+	}
+	for key, version := range m.Known(kind) {
+		if !present[key] && version <= revision {
+			objects = append(objects, object.Object{Key: key, Version: revision, Deleted: true})
+		}
+	}
+	// A peer that lags does not settle a doubt.
+	if m.highest(kind) <= revision || !m.doubts(kind) {
+		m.Listed(kind, revision, true, false)
+	}
+	return m.Hear(objects)
+}
+
+func (m *Mirror) doubts(kind string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_, in := m.doubt[kind]
+	return in
+}
+
+// highest is the highest version of a kind's objects.
+func (m *Mirror) highest(kind string) uint64 {
 	var highest uint64
 	m.each(kind, func(o object.Object) { highest = max(highest, o.Version) })
 	return highest
--- a/internal/peer/mirror/mirror_test.go
+++ b/internal/peer/mirror/mirror_test.go
@@ -74,3 +74,38 @@
 		t.Errorf("%d ends remembered", got)
 	}
 }
+
+// A daemon that has just started lists the store, in which an endpoint has ended a
+// moment before. A peer that still knows the endpoint asks it for the changes since:
+// it got a higher revision without the end, asked nobody any more, and sent requests
+// to the endpoint twenty seconds after it had gone.
+func TestNewcomersListIsNotAHistory(t *testing.T) {
+	for _, doubt := range []bool{false, true} {
+		var newcomer, lags Mirror
+		at := func(key string, version uint64) object.Object { return object.Object{Key: key, Version: version} }
+		lags.Apply([]object.Object{at("servers/a", 3), at("servers/ends", 4), at("servers/b", 5)})
+		if doubt {
+			newcomer.Apply([]object.Object{at("servers/ends", 4)})
+		}
+		newcomer.Listed("servers", 7, true, doubt)
+		newcomer.Apply([]object.Object{at("servers/a", 3), at("servers/b", 7)})
+		if doubt {
+			if got := newcomer.Revision("servers"); got != 4 {
+				t.Errorf("revision %d while the list is in doubt", got)
+			}
+			if _, _, err := newcomer.Changes("servers", lags.Revision("servers")); err == nil {
+				t.Error("a list in doubt was passed on")
+			}
+			newcomer.Listed("servers", 8, false, false)
+			newcomer.Apply([]object.Object{{Key: "servers/ends", Version: 8, Deleted: true}})
+		}
+		changes, full, err := newcomer.Changes("servers", lags.Revision("servers"))
+		if err != nil || !full {
+			t.Fatalf("full %v, error %v", full, err)
+		}
+		lags.Replace("servers", changes, newcomer.Revision("servers"))
+		if known := lags.Known("servers"); len(known) != 2 || known["servers/b"] != 7 {
+			t.Errorf("known in the end: %v", known)
+		}
+	}
+}
--- a/internal/peer/swapper/swapper.go
+++ b/internal/peer/swapper/swapper.go
@@ -37,6 +37,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/thejerf/suture/v4"
+	"github.com/twitchtv/twirp"
 )
 
 const (
@@ -94,7 +95,7 @@
 	Note func() *rpc.Note
 	// Objects returns the store's objects of a kind, or of all kinds, that
 	// changed after a revision.
-	Objects func(kind string, after uint64) []*rpc.StoredObject
+	Objects func(kind string, after uint64) (*rpc.SnapshotReply, error)
 	Client  *http.Client
 	Logger  *log.Logger
 }
@@ -392,18 +393,22 @@
 
 // Snapshot answers a peer that can't read the store.
 func (s *Swapper) Snapshot(_ context.Context, r *rpc.SnapshotRequest) (*rpc.SnapshotReply, error) {
-	return &rpc.SnapshotReply{Objects: s.c.Objects(r.GetKind(), r.GetAfter())}, nil
+	reply, err := s.c.Objects(r.GetKind(), r.GetAfter())
+	if err != nil {
+		return nil, twirp.NewError(twirp.Unavailable, err.Error())
+	}
+	return reply, nil
 }
 
 // Ask returns a peer's snapshot, of the first one that answers.
-func (s *Swapper) Ask(ctx context.Context) ([]*rpc.StoredObject, error) {
+func (s *Swapper) Ask(ctx context.Context) (*rpc.SnapshotReply, error) {
 	var last error
 	for _, address := range s.Known() {
 		one, cancel := context.WithTimeout(ctx, callTimeout)
-		objects, err := s.AskOne(one, address, "", 0)
+		reply, err := s.AskOne(one, address, "", 0)
 		cancel()
-		if err == nil && len(objects) > 0 {
-			return objects, nil
+		if err == nil && len(reply.GetObjects()) > 0 {
+			return reply, nil
 		}
 		last = err
 	}
@@ -412,10 +417,10 @@
 
 // AskOne returns what the peer at an address knows of a kind, or of all kinds,
 // after a revision.
-func (s *Swapper) AskOne(ctx context.Context, address, kind string, after uint64) ([]*rpc.StoredObject, error) {
+func (s *Swapper) AskOne(ctx context.Context, address, kind string, after uint64) (*rpc.SnapshotReply, error) {
 	reply, err := rpc.NewFleetProtobufClient("http://"+address, s.c.Client).Snapshot(ctx, &rpc.SnapshotRequest{Kind: kind, After: after})
 	if err != nil {
 		return nil, fmt.Errorf("snapshot of %s: %w", address, err)
 	}
-	return reply.GetObjects(), nil
+	return reply, nil
 }
--- a/internal/platform/watcher/watcher.go
+++ b/internal/platform/watcher/watcher.go
@@ -26,7 +26,7 @@
 // are back within two seconds of its return. A list that this daemon makes when the
 // platform has just come back, or when it has not followed the platform itself for a
 // while, ends nothing; a second one does, [settle] later. In between others may
-// know which of the missing objects have really ended ([Config.Doubt]).
+// know which of the missing objects have really ended ([List]).
 //
 // # Usage
 //
@@ -82,9 +82,8 @@
 	// than the platform; may be nil. A list ends those of them that it does not
 	// show and that are not newer.
 	Known func() map[string]uint64
-	// Doubt is told that a list lacked objects that may have ended, or lapsed; may
-	// be nil.
-	Doubt func()
+	// Listed is told of each list before its objects are applied; may be nil.
+	Listed func(List)
 	// Idle tells that others follow the objects for this daemon, and no call
 	// need be made; nil for never.
 	Idle func() bool
@@ -92,6 +91,15 @@
 	Report func(error)
 }
 
+// List describes a list that was made.
+type List struct {
+	Revision uint64
+	// Gap: the platform was not followed right before, so changes have gone unseen.
+	Gap bool
+	// Doubt: objects were missing that may have ended, or lapsed.
+	Doubt bool
+}
+
 // Watcher follows a set of prefixes.
 type Watcher struct {
 	c     Config
@@ -119,8 +127,8 @@
 	if c.Report == nil {
 		c.Report = func(error) {}
 	}
-	if c.Doubt == nil {
-		c.Doubt = func() {}
+	if c.Listed == nil {
+		c.Listed = func(List) {}
 	}
 	return &Watcher{c: c, seen: make(map[string]uint64), away: true}
 }
@@ -201,6 +209,7 @@
 	if err != nil {
 		return err
 	}
+	gap := w.away
 	w.heard()
 	due := !w.relist.IsZero()
 	w.relist = time.Time{}
@@ -215,12 +224,12 @@
 	if !doubt {
 		news = append(news, w.news(ends)...)
 	}
+	w.c.Listed(List{Revision: p.Revision, Gap: gap, Doubt: doubt})
 	w.apply(news)
 	w.after = max(w.after, p.Revision)
 	switch {
 	case doubt:
 		w.relist = w.trusted
-		w.c.Doubt()
 	case due && stale:
 		// A stale list ends nothing, and the ends are still due.
 		w.relist = time.Now().Add(firstPause)
--- a/internal/platform/watcher/watcher_test.go
+++ b/internal/platform/watcher/watcher_test.go
@@ -182,7 +182,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		got, doubts, missing := make(sink), 0, 0
 		ctx, cancel := context.WithCancel(t.Context())
-		w := New(Config{Platform: s, Sink: got, Prefixes: []string{""}, Doubt: func() { doubts++ }})
+		w := New(Config{Platform: s, Sink: got, Prefixes: []string{""}, Listed: func(l List) {
+			if l.Doubt {
+				doubts++
+			}
+		}})
 		go func() { _ = w.Serve(ctx) }()
 		for range 60 {
 			time.Sleep(100 * time.Millisecond)
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -222,8 +222,13 @@
 			before = g.mirror.Revision(kind)
 			return g.mirror.Known(kind)
 		},
-		Doubt: func() { go g.ask(kind, before) },
-		Wait:  time.Duration(watchPart * float64(min(g.c.Deployment.Bounds.ApplyTime, g.c.Deployment.Bounds.DrainTime))),
+		Listed: func(l watcher.List) {
+			g.mirror.Listed(kind, l.Revision, l.Gap, l.Doubt)
+			if l.Doubt {
+				go g.ask(kind, before)
+			}
+		},
+		Wait: time.Duration(watchPart * float64(min(g.c.Deployment.Bounds.ApplyTime, g.c.Deployment.Bounds.DrainTime))),
 		Report: func(err error) {
 			if err == nil {
 				g.storeHeard.Store(time.Now().UnixNano())
--- a/internal/role/gateway/news.go
+++ b/internal/role/gateway/news.go
@@ -191,11 +191,16 @@
 	})
 }
 
-func (g *Gateway) takeAll(objects []*rpc.StoredObject) {
-	out := make([]object.Object, 0, len(objects))
-	for _, o := range objects {
+// takeAll takes in what a peer knows.
+func (g *Gateway) takeAll(kind string, r *rpc.SnapshotReply) {
+	out := make([]object.Object, 0, len(r.GetObjects()))
+	for _, o := range r.GetObjects() {
 		out = append(out, object.Object{Key: o.GetKey(), Version: o.GetVersion(), Value: o.GetValue(), Deleted: o.GetDeleted()})
 	}
+	if r.GetFull() {
+		g.spreadNews(g.mirror.Replace(kind, out, r.GetRevision()))
+		return
+	}
 	g.spreadNews(g.mirror.Hear(out))
 }
 
@@ -212,18 +217,23 @@
 
 // changes returns the store's objects that changed after a revision, as this
 // daemon knows them; of all kinds that peers may need if kind is empty.
-func (g *Gateway) changes(kind string, after uint64) []*rpc.StoredObject {
+func (g *Gateway) changes(kind string, after uint64) (*rpc.SnapshotReply, error) {
 	kinds := []string{kind}
 	if kind == "" {
 		kinds = []string{platform.CatalogKind, platform.EndpointKind}
 	}
-	var out []*rpc.StoredObject
+	out := &rpc.SnapshotReply{Revision: g.mirror.Revision(kind)}
 	for _, kind := range kinds {
-		for _, o := range g.mirror.Since(kind, after) {
-			out = append(out, &rpc.StoredObject{Key: o.Key, Version: o.Version, Value: o.Value, Deleted: o.Deleted})
+		objects, full, err := g.mirror.Changes(kind, after)
+		if err != nil {
+			return nil, err
+		}
+		out.Full = out.Full || full
+		for _, o := range objects {
+			out.Objects = append(out.Objects, &rpc.StoredObject{Key: o.Key, Version: o.Version, Value: o.Value, Deleted: o.Deleted})
 		}
 	}
-	return out
+	return out, nil
 }
 
 // askPeers fills the beliefs of a daemon that started while the store turns it
@@ -234,12 +244,12 @@
 		if g.versioner.InForce() != nil && g.listed.Load() {
 			return suture.ErrDoNotRestart
 		}
-		objects, err := g.swapper.Ask(ctx)
-		if err != nil || len(objects) == 0 {
+		reply, err := g.swapper.Ask(ctx)
+		if err != nil || len(reply.GetObjects()) == 0 {
 			continue
 		}
-		g.c.Logger.Info("beliefs taken from a peer", "objects", len(objects))
-		g.takeAll(objects)
+		g.c.Logger.Info("beliefs taken from a peer", "objects", len(reply.GetObjects()))
+		g.takeAll("", reply)
 	}
 	return suture.ErrDoNotRestart
 }
@@ -255,10 +265,11 @@
 			continue
 		}
 		asked++
-		objects, err := g.swapper.AskOne(ctx, e.Digest.GetAddress(), kind, after)
-		g.c.Logger.Info("list lacks objects, peer asked", "kind", kind, "after", after, "peer", e.Digest.GetHost(), "objects", len(objects), "error", err)
+		reply, err := g.swapper.AskOne(ctx, e.Digest.GetAddress(), kind, after)
+		g.c.Logger.Info("list lacks objects, peer asked", "kind", kind, "after", after, "peer", e.Digest.GetHost(),
+			"objects", len(reply.GetObjects()), "error", err)
 		if err == nil {
-			g.takeAll(objects)
+			g.takeAll(kind, reply)
 		}
 	}
 }
