--- a/internal/peer/mirror/mirror.go
+++ b/internal/peer/mirror/mirror.go
@@ -49,7 +49,7 @@
 	doubt map[string]uint64
 }
 
-// ErrDoubt: the last list lacked objects of which it is not known yet whether they
+// ErrDoubt means that the last list lacked objects of which it is not known yet whether they
 // have ended.
 var ErrDoubt = errors.New("mirror: list in doubt")
 
