--- a/internal/fleet/orderer/orderer.go
+++ b/internal/fleet/orderer/orderer.go
@@ -20,7 +20,7 @@
 // Reclaimable endpoints of a zone go all at once, with two seconds' notice, and
 // none are to be had for a while; the next zone often follows. So a loss is answered
 // at the next step, the zone counts as having none until an order is accepted
-// there, and until then nothing is given back.
+// there, and for [keepTime] nothing is given back.
 //
 // # Usage
 //
@@ -67,6 +67,9 @@
 	// as published) unless an order shows otherwise.
 	lostPart = 0.6
 	lostTime = 14 * time.Second
+	// keepTime is how long after a reclaim nothing is given back: the zones of a wave
+	// follow each other within six seconds.
+	keepTime = 7 * time.Second
 	// listTime is how long the endpoints of a new fleet take to list themselves:
 	// three of their heartbeats.
 	listTime = 3500 * time.Millisecond
@@ -145,7 +148,10 @@
 
 // New returns an orderer that has ordered nothing.
 func New(c Config) *Orderer {
-	return &Orderer{c: c, started: time.Now(), states: make(map[key]*state), needs: make(map[identifier.Service]*need), found: make(map[identifier.Service]int), asked: make(map[identifier.Service]time.Time)}
+	return &Orderer{
+		c: c, started: time.Now(), states: make(map[key]*state), needs: make(map[identifier.Service]*need),
+		found: make(map[identifier.Service]int), asked: make(map[identifier.Service]time.Time),
+	}
 }
 
 // Step gives the orders that are needed now.
@@ -171,7 +177,7 @@
 		t := o.state(s, z.Zone, document.ClassReclaimable)
 		t.see(z.Reclaimable, now)
 		z.Dry = now.Sub(t.dry) < dryTime || now.Sub(t.lost) < lostTime
-		keep = keep || now.Sub(t.lost) < 7*time.Second
+		keep = keep || now.Sub(t.lost) < keepTime
 	}
 	in := &sizer.Input{Scale: s.Scale, Demand: s.Demand, Slots: s.Slots, Zones: s.Zones}
 	in.Floor = o.floor(s, now)
--- a/internal/peer/mirror/mirror.go
+++ b/internal/peer/mirror/mirror.go
@@ -49,8 +49,8 @@
 	doubt map[string]uint64
 }
 
-// ErrDoubt means that the last list lacked objects of which it is not known yet whether they
-// have ended.
+// ErrDoubt means that the last list lacked objects of which it is not known yet
+// whether they have ended.
 var ErrDoubt = errors.New("mirror: list in doubt")
 
 // Apply takes in what one list, or one watch, brought and returns what was news of
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -175,7 +175,8 @@
 	g.clock = chronometer.New(chronometer.Config{})
 	g.tallier = tallier.New(tallier.Config{Window: d.Bounds.UsageWindow, Keep: d.Bounds.UsageDue, Now: g.clock.Now})
 	g.allotter = allotter.New(allotter.Config{
-		Window: d.Bounds.QuotaWindow, Overage: d.Bounds.QuotaOverage, Slack: d.Bounds.QuotaSlack, News: func() time.Duration { return g.swapper.NewsAge() }, Daemons: g.fleetSize,
+		Window: d.Bounds.QuotaWindow, Overage: d.Bounds.QuotaOverage, Slack: d.Bounds.QuotaSlack, Daemons: g.fleetSize,
+		News: func() time.Duration { return g.swapper.NewsAge() },
 	})
 	g.budgets = make(map[identifier.Service]*budgeter.Budgeter)
 	g.ledger = ledger.New(ledger.Config{Self: &rpc.Member{Host: string(d.Host), AvailabilityZone: string(d.AvailabilityZone), PeerAddress: d.Peers.String()}})
@@ -263,8 +264,8 @@
 		"organisations", len(c.Organisations()))
 }
 
-// endpointsChanged takes in what changed of the list of endpoints, at once: a daemon that
-// is ready knows the whole list, not its first entry.
+// endpointsChanged takes in what changed of the list of endpoints, at once: a
+// daemon that is ready knows the whole list, not its first entry.
 func (g *Gateway) endpointsChanged(objects []object.Object) {
 	listed := make(map[string]*inventory.Host, len(objects))
 	for i := range objects {
@@ -277,7 +278,7 @@
 	g.listed.Store(g.listed.Load() || len(g.registry.Hosts()) > 0)
 }
 
-// endpoint decodes the record of an endpoint; none if it is gone.
+// endpoint decodes the record of an endpoint; nil without an error if it is gone.
 func (g *Gateway) endpoint(id string, o *object.Object) (*inventory.Host, error) {
 	if o.Deleted {
 		g.c.Logger.Info("endpoint gone", "endpoint", id, "revision", o.Version)
--- a/internal/route/allotter/large_test.go
+++ b/internal/route/allotter/large_test.go
@@ -173,6 +173,20 @@
 	}
 }
 
+// wantServed plays some rounds, of which nearly all is to be admitted that a single
+// bucket would admit.
+func (l *large) wantServed(t *testing.T, rounds int, play func(n int) (share, ideal float64)) {
+	t.Helper()
+	served, best := 0.0, 0.0
+	for n := range rounds {
+		share, ideal := play(n)
+		served, best = served+share/float64(rounds), best+ideal/float64(rounds)
+	}
+	if served < best-0.05 {
+		t.Errorf("%.3f admitted, one bucket for all would admit %.3f", served, best)
+	}
+}
+
 // Hosts are restarted in turn, as for a new version, while an organisation asks for
 // half of its quota. Each new process told the others that the bucket was as good
 // as empty, and all sixty took its word: four requests in ten were refused for as
@@ -184,16 +198,10 @@
 				l := newLarge(uint64(rate))
 				o := &catalog.Organisation{Name: "desk", RatePerSecond: rate, Burst: rate}
 				l.load(o, 0.5*rate/tokens, 14*time.Second)
-				served, best := 0.0, 0.0
-				const restarts = 28
-				for i := range restarts {
-					l.restart(i)
-					share, ideal := l.load(o, 0.5*rate/tokens, 700*time.Millisecond)
-					served, best = served+share/restarts, best+ideal/restarts
-				}
-				if served < best-0.05 {
-					t.Errorf("%.3f admitted, one bucket for all would admit %.3f", served, best)
-				}
+				l.wantServed(t, 28, func(n int) (share, ideal float64) {
+					l.restart(n)
+					return l.load(o, 0.5*rate/tokens, 700*time.Millisecond)
+				})
 			})
 		})
 	}
@@ -227,18 +235,12 @@
 		l := newLarge(4)
 		o := &catalog.Organisation{Name: "desk", RatePerSecond: rate, Burst: rate}
 		l.load(o, 0.5*rate/tokens, 14*time.Second)
-		served, best := 0.0, 0.0
-		const rounds = 6
-		for round := range rounds {
+		l.wantServed(t, 6, func(n int) (share, ideal float64) {
 			for i := range many / 10 {
-				l.restart(round*many/10 + i)
+				l.restart(n*many/10 + i)
 			}
-			share, ideal := l.load(o, 0.5*rate/tokens, 3*time.Second)
-			served, best = served+share/rounds, best+ideal/rounds
-		}
-		if served < best-0.05 {
-			t.Errorf("%.3f admitted, one bucket for all would admit %.3f", served, best)
-		}
+			return l.load(o, 0.5*rate/tokens, 3*time.Second)
+		})
 	})
 }
 
