--- a/internal/platform/watcher/watcher_test.go
+++ b/internal/platform/watcher/watcher_test.go
@@ -190,6 +190,7 @@
 		go func() { _ = w.Serve(ctx) }()
 		for range 60 {
 			time.Sleep(100 * time.Millisecond)
+			synctest.Wait()
 			if _, there := got["a"]; !there {
 				missing++
 			}
