--- a/internal/platform/watcher/watcher_test.go
+++ b/internal/platform/watcher/watcher_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -66,6 +67,34 @@
 	}
 }
 
+// guarded is a sink that is looked at while a watcher runs.
+type guarded struct {
+	mu     sync.Mutex
+	sink   sink
+	doubts int
+}
+
+func (g *guarded) Apply(objects []object.Object) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.sink.Apply(objects)
+}
+
+func (g *guarded) has(key string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	_, there := g.sink[key]
+	return there
+}
+
+func (g *guarded) listed(l List) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if l.Doubt {
+		g.doubts++
+	}
+}
+
 // calls counts the objects of each call.
 type calls []int
 
@@ -180,25 +209,21 @@
 		then(nil, 20).then(nil, 31, at("a", 30))
 	s.pause = 300 * time.Millisecond
 	synctest.Test(t, func(t *testing.T) {
-		got, doubts, missing := make(sink), 0, 0
+		got, missing := &guarded{sink: make(sink)}, 0
 		ctx, cancel := context.WithCancel(t.Context())
-		w := New(Config{Platform: s, Sink: got, Prefixes: []string{""}, Listed: func(l List) {
-			if l.Doubt {
-				doubts++
-			}
-		}})
+		w := New(Config{Platform: s, Sink: got, Prefixes: []string{""}, Listed: got.listed})
 		go func() { _ = w.Serve(ctx) }()
 		for range 60 {
 			time.Sleep(100 * time.Millisecond)
 			synctest.Wait()
-			if _, there := got["a"]; !there {
+			if !got.has("a") {
 				missing++
 			}
 		}
 		cancel()
 		synctest.Wait()
-		if _, there := got["b"]; there || got["a"] != 30 || missing > 0 || doubts == 0 {
-			t.Errorf("in the end %v; missing in %d of 60 looks, %d doubts", got, missing, doubts)
+		if got.has("b") || got.sink["a"] != 30 || missing > 0 || got.doubts == 0 {
+			t.Errorf("in the end %v; missing in %d of 60 looks, %d doubts", got.sink, missing, got.doubts)
 		}
 	})
 }
