--- a/internal/fleet/orderer/orderer_test.go
+++ b/internal/fleet/orderer/orderer_test.go
@@ -39,6 +39,16 @@
 	return c
 }
 
+// newLargeCloud has zones of up to most endpoints, with so many on-demand ones each.
+func newLargeCloud(most, onDemand int) *cloud {
+	c := newCloud()
+	c.most = most
+	for z := range c.onDemand {
+		c.onDemand[z] = onDemand
+	}
+	return c
+}
+
 func (c *cloud) order(_ context.Context, _ uint64, _ identifier.Service, z identifier.AvailabilityZone, class document.Class, wanted int) error {
 	c.orders++
 	if class == document.ClassReclaimable {
@@ -201,11 +211,7 @@
 // replacements had started, ten seconds after the notice.
 func TestReclaimIsAnsweredAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := newCloud()
-		c.most = 20
-		for z := range c.onDemand {
-			c.onDemand[z] = 12
-		}
+		c := newLargeCloud(20, 12)
 		o := newOrderer(c, true)
 		run(o, c, 1, 300_000, 40*time.Second)
 		run(o, c, 1, 640_000, 2*time.Second)
@@ -224,11 +230,7 @@
 // on-demand engines back.
 func TestNothingIsGivenBackBetweenReclaims(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := newCloud()
-		c.most = 30
-		for z := range c.onDemand {
-			c.onDemand[z] = 12
-		}
+		c := newLargeCloud(30, 12)
 		c.boot = 6 * time.Second
 		o := newOrderer(c, true)
 		run(o, c, 1, 100_000, 14*time.Second)
@@ -247,11 +249,7 @@
 // reclaim under way.
 func TestFirstLoadFindsThePool(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := newCloud()
-		c.most = 30
-		for z := range c.onDemand {
-			c.onDemand[z] = 15
-		}
+		c := newLargeCloud(30, 15)
 		c.boot = 5 * time.Second
 		o := newOrderer(c, true)
 		run(o, c, 1, 0, 14*time.Second)
--- a/internal/peer/mirror/mirror.go
+++ b/internal/peer/mirror/mirror.go
@@ -171,8 +171,8 @@
 // all changes since are known. It fails while a list is in doubt, but for those who
 // know nothing.
 func (m *Mirror) Changes(kind string, after uint64) (changes []object.Object, full bool, err error) {
-	doubt := m.doubts(kind)
 	m.mu.Lock()
+	_, doubt := m.doubt[kind]
 	full = after < m.whole[kind]
 	m.mu.Unlock()
 	switch {
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -216,17 +216,14 @@
 // logged once.
 func (g *Gateway) follow(what, kind string) *watcher.Watcher {
 	var lost time.Time
-	var before uint64
 	return watcher.New(watcher.Config{
 		Platform: g.store, Sink: sink(g.take), Prefixes: []string{kind}, Idle: func() bool { return !g.follows() },
-		Known: func() map[string]uint64 {
-			before = g.mirror.Revision(kind)
-			return g.mirror.Known(kind)
-		},
+		Known: func() map[string]uint64 { return g.mirror.Known(kind) },
 		Listed: func(l watcher.List) {
 			g.mirror.Listed(kind, l.Revision, l.Gap, l.Doubt)
 			if l.Doubt {
-				go g.ask(kind, before)
+				// The mirror's revision stays what it was before the list.
+				go g.ask(kind, g.mirror.Revision(kind))
 			}
 		},
 		Wait: time.Duration(watchPart * float64(min(g.c.Deployment.Bounds.ApplyTime, g.c.Deployment.Bounds.DrainTime))),
--- a/internal/route/allotter/news.go
+++ b/internal/route/allotter/news.go
@@ -104,12 +104,13 @@
 	since := now.Sub(r.heard)
 	knows := a.knowsMore(r, n.Age, since, now)
 	r.heard, r.age = now, n.Age
-	for name, account := range n.Accounts {
-		a.account(r.count(name), name, account, since, knows)
+	for name, told := range n.Accounts {
+		c := r.count(name)
+		a.account(c, name, told, since, knows)
 		if !first {
-			r.byOrg[name].measure(account, since)
+			c.measure(told, since)
 		}
-		r.byOrg[name].take(account)
+		c.take(told)
 	}
 }
 
