--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -70,6 +70,8 @@
 	"brasschute/platform"
 
 	"github.com/charmbracelet/log"
+	metrics "github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/thejerf/suture/v4"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
@@ -109,6 +111,22 @@
 	Read func() (*deployment.Deployment, error)
 	// Hint receives when the deployment is said to have changed; may be nil.
 	Hint <-chan os.Signal
+	// Network opens connections and listeners; the host's own if nil.
+	Network Network
+}
+
+// Network is what a daemon needs of its host's network.
+type Network interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+	Listen(address netip.AddrPort) (net.Listener, error)
+}
+
+// hostNetwork is the network of the host that the process runs on.
+type hostNetwork struct{ *net.Dialer }
+
+// Listen opens a listener at an address of the host.
+func (hostNetwork) Listen(address netip.AddrPort) (net.Listener, error) {
+	return net.Listen("tcp", address.String())
 }
 
 // Gateway is one daemon.
@@ -166,8 +184,11 @@
 
 // New opens the listeners and builds the daemon.
 func New(c Config) (*Gateway, error) {
+	if c.Network == nil {
+		c.Network = hostNetwork{platform.Dialer()}
+	}
 	g := &Gateway{c: c, started: time.Now()}
-	g.reporter = prometheus.NewReporter(prometheus.Options{})
+	g.reporter = prometheus.NewReporter(prometheus.Options{Registerer: newMetrics()})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "brasschute", CachedReporter: g.reporter, Separator: prometheus.DefaultSeparator,
 		SanitizeOptions: &prometheus.DefaultSanitizerOpts, OmitCardinalityMetrics: true,
@@ -177,10 +198,18 @@
 	return g, g.listen()
 }
 
+// newMetrics returns a registry of the daemon's own, with those of the process: several
+// daemons of one process, as tests start them, can't share the library's registry.
+func newMetrics() *metrics.Registry {
+	r := metrics.NewRegistry()
+	r.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return r
+}
+
 func (g *Gateway) build() {
 	d := g.c.Deployment
 	g.tree = suture.New("gateway", suture.Spec{EventHook: g.event})
-	g.store = platform.NewStore(d.Store.String())
+	g.store = platform.NewStore(d.Store.String(), g.c.Network.DialContext)
 	g.clock = chronometer.New(chronometer.Config{})
 	g.tallier = tallier.New(tallier.Config{Window: d.Bounds.UsageWindow, Keep: d.Bounds.UsageDue, Now: g.clock.Now})
 	g.allotter = allotter.New(allotter.Config{
@@ -191,7 +220,7 @@
 	g.ledger = ledger.New(ledger.Config{Self: &rpc.Member{Host: string(d.Host), AvailabilityZone: string(d.AvailabilityZone), PeerAddress: d.Peers.String()}})
 	g.registry = registry.New(registry.Config{Ledger: g.ledger, Daemons: g.daemons})
 	opened := g.scope.Counter("endpoint_connections_opened")
-	g.sender = sender.New(sender.Config{Dialer: platform.Dialer(), Opened: func() { opened.Inc(1) }})
+	g.sender = sender.New(sender.Config{Dialer: g.c.Network, Opened: func() { opened.Inc(1) }})
 	relay := relayer.New(relayer.Config{
 		Registry: g.registry, Placer: placer.New(placer.Config{Registry: g.registry, Estimator: &g.estimator, Zone: d.AvailabilityZone}),
 		Sender: g.sender, Codec: platform.Codec{}, Budget: g, Began: g.began, Demand: &g.demander,
@@ -362,7 +391,7 @@
 		if !l.address.IsValid() {
 			continue
 		}
-		listener, err := net.Listen("tcp", l.address.String())
+		listener, err := g.c.Network.Listen(l.address)
 		if err != nil {
 			return fmt.Errorf("gateway: listener for %s: %w", l.name, err)
 		}
--- a/internal/role/gateway/news.go
+++ b/internal/role/gateway/news.go
@@ -49,7 +49,7 @@
 		Host: d.Host, Zone: d.AvailabilityZone, Address: d.Peers.String(), Gatherer: &g.gatherer, Logger: g.c.Logger,
 		Self: g.digest, Heard: g.heard, Note: g.note, Noted: g.noted, Objects: g.changes,
 		Client: &http.Client{Transport: &http.Transport{
-			DialContext: g.peerBytes.Dial(platform.Dialer().DialContext), IdleConnTimeout: peerIdle, DisableCompression: true,
+			DialContext: g.peerBytes.Dial(g.c.Network.DialContext), IdleConnTimeout: peerIdle, DisableCompression: true,
 		}},
 	})
 	for _, seed := range d.Seeds {
--- a/internal/standin/hosting/store.go
+++ b/internal/standin/hosting/store.go
@@ -227,19 +227,20 @@
 
 func (s *Store) list(w http.ResponseWriter, kind string) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	revision := s.revision
 	items := make([]object, 0, len(s.objects[kind]))
 	for _, o := range s.objects[kind] {
 		items = append(items, o)
 	}
+	s.mu.Unlock()
 	sort.Slice(items, func(i, k int) bool { return items[i].Metadata.Name < items[k].Metadata.Name })
-	answer(w, http.StatusOK, map[string]any{"Items": items, "Truncated": false, "AsOf": s.revision})
+	answer(w, http.StatusOK, map[string]any{"Items": items, "Truncated": false, "AsOf": revision})
 }
 
 func (s *Store) get(w http.ResponseWriter, kind, name string) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	o, ok := s.objects[kind][name]
+	s.mu.Unlock()
 	if !ok {
 		w.WriteHeader(http.StatusNotFound)
 		return
@@ -261,20 +262,30 @@
 	if r.Method == http.MethodPost {
 		name = in.Metadata.Name
 	}
+	status, o := s.change(r.Method, kind, name, in)
+	if status == http.StatusNotFound {
+		w.WriteHeader(status)
+		return
+	}
+	answer(w, status, o)
+}
+
+// change does a call that writes, if its condition holds. Nobody waits for the store
+// while the answer is on its way over a narrow link.
+func (s *Store) change(method, kind, name string, in object) (int, object) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	old, ok := s.objects[kind][name]
 	switch {
-	case r.Method == http.MethodPost && ok, ok && in.Metadata.Revision != 0 && in.Metadata.Revision != old.Metadata.Revision:
-		answer(w, http.StatusConflict, old)
-	case r.Method != http.MethodPost && !ok:
-		w.WriteHeader(http.StatusNotFound)
-	case r.Method == http.MethodDelete:
+	case method == http.MethodPost && ok, ok && in.Metadata.Revision != 0 && in.Metadata.Revision != old.Metadata.Revision:
+		return http.StatusConflict, old
+	case method != http.MethodPost && !ok:
+		return http.StatusNotFound, object{}
+	case method == http.MethodDelete:
 		s.remove(kind, name)
-		answer(w, http.StatusOK, old)
-	default:
-		answer(w, http.StatusOK, s.put(kind, name, in.Spec))
+		return http.StatusOK, old
 	}
+	return http.StatusOK, s.put(kind, name, in.Spec)
 }
 
 // turnedAway tells whether a call that waits would not be served any more.
