endpoints that start again under their id; records by other writers

Cause: the id alone stood for an endpoint's life. 'Leaving', loads told by peers, cached parts and homes outlived it; a process that started again under its id never got a request. A record that is not an endpoint's took its list with it (one undecodable item), or left what stood there before in use; a spoilt configuration was handed on in place of the last good one; a spoilt lease or usage record ended the duties for good. Change: platform/registrar numbers lives by the time of birth, in the order of the store's revisions, as clocks go back; peers name the life in departures and loads, and one of the version before is understood. Entries are decoded one by one and checked field by field; what can't be read is left out, written down and counted. A spoilt lease is taken after its duration with a fencing number above all before. The store is followed by the daemons with the widest links, as they hand on what they learn.

--- a/internal/fleet/accountant/accountant.go
+++ b/internal/fleet/accountant/accountant.go
@@ -200,6 +200,16 @@
 	return a.record.find(number), nil
 }
 
+// skip leaves out the windows that have ended. What was settled of them is lost, and may
+// have been sent: a second report with other counts is worse than none, and without
+// this all later windows would never be reported.
+func (a *Accountant) skip() {
+	newest := a.c.Now().UnixNano() / int64(a.c.Window)
+	for number := newest - int64(a.open()); number < newest; number++ {
+		a.sent[number] = true
+	}
+}
+
 // open is how many windows before the present one may still be open.
 func (a *Accountant) open() int { return int(a.c.Due/a.c.Window) + 1 }
 
@@ -268,7 +278,9 @@
 	}
 	var r record
 	if err := json.Unmarshal(o.Value, &r); err != nil {
-		return fmt.Errorf("read settled windows: %w", err)
+		a.c.Logger.Error("settled windows spoilt by another writer, those that have ended are not reported", "revision", o.Version, "error", err)
+		a.skip()
+		r = record{}
 	}
 	a.record, a.version, a.known = r, o.Version, true
 	a.inherited, a.from = r.Open, r.Sources
--- a/internal/fleet/accountant/accountant_test.go
+++ b/internal/fleet/accountant/accountant_test.go
@@ -190,3 +190,38 @@
 		t.Errorf("error %v", err)
 	}
 }
+
+// Another writer spoils the settled windows after some were sent. Reading them failed from
+// then on, and no window was ever reported again. What was sent is not known any more, so
+// the windows that have ended stay as they are, and the next one is reported.
+func TestSpoiltRecordDoesNotEndAllReports(t *testing.T) {
+	for name, value := range map[string]string{"text": `"gone"`, "bytes": "\x00\xff", "another type": `{"Windows":{"a":1}}`} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld()
+			first := w.window()
+			n := 10
+			list := func() []Counted {
+				out := Counted{Source: 1, Windows: make(map[int64]Counts)}
+				for number := first; number <= w.window(); number++ {
+					out.Windows[number] = Counts{"desk": n}
+				}
+				return []Counted{out}
+			}
+			w.now = w.now.Add(length + 3*time.Second)
+			w.accountant(list).Step(t.Context(), 1)
+			if w.reports[first] != "map[desk:10]" {
+				t.Fatalf("reports %v", w.reports)
+			}
+			w.o = object.Object{Version: w.o.Version + 1, Value: []byte(value)}
+			n = 12
+			successor := w.accountant(list)
+			for range 8 {
+				successor.Step(t.Context(), 2)
+				w.now = w.now.Add(length / 2)
+			}
+			if w.differed || w.reports[first+2] != "map[desk:12]" {
+				t.Errorf("reports %v, differed %v", w.reports, w.differed)
+			}
+		})
+	}
+}
--- a/internal/fleet/leaser/leaser.go
+++ b/internal/fleet/leaser/leaser.go
@@ -79,6 +79,8 @@
 	Led func() bool
 	// Changed is told when leadership is won or lost; may be nil.
 	Changed func(fencing uint64, held bool)
+	// Unreadable is told of a lease that no candidate has written; may be nil.
+	Unreadable func(error)
 }
 
 // record is the lease as the platform holds it.
@@ -110,6 +112,9 @@
 
 // New returns a candidate that does not lead.
 func New(c Config) *Leaser {
+	if c.Unreadable == nil {
+		c.Unreadable = func(error) {}
+	}
 	if c.Changed == nil {
 		c.Changed = func(uint64, bool) {}
 	}
@@ -230,12 +235,32 @@
 		return record{}, 0, err
 	}
 	var r record
-	if err := json.Unmarshal(o.Value, &r); err != nil {
-		return record{}, 0, fmt.Errorf("lease: %w", err)
+	if err := r.decode(o.Value, l.c.Duration); err != nil {
+		// Another writer has spoilt it. Were that an error, nobody would ever hold the
+		// lease again. Nobody knows who holds it now, so it is left alone for its
+		// duration; the revision is above every number given so far, as each took one.
+		r = record{FencingNumber: o.Version}
+		l.c.Unreadable(fmt.Errorf("lease, revision %d: %w", o.Version, err))
 	}
 	return r, o.Version, nil
 }
 
+// longest is how many times its own duration a candidate respects as another's.
+const longest = 10
+
+// decode reads a record that a candidate has written.
+func (r *record) decode(value []byte, duration time.Duration) error {
+	switch err := json.Unmarshal(value, r); {
+	case err != nil:
+		return err
+	case r.Holder == "" || r.FencingNumber == 0:
+		return errors.New("it has no holder or no fencing number")
+	case r.Duration < 0 || r.Duration > longest*duration:
+		return fmt.Errorf("found a duration of %v, 0 to %v is allowed", r.Duration, longest*duration)
+	}
+	return nil
+}
+
 func (l *Leaser) write(ctx context.Context, r record, version uint64, begun time.Time, taken bool) {
 	r.Holder = l.c.Host
 	r.Duration = l.c.Duration
--- a/internal/fleet/leaser/leaser_test.go
+++ b/internal/fleet/leaser/leaser_test.go
@@ -221,3 +221,51 @@
 	}
 	return ""
 }
+
+// Another writer spoils the lease. Candidates took that for an error, so nobody held the
+// duties ever again: no engine was ordered and no usage reported. The next holder's
+// fencing number must be above all that were given before.
+func TestSpoiltLeaseIsTakenAgain(t *testing.T) {
+	for name, value := range map[string]string{
+		"no record": `"gone"`, "bytes": "\x00\xff", "another type": `{"Holder":5}`, "empty": `{}`, "no number": `{"Holder":"x"}`,
+		"for ever": `{"Holder":"x","FencingNumber":1,"Duration":9000000000000000000}`, "negative": `{"Holder":"x","FencingNumber":1,"Duration":-5}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s, told := &store{}, 0
+				a, b := candidateOf(s, "a"), candidateOf(s, "b")
+				b.c.Unreadable = func(error) { told++ }
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				go func() { _ = a.Serve(ctx) }()
+				time.Sleep(3 * duration)
+				before, held := a.Held()
+				if !held {
+					t.Fatal("the first candidate does not hold the lease")
+				}
+				go func() { _ = b.Serve(ctx) }()
+				s.mu.Lock()
+				s.o = object.Object{Version: s.o.Version + 1, Value: []byte(value)}
+				s.mu.Unlock()
+				for range 40 {
+					time.Sleep(duration / 10)
+					_, one := a.Held()
+					if _, two := b.Held(); one && two {
+						t.Fatal("two hold the lease")
+					}
+				}
+				synctest.Wait()
+				after, one := a.Held()
+				if !one {
+					after, one = b.Held()
+				}
+				if !one || after <= before {
+					t.Errorf("held %v by number %d, %d was before", one, after, before)
+				}
+				if told == 0 {
+					t.Error("nobody was told")
+				}
+			})
+		})
+	}
+}
--- a/internal/platform/inventory/inventory.go
+++ b/internal/platform/inventory/inventory.go
@@ -49,7 +49,9 @@
 	AvailabilityZone identifier.AvailabilityZone
 	Class            document.Class
 	Incarnation      identifier.Incarnation
-	State            State
+	// Born is when the host's endpoint started, where the platform tells.
+	Born  identifier.Born `json:",omitempty"`
+	State State
 	// Owner is the zone on whose behalf the host was started, if another.
 	Owner     identifier.AvailabilityZone `json:",omitempty"`
 	Endpoints []Endpoint
--- a/internal/platform/object/object.go
+++ b/internal/platform/object/object.go
@@ -55,6 +55,9 @@
 type Page struct {
 	Revision uint64
 	Objects  []Object
+	// Unreadable says of each entry that could not be read what was found. The others
+	// hold.
+	Unreadable []error
 }
 
 // Lost classifies a call over HTTP that got no whole answer. Only a failed dial
--- a/internal/platform/watcher/watcher.go
+++ b/internal/platform/watcher/watcher.go
@@ -89,6 +89,8 @@
 	Idle func() bool
 	// Report is told of each success (nil) and failure; may be nil.
 	Report func(error)
+	// Unreadable is told of entries that could not be read; may be nil.
+	Unreadable func([]error)
 }
 
 // List describes a list that was made.
@@ -127,6 +129,9 @@
 	if c.Report == nil {
 		c.Report = func(error) {}
 	}
+	if c.Unreadable == nil {
+		c.Unreadable = func([]error) {}
+	}
 	if c.Listed == nil {
 		c.Listed = func(List) {}
 	}
@@ -196,6 +201,7 @@
 		return err
 	}
 	w.heard()
+	w.unreadable(&p)
 	w.apply(w.news(p.Objects))
 	w.after = max(w.after, p.Revision)
 	if len(p.Objects) > 0 {
@@ -211,6 +217,7 @@
 	}
 	gap := w.away
 	w.heard()
+	w.unreadable(&p)
 	due := !w.relist.IsZero()
 	w.relist = time.Time{}
 	known := w.c.Known()
@@ -237,6 +244,13 @@
 	return nil
 }
 
+// unreadable passes on what could not be read of a page.
+func (w *Watcher) unreadable(p *object.Page) {
+	if len(p.Unreadable) > 0 {
+		w.c.Unreadable(p.Unreadable)
+	}
+}
+
 // apply tells the sink if there is news.
 func (w *Watcher) apply(news []object.Object) {
 	if len(news) > 0 {
--- a/internal/role/gateway/duties.go
+++ b/internal/role/gateway/duties.go
@@ -64,7 +64,7 @@
 	}
 	g.lease = leaser.New(leaser.Config{
 		Store: g.store, Key: leaseKey, Host: d.Host, Duration: d.Bounds.LeaseTime, Now: uptimer.Now,
-		OrderTime: orderTime, Led: g.isLed,
+		OrderTime: orderTime, Led: g.isLed, Unreadable: func(err error) { g.unreadable([]error{err}) },
 		Changed: func(fencing uint64, held bool) {
 			g.c.Logger.Info("duties", "held", held, "fencing", fencing)
 		},
--- a/internal/role/gateway/fleet_test.go
+++ b/internal/role/gateway/fleet_test.go
@@ -117,8 +117,9 @@
 	d := &deployment.Deployment{
 		Host: identifier.Host(fmt.Sprintf("front-%d", i)), AvailabilityZone: identifier.AvailabilityZone(fmt.Sprintf("zone-%d", i%4)), IP: ip,
 		Callers: netip.AddrPortFrom(ip, 80), Readiness: netip.AddrPortFrom(ip, 81), Peers: netip.AddrPortFrom(ip, 82),
-		Store: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 200, 1, byte(i)}), 8225),
-		Seeds: []netip.AddrPort{netip.MustParseAddrPort("10.1.0.1:82"), netip.MustParseAddrPort("10.2.0.2:82"), netip.MustParseAddrPort("10.3.0.3:82")},
+		Store:     netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 200, 1, byte(i)}), 8225),
+		Seeds:     []netip.AddrPort{netip.MustParseAddrPort("10.1.0.1:82"), netip.MustParseAddrPort("10.2.0.2:82"), netip.MustParseAddrPort("10.3.0.3:82")},
+		LinkBytes: rate,
 		Bounds: deployment.Bounds{
 			DrainTime: applyTime, ApplyTime: applyTime, Grace: 8 * time.Second, LeaseTime: 3 * time.Second,
 			RetryShare: 0.2, RetryReserve: 160, RetryWindow: 10 * time.Second, QuotaWindow: 8 * time.Second, QuotaOverage: 0.1,
@@ -142,7 +143,11 @@
 	})
 }
 
-// end stops all at once.
+// settleTime outlasts the calls under way when the daemons end, and idle connections.
+const settleTime = time.Minute
+
+// end stops all at once, and waits until what was on its way has ended: the bubble's time
+// stands still once the test has returned.
 func (f *testFleet) end() {
 	done := make(chan struct{})
 	for _, stop := range f.stop {
@@ -151,6 +156,7 @@
 	for range f.stop {
 		<-done
 	}
+	time.Sleep(settleTime)
 }
 
 // behind lists the daemons that the newest configuration is not in force at.
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -33,13 +33,12 @@
 	"net/netip"
 	"os"
 	"reflect"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"brasschute/internal/config/catalog"
 	"brasschute/internal/config/deployment"
-	"brasschute/internal/config/document"
 	"brasschute/internal/config/versioner"
 	"brasschute/internal/core/chronometer"
 	"brasschute/internal/core/identifier"
@@ -58,8 +57,8 @@
 	"brasschute/internal/peer/rpc"
 	"brasschute/internal/peer/supplier"
 	"brasschute/internal/peer/swapper"
-	"brasschute/internal/platform/inventory"
 	"brasschute/internal/platform/object"
+	"brasschute/internal/platform/registrar"
 	"brasschute/internal/platform/watcher"
 	"brasschute/internal/route/allotter"
 	"brasschute/internal/route/budgeter"
@@ -77,6 +76,7 @@
 	"github.com/thejerf/suture/v4"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
+	"golang.org/x/time/rate"
 )
 
 const (
@@ -153,6 +153,9 @@
 	// peerBytes counts what peers cost the host's link.
 	peerBytes meter.Meter
 
+	// decoded is the newest configuration that could be read, before it is in force.
+	decoded atomic.Pointer[decodedCatalog]
+
 	clock    *chronometer.Chronometer
 	tallier  *tallier.Tallier
 	allotter *allotter.Allotter
@@ -163,10 +166,14 @@
 	demander  demander.Demander
 	gatherer  gatherer.Gatherer
 	mirror    mirror.Mirror
-	swapper   *swapper.Swapper
-	supplier  *supplier.Supplier
-	lease     *leaser.Leaser
-	sequence  atomic.Uint64
+	// registrar tells lives of endpoints apart.
+	registrar registrar.Registrar
+	// unread bounds the log lines of records that can't be read.
+	unread   *rate.Limiter
+	swapper  *swapper.Swapper
+	supplier *supplier.Supplier
+	lease    *leaser.Leaser
+	sequence atomic.Uint64
 	// toldSize is the fleet's size as the store or a peer told it.
 	toldSize atomic.Int64
 	// ledAt is when a peer last said that it holds the duties, in nanoseconds
@@ -189,12 +196,18 @@
 	budgets map[identifier.Service]*budgeter.Budgeter
 }
 
+// decodedCatalog is a configuration with its revision in the store.
+type decodedCatalog struct {
+	revision uint64
+	catalog  *catalog.Catalog
+}
+
 // New opens the listeners and builds the daemon.
 func New(c Config) (*Gateway, error) {
 	if c.Network == nil {
 		c.Network = hostNetwork{platform.Dialer()}
 	}
-	g := &Gateway{c: c, started: time.Now()}
+	g := &Gateway{c: c, started: time.Now(), unread: rate.NewLimiter(unreadablePerSecond, unreadablePerSecond)}
 	g.reporter = prometheus.NewReporter(prometheus.Options{Registerer: newMetrics()})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "brasschute", CachedReporter: g.reporter, Separator: prometheus.DefaultSeparator,
@@ -277,7 +290,8 @@
 				go g.ask(kind, g.mirror.Revision(kind))
 			}
 		},
-		Wait: time.Duration(watchPart * float64(min(g.c.Deployment.Bounds.ApplyTime, g.c.Deployment.Bounds.DrainTime))),
+		Wait:       time.Duration(watchPart * float64(min(g.c.Deployment.Bounds.ApplyTime, g.c.Deployment.Bounds.DrainTime))),
+		Unreadable: g.unreadable,
 		Report: func(err error) {
 			if err == nil {
 				g.storeHeard.Store(time.Now().UnixNano())
@@ -294,60 +308,6 @@
 	})
 }
 
-// configuration brings a configuration into force. source says who told it: the store,
-// or a peer's address.
-func (g *Gateway) configuration(o object.Object, source string) {
-	if o.Key != platform.CatalogKey || o.Deleted {
-		return
-	}
-	c, err := platform.DecodeCatalog(o.Value)
-	if err != nil {
-		g.scope.Counter("configurations_refused").Inc(1)
-		g.c.Logger.Error("configuration refused, the last good one stays in force", "revision", o.Version, "error", err)
-		return
-	}
-	behind := int64(0)
-	if lag, is := g.versioner.Lag(); is {
-		behind = time.Since(lag.Since).Milliseconds()
-	}
-	if !g.versioner.Offer(c) {
-		return
-	}
-	g.scope.Gauge("configuration_number").Update(float64(c.Number()))
-	g.c.Logger.Info("configuration in force", "number", c.Number(), "revision", o.Version, "routes", len(c.Routes()),
-		"organisations", len(c.Organisations()), "bytes", len(o.Value), "source", source, "behind_ms", behind)
-}
-
-// endpointsChanged takes in what changed of the list of endpoints, at once: a
-// daemon that is ready knows the whole list, not its first entry.
-func (g *Gateway) endpointsChanged(objects []object.Object) {
-	listed := make(map[string]*inventory.Host, len(objects))
-	for i := range objects {
-		id := strings.TrimPrefix(objects[i].Key, platform.EndpointKind+"/")
-		if h, err := g.endpoint(id, &objects[i]); err == nil {
-			listed[id] = h
-		}
-	}
-	g.registry.Put(listed)
-	g.listed.Store(g.listed.Load() || len(g.registry.Hosts()) > 0)
-}
-
-// endpoint decodes the record of an endpoint; nil without an error if it is gone.
-func (g *Gateway) endpoint(id string, o *object.Object) (*inventory.Host, error) {
-	if o.Deleted {
-		g.c.Logger.Info("endpoint gone", "endpoint", id, "revision", o.Version)
-		return nil, nil
-	}
-	e, err := platform.DecodeEndpoint(id, o.Value)
-	if err != nil {
-		g.c.Logger.Error("endpoint's record not understood", "endpoint", id, "revision", o.Version, "error", err)
-		return nil, fmt.Errorf("gateway: %w", err)
-	}
-	g.c.Logger.Info("endpoint listed", "endpoint", id, "revision", o.Version, "zone", e.Host.AvailabilityZone, "service",
-		e.Host.Endpoints[0].Pool, "address", e.Host.Endpoints[0].Address, "state", e.Host.State, "reclaimable", e.Host.Class == document.ClassReclaimable)
-	return &e.Host, nil
-}
-
 // reread takes over a changed deployment: on a hint, and now and then without
 // one. Only the seeds can change what a running daemon does; an unreadable file
 // leaves everything as it is.
--- a/internal/role/gateway/news.go
+++ b/internal/role/gateway/news.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"strings"
 	"time"
 
 	"brasschute/internal/core/identifier"
@@ -30,8 +29,6 @@
 	peersEach = 8
 	// askPause is how often a daemon that knows no configuration asks peers.
 	askPause = 300 * time.Millisecond
-	// firstIncarnation is that of every endpoint: each start has a new id.
-	firstIncarnation identifier.Incarnation = 1
 	// askSome is how many peers are asked whether objects that a list lacks have
 	// ended, within askTime: one may lag.
 	askSome = 2
@@ -94,7 +91,7 @@
 		Host: string(d.Host), AvailabilityZone: string(d.AvailabilityZone), Address: d.Peers.String(),
 		Incarnation: uint64(g.started.UnixNano()), Sequence: g.sequence.Add(1), UnixMilli: g.clock.Now().UnixMilli(),
 		AgeMilli: time.Since(g.started).Milliseconds(),
-		Stopping: g.stopping.Load(),
+		Stopping: g.stopping.Load(), LinkBytesPerSecond: d.LinkBytes,
 	}
 	out.ConfigurationNumber = g.number()
 	for _, n := range g.tallier.Counts() {
@@ -113,7 +110,7 @@
 		out.Speeds = append(out.Speeds, &rpc.EngineSpeed{Service: string(name), TokensPerSecond: float64(s.Speed), Answers: uint32(s.Answers), FixedMicro: s.Fixed.Microseconds()})
 	}
 	for _, l := range g.registry.Loads(time.Now()) {
-		out.Loads = append(out.Loads, &rpc.EndpointLoad{Endpoint: string(l.Endpoint), TokensPerSecond: l.TokensPerSecond, Running: uint32(l.Running), UnreadTokens: l.Unread})
+		out.Loads = append(out.Loads, &rpc.EndpointLoad{Endpoint: string(l.Endpoint), Born: int64(l.Born), TokensPerSecond: l.TokensPerSecond, Running: uint32(l.Running), UnreadTokens: l.Unread})
 	}
 	if g.lease != nil {
 		out.HoldsDuties = g.lease.Sure()
@@ -121,7 +118,7 @@
 	out.Fleet = uint32(g.daemons())
 	out.EndpointsRevision = g.endpointsRevision()
 	out.Observing = g.follows() && time.Since(time.Unix(0, g.storeHeard.Load())) < g.observerAge()
-	out.Leaving = g.leaving()
+	out.Leaving, out.Departures = g.leaving()
 	if len(g.gatherer.Latest(time.Now())) < smallFleet || out.Sequence%peersEach == 1 {
 		out.Peers = g.swapper.Lately()
 	}
@@ -167,6 +164,10 @@
 				continue
 			}
 			for _, l := range e.Digest.GetLoads() {
+				if _, present := g.registrar.Told(identifier.Endpoint(l.GetEndpoint()), identifier.Born(l.GetBorn())); !present {
+					// It was sent to an earlier life of the endpoint.
+					continue
+				}
 				sum := others[identifier.Endpoint(l.GetEndpoint())]
 				sum.TokensPerSecond += l.GetTokensPerSecond()
 				sum.Running += int(l.GetRunning())
@@ -182,11 +183,7 @@
 // store may turn some daemons away, or be cut off from them, while it serves the
 // others; and in a large fleet only a few follow it.
 func (g *Gateway) spread(d *rpc.Digest) {
-	for _, id := range d.GetLeaving() {
-		if g.registry.MarkLeaving(identifier.Host(id), firstIncarnation, time.Time{}) {
-			g.c.Logger.Info("endpoint leaving", "endpoint", id, "source", d.GetHost())
-		}
-	}
+	g.markLeaving(d)
 	g.versioner.Told(identifier.ConfigurationNumber(d.GetConfigurationNumber()))
 	if c := g.versioner.InForce(); c != nil && uint64(c.Number()) < d.GetConfigurationNumber() {
 		g.catalogs.Want(d.GetAddress(), d.GetConfigurationNumber())
@@ -196,11 +193,33 @@
 	}
 }
 
+// markLeaving takes over which endpoints a peer knows to leave. It counts for the life of
+// the endpoint that the peer means, not for one that started under the same id since. A
+// peer of the version before does not tell lives apart.
+func (g *Gateway) markLeaving(d *rpc.Digest) {
+	mark := func(id string, life identifier.Incarnation, known bool) {
+		if known && g.registry.MarkLeaving(identifier.Host(id), life, time.Time{}) {
+			g.c.Logger.Info("endpoint leaving", "endpoint", id, "life", life, "source", d.GetHost())
+		}
+	}
+	for _, l := range d.GetDepartures() {
+		life, known := g.registrar.Told(identifier.Endpoint(l.GetEndpoint()), identifier.Born(l.GetBorn()))
+		mark(l.GetEndpoint(), life, known)
+	}
+	if len(d.GetDepartures()) > 0 {
+		return
+	}
+	for _, id := range d.GetLeaving() {
+		life, known := g.registrar.ToldByID(identifier.Endpoint(id))
+		mark(id, life, known)
+	}
+}
+
 // note is what peers should know at once.
 func (g *Gateway) note() *rpc.Note {
 	d := g.c.Deployment
 	out := &rpc.Note{Host: string(d.Host), Address: d.Peers.String(), EndpointsRevision: g.endpointsRevision()}
-	out.Leaving = g.leaving()
+	out.Leaving, out.Departures = g.leaving()
 	if g.lease != nil {
 		out.HoldsDuties = g.lease.Sure()
 	}
@@ -220,7 +239,7 @@
 	g.led(n.GetHoldsDuties())
 	g.spread(&rpc.Digest{
 		Host: n.GetHost(), Address: n.GetAddress(), ConfigurationNumber: n.GetConfigurationNumber(), EndpointsRevision: n.GetEndpointsRevision(),
-		Leaving: n.GetLeaving(),
+		Leaving: n.GetLeaving(), Departures: n.GetDepartures(),
 	})
 }
 
@@ -230,6 +249,7 @@
 	for _, o := range r.GetObjects() {
 		out = append(out, object.Object{Key: o.GetKey(), Version: o.GetVersion(), Value: o.GetValue(), Deleted: o.GetDeleted()})
 	}
+	out = g.readable(out)
 	if r.GetFull() {
 		g.spreadNews(g.mirror.Replace(kind, out, r.GetRevision()), address)
 		return
@@ -237,15 +257,16 @@
 	g.spreadNews(g.mirror.Hear(out), address)
 }
 
-// leaving lists the endpoints that are listed and known to leave.
-func (g *Gateway) leaving() []string {
-	var out []string
+// leaving lists the endpoints that are listed and known to leave, for peers that do not
+// tell lives of an endpoint apart and for those that do.
+func (g *Gateway) leaving() (ids []string, departures []*rpc.Departure) {
 	for _, h := range g.registry.Hosts() {
 		if h.State == inventory.StateLeaving {
-			out = append(out, string(h.Host))
+			ids = append(ids, string(h.Host))
+			departures = append(departures, &rpc.Departure{Endpoint: string(h.Host), Born: int64(h.Born)})
 		}
 	}
-	return out
+	return ids, departures
 }
 
 // askPeers fills the beliefs of a daemon that started while the store turns it
@@ -298,28 +319,3 @@
 		}
 	}
 }
-
-// take takes in what the store told at once.
-func (g *Gateway) take(objects []object.Object) { g.spreadNews(g.mirror.Apply(objects), sourceStore) }
-
-// sourceStore names the store as the source of news; peers are named by address.
-const sourceStore = "store"
-
-// spreadNews acts by what is new, and tells peers of it.
-func (g *Gateway) spreadNews(news []object.Object, source string) {
-	if len(news) == 0 {
-		return
-	}
-	var endpoints []object.Object
-	for _, o := range news {
-		if strings.HasPrefix(o.Key, platform.CatalogKind+"/") {
-			g.configuration(o, source)
-		} else {
-			endpoints = append(endpoints, o)
-		}
-	}
-	if len(endpoints) > 0 {
-		g.endpointsChanged(endpoints)
-	}
-	g.swapper.Hurry(g.follows())
-}
--- a/internal/route/candidate/candidate.go
+++ b/internal/route/candidate/candidate.go
@@ -59,9 +59,11 @@
 	Endpoint    identifier.Endpoint
 	Host        identifier.Host
 	Incarnation identifier.Incarnation
-	Pool        identifier.Pool
-	Class       document.Class
-	Address     string
+	// Born tells the life to other daemons.
+	Born    identifier.Born
+	Pool    identifier.Pool
+	Class   document.Class
+	Address string
 
 	// Deadline is when a leaving host goes; zero if not known.
 	Deadline time.Time
--- a/internal/route/registry/conversation.go
+++ b/internal/route/registry/conversation.go
@@ -17,9 +17,11 @@
 	Pool     identifier.Pool
 	Endpoint identifier.Endpoint
 	Host     identifier.Host
-	Address  string
-	Blocks   []prefix.Block
-	Last     time.Time
+	// Incarnation is the life of the host that has the cache.
+	Incarnation identifier.Incarnation
+	Address     string
+	Blocks      []prefix.Block
+	Last        time.Time
 }
 
 // remember notes where a conversation's newest turn went. The caller holds
@@ -35,7 +37,7 @@
 		return
 	}
 	r.conversations[q.Select.Prefix] = &Conversation{
-		Prefix: q.Select.Prefix, Premium: selector.Premium(q.Select.RecomputeWeight), Pool: q.Pool, Endpoint: c.Endpoint, Host: c.Host, Address: c.Address,
+		Prefix: q.Select.Prefix, Premium: selector.Premium(q.Select.RecomputeWeight), Pool: q.Pool, Endpoint: c.Endpoint, Host: c.Host, Incarnation: c.Incarnation, Address: c.Address,
 		Blocks: q.Blocks, Last: q.Select.Now,
 	}
 }
@@ -52,13 +54,23 @@
 func (r *Registry) Evacuees() []*Conversation {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	leaving := make(map[identifier.Endpoint]bool)
-	r.each(func(c *candidate.Candidate) { leaving[c.Endpoint] = c.Leaving })
+	type state struct{ listed, leaving bool }
+	lives := make(map[lifeKey]state)
+	listed := make(map[identifier.Endpoint]bool)
+	r.each(func(c *candidate.Candidate) {
+		lives[lifeKey{c.Endpoint, c.Incarnation}] = state{true, c.Leaving}
+		listed[c.Endpoint] = true
+	})
 	var out []*Conversation
 	for prefix, c := range r.conversations {
-		if leaving[c.Endpoint] {
+		life := lives[lifeKey{c.Endpoint, c.Incarnation}]
+		switch {
+		case life.leaving:
 			out = append(out, c)
 			delete(r.conversations, prefix)
+		case listed[c.Endpoint] && !life.listed:
+			// The endpoint has started again: there is nothing left to move.
+			delete(r.conversations, prefix)
 		}
 	}
 	return out
@@ -78,10 +90,10 @@
 		return ""
 	}
 	k := &p.candidates[i]
-	c.Endpoint, c.Host, c.Address = k.Endpoint, k.Host, k.Address
+	c.Endpoint, c.Host, c.Incarnation, c.Address = k.Endpoint, k.Host, k.Incarnation, k.Address
 	r.conversations[c.Prefix] = c
 	for _, b := range c.Blocks {
-		r.indexer.Add(b, r.id(k.Endpoint))
+		r.indexer.Add(b, r.id(k))
 	}
 	return k.Address
 }
--- a/internal/route/registry/load.go
+++ b/internal/route/registry/load.go
@@ -10,6 +10,8 @@
 // Load is what this daemon sends to an endpoint.
 type Load struct {
 	Endpoint identifier.Endpoint
+	// Born tells the endpoint's life.
+	Born identifier.Born
 	candidate.Others
 }
 
@@ -21,7 +23,7 @@
 	var out []Load
 	r.each(func(c *candidate.Candidate) {
 		if rate := c.Recent(now); rate >= least {
-			out = append(out, Load{c.Endpoint, candidate.Others{TokensPerSecond: rate, Running: int(c.InFlight), Unread: c.Unread()}})
+			out = append(out, Load{c.Endpoint, c.Born, candidate.Others{TokensPerSecond: rate, Running: int(c.InFlight), Unread: c.Unread()}})
 		}
 	})
 	return out
--- a/internal/route/registry/registry.go
+++ b/internal/route/registry/registry.go
@@ -30,7 +30,9 @@
 import (
 	"cmp"
 	"encoding/json"
+	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -107,14 +109,26 @@
 	usualWeight = 0.01
 )
 
+// lifeKey names one life of an endpoint: one that starts again under its id has nothing
+// cached of what it had.
+type lifeKey struct {
+	endpoint    identifier.Endpoint
+	incarnation identifier.Incarnation
+}
+
+// maxIDs is the number of lives from which on those that are not listed are forgotten.
+const maxIDs = 4096
+
 // Registry is safe for concurrent use.
 type Registry struct {
 	c Config
 
-	mu      sync.Mutex
-	hosts   map[string]inventory.Host
-	pools   map[identifier.Pool]*pool
-	ids     map[identifier.Endpoint]int32
+	mu    sync.Mutex
+	hosts map[string]inventory.Host
+	pools map[identifier.Pool]*pool
+	ids   map[lifeKey]int32
+	// lastID is the highest number given to a life.
+	lastID  int32
 	place   map[int32]int
 	indexer indexer.Indexer
 	// conversations are those sent to each endpoint, newest turn only.
@@ -144,7 +158,7 @@
 	}
 	return &Registry{
 		c: c, hosts: make(map[string]inventory.Host), pools: make(map[identifier.Pool]*pool),
-		ids: make(map[identifier.Endpoint]int32), place: make(map[int32]int), conversations: make(map[uint64]*Conversation),
+		ids: make(map[lifeKey]int32), place: make(map[int32]int), conversations: make(map[uint64]*Conversation),
 	}
 }
 
@@ -252,17 +266,20 @@
 			p.usual = old.usual
 		}
 		for i := range p.candidates {
-			r.place[r.id(p.candidates[i].Endpoint)] = i
+			r.place[r.id(&p.candidates[i])] = i
 		}
 	}
+	if len(r.ids) > maxIDs {
+		maps.DeleteFunc(r.ids, func(_ lifeKey, id int32) bool { _, listed := r.place[id]; return !listed })
+	}
 }
 
 func (r *Registry) add(h *inventory.Host, e *inventory.Endpoint, known map[identifier.Endpoint]candidate.Candidate) {
 	c, ok := known[e.Endpoint]
 	if !ok || c.Incarnation != h.Incarnation {
-		c = candidate.Candidate{Endpoint: e.Endpoint, Hash: xxhash.Sum64String(string(e.Endpoint)), Pulse: new(candidate.Pulse)}
+		c = candidate.Candidate{Endpoint: e.Endpoint, Hash: hash(e.Endpoint, h.Born), Pulse: new(candidate.Pulse)}
 	}
-	c.Host, c.Incarnation = h.Host, h.Incarnation
+	c.Host, c.Incarnation, c.Born = h.Host, h.Incarnation, h.Born
 	c.AvailabilityZone, c.Class = h.AvailabilityZone, h.Class
 	c.Pool, c.Address = e.Pool, e.Address
 	r.mark(&c)
@@ -274,11 +291,24 @@
 	p.candidates = append(p.candidates, c)
 }
 
-func (r *Registry) id(e identifier.Endpoint) int32 {
-	id, ok := r.ids[e]
+// hash is what places homes, the same at all daemons. A new life has lost what the homes
+// of the one before were for: they are spread over the others as if it were new, and do
+// not all wait for their parts to be read at one endpoint.
+func hash(e identifier.Endpoint, born identifier.Born) uint64 {
+	if born == 0 {
+		return xxhash.Sum64String(string(e))
+	}
+	return xxhash.Sum64String(string(e) + "/" + strconv.FormatInt(int64(born), 10))
+}
+
+// id is the number under which the indexer knows the present life of an endpoint.
+func (r *Registry) id(c *candidate.Candidate) int32 {
+	key := lifeKey{c.Endpoint, c.Incarnation}
+	id, ok := r.ids[key]
 	if !ok {
-		id = int32(len(r.ids) + 1)
-		r.ids[e] = id
+		r.lastID++
+		id = r.lastID
+		r.ids[key] = id
 	}
 	return id
 }
@@ -312,7 +342,7 @@
 	c.InFlight++
 	c.Sent(q.Select.Now, uncached)
 	p.usual += usualWeight * (float64(uncached) - p.usual)
-	id := r.id(c.Endpoint)
+	id := r.id(c)
 	r.indexer.Sent(q.Blocks, id)
 	r.remember(q, c)
 	return &Pick{
@@ -337,7 +367,7 @@
 	clear(p.cached)
 	r.indexer.Match(q.Blocks, func(id int32, n int) {
 		i, ok := r.place[id]
-		if ok && i < len(p.candidates) && r.ids[p.candidates[i].Endpoint] == id {
+		if ok && i < len(p.candidates) && r.id(&p.candidates[i]) == id {
 			p.cached[i] = q.tokens(n)
 		}
 	})
@@ -355,12 +385,15 @@
 func (r *Registry) Cached(e identifier.Endpoint, b prefix.Block, stored bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	id := r.id(e)
-	if stored {
-		r.indexer.Add(b, id)
-		return
-	}
-	r.indexer.Remove(b, id)
+	r.each(func(c *candidate.Candidate) {
+		switch {
+		case c.Endpoint != e:
+		case stored:
+			r.indexer.Add(b, r.id(c))
+		default:
+			r.indexer.Remove(b, r.id(c))
+		}
+	})
 }
 
 // Report takes in a load report, taken at a time of this daemon's clock.
@@ -447,7 +480,7 @@
 	r.each(func(c *candidate.Candidate) {
 		if c.Endpoint == e {
 			c.InFlight++
-			k = &Pick{Endpoint: e, Host: c.Host, Incarnation: c.Incarnation, Address: c.Address, Pool: c.Pool, PricePerSecond: c.PricePerSecond, Pulse: c.Pulse, id: r.id(e)}
+			k = &Pick{Endpoint: e, Host: c.Host, Incarnation: c.Incarnation, Address: c.Address, Pool: c.Pool, PricePerSecond: c.PricePerSecond, Pulse: c.Pulse, id: r.id(c)}
 		}
 	})
 	return k
