--- a/integration/gateway_test.go
+++ b/integration/gateway_test.go
@@ -447,3 +447,42 @@
 		}
 	}
 }
+
+// An engine ends while it works on a posting, and starts again under its id and address.
+// The new process would accept the same request; the posting may have run, so it must not
+// be sent again, and the caller must not be told that it has not run. A lookup goes on at
+// the other engine, and the new process serves as soon as it is listed.
+func TestEngineThatStartsAgainUnderItsID(t *testing.T) {
+	s := newSite(t)
+	e := s.engine(hosting.Config{ID: "i-1", Service: plainService, Born: 1000})
+	held := true
+	e.Behave(func(*http.Request) hosting.Behaviour {
+		if held {
+			return hosting.Hold
+		}
+		return hosting.Serve
+	})
+	h := s.host()
+	answer := make(chan hostedAnswer)
+	go func() { answer <- h.send(hostedRequest{ID: "posting", Target: onceTarget, Key: deskKey}) }()
+	eventually(t, "the engine works on the posting", func() error { return want("held", e.Holding(), 1) })
+	held = false
+	e.Restart()
+	if a := <-answer; a.status != http.StatusBadGateway {
+		t.Errorf("status %d %q, whether the posting has run is not known", a.status, a.body)
+	}
+	if runs := len(e.Runs()); runs != 1 {
+		t.Errorf("%d runs of the posting", runs)
+	}
+	s.store.Write(platform.EndpointKind, "i-1", e.Record("ready"))
+	eventually(t, "the new process serves", func() error {
+		return want("status", h.send(hostedRequest{Target: onceTarget, Key: deskKey}).status, http.StatusOK)
+	})
+	lives := make(map[any]bool)
+	for _, line := range h.lines("endpoint listed") {
+		lives[line["born"]] = true
+	}
+	if len(lives) != 2 {
+		t.Errorf("lives %v, two were listed", lives)
+	}
+}
--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -53,6 +53,8 @@
 	mu      sync.Mutex
 	answers map[string]soakAnswer
 	proxies []*injector.Injector
+	// proxyOf is each engine's address for the daemons.
+	proxyOf map[string]string
 	sent    int
 	served  int
 }
@@ -70,13 +72,13 @@
 }
 
 func runSoak(t *testing.T, seed uint64) {
-	s := &soak{site: newSite(t), r: rand.New(rand.NewPCG(seed, 0)), answers: make(map[string]soakAnswer)}
+	s := &soak{site: newSite(t), r: rand.New(rand.NewPCG(seed, 0)), answers: make(map[string]soakAnswer), proxyOf: make(map[string]string)}
 	s.fail = func(format string, args ...any) { t.Errorf("seed %d: "+format, append([]any{seed}, args...)...) }
 	s.duties = `["usage"]`
 	for n, c := range []hosting.Config{
-		{ID: "i-lm-1", Service: modelService, Events: 12},
-		{ID: "i-lm-2", Service: modelService, Events: 12},
-		{ID: "i-app-1", Service: plainService},
+		{ID: "i-lm-1", Service: modelService, Events: 12, Born: 1000},
+		{ID: "i-lm-2", Service: modelService, Events: 12, Born: 1000},
+		{ID: "i-app-1", Service: plainService, Born: 1000},
 		{ID: "i-app-2", Service: plainService},
 	} {
 		s.proxied(c, seed*10+uint64(n))
@@ -89,7 +91,7 @@
 	for n := range 2 * *soakHosts {
 		clients.Go(func() { s.client(rand.New(rand.NewPCG(seed, uint64(n+1))), n, stop) })
 	}
-	for n, f := range []func(*rand.Rand){s.hurtHosts, s.hurtStore, s.hurtLinks, s.change} {
+	for n, f := range []func(*rand.Rand){s.hurtHosts, s.hurtStore, s.hurtLinks, s.change, s.hurtEngines} {
 		faults.Go(func() {
 			r := rand.New(rand.NewPCG(seed, uint64(100+n)))
 			for end := time.Now().Add(*soakLength); time.Now().Before(end); {
@@ -116,8 +118,8 @@
 	}
 	s.t.Cleanup(p.Close)
 	s.proxies = append(s.proxies, p)
-	record["Address"] = p.Address()
-	s.store.Write("servers", c.ID, record)
+	s.proxyOf[c.ID] = p.Address()
+	s.list(c.ID, "ready")
 	r, mu := rand.New(rand.NewPCG(seed, 1)), new(sync.Mutex)
 	e.Behave(func(*http.Request) hosting.Behaviour {
 		mu.Lock()
@@ -129,6 +131,45 @@
 	})
 }
 
+// list writes an engine's record.
+func (s *soak) list(id, state string) {
+	record := s.engines[id].Record(state)
+	record["Address"] = s.proxyOf[id]
+	s.store.Write("servers", id, record)
+}
+
+// spoilt are records that no engine writes.
+var spoilt = []any{
+	nil, "gone", 7, []int{1}, map[string]any{}, map[string]any{"Service": 5},
+	map[string]any{"Service": plainService, "Address": "nowhere", "Zone": "hall-a", "State": "ready"},
+	map[string]any{"Service": plainService, "Address": "127.0.0.1:1", "Zone": "hall-a", "State": "resting"},
+}
+
+// hurtEngines starts an engine again under its id, or spoils a record.
+func (s *soak) hurtEngines(r *rand.Rand) {
+	ids := []string{"i-lm-1", "i-lm-2", "i-app-1", "i-app-2"}
+	id := ids[r.IntN(len(ids))]
+	pause := time.Duration(r.IntN(400)) * time.Millisecond
+	switch r.IntN(4) {
+	case 0:
+		s.list(id, "draining")
+		time.Sleep(pause)
+		s.engines[id].Restart()
+	case 1:
+		s.engines[id].Restart()
+		time.Sleep(pause)
+	case 2:
+		s.store.Write("servers", id, spoilt[r.IntN(len(spoilt))])
+		time.Sleep(pause)
+	case 3:
+		s.store.Write("servers", "i-foreign", spoilt[r.IntN(len(spoilt))])
+		time.Sleep(pause)
+		s.store.Remove("servers", "i-foreign")
+	}
+	s.list(id, "ready")
+	time.Sleep(time.Duration(r.IntN(500)) * time.Millisecond)
+}
+
 // client sends requests one after the other, over a kept connection while it
 // lasts, until the soak ends.
 func (s *soak) client(r *rand.Rand, n int, stop <-chan struct{}) {
--- a/internal/standin/hosting/hosting.go
+++ b/internal/standin/hosting/hosting.go
@@ -80,6 +80,8 @@
 	// Events is the length of a stream; 0 for plain answers.
 	Events int
 	Spot   bool
+	// Born is when it started, in milliseconds from 1970; 0 if it does not say so.
+	Born int64
 }
 
 // Engine is one engine. It is an http.Handler and safe for concurrent use.
@@ -92,10 +94,14 @@
 	arrived int
 	hold    chan struct{}
 	holding int
+	// ended is closed when this life of the engine ends.
+	ended chan struct{}
 }
 
 // NewEngine returns an engine that serves.
-func NewEngine(c Config) *Engine { return &Engine{c: c, hold: make(chan struct{})} }
+func NewEngine(c Config) *Engine {
+	return &Engine{c: c, hold: make(chan struct{}), ended: make(chan struct{})}
+}
 
 // Behave makes the engine ask how to treat each request.
 func (e *Engine) Behave(f func(*http.Request) Behaviour) {
@@ -112,6 +118,16 @@
 	e.hold = make(chan struct{})
 }
 
+// Restart ends this life of the engine: what it works on is broken off. The next one has
+// the same id and address, and its own time of birth.
+func (e *Engine) Restart() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	close(e.ended)
+	e.ended = make(chan struct{})
+	e.c.Born++
+}
+
 // Runs returns what the engine ran, in the order of its beginning.
 func (e *Engine) Runs() []Run {
 	e.mu.Lock()
@@ -135,9 +151,15 @@
 
 // Record is the engine's entry in the store.
 func (e *Engine) Record(state string) map[string]any {
-	return map[string]any{
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := map[string]any{
 		"Service": e.c.Service, "Address": e.c.Address, "Zone": e.c.Zone, "State": state, "Slots": 8, "Spot": e.c.Spot,
 	}
+	if e.c.Born > 0 {
+		out["born"] = e.c.Born
+	}
+	return out
 }
 
 // ServeHTTP takes one request.
@@ -170,11 +192,12 @@
 	}
 	e.mu.Lock()
 	e.runs = append(e.runs, run)
+	ended := e.ended
 	e.mu.Unlock()
-	e.run(w, r, how, after)
+	e.run(w, r, how, after, ended)
 }
 
-func (e *Engine) run(w http.ResponseWriter, r *http.Request, how Behaviour, after int) {
+func (e *Engine) run(w http.ResponseWriter, r *http.Request, how Behaviour, after int, ended <-chan struct{}) {
 	if how != Unsigned {
 		w.Header().Set("Response-Stamp", "stamp-"+e.c.ID)
 	}
@@ -186,7 +209,7 @@
 	case Drop:
 		panic(http.ErrAbortHandler)
 	case Hold:
-		e.wait(r)
+		e.wait(r, ended)
 	case Encoded:
 		w.Header().Set("Content-Encoding", "gzip")
 	case Unframed, Twice, Foreign:
@@ -197,24 +220,30 @@
 		e.plain(w, how)
 		return
 	}
-	e.stream(w, how, after)
+	e.stream(w, how, after, ended)
 }
 
 // Text is the body of an engine's plain answer.
 func (e *Engine) Text() string { return "answer of " + e.c.ID }
 
-func (e *Engine) wait(r *http.Request) {
+func (e *Engine) wait(r *http.Request, ended <-chan struct{}) {
 	e.mu.Lock()
 	hold := e.hold
 	e.holding++
 	e.mu.Unlock()
+	gone := false
 	select {
 	case <-hold:
+	case <-ended:
+		gone = true
 	case <-r.Context().Done():
 	}
 	e.mu.Lock()
 	e.holding--
 	e.mu.Unlock()
+	if gone {
+		panic(http.ErrAbortHandler)
+	}
 }
 
 func (e *Engine) plain(w http.ResponseWriter, how Behaviour) {
@@ -230,10 +259,15 @@
 // Event is the text of one event of a stream.
 func Event(n int) string { return fmt.Sprintf("id: %d\ndata: piece %d\n\n", n, n) }
 
-func (e *Engine) stream(w http.ResponseWriter, how Behaviour, after int) {
+func (e *Engine) stream(w http.ResponseWriter, how Behaviour, after int, ended <-chan struct{}) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	flush := http.NewResponseController(w).Flush
 	for n := after + 1; n <= e.c.Events; n++ {
+		select {
+		case <-ended:
+			panic(http.ErrAbortHandler)
+		default:
+		}
 		if how == Break && n > e.c.Events/2 {
 			_, _ = io.WriteString(w, Event(n)[:10])
 			_ = flush()
