--- a/internal/peer/exchanger/exchanger.go
+++ b/internal/peer/exchanger/exchanger.go
@@ -37,6 +37,7 @@
 
 	"brasschute/internal/config/keeper"
 	"brasschute/internal/core/identifier"
+	"brasschute/internal/core/watchdog"
 	"brasschute/internal/engine/report"
 	"brasschute/internal/peer/holder"
 	"brasschute/internal/peer/ledger"
@@ -50,7 +51,11 @@
 const (
 	defaultPeriod = time.Second
 	callTimeout   = time.Second
-	fanOut        = 3
+	// fetchTime bounds the transfer of a configuration as long as its bytes come; in
+	// silence it ends after callTimeout. A transfer that was given up after a fixed
+	// second began anew, and over a narrow link never ended.
+	fetchTime = 5 * time.Second
+	fanOut    = 3
 	// Every otherZoneEvery-th round goes to another zone, every deadEvery-th
 	// to a member held for dead.
 	otherZoneEvery = 4
@@ -287,9 +292,10 @@
 }
 
 func (x *Exchanger) fetch(ctx context.Context, address string) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, fetchTime)
 	defer cancel()
-	reply, err := x.Peer(address).Configuration(ctx, &rpc.ConfigurationRequest{})
+	patient := watchdog.New(watchdog.Config{Transport: x.c.Client.Transport, Silence: callTimeout})
+	reply, err := rpc.NewPeerProtobufClient("http://"+address, patient).Configuration(ctx, &rpc.ConfigurationRequest{})
 	if err != nil {
 		return
 	}
--- a/internal/platform/client/client.go
+++ b/internal/platform/client/client.go
@@ -29,11 +29,14 @@
 	"sync/atomic"
 	"time"
 
+	"brasschute/internal/core/watchdog"
 	"brasschute/internal/platform/object"
 )
 
 const (
 	dialTimeout = time.Second
+	// readTimeout ends a read whose bytes come too slowly to be of use.
+	readTimeout = 20 * time.Second
 	// maxAnswer bounds what is read of one answer: a full list at the size of
 	// docs/CAPACITY.md is under a megabyte.
 	maxAnswer = 16 << 20
@@ -43,7 +46,8 @@
 type Config struct {
 	// Address is IP:port.
 	Address string
-	// Timeout bounds each call but watches; 2 s if zero.
+	// Timeout bounds each write, and for each read the time until something comes: how
+	// long a list takes depends on its size and on the link. 2 s if zero.
 	Timeout time.Duration
 	// Source is the local address to connect from; nil for any.
 	Source net.Addr
@@ -53,7 +57,7 @@
 type Client struct {
 	base    string
 	timeout time.Duration
-	http    http.Client
+	http    *watchdog.Watchdog
 	calls   atomic.Int64
 	// now is the platform's clock as last told, in Unix seconds.
 	now atomic.Int64
@@ -67,7 +71,7 @@
 	return &Client{
 		base:    "http://" + c.Address + "/v1/",
 		timeout: c.Timeout,
-		http:    http.Client{Transport: &http.Transport{DialContext: dialer(c.Source)}},
+		http:    watchdog.New(watchdog.Config{Transport: &http.Transport{DialContext: dialer(c.Source)}, Silence: c.Timeout}),
 	}
 }
 
@@ -86,10 +90,8 @@
 
 // Get reads one object.
 func (c *Client) Get(ctx context.Context, key string) (object.Object, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
-	defer cancel()
 	var o object.Object
-	err := c.do(ctx, http.MethodGet, "objects/"+key, nil, nil, &o)
+	err := c.read(ctx, "objects/"+key, 0, &o)
 	return o, err
 }
 
@@ -103,7 +105,7 @@
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	var o object.Object
-	err = c.do(ctx, http.MethodPut, "objects/"+key, condition(ifVersion), body, &o)
+	err = c.do(ctx, http.MethodPut, "objects/"+key, 0, condition(ifVersion), body, &o)
 	return o, err
 }
 
@@ -111,15 +113,13 @@
 func (c *Client) Delete(ctx context.Context, key string, ifVersion uint64) error {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	return c.do(ctx, http.MethodDelete, "objects/"+key, condition(ifVersion), nil, nil)
+	return c.do(ctx, http.MethodDelete, "objects/"+key, 0, condition(ifVersion), nil, nil)
 }
 
 // List reads all objects under the prefixes.
 func (c *Client) List(ctx context.Context, prefixes ...string) (object.Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
-	defer cancel()
 	var p object.Page
-	err := c.do(ctx, http.MethodGet, "objects?"+url.Values{"prefix": prefixes}.Encode(), nil, nil, &p)
+	err := c.read(ctx, "objects?"+url.Values{"prefix": prefixes}.Encode(), 0, &p)
 	return p, err
 }
 
@@ -127,16 +127,21 @@
 // until wait is over, and returns the changed ones. It is one platform call
 // however many prefixes it names.
 func (c *Client) Watch(ctx context.Context, after uint64, wait time.Duration, prefixes ...string) (object.Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+c.timeout)
-	defer cancel()
 	q := url.Values{"prefix": prefixes}
 	q.Set("after", strconv.FormatUint(after, 10))
 	q.Set("wait", wait.String())
 	var p object.Page
-	err := c.do(ctx, http.MethodGet, "watch?"+q.Encode(), nil, nil, &p)
+	err := c.read(ctx, "watch?"+q.Encode(), wait, &p)
 	return p, err
 }
 
+// read makes a call that the platform answers after a wait.
+func (c *Client) read(ctx context.Context, path string, wait time.Duration, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, wait+readTimeout)
+	defer cancel()
+	return c.do(ctx, http.MethodGet, path, wait, nil, nil, out)
+}
+
 func condition(ifVersion uint64) http.Header {
 	if ifVersion == object.Absent {
 		return http.Header{"If-None-Match": {"*"}}
@@ -144,7 +149,7 @@
 	return http.Header{"If-Match": {strconv.Quote(strconv.FormatUint(ifVersion, 10))}}
 }
 
-func (c *Client) do(ctx context.Context, method, path string, header http.Header, body []byte, out any) error {
+func (c *Client) do(ctx context.Context, method, path string, wait time.Duration, header http.Header, body []byte, out any) error {
 	c.calls.Add(1)
 	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
 	if err != nil {
@@ -153,7 +158,7 @@
 	for name, values := range header {
 		req.Header[name] = values
 	}
-	resp, err := c.http.Do(req)
+	resp, err := c.http.DoAfter(req, wait)
 	if err != nil {
 		return object.Lost(method, err)
 	}
