--- a/internal/role/gateway/fleet_test.go
+++ b/internal/role/gateway/fleet_test.go
@@ -72,6 +72,25 @@
 	f.stop = append(f.stop, func() { server.Close() })
 }
 
+// startTime is how long a fleet takes to know all its daemons, and endpoints.
+const startTime = 10 * time.Second
+
+// settle waits until a fleet that has started knows itself.
+func (f *testFleet) settle() { time.Sleep(startTime) }
+
+// inFleet runs a test among n daemons that serve a small configuration.
+func inFleet(t *testing.T, n int, check func(f *testFleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t)
+		defer f.end()
+		f.grow(1)
+		f.start(n)
+		f.settle()
+		check(f)
+	})
+}
+
 // name is random text, as names of routes and hosts are.
 func (f *testFleet) name() string { return f.text(8) }
 
