--- a/internal/route/allotter/large_test.go
+++ b/internal/route/allotter/large_test.go
@@ -22,6 +22,8 @@
 	order []int
 	// quiet: nobody swaps by itself.
 	quiet bool
+	// cut are daemons that nobody hears, and that hear nobody.
+	cut [many]bool
 	// lives counts the processes of each host, born is when the last one began.
 	// tail makes a few requests many times as large as the mean.
 	tail  bool
@@ -97,7 +99,7 @@
 		}
 		for l.due += pairs; l.due >= 1 && !l.quiet; l.due-- {
 			l.next = (l.next + 1) % (many * many)
-			if a, b := l.order[l.next]%many, l.order[l.next]/many; a < b {
+			if a, b := l.order[l.next]%many, l.order[l.next]/many; a < b && !l.cut[a] && !l.cut[b] {
 				l.hear(a, b)
 				l.hear(b, a)
 			}
@@ -313,3 +315,28 @@
 		})
 	}
 }
+
+// An organisation sends six times its usual, and half a second later a third of the
+// daemons is cut off from all others. Neither side has heard yet of what the other
+// charges now: each of those that are cut off takes the rest for as idle as it was before,
+// and gave out more than its part for nine seconds, until the rest counted as silent:
+// 25.7 million tokens in a window, where 18.2 are allowed.
+func TestCutDuringASuddenLoadKeepsTheQuota(t *testing.T) {
+	for _, c := range []struct{ rate, burst float64 }{{150_000, 150_000}, {540_000, 540_000}, {1_600_000, 3_600_000}} {
+		t.Run(fmt.Sprint(c.rate), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := newLarge(uint64(c.rate))
+				o := &catalog.Organisation{Name: "desk", RatePerSecond: c.rate, Burst: c.burst}
+				l.load(o, 0.55*c.rate/tokens, 14*time.Second)
+				l.load(o, 3.3*c.rate/tokens, 500*time.Millisecond)
+				for i := range many / 3 {
+					l.cut[i] = true
+				}
+				l.load(o, 3.3*c.rate/tokens, 12*time.Second)
+				if got, limit := l.most(), limitOf(o); got > limit {
+					t.Errorf("%.0f tokens in a window, limit %.0f", got, limit)
+				}
+			})
+		})
+	}
+}
