--- a/internal/route/allotter/large_test.go
+++ b/internal/route/allotter/large_test.go
@@ -340,3 +340,27 @@
 		})
 	}
 }
+
+// The same with other draws of the load. The daemons that are cut off give out their own
+// parts, and the others, until those count as silent after 9.6 s, only what they were seen
+// to charge before the sudden load: together 1.012 of the limit with the third draw. A
+// fleet of 58 gave out 1.003 of it in a window.
+func TestCutDuringASuddenLoadOnOtherDraws(t *testing.T) {
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint(seed+1), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := newLarge(seed + 1)
+				o := &catalog.Organisation{Name: "desk", RatePerSecond: 1_605_000, Burst: 3_585_000}
+				l.load(o, 0.55*o.RatePerSecond/tokens, 14*time.Second)
+				l.load(o, 3.3*o.RatePerSecond/tokens, 500*time.Millisecond)
+				for i := range many / 3 {
+					l.cut[i] = true
+				}
+				l.load(o, 3.3*o.RatePerSecond/tokens, 12*time.Second)
+				if got, limit := l.most(), limitOf(o); got > limit {
+					t.Errorf("%.0f tokens in a window, limit %.0f", got, limit)
+				}
+			})
+		})
+	}
+}
