--- a/internal/route/allotter/allotter.go
+++ b/internal/route/allotter/allotter.go
@@ -65,10 +65,6 @@
 	// carried on.
 	silentNews   = 2.5
 	leastSilence = 3 * time.Second
-	// A daemon that hears nobody for leastQuiet, and for quietNews times the usual time
-	// between two news, is cut off from all: the others count as silent at once.
-	quietNews  = 16
-	leastQuiet = time.Second
 	// memory is how long a silent daemon's part is set aside. A killed process
 	// is back within a few seconds; one that is gone for good is not.
 	memory = 30 * time.Second
@@ -165,8 +161,6 @@
 	counted time.Time
 	// kept is what was written down of the levels before this daemon's start.
 	kept *Record
-	// heardAt is when any daemon was heard last.
-	heardAt time.Time
 	// isolated is when this daemon last heard less than half of the fleet.
 	isolated time.Time
 }
@@ -198,17 +192,7 @@
 
 // silence is the time after which a daemon counts as silent.
 func (a *Allotter) silence() time.Duration {
-	usual := max(leastSilence, time.Duration(silentNews*float64(a.c.News())))
-	if quiet := time.Since(a.heardAt); !a.heardAt.IsZero() && quiet >= a.quietTime() {
-		return min(usual, quiet)
-	}
-	return usual
-}
-
-// quietTime is how long nobody is heard before this daemon is taken to be cut off from
-// all: quietNews times the usual time between the news of two.
-func (a *Allotter) quietTime() time.Duration {
-	return max(leastQuiet, quietNews*a.c.News()/time.Duration(len(a.others)+1))
+	return max(leastSilence, time.Duration(silentNews*float64(a.c.News())))
 }
 
 // Admit charges a request to its organisation, unless there is no room for it.
--- a/internal/route/allotter/news.go
+++ b/internal/route/allotter/news.go
@@ -113,7 +113,7 @@
 	}
 	since := now.Sub(r.heard)
 	knows := a.knowsMore(r, n.Age, since, now)
-	r.heard, r.age, a.heardAt = now, n.Age, now
+	r.heard, r.age = now, n.Age
 	for name, told := range n.Accounts {
 		c := r.count(name)
 		a.account(c, name, told, since, knows)
