--- a/internal/role/gateway/news.go
+++ b/internal/role/gateway/news.go
@@ -91,7 +91,7 @@
 		Host: string(d.Host), AvailabilityZone: string(d.AvailabilityZone), Address: d.Peers.String(),
 		Incarnation: uint64(g.started.UnixNano()), Sequence: g.sequence.Add(1), UnixMilli: g.clock.Now().UnixMilli(),
 		AgeMilli: time.Since(g.started).Milliseconds(),
-		Stopping: g.stopping.Load(), LinkBytesPerSecond: d.LinkBytes,
+		Stopping: g.stopping.Load(),
 	}
 	out.ConfigurationNumber = g.number()
 	for _, n := range g.tallier.Counts() {
