gateway: a late record does not end its endpoint

The store and peers tell at the same time, outside of one lock; the older record, taken in last, is stale to the registrar and was treated as a spoilt one: the endpoint was left out until its record changed. TestLateRecordDoesNotEndTheEndpoint fails before.

--- a/internal/role/gateway/objects.go
+++ b/internal/role/gateway/objects.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"fmt"
 	"strings"
 	"time"
@@ -9,6 +10,7 @@
 	"brasschute/internal/core/identifier"
 	"brasschute/internal/platform/inventory"
 	"brasschute/internal/platform/object"
+	"brasschute/internal/platform/registrar"
 	"brasschute/platform"
 )
 
@@ -110,6 +112,10 @@
 	for i := range objects {
 		id := strings.TrimPrefix(objects[i].Key, platform.EndpointKind+"/")
 		h, err := g.endpoint(id, &objects[i])
+		if errors.Is(err, registrar.ErrStale) {
+			// The store and peers tell at the same time; the newer record holds.
+			continue
+		}
 		if err != nil {
 			// The record names no endpoint to use, whatever stood there before.
 			g.unreadable([]error{fmt.Errorf("%s, revision %d: %w", objects[i].Key, objects[i].Version, err)})
--- a/internal/role/gateway/objects_test.go
+++ b/internal/role/gateway/objects_test.go
@@ -9,6 +9,7 @@
 	"brasschute/internal/core/identifier"
 	"brasschute/internal/peer/rpc"
 	"brasschute/internal/platform/inventory"
+	"brasschute/internal/platform/object"
 	"brasschute/internal/route/candidate"
 	"brasschute/internal/standin/hosting"
 	"brasschute/platform"
@@ -212,3 +213,16 @@
 		}
 	}
 }
+
+// The store and a peer tell of one endpoint at the same moment, and the older record is
+// taken in last. It was taken for a spoilt one, and the endpoint got no request any more
+// until its record changed again, which may be never.
+func TestLateRecordDoesNotEndTheEndpoint(t *testing.T) {
+	inFleet(t, 1, func(f *testFleet) {
+		f.list("i-2", "ready", 1000)
+		f.settle()
+		older := object.Object{Key: platform.EndpointKind + "/i-2", Version: 1, Value: f.store.Spec(platform.EndpointKind, "i-2")}
+		f.daemons[0].endpointsChanged([]object.Object{older})
+		f.expect("i-2", "born 1000, leaving false")
+	})
+}
