allotter: a cut is noticed by the gaps between news; logs and a counter tell of it

Change: quiet is 2.5 times the longest gap between two news of late, which a daemon of sixty measures as a tenth of a second, and one whose news comes once a second as that. The verdict, the reason of a refusal, one bounded line and a counter tell of it; 'endpoints ordered' tells what may be wanted at most.

--- a/internal/fleet/orderer/orderer.go
+++ b/internal/fleet/orderer/orderer.go
@@ -183,6 +183,9 @@
 	return engines
 }
 
+// bound is the most endpoints that may be wanted where so many served of late.
+func (n *need) bound() float64 { return max(mostGrowth*n.engines, 1) }
+
 // New returns an orderer that has ordered nothing.
 func New(c Config) *Orderer {
 	return &Orderer{
@@ -297,7 +300,7 @@
 		p = &need{engines: serving, peak: now}
 		o.peaks[s] = p
 	}
-	return max(mostGrowth*p.engines, 1)
+	return p.bound()
 }
 
 // firstLoad tells whether a service's first requests are still so few seconds ago
@@ -361,7 +364,8 @@
 	err := o.c.Order(ctx, o.fencing, s.Service, z, class, wanted)
 	o.c.Logger.Info("endpoints ordered", "service", s.Service, "zone", z, "class", class, "wanted", wanted, "before", t.ordered,
 		"listed", t.listed, "fencing", o.fencing, "tokens_per_second", int(s.Demand.Tokens), "running", s.Demand.Running,
-		"engine_tokens_per_second", int(s.Capacity.Tokens), "needed", s.Capacity.Need(s.Demand), "error", err)
+		"engine_tokens_per_second", int(s.Capacity.Tokens), "needed", s.Capacity.Need(s.Demand),
+		"at_most", o.peaks[s.Service].bound(), "error", err)
 	t.at = now
 	switch {
 	case err == nil:
--- a/internal/role/gateway/admission.go
+++ b/internal/role/gateway/admission.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"sync/atomic"
 	"time"
 
 	"brasschute/internal/core/identifier"
@@ -16,6 +17,9 @@
 	if q.Organisation != nil && v.Level < -deepTime.Seconds()*q.Organisation.RatePerSecond {
 		g.deep(q, v)
 	}
+	if v.Quiet > 0 {
+		g.alone(q, v)
+	}
 	return v
 }
 
@@ -23,22 +27,38 @@
 	// deepTime's worth of a rate below zero is further than news that is seconds old
 	// explains: an estimate has gone astray, or a daemon gives out what it should not.
 	deepTime = 3 * time.Second
-	// deepPause bounds the lines that say so.
-	deepPause = 5 * time.Second
+	// linePause bounds the lines about quotas, of each kind.
+	linePause = 5 * time.Second
 )
 
 // deep counts a request that found its organisation's level far below zero, and writes
 // a line now and then.
 func (g *Gateway) deep(q *request.Request, v allotter.Verdict) {
 	g.scope.Tagged(map[string]string{"organisation": string(q.Organisation.Name)}).Counter("quota_levels_deep").Inc(1)
-	last, now := g.deepTold.Load(), time.Now().UnixNano()
-	if now-last < int64(deepPause) || !g.deepTold.CompareAndSwap(last, now) {
+	if !due(&g.deepTold) {
 		return
 	}
 	g.c.Logger.Warn("level of a quota far below zero", "request", q.ID, "organisation", q.Organisation.Name, "level", int(v.Level),
 		"rate", int(v.Rate), "set_aside", v.Reserved, "news_age_ms", g.swapper.NewsAge().Milliseconds())
 }
 
+// alone counts a request that found this daemon cut off from all others, which holds it to
+// its equal part of each quota, and writes a line now and then.
+func (g *Gateway) alone(q *request.Request, v allotter.Verdict) {
+	g.scope.Tagged(map[string]string{"organisation": string(q.Organisation.Name)}).Counter("quota_requests_cut_off").Inc(1)
+	if !due(&g.aloneTold) {
+		return
+	}
+	g.c.Logger.Warn("no other daemon is heard, quotas held to the equal part", "request", q.ID, "organisation", q.Organisation.Name,
+		"quiet_ms", v.Quiet.Milliseconds(), "part", int(v.Part), "rate", int(v.Rate), "admitted", v.RetryAfter == 0)
+}
+
+// due tells whether the last line was written linePause ago; if so, it is written now.
+func due(told *atomic.Int64) bool {
+	last, now := told.Load(), time.Now().UnixNano()
+	return now-last >= int64(linePause) && told.CompareAndSwap(last, now)
+}
+
 // Spend grants a repeated send to a service.
 func (g *Gateway) Spend(s identifier.Service) bool { return g.budget(s).Spend() }
 
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -159,8 +159,10 @@
 	clock    *chronometer.Chronometer
 	tallier  *tallier.Tallier
 	allotter *allotter.Allotter
-	// deepTold is when a level far below zero was last written down.
-	deepTold atomic.Int64
+	// deepTold is when a level far below zero was last written down, aloneTold when that
+	// this daemon is cut off.
+	deepTold  atomic.Int64
+	aloneTold atomic.Int64
 	// estimator learns how fast engines are.
 	estimator estimator.Estimator
 	demander  demander.Demander
--- a/internal/route/allotter/allotter.go
+++ b/internal/route/allotter/allotter.go
@@ -65,21 +65,24 @@
 	// carried on.
 	silentNews   = 2.5
 	leastSilence = 3 * time.Second
-	// A daemon that hears nobody for leastQuiet, and for quietNews times the usual time
-	// between two news, is cut off from all, and gives out its equal part at most.
-	quietNews  = 16
-	leastQuiet = time.Second
+	// A daemon that hears nobody for quietGaps times the longest gap between two news of
+	// late, and for leastQuiet, is cut off from all, and gives out its equal part at most.
+	// firstGap is taken for the longest when a daemon starts; a gap is forgotten over
+	// gapMemory.
+	quietGaps  = 2.5
+	leastQuiet = 400 * time.Millisecond
+	firstGap   = time.Second
+	gapMemory  = 5 * time.Second
 	// memory is how long a silent daemon's part is set aside. A killed process
 	// is back within a few seconds; one that is gone for good is not.
 	memory = 30 * time.Second
 	// unseenTime is the time's worth of a quota that is kept of the tolerated
 	// overage: a sudden load at all daemons at once goes unseen until news comes.
 	// Measured, at eight times an organisation's usual load and news of usualNews:
-	// 1.45 s. Later news keeps unseenNews of its delay besides: with 0.5, a third of sixty
-	// daemons cut off in a sudden load brought 1 of 40 replays to 1.004 of the limit.
+	// 1.45 s. Later news keeps unseenNews of its delay besides.
 	unseenTime = 2200 * time.Millisecond
 	usualNews  = time.Second
-	unseenNews = 0.6
+	unseenNews = 0.5
 	// leastBurst of an organisation's burst is given out at once even where the
 	// overage is too small for what goes unseen.
 	leastBurst = 0.6
@@ -166,8 +169,10 @@
 	counted time.Time
 	// kept is what was written down of the levels before this daemon's start.
 	kept *Record
-	// heardAt is when any daemon was heard last.
+	// heardAt is when any daemon was heard last, gap the longest time between two news
+	// of late.
 	heardAt time.Time
+	gap     time.Duration
 	// isolated is when this daemon last heard less than half of the fleet.
 	isolated time.Time
 }
@@ -182,7 +187,7 @@
 	}
 	return &Allotter{
 		c: c, start: time.Now(), buckets: make(map[identifier.Organisation]*bucket),
-		others: make(map[remoteKey]*remote),
+		others: make(map[remoteKey]*remote), gap: firstGap,
 	}
 }
 
@@ -195,6 +200,10 @@
 	Rate  float64
 	// Reserved is the part set aside for daemons that are not heard.
 	Reserved float64
+	// Quiet is how long nobody has been heard, if this daemon takes itself to be cut off
+	// from all others, and Part what is left of its own part then; otherwise 0.
+	Quiet time.Duration
+	Part  float64
 }
 
 // silence is the time after which a daemon counts as silent.
@@ -207,8 +216,21 @@
 // as they were, and serve a sudden load of its own clients alone as if it were the only one:
 // a third of sixty daemons gave out 1.4 times the quota.
 func (a *Allotter) cutOff(now time.Time) bool {
-	quiet := max(leastQuiet, quietNews*a.c.News()/time.Duration(len(a.others)+1))
-	return !a.heardAt.IsZero() && len(a.others) > 0 && now.Sub(a.heardAt) >= quiet
+	return !a.heardAt.IsZero() && now.Sub(a.heardAt) > max(leastQuiet, time.Duration(quietGaps*float64(a.gap)))
+}
+
+// hear takes in that some daemon is heard now. A gap counts as twice the longest of late at
+// most: after a cut the next one is still noticed.
+func (a *Allotter) hear(now time.Time) {
+	if !a.heardAt.IsZero() {
+		gap := now.Sub(a.heardAt)
+		faded := time.Duration(float64(a.gap) * math.Exp(-gap.Seconds()/gapMemory.Seconds()))
+		a.gap = max(min(gap, 2*a.gap), faded)
+	}
+	a.heardAt = now
+	for _, b := range a.buckets {
+		b.ownHeard = b.own
+	}
 }
 
 // confine holds a bucket to this daemon's equal part while it is cut off. What it charged
@@ -238,6 +260,9 @@
 	b.asked += charge * math.Ln2 / demandHalf.Seconds()
 	b.mean += meanWeight * (charge - b.mean)
 	v := Verdict{Level: b.level() - unseen, Rate: b.rate, Reserved: a.reserved(now)}
+	if b.alone {
+		v.Quiet, v.Part = now.Sub(a.heardAt), b.part
+	}
 	if o.RatePerSecond > 0 {
 		if missing := b.missing(charge, v.Level); missing > 0 {
 			v.RetryAfter = retry(missing, b.rate*b.share)
--- a/internal/route/allotter/large_test.go
+++ b/internal/route/allotter/large_test.go
@@ -333,6 +333,9 @@
 					l.cut[i] = true
 				}
 				l.load(o, 3.3*c.rate/tokens, 12*time.Second)
+				if l.daemons[0].Admit(o, tokens).Quiet == 0 || l.daemons[many-1].Admit(o, tokens).Quiet > 0 {
+					t.Error("not those that are cut off say so")
+				}
 				if got, limit := l.most(), limitOf(o); got > limit {
 					t.Errorf("%.0f tokens in a window, limit %.0f", got, limit)
 				}
--- a/internal/route/allotter/news.go
+++ b/internal/route/allotter/news.go
@@ -113,10 +113,8 @@
 	}
 	since := now.Sub(r.heard)
 	knows := a.knowsMore(r, n.Age, since, now)
-	r.heard, r.age, a.heardAt = now, n.Age, now
-	for _, b := range a.buckets {
-		b.ownHeard = b.own
-	}
+	r.heard, r.age = now, n.Age
+	a.hear(now)
 	for name, told := range n.Accounts {
 		c := r.count(name)
 		a.account(c, name, told, since, knows)
--- a/internal/serve/receiver/receiver.go
+++ b/internal/serve/receiver/receiver.go
@@ -122,13 +122,21 @@
 	v.serve(w, r, c, q)
 }
 
+// overQuota says why a request is not admitted.
+func overQuota(q *request.Request, v *allotter.Verdict) string {
+	reason := fmt.Sprintf("not run: over the organisation's quota: charge %.0f, left %.0f, %.0f a second, %.2f set aside",
+		q.Charge(), v.Level, v.Rate, v.Reserved)
+	if v.Quiet > 0 {
+		reason += fmt.Sprintf(", cut off for %.1f s, own part %.0f", v.Quiet.Seconds(), v.Part)
+	}
+	return reason
+}
+
 func (v *Receiver) serve(w http.ResponseWriter, r *http.Request, c *catalog.Catalog, q *request.Request) {
 	v.c.Arrived(q)
 	if verdict := v.c.Quota.Admit(q); verdict.RetryAfter > 0 {
 		v.refuse(w, q, &relayer.Result{Outcome: relayer.NotRun, Refusal: &relayer.Refusal{
-			Status: http.StatusTooManyRequests, RetryAfter: verdict.RetryAfter,
-			Reason: fmt.Sprintf("not run: over the organisation's quota: charge %.0f, left %.0f, %.0f a second, %.2f set aside",
-				q.Charge(), verdict.Level, verdict.Rate, verdict.Reserved),
+			Status: http.StatusTooManyRequests, RetryAfter: verdict.RetryAfter, Reason: overQuota(q, &verdict),
 		}})
 		return
 	}
