--- a/internal/route/allotter/allotter.go
+++ b/internal/route/allotter/allotter.go
@@ -70,7 +70,7 @@
 	// firstGap is taken for the longest when a daemon starts; a gap is forgotten over
 	// gapMemory.
 	quietGaps  = 2.5
-	leastQuiet = 400 * time.Millisecond
+	leastQuiet = 600 * time.Millisecond
 	firstGap   = time.Second
 	gapMemory  = 5 * time.Second
 	// memory is how long a silent daemon's part is set aside. A killed process
