allotter, gateway: tests share the cut in a sudden load and the store that turns a host away

Two tests played the same load, cut and check; two others had the same fault of the store. The assertions are those of before. A comment of the orderer counted the reclaims wrongly.

--- a/internal/fleet/orderer/orderer.go
+++ b/internal/fleet/orderer/orderer.go
@@ -287,7 +287,7 @@
 
 // whole is how many would serve if each zone had as many reclaimable ones as the fullest,
 // as each had before some were taken: a holder that has started since can't know of them.
-// A fleet whose growth was measured by what two reclaims and a mass restart had left of it
+// A fleet whose growth was measured by what three reclaims and a mass restart had left of it
 // ordered one endpoint a zone where a hundred were needed.
 func (p pool) whole() float64 {
 	return float64(p.onDemand + p.fullest*max(p.zones-1, 1))
--- a/internal/role/gateway/fleet_test.go
+++ b/internal/role/gateway/fleet_test.go
@@ -177,6 +177,16 @@
 	time.Sleep(settleTime)
 }
 
+// turnAway makes the store turn one daemon away.
+func (f *testFleet) turnAway(host identifier.Host) {
+	f.store.SetFault(func(c hosting.Call) hosting.Fault {
+		if c.Caller == string(host) {
+			return hosting.Busy
+		}
+		return hosting.None
+	})
+}
+
 // behind lists the daemons that the newest configuration is not in force at.
 func (f *testFleet) behind() []string {
 	var out []string
@@ -245,12 +255,7 @@
 		f.grow(3500)
 		f.start(4)
 		time.Sleep(10 * time.Second)
-		f.store.SetFault(func(c hosting.Call) hosting.Fault {
-			if c.Caller == "front-4" {
-				return hosting.Busy
-			}
-			return hosting.None
-		})
+		f.turnAway("front-4")
 		f.start(1)
 		time.Sleep(applyTime)
 		if behind := f.behind(); len(behind) > 0 {
--- a/internal/role/gateway/objects_test.go
+++ b/internal/role/gateway/objects_test.go
@@ -11,7 +11,6 @@
 	"brasschute/internal/platform/inventory"
 	"brasschute/internal/platform/object"
 	"brasschute/internal/route/candidate"
-	"brasschute/internal/standin/hosting"
 	"brasschute/platform"
 )
 
@@ -89,12 +88,7 @@
 		f.list("i-2", "ready", 1000)
 		f.list("i-3", "ready", 0)
 		f.settle()
-		f.store.SetFault(func(c hosting.Call) hosting.Fault {
-			if c.Caller == "front-3" {
-				return hosting.Busy
-			}
-			return hosting.None
-		})
+		f.turnAway("front-3")
 		f.list("i-2", "draining", 1000)
 		time.Sleep(time.Second)
 		f.expect("i-2", "born 1000, leaving true")
--- a/internal/route/allotter/large_test.go
+++ b/internal/route/allotter/large_test.go
@@ -316,6 +316,21 @@
 	}
 }
 
+// cutInASuddenLoad plays six times an organisation's usual load, of which a third of the
+// daemons is cut off after half a second. The quota must hold all the time.
+func (l *large) cutInASuddenLoad(t *testing.T, o *catalog.Organisation) {
+	t.Helper()
+	l.load(o, 0.55*o.RatePerSecond/tokens, 14*time.Second)
+	l.load(o, 3.3*o.RatePerSecond/tokens, 500*time.Millisecond)
+	for i := range many / 3 {
+		l.cut[i] = true
+	}
+	l.load(o, 3.3*o.RatePerSecond/tokens, 12*time.Second)
+	if got, limit := l.most(), limitOf(o); got > limit {
+		t.Errorf("%.0f tokens in a window, limit %.0f", got, limit)
+	}
+}
+
 // An organisation sends six times its usual, and half a second later a third of the
 // daemons is cut off from all others. Neither side has heard yet of what the other
 // charges now: each of those that are cut off takes the rest for as idle as it was before,
@@ -327,18 +342,10 @@
 			synctest.Test(t, func(t *testing.T) {
 				l := newLarge(uint64(c.rate))
 				o := &catalog.Organisation{Name: "desk", RatePerSecond: c.rate, Burst: c.burst}
-				l.load(o, 0.55*c.rate/tokens, 14*time.Second)
-				l.load(o, 3.3*c.rate/tokens, 500*time.Millisecond)
-				for i := range many / 3 {
-					l.cut[i] = true
-				}
-				l.load(o, 3.3*c.rate/tokens, 12*time.Second)
+				l.cutInASuddenLoad(t, o)
 				if l.daemons[0].Admit(o, tokens).Quiet == 0 || l.daemons[many-1].Admit(o, tokens).Quiet > 0 {
 					t.Error("not those that are cut off say so")
 				}
-				if got, limit := l.most(), limitOf(o); got > limit {
-					t.Errorf("%.0f tokens in a window, limit %.0f", got, limit)
-				}
 			})
 		})
 	}
@@ -354,15 +361,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				l := newLarge(seed + 1)
 				o := &catalog.Organisation{Name: "desk", RatePerSecond: 1_605_000, Burst: 3_585_000}
-				l.load(o, 0.55*o.RatePerSecond/tokens, 14*time.Second)
-				l.load(o, 3.3*o.RatePerSecond/tokens, 500*time.Millisecond)
-				for i := range many / 3 {
-					l.cut[i] = true
-				}
-				l.load(o, 3.3*o.RatePerSecond/tokens, 12*time.Second)
-				if got, limit := l.most(), limitOf(o); got > limit {
-					t.Errorf("%.0f tokens in a window, limit %.0f", got, limit)
-				}
+				l.cutInASuddenLoad(t, o)
 			})
 		})
 	}
