prober, relayer: what broke a request off, and for which request

Now a request that an endpoint broke off bears a fingerprint (organisation, method, host, target, body), and the endpoint's address is asked once whether a process still listens: 'endpoint ended under a request', with life, events brought and the finding; a counter beside it. No decision changes.

Tests: findings, shared probes, a probe that outlives its first request.

--- a/internal/core/identifier/identifier.go
+++ b/internal/core/identifier/identifier.go
@@ -38,6 +38,10 @@
 // Request identifies one request through all processes, logs and answers.
 type Request string
 
+// Fingerprint is the same for all arrivals of what one organisation asks for, whatever their
+// ids, deadlines and headers.
+type Fingerprint string
+
 // ConfigurationNumber counts accepted configurations; it only ever rises.
 type ConfigurationNumber uint64
 
--- /dev/null
+++ b/internal/engine/prober/prober_test.go
@@ -0,0 +1,99 @@
+package prober
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// dialer answers each dial after a time.
+type dialer struct {
+	after time.Duration
+	err   error
+	dials atomic.Int32
+}
+
+// DialContext waits and answers.
+func (d *dialer) DialContext(ctx context.Context, _, _ string) (net.Conn, error) {
+	d.dials.Add(1)
+	select {
+	case <-time.After(d.after):
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	if d.err != nil {
+		return nil, &net.OpError{Op: "dial", Err: d.err}
+	}
+	near, far := net.Pipe()
+	_ = far.Close()
+	return near, nil
+}
+
+func TestFindings(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		d    *dialer
+		want Finding
+	}{
+		{"a process listens", &dialer{after: time.Millisecond}, Listening},
+		{"the process has ended", &dialer{after: time.Millisecond, err: syscall.ECONNREFUSED}, Refused},
+		{"the connection is reset on its way", &dialer{after: time.Millisecond, err: syscall.ECONNRESET}, Unknown},
+		{"no descriptor is left", &dialer{err: errors.New("too many open files")}, Unknown},
+		{"the host has no power", &dialer{after: time.Minute, err: syscall.ECONNREFUSED}, Unknown},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := New(Config{Dialer: c.d})
+				if got := p.Probe(t.Context(), "10.0.0.1:80"); got != c.want {
+					t.Errorf("%v, want %v", got, c.want)
+				}
+			})
+		})
+	}
+}
+
+// Forty requests end with one endpoint: one connection tells all of them, and a later
+// request of the same address asks anew, as another process may have it by then.
+func TestProbesAreShared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := &dialer{after: time.Millisecond, err: syscall.ECONNREFUSED}
+		p := New(Config{Dialer: d})
+		var all sync.WaitGroup
+		for range 40 {
+			all.Go(func() {
+				if got := p.Probe(t.Context(), "10.0.0.1:80"); got != Refused {
+					t.Errorf("%v", got)
+				}
+			})
+		}
+		all.Wait()
+		if n := d.dials.Load(); n != 1 {
+			t.Errorf("%d dials", n)
+		}
+		time.Sleep(2 * fresh)
+		d.err = nil
+		if got := p.Probe(t.Context(), "10.0.0.1:80"); got != Listening {
+			t.Errorf("later: %v", got)
+		}
+	})
+}
+
+// The client of the first request leaves while the others wait for its probe.
+func TestProbeOutlivesItsFirstRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := New(Config{Dialer: &dialer{after: 2 * time.Millisecond, err: syscall.ECONNREFUSED}})
+		ctx, cancel := context.WithCancel(t.Context())
+		go p.Probe(ctx, "10.0.0.1:80")
+		synctest.Wait()
+		cancel()
+		if got := p.Probe(t.Context(), "10.0.0.1:80"); got != Refused {
+			t.Errorf("%v", got)
+		}
+	})
+}
--- a/internal/ops/chronicler/chronicler.go
+++ b/internal/ops/chronicler/chronicler.go
@@ -106,6 +106,9 @@
 	if q.Organisation != nil {
 		fields = append(fields, "organisation", q.Organisation.Name)
 	}
+	if r.Fingerprint != "" {
+		fields = append(fields, "fingerprint", r.Fingerprint)
+	}
 	if r.Reason != "" {
 		fields = append(fields, "reason", r.Reason)
 	}
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -44,6 +44,7 @@
 	"brasschute/internal/core/identifier"
 	"brasschute/internal/core/waiter"
 	"brasschute/internal/core/watchdog"
+	"brasschute/internal/engine/prober"
 	"brasschute/internal/engine/sender"
 	"brasschute/internal/fleet/leaser"
 	"brasschute/internal/fleet/tallier"
@@ -146,11 +147,14 @@
 	ledger    *ledger.Ledger
 	registry  *registry.Registry
 	sender    *sender.Sender
-	receiver  *receiver.Receiver
-	callers   *server.Server
-	reporter  prometheus.Reporter
-	scope     tally.Scope
-	closer    func() error
+	prober    *prober.Prober
+	// endings bounds the log lines of requests that endpoints broke off.
+	endings  *rate.Limiter
+	receiver *receiver.Receiver
+	callers  *server.Server
+	reporter prometheus.Reporter
+	scope    tally.Scope
+	closer   func() error
 
 	// peerBytes counts what peers cost the host's link.
 	peerBytes meter.Meter
@@ -225,7 +229,10 @@
 	if c.Network == nil {
 		c.Network = hostNetwork{platform.Dialer()}
 	}
-	g := &Gateway{c: c, started: time.Now(), unread: rate.NewLimiter(unreadablePerSecond, unreadablePerSecond)}
+	g := &Gateway{
+		c: c, started: time.Now(), unread: rate.NewLimiter(unreadablePerSecond, unreadablePerSecond),
+		endings: rate.NewLimiter(endingsPerSecond, endingsPerSecond),
+	}
 	g.reporter = prometheus.NewReporter(prometheus.Options{Registerer: newMetrics()})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "brasschute", CachedReporter: g.reporter, Separator: prometheus.DefaultSeparator,
@@ -261,9 +268,10 @@
 	g.registry = registry.New(registry.Config{Ledger: g.ledger, Daemons: g.daemons})
 	opened := g.scope.Counter("endpoint_connections_opened")
 	g.sender = sender.New(sender.Config{Dialer: g.c.Network, Opened: func() { opened.Inc(1) }})
+	g.prober = prober.New(prober.Config{Dialer: g.c.Network})
 	relay := relayer.New(relayer.Config{
 		Registry: g.registry, Placer: placer.New(placer.Config{Registry: g.registry, Estimator: &g.estimator, Zone: d.AvailabilityZone}),
-		Sender: g.sender, Codec: platform.Codec{}, Budget: g, Began: g.began, Demand: &g.demander,
+		Sender: g.sender, Codec: platform.Codec{}, Budget: g, Began: g.began, Demand: &g.demander, Broke: g.broke,
 	})
 	g.receiver = receiver.New(receiver.Config{
 		Versioner: &g.versioner, Relayer: relay, Quota: g, Decode: platform.DecodeRequest, Refuse: platform.Codec{}.EncodeRefusal,
--- a/internal/serve/relayer/ending.go
+++ b/internal/serve/relayer/ending.go
@@ -5,6 +5,8 @@
 	"errors"
 	"net/http"
 	"time"
+
+	"brasschute/internal/engine/sender"
 )
 
 // final decides whether a failed attempt ends the request.
@@ -24,6 +26,12 @@
 	return true
 }
 
+// brokenOff tells whether an attempt may have ended with its endpoint: the request was sent,
+// and it was not this side that ended the attempt.
+func brokenOff(ctx context.Context, err error) bool {
+	return ctx.Err() == nil && !errors.Is(err, errSilent) && (errors.Is(err, sender.ErrLost) || errors.Is(err, sender.ErrBroken))
+}
+
 // mayTry tells whether another endpoint may get the request now.
 func (j *job) mayTry(err error) bool {
 	if unsent(err) {
--- a/internal/serve/relayer/relayer.go
+++ b/internal/serve/relayer/relayer.go
@@ -83,6 +83,9 @@
 	Began func(*request.Request)
 	// Demand is told of placed and refused requests.
 	Demand Demand
+	// Broke is told of each attempt that an endpoint broke off, after it had brought some
+	// events.
+	Broke func(ctx context.Context, q *request.Request, pick *registry.Pick, events int)
 }
 
 // Demand measures what is asked of services.
@@ -137,6 +140,8 @@
 	Events   int
 	Attempts []Attempt
 	Reason   string
+	// Fingerprint is set for a request that an endpoint broke off.
+	Fingerprint identifier.Fingerprint
 	// Excluded counts the endpoints that could not be chosen.
 	Excluded selector.Excluded
 }
@@ -154,7 +159,12 @@
 }
 
 // New returns a relayer.
-func New(c Config) *Relayer { return &Relayer{c} }
+func New(c Config) *Relayer {
+	if c.Broke == nil {
+		c.Broke = func(context.Context, *request.Request, *registry.Pick, int) {}
+	}
+	return &Relayer{c}
+}
 
 // job is one request on its way.
 type job struct {
@@ -197,12 +207,16 @@
 		if stop {
 			return j.res
 		}
-		begun := time.Now()
+		begun, events := time.Now(), j.res.Events
 		err := j.attempt(ctx, pick)
 		j.note(pick, begun, err)
 		if err == nil {
 			return j.res
 		}
+		if brokenOff(ctx, err) {
+			j.res.Fingerprint = q.Fingerprint()
+			r.c.Broke(ctx, q, pick, j.res.Events-events)
+		}
 		if j.final(ctx, err) {
 			return j.res
 		}
--- a/internal/serve/request/request.go
+++ b/internal/serve/request/request.go
@@ -7,6 +7,9 @@
 package request
 
 import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
 	"net/http"
 	"time"
 
@@ -53,6 +56,32 @@
 	// LastEvent is the number of the last event that the client has; 0 for
 	// none.
 	LastEvent int
+
+	fingerprint identifier.Fingerprint
+}
+
+// fingerprintSize is the part of a SHA-256 that a fingerprint keeps: nobody can find a
+// request whose fingerprint is that of another one.
+const fingerprintSize = 16
+
+// Fingerprint tells whether two requests ask for the same: same organisation, method, host,
+// target and body. It is not safe for concurrent use.
+func (r *Request) Fingerprint() identifier.Fingerprint {
+	if r.fingerprint != "" {
+		return r.fingerprint
+	}
+	organisation := ""
+	if r.Organisation != nil {
+		organisation = string(r.Organisation.Name)
+	}
+	h := sha256.New()
+	for _, field := range [][]byte{[]byte(organisation), []byte(r.Method), []byte(r.Host), []byte(r.Target), r.Body} {
+		// The length keeps the end of one field from counting as the start of the next.
+		h.Write(binary.BigEndian.AppendUint64(nil, uint64(len(field))))
+		h.Write(field)
+	}
+	r.fingerprint = identifier.Fingerprint(hex.EncodeToString(h.Sum(nil)[:fingerprintSize]))
+	return r.fingerprint
 }
 
 // Deadline is when nobody waits for the answer any more.
