--- a/internal/role/gateway/fleet_test.go
+++ b/internal/role/gateway/fleet_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -51,6 +52,10 @@
 	// networks are those of the daemons' hosts.
 	networks []*cutNetwork
 	stop     []func()
+
+	mu sync.Mutex
+	// asked counts the requests of clients.
+	asked int
 }
 
 func newTestFleet(t *testing.T) *testFleet {
