quarantiner: a request under which endpoints end is held by the whole fleet

Cause: what one request did was forgotten when it ended. The relayer knew the endpoints that it had tried, for the time of one arrival; nothing joined an endpoint's end to the request that it ran, and no daemon told another. Ruled out: ends of their own (each line names one of two requests), and our own repeats (one attempt each that left the host).

Now an ending counts for the request's fingerprint (organisation, method, host, target, body) if the endpoint broke it off and its host refuses connections right after; resets, cuts, spoilt answers, slow engines and planned ends do not. Two endings hold a request, four where something speaks for it: events that the endpoint brought before, or an answer shortly before. An answer anywhere clears it; what a held request explains is not held against others. Endings travel in notes and digests, are merged in any order, and the held ones are stored by the holder of the duties. A held request is refused before it is charged and again right before its first byte goes out, and withdrawn where it waits at an engine: 503, not run, come back after the pause. After a minute, then ten, then an hour, the daemon that saw the last ending lets one arrival through. Operators see the list in /beliefs and lift an entry.

--- a/integration/duties_test.go
+++ b/integration/duties_test.go
@@ -285,13 +285,7 @@
 	})
 	s.hosts = nil
 	third := s.stopped()
-	text, err := os.ReadFile(third.file)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := os.WriteFile(third.file, []byte(strings.Replace(string(text), "FirstStart = true", "FirstStart = false", 1)), 0o600); err != nil {
-		t.Fatal(err)
-	}
+	third.startsAgain()
 	third.start()
 	third.awaitReady()
 	eventually(t, "peers of a process without seeds", func() error {
--- a/integration/hosted_test.go
+++ b/integration/hosted_test.go
@@ -229,6 +229,19 @@
 	}
 }
 
+// startsAgain writes settings that say that the fleet has run before.
+func (h *gatewayHost) startsAgain() {
+	h.s.t.Helper()
+	text, err := os.ReadFile(h.file)
+	if err != nil {
+		h.s.t.Fatal(err)
+	}
+	text = bytes.Replace(text, []byte("FirstStart = true"), []byte("FirstStart = false"), 1)
+	if err := os.WriteFile(h.file, text, 0o600); err != nil {
+		h.s.t.Fatal(err)
+	}
+}
+
 func (h *gatewayHost) awaitReady() {
 	h.s.t.Helper()
 	eventually(h.s.t, h.name+" ready", func() error { return h.ready(http.StatusOK) })
--- a/internal/role/gateway/beliefs.go
+++ b/internal/role/gateway/beliefs.go
@@ -10,6 +10,7 @@
 	"brasschute/internal/core/waiter"
 	"brasschute/internal/route/allotter"
 	"brasschute/internal/route/demander"
+	"brasschute/internal/route/quarantiner"
 )
 
 // BeliefsPath is where the metrics' listener tells what the daemon believes.
@@ -35,6 +36,10 @@
 	Endpoints []EndpointBelief
 	Quotas    map[identifier.Organisation]allotter.Account
 	Demands   map[identifier.Service]demander.Demand
+	// Quarantine lists the requests under which endpoints ended, those that are held first;
+	// Forgotten counts those for which there was no room.
+	Quarantine []quarantiner.Suspect
+	Forgotten  int
 }
 
 // PeerBelief is a daemon that is known. Configuration and HoldsDuties are told by daemons
@@ -71,6 +76,7 @@
 	b := Beliefs{
 		Host: g.c.Deployment.Host, FollowsStore: g.follows(), StoreAgeMS: -1,
 		Quotas: g.allotter.Accounts(), Demands: g.demander.Demands(), Part: g.part().String(),
+		Quarantine: g.quarantine.List(), Forgotten: g.quarantine.Forgotten(),
 	}
 	if c := g.versioner.InForce(); c != nil {
 		b.Configuration = c.Number()
@@ -114,6 +120,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("/", g.reporter.HTTPHandler())
 	mux.HandleFunc("GET "+BeliefsPath, g.beliefs)
+	mux.HandleFunc("DELETE "+LiftPath, g.liftHandler)
 	return mux
 }
 
--- a/internal/role/gateway/duties.go
+++ b/internal/role/gateway/duties.go
@@ -57,6 +57,8 @@
 	addresses []string
 	// quotasVersion is that of the stored levels of quotas.
 	quotasVersion uint64
+	// quarantine is the state of the held requests that is stored.
+	quarantine string
 }
 
 func (g *Gateway) buildDuties() {
@@ -81,6 +83,7 @@
 	if !d.FirstStart {
 		g.tree.Add(g.readAtStart("size of the fleet", g.readSize))
 		g.tree.Add(g.readAtStart("levels of quotas", g.readQuotas))
+		g.tree.Add(g.readAtStart("requests in quarantine", g.readQuarantine))
 	}
 	g.tree.Add(service(u.serve))
 	g.tree.Add(service(u.keepQuotas))
@@ -124,6 +127,7 @@
 			return
 		}
 		u.keepSize(ctx)
+		u.keepQuarantine(ctx)
 		if u.g.c.Deployment.Reports {
 			u.accountant.Step(ctx, fencing)
 		}
--- a/internal/role/gateway/engines_test.go
+++ b/internal/role/gateway/engines_test.go
@@ -56,17 +56,19 @@
 	last int
 	ends []end
 	// sends are the arrivals of fatal requests at engines.
-	sends  []end
+	sends []end
+	// living end engines by place.
+	living map[int]func(body string)
 	stop   []func()
 	closed bool
 }
 
-// startEngines starts n engines and a configuration with routes to them.
-func (f *testFleet) startEngines(n int, fatal func(string) bool) *engines {
+// startEngines starts [engineCount] engines and a configuration with routes to them.
+func (f *testFleet) startEngines(fatal func(string) bool) *engines {
 	f.t.Helper()
-	e := &engines{f: f, host: f.network.Host(storeLink), fatal: fatal}
+	e := &engines{f: f, host: f.network.Host(storeLink), fatal: fatal, living: make(map[int]func(string))}
 	f.stop = append(f.stop, e.close)
-	for i := range n {
+	for i := range engineCount {
 		e.start(i)
 	}
 	route := func(name, prefix string, resumable bool) map[string]any {
@@ -108,6 +110,8 @@
 	})
 	server := &http.Server{}
 	var once sync.Once
+	endIt := func(body string) { once.Do(func() { e.end(place, id, body, server) }) }
+	e.living[place] = endIt
 	engine.Behave(func(r *http.Request) hosting.Behaviour {
 		body := r.Header.Get("Body-Text")
 		if !e.fatal(body) {
@@ -118,7 +122,7 @@
 		e.sends = append(e.sends, end{time.Now(), id, body})
 		e.mu.Unlock()
 		time.Sleep(runTime)
-		once.Do(func() { e.end(place, id, body, server) })
+		endIt(body)
 		return hosting.Drop
 	})
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -143,6 +147,21 @@
 	time.AfterFunc(restartTime, func() { e.start(place) })
 }
 
+// endHalf ends every second engine at once.
+func (e *engines) endHalf() {
+	e.mu.Lock()
+	var list []func(string)
+	for place, endIt := range e.living {
+		if place%2 == 0 {
+			list = append(list, endIt)
+		}
+	}
+	e.mu.Unlock()
+	for _, endIt := range list {
+		endIt("no request")
+	}
+}
+
 func (e *engines) close() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -44,7 +44,6 @@
 	"brasschute/internal/core/identifier"
 	"brasschute/internal/core/waiter"
 	"brasschute/internal/core/watchdog"
-	"brasschute/internal/engine/prober"
 	"brasschute/internal/engine/sender"
 	"brasschute/internal/fleet/leaser"
 	"brasschute/internal/fleet/tallier"
@@ -142,19 +141,17 @@
 	c    Config
 	tree *suture.Supervisor
 
-	store     *platform.Store
-	versioner versioner.Versioner
-	ledger    *ledger.Ledger
-	registry  *registry.Registry
-	sender    *sender.Sender
-	prober    *prober.Prober
-	// endings bounds the log lines of requests that endpoints broke off.
-	endings  *rate.Limiter
-	receiver *receiver.Receiver
-	callers  *server.Server
-	reporter prometheus.Reporter
-	scope    tally.Scope
-	closer   func() error
+	store      *platform.Store
+	versioner  versioner.Versioner
+	ledger     *ledger.Ledger
+	registry   *registry.Registry
+	sender     *sender.Sender
+	quarantine *quarantine
+	receiver   *receiver.Receiver
+	callers    *server.Server
+	reporter   prometheus.Reporter
+	scope      tally.Scope
+	closer     func() error
 
 	// peerBytes counts what peers cost the host's link.
 	peerBytes meter.Meter
@@ -229,10 +226,7 @@
 	if c.Network == nil {
 		c.Network = hostNetwork{platform.Dialer()}
 	}
-	g := &Gateway{
-		c: c, started: time.Now(), unread: rate.NewLimiter(unreadablePerSecond, unreadablePerSecond),
-		endings: rate.NewLimiter(endingsPerSecond, endingsPerSecond),
-	}
+	g := &Gateway{c: c, started: time.Now(), unread: rate.NewLimiter(unreadablePerSecond, unreadablePerSecond)}
 	g.reporter = prometheus.NewReporter(prometheus.Options{Registerer: newMetrics()})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "brasschute", CachedReporter: g.reporter, Separator: prometheus.DefaultSeparator,
@@ -268,13 +262,13 @@
 	g.registry = registry.New(registry.Config{Ledger: g.ledger, Daemons: g.daemons})
 	opened := g.scope.Counter("endpoint_connections_opened")
 	g.sender = sender.New(sender.Config{Dialer: g.c.Network, Opened: func() { opened.Inc(1) }})
-	g.prober = prober.New(prober.Config{Dialer: g.c.Network})
+	g.quarantine = newQuarantine(g)
 	relay := relayer.New(relayer.Config{
 		Registry: g.registry, Placer: placer.New(placer.Config{Registry: g.registry, Estimator: &g.estimator, Zone: d.AvailabilityZone}),
-		Sender: g.sender, Codec: platform.Codec{}, Budget: g, Began: g.began, Demand: &g.demander, Broke: g.broke,
+		Sender: g.sender, Codec: platform.Codec{}, Budget: g, Began: g.began, Demand: &g.demander, Quarantine: g.quarantine,
 	})
 	g.receiver = receiver.New(receiver.Config{
-		Versioner: &g.versioner, Relayer: relay, Quota: g, Decode: platform.DecodeRequest, Refuse: platform.Codec{}.EncodeRefusal,
+		Versioner: &g.versioner, Relayer: relay, Quota: g, Quarantine: g.quarantine, Decode: platform.DecodeRequest, Refuse: platform.Codec{}.EncodeRefusal,
 		Observer: chronicler.New(chronicler.Config{Logger: g.c.Logger, Metrics: g.scope}),
 	})
 	g.tree.Add(g.follow("configuration", platform.CatalogKind))
--- /dev/null
+++ b/internal/role/gateway/quarantined.go
@@ -0,0 +1,103 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"brasschute/internal/core/identifier"
+	"brasschute/internal/platform/object"
+	"brasschute/internal/route/quarantiner"
+)
+
+const (
+	// quarantineKey is the store's object with the requests that are held, for processes that
+	// start when nobody else is left to tell: after a loss of all power each of them would
+	// end endpoints once more.
+	quarantineKey = "fleet/quarantine"
+	// LiftPath is where the metrics' listener takes an operator's DELETE of a request's
+	// fingerprint.
+	LiftPath = "/quarantine/{fingerprint}"
+)
+
+// quarantineRecord is the content of that object. Times are the writer's estimate of the
+// true time.
+type quarantineRecord struct {
+	Requests []quarantiner.Suspect
+}
+
+// held returns the requests that are held, and a text that changes with them.
+func (z *quarantine) held() (list []quarantiner.Suspect, state string) {
+	var b strings.Builder
+	for _, s := range z.List() {
+		if !s.Held {
+			break
+		}
+		list = append(list, s)
+		fmt.Fprintf(&b, "%s %d;", s.Fingerprint, len(s.Endings))
+	}
+	return list, b.String()
+}
+
+// keepQuarantine writes down which requests are held when that has changed: a call or two
+// for each of them.
+func (u *duties) keepQuarantine(ctx context.Context) {
+	list, state := u.g.quarantine.held()
+	if state == u.quarantine {
+		return
+	}
+	version := object.Absent
+	o, err := u.g.store.Get(ctx, quarantineKey)
+	if err == nil {
+		version = o.Version
+	} else if !errors.Is(err, object.ErrMissing) {
+		u.g.c.Logger.Warn("requests in quarantine not stored", "error", err)
+		return
+	}
+	r := quarantineRecord{Requests: shift(list, time.Until(u.g.clock.Now()))}
+	if _, err := u.g.store.Put(ctx, quarantineKey, version, r); err != nil {
+		u.g.c.Logger.Warn("requests in quarantine not stored", "error", err)
+		return
+	}
+	u.quarantine = state
+}
+
+// readQuarantine takes over the requests that were held before this process started.
+func (g *Gateway) readQuarantine(ctx context.Context) error {
+	o, err := g.store.Get(ctx, quarantineKey)
+	if err != nil {
+		return err
+	}
+	var r quarantineRecord
+	if err := json.Unmarshal(o.Value, &r); err != nil {
+		return fmt.Errorf("gateway: %s: %w", quarantineKey, err)
+	}
+	g.quarantine.Hear(shift(r.Requests, time.Since(g.clock.Now())))
+	g.c.Logger.Info("requests in quarantine read from the store", "requests", len(r.Requests), "revision", o.Version)
+	return nil
+}
+
+// shift moves the times of endings between this process's clock and the estimate of the
+// true time.
+func shift(list []quarantiner.Suspect, by time.Duration) []quarantiner.Suspect {
+	for i := range list {
+		for k := range list[i].Endings {
+			e := &list[i].Endings[k]
+			e.At = e.At.Add(by)
+		}
+	}
+	return list
+}
+
+// liftHandler clears a request as an operator asks: 204, or 404 if nothing is known against it.
+func (g *Gateway) liftHandler(w http.ResponseWriter, r *http.Request) {
+	if !g.quarantine.lift(identifier.Fingerprint(r.PathValue("fingerprint"))) {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/internal/route/quarantiner/quarantiner_test.go
@@ -0,0 +1,240 @@
+package quarantiner
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"brasschute/internal/core/identifier"
+)
+
+const fatal = identifier.Fingerprint("fatal")
+
+// ending is an ending at the nth endpoint.
+func ending(n int) Ending { return Ending{Endpoint: identifier.Endpoint(fmt.Sprint("i-", n))} }
+
+func held(z *Quarantiner, f identifier.Fingerprint) bool { return z.Admit(f, "request").Held }
+
+// inBubble runs a check in paused time with a quarantiner of host a.
+func inBubble(t *testing.T, check func(t *testing.T, z *Quarantiner)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) { check(t, New(Config{Host: "a"})) })
+}
+
+func TestVerdicts(t *testing.T) {
+	weakly := func(n int) Ending { e := ending(n); e.Weak = true; return e }
+	for _, c := range []struct {
+		name string
+		do   func(z *Quarantiner)
+		held bool
+	}{
+		{"one ending", func(z *Quarantiner) { z.Ended(fatal, ending(1)) }, false},
+		{"two endings", func(z *Quarantiner) { z.Ended(fatal, ending(1)); z.Ended(fatal, ending(2)) }, true},
+		{"one ending seen twice", func(z *Quarantiner) { z.Ended(fatal, ending(1)); z.Ended(fatal, ending(1)) }, false},
+		{"two lives of one endpoint", func(z *Quarantiner) {
+			z.Ended(fatal, Ending{Endpoint: "i-1", Born: 1})
+			z.Ended(fatal, Ending{Endpoint: "i-1", Born: 2})
+		}, true},
+		{"two endings after events", func(z *Quarantiner) { z.Ended(fatal, weakly(1)); z.Ended(fatal, weakly(2)) }, false},
+		{"four endings after events", func(z *Quarantiner) {
+			for n := range 4 {
+				z.Ended(fatal, weakly(n))
+			}
+		}, true},
+		{"an answer between two endings", func(z *Quarantiner) {
+			z.Ended(fatal, ending(1))
+			z.Answered(fatal)
+			z.Ended(fatal, ending(2))
+		}, false},
+		{"an answer after two endings", func(z *Quarantiner) {
+			z.Ended(fatal, ending(1))
+			z.Ended(fatal, ending(2))
+			z.Answered(fatal)
+		}, false},
+		{"answered shortly before two endings", func(z *Quarantiner) {
+			z.Answered(fatal)
+			z.Ended(fatal, ending(1))
+			z.Ended(fatal, ending(2))
+		}, false},
+		{"answered long before", func(z *Quarantiner) {
+			z.Answered(fatal)
+			time.Sleep(3 * generationTime)
+			z.Ended(fatal, ending(1))
+			z.Ended(fatal, ending(2))
+		}, true},
+		{"lifted", func(z *Quarantiner) { z.Ended(fatal, ending(1)); z.Ended(fatal, ending(2)); z.Lift(fatal) }, false},
+		{"lifted, and two further endings", func(z *Quarantiner) {
+			z.Ended(fatal, ending(1))
+			z.Ended(fatal, ending(2))
+			z.Lift(fatal)
+			z.Ended(fatal, ending(3))
+			z.Ended(fatal, ending(4))
+		}, true},
+		{"the first ending long ago", func(z *Quarantiner) {
+			z.Ended(fatal, ending(1))
+			time.Sleep(suspectTime + time.Second)
+			z.Ended(fatal, ending(2))
+		}, false},
+		{"the second ending explained by a held request", func(z *Quarantiner) {
+			z.Ended("other", ending(1))
+			z.Ended(fatal, ending(2))
+			z.Ended("other", ending(2))
+			z.Ended(fatal, ending(3))
+		}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T, z *Quarantiner) {
+				c.do(z)
+				if got := held(z, fatal); got != c.held {
+					t.Errorf("held %v, want %v: %+v", got, c.held, z.List())
+				}
+			})
+		})
+	}
+}
+
+// A request is held for good, though it would be answered by now: after a pause one arrival
+// is let through, by the daemon that saw the last ending and no other.
+func TestHeldRequestIsTriedAgain(t *testing.T) {
+	inBubble(t, func(t *testing.T, z *Quarantiner) {
+		z.Ended(fatal, ending(1))
+		z.Ended(fatal, ending(2))
+		other := New(Config{Host: "b"})
+		other.Hear(z.Told())
+		time.Sleep(firstPause)
+		if v := other.Admit(fatal, "x"); !v.Held || v.Trial {
+			t.Errorf("the other daemon: %+v", v)
+		}
+		if v := z.Admit(fatal, "x"); v.Held || !v.Trial {
+			t.Errorf("no trial: %+v", v)
+		}
+		if v := z.Admit(fatal, "x"); v.Held {
+			t.Errorf("the same arrival, right before it is sent: %+v", v)
+		}
+		if v := z.Admit(fatal, "y"); !v.Held {
+			t.Errorf("a second arrival beside it: %+v", v)
+		}
+		z.Ended(fatal, ending(3))
+		time.Sleep(firstPause)
+		if v := z.Admit(fatal, "x"); !v.Held {
+			t.Errorf("the trial that failed goes on: %+v", v)
+		}
+		time.Sleep(firstPause * pauseFactor)
+		if v := z.Admit(fatal, "z"); !v.Trial {
+			t.Errorf("no trial after ten times the pause: %+v", v)
+		}
+		z.Answered(fatal)
+		other.Hear(z.Told())
+		for host, one := range map[string]*Quarantiner{"a": z, "b": other} {
+			if held(one, fatal) {
+				t.Errorf("%s holds it after the answer", host)
+			}
+		}
+	})
+}
+
+// A request waits at a third endpoint when the second one ends under it: it is withdrawn
+// there, and an attempt that has brought something is not.
+func TestWaitingAttemptsAreWithdrawn(t *testing.T) {
+	inBubble(t, func(t *testing.T, z *Quarantiner) {
+		var withdrawn [2]bool
+		z.Enter(fatal, func() { withdrawn[0] = true })
+		leave := z.Enter(fatal, func() { withdrawn[1] = true })
+		z.Ended(fatal, ending(1))
+		leave()
+		z.Ended(fatal, ending(2))
+		synctest.Wait()
+		if withdrawn != [2]bool{true, false} {
+			t.Errorf("withdrawn: %v", withdrawn)
+		}
+	})
+}
+
+// Somebody sends a thousand bodies that end an endpoint each, to push out what is held.
+func TestHeldRequestsOutliveAFlood(t *testing.T) {
+	inBubble(t, func(t *testing.T, z *Quarantiner) {
+		z.Ended(fatal, ending(1))
+		z.Ended(fatal, ending(2))
+		for n := range 2 * maxSuspects {
+			time.Sleep(time.Millisecond)
+			z.Ended(identifier.Fingerprint(fmt.Sprint(n)), ending(n+10))
+		}
+		if !held(z, fatal) {
+			t.Error("the held request was forgotten")
+		}
+		if n := len(z.List()); n != maxSuspects {
+			t.Errorf("%d suspects", n)
+		}
+		if n := z.Forgotten(); n != maxSuspects+1 {
+			t.Errorf("%d forgotten", n)
+		}
+		if n := len(z.Told()); n != maxTold || !z.Told()[0].Held {
+			t.Errorf("%d told", n)
+		}
+	})
+}
+
+func TestHeldRequestsLapse(t *testing.T) {
+	inBubble(t, func(t *testing.T, z *Quarantiner) {
+		z.Ended(fatal, ending(1))
+		z.Ended(fatal, ending(2))
+		old := z.Told()
+		time.Sleep(heldTime + time.Second)
+		z.Ended("other", ending(3))
+		if held(z, fatal) || len(z.List()) != 1 {
+			t.Errorf("after %v: %+v", heldTime, z.List())
+		}
+		if z.Hear(old) {
+			t.Error("what has lapsed is news")
+		}
+	})
+}
+
+// Daemons see endings, hear of them late, twice and in any order, and some see answers. In
+// the end all decide the same.
+func TestDaemonsThatKnowTheSameDecideTheSame(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const daemons = 4
+		var list [daemons]*Quarantiner
+		for i := range list {
+			list[i] = New(Config{Host: identifier.Host(fmt.Sprint("host-", i))})
+		}
+		var letters [][]Suspect
+		requests := []identifier.Fingerprint{"x", "y", "z"}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			d := list[rapid.IntRange(0, daemons-1).Draw(t, "daemon")]
+			f := rapid.SampledFrom(requests).Draw(t, "request")
+			switch rapid.IntRange(0, 9).Draw(t, "step") {
+			case 0, 1:
+				e := ending(rapid.IntRange(0, 9).Draw(t, "endpoint"))
+				e.Weak = rapid.Bool().Draw(t, "weak")
+				d.Ended(f, e)
+			case 2:
+				d.Answered(f)
+			case 3, 4, 5:
+				letters = append(letters, d.Told())
+			default:
+				if len(letters) > 0 {
+					d.Hear(letters[rapid.IntRange(0, len(letters)-1).Draw(t, "letter")])
+				}
+			}
+		}
+		for range daemons {
+			for _, from := range list {
+				for _, to := range list {
+					to.Hear(from.List())
+				}
+			}
+		}
+		for _, f := range requests {
+			for i, d := range list {
+				if held(d, f) != held(list[0], f) {
+					t.Fatalf("%s: host-0 %+v, host-%d %+v", f, list[0].List(), i, d.List())
+				}
+			}
+		}
+	})
+}
--- a/internal/route/registry/choice.go
+++ b/internal/route/registry/choice.go
@@ -53,7 +53,7 @@
 	r.indexer.Sent(q.Blocks, id)
 	r.remember(q, c)
 	return &Pick{
-		Endpoint: c.Endpoint, Host: c.Host, Incarnation: c.Incarnation, Address: c.Address, Pool: c.Pool,
+		Endpoint: c.Endpoint, Host: c.Host, Incarnation: c.Incarnation, Born: c.Born, Address: c.Address, Pool: c.Pool,
 		PricePerSecond: c.PricePerSecond, Predicted: d.Chosen.FirstToken, Uncached: uncached, Ahead: ahead, Streams: streams, Pulse: c.Pulse, id: id,
 	}, d
 }
@@ -97,7 +97,7 @@
 	r.each(func(c *candidate.Candidate) {
 		if c.Endpoint == e {
 			c.InFlight++
-			k = &Pick{Endpoint: e, Host: c.Host, Incarnation: c.Incarnation, Address: c.Address, Pool: c.Pool, PricePerSecond: c.PricePerSecond, Pulse: c.Pulse, id: r.id(c)}
+			k = &Pick{Endpoint: e, Host: c.Host, Incarnation: c.Incarnation, Born: c.Born, Address: c.Address, Pool: c.Pool, PricePerSecond: c.PricePerSecond, Pulse: c.Pulse, id: r.id(c)}
 		}
 	})
 	return k
--- a/internal/route/registry/pick.go
+++ b/internal/route/registry/pick.go
@@ -12,6 +12,7 @@
 	Endpoint    identifier.Endpoint
 	Host        identifier.Host
 	Incarnation identifier.Incarnation
+	Born        identifier.Born
 	Address     string
 	Pool        identifier.Pool
 	// PricePerSecond is that of the host.
--- a/internal/serve/receiver/receiver.go
+++ b/internal/serve/receiver/receiver.go
@@ -2,7 +2,7 @@
 //
 // # The path of a request
 //
-//	decode → route → organisation → body → quota → relay → log
+//	decode → route → organisation → body → quarantine → quota → relay → log
 //
 // Each step may refuse, and a refusal says truthfully that the request has not
 // run. A daemon that knows no configuration yet answers 503, never 401 or 404:
@@ -33,6 +33,7 @@
 	"brasschute/internal/config/versioner"
 	"brasschute/internal/core/identifier"
 	"brasschute/internal/route/allotter"
+	"brasschute/internal/route/quarantiner"
 	"brasschute/internal/serve/refusal"
 	"brasschute/internal/serve/relayer"
 	"brasschute/internal/serve/request"
@@ -60,6 +61,11 @@
 	Admit(q *request.Request) allotter.Verdict
 }
 
+// Quarantine says which requests must not reach endpoints.
+type Quarantine interface {
+	Admit(f identifier.Fingerprint, id identifier.Request) quarantiner.Verdict
+}
+
 // Observer is told of each request's end.
 type Observer interface {
 	Ended(q *request.Request, r *relayer.Result)
@@ -70,7 +76,9 @@
 	Versioner *versioner.Versioner
 	Relayer   Relayer
 	Quota     Quota
-	Observer  Observer
+	// Quarantine is asked before a request is charged.
+	Quarantine Quarantine
+	Observer   Observer
 	// Decode reads a client's headers.
 	Decode func(r *http.Request, received time.Time) (*request.Request, error)
 	// Refuse sets the headers of an answer of the daemon's own.
@@ -134,6 +142,10 @@
 
 func (v *Receiver) serve(w http.ResponseWriter, r *http.Request, c *catalog.Catalog, q *request.Request) {
 	v.c.Arrived(q)
+	if verdict := v.c.Quarantine.Admit(q.Fingerprint(), q.ID); verdict.Held {
+		v.refuse(w, q, &relayer.Result{Outcome: relayer.NotRun, Fingerprint: q.Fingerprint(), Refusal: relayer.HeldRefusal(&verdict)})
+		return
+	}
 	if verdict := v.c.Quota.Admit(q); verdict.RetryAfter > 0 {
 		v.refuse(w, q, &relayer.Result{Outcome: relayer.NotRun, Refusal: &relayer.Refusal{
 			Status: http.StatusTooManyRequests, RetryAfter: verdict.RetryAfter, Reason: overQuota(q, &verdict),
--- a/internal/serve/relayer/attempt.go
+++ b/internal/serve/relayer/attempt.go
@@ -45,14 +45,14 @@
 	}()
 	begun := time.Now()
 	outer := ctx
-	ctx, heard := j.listen(ctx)
+	ctx, waited := j.enter(ctx)
+	ctx, spoken := j.listen(ctx)
+	heard := func() { spoken(); waited() }
 	defer heard()
 	x, err := j.r.c.Sender.Send(ctx, j.message(pick))
 	if err != nil {
-		result = j.judge(outer, err, begun)
-		if errors.Is(context.Cause(ctx), errSilent) {
-			err = fmt.Errorf("%w: %w", errSilent, err)
-		}
+		result = j.judge(ctx, outer, err, begun)
+		err = ownCause(ctx, err)
 		if unsent(err) {
 			j.unsent++
 		} else {
@@ -81,9 +81,14 @@
 		heard()
 	}
 	err = j.take(ctx, x, &reply, pick, begun, heard)
-	result = j.judge(outer, err, begun)
-	if err != nil && errors.Is(context.Cause(ctx), errSilent) {
-		err = fmt.Errorf("%w: %w", errSilent, err)
+	result = j.judge(ctx, outer, err, begun)
+	return ownCause(ctx, err)
+}
+
+// ownCause adds why this side ended an attempt, if it did.
+func ownCause(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); err != nil && (errors.Is(cause, errSilent) || errors.Is(cause, errHeld)) {
+		return fmt.Errorf("%w: %w", cause, err)
 	}
 	return err
 }
@@ -113,16 +118,19 @@
 
 // judge says what an attempt's end tells about the endpoint's health. When the
 // time was up, or the client left, a long silence counts against it: else one
-// that has gone dark would be chosen again and again.
-func (j *job) judge(ctx context.Context, err error, begun time.Time) registry.Result {
+// that has gone dark would be chosen again and again. ctx is the attempt's, outer the
+// request's.
+func (j *job) judge(ctx, outer context.Context, err error, begun time.Time) registry.Result {
 	switch {
 	case err == nil:
 		return registry.Succeeded
-	case errors.Is(err, sender.ErrUnsent) && ctx.Err() == nil:
+	case errors.Is(context.Cause(ctx), errHeld):
+		return registry.Neutral
+	case errors.Is(err, sender.ErrUnsent) && outer.Err() == nil:
 		return registry.Unreachable
 	case errors.Is(err, errClient), errors.Is(err, errFailed), errors.Is(err, sender.ErrWithdrawn):
 		return registry.Neutral
-	case ctx.Err() != nil && (j.head || time.Since(begun) < j.longSilence()):
+	case outer.Err() != nil && (j.head || time.Since(begun) < j.longSilence()):
 		return registry.Neutral
 	}
 	return registry.Failed
@@ -134,8 +142,8 @@
 		Address: pick.Address, Method: j.q.Method, Target: j.q.Target, Host: j.q.Host, Body: j.q.Body,
 		Header: codec.EncodeRequest(j.q, pick.Endpoint, time.Until(j.q.Deadline()), j.last),
 		// Connecting takes time; an endpoint that began to leave meanwhile must
-		// not get the request any more.
-		Ready: func() bool { return j.r.c.Registry.Usable(pick) },
+		// not get the request any more, nor any endpoint one that came to be held.
+		Ready: func() bool { return j.r.c.Registry.Usable(pick) && !j.admit().Held },
 		Own: func(h http.Header) bool {
 			id := codec.DecodeReply(0, h).ID
 			return id == "" || id == j.q.ID
--- a/internal/serve/relayer/ending.go
+++ b/internal/serve/relayer/ending.go
@@ -29,7 +29,8 @@
 // brokenOff tells whether an attempt may have ended with its endpoint: the request was sent,
 // and it was not this side that ended the attempt.
 func brokenOff(ctx context.Context, err error) bool {
-	return ctx.Err() == nil && !errors.Is(err, errSilent) && (errors.Is(err, sender.ErrLost) || errors.Is(err, sender.ErrBroken))
+	own := errors.Is(err, errSilent) || errors.Is(err, errHeld)
+	return ctx.Err() == nil && !own && (errors.Is(err, sender.ErrLost) || errors.Is(err, sender.ErrBroken))
 }
 
 // mayTry tells whether another endpoint may get the request now.
--- a/internal/serve/relayer/relayer.go
+++ b/internal/serve/relayer/relayer.go
@@ -9,6 +9,12 @@
 // broken stream only where it may be resumed. Each further endpoint takes from
 // the retry budget of its service, so that a mass failure is not made worse.
 //
+// # Requests that end endpoints
+//
+// An attempt that an endpoint breaks off may have ended that endpoint. A request under which
+// endpoints ended is held by all daemons (package quarantiner): it is looked at before each
+// choice and again right before the first byte goes out, and withdrawn where it waits.
+//
 // # Truth of refusals
 //
 // A status that promises "not run" is sent only if no attempt can have run. An
@@ -23,6 +29,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"time"
@@ -31,6 +38,7 @@
 	"brasschute/internal/core/identifier"
 	"brasschute/internal/engine/sender"
 	"brasschute/internal/route/forecaster"
+	"brasschute/internal/route/quarantiner"
 	"brasschute/internal/route/registry"
 	"brasschute/internal/route/selector"
 	"brasschute/internal/serve/placer"
@@ -82,10 +90,21 @@
 	// Began is told once of each request that began to run.
 	Began func(*request.Request)
 	// Demand is told of placed and refused requests.
-	Demand Demand
+	Demand     Demand
+	Quarantine Quarantine
+}
+
+// Quarantine keeps requests from endpoints that would end under them.
+type Quarantine interface {
+	// Admit decides right before each send.
+	Admit(f identifier.Fingerprint, id identifier.Request) quarantiner.Verdict
+	// Enter notes an attempt that withdraw ends, until leave is called.
+	Enter(f identifier.Fingerprint, withdraw func()) (leave func())
 	// Broke is told of each attempt that an endpoint broke off, after it had brought some
 	// events.
-	Broke func(ctx context.Context, q *request.Request, pick *registry.Pick, events int)
+	Broke(ctx context.Context, q *request.Request, pick *registry.Pick, events int)
+	// Answered is told of each request that an endpoint has run to its end.
+	Answered(q *request.Request)
 }
 
 // Demand measures what is asked of services.
@@ -159,12 +178,7 @@
 }
 
 // New returns a relayer.
-func New(c Config) *Relayer {
-	if c.Broke == nil {
-		c.Broke = func(context.Context, *request.Request, *registry.Pick, int) {}
-	}
-	return &Relayer{c}
-}
+func New(c Config) *Relayer { return &Relayer{c} }
 
 // job is one request on its way.
 type job struct {
@@ -210,12 +224,15 @@
 		begun, events := time.Now(), j.res.Events
 		err := j.attempt(ctx, pick)
 		j.note(pick, begun, err)
+		if err == nil || errors.Is(err, errFailed) {
+			r.c.Quarantine.Answered(q)
+		}
 		if err == nil {
 			return j.res
 		}
 		if brokenOff(ctx, err) {
 			j.res.Fingerprint = q.Fingerprint()
-			r.c.Broke(ctx, q, pick, j.res.Events-events)
+			r.c.Quarantine.Broke(ctx, q, pick, j.res.Events-events)
 		}
 		if j.final(ctx, err) {
 			return j.res
@@ -229,6 +246,12 @@
 		j.timeUp(ctx)
 		return nil, true
 	}
+	if v := j.admit(); v.Held {
+		// What this request, or another arrival of it, met before holds for each endpoint.
+		j.res.Fingerprint = j.q.Fingerprint()
+		j.giveUp(heldReason(&v), v.RetryAfter)
+		return nil, true
+	}
 	pick, d := j.r.c.Placer.Place(j.q, j.service, j.tried)
 	if pick == nil {
 		j.res.Excluded = d.Excluded
