--- /dev/null
+++ b/internal/peer/reporter/reporter.go
@@ -0,0 +1,177 @@
+// Package reporter finds out whether endpoints ended under requests, and tells and hears of it.
+//
+// # Findings
+//
+// A daemon sees that an endpoint broke a request off. Whether the endpoint's process ended is
+// found by a probe of its address (package prober); endpoints that are known to leave end as
+// they should. What is found goes to the quarantine (package quarantiner), which decides.
+//
+// # Messages
+//
+// [Reporter.Told] is what a daemon puts into its messages to others, [Reporter.Heard] takes in
+// theirs. News is spread at once, by whatever way the fleet's daemons have.
+//
+// # Usage
+//
+//	r := reporter.New(reporter.Config{Host: name, Dialer: d, Leaving: registry.Leaving, Spread: hurry, ...})
+//	r.Broke(ctx, &reporter.Break{Fingerprint: f, Request: id, Pick: pick})
+package reporter
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"brasschute/internal/core/identifier"
+	"brasschute/internal/engine/prober"
+	"brasschute/internal/peer/rpc"
+	"brasschute/internal/route/quarantiner"
+	"brasschute/internal/route/registry"
+
+	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/time/rate"
+)
+
+// linesPerSecond bounds the log lines; counters count all.
+const linesPerSecond = 20
+
+// Config names the reporter's collaborators.
+type Config struct {
+	Host   identifier.Host
+	Dialer prober.Dialer
+	// Leaving tells whether an endpoint is known to leave.
+	Leaving func(*registry.Pick) (deadline time.Time, leaving bool)
+	// Spread is told that there is news: of this daemon's own, or heard from another one.
+	Spread  func(own bool)
+	Logger  *log.Logger
+	Metrics tally.Scope
+}
+
+// Break is a request that an endpoint broke off.
+type Break struct {
+	Fingerprint identifier.Fingerprint
+	Request     identifier.Request
+	Pick        *registry.Pick
+	// Events counts what the endpoint had brought.
+	Events int
+}
+
+// Reporter is one daemon's quarantine with all that it needs of others. It is safe for
+// concurrent use.
+type Reporter struct {
+	*quarantiner.Quarantiner
+
+	c      Config
+	prober *prober.Prober
+	lines  *rate.Limiter
+}
+
+// New returns a reporter that knows nothing.
+func New(c Config) *Reporter {
+	r := &Reporter{c: c, prober: prober.New(prober.Config{Dialer: c.Dialer}), lines: rate.NewLimiter(linesPerSecond, linesPerSecond)}
+	r.Quarantiner = quarantiner.New(quarantiner.Config{Host: c.Host, Changed: r.changed})
+	return r
+}
+
+// Broke looks whether an endpoint has ended that broke off a request.
+func (r *Reporter) Broke(ctx context.Context, b *Break) {
+	_, leaving := r.c.Leaving(b.Pick)
+	found := r.prober.Probe(ctx, b.Pick.Address)
+	r.c.Metrics.Tagged(map[string]string{"probe": found.String()}).Counter("requests_broken_off").Inc(1)
+	if found == prober.Listening {
+		return
+	}
+	counts := found == prober.Refused && !leaving
+	if r.lines.Allow() {
+		r.c.Logger.Info("endpoint ended under a request", "request", b.Request, "fingerprint", b.Fingerprint, "endpoint", b.Pick.Endpoint,
+			"life", b.Pick.Incarnation, "born", b.Pick.Born, "events", b.Events, "probe", found, "leaving", leaving, "counts", counts)
+	}
+	e := quarantiner.Ending{Endpoint: b.Pick.Endpoint, Born: b.Pick.Born, Weak: b.Events > 0}
+	if counts && r.Ended(b.Fingerprint, e) {
+		r.c.Spread(true)
+	}
+}
+
+// Answered clears a request that an endpoint has run to its end.
+func (r *Reporter) Answered(f identifier.Fingerprint) {
+	if r.Quarantiner.Answered(f) {
+		r.c.Spread(true)
+	}
+}
+
+// Lift clears a request as an operator asks, and reports whether anything counted against it.
+func (r *Reporter) Lift(f identifier.Fingerprint) bool {
+	lifted := r.Quarantiner.Lift(f)
+	r.c.Logger.Info("request lifted from quarantine", "fingerprint", f, "known", lifted)
+	if lifted {
+		r.c.Spread(true)
+	}
+	return lifted
+}
+
+// changed notes that a request came to be held or free again.
+func (r *Reporter) changed(s *quarantiner.Suspect) {
+	message, state := "request free again", "free"
+	if s.Held {
+		message, state = "request held back from all endpoints", "held"
+	}
+	r.c.Metrics.Tagged(map[string]string{"state": state}).Counter("quarantine_changes").Inc(1)
+	if r.lines.Allow() {
+		r.c.Logger.Warn(message, "fingerprint", s.Fingerprint, "endings", describe(s.Endings))
+	}
+}
+
+// describe lists endings for the log.
+func describe(endings []quarantiner.Ending) string {
+	out := make([]string, len(endings))
+	now := time.Now()
+	for i, e := range endings {
+		out[i] = string(e.Endpoint) + " seen by " + string(e.Seen) + " " + now.Sub(e.At).Round(time.Millisecond).String() + " ago"
+		if e.Weak {
+			out[i] += ", weak"
+		}
+		if e.Void {
+			out[i] += ", void"
+		}
+	}
+	return strings.Join(out, "; ")
+}
+
+// Told is what this daemon tells others.
+func (r *Reporter) Told() []*rpc.Suspect {
+	list := r.Quarantiner.Told()
+	out := make([]*rpc.Suspect, len(list))
+	now := time.Now()
+	for i, s := range list {
+		out[i] = &rpc.Suspect{Fingerprint: string(s.Fingerprint)}
+		for _, e := range s.Endings {
+			out[i].Endings = append(out[i].Endings, &rpc.Ending{
+				Endpoint: string(e.Endpoint), Born: int64(e.Born), Host: string(e.Seen), AgeMilli: now.Sub(e.At).Milliseconds(),
+				Weak: e.Weak, Void: e.Void,
+			})
+		}
+	}
+	return out
+}
+
+// Heard takes in what another daemon tells.
+func (r *Reporter) Heard(told []*rpc.Suspect) {
+	if len(told) == 0 {
+		return
+	}
+	list := make([]quarantiner.Suspect, len(told))
+	now := time.Now()
+	for i, s := range told {
+		list[i].Fingerprint = identifier.Fingerprint(s.GetFingerprint())
+		for _, e := range s.GetEndings() {
+			list[i].Endings = append(list[i].Endings, quarantiner.Ending{
+				Endpoint: identifier.Endpoint(e.GetEndpoint()), Born: identifier.Born(e.GetBorn()), Seen: identifier.Host(e.GetHost()),
+				At: now.Add(-time.Duration(max(e.GetAgeMilli(), 0)) * time.Millisecond), Weak: e.GetWeak(), Void: e.GetVoid(),
+			})
+		}
+	}
+	if r.Hear(list) {
+		r.c.Spread(false)
+	}
+}
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -55,6 +55,7 @@
 	"brasschute/internal/peer/ledger"
 	"brasschute/internal/peer/meter"
 	"brasschute/internal/peer/mirror"
+	"brasschute/internal/peer/reporter"
 	"brasschute/internal/peer/roster"
 	"brasschute/internal/peer/rpc"
 	"brasschute/internal/peer/supplier"
@@ -146,7 +147,7 @@
 	ledger     *ledger.Ledger
 	registry   *registry.Registry
 	sender     *sender.Sender
-	quarantine *quarantine
+	quarantine *reporter.Reporter
 	receiver   *receiver.Receiver
 	callers    *server.Server
 	reporter   prometheus.Reporter
@@ -262,7 +263,9 @@
 	g.registry = registry.New(registry.Config{Ledger: g.ledger, Daemons: g.daemons})
 	opened := g.scope.Counter("endpoint_connections_opened")
 	g.sender = sender.New(sender.Config{Dialer: g.c.Network, Opened: func() { opened.Inc(1) }})
-	g.quarantine = newQuarantine(g)
+	g.quarantine = reporter.New(reporter.Config{
+		Host: d.Host, Dialer: g.c.Network, Leaving: g.registry.Leaving, Spread: g.spreadEndings, Logger: g.c.Logger, Metrics: g.scope,
+	})
 	relay := relayer.New(relayer.Config{
 		Registry: g.registry, Placer: placer.New(placer.Config{Registry: g.registry, Estimator: &g.estimator, Zone: d.AvailabilityZone}),
 		Sender: g.sender, Codec: platform.Codec{}, Budget: g, Began: g.began, Demand: &g.demander, Quarantine: g.quarantine,
--- a/internal/role/gateway/news.go
+++ b/internal/role/gateway/news.go
@@ -115,7 +115,7 @@
 	out.Observing = g.observing()
 	out.Relaying = g.large() && g.relaying()
 	out.Leaving, out.Departures = g.leaving()
-	out.Suspects = g.quarantine.told()
+	out.Suspects = g.quarantine.Told()
 	if !g.large() {
 		out.Peers = g.swapper.Lately()
 	}
@@ -127,7 +127,7 @@
 	host := identifier.Host(d.GetHost())
 	g.toldSize.Store(max(g.toldSize.Load(), int64(d.GetFleet())))
 	g.account(d)
-	g.quarantine.heard(d.GetSuspects())
+	g.quarantine.Heard(d.GetSuspects())
 	for _, part := range d.GetCounted() {
 		g.parts.Merge(part, time.Now())
 	}
@@ -243,7 +243,7 @@
 		out.HoldsDuties = g.lease.Sure()
 	}
 	out.ConfigurationNumber = g.number()
-	out.Suspects = g.quarantine.told()
+	out.Suspects = g.quarantine.Told()
 	return out
 }
 
@@ -257,7 +257,7 @@
 
 func (g *Gateway) noted(n *rpc.Note) {
 	g.led(n.GetHoldsDuties())
-	g.quarantine.heard(n.GetSuspects())
+	g.quarantine.Heard(n.GetSuspects())
 	g.spread(&rpc.Digest{
 		Host: n.GetHost(), Address: n.GetAddress(), ConfigurationNumber: n.GetConfigurationNumber(), EndpointsRevision: n.GetEndpointsRevision(),
 		Leaving: n.GetLeaving(), Departures: n.GetDepartures(),
--- a/internal/role/gateway/quarantine.go
+++ b/internal/role/gateway/quarantine.go
@@ -2,139 +2,107 @@
 
 import (
 	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
 	"strings"
 	"time"
 
 	"brasschute/internal/core/identifier"
-	"brasschute/internal/engine/prober"
-	"brasschute/internal/peer/rpc"
+	"brasschute/internal/platform/object"
 	"brasschute/internal/route/quarantiner"
-	"brasschute/internal/route/registry"
-	"brasschute/internal/serve/request"
-
-	"golang.org/x/time/rate"
 )
 
-// endingsPerSecond bounds the log lines of requests that endpoints broke off, and of those
-// that come to be held; counters count all.
-const endingsPerSecond = 20
-
-// quarantine is what this daemon finds of requests under which endpoints end, and what it
-// tells and hears of them.
-type quarantine struct {
-	*quarantiner.Quarantiner
+const (
+	// quarantineKey is the store's object with the requests that are held, for processes that
+	// start when nobody else is left to tell: after a loss of all power each of them would
+	// end endpoints once more.
+	quarantineKey = "fleet/quarantine"
+	// LiftPath is where the metrics' listener takes an operator's DELETE of a request's
+	// fingerprint.
+	LiftPath = "/quarantine/{fingerprint}"
+)
 
-	g      *Gateway
-	prober *prober.Prober
-	lines  *rate.Limiter
+// quarantineRecord is the content of that object. Times are the writer's estimate of the
+// true time.
+type quarantineRecord struct {
+	Requests []quarantiner.Suspect
 }
 
-func newQuarantine(g *Gateway) *quarantine {
-	z := &quarantine{
-		g: g, prober: prober.New(prober.Config{Dialer: g.c.Network}), lines: rate.NewLimiter(endingsPerSecond, endingsPerSecond),
+// spreadEndings tells peers of news about requests under which endpoints ended. A relay passes what
+// it heard on to all that it tells, another daemon to some, as whoever saw an ending may not
+// know all daemons.
+func (g *Gateway) spreadEndings(own bool) { g.swapper.Hurry(own || g.large() && g.relaying()) }
+
+// held returns the requests that are held, and a text that changes with them.
+func (g *Gateway) held() (list []quarantiner.Suspect, state string) {
+	var b strings.Builder
+	for _, s := range g.quarantine.List() {
+		if !s.Held {
+			break
+		}
+		list = append(list, s)
+		fmt.Fprintf(&b, "%s %d;", s.Fingerprint, len(s.Endings))
 	}
-	z.Quarantiner = quarantiner.New(quarantiner.Config{Host: g.c.Deployment.Host, Changed: z.changed})
-	return z
+	return list, b.String()
 }
 
-// Broke looks whether an endpoint has ended that broke off a request, after it had brought
-// some events of it. One that leaves ends as it should.
-func (z *quarantine) Broke(ctx context.Context, q *request.Request, pick *registry.Pick, events int) {
-	_, leaving := z.g.registry.Leaving(pick)
-	found := z.prober.Probe(ctx, pick.Address)
-	z.g.scope.Tagged(map[string]string{"probe": found.String()}).Counter("requests_broken_off").Inc(1)
-	if found == prober.Listening {
+// keepQuarantine writes down which requests are held when that has changed: a call or two
+// for each of them.
+func (u *duties) keepQuarantine(ctx context.Context) {
+	list, state := u.g.held()
+	if state == u.quarantine {
 		return
 	}
-	counts := found == prober.Refused && !leaving
-	if z.lines.Allow() {
-		z.g.c.Logger.Info("endpoint ended under a request", "request", q.ID, "fingerprint", q.Fingerprint(), "endpoint", pick.Endpoint,
-			"life", pick.Incarnation, "born", pick.Born, "events", events, "probe", found, "leaving", leaving, "counts", counts)
-	}
-	if counts && z.Ended(q.Fingerprint(), quarantiner.Ending{Endpoint: pick.Endpoint, Born: pick.Born, Weak: events > 0}) {
-		z.g.swapper.Hurry(true)
-	}
-}
-
-// Answered clears a request that an endpoint has run to its end.
-func (z *quarantine) Answered(q *request.Request) {
-	if z.Quarantiner.Answered(q.Fingerprint()) {
-		z.g.swapper.Hurry(true)
+	version := object.Absent
+	o, err := u.g.store.Get(ctx, quarantineKey)
+	if err == nil {
+		version = o.Version
+	} else if !errors.Is(err, object.ErrMissing) {
+		u.g.c.Logger.Warn("requests in quarantine not stored", "error", err)
+		return
 	}
-}
-
-// lift clears a request as an operator asks.
-func (z *quarantine) lift(f identifier.Fingerprint) bool {
-	lifted := z.Lift(f)
-	z.g.c.Logger.Info("request lifted from quarantine", "fingerprint", f, "known", lifted)
-	if lifted {
-		z.g.swapper.Hurry(true)
+	r := quarantineRecord{Requests: shift(list, time.Until(u.g.clock.Now()))}
+	if _, err := u.g.store.Put(ctx, quarantineKey, version, r); err != nil {
+		u.g.c.Logger.Warn("requests in quarantine not stored", "error", err)
+		return
 	}
-	return lifted
+	u.quarantine = state
 }
 
-// changed notes that a request came to be held or free again.
-func (z *quarantine) changed(s *quarantiner.Suspect) {
-	message, state := "request free again", "free"
-	if s.Held {
-		message, state = "request held back from all endpoints", "held"
-	}
-	z.g.scope.Tagged(map[string]string{"state": state}).Counter("quarantine_changes").Inc(1)
-	if z.lines.Allow() {
-		z.g.c.Logger.Warn(message, "fingerprint", s.Fingerprint, "endings", describe(s.Endings))
+// readQuarantine takes over the requests that were held before this process started.
+func (g *Gateway) readQuarantine(ctx context.Context) error {
+	o, err := g.store.Get(ctx, quarantineKey)
+	if err != nil {
+		return err
 	}
-}
-
-// describe lists endings for the log.
-func describe(endings []quarantiner.Ending) string {
-	out := make([]string, len(endings))
-	now := time.Now()
-	for i, e := range endings {
-		out[i] = string(e.Endpoint) + " seen by " + string(e.Seen) + " " + now.Sub(e.At).Round(time.Millisecond).String() + " ago"
-		if e.Weak {
-			out[i] += ", weak"
-		}
-		if e.Void {
-			out[i] += ", void"
-		}
+	var r quarantineRecord
+	if err := json.Unmarshal(o.Value, &r); err != nil {
+		return fmt.Errorf("gateway: %s: %w", quarantineKey, err)
 	}
-	return strings.Join(out, "; ")
+	g.quarantine.Hear(shift(r.Requests, time.Since(g.clock.Now())))
+	g.c.Logger.Info("requests in quarantine read from the store", "requests", len(r.Requests), "revision", o.Version)
+	return nil
 }
 
-// told is what this daemon tells of suspects.
-func (z *quarantine) told() []*rpc.Suspect {
-	list := z.Told()
-	out := make([]*rpc.Suspect, len(list))
-	now := time.Now()
-	for i, s := range list {
-		out[i] = &rpc.Suspect{Fingerprint: string(s.Fingerprint)}
-		for _, e := range s.Endings {
-			out[i].Endings = append(out[i].Endings, &rpc.Ending{
-				Endpoint: string(e.Endpoint), Born: int64(e.Born), Host: string(e.Seen), AgeMilli: now.Sub(e.At).Milliseconds(), Weak: e.Weak, Void: e.Void,
-			})
+// shift moves the times of endings between this process's clock and the estimate of the
+// true time.
+func shift(list []quarantiner.Suspect, by time.Duration) []quarantiner.Suspect {
+	for i := range list {
+		for k := range list[i].Endings {
+			e := &list[i].Endings[k]
+			e.At = e.At.Add(by)
 		}
 	}
-	return out
+	return list
 }
 
-// heard takes in what a peer tells of suspects. A relay passes news on to all that it tells,
-// another daemon to some, as whoever saw an ending may not know all daemons.
-func (z *quarantine) heard(told []*rpc.Suspect) {
-	if len(told) == 0 {
+// liftHandler clears a request as an operator asks: 204, or 404 if nothing is known against it.
+func (g *Gateway) liftHandler(w http.ResponseWriter, r *http.Request) {
+	if !g.quarantine.Lift(identifier.Fingerprint(r.PathValue("fingerprint"))) {
+		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	list := make([]quarantiner.Suspect, len(told))
-	now := time.Now()
-	for i, s := range told {
-		list[i].Fingerprint = identifier.Fingerprint(s.GetFingerprint())
-		for _, e := range s.GetEndings() {
-			list[i].Endings = append(list[i].Endings, quarantiner.Ending{
-				Endpoint: identifier.Endpoint(e.GetEndpoint()), Born: identifier.Born(e.GetBorn()), Seen: identifier.Host(e.GetHost()),
-				At: now.Add(-time.Duration(max(e.GetAgeMilli(), 0)) * time.Millisecond), Weak: e.GetWeak(), Void: e.GetVoid(),
-			})
-		}
-	}
-	if z.Hear(list) {
-		z.g.swapper.Hurry(z.g.large() && z.g.relaying())
-	}
+	w.WriteHeader(http.StatusNoContent)
 }
--- a/internal/role/gateway/quarantine_test.go
+++ b/internal/role/gateway/quarantine_test.go
@@ -215,7 +215,7 @@
 			t.Errorf("%d of 570 other requests were not served", lost)
 		}
 		for _, g := range f.daemons {
-			if list, _ := g.quarantine.held(); len(list) > 3 {
+			if list, _ := g.held(); len(list) > 3 {
 				t.Errorf("%s holds %d requests: %+v", g.c.Deployment.Host, len(list), list)
 			}
 		}
--- a/internal/serve/relayer/relayer.go
+++ b/internal/serve/relayer/relayer.go
@@ -37,6 +37,7 @@
 	"brasschute/internal/config/catalog"
 	"brasschute/internal/core/identifier"
 	"brasschute/internal/engine/sender"
+	"brasschute/internal/peer/reporter"
 	"brasschute/internal/route/forecaster"
 	"brasschute/internal/route/quarantiner"
 	"brasschute/internal/route/registry"
@@ -100,11 +101,10 @@
 	Admit(f identifier.Fingerprint, id identifier.Request) quarantiner.Verdict
 	// Enter notes an attempt that withdraw ends, until leave is called.
 	Enter(f identifier.Fingerprint, withdraw func()) (leave func())
-	// Broke is told of each attempt that an endpoint broke off, after it had brought some
-	// events.
-	Broke(ctx context.Context, q *request.Request, pick *registry.Pick, events int)
+	// Broke is told of each attempt that an endpoint broke off.
+	Broke(ctx context.Context, b *reporter.Break)
 	// Answered is told of each request that an endpoint has run to its end.
-	Answered(q *request.Request)
+	Answered(f identifier.Fingerprint)
 }
 
 // Demand measures what is asked of services.
@@ -225,14 +225,14 @@
 		err := j.attempt(ctx, pick)
 		j.note(pick, begun, err)
 		if err == nil || errors.Is(err, errFailed) {
-			r.c.Quarantine.Answered(q)
+			r.c.Quarantine.Answered(q.Fingerprint())
 		}
 		if err == nil {
 			return j.res
 		}
 		if brokenOff(ctx, err) {
 			j.res.Fingerprint = q.Fingerprint()
-			r.c.Quarantine.Broke(ctx, q, pick, j.res.Events-events)
+			r.c.Quarantine.Broke(ctx, &reporter.Break{Fingerprint: q.Fingerprint(), Request: q.ID, Pick: pick, Events: j.res.Events - events})
 		}
 		if j.final(ctx, err) {
 			return j.res
