forwarder, streamer: requests that end endpoints are held on the own interface too

The same cause stood there: a lookup went to four endpoints in one arrival, a letter was resumed at engine after engine, and the next arrival began with nothing known; a claimed job that another daemon takes up goes the same way. Both ask the quarantine before each attempt and report what broke off and what was answered; daemons tell each other in their news. A held call gets a problem of the kind 'quarantined', 503, not run (or unknown after an attempt of its own), to come back after the pause.

--- a/internal/measure/experiment/experiment_test.go
+++ b/internal/measure/experiment/experiment_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -30,6 +31,7 @@
 	"brasschute/internal/measure/result"
 	"brasschute/internal/measure/workload"
 	"brasschute/internal/peer/ledger"
+	"brasschute/internal/peer/reporter"
 	"brasschute/internal/peer/rpc"
 	"brasschute/internal/platform/inventory"
 	"brasschute/internal/platform/object"
@@ -41,6 +43,9 @@
 	"brasschute/internal/serve/refusal"
 	"brasschute/internal/serve/streamer"
 	"brasschute/internal/standin/engine"
+
+	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
 )
 
 var (
@@ -238,6 +243,9 @@
 	}
 	d.streamer = streamer.New(streamer.Config{
 		Registry: d.registry, Caller: reach, Budgeter: budgeter.New(budgeter.Config{}), Zone: zone(i),
+		Quarantine: reporter.New(reporter.Config{
+			Dialer: noNetwork{}, Leaving: d.registry.Leaving, Spread: func(bool) {}, Logger: log.New(io.Discard), Metrics: tally.NoopScope,
+		}),
 	})
 	b.daemons = append(b.daemons, d)
 	for n := range b.hosts {
@@ -246,6 +254,13 @@
 	}
 }
 
+// noNetwork opens no connections: the engines are called without.
+type noNetwork struct{}
+
+func (noNetwork) DialContext(context.Context, string, string) (net.Conn, error) {
+	return nil, net.ErrClosed
+}
+
 // observe passes each engine's load and cache events on, late and with gaps.
 func (b *bench) observe(ctx context.Context) {
 	after := make([]uint64, engines)
--- a/internal/peer/exchanger/exchanger.go
+++ b/internal/peer/exchanger/exchanger.go
@@ -41,6 +41,7 @@
 	"brasschute/internal/engine/report"
 	"brasschute/internal/peer/holder"
 	"brasschute/internal/peer/ledger"
+	"brasschute/internal/peer/reporter"
 	"brasschute/internal/peer/rpc"
 	"brasschute/internal/route/registry"
 	"brasschute/internal/serve/recorder"
@@ -73,6 +74,7 @@
 	Keeper   *keeper.Keeper
 	Holder   *holder.Holder
 	Recorder *recorder.Recorder
+	Reporter *reporter.Reporter
 	// Client signs its calls.
 	Client *http.Client
 	// Seeds are peers known from the settings, as IP:port.
@@ -236,6 +238,7 @@
 // complete adds loads and the configuration's number to a message.
 func (x *Exchanger) complete(n *rpc.News) {
 	n.ConfigurationNumber = uint64(x.c.Keeper.Number())
+	n.Suspects = x.c.Reporter.Told()
 	now := time.Now()
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -270,6 +273,7 @@
 		x.Hurry()
 	}
 	x.takeLoads(in, now)
+	x.c.Reporter.Heard(in.Suspects)
 	if identifier.ConfigurationNumber(in.ConfigurationNumber) > x.c.Keeper.Number() && in.Self != nil {
 		x.fetch(ctx, in.Self.PeerAddress)
 	}
--- a/internal/peer/reporter/reporter.go
+++ b/internal/peer/reporter/reporter.go
@@ -42,6 +42,9 @@
 	Dialer prober.Dialer
 	// Leaving tells whether an endpoint is known to leave.
 	Leaving func(*registry.Pick) (deadline time.Time, leaving bool)
+	// Life tells lives of an endpoint apart, in the same way at all daemons; the time of its
+	// start if nil.
+	Life func(*registry.Pick) identifier.Born
 	// Spread is told that there is news: of this daemon's own, or heard from another one.
 	Spread  func(own bool)
 	Logger  *log.Logger
@@ -69,6 +72,9 @@
 
 // New returns a reporter that knows nothing.
 func New(c Config) *Reporter {
+	if c.Life == nil {
+		c.Life = func(k *registry.Pick) identifier.Born { return k.Born }
+	}
 	r := &Reporter{c: c, prober: prober.New(prober.Config{Dialer: c.Dialer}), lines: rate.NewLimiter(linesPerSecond, linesPerSecond)}
 	r.Quarantiner = quarantiner.New(quarantiner.Config{Host: c.Host, Changed: r.changed})
 	return r
@@ -82,12 +88,12 @@
 	if found == prober.Listening {
 		return
 	}
-	counts := found == prober.Refused && !leaving
+	counts, life := found == prober.Refused && !leaving, r.c.Life(b.Pick)
 	if r.lines.Allow() {
 		r.c.Logger.Info("endpoint ended under a request", "request", b.Request, "fingerprint", b.Fingerprint, "endpoint", b.Pick.Endpoint,
-			"life", b.Pick.Incarnation, "born", b.Pick.Born, "events", b.Events, "probe", found, "leaving", leaving, "counts", counts)
+			"born", life, "events", b.Events, "probe", found, "leaving", leaving, "counts", counts)
 	}
-	e := quarantiner.Ending{Endpoint: b.Pick.Endpoint, Born: b.Pick.Born, Weak: b.Events > 0}
+	e := quarantiner.Ending{Endpoint: b.Pick.Endpoint, Born: life, Weak: b.Events > 0}
 	if counts && r.Ended(b.Fingerprint, e) {
 		r.c.Spread(true)
 	}
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -53,6 +53,7 @@
 	"brasschute/internal/peer/holder"
 	"brasschute/internal/peer/ledger"
 	"brasschute/internal/peer/meter"
+	"brasschute/internal/peer/reporter"
 	"brasschute/internal/peer/rpc"
 	"brasschute/internal/peer/signer"
 	"brasschute/internal/platform/client"
@@ -104,14 +105,16 @@
 	keeper    *keeper.Keeper
 	registry  *registry.Registry
 	exchanger *exchanger.Exchanger
-	streamer  *streamer.Streamer
-	evacuator *evacuator.Evacuator
-	claimer   *claimer.Claimer
-	handler   *handler.Handler
-	meter     *meter.Meter
-	reporter  prometheus.Reporter
-	scope     tally.Scope
-	closer    func() error
+	// quarantine knows the requests under which endpoints ended.
+	quarantine *reporter.Reporter
+	streamer   *streamer.Streamer
+	evacuator  *evacuator.Evacuator
+	claimer    *claimer.Claimer
+	handler    *handler.Handler
+	meter      *meter.Meter
+	reporter   prometheus.Reporter
+	scope      tally.Scope
+	closer     func() error
 
 	started   time.Time
 	reachable atomic.Bool
@@ -158,8 +161,14 @@
 	kept := holder.New(holder.Config{})
 	signing := signer.New(signer.Config{Key: key, Host: s.Host})
 	dial := net.Dialer{Timeout: dialTimeout, LocalAddr: s.Source()}
+	e.quarantine = reporter.New(reporter.Config{
+		Host: s.Host, Dialer: &net.Dialer{LocalAddr: s.Source()}, Leaving: e.registry.Leaving,
+		// The host list numbers the lives of hosts.
+		Life:   func(k *registry.Pick) identifier.Born { return identifier.Born(k.Incarnation) },
+		Spread: func(bool) { e.exchanger.Hurry() }, Logger: e.c.Logger, Metrics: e.scope,
+	})
 	e.exchanger = exchanger.New(exchanger.Config{
-		Ledger: e.ledger, Registry: e.registry, Keeper: e.keeper, Holder: kept, Recorder: records, Seeds: seeds(s),
+		Reporter: e.quarantine, Ledger: e.ledger, Registry: e.registry, Keeper: e.keeper, Holder: kept, Recorder: records, Seeds: seeds(s),
 		Client: &http.Client{Transport: signing.Sign(&http.Transport{
 			DialContext: e.meter.Dial(dial.DialContext), IdleConnTimeout: peerIdle, DisableCompression: true,
 		})},
@@ -183,7 +192,7 @@
 	e.evacuator = evacuator.New(evacuator.Config{Registry: e.registry, Caller: endpoints})
 	e.streamer = streamer.New(streamer.Config{
 		Registry: e.registry, Caller: endpoints, Budgeter: budget, Zone: s.AvailabilityZone,
-		Stall: s.Engine.Stall.Std(), FirstStall: s.Engine.FirstStall.Std(),
+		Stall: s.Engine.Stall.Std(), FirstStall: s.Engine.FirstStall.Std(), Quarantine: e.quarantine,
 	})
 	e.claimer = claimer.New(claimer.Config{Store: e.platform})
 	e.handler = handler.New(handler.Config{
@@ -192,7 +201,7 @@
 		Claimer:  e.claimer,
 		Streamer: e.streamer,
 		Forwarder: forwarder.New(forwarder.Config{
-			Registry: e.registry, Caller: endpoints, Budgeter: budget, Zone: s.AvailabilityZone,
+			Registry: e.registry, Caller: endpoints, Budgeter: budget, Zone: s.AvailabilityZone, Quarantine: e.quarantine,
 		}),
 		Carrier:  carrier.New(carrier.Config{Ledger: e.ledger, Holder: kept, Peer: e.exchanger.Peer, Store: e.platform}),
 		Sealer:   sealer.New(sealer.Config{Key: key}),
--- a/internal/serve/call/call.go
+++ b/internal/serve/call/call.go
@@ -79,3 +79,12 @@
 	// released; empty for none.
 	HoldFor identifier.Service
 }
+
+// Fingerprint is the same for all arrivals of what one organisation asks for.
+func (c *Call) Fingerprint() identifier.Fingerprint {
+	organisation := identifier.Organisation("")
+	if c.Organisation != nil {
+		organisation = c.Organisation.Name
+	}
+	return identifier.Fingerprint(string(organisation) + "/" + c.Digest)
+}
--- a/internal/serve/forwarder/forwarder.go
+++ b/internal/serve/forwarder/forwarder.go
@@ -58,10 +58,11 @@
 
 // Config names the forwarder's collaborators.
 type Config struct {
-	Registry *registry.Registry
-	Caller   *caller.Caller
-	Budgeter *budgeter.Budgeter
-	Zone     identifier.AvailabilityZone
+	Registry   *registry.Registry
+	Caller     *caller.Caller
+	Budgeter   *budgeter.Budgeter
+	Zone       identifier.AvailabilityZone
+	Quarantine streamer.Quarantine
 }
 
 // Answer is an endpoint's whole answer.
@@ -85,6 +86,9 @@
 	var tried []identifier.Endpoint
 	maybeRan := false
 	for n := 1; ; n++ {
+		if held := streamer.Held(f.c.Quarantine, c); held != nil {
+			return nil, held.With(outcome(maybeRan))
+		}
 		pick, problem := f.choose(c, rec, tried)
 		if problem != nil {
 			return nil, problem.With(outcome(maybeRan))
@@ -95,11 +99,15 @@
 		note.State = state.State().String()
 		note.Outcome = "whole"
 		if err == nil {
+			f.c.Quarantine.Answered(c.Fingerprint())
 			return answer, nil
 		}
 		note.Outcome = err.Error()
 		sent := state.State() != caller.Unsent && !errors.Is(err, caller.ErrNotRun)
 		maybeRan = maybeRan || sent
+		if sent && ctx.Err() == nil {
+			f.c.Quarantine.Broke(ctx, streamer.Broken(c, pick, 0))
+		}
 		tried = append(tried, pick.Endpoint)
 		if problem := f.final(ctx, c, err, n, maybeRan); problem != nil {
 			return nil, problem
--- /dev/null
+++ b/internal/serve/forwarder/forwarder_test.go
@@ -0,0 +1,140 @@
+package forwarder
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"brasschute/internal/config/compiler"
+	"brasschute/internal/config/document"
+	"brasschute/internal/core/identifier"
+	"brasschute/internal/engine/caller"
+	"brasschute/internal/engine/frame"
+	"brasschute/internal/peer/ledger"
+	"brasschute/internal/peer/reporter"
+	"brasschute/internal/peer/rpc"
+	"brasschute/internal/platform/inventory"
+	"brasschute/internal/route/budgeter"
+	"brasschute/internal/route/registry"
+	"brasschute/internal/serve/call"
+	"brasschute/internal/serve/recorder"
+	"brasschute/internal/serve/refusal"
+	"brasschute/internal/serve/streamer"
+
+	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
+)
+
+// mortal is a pool of endpoints; each ends with the first request that it gets, its host
+// refuses connections from then on.
+type mortal struct {
+	registry *registry.Registry
+	reporter *reporter.Reporter
+	ended    atomic.Int32
+}
+
+func newMortal(t *testing.T, endpoints int) *mortal {
+	t.Helper()
+	m := &mortal{registry: registry.New(registry.Config{Ledger: ledger.New(ledger.Config{Self: &rpc.Member{Host: "entry-1"}})})}
+	for i := range endpoints {
+		var server *httptest.Server
+		server = httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+			m.ended.Add(1)
+			_ = server.Listener.Close()
+			panic(http.ErrAbortHandler)
+		}))
+		server.Config.ErrorLog = nil
+		server.Start()
+		t.Cleanup(server.CloseClientConnections)
+		id := fmt.Sprintf("endpoint-%d", i)
+		m.registry.Put(map[string]*inventory.Host{id: {
+			Host: identifier.Host(id), State: inventory.StateLive, AvailabilityZone: "zone-1",
+			Endpoints: []inventory.Endpoint{{Endpoint: identifier.Endpoint(id), Address: server.Listener.Addr().String(), Pool: "pool"}},
+		}})
+	}
+	m.reporter = reporter.New(reporter.Config{
+		Host: "entry-1", Dialer: &net.Dialer{}, Leaving: m.registry.Leaving, Spread: func(bool) {},
+		Logger: log.New(io.Discard), Metrics: tally.NoopScope,
+	})
+	return m
+}
+
+// newCall is an arrival of the same request.
+func newCall(instance int) *call.Call {
+	return &call.Call{
+		Request: "request", Instance: identifier.Request(fmt.Sprint("instance-", instance)), Received: time.Now(),
+		Plan: &compiler.Plan{}, Organisation: &document.Organisation{Name: "desk"},
+		Body: []byte("{}"), Digest: "digest", Header: http.Header{}, Method: http.MethodPost, Path: "/", MaxTokens: 8,
+		Pool: &document.Pool{Name: "pool", MaxInFlight: 8},
+	}
+}
+
+// sink takes frames of an answer that never comes.
+type sink struct{}
+
+// Frame takes a frame.
+func (sink) Frame(*frame.Frame) error { return nil }
+
+// A lookup, a posting that may not be repeated, and a letter end each endpoint that begins to
+// run them. Their callers come back, and each is sent on: to two endpoints and no more, and
+// later arrivals are refused as not run, to come back when the request is tried again.
+func TestRequestsThatEndEndpointsAreHeld(t *testing.T) {
+	const endpoints, arrivals = 6, 5
+	for _, c := range []struct {
+		name string
+		send func(t *testing.T, m *mortal, c *call.Call) error
+		once bool
+	}{
+		{"lookup", forward, false}, {"posting", forward, true}, {"letter", stream, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			m := newMortal(t, endpoints)
+			for i := range arrivals {
+				one := newCall(i)
+				one.NonIdempotent = c.once
+				err := c.send(t, m, one)
+				var problem *refusal.Problem
+				if !errors.As(err, &problem) {
+					t.Fatalf("arrival %d: %v", i, err)
+				}
+				held := problem.Kind() == refusal.Quarantined
+				if i >= 2 && (!held || problem.Outcome != refusal.NotRun || problem.RetrySeconds < 10) {
+					t.Errorf("arrival %d: %+v", i, problem)
+				}
+				if i == 0 && problem.Outcome != refusal.Unknown {
+					t.Errorf("the first arrival may have run: %+v", problem)
+				}
+			}
+			if n := m.ended.Load(); n != 2 {
+				t.Errorf("%d endpoints ended", n)
+			}
+		})
+	}
+}
+
+func forward(t *testing.T, m *mortal, c *call.Call) error {
+	t.Helper()
+	f := New(Config{Registry: m.registry, Caller: caller.New(caller.Config{}), Budgeter: budgeter.New(budgeter.Config{}), Quarantine: m.reporter})
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	a, err := f.Forward(ctx, c, &recorder.Record{})
+	if err == nil && !bytes.Equal(a.Body, nil) {
+		t.Errorf("an answer: %s", a.Body)
+	}
+	return err
+}
+
+func stream(_ *testing.T, m *mortal, c *call.Call) error {
+	s := streamer.New(streamer.Config{Registry: m.registry, Caller: caller.New(caller.Config{}), Budgeter: budgeter.New(budgeter.Config{}), Quarantine: m.reporter})
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	return s.Run(ctx, &streamer.Job{Call: c, Record: &recorder.Record{}}, sink{})
+}
--- a/internal/serve/refusal/refusal.go
+++ b/internal/serve/refusal/refusal.go
@@ -62,6 +62,7 @@
 	DeadlinePassed  Kind = "deadline-passed"
 	ResumeRefused   Kind = "resume-refused"
 	StreamLost      Kind = "stream-lost"
+	Quarantined     Kind = "quarantined"
 )
 
 var statuses = map[Kind]int{
@@ -75,6 +76,7 @@
 	InProgress: http.StatusConflict, AlreadyRan: http.StatusConflict,
 	EndpointFailed: http.StatusBadGateway, DeadlinePassed: http.StatusGatewayTimeout,
 	ResumeRefused: http.StatusForbidden, StreamLost: http.StatusGone,
+	Quarantined: http.StatusServiceUnavailable,
 }
 
 // Problem is one refusal. It is an error.
--- a/internal/serve/streamer/streamer.go
+++ b/internal/serve/streamer/streamer.go
@@ -92,6 +92,7 @@
 	// before the first; 5 s and 20 s if zero.
 	Stall      time.Duration
 	FirstStall time.Duration
+	Quarantine Quarantine
 }
 
 // Job is one answer on its way.
@@ -227,10 +228,15 @@
 
 // attempt runs the job at one engine.
 func (s *Streamer) attempt(ctx context.Context, j *Job, sink Sink) error {
+	if held := Held(s.c.Quarantine, j.Call); held != nil {
+		s.free(j)
+		return held.With(j.outcome())
+	}
 	pick, note, err := s.choose(j)
 	if err != nil {
 		return err
 	}
+	offset := j.Offset
 	result := registry.Neutral
 	begun := time.Now()
 	defer func() {
@@ -249,6 +255,9 @@
 	if err != nil {
 		result = s.notOpened(ctx, j, pick, &state, err)
 		note.Outcome = err.Error()
+		if state.State() == caller.MaybeSent && ctx.Err() == nil {
+			s.c.Quarantine.Broke(ctx, Broken(j.Call, pick, 0))
+		}
 		return cause(ctx, err)
 	}
 	defer stream.Close()
@@ -256,6 +265,7 @@
 	if err == nil {
 		note.Outcome = "whole"
 		result = registry.Succeeded
+		s.c.Quarantine.Answered(j.Call.Fingerprint())
 		return nil
 	}
 	err = cause(ctx, err)
@@ -265,6 +275,9 @@
 		return err
 	}
 	result = registry.Failed
+	if ctx.Err() == nil {
+		s.c.Quarantine.Broke(ctx, Broken(j.Call, pick, j.Offset-offset))
+	}
 	s.broken(j, pick, err)
 	return err
 }
