reporter: a broken-off request waits 25 ms at most for the probe, and none where its endpoint leaves

What is found later still counts. The holder of the duties takes over what is stored before it writes. Messages with ages beyond all bounds are bounded.

--- a/internal/peer/reporter/reporter.go
+++ b/internal/peer/reporter/reporter.go
@@ -33,8 +33,13 @@
 	"golang.org/x/time/rate"
 )
 
-// linesPerSecond bounds the log lines; counters count all.
-const linesPerSecond = 20
+const (
+	// linesPerSecond bounds the log lines; counters count all.
+	linesPerSecond = 20
+	// patience is how long a request waits for the finding, which decides whether it may go
+	// to another endpoint: some round trips between availability zones.
+	patience = 25 * time.Millisecond
+)
 
 // Config names the reporter's collaborators.
 type Config struct {
@@ -80,21 +85,39 @@
 	return r
 }
 
-// Broke looks whether an endpoint has ended that broke off a request.
+// Broke looks whether an endpoint has ended that broke off a request. It returns when that is
+// found, or after [patience]; what is found later counts, too.
 func (r *Reporter) Broke(ctx context.Context, b *Break) {
-	_, leaving := r.c.Leaving(b.Pick)
+	if _, leaving := r.c.Leaving(b.Pick); leaving {
+		return
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r.look(context.WithoutCancel(ctx), b)
+	}()
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+	}
+}
+
+// look probes the endpoint that broke off a request.
+func (r *Reporter) look(ctx context.Context, b *Break) {
 	found := r.prober.Probe(ctx, b.Pick.Address)
 	r.c.Metrics.Tagged(map[string]string{"probe": found.String()}).Counter("requests_broken_off").Inc(1)
 	if found == prober.Listening {
 		return
 	}
-	counts, life := found == prober.Refused && !leaving, r.c.Life(b.Pick)
+	life := r.c.Life(b.Pick)
 	if r.lines.Allow() {
 		r.c.Logger.Info("endpoint ended under a request", "request", b.Request, "fingerprint", b.Fingerprint, "endpoint", b.Pick.Endpoint,
-			"born", life, "events", b.Events, "probe", found, "leaving", leaving, "counts", counts)
+			"born", life, "events", b.Events, "probe", found)
 	}
 	e := quarantiner.Ending{Endpoint: b.Pick.Endpoint, Born: life, Weak: b.Events > 0}
-	if counts && r.Ended(b.Fingerprint, e) {
+	if found == prober.Refused && r.Ended(b.Fingerprint, e) {
 		r.c.Spread(true)
 	}
 }
@@ -173,7 +196,7 @@
 		for _, e := range s.GetEndings() {
 			list[i].Endings = append(list[i].Endings, quarantiner.Ending{
 				Endpoint: identifier.Endpoint(e.GetEndpoint()), Born: identifier.Born(e.GetBorn()), Seen: identifier.Host(e.GetHost()),
-				At: now.Add(-time.Duration(max(e.GetAgeMilli(), 0)) * time.Millisecond), Weak: e.GetWeak(), Void: e.GetVoid(),
+				At: now.Add(-age(e)), Weak: e.GetWeak(), Void: e.GetVoid(),
 			})
 		}
 	}
@@ -181,3 +204,8 @@
 		r.c.Spread(false)
 	}
 }
+
+// age is how long ago an ending was; a day for all that is older.
+func age(e *rpc.Ending) time.Duration {
+	return time.Duration(min(max(e.GetAgeMilli(), 0), (24*time.Hour).Milliseconds())) * time.Millisecond
+}
--- /dev/null
+++ b/internal/peer/reporter/reporter_test.go
@@ -0,0 +1,111 @@
+package reporter
+
+import (
+	"context"
+	"io"
+	"math"
+	"net"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"brasschute/internal/peer/rpc"
+	"brasschute/internal/route/registry"
+
+	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
+)
+
+// host refuses connections after a time, as that of a process that has ended does.
+type host struct {
+	after time.Duration
+	err   error
+}
+
+// DialContext waits and answers.
+func (h host) DialContext(ctx context.Context, _, _ string) (net.Conn, error) {
+	select {
+	case <-time.After(h.after):
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	if h.err != nil {
+		return nil, &net.OpError{Op: "dial", Err: h.err}
+	}
+	near, far := net.Pipe()
+	_ = far.Close()
+	return near, nil
+}
+
+// newReporter counts what it spreads of its own.
+func newReporter(h host, leaving bool, spread *int) *Reporter {
+	return New(Config{
+		Host: "a", Dialer: h, Leaving: func(*registry.Pick) (time.Time, bool) { return time.Time{}, leaving },
+		Spread: func(own bool) {
+			if own {
+				*spread++
+			}
+		}, Logger: log.New(io.Discard), Metrics: tally.NoopScope,
+	})
+}
+
+func TestWhatCountsAsAnEnding(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		h       host
+		leaving bool
+		counts  bool
+	}{
+		{"the process has ended", host{time.Millisecond, syscall.ECONNREFUSED}, false, true},
+		{"it has ended, and a slow link tells it late", host{60 * time.Millisecond, syscall.ECONNREFUSED}, false, true},
+		{"it has ended as it should", host{time.Millisecond, syscall.ECONNREFUSED}, true, false},
+		{"the connection was reset", host{time.Millisecond, nil}, false, false},
+		{"the answer was spoilt", host{time.Millisecond, nil}, false, false},
+		{"the availability zone is cut off", host{time.Minute, nil}, false, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				spread := 0
+				r := newReporter(c.h, c.leaving, &spread)
+				begun := time.Now()
+				r.Broke(t.Context(), &Break{Fingerprint: "f", Request: "r", Pick: &registry.Pick{Endpoint: "i-1"}})
+				if took := time.Since(begun); took > patience {
+					t.Errorf("the request was held up for %v", took)
+				}
+				time.Sleep(time.Second)
+				if known := len(r.List()) == 1; known != c.counts || spread == 1 != c.counts {
+					t.Errorf("known %v, spread %d times, want %v", known, spread, c.counts)
+				}
+			})
+		})
+	}
+}
+
+// Messages of others may be of a later version, or wrong.
+func TestUnlikelyMessagesAreLeftOut(t *testing.T) {
+	spread := 0
+	r := newReporter(host{}, false, &spread)
+	many := make([]*rpc.Ending, 100)
+	for i := range many {
+		many[i] = &rpc.Ending{Endpoint: string(rune('a' + i)), AgeMilli: int64(i)}
+	}
+	r.Heard([]*rpc.Suspect{
+		nil,
+		{},
+		{Fingerprint: "no endings"},
+		{Fingerprint: "no endpoint", Endings: []*rpc.Ending{{}, nil}},
+		{Fingerprint: "long ago", Endings: []*rpc.Ending{{Endpoint: "i-1", AgeMilli: math.MaxInt64}}},
+		{Fingerprint: "from the future", Endings: []*rpc.Ending{{Endpoint: "i-1", AgeMilli: math.MinInt64}}},
+		{Fingerprint: "many", Endings: many},
+	})
+	for _, s := range r.List() {
+		age := time.Since(s.Endings[0].At)
+		if s.Fingerprint != "many" && s.Fingerprint != "from the future" || age < 0 || len(s.Endings) > 8 {
+			t.Errorf("%s: %d endings, %v old", s.Fingerprint, len(s.Endings), age)
+		}
+	}
+	if n := len(r.List()); n != 2 {
+		t.Errorf("%d suspects", n)
+	}
+}
--- a/internal/role/gateway/quarantine.go
+++ b/internal/role/gateway/quarantine.go
@@ -30,9 +30,9 @@
 	Requests []quarantiner.Suspect
 }
 
-// spreadEndings tells peers of news about requests under which endpoints ended. A relay passes what
-// it heard on to all that it tells, another daemon to some, as whoever saw an ending may not
-// know all daemons.
+// spreadEndings tells peers of news about requests under which endpoints ended. A relay passes
+// what it heard on to all that it tells, another daemon to some, as whoever saw an ending may
+// not know all daemons.
 func (g *Gateway) spreadEndings(own bool) { g.swapper.Hurry(own || g.large() && g.relaying()) }
 
 // held returns the requests that are held, and a text that changes with them.
@@ -51,18 +51,16 @@
 // keepQuarantine writes down which requests are held when that has changed: a call or two
 // for each of them.
 func (u *duties) keepQuarantine(ctx context.Context) {
-	list, state := u.g.held()
-	if state == u.quarantine {
+	if _, state := u.g.held(); state == u.quarantine {
 		return
 	}
-	version := object.Absent
-	o, err := u.g.store.Get(ctx, quarantineKey)
-	if err == nil {
-		version = o.Version
-	} else if !errors.Is(err, object.ErrMissing) {
+	// What another holder stored is taken over first.
+	version, err := u.g.loadQuarantine(ctx)
+	if err != nil && !errors.Is(err, object.ErrMissing) {
 		u.g.c.Logger.Warn("requests in quarantine not stored", "error", err)
 		return
 	}
+	list, state := u.g.held()
 	r := quarantineRecord{Requests: shift(list, time.Until(u.g.clock.Now()))}
 	if _, err := u.g.store.Put(ctx, quarantineKey, version, r); err != nil {
 		u.g.c.Logger.Warn("requests in quarantine not stored", "error", err)
@@ -73,17 +71,26 @@
 
 // readQuarantine takes over the requests that were held before this process started.
 func (g *Gateway) readQuarantine(ctx context.Context) error {
+	_, err := g.loadQuarantine(ctx)
+	return err
+}
+
+// loadQuarantine takes over what is stored, and returns the version of it: [object.Absent]
+// with [object.ErrMissing] if nothing is.
+func (g *Gateway) loadQuarantine(ctx context.Context) (version uint64, err error) {
 	o, err := g.store.Get(ctx, quarantineKey)
 	if err != nil {
-		return err
+		return object.Absent, err
 	}
 	var r quarantineRecord
 	if err := json.Unmarshal(o.Value, &r); err != nil {
-		return fmt.Errorf("gateway: %s: %w", quarantineKey, err)
+		// Written anew with the next change.
+		g.unreadable([]error{fmt.Errorf("%s, revision %d: %w", quarantineKey, o.Version, err)})
+		return o.Version, nil
 	}
 	g.quarantine.Hear(shift(r.Requests, time.Since(g.clock.Now())))
 	g.c.Logger.Info("requests in quarantine read from the store", "requests", len(r.Requests), "revision", o.Version)
-	return nil
+	return o.Version, nil
 }
 
 // shift moves the times of endings between this process's clock and the estimate of the
