--- a/internal/peer/reporter/reporter_test.go
+++ b/internal/peer/reporter/reporter_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"math"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -39,12 +40,12 @@
 }
 
 // newReporter counts what it spreads of its own.
-func newReporter(h host, leaving bool, spread *int) *Reporter {
+func newReporter(h host, leaving bool, spread *atomic.Int32) *Reporter {
 	return New(Config{
 		Host: "a", Dialer: h, Leaving: func(*registry.Pick) (time.Time, bool) { return time.Time{}, leaving },
 		Spread: func(own bool) {
 			if own {
-				*spread++
+				spread.Add(1)
 			}
 		}, Logger: log.New(io.Discard), Metrics: tally.NoopScope,
 	})
@@ -66,7 +67,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				spread := 0
+				var spread atomic.Int32
 				r := newReporter(c.h, c.leaving, &spread)
 				begun := time.Now()
 				r.Broke(t.Context(), &Break{Fingerprint: "f", Request: "r", Pick: &registry.Pick{Endpoint: "i-1"}})
@@ -74,8 +75,8 @@
 					t.Errorf("the request was held up for %v", took)
 				}
 				time.Sleep(time.Second)
-				if known := len(r.List()) == 1; known != c.counts || spread == 1 != c.counts {
-					t.Errorf("known %v, spread %d times, want %v", known, spread, c.counts)
+				if known := len(r.List()) == 1; known != c.counts || spread.Load() == 1 != c.counts {
+					t.Errorf("known %v, spread %d times, want %v", known, spread.Load(), c.counts)
 				}
 			})
 		})
@@ -84,7 +85,7 @@
 
 // Messages of others may be of a later version, or wrong.
 func TestUnlikelyMessagesAreLeftOut(t *testing.T) {
-	spread := 0
+	var spread atomic.Int32
 	r := newReporter(host{}, false, &spread)
 	many := make([]*rpc.Ending, 100)
 	for i := range many {
