--- a/integration/quarantine_test.go
+++ b/integration/quarantine_test.go
@@ -125,4 +125,10 @@
 	if n := m.count(); n != 4 {
 		t.Errorf("%d endpoints ended", n)
 	}
+	lifted := string(hosts[0].beliefs(t).Quarantine[0].Fingerprint)
+	runCommand(t, 0, "lift", hosts[0].ip+":7600", lifted)
+	for _, h := range hosts {
+		h.holding(1)
+	}
+	runCommand(t, 1, "lift", hosts[1].ip+":7600", "unknown")
 }
--- a/internal/ops/commander/commander.go
+++ b/internal/ops/commander/commander.go
@@ -18,11 +18,9 @@
 	"errors"
 	"fmt"
 	"io"
-	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
-	"time"
 
 	"brasschute/internal/config/deployment"
 	"brasschute/internal/config/settings"
@@ -70,6 +68,8 @@
 	request  string
 	host     string
 	limit    int
+
+	fingerprint string
 }
 
 // New returns a commander with its defaults.
@@ -125,6 +125,9 @@
 		AddPositionalValue(&k.file, "FILE", 1, true, "settings (TOML), as the platform hands them over")
 	beliefs := add("beliefs", "show what a daemon on the hosting platform believes, with the age of each belief", k.beliefs)
 	beliefs.AddPositionalValue(&k.address, "ADDRESS", 1, true, "IP:port of the daemon's metrics")
+	lift := add("lift", "let a request through again that is held back, as endpoints ended under it", k.lift)
+	lift.AddPositionalValue(&k.address, "ADDRESS", 1, true, "IP:port of any daemon's metrics")
+	lift.AddPositionalValue(&k.fingerprint, "FINGERPRINT", 2, true, "as beliefs and the log show it")
 	add("demo", "show the whole system in one process", k.demo).Bool(&k.keep, "", "keep", "go on serving")
 	add("key", "print a new random key and its hash", k.newKey)
 	ask := func(name, description string, run func(context.Context) error) *flaggy.Subcommand {
@@ -287,40 +290,6 @@
 }
 
 // checkSettings reads a settings file as a daemon would at its start.
-func (k *Commander) checkSettings(context.Context) error {
-	d, err := platform.ReadDeployment(k.file)
-	if err != nil {
-		return refused(err.Error())
-	}
-	fmt.Fprintf(k.c.Output, "%s: valid, for host %s in %s\n", k.file, d.Host, d.AvailabilityZone)
-	return nil
-}
-
-// beliefs prints what a gateway believes.
-func (k *Commander) beliefs(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, beliefsTimeout)
-	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+k.address+gateway.BeliefsPath, http.NoBody)
-	if err != nil {
-		return usage(fmt.Sprintf("ADDRESS %q: IP:port is needed", k.address))
-	}
-	resp, err := http.DefaultClient.Do(r)
-	if err != nil {
-		return fmt.Errorf("beliefs: %w", err)
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("beliefs: %s answered %s", k.address, resp.Status)
-	}
-	if _, err := io.Copy(k.c.Output, resp.Body); err != nil {
-		return fmt.Errorf("beliefs: %w", err)
-	}
-	return nil
-}
-
-// beliefsTimeout bounds the call of a command that a person waits for.
-const beliefsTimeout = 3 * time.Second
-
 func (k *Commander) demo(ctx context.Context) error {
 	return demonstrator.New(demonstrator.Config{Output: k.c.Output, Log: k.c.Errors, Keep: k.keep}).Run(ctx)
 }
--- a/internal/role/gateway/beliefs.go
+++ b/internal/role/gateway/beliefs.go
@@ -120,7 +120,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("/", g.reporter.HTTPHandler())
 	mux.HandleFunc("GET "+BeliefsPath, g.beliefs)
-	mux.HandleFunc("DELETE "+LiftPath, g.liftHandler)
+	mux.HandleFunc("DELETE "+QuarantinePath+"{fingerprint}", g.liftHandler)
 	return mux
 }
 
--- a/internal/role/gateway/quarantine.go
+++ b/internal/role/gateway/quarantine.go
@@ -19,9 +19,9 @@
 	// start when nobody else is left to tell: after a loss of all power each of them would
 	// end endpoints once more.
 	quarantineKey = "fleet/quarantine"
-	// LiftPath is where the metrics' listener takes an operator's DELETE of a request's
-	// fingerprint.
-	LiftPath = "/quarantine/{fingerprint}"
+	// QuarantinePath is where the metrics' listener takes an operator's DELETE, with a request's
+	// fingerprint behind it.
+	QuarantinePath = "/quarantine/"
 )
 
 // quarantineRecord is the content of that object. Times are the writer's estimate of the
