--- a/internal/role/gateway/engines_test.go
+++ b/internal/role/gateway/engines_test.go
@@ -32,6 +32,8 @@
 	// engineEvents is the length of a stream, runTime the time of a run before its first event.
 	engineEvents = 20
 	runTime      = 50 * time.Millisecond
+	// rebirthTime is when an engine is back that starts again at once.
+	rebirthTime = 100 * time.Millisecond
 	// restartTime is when another engine stands at the address of one that ended, recordTime
 	// when the record of the one that ended lapses.
 	restartTime = 5 * time.Second
@@ -49,6 +51,8 @@
 type engines struct {
 	f    *testFleet
 	host *shaper.Host
+	// sameIDs: an engine has the id of the one whose place it takes, and starts at once.
+	sameIDs bool
 	// fatal tells whether a body ends the engine that runs it.
 	fatal func(body string) bool
 
@@ -105,8 +109,12 @@
 	}
 	e.last++
 	id := fmt.Sprintf("i-%03d", e.last)
+	if e.sameIDs {
+		id = fmt.Sprintf("i-%03d", place)
+	}
 	engine := hosting.NewEngine(hosting.Config{
 		ID: id, Service: modelService, Zone: fmt.Sprintf("zone-%d", place%e.f.zones), Address: address.String(), Events: engineEvents,
+		Born: time.Now().UnixMilli(),
 	})
 	server := &http.Server{}
 	var once sync.Once
@@ -143,6 +151,10 @@
 	e.ends = append(e.ends, end{time.Now(), id, body})
 	e.mu.Unlock()
 	_ = server.Close()
+	if e.sameIDs {
+		time.AfterFunc(rebirthTime, func() { e.start(place) })
+		return
+	}
 	time.AfterFunc(recordTime, func() { e.f.store.Remove(platform.EndpointKind, id) })
 	time.AfterFunc(restartTime, func() { e.start(place) })
 }
--- a/internal/role/gateway/quarantine_test.go
+++ b/internal/role/gateway/quarantine_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -280,3 +281,37 @@
 		}
 	})
 }
+
+// Impatient clients send the same request to all daemons at once, again and again, before
+// anything of it is known. Those that wait at an engine when it comes to be held are
+// withdrawn.
+func TestBurstOfARequestThatEndsEngines(t *testing.T) {
+	inEngineFleet(t, 8, fatalOnly, func(f *testFleet, e *engines) {
+		_, repeated := f.flow(10*time.Second, 50*time.Millisecond, time.Second, slices.Repeat([]string{fatalBody}, 24)...)
+		if n := e.sentAfter(fatalBody); n > allowedSends {
+			t.Errorf("sent %d times later than %v after the third engine had ended", n, contactTime)
+		}
+		held := 0
+		for _, r := range repeated {
+			if r.status == http.StatusServiceUnavailable && r.after != "" {
+				held++
+			}
+		}
+		t.Logf("%d ends, %d sends, %d of %d arrivals refused", len(e.ended(fatalBody)), len(e.sends), held, len(repeated))
+		if held < len(repeated)*3/4 {
+			t.Errorf("%d of %d arrivals were refused", held, len(repeated))
+		}
+	})
+}
+
+// Engines start again under the ids that they had, at once, and end under the same request
+// again: each life counts.
+func TestEachLifeOfAnEngineCounts(t *testing.T) {
+	inEngineFleet(t, 8, fatalOnly, func(f *testFleet, e *engines) {
+		e.sameIDs = true
+		_, _ = f.flow(20*time.Second, 50*time.Millisecond, 300*time.Millisecond, fatalBody)
+		if n := len(e.ended(fatalBody)); n > 3 {
+			t.Errorf("%d engines ended", n)
+		}
+	})
+}
