--- a/internal/route/allotter/allotter_test.go
+++ b/internal/route/allotter/allotter_test.go
@@ -45,6 +45,19 @@
 	return (o.RatePerSecond*window.Seconds()+o.Burst)*(1+overage) + slack
 }
 
+// desk is an organisation whose burst is a second's worth of its rate.
+func desk(rate float64) *catalog.Organisation {
+	return &catalog.Organisation{Name: "desk", RatePerSecond: rate, Burst: rate}
+}
+
+// wantWithin fails if an organisation was charged more in any window than it may.
+func (f *fleet) wantWithin(t *testing.T, o *catalog.Organisation) {
+	t.Helper()
+	if got, limit := f.most(), limitOf(o); got > limit {
+		t.Errorf("%.0f tokens in a window, limit %.0f", got, limit)
+	}
+}
+
 func newFleet() *fleet {
 	f := new(fleet)
 	for range daemons {
@@ -141,7 +154,7 @@
 	for seed := range uint64(5) {
 		synctest.Test(t, func(t *testing.T) {
 			r := rand.New(rand.NewPCG(seed, 1))
-			o := &catalog.Organisation{Name: "desk", RatePerSecond: 200_000, Burst: 200_000}
+			o := desk(200_000)
 			f := newFleet()
 			f.load(r, o, 8, 10*time.Second, connected)
 			f.admitted = nil
@@ -165,7 +178,7 @@
 	for seed := range uint64(5) {
 		synctest.Test(t, func(t *testing.T) {
 			r := rand.New(rand.NewPCG(seed, 2))
-			o := &catalog.Organisation{Name: "desk", RatePerSecond: 100_000, Burst: 100_000}
+			o := desk(100_000)
 			f := newFleet()
 			f.load(r, o, 4, 10*time.Second, connected)
 			share := f.load(r, o, 4.2, 40*time.Second, connected)
@@ -181,15 +194,12 @@
 func TestCutKeepsTheQuota(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := rand.New(rand.NewPCG(7, 3))
-		o := &catalog.Organisation{Name: "desk", RatePerSecond: 200_000, Burst: 200_000}
+		o := desk(200_000)
 		f := newFleet()
 		f.load(r, o, 64, 10*time.Second, connected)
 		side := func(i int) bool { return i < 2 }
 		f.load(r, o, 64, 12*time.Second, func(from, to int) bool { return side(from) != side(to) })
-		limit := limitOf(o)
-		if got := f.most(); got > limit {
-			t.Errorf("%.0f tokens in a window, limit %.0f", got, limit)
-		}
+		f.wantWithin(t, o)
 	})
 }
 
@@ -199,7 +209,7 @@
 func TestMassRestartKeepsTheQuota(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := rand.New(rand.NewPCG(8, 4))
-		o := &catalog.Organisation{Name: "desk", RatePerSecond: 200_000, Burst: 200_000}
+		o := desk(200_000)
 		f := newFleet()
 		f.load(r, o, 64, 10*time.Second, connected)
 		for i := range f.daemons {
@@ -207,10 +217,7 @@
 		}
 		time.Sleep(500 * time.Millisecond)
 		f.load(r, o, 64, 10*time.Second, connected)
-		limit := limitOf(o)
-		if got := f.most(); got > limit {
-			t.Errorf("%.0f tokens in a window, limit %.0f", got, limit)
-		}
+		f.wantWithin(t, o)
 	})
 }
 
@@ -220,7 +227,7 @@
 func TestReturnFromSilence(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := rand.New(rand.NewPCG(9, 5))
-		o := &catalog.Organisation{Name: "desk", RatePerSecond: 200_000, Burst: 200_000}
+		o := desk(200_000)
 		f := newFleet()
 		alone := func(from, to int) bool { return from == 7 || to == 7 }
 		f.load(r, o, 12, 10*time.Second, connected)
@@ -250,7 +257,7 @@
 // request, with 60 daemons; after: 4.4 µs and none.
 func BenchmarkAdmit(b *testing.B) {
 	a := New(Config{Window: window, Overage: overage, Slack: slack})
-	o := &catalog.Organisation{Name: "desk", RatePerSecond: 1e12, Burst: 1e12}
+	o := desk(1e12)
 	for n := range 60 {
 		a.Heard(News{Host: identifier.Host(fmt.Sprint(n)), Incarnation: 1, Accounts: map[identifier.Organisation]Account{"desk": {Total: 1}}})
 	}
@@ -266,7 +273,7 @@
 func TestNewcomerDoesNotPayForThePast(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := rand.New(rand.NewPCG(12, 7))
-		o := &catalog.Organisation{Name: "desk", RatePerSecond: 100_000, Burst: 100_000}
+		o := desk(100_000)
 		f := newFleet()
 		f.load(r, o, 4.2, 60*time.Second, connected)
 		f.daemons[0] = newProcess()
@@ -288,7 +295,7 @@
 // been refilled: it refused all requests for as long again.
 func TestSuspendedDaemonServesAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		o := &catalog.Organisation{Name: "desk", RatePerSecond: 100_000, Burst: 100_000}
+		o := desk(100_000)
 		a := newProcess()
 		started, ages, total := time.Now(), time.Duration(0), 0.0
 		tell := func() {
--- a/internal/route/allotter/digest_test.go
+++ b/internal/route/allotter/digest_test.go
@@ -19,7 +19,7 @@
 // from the bucket for good.
 func TestTwoDigestsWithinAMillisecondMakeNoRate(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		o := &catalog.Organisation{Name: "desk", RatePerSecond: 400_000, Burst: 400_000}
+		o := desk(400_000)
 		a := newProcess()
 		start := time.Now()
 		hear := func(host string, total float64) {
@@ -56,7 +56,7 @@
 // whole pause, its clients would be refused for several seconds more.
 func TestPausedDaemonDoesNotPayForThePause(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		o := &catalog.Organisation{Name: "desk", RatePerSecond: 100_000, Burst: 100_000}
+		o := desk(100_000)
 		a := newProcess()
 		start, total := time.Now(), 0.0
 		tell := func() {
@@ -88,7 +88,7 @@
 // others meanwhile, and what they had given out besides.
 func TestYoungDaemonDoesNotPayForAPause(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		o := &catalog.Organisation{Name: "desk", RatePerSecond: 400_000, Burst: 400_000}
+		o := desk(400_000)
 		const used = 0.6 * 400_000
 		a := newProcess()
 		start, total := time.Now(), 0.0
@@ -132,7 +132,7 @@
 // paid back within the window over which the quota holds.
 func TestLevelIsPaidBackWithinTheWindow(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		o := &catalog.Organisation{Name: "desk", RatePerSecond: 100_000, Burst: 100_000}
+		o := desk(100_000)
 		a := New(Config{Window: window, Overage: overage, Slack: slack})
 		a.Admit(o, 1)
 		a.Heard(News{Host: "other", Incarnation: 1, Accounts: map[identifier.Organisation]Account{o.Name: {}}})
@@ -269,7 +269,7 @@
 	const mostRefused = 2 * time.Second
 	rapid.Check(t, func(rt *rapid.T) {
 		synctest.Test(t, func(t *testing.T) {
-			o := &catalog.Organisation{Name: "desk", RatePerSecond: 300_000, Burst: 300_000}
+			o := desk(300_000)
 			u := &unruly{t: rt}
 			for i := range daemons {
 				u.daemons = append(u.daemons, nil)
@@ -295,7 +295,7 @@
 func TestLastDaemonIsNotCutOff(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet()
-		o := &catalog.Organisation{Name: "desk", RatePerSecond: 100_000, Burst: 100_000}
+		o := desk(100_000)
 		f.tell(connected)
 		time.Sleep(memory / 2)
 		if f.daemons[0].Admit(o, 1).Quiet == 0 {
--- a/internal/route/allotter/large_test.go
+++ b/internal/route/allotter/large_test.go
@@ -43,6 +43,16 @@
 	return l
 }
 
+// eachRate runs a check for organisations of some rates, each in a fleet of its own.
+func eachRate(t *testing.T, rates []float64, check func(t *testing.T, l *large, rate float64)) {
+	t.Helper()
+	for _, rate := range rates {
+		t.Run(fmt.Sprint(rate), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { check(t, newLarge(uint64(rate)), rate) })
+		})
+	}
+}
+
 // restart replaces the process of a host.
 func (l *large) restart(i int) {
 	l.daemons[i] = l.process()
@@ -112,67 +122,49 @@
 // daemons whose news is seconds old. A daemon that trusts old news too little
 // refuses what the fleet has room for.
 func TestLargeFleetAdmitsBelowTheQuota(t *testing.T) {
-	for _, rate := range []float64{50_000, 150_000, 540_000} {
-		t.Run(fmt.Sprint(rate), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				l := newLarge(uint64(rate))
-				o := &catalog.Organisation{Name: "desk", RatePerSecond: rate, Burst: rate}
-				l.load(o, 0.55*rate/tokens, 14*time.Second)
-				share, ideal := l.load(o, 0.55*rate/tokens, 30*time.Second)
-				if share < ideal-0.05 {
-					t.Errorf("%.3f admitted, one bucket for all would admit %.3f", share, ideal)
-				}
-			})
-		})
-	}
+	eachRate(t, []float64{50_000, 150_000, 540_000}, func(t *testing.T, l *large, rate float64) {
+		o := desk(rate)
+		l.load(o, 0.55*rate/tokens, 14*time.Second)
+		share, ideal := l.load(o, 0.55*rate/tokens, 30*time.Second)
+		if share < ideal-0.05 {
+			t.Errorf("%.3f admitted, one bucket for all would admit %.3f", share, ideal)
+		}
+	})
 }
 
 // All of sixty daemons are killed while organisations ask for a little over half
 // of their quotas. The new processes hear of each other over seconds.
 func TestLargeFleetServesAfterAMassRestart(t *testing.T) {
-	for _, rate := range []float64{150_000, 540_000} {
-		t.Run(fmt.Sprint(rate), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				l := newLarge(uint64(rate))
-				o := &catalog.Organisation{Name: "desk", RatePerSecond: rate, Burst: rate}
-				l.load(o, 0.55*rate/tokens, 14*time.Second)
-				for i := range l.daemons {
-					l.restart(i)
-				}
-				share, ideal := l.load(o, 0.55*rate/tokens, 10*time.Second)
-				if share < 0.7*ideal {
-					t.Errorf("%.3f admitted, one bucket for all would admit %.3f", share, ideal)
-				}
-			})
-		})
-	}
+	eachRate(t, []float64{150_000, 540_000}, func(t *testing.T, l *large, rate float64) {
+		o := desk(rate)
+		l.load(o, 0.55*rate/tokens, 14*time.Second)
+		for i := range l.daemons {
+			l.restart(i)
+		}
+		share, ideal := l.load(o, 0.55*rate/tokens, 10*time.Second)
+		if share < 0.7*ideal {
+			t.Errorf("%.3f admitted, one bucket for all would admit %.3f", share, ideal)
+		}
+	})
 }
 
 // One organisation sends eight times its usual, in a calm fleet and after a mass
 // restart.
 func TestLargeFleetKeepsTheQuota(t *testing.T) {
-	for _, rate := range []float64{150_000, 540_000} {
-		t.Run(fmt.Sprint(rate), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				l := newLarge(uint64(rate))
-				o := &catalog.Organisation{Name: "desk", RatePerSecond: rate, Burst: rate}
-				l.load(o, 0.55*rate/tokens, 14*time.Second)
-				l.load(o, 4.4*rate/tokens, 10*time.Second)
-				for i := range l.daemons {
-					l.restart(i)
-				}
-				time.Sleep(500 * time.Millisecond)
-				share, _ := l.load(o, 4.4*rate/tokens, 12*time.Second)
-				limit := limitOf(o)
-				if share < 0.1 {
-					t.Errorf("%.2f admitted after the restart", share)
-				}
-				if got := l.most(); got > limit {
-					t.Errorf("%.0f tokens in a window, limit %.0f", got, limit)
-				}
-			})
-		})
-	}
+	eachRate(t, []float64{150_000, 540_000}, func(t *testing.T, l *large, rate float64) {
+		o := desk(rate)
+		l.load(o, 0.55*rate/tokens, 14*time.Second)
+		l.load(o, 4.4*rate/tokens, 10*time.Second)
+		for i := range l.daemons {
+			l.restart(i)
+		}
+		time.Sleep(500 * time.Millisecond)
+		share, _ := l.load(o, 4.4*rate/tokens, 12*time.Second)
+		if share < 0.1 {
+			t.Errorf("%.2f admitted after the restart", share)
+		}
+		l.wantWithin(t, o)
+	})
 }
 
 // wantServed plays some rounds, of which nearly all is to be admitted that a single
@@ -194,19 +186,14 @@
 // as empty, and all sixty took its word: four requests in ten were refused for as
 // long as the restarts went on.
 func TestRollingRestartRefusesNothing(t *testing.T) {
-	for _, rate := range []float64{540_000, 1_640_000} {
-		t.Run(fmt.Sprint(rate), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				l := newLarge(uint64(rate))
-				o := &catalog.Organisation{Name: "desk", RatePerSecond: rate, Burst: rate}
-				l.load(o, 0.5*rate/tokens, 14*time.Second)
-				l.wantServed(t, 28, func(n int) (share, ideal float64) {
-					l.restart(n)
-					return l.load(o, 0.5*rate/tokens, 700*time.Millisecond)
-				})
-			})
+	eachRate(t, []float64{540_000, 1_640_000}, func(t *testing.T, l *large, rate float64) {
+		o := desk(rate)
+		l.load(o, 0.5*rate/tokens, 14*time.Second)
+		l.wantServed(t, 28, func(n int) (share, ideal float64) {
+			l.restart(n)
+			return l.load(o, 0.5*rate/tokens, 700*time.Millisecond)
 		})
-	}
+	})
 }
 
 // The same beside an organisation that asks for four times its quota: what new
@@ -215,16 +202,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		const rate = 540_000
 		l := newLarge(3)
-		o := &catalog.Organisation{Name: "desk", RatePerSecond: rate, Burst: rate}
+		o := desk(rate)
 		l.load(o, 0.5*rate/tokens, 14*time.Second)
 		for i := range 28 {
 			l.restart(i)
 			l.load(o, 4*rate/tokens, 700*time.Millisecond)
 		}
-		limit := limitOf(o)
-		if got := l.most(); got > limit {
-			t.Errorf("%.0f tokens in a window, limit %.0f", got, limit)
-		}
+		l.wantWithin(t, o)
 	})
 }
 
@@ -235,7 +219,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		const rate = 540_000
 		l := newLarge(4)
-		o := &catalog.Organisation{Name: "desk", RatePerSecond: rate, Burst: rate}
+		o := desk(rate)
 		l.load(o, 0.5*rate/tokens, 14*time.Second)
 		l.wantServed(t, 6, func(n int) (share, ideal float64) {
 			for i := range many / 10 {
@@ -267,10 +251,7 @@
 				if part := sum / (rate * long.Seconds()); part < 0.95 {
 					t.Errorf("%.2f of the quota used", part)
 				}
-				limit := limitOf(o)
-				if got := l.most(); got > limit {
-					t.Errorf("%.0f tokens in a window, limit %.0f", got, limit)
-				}
+				l.wantWithin(t, o)
 			})
 		})
 	}
@@ -293,27 +274,22 @@
 // full until then and took the others' charges all at once, and the sixth second
 // refused a third of the requests. Young daemons swap each second.
 func TestPowerLossIsForgottenSoon(t *testing.T) {
-	for _, rate := range []float64{260_000, 540_000} {
-		t.Run(fmt.Sprint(rate), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				l := newLarge(uint64(rate))
-				o := &catalog.Organisation{Name: "desk", RatePerSecond: rate, Burst: rate}
-				l.load(o, 0.55*rate/tokens, 14*time.Second)
-				for i := range l.daemons {
-					l.restart(i)
-				}
-				l.quiet = true
-				l.all()
-				for second := range 10 {
-					share, ideal := l.load(o, 0.55*rate/tokens, time.Second)
-					if second > 0 && share < ideal-0.1 {
-						t.Errorf("second %d: %.2f admitted, one bucket for all would admit %.2f", second, share, ideal)
-					}
-					l.all()
-				}
-			})
-		})
-	}
+	eachRate(t, []float64{260_000, 540_000}, func(t *testing.T, l *large, rate float64) {
+		o := desk(rate)
+		l.load(o, 0.55*rate/tokens, 14*time.Second)
+		for i := range l.daemons {
+			l.restart(i)
+		}
+		l.quiet = true
+		l.all()
+		for second := range 10 {
+			share, ideal := l.load(o, 0.55*rate/tokens, time.Second)
+			if second > 0 && share < ideal-0.1 {
+				t.Errorf("second %d: %.2f admitted, one bucket for all would admit %.2f", second, share, ideal)
+			}
+			l.all()
+		}
+	})
 }
 
 // cutInASuddenLoad plays six times an organisation's usual load, of which a third of the
--- a/internal/route/allotter/regroup_test.go
+++ b/internal/route/allotter/regroup_test.go
@@ -19,7 +19,7 @@
 // zero, it made this daemon refuse the organisation for seconds.
 func TestUnknownLevelIsNotZero(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		o := &catalog.Organisation{Name: "desk", RatePerSecond: 60_000, Burst: 60_000}
+		o := desk(60_000)
 		a := newProcess()
 		time.Sleep(window)
 		a.Heard(restOf(o, window, Account{Total: 40_000, NoLevel: true, Asked: 20_000}))
@@ -36,7 +36,7 @@
 func TestFullLevelIsNothingCharged(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const usual = 500_000
-		o := &catalog.Organisation{Name: "desk", RatePerSecond: usual, Burst: usual}
+		o := desk(usual)
 		a := New(Config{
 			Window: window, Overage: overage, Slack: slack, News: func() time.Duration { return 1500 * time.Millisecond },
 			Daemons: func() int { return 24 },
@@ -59,7 +59,7 @@
 // others had charged before.
 func TestRegroupedDaemonsAreNeitherForgottenNorChargedTwice(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		o := &catalog.Organisation{Name: "desk", RatePerSecond: 400_000, Burst: 400_000}
+		o := desk(400_000)
 		a := newProcess()
 		start, total := time.Now(), 0.0
 		for range 12 {
--- a/internal/route/allotter/window_test.go
+++ b/internal/route/allotter/window_test.go
@@ -5,8 +5,6 @@
 	"testing"
 	"testing/synctest"
 	"time"
-
-	"brasschute/internal/config/catalog"
 )
 
 // An organisation that uses half of its quota sends three times its usual for two
@@ -16,7 +14,7 @@
 	for seed := range uint64(4) {
 		synctest.Test(t, func(t *testing.T) {
 			r := rand.New(rand.NewPCG(seed, 8))
-			o := &catalog.Organisation{Name: "desk", RatePerSecond: 200_000, Burst: 200_000}
+			o := desk(200_000)
 			f := newFleet()
 			const usual = 0.5 * 200_000 / tokens
 			f.load(r, o, usual, 20*time.Second, connected)
@@ -35,7 +33,7 @@
 	for seed := range uint64(4) {
 		synctest.Test(t, func(t *testing.T) {
 			r := rand.New(rand.NewPCG(seed, 9))
-			o := &catalog.Organisation{Name: "desk", RatePerSecond: 400_000, Burst: 400_000}
+			o := desk(400_000)
 			f := newFleet()
 			const usual = 0.5 * 400_000 / tokens
 			f.load(r, o, usual, 20*time.Second, connected)
@@ -69,7 +67,7 @@
 func TestRestartWithARecordRefusesNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := rand.New(rand.NewPCG(11, 10))
-		o := &catalog.Organisation{Name: "desk", RatePerSecond: 400_000, Burst: 400_000}
+		o := desk(400_000)
 		f := newFleet()
 		const usual = 0.5 * 400_000 / tokens
 		f.load(r, o, usual, 20*time.Second, connected)
@@ -92,7 +90,7 @@
 	for _, age := range []time.Duration{time.Second, 20 * time.Second} {
 		synctest.Test(t, func(t *testing.T) {
 			r := rand.New(rand.NewPCG(12, 11))
-			o := &catalog.Organisation{Name: "desk", RatePerSecond: 200_000, Burst: 200_000}
+			o := desk(200_000)
 			f := newFleet()
 			f.load(r, o, 64, 20*time.Second, connected)
 			record := f.daemons[0].Record(time.Now())
