--- a/internal/peer/reporter/reporter_test.go
+++ b/internal/peer/reporter/reporter_test.go
@@ -83,6 +83,21 @@
 	}
 }
 
+// A stream had brought events when its engine ended: most likely it was another request that
+// ended it.
+func TestEndingAfterEventsIsWeak(t *testing.T) {
+	for events, weak := range map[int]bool{0: false, 3: true} {
+		synctest.Test(t, func(t *testing.T) {
+			var spread atomic.Int32
+			r := newReporter(host{time.Millisecond, syscall.ECONNREFUSED}, false, &spread)
+			r.Broke(t.Context(), &Break{Fingerprint: "f", Request: "r", Pick: &registry.Pick{Endpoint: "i-1"}, Events: events})
+			if got := r.List()[0].Endings[0].Weak; got != weak {
+				t.Errorf("after %d events: weak %v", events, got)
+			}
+		})
+	}
+}
+
 // Messages of others may be of a later version, or wrong.
 func TestUnlikelyMessagesAreLeftOut(t *testing.T) {
 	var spread atomic.Int32
