--- a/internal/standin/hosting/hosting.go
+++ b/internal/standin/hosting/hosting.go
@@ -26,6 +26,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"brasschute/internal/standin/batcher"
 )
 
 // Behaviour is how an engine treats a request.
@@ -83,6 +85,10 @@
 	Spot   bool
 	// Born is when it started, in milliseconds from 1970; 0 if it does not say so.
 	Born int64
+	// Batch, if not nil, makes it a model engine that works on several requests at once;
+	// an event of its streams holds EventTokens. Requests say their size and parts.
+	Batch       *batcher.Config
+	EventTokens int
 }
 
 // Engine is one engine. It is an http.Handler and safe for concurrent use.
@@ -95,13 +101,19 @@
 	arrived int
 	hold    chan struct{}
 	holding int
+	batch   *batcher.Batcher
 	// ended is closed when this life of the engine ends.
 	ended chan struct{}
 }
 
 // NewEngine returns an engine that serves.
 func NewEngine(c Config) *Engine {
-	return &Engine{c: c, hold: make(chan struct{}), ended: make(chan struct{})}
+	c.EventTokens = max(c.EventTokens, 1)
+	e := &Engine{c: c, hold: make(chan struct{}), ended: make(chan struct{})}
+	if c.Batch != nil {
+		e.batch = batcher.New(*c.Batch)
+	}
+	return e
 }
 
 // Behave makes the engine ask how to treat each request.
@@ -175,7 +187,7 @@
 		how = behave(r)
 	}
 	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
-	w.Header().Set("Server-Load", "1,0,8")
+	w.Header().Set("Server-Load", e.load())
 	if expected := r.Header.Get("Expect-Instance"); how == Misdirect || expected != "" && expected != e.c.ID {
 		w.Header().Set("Instance-Id", e.c.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -186,10 +198,14 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	run := e.begin(r, string(body))
 	e.mu.Lock()
 	ended := e.ended
 	e.mu.Unlock()
+	if e.batch != nil && how == Serve {
+		e.batched(w, r, string(body), ended)
+		return
+	}
+	run := e.begin(r, string(body))
 	e.run(w, r, how, run.After, ended)
 }
 
