handler, repairer, streamer: files split by concept

Moved, nothing changed: what comes back and is carried on, the shapes of answers, the repair record, a job. The same lines stand in each package as before.

--- a/internal/serve/streamer/streamer.go
+++ b/internal/serve/streamer/streamer.go
@@ -43,7 +43,6 @@
 	"brasschute/internal/route/budgeter"
 	"brasschute/internal/route/registry"
 	"brasschute/internal/route/selector"
-	"brasschute/internal/serve/call"
 	"brasschute/internal/serve/recorder"
 	"brasschute/internal/serve/refusal"
 )
@@ -95,43 +94,6 @@
 	Quarantine Quarantine
 }
 
-// Job is one answer on its way.
-type Job struct {
-	Call   *call.Call
-	Record *recorder.Record
-
-	// Offset counts the tokens that the caller has. Delivered holds them; it
-	// is shorter only after a resumption by token alone.
-	Offset    int
-	Delivered []string
-	// Stream, Endpoint and Address tell where the stream ran last; empty
-	// before the first attempt.
-	Stream   string
-	Endpoint identifier.Endpoint
-	Address  string
-
-	attempts  int
-	maybeSent bool
-	// began: an engine accepted the stream.
-	began bool
-	tried []identifier.Endpoint
-	// moving: the last attempt ended for a reclaim, not a failure.
-	moving bool
-	// adopt: only the engine that holds the stream may go on with it.
-	adopt bool
-	// returning: this attempt goes back to the engine that holds the stream.
-	returning bool
-	// away: the engine that holds the stream could not be reached again, so
-	// that others come first from now on.
-	away bool
-	// returned: the job went back to its engine once after a broken
-	// connection.
-	returned bool
-}
-
-// known tells whether another engine could go on.
-func (j *Job) known() bool { return len(j.Delivered) == j.Offset }
-
 // Streamer runs jobs. It is safe for concurrent use.
 type Streamer struct {
 	c Config
@@ -178,12 +140,6 @@
 	}
 }
 
-// mayWait tells whether a problem is one that time may mend: another engine
-// could go on from the tokens that are known.
-func (j *Job) mayWait(p *refusal.Problem) bool {
-	return p.Kind() == refusal.EndpointFailed && j.begun() && j.known() && !j.adopt
-}
-
 // rest waits before a job that has begun looks for an engine again; false means
 // that its time is over, or that the daemon leaves. What was accepted is not
 // given up for a pool that is full, ejected or being replaced at this moment.
@@ -201,16 +157,6 @@
 	return refusal.New(refusal.DeadlinePassed, "the deadline passed").With(j.outcome()).After(retryAfter)
 }
 
-// begun tells whether an engine may have started the job.
-func (j *Job) begun() bool { return j.maybeSent || j.Offset > 0 || j.Stream != "" }
-
-func (j *Job) outcome() refusal.Outcome {
-	if j.begun() {
-		return refusal.Unknown
-	}
-	return refusal.NotRun
-}
-
 // final decides whether a failed attempt ends the job; nil means to go on.
 func (s *Streamer) final(j *Job, err error) *refusal.Problem {
 	var problem *refusal.Problem
@@ -331,17 +277,6 @@
 	return pick, j.note(&note), nil
 }
 
-// note keeps an attempt for the explanation: the first ones, and the last in
-// the place of those that were too many.
-func (j *Job) note(a *recorder.Attempt) *recorder.Attempt {
-	if len(j.Record.Attempts) < maxNotes {
-		j.Record.Attempts = append(j.Record.Attempts, *a)
-	} else {
-		j.Record.Attempts[maxNotes-1] = *a
-	}
-	return &j.Record.Attempts[len(j.Record.Attempts)-1]
-}
-
 // back returns to the engine that holds the stream, if there is one and the
 // job has not just left it.
 func (s *Streamer) back(j *Job, note *recorder.Attempt) *registry.Pick {
