--- a/internal/serve/relayer/relayer.go
+++ b/internal/serve/relayer/relayer.go
@@ -247,7 +247,8 @@
 		return nil, true
 	}
 	if v := j.admit(); v.Held {
-		// What this request, or another arrival of it, met before holds for each endpoint.
+		// A request that ends the endpoint which runs it would end the next one with each
+		// arrival, and the answers of all others there.
 		j.res.Fingerprint = j.q.Fingerprint()
 		j.giveUp(heldReason(&v), v.RetryAfter)
 		return nil, true
