--- a/internal/route/quarantiner/quarantiner.go
+++ b/internal/route/quarantiner/quarantiner.go
@@ -211,7 +211,7 @@
 	}
 	s.void(func(*Ending) bool { return true })
 	s.changed = time.Now()
-	changed := z.judge(f, s, nil)
+	changed := z.judge(f, s)
 	z.mu.Unlock()
 	z.tell(changed)
 	return true
@@ -244,14 +244,15 @@
 	return z.forgotten
 }
 
-func (z *Quarantiner) tell(changed []*Suspect) {
-	for _, s := range changed {
-		z.c.Changed(s)
+// tell passes on a change, if there is one, without the lock.
+func (z *Quarantiner) tell(changed *Suspect) {
+	if changed != nil {
+		z.c.Changed(changed)
 	}
 }
 
 // add merges endings into what is known of a request. The caller holds the lock.
-func (z *Quarantiner) add(f identifier.Fingerprint, endings []Ending, now time.Time) (news bool, changed []*Suspect) {
+func (z *Quarantiner) add(f identifier.Fingerprint, endings []Ending, now time.Time) (news bool, changed *Suspect) {
 	s := z.suspects[f]
 	if s == nil {
 		z.forget(now)
@@ -267,24 +268,22 @@
 	if news {
 		s.changed = now
 	}
-	return news, z.judge(f, s, nil)
+	return news, z.judge(f, s)
 }
 
-// judge decides anew whether a request is held, and returns it with all others that change
-// with it. The caller holds the lock.
-func (z *Quarantiner) judge(f identifier.Fingerprint, s *suspect, changed []*Suspect) []*Suspect {
+// judge decides anew whether a request is held, and returns it if that has changed. The
+// caller holds the lock.
+func (z *Quarantiner) judge(f identifier.Fingerprint, s *suspect) *Suspect {
 	held := s.points() >= limit
 	if held == s.held {
-		return changed
+		return nil
 	}
 	s.held = held
-	changed = append(changed, &Suspect{Fingerprint: f, Endings: slices.Clone(s.endings), Held: held})
-	if !held {
-		return changed
+	if held {
+		z.withdraw(f)
+		z.explain(s)
 	}
-	z.withdraw(f)
-	z.explain(s)
-	return changed
+	return &Suspect{Fingerprint: f, Endings: slices.Clone(s.endings), Held: held}
 }
 
 // explain voids the endings of other requests that a held one explains.
--- a/internal/route/quarantiner/sharing.go
+++ b/internal/route/quarantiner/sharing.go
@@ -48,7 +48,7 @@
 }
 
 // hear takes in one suspect. The caller holds the lock.
-func (z *Quarantiner) hear(told *Suspect, now time.Time) (news bool, changed []*Suspect) {
+func (z *Quarantiner) hear(told *Suspect, now time.Time) (news bool, changed *Suspect) {
 	endings := make([]Ending, 0, len(told.Endings))
 	for _, e := range told.Endings {
 		// What has lapsed here is not taken over again.
