--- a/internal/role/gateway/engines_test.go
+++ b/internal/role/gateway/engines_test.go
@@ -21,7 +21,7 @@
 const (
 	modelService = "lm"
 	modelHost    = "desk.example"
-	// streamPath is a route of streams that may not be resumed, lookupPath one of streams
+	// streamPath is a route of streams that may not be resumed, resumePath one of streams
 	// that may be.
 	streamPath = "/letters/"
 	resumePath = "/drafts/"
