allotter: a daemon that has seen few requests keeps its bucket as deep as the burst

Cause: the bucket is as deep as four mean requests where the quota is small, and the mean was the daemon's own, taken before the request that asks was weighed. Ruled out by the trace: the rates carried on for the others (9,000 of the difference), the parts set aside (0), shares (not shared).

Change: the request that asks is weighed first, and four requests that make up the burst are added to the mean where the depth goes by it.

The new test fails without the change (refused at a level of 45,000).

--- a/internal/route/allotter/allotter.go
+++ b/internal/route/allotter/allotter.go
@@ -94,7 +94,9 @@
 	leastBurst = 0.6
 	// fewRequests of the mean size are given out at once in any case, within the burst. Sixty
 	// daemons whose bucket held two or three of an organisation's requests refused one of
-	// nineteen at half of its quota; so few are not many unseen either.
+	// nineteen at half of its quota; so few are not many unseen either. Until a daemon has
+	// seen some, the burst is taken for as many: one that had seen a single small request
+	// refused the next one.
 	fewRequests = 4
 	// joining is how long a new daemon sets aside the parts of those that it has
 	// not heard: several rounds of news.
@@ -274,9 +276,8 @@
 	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	b, unseen := a.bucket(o, now)
+	b, unseen := a.bucket(o, charge, now)
 	b.asked += charge * math.Ln2 / demandHalf.Seconds()
-	b.weigh(charge)
 	v := Verdict{Level: b.level() - unseen, Rate: b.rate, Reserved: a.reserved(now)}
 	if b.alone {
 		v.Quiet, v.Part = now.Sub(a.heardAt), b.part
@@ -316,7 +317,7 @@
 
 // set brings the terms of a bucket up to date.
 func (a *Allotter) set(b *bucket, o *catalog.Organisation) {
-	rate, burst := a.terms(o, b.mean)
+	rate, burst := a.terms(o, b.presumedMean(o.Burst))
 	window := a.c.Window.Seconds()
 	saved := a.saved()
 	// Where nothing is saved up the bucket alone keeps the quota, and the window's sum,
@@ -330,14 +331,20 @@
 }
 
 // bucket returns an organisation's bucket as of now, and what the others are taken
-// to have charged of it unheard.
-func (a *Allotter) bucket(o *catalog.Organisation, now time.Time) (b *bucket, unseen float64) {
+// to have charged of it unheard. charge is the size of the request that asks for it.
+func (a *Allotter) bucket(o *catalog.Organisation, charge float64, now time.Time) (b *bucket, unseen float64) {
 	aside := a.reserved(now)
 	b = a.buckets[o.Name]
-	if b == nil {
+	known := b != nil
+	if !known {
 		// Used up: what the daemons before this one gave out is not known. It
 		// fills up before a new fleet's first clients come.
 		b = &bucket{at: a.start, aside: aside, recent: recent{window: a.c.Window}}
+	}
+	// Before the terms, which go by the mean: as deep as a smaller request asked for, a
+	// bucket had no room for the next one.
+	b.weigh(charge)
+	if !known {
 		a.set(b, o)
 		b.recent.spread(b.allowed, a.start)
 		a.restore(b, o.Name, now)
--- a/internal/route/allotter/bucket.go
+++ b/internal/route/allotter/bucket.go
@@ -65,6 +65,12 @@
 	b.mean += max(meanWeight, 1/b.weighed) * (charge - b.mean)
 }
 
+// presumedMean is the mean where it rests on few requests: as many are added to them as make
+// up the burst.
+func (b *bucket) presumedMean(burst float64) float64 {
+	return (b.mean*b.weighed + burst) / (b.weighed + fewRequests)
+}
+
 // take charges an amount.
 func (b *bucket) take(charge float64) {
 	b.held -= charge
--- a/internal/route/allotter/window_test.go
+++ b/internal/route/allotter/window_test.go
@@ -107,3 +107,21 @@
 		})
 	}
 }
+
+// A quota lets three or four usual requests through at once. A daemon that had seen one small
+// request kept its bucket only as deep as a few like it, and refused the next one, of the
+// usual size, while most of the quota was unused.
+func TestSmallRequestLeavesRoomForAUsualOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const rate, small, usual = 60_000, 3_000, 50_000
+		a := New(Config{Window: 8 * time.Second, Overage: 0.1, News: func() time.Duration { return 2 * time.Second }})
+		o := desk(rate)
+		time.Sleep(joining)
+		for _, size := range []float64{small, usual} {
+			if v := a.Admit(o, size); v.RetryAfter > 0 {
+				t.Errorf("a request of %.0f tokens is refused at a level of %.0f", size, v.Level)
+			}
+			time.Sleep(time.Second)
+		}
+	})
+}
