--- /dev/null
+++ b/internal/route/splitter/splitter.go
@@ -0,0 +1,496 @@
+// Package splitter decides, at each daemon, which version of a service's endpoints a request
+// may go to while the service is rolled out.
+//
+// # The share that each daemon keeps by itself
+//
+// A version that is tried may be bad, and how much of all requests it gets is a sum over the
+// fleet that nobody knows in time. So each daemon earns a part of a trial with each request
+// for the service, and a trial costs a whole one: what all daemons send to the version
+// together is a share of what all have seen, whoever is cut off, starts anew or has few
+// clients. Where daemons see few requests, a part of what is tolerated beyond the share is
+// dealt out among them at the order.
+//
+// Trials are spread evenly over the routes of a service: a version may be bad on one only.
+// They go to a few endpoints of the version, each of which then does as much as an old one
+// does: a version may be bad under load only.
+//
+// # Who says go on
+//
+// The holder of the duties says how far a roll-out has come, several times a second
+// ([Grant]). A daemon that has not heard so for [grantTime] sends nothing to the version:
+// whoever is cut off, or whose holder has died, goes on with the old endpoints. That a
+// version was reverted is never forgotten and outdoes all else.
+//
+// # Usage
+//
+//	s.Put(rollouts)                // from the store
+//	s.Hear(grant, now)             // from the holder, or passed on
+//	choice := s.Choose(&ask)       // for each send
+//	if s.Barred(service, version)  // right before the first byte
+//	s.Ended(...)                   // what came of it
+package splitter
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"brasschute/internal/config/rollout"
+	"brasschute/internal/core/identifier"
+	"brasschute/internal/route/selector"
+)
+
+const (
+	// grantTime is how long a grant holds: longer than news takes through a fleet (p99
+	// 1.4 s). Of the time in which a bad version must be left it is grantPart at the most.
+	grantTime = 2500 * time.Millisecond
+	grantPart = 0.5
+	// The share is for trials and for requests that would outlast the old endpoints. What
+	// trials show depends on their number, so they are a part of all requests that makes
+	// enoughTries until the deadline, tryPart of the share at the most and leastTries at the
+	// least: few endpoints must be as busy with them as the old ones are.
+	enoughTries = 300
+	tryPart     = 0.4
+	leastTries  = 0.015
+	// shareMargin is kept of the share for clocks and counts that differ.
+	shareMargin = 0.005
+	// slackPart of what is tolerated beyond the share is dealt out.
+	slackPart = 0.5
+	// pressTime is the time in which what was earned before there was an endpoint of the
+	// version is spent.
+	pressTime = 4 * time.Second
+	// mostChance is the most of the requests that try the version meanwhile.
+	mostChance = 0.25
+	// mostRoutes bounds the routes that are told apart in a service.
+	mostRoutes = 64
+)
+
+// Config says what a version that is tried may get.
+type Config struct {
+	// Share of all requests for a service, and Slack requests beyond it.
+	Share float64
+	Slack float64
+	// Leave is the time in which a version that is bad must be left; 0 for any.
+	Leave time.Duration
+	// Now is a clock that goes on while the host is suspended, as those who are told when
+	// the holder spoke; time.Now if nil.
+	Now func() time.Time
+	// Daemons estimates the number of daemons; one if nil.
+	Daemons func() int
+	// Endpoints counts a service's endpoints by version; may be nil.
+	Endpoints func(identifier.Service) map[identifier.Version]int
+	// Random draws a number of at least 0 and below 1; the runtime's source if nil.
+	Random func() float64
+	// Changed is told of each change of a phase; may be nil.
+	Changed func(Change)
+}
+
+// Change is a change of what this daemon takes for the phase of a roll-out.
+type Change struct {
+	Service       identifier.Service
+	Target        identifier.Version
+	Order         uint64
+	Before, After rollout.Phase
+	// Source is the store or the host that said so, Age how long ago it was said.
+	Source string
+	Age    time.Duration
+}
+
+// Grant is what the holder of the duties says of an order.
+type Grant struct {
+	Service identifier.Service
+	Target  identifier.Version
+	Order   uint64
+	Phase   rollout.Phase
+	// Fencing and Beat tell which of two is newer.
+	Fencing, Beat uint64
+	// Said is when the holder said so, Ends when the old endpoints are to end, by this
+	// daemon's clock.
+	Said, Ends time.Time
+}
+
+func (g *Grant) newer(than *Grant) bool {
+	if g.Fencing != than.Fencing {
+		return g.Fencing > than.Fencing
+	}
+	return g.Beat > than.Beat
+}
+
+// Ask is a request that is to be sent.
+type Ask struct {
+	Service identifier.Service
+	Route   string
+	// Again: it was sent before, or has been decided on.
+	Again bool
+	// Lasts is how long its answer may take.
+	Lasts time.Duration
+}
+
+// Splitter is safe for concurrent use.
+type Splitter struct {
+	c Config
+
+	mu sync.Mutex
+	// known: the orders have been read once.
+	known    bool
+	services map[identifier.Service]*service
+}
+
+// service is one whose roll-out was ordered.
+type service struct {
+	order rollout.Rollout
+	// left are versions of earlier orders that did not become complete. former is the stored
+	// phase of an earlier order of the same version: until another one is stored, the store
+	// has none of this order.
+	left   map[identifier.Version]bool
+	former rollout.Phase
+	grant  Grant
+	// earned is what is left to spend on trials, moves on requests that outlast; asked
+	// counts requests since the order, routes them by route.
+	earned, moves float64
+	asked         int
+	routes        map[string]int
+	// ordered is when the order came.
+	ordered time.Time
+	tally   map[tallyKey]*Tally
+	// usual is by route.
+	usual map[string]usual
+}
+
+// New returns a splitter that knows no orders.
+func New(c Config) *Splitter {
+	if c.Daemons == nil {
+		c.Daemons = func() int { return 1 }
+	}
+	if c.Random == nil {
+		c.Random = rand.Float64
+	}
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	if c.Endpoints == nil {
+		c.Endpoints = func(identifier.Service) map[identifier.Version]int { return nil }
+	}
+	if c.Changed == nil {
+		c.Changed = func(Change) {}
+	}
+	return &Splitter{c: c, services: make(map[identifier.Service]*service)}
+}
+
+// Put takes in the orders as they are stored; a nil one is not stored any more. source says
+// who told.
+func (s *Splitter) Put(orders map[identifier.Service]*rollout.Rollout, source string) {
+	var changes []Change
+	s.mu.Lock()
+	now := s.c.Now()
+	for name, r := range orders {
+		if r == nil {
+			delete(s.services, name)
+			continue
+		}
+		if c, changed := s.put(r, source, now); changed {
+			changes = append(changes, c)
+		}
+	}
+	s.known = true
+	s.mu.Unlock()
+	s.tell(changes)
+}
+
+// Known tells whether the orders are known, be there some or none.
+func (s *Splitter) Known() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.known
+}
+
+func (s *Splitter) tell(changes []Change) {
+	for _, c := range changes {
+		s.c.Changed(c)
+	}
+}
+
+// put takes in one order. The caller holds the lock.
+func (s *Splitter) put(r *rollout.Rollout, source string, now time.Time) (Change, bool) {
+	v := s.services[r.Service]
+	switch {
+	case v == nil:
+		v = s.begin(r, now)
+	case r.Revision <= v.order.Revision:
+		return Change{}, false
+	case r.Order() != v.order.Order():
+		before := v
+		v = s.begin(r, now)
+		v.left = before.left
+		if r.Target == before.order.Target {
+			v.former, v.order.Stored = r.Stored, rollout.Ordered
+		} else if before.phase() != rollout.Complete {
+			v.left[before.order.Target] = true
+		}
+		delete(v.left, r.Target)
+	default:
+		before := v.phase()
+		v.order.Revision = r.Revision
+		if r.Stored != v.former {
+			v.former, v.order.Stored = rollout.Ordered, max(v.order.Stored, r.Stored)
+		}
+		return v.change(before, source, 0)
+	}
+	return Change{Service: r.Service, Target: r.Target, Order: r.Order(), After: v.phase(), Source: source}, true
+}
+
+func (s *Splitter) begin(r *rollout.Rollout, now time.Time) *service {
+	v := &service{
+		order: *r, left: make(map[identifier.Version]bool), routes: make(map[string]int), ordered: now,
+		tally: make(map[tallyKey]*Tally), usual: make(map[string]usual),
+		// At the order, what is earned stands anywhere between nothing and a whole trial,
+		// so that all daemons together send neither more nor fewer than they earn.
+		earned: s.c.Random(), moves: s.c.Random(),
+	}
+	if s.known {
+		// A process that starts during an order takes nothing: others were dealt its part.
+		v.earned += slackPart * s.c.Slack / float64(max(s.c.Daemons(), 1))
+	}
+	s.services[r.Service] = v
+	return v
+}
+
+// phase is the furthest that is known, from the store or the holder.
+func (v *service) phase() rollout.Phase {
+	if v.grant.Order == v.order.Order() {
+		return max(v.order.Stored, v.grant.Phase)
+	}
+	return v.order.Stored
+}
+
+func (v *service) change(before rollout.Phase, source string, age time.Duration) (Change, bool) {
+	after := v.phase()
+	return Change{
+		Service: v.order.Service, Target: v.order.Target, Order: v.order.Order(), Before: before, After: after, Source: source, Age: age,
+	}, after != before
+}
+
+// Hear takes in what the holder said, from it or passed on by another daemon.
+func (s *Splitter) Hear(g *Grant, source string) (news bool) {
+	s.mu.Lock()
+	v := s.services[g.Service]
+	if v == nil || g.Order != v.order.Order() || v.grant.Order == g.Order && !g.newer(&v.grant) && g.Phase <= v.grant.Phase {
+		s.mu.Unlock()
+		return false
+	}
+	before := v.phase()
+	next := *g
+	if v.grant.Order == g.Order {
+		if !g.newer(&v.grant) {
+			next = v.grant
+		}
+		next.Phase = max(g.Phase, v.grant.Phase)
+	}
+	v.grant = next
+	c, changed := v.change(before, source, s.c.Now().Sub(g.Said))
+	s.mu.Unlock()
+	if changed {
+		s.tell([]Change{c})
+	}
+	return changed
+}
+
+// Grants returns what is known of all orders, to be passed on.
+func (s *Splitter) Grants() []Grant {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []Grant
+	for _, v := range s.services {
+		if v.grant.Order == v.order.Order() {
+			out = append(out, v.grant)
+		}
+	}
+	return out
+}
+
+// Order is one that this daemon knows.
+type Order struct {
+	// Rollout has the furthest phase that is known.
+	rollout.Rollout
+	// Since is when this daemon learned of it, Granted when the holder last said to go on.
+	Since, Granted time.Time
+	// Ends is when the old endpoints are to end, as the holder said last; zero if none did.
+	Ends time.Time
+	// Asked counts this daemon's requests since then, Earned what is left to spend on trials.
+	Asked  int
+	Earned float64
+}
+
+// Orders returns the orders as they are known, by service.
+func (s *Splitter) Orders() []Order {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []Order
+	for _, name := range slices.Sorted(maps.Keys(s.services)) {
+		v := s.services[name]
+		o := Order{Rollout: v.order, Since: v.ordered, Asked: v.asked, Earned: v.earned}
+		o.Phase = v.phase()
+		if v.grant.Order == o.Order() {
+			o.Granted, o.Ends = v.grant.Said, v.grant.Ends
+		}
+		out = append(out, o)
+	}
+	return out
+}
+
+// granted tells whether the holder has lately said to go on.
+func (s *Splitter) granted(v *service, now time.Time) bool {
+	return v.grant.Order == v.order.Order() && now.Sub(v.grant.Said) < s.grantTime()
+}
+
+func (s *Splitter) grantTime() time.Duration {
+	if s.c.Leave <= 0 {
+		return grantTime
+	}
+	return min(grantTime, time.Duration(grantPart*float64(s.c.Leave)))
+}
+
+// Choose says which versions a request may go to.
+func (s *Splitter) Choose(a *Ask) selector.Versions {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v := s.services[a.Service]
+	if v == nil {
+		// Whether there are orders is not known yet: then the version that most endpoints have.
+		return selector.Versions{Usual: !s.known}
+	}
+	now := s.c.Now()
+	if !a.Again {
+		s.earn(v, a.Route)
+	}
+	target, old := v.order.Target, v.old()
+	switch p := v.phase(); {
+	case p == rollout.Complete:
+		return selector.Versions{Only: target}
+	case p == rollout.Reverted, !s.granted(v, now):
+		return old
+	case p == rollout.Switching:
+		return selector.Versions{Only: target, Try: true}
+	case a.Again:
+		return old
+	case p == rollout.Moving && v.outlasts(a, now) && v.moves+v.earned >= 1:
+		// What is left of the trials is spent, too: there are enough by now.
+		v.moves--
+		return selector.Versions{Only: target, Try: true}
+	case p >= rollout.Trying && s.tries(v, a, now):
+		v.earned--
+		return selector.Versions{Only: target, Few: v.few(s.c.Endpoints(a.Service)), Try: true}
+	}
+	return old
+}
+
+// old are the versions that were there before.
+func (v *service) old() selector.Versions {
+	out := selector.Versions{Without: []identifier.Version{v.order.Target}}
+	for version := range v.left {
+		out.Without = append(out.Without, version)
+	}
+	return out
+}
+
+// earn takes in a request for a service.
+func (s *Splitter) earn(v *service, route string) {
+	if v.phase().Final() {
+		return
+	}
+	v.asked++
+	if _, known := v.routes[route]; known || len(v.routes) < mostRoutes {
+		v.routes[route]++
+	}
+	tries, moves := s.shares(v)
+	v.earned += tries
+	v.moves += moves
+}
+
+// shares are the parts of all requests that may try the version, and that may move to it
+// before all do.
+func (s *Splitter) shares(v *service) (tries, moves float64) {
+	left := s.c.Share - shareMargin - v.order.Lead(s.c.Share).Seconds()/v.order.Duration.Seconds()
+	all := v.perSecond(s.c.Now()) * float64(max(s.c.Daemons(), 1)) * v.order.Duration.Seconds()
+	tries = max(min(enoughTries/max(all, 1), tryPart*left), leastTries)
+	return tries, max(left-tries, 0)
+}
+
+// perSecond is how many requests this daemon has seen a second since the order.
+func (v *service) perSecond(now time.Time) float64 {
+	return float64(v.asked) / max(now.Sub(v.ordered).Seconds(), 1)
+}
+
+// tries tells whether a request is one of those that try the version: as many of each route.
+func (s *Splitter) tries(v *service, a *Ask, now time.Time) bool {
+	if v.earned < 1 || v.moves+v.earned < 1 {
+		return false
+	}
+	// What was earned before there was an endpoint is spent within a while.
+	chance := min(max(leastTries, v.earned/(pressTime.Seconds()*v.perSecond(now))), mostChance)
+	even := float64(v.asked) / float64(len(v.routes)) / float64(max(v.routes[a.Route], 1))
+	return s.c.Random() < chance*even
+}
+
+// few is the number of endpoints that try the version: each does what an old one does.
+func (v *service) few(endpoints map[identifier.Version]int) int {
+	old := 0
+	for version, n := range endpoints {
+		if version != v.order.Target {
+			old += n
+		}
+	}
+	return max(int(leastTries*float64(old)+0.5), 1)
+}
+
+// outlasts tells whether a request may still run when the old endpoints end.
+func (v *service) outlasts(a *Ask, now time.Time) bool {
+	return now.Add(a.Lasts).After(v.grant.Ends)
+}
+
+// Returned gives back what a request was granted that found no endpoint of the version, and
+// says where else it may go.
+func (s *Splitter) Returned(name identifier.Service, granted *selector.Versions) selector.Versions {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v := s.services[name]
+	if v == nil {
+		return selector.Versions{}
+	}
+	if granted.Few > 0 {
+		v.earned++
+	}
+	return v.old()
+}
+
+// Barred tells whether an endpoint of a version may not get a request now, though it was
+// chosen for it.
+func (s *Splitter) Barred(name identifier.Service, version identifier.Version) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v := s.services[name]
+	if v == nil {
+		return false
+	}
+	if version != v.order.Target {
+		return v.left[version]
+	}
+	p := v.phase()
+	return p != rollout.Complete && (p == rollout.Reverted || p == rollout.Ordered || !s.granted(v, s.c.Now()))
+}
+
+// Counts tells whether endpoints of a version count for the size of a service.
+func (s *Splitter) Counts(name identifier.Service, version identifier.Version) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v := s.services[name]
+	switch {
+	case v == nil:
+		return true
+	case version == v.order.Target:
+		return v.phase() == rollout.Complete
+	}
+	return !v.left[version]
+}
