gateway: roll-outs are served

The orders are followed in the store and told through digests and notes like all news, with the holder's word on each and what each daemon's requests met. A loop of its own steps the promoter each 100 ms while the duties are held, tells the others, and stores the state where the revision is still the one that was read; a lost answer is read back. A run counts for its version where it is sent, and an endpoint of a version that was left is passed over right before the first byte. While a version is tried, its endpoints do not count for the size of the service. The stand-in of the platform starts and ends endpoints by the stored state.

Whole daemons in paused time: good versions at 8, 83 and 195 daemons; failures at once and later, slow answers, one route only; the holder cut off in the middle, the store away, half of the old answers failing, a process that starts after a version was reverted.

--- a/internal/role/gateway/duties.go
+++ b/internal/role/gateway/duties.go
@@ -5,16 +5,17 @@
 	"errors"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"brasschute/internal/config/catalog"
 	"brasschute/internal/config/document"
 	"brasschute/internal/core/identifier"
-	"brasschute/internal/core/uptimer"
 	"brasschute/internal/core/waiter"
 	"brasschute/internal/fleet/accountant"
 	"brasschute/internal/fleet/leaser"
 	"brasschute/internal/fleet/orderer"
+	"brasschute/internal/fleet/promoter"
 	"brasschute/internal/fleet/sizer"
 	"brasschute/internal/peer/gatherer"
 	"brasschute/internal/peer/rpc"
@@ -50,6 +51,12 @@
 	cloud      *platform.Cloud
 	accountant *accountant.Accountant
 	orderer    *orderer.Orderer
+	promoter   *promoter.Promoter
+	// beat numbers what is told of roll-outs; storing: a state of one is being stored, or
+	// was not a moment ago; lacksTold is when it was last written down what they lack.
+	beat      uint64
+	storing   atomic.Bool
+	lacksTold time.Time
 	// told is when the others were last told that the duties are held.
 	told time.Time
 	// sized is when the fleet's size was last looked at, addresses those stored.
@@ -63,17 +70,17 @@
 
 func (g *Gateway) buildDuties() {
 	d := g.c.Deployment
-	if !d.Reports && !d.Orders {
+	if !d.Reports && !d.Orders && !d.Rollouts {
 		return
 	}
 	g.lease = leaser.New(leaser.Config{
-		Store: g.store, Key: leaseKey, Host: d.Host, Duration: d.Bounds.LeaseTime, Now: uptimer.Now,
+		Store: g.store, Key: leaseKey, Host: d.Host, Duration: d.Bounds.LeaseTime, Now: g.uptime,
 		OrderTime: orderTime, Led: g.isLed, Unreadable: func(err error) { g.unreadable([]error{err}) },
 		Changed: func(fencing uint64, held bool) {
 			g.c.Logger.Info("duties", "held", held, "fencing", fencing)
 		},
 	})
-	u := &duties{g: g, cloud: platform.NewCloud(d.Cloud.String(), g.platformCaller())}
+	u := &duties{g: g, cloud: platform.NewCloud(d.Cloud.String(), g.platformCaller()), promoter: promoter.New(promoter.Config{Share: d.Bounds.TrialShare})}
 	u.accountant = accountant.New(accountant.Config{
 		Store: g.store, Now: g.clock.Now, Window: d.Bounds.UsageWindow, Due: d.Bounds.UsageDue - dueMargin, Settle: g.settleTime,
 		Counted: u.counted, Organisations: u.organisations, Report: u.report, Logger: g.c.Logger,
@@ -87,6 +94,9 @@
 	}
 	g.tree.Add(service(u.serve))
 	g.tree.Add(service(u.keepQuotas))
+	if d.Rollouts {
+		g.tree.Add(service(u.keepRollouts))
+	}
 }
 
 // settleTime is how long counts of other daemons take.
@@ -295,7 +305,8 @@
 	}
 	for _, h := range u.g.registry.Hosts() {
 		z := counts[h.AvailabilityZone]
-		if z == nil || h.State == inventory.StateLeaving || h.Endpoints[0].Pool != identifier.Pool(s) {
+		e := &h.Endpoints[0]
+		if z == nil || h.State == inventory.StateLeaving || e.Pool != identifier.Pool(s) || !u.g.splitter.Counts(s, e.Version) {
 			continue
 		}
 		if h.Class == document.ClassReclaimable {
--- a/internal/role/gateway/fleet_test.go
+++ b/internal/role/gateway/fleet_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -52,6 +53,8 @@
 	// networks are those of the daemons' hosts.
 	networks []*cutNetwork
 	stop     []func()
+	// adjust changes what a daemon is told of its surroundings; nil for nothing.
+	adjust func(*deployment.Deployment)
 
 	mu sync.Mutex
 	// asked counts the requests of clients.
@@ -156,10 +159,13 @@
 			UsageWindow: 5 * time.Second, UsageDue: 10 * time.Second, CacheTime: 10 * time.Second,
 		},
 	}
+	if f.adjust != nil {
+		f.adjust(d)
+	}
 	f.serveStore(d.Host, d.Store)
 	network := &cutNetwork{Network: f.network.Host(rate)}
 	f.networks = append(f.networks, network)
-	g, err := New(Config{Deployment: d, Logger: log.New(io.Discard), Network: network})
+	g, err := New(Config{Deployment: d, Logger: log.New(f.lines()), Network: network, Uptime: time.Now})
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -191,6 +197,24 @@
 	time.Sleep(settleTime)
 }
 
+// lines writes down the log lines of what was decided on versions.
+func (f *testFleet) lines() io.Writer {
+	if f.adjust == nil {
+		return io.Discard
+	}
+	return lineWriter{f.t}
+}
+
+type lineWriter struct{ t *testing.T }
+
+// Write takes one line.
+func (l lineWriter) Write(line []byte) (int, error) {
+	if bytes.Contains(line, []byte("roll-out decided")) {
+		l.t.Log(strings.TrimSpace(string(line)))
+	}
+	return len(line), nil
+}
+
 // turnAway makes the store turn one daemon away.
 func (f *testFleet) turnAway(host identifier.Host) {
 	f.store.SetFault(func(c hosting.Call) hosting.Fault {
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -42,6 +42,7 @@
 	"brasschute/internal/config/versioner"
 	"brasschute/internal/core/chronometer"
 	"brasschute/internal/core/identifier"
+	"brasschute/internal/core/uptimer"
 	"brasschute/internal/core/waiter"
 	"brasschute/internal/core/watchdog"
 	"brasschute/internal/engine/sender"
@@ -68,6 +69,7 @@
 	"brasschute/internal/route/demander"
 	"brasschute/internal/route/estimator"
 	"brasschute/internal/route/registry"
+	"brasschute/internal/route/splitter"
 	"brasschute/internal/serve/placer"
 	"brasschute/internal/serve/receiver"
 	"brasschute/internal/serve/relayer"
@@ -121,6 +123,8 @@
 	Hint <-chan os.Signal
 	// Network opens connections and listeners; the host's own if nil.
 	Network Network
+	// Uptime is a clock that goes on while the host is suspended; the host's if nil.
+	Uptime func() time.Time
 }
 
 // Network is what a daemon needs of its host's network.
@@ -172,7 +176,9 @@
 	// estimator learns how fast engines are.
 	estimator estimator.Estimator
 	demander  demander.Demander
-	gatherer  gatherer.Gatherer
+	// splitter splits requests between versions of endpoints.
+	splitter *splitter.Splitter
+	gatherer gatherer.Gatherer
 	// roster knows the other daemons, aggregator sums what they tell; parts are what
 	// relays tell the holder of the duties of the daemons of their zones.
 	roster     *roster.Roster
@@ -209,6 +215,7 @@
 	catalogs    *fetcher.Fetcher
 	peerHandler http.Handler
 	endpoints   *fetcher.Fetcher
+	orders      *fetcher.Fetcher
 	// storeHeard is when the store last answered, in nanoseconds from 1970.
 	storeHeard atomic.Int64
 
@@ -227,6 +234,9 @@
 	if c.Network == nil {
 		c.Network = hostNetwork{platform.Dialer()}
 	}
+	if c.Uptime == nil {
+		c.Uptime = uptimer.Now
+	}
 	g := &Gateway{c: c, started: time.Now(), unread: rate.NewLimiter(unreadablePerSecond, unreadablePerSecond)}
 	g.reporter = prometheus.NewReporter(prometheus.Options{Registerer: newMetrics()})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
@@ -261,6 +271,10 @@
 	g.budgets = make(map[identifier.Service]*budgeter.Budgeter)
 	g.ledger = ledger.New(ledger.Config{Self: &rpc.Member{Host: string(d.Host), AvailabilityZone: string(d.AvailabilityZone), PeerAddress: d.Peers.String()}})
 	g.registry = registry.New(registry.Config{Ledger: g.ledger, Daemons: g.daemons})
+	g.splitter = splitter.New(splitter.Config{
+		Share: d.Bounds.TrialShare, Slack: d.Bounds.TrialSlack, Leave: d.Bounds.RevertTime, Now: g.uptime, Daemons: g.fleetSize,
+		Endpoints: g.versions, Changed: g.rolloutChanged,
+	})
 	opened := g.scope.Counter("endpoint_connections_opened")
 	g.sender = sender.New(sender.Config{Dialer: g.c.Network, Opened: func() { opened.Inc(1) }})
 	g.quarantine = reporter.New(reporter.Config{
@@ -269,13 +283,20 @@
 	relay := relayer.New(relayer.Config{
 		Registry: g.registry, Placer: placer.New(placer.Config{Registry: g.registry, Estimator: &g.estimator, Zone: d.AvailabilityZone}),
 		Sender: g.sender, Codec: platform.Codec{}, Budget: g, Began: g.began, Demand: &g.demander, Quarantine: g.quarantine,
+		Versions: g.splitter,
 	})
 	g.receiver = receiver.New(receiver.Config{
 		Versioner: &g.versioner, Relayer: relay, Quota: g, Quarantine: g.quarantine, Decode: platform.DecodeRequest, Refuse: platform.Codec{}.EncodeRefusal,
 		Observer: chronicler.New(chronicler.Config{Logger: g.c.Logger, Metrics: g.scope}),
 	})
-	g.tree.Add(g.follow("configuration", platform.CatalogKind))
-	g.tree.Add(g.follow("endpoints", platform.EndpointKind))
+	wait := time.Duration(watchPart * float64(min(d.Bounds.ApplyTime, d.Bounds.DrainTime)))
+	g.tree.Add(g.follow("configuration", platform.CatalogKind, wait))
+	g.tree.Add(g.follow("endpoints", platform.EndpointKind, wait))
+	if d.Rollouts {
+		g.tree.Add(g.follow("roll-outs", platform.RolloutKind, rolloutWatch))
+	} else {
+		g.splitter.Put(nil, sourceSettings)
+	}
 	g.tree.Add(service(g.prune))
 	g.tree.Add(service(g.gauge))
 	if g.c.Read != nil {
@@ -285,6 +306,9 @@
 	g.buildDuties()
 }
 
+// uptime is the time by a clock that goes on while the host is suspended.
+func (g *Gateway) uptime() time.Time { return g.c.Uptime() }
+
 // platformCaller makes calls to the platform over connections of its own.
 func (g *Gateway) platformCaller() *watchdog.Watchdog {
 	return watchdog.New(watchdog.Config{Transport: platform.Transport(g.c.Network.DialContext), Silence: storeSilence})
@@ -303,7 +327,7 @@
 
 // follow watches one kind of objects. A dependency that is lost or regained is
 // logged once.
-func (g *Gateway) follow(what, kind string) *watcher.Watcher {
+func (g *Gateway) follow(what, kind string, wait time.Duration) *watcher.Watcher {
 	var lost time.Time
 	return watcher.New(watcher.Config{
 		Platform: g.store, Sink: sink(g.take), Prefixes: []string{kind}, Idle: func() bool { return !g.follows() },
@@ -315,12 +339,15 @@
 				go g.ask(kind, g.mirror.Revision(kind))
 			}
 		},
-		Wait:       time.Duration(watchPart * float64(min(g.c.Deployment.Bounds.ApplyTime, g.c.Deployment.Bounds.DrainTime))),
-		Unreadable: g.unreadable,
+		Wait: wait, Unreadable: g.unreadable,
 		Report: func(err error) {
 			if err == nil {
 				g.storeHeard.Store(time.Now().UnixNano())
 			}
+			if err == nil && kind == platform.RolloutKind {
+				// Nothing is applied of a list that is empty.
+				g.splitter.Put(nil, sourceStore)
+			}
 			switch {
 			case err != nil && lost.IsZero():
 				lost = time.Now()
--- a/internal/role/gateway/news.go
+++ b/internal/role/gateway/news.go
@@ -52,7 +52,7 @@
 	})
 	throttle := throttler.New(throttler.Config{BytesPerSecond: d.LinkBytes})
 	g.supplier = supplier.New(supplier.Config{
-		Address: d.Peers.String(), Objects: &g.mirror, Kinds: []string{platform.CatalogKind, platform.EndpointKind}, Throttler: throttle,
+		Address: d.Peers.String(), Objects: &g.mirror, Kinds: []string{platform.CatalogKind, platform.EndpointKind, platform.RolloutKind}, Throttler: throttle,
 		Client: watchdog.New(watchdog.Config{Transport: transport, Silence: peerSilence}), Logger: g.c.Logger,
 	})
 	g.peerHandler = throttle.Handler(rpc.NewFleetServer(fleetServer{g.swapper, g.supplier}))
@@ -65,6 +65,9 @@
 	ahead.Kind, ahead.Since = platform.EndpointKind, g.endpointsRevision
 	ahead.Known = ahead.Since
 	g.endpoints = fetcher.New(ahead)
+	ahead.Kind, ahead.Since = platform.RolloutKind, g.rolloutsRevision
+	ahead.Known = ahead.Since
+	g.orders = fetcher.New(ahead)
 	g.tree.Add(g.swapper)
 	g.tree.Add(service(g.askPeers))
 	g.tree.Add(service(g.learn))
@@ -116,6 +119,7 @@
 	out.Relaying = g.large() && g.relaying()
 	out.Leaving, out.Departures = g.leaving()
 	out.Suspects = g.quarantine.Told()
+	out.Rollouts, out.Trials, out.OrdersKnown = g.rolloutNews(), g.trials(), g.splitter.Known()
 	if !g.large() {
 		out.Peers = g.swapper.Lately()
 	}
@@ -128,6 +132,10 @@
 	g.toldSize.Store(max(g.toldSize.Load(), int64(d.GetFleet())))
 	g.account(d)
 	g.quarantine.Heard(d.GetSuspects())
+	g.hearRollouts(d.GetRollouts(), d.GetHost(), d.GetAddress())
+	if d.GetOrdersKnown() && len(d.GetRollouts()) == 0 {
+		g.splitter.Put(nil, d.GetHost())
+	}
 	for _, part := range d.GetCounted() {
 		g.parts.Merge(part, time.Now())
 	}
@@ -244,6 +252,7 @@
 	}
 	out.ConfigurationNumber = g.number()
 	out.Suspects = g.quarantine.Told()
+	out.Rollouts = g.rolloutNews()
 	return out
 }
 
@@ -258,6 +267,7 @@
 func (g *Gateway) noted(n *rpc.Note) {
 	g.led(n.GetHoldsDuties())
 	g.quarantine.Heard(n.GetSuspects())
+	g.hearRollouts(n.GetRollouts(), n.GetHost(), n.GetAddress())
 	g.spread(&rpc.Digest{
 		Host: n.GetHost(), Address: n.GetAddress(), ConfigurationNumber: n.GetConfigurationNumber(), EndpointsRevision: n.GetEndpointsRevision(),
 		Leaving: n.GetLeaving(), Departures: n.GetDepartures(),
--- a/internal/role/gateway/objects.go
+++ b/internal/role/gateway/objects.go
@@ -26,19 +26,29 @@
 // sourceStore names the store as the source of news; peers are named by address.
 const sourceStore = "store"
 
+// sourceSettings names the deployment's settings as a source.
+const sourceSettings = "settings"
+
 // spreadNews acts by what is new, and tells peers of it.
 func (g *Gateway) spreadNews(news []object.Object, source string) {
 	if len(news) == 0 {
 		return
 	}
-	var endpoints []object.Object
+	var endpoints, orders []object.Object
 	for _, o := range news {
-		if strings.HasPrefix(o.Key, platform.CatalogKind+"/") {
+		switch kind, _, _ := strings.Cut(o.Key, "/"); kind {
+		case platform.CatalogKind:
 			g.configuration(o, source)
-		} else {
+		case platform.RolloutKind:
+			orders = append(orders, o)
+		default:
 			endpoints = append(endpoints, o)
 		}
 	}
+	// Before the endpoints: those of a new version wait until their order is known.
+	if len(orders) > 0 {
+		g.rolloutsChanged(orders, source)
+	}
 	if len(endpoints) > 0 {
 		g.endpointsChanged(endpoints)
 	}
--- a/internal/role/gateway/sums.go
+++ b/internal/role/gateway/sums.go
@@ -116,11 +116,12 @@
 		UnixMilli: g.clock.Now().UnixMilli(), AgeMilli: time.Since(g.started).Milliseconds(), Stopping: own.Stopping,
 		ConfigurationNumber: own.ConfigurationNumber, HoldsDuties: own.HoldsDuties, Fleet: own.Fleet, EndpointsRevision: own.EndpointsRevision,
 		Observing: own.Observing, Relaying: own.Relaying, Leaving: own.Leaving, Departures: own.Departures, Speeds: own.Speeds,
-		Suspects: own.Suspects,
+		Suspects: own.Suspects, Rollouts: g.rolloutNews(), OrdersKnown: own.OrdersKnown,
 	}
 	near := to.Zone == "" || to.Zone == g.c.Deployment.AvailabilityZone
 	if near || to.Pairs {
 		out.Counts, out.Charges, out.Demands, out.Loads = own.Counts, own.Charges, own.Demands, own.Loads
+		out.Trials = own.Trials
 	}
 	out.RosterKnown = g.roster.Known(to.Address)
 	for _, zone := range g.roster.Message(g.named(own, near), own.Relaying, g.member(own), now) {
@@ -195,9 +196,16 @@
 	var out []*rpc.Digest
 	for _, e := range g.gatherer.Entries(time.Now()) {
 		d := e.Digest
-		if d.GetAvailabilityZone() == string(g.c.Deployment.AvailabilityZone) && len(d.GetCounts()) > 0 {
-			out = append(out, &rpc.Digest{Host: d.GetHost(), Incarnation: d.GetIncarnation(), Sequence: d.GetSequence(), Counts: d.GetCounts()})
+		if d.GetAvailabilityZone() == string(g.c.Deployment.AvailabilityZone) && len(d.GetCounts())+len(d.GetTrials()) > 0 {
+			out = append(out, counted(d))
 		}
 	}
-	return append(out, &rpc.Digest{Host: own.GetHost(), Incarnation: own.GetIncarnation(), Sequence: own.GetSequence(), Counts: own.GetCounts()})
+	return append(out, counted(own))
+}
+
+// counted is the part of a digest that says what the daemon counted.
+func counted(d *rpc.Digest) *rpc.Digest {
+	return &rpc.Digest{
+		Host: d.GetHost(), Incarnation: d.GetIncarnation(), Sequence: d.GetSequence(), Counts: d.GetCounts(), Trials: d.GetTrials(),
+	}
 }
--- a/internal/serve/placer/placer.go
+++ b/internal/serve/placer/placer.go
@@ -56,6 +56,8 @@
 	// plainSlots bounds the requests of this host at one plain endpoint, whose
 	// slots are few and shared by all hosts.
 	plainSlots = 16
+	// lastsFactor/lastsPart times the usual time of its tokens is what a stream may take.
+	lastsFactor, lastsPart = 5, 4
 )
 
 // Placer places requests. It is safe for concurrent use.
@@ -76,7 +78,7 @@
 
 // Place chooses an endpoint for a request and counts the request there. The
 // pick is nil if none can serve; decision says why.
-func (p *Placer) Place(q *request.Request, s *catalog.Service, tried []identifier.Endpoint) (*registry.Pick, selector.Decision) {
+func (p *Placer) Place(q *request.Request, s *catalog.Service, tried []identifier.Endpoint, v selector.Versions) (*registry.Pick, selector.Decision) {
 	now := time.Now()
 	blocks, sizes := parts(q)
 	query := &registry.Query{
@@ -85,7 +87,7 @@
 			Now: now, Seed: streamer.Seed(q.ID), Zone: p.c.Zone, PromptTokens: q.PromptTokens, OutputTokens: q.OutputTokens,
 			MaxInFlight: plainSlots, Target: max(q.Route.Objective-now.Sub(q.Received), time.Millisecond),
 			Prefill: int(p.c.Estimator.Of(q.Service, now).Speed), Decode: int(time.Second / p.c.Estimator.Token(q.Service)),
-			RecomputeWeight: recomputeWeight, Tried: tried, LateCost: lateCost(q),
+			RecomputeWeight: recomputeWeight, Tried: tried, Versions: v, LateCost: lateCost(q),
 			ZoneCost: zoneCostPerByte * float64(len(q.Body)+eventBytes*int(q.OutputTokens)/tokensPerEvent(s)),
 		},
 	}
@@ -114,6 +116,23 @@
 	p.c.Estimator.Wrote(q.Service, (events-1)*tokensPerEvent(s), took)
 }
 
+// Expected is how long a stream of so many events takes at an endpoint that is as quick as
+// others; 0 for a plain call, of which nothing is known but how long others took.
+func (p *Placer) Expected(q *request.Request, s *catalog.Service, k *registry.Pick, events int) time.Duration {
+	if !q.Sized {
+		return 0
+	}
+	return k.Usual + time.Duration(events*tokensPerEvent(s))*p.c.Estimator.Token(q.Service)
+}
+
+// Lasts is how long an answer may take at the most that is usual.
+func (p *Placer) Lasts(q *request.Request) time.Duration {
+	if !q.Sized {
+		return q.Route.Objective
+	}
+	return q.Route.Objective/2 + lastsFactor*time.Duration(q.OutputTokens)*p.c.Estimator.Token(q.Service)/lastsPart
+}
+
 // lateCost is what a late answer loses: nine tenths of the worth of a request,
 // which is taken to grow with the tokens that its organisation pays for. A plain
 // call counts as one.
--- a/internal/serve/relayer/attempt.go
+++ b/internal/serve/relayer/attempt.go
@@ -35,7 +35,7 @@
 )
 
 // attempt sends the request to one endpoint and relays the answer.
-func (j *job) attempt(ctx context.Context, pick *registry.Pick) error {
+func (j *job) attempt(ctx context.Context, pick *registry.Pick) (err error) {
 	result := registry.Neutral
 	uncached := j.q.PromptTokens - j.res.Attempts[len(j.res.Attempts)-1].Cached
 	j.r.c.Demand.Placed(j.q.Service, uncached)
@@ -43,8 +43,11 @@
 		j.r.c.Registry.Release(pick, result)
 		j.r.c.Demand.Ended(j.q.Service)
 	}()
-	begun := time.Now()
+	begun, events := time.Now(), j.res.Events
 	outer := ctx
+	run := j.run(pick)
+	j.r.c.Versions.Sent(run)
+	defer func() { j.ran(outer, run, pick, err, begun, j.res.Events-events) }()
 	ctx, waited := j.enter(ctx)
 	ctx, spoken := j.listen(ctx)
 	heard := func() { spoken(); waited() }
@@ -143,7 +146,9 @@
 		Header: codec.EncodeRequest(j.q, pick.Endpoint, time.Until(j.q.Deadline()), j.last),
 		// Connecting takes time; an endpoint that began to leave meanwhile must
 		// not get the request any more, nor any endpoint one that came to be held.
-		Ready: func() bool { return j.r.c.Registry.Usable(pick) && !j.admit().Held },
+		Ready: func() bool {
+			return j.r.c.Registry.Usable(pick) && !j.admit().Held && !j.r.c.Versions.Barred(j.q.Service, pick.Version)
+		},
 		Own: func(h http.Header) bool {
 			id := codec.DecodeReply(0, h).ID
 			return id == "" || id == j.q.ID
--- a/internal/serve/relayer/relayer.go
+++ b/internal/serve/relayer/relayer.go
@@ -42,6 +42,7 @@
 	"brasschute/internal/route/quarantiner"
 	"brasschute/internal/route/registry"
 	"brasschute/internal/route/selector"
+	"brasschute/internal/route/splitter"
 	"brasschute/internal/serve/placer"
 	"brasschute/internal/serve/request"
 )
@@ -93,6 +94,20 @@
 	// Demand is told of placed and refused requests.
 	Demand     Demand
 	Quarantine Quarantine
+	// Versions splits requests between versions of endpoints.
+	Versions Versions
+}
+
+// Versions says which version of its service's endpoints a request may go to.
+type Versions interface {
+	Choose(a *splitter.Ask) selector.Versions
+	// Returned is asked where no endpoint that was chosen from can serve.
+	Returned(s identifier.Service, v *selector.Versions) selector.Versions
+	// Barred is asked right before each send.
+	Barred(s identifier.Service, v identifier.Version) bool
+	// Sent and Ended are told of each run.
+	Sent(r *splitter.Run)
+	Ended(r *splitter.Run)
 }
 
 // Quarantine keeps requests from endpoints that would end under them.
@@ -190,6 +205,8 @@
 	res     Result
 
 	tried []identifier.Endpoint
+	// asked: it was decided which version the request may go to.
+	asked bool
 	// sends counts endpoints that may have received the request, unsent those
 	// that did not.
 	sends  int
@@ -253,7 +270,7 @@
 		j.giveUp(heldReason(&v), v.RetryAfter)
 		return nil, true
 	}
-	pick, d := j.r.c.Placer.Place(j.q, j.service, j.tried)
+	pick, d := j.place()
 	if pick == nil {
 		j.res.Excluded = d.Excluded
 		j.r.c.Demand.Refused(j.q.Service)
--- a/internal/standin/hosting/hosting.go
+++ b/internal/standin/hosting/hosting.go
@@ -80,6 +80,8 @@
 	Service string
 	Zone    string
 	Address string
+	// Version is that of its software.
+	Version string
 	// Events is the length of a stream; 0 for plain answers.
 	Events int
 	Spot   bool
@@ -169,6 +171,9 @@
 	out := map[string]any{
 		"Service": e.c.Service, "Address": e.c.Address, "Zone": e.c.Zone, "State": state, "Slots": 8, "Spot": e.c.Spot,
 	}
+	if e.c.Version != "" {
+		out["Version"] = e.c.Version
+	}
 	if e.c.Born > 0 {
 		out["born"] = e.c.Born
 	}
--- a/internal/standin/hosting/store.go
+++ b/internal/standin/hosting/store.go
@@ -31,11 +31,14 @@
 type metadata struct {
 	Name     string
 	Revision uint64
+	// Created is the revision at which the object was created.
+	Created uint64
 }
 
 type object struct {
 	Metadata metadata
 	Spec     json.RawMessage
+	Status   json.RawMessage `json:",omitempty"`
 }
 
 type event struct {
@@ -91,7 +94,7 @@
 	raw, _ := json.Marshal(spec)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.put(kind, name, raw)
+	s.put(kind, name, raw, s.objects[kind][name].Status)
 }
 
 // Remove deletes an object.
@@ -122,6 +125,21 @@
 	return s.objects[kind][name].Spec
 }
 
+// SetStatus replaces the state of an object.
+func (s *Store) SetStatus(kind, name string, status any) {
+	raw, _ := json.Marshal(status)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.put(kind, name, s.objects[kind][name].Spec, raw)
+}
+
+// Status returns an object's state; nil if there is none.
+func (s *Store) Status(kind, name string) json.RawMessage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.objects[kind][name].Status
+}
+
 // Calls returns the calls taken so far.
 func (s *Store) Calls() []Call {
 	s.mu.Lock()
@@ -132,9 +150,12 @@
 // Close ends silent calls and watches.
 func (s *Store) Close() { close(s.closed) }
 
-func (s *Store) put(kind, name string, spec json.RawMessage) object {
+func (s *Store) put(kind, name string, spec, status json.RawMessage) object {
 	s.revision++
-	o := object{Metadata: metadata{Name: name, Revision: s.revision}, Spec: spec}
+	o := object{Metadata: metadata{Name: name, Revision: s.revision, Created: s.revision}, Spec: spec, Status: status}
+	if old, known := s.objects[kind][name]; known {
+		o.Metadata.Created = old.Metadata.Created
+	}
 	if s.objects[kind] == nil {
 		s.objects[kind] = make(map[string]object)
 	}
@@ -262,7 +283,8 @@
 	if r.Method == http.MethodPost {
 		name = in.Metadata.Name
 	}
-	status, o := s.change(r.Method, kind, name, in)
+	name, isStatus := strings.CutSuffix(name, "/status")
+	status, o := s.change(r.Method, kind, name, in, isStatus)
 	if status == http.StatusNotFound {
 		w.WriteHeader(status)
 		return
@@ -272,7 +294,7 @@
 
 // change does a call that writes, if its condition holds. Nobody waits for the store
 // while the answer is on its way over a narrow link.
-func (s *Store) change(method, kind, name string, in object) (int, object) {
+func (s *Store) change(method, kind, name string, in object, isStatus bool) (int, object) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	old, ok := s.objects[kind][name]
@@ -285,7 +307,10 @@
 		s.remove(kind, name)
 		return http.StatusOK, old
 	}
-	return http.StatusOK, s.put(kind, name, in.Spec)
+	if isStatus {
+		return http.StatusOK, s.put(kind, name, old.Spec, in.Status)
+	}
+	return http.StatusOK, s.put(kind, name, in.Spec, old.Status)
 }
 
 // turnedAway tells whether a call that waits would not be served any more.
