allotter: a verdict says what had no room, and how much of the limit is used

What operators saw: "over the organisation's quota: charge 23888, left 208014" of a request that was refused; what had decided was the daemon's part, and nothing said so. The line now names the bucket, the window, the part or a cut, with the part that is left, the daemon's share of the demand, and how much of the limit the fleet is taken to have used.

--- a/internal/route/allotter/allotter.go
+++ b/internal/route/allotter/allotter.go
@@ -217,12 +217,34 @@
 	Rate  float64
 	// Reserved is the part set aside for daemons that are not heard.
 	Reserved float64
+	// Cause says what a request that is not admitted lacked room in. Part is what is left of
+	// this daemon's part, and Share that of the fleet's demand which is asked for here, of
+	// Demand in a second in all.
+	Cause  Cause
+	Part   float64
+	Share  float64
+	Demand float64
+	// Used is the part of the limit that the fleet is taken to have used within the window.
+	Used float64
 	// Quiet is how long nobody has been heard, if this daemon takes itself to be cut off
-	// from all others, and Part what is left of its own part then; otherwise 0.
+	// from all others, otherwise 0.
 	Quiet time.Duration
-	Part  float64
 }
 
+// Cause is what had no room for a request.
+type Cause string
+
+// The causes.
+const (
+	// Empty: too little is left of the fleet's bucket, SpentWindow: of what may be given out
+	// within the window. SpentPart: more is asked for than flows in, and this daemon has
+	// given out its part. CutOff: so has one that is held to its equal part.
+	Empty       Cause = "bucket"
+	SpentWindow Cause = "window"
+	SpentPart   Cause = "part"
+	CutOff      Cause = "cut off"
+)
+
 // silence is the time after which a daemon counts as silent.
 func (a *Allotter) silence() time.Duration {
 	return max(leastSilence, time.Duration(silentNews*float64(a.c.News())))
@@ -278,13 +300,15 @@
 	defer a.mu.Unlock()
 	b, unseen := a.bucket(o, charge, now)
 	b.asked += charge * math.Ln2 / demandHalf.Seconds()
-	v := Verdict{Level: b.level() - unseen, Rate: b.rate, Reserved: a.reserved(now)}
+	v := Verdict{
+		Level: b.level() - unseen, Rate: b.rate, Reserved: a.reserved(now), Part: b.part, Share: b.share, Demand: b.all, Used: a.used(b, o, unseen),
+	}
 	if b.alone {
-		v.Quiet, v.Part = now.Sub(a.heardAt), b.part
+		v.Quiet = now.Sub(a.heardAt)
 	}
 	if o.RatePerSecond > 0 {
-		if missing := b.missing(charge, v.Level); missing > 0 {
-			v.RetryAfter = retry(missing, b.rate*b.share)
+		if missing, cause := b.missing(charge, v.Level); missing > 0 {
+			v.RetryAfter, v.Cause = retry(missing, b.rate*b.share), cause
 			return v
 		}
 	}
@@ -315,6 +339,12 @@
 	return max(1-max(a.c.News()-usualNews, 0).Seconds()/usualNews.Seconds(), 0)
 }
 
+// used is the part of an organisation's limit that the fleet is taken to have used within the
+// window, the tolerated overage left out.
+func (a *Allotter) used(b *bucket, o *catalog.Organisation, unseen float64) float64 {
+	return (b.recent.sum + unseen) / max(o.RatePerSecond*a.c.Window.Seconds()+o.Burst, 1)
+}
+
 // set brings the terms of a bucket up to date.
 func (a *Allotter) set(b *bucket, o *catalog.Organisation) {
 	rate, burst := a.terms(o, b.presumedMean(o.Burst))
--- a/internal/route/allotter/bucket.go
+++ b/internal/route/allotter/bucket.go
@@ -124,19 +124,28 @@
 	return b.alone || b.all > overload*b.rate && level < max(b.low, b.all*b.late*newsTime.Seconds())
 }
 
-// missing tells how much of a charge there is no room for; none if it is
-// not above zero.
-func (b *bucket) missing(charge, level float64) float64 {
+// missing tells how much of a charge there is no room for, and in what; none if it is not
+// above zero.
+func (b *bucket) missing(charge, level float64) (float64, Cause) {
+	cause := Empty
+	if b.allowed-b.recent.sum < b.held {
+		cause = SpentWindow
+	}
 	if charge <= smallPart*b.mean {
-		return charge - level - smallTime.Seconds()*b.rate
+		return charge - level - smallTime.Seconds()*b.rate, cause
 	}
 	missing := charge - level
-	if b.shared(level) && b.part <= 0 {
-		// The part may have gone below zero for a request larger than itself:
-		// in a large fleet a part is smaller than most requests.
-		missing = max(missing, leastMissing-b.part)
+	// The part may have gone below zero for a request larger than itself: in a large fleet a
+	// part is smaller than most requests.
+	if part := leastMissing - b.part; b.shared(level) && b.part <= 0 && part > missing {
+		if missing = part; level >= charge {
+			cause = SpentPart
+		}
+	}
+	if b.alone {
+		cause = CutOff
 	}
-	return missing
+	return missing, cause
 }
 
 // spend takes a charge from this daemon's part. What is given out of the saved
--- a/internal/route/allotter/window_test.go
+++ b/internal/route/allotter/window_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"brasschute/internal/core/identifier"
 )
 
 // An organisation that uses half of its quota sends three times its usual for two
@@ -125,3 +127,38 @@
 		}
 	})
 }
+
+// A line of the log said "left 208014, charge 23888" of a request that was refused: what had
+// no room for it was this daemon's part, and the line did not say so.
+func TestVerdictSaysWhatHadNoRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const rate = 60_000
+		a := New(Config{Window: 8 * time.Second, Overage: 0.1, News: func() time.Duration { return 2 * time.Second }})
+		o := desk(rate)
+		time.Sleep(joining)
+		if v := a.Admit(o, 0.9*rate); v.RetryAfter > 0 || v.Cause != "" {
+			t.Errorf("a first request: %+v", v)
+		}
+		if v := a.Admit(o, 0.9*rate); v.Cause != Empty || v.Used <= 0 || v.Used >= 1 {
+			t.Errorf("a second request at once: %+v", v)
+		}
+		// Another daemon asks for six times the rate: each gives out its part only.
+		for range 8 {
+			a.Heard(News{Host: "other", Incarnation: 1, Age: time.Minute, Accounts: map[identifier.Organisation]Account{o.Name: {Asked: 6 * rate}}})
+			time.Sleep(500 * time.Millisecond)
+		}
+		causes := make(map[Cause]int)
+		for range 12 {
+			v := a.Admit(o, 0.2*rate)
+			causes[v.Cause]++
+			time.Sleep(100 * time.Millisecond)
+		}
+		if causes[SpentPart] == 0 {
+			t.Errorf("causes %v", causes)
+		}
+		time.Sleep(time.Minute)
+		if v := a.Admit(o, 0.9*rate); v.Cause != CutOff && v.RetryAfter > 0 {
+			t.Errorf("cut off: %+v", v)
+		}
+	})
+}
--- a/internal/serve/receiver/receiver.go
+++ b/internal/serve/receiver/receiver.go
@@ -132,10 +132,11 @@
 
 // overQuota says why a request is not admitted.
 func overQuota(q *request.Request, v *allotter.Verdict) string {
-	reason := fmt.Sprintf("not run: over the organisation's quota: charge %.0f, left %.0f, %.0f a second, %.2f set aside",
-		q.Charge(), v.Level, v.Rate, v.Reserved)
+	reason := fmt.Sprintf("not run: over the organisation's quota (%s): charge %.0f, left %.0f, %.0f a second, %.2f set aside, "+
+		"used %.2f of the limit, own part %.0f, share %.3f of %.0f asked a second",
+		v.Cause, q.Charge(), v.Level, v.Rate, v.Reserved, v.Used, v.Part, v.Share, v.Demand)
 	if v.Quiet > 0 {
-		reason += fmt.Sprintf(", cut off for %.1f s, own part %.0f", v.Quiet.Seconds(), v.Part)
+		reason += fmt.Sprintf(", cut off for %.1f s", v.Quiet.Seconds())
 	}
 	return reason
 }
