--- a/internal/role/gateway/beliefs.go
+++ b/internal/role/gateway/beliefs.go
@@ -11,6 +11,7 @@
 	"brasschute/internal/route/allotter"
 	"brasschute/internal/route/demander"
 	"brasschute/internal/route/quarantiner"
+	"brasschute/internal/route/splitter"
 )
 
 // BeliefsPath is where the metrics' listener tells what the daemon believes.
@@ -36,12 +37,34 @@
 	Endpoints []EndpointBelief
 	Quotas    map[identifier.Organisation]allotter.Account
 	Demands   map[identifier.Service]demander.Demand
+	// Rollouts are the orders that are known, OrdersKnown whether they have been read or
+	// heard of at all.
+	Rollouts    []RolloutBelief
+	OrdersKnown bool
 	// Quarantine lists the requests under which endpoints ended, those that are held first;
 	// Forgotten counts those for which there was no room.
 	Quarantine []quarantiner.Suspect
 	Forgotten  int
 }
 
+// RolloutBelief is the roll-out of a service as the daemon sees it.
+type RolloutBelief struct {
+	Service identifier.Service
+	Target  identifier.Version
+	Order   string
+	// Phase is the furthest that is known, Stored the one in the store.
+	Phase, Stored string
+	// SinceMS is how long the order has been known, GrantMS how long ago the holder of the
+	// duties said to go on (-1 if never), EndsMS when the old endpoints are to end.
+	SinceMS, GrantMS, EndsMS int64
+	// Asked counts this daemon's requests since the order, Earned the trials that it may
+	// still send. Endpoints are by version, Tallies what its requests met.
+	Asked     int
+	Earned    float64
+	Endpoints map[identifier.Version]int
+	Tallies   []splitter.Tally
+}
+
 // PeerBelief is a daemon that is known. Configuration and HoldsDuties are told by daemons
 // that are heard directly, AgeMS is since a daemon was heard of.
 type PeerBelief struct {
@@ -78,6 +101,7 @@
 		Quotas: g.allotter.Accounts(), Demands: g.demander.Demands(), Part: g.part().String(),
 		Quarantine: g.quarantine.List(), Forgotten: g.quarantine.Forgotten(),
 	}
+	b.Rollouts, b.OrdersKnown = g.rolloutBeliefs(), g.splitter.Known()
 	if c := g.versioner.InForce(); c != nil {
 		b.Configuration = c.Number()
 	}
@@ -115,6 +139,26 @@
 	}
 }
 
+func (g *Gateway) rolloutBeliefs() (out []RolloutBelief) {
+	now, tallies := g.uptime(), g.splitter.Tallies()
+	for _, o := range g.splitter.Orders() {
+		r := RolloutBelief{
+			Service: o.Service, Target: o.Target, Order: orderName(o.Order()), Phase: o.Phase.String(), Stored: o.Stored.String(),
+			SinceMS: now.Sub(o.Since).Milliseconds(), GrantMS: -1, Asked: o.Asked, Earned: o.Earned, Endpoints: g.versions(o.Service),
+		}
+		if !o.Granted.IsZero() {
+			r.GrantMS, r.EndsMS = now.Sub(o.Granted).Milliseconds(), o.Ends.Sub(now).Milliseconds()
+		}
+		for _, t := range tallies {
+			if t.Service == o.Service {
+				r.Tallies = append(r.Tallies, t)
+			}
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
 // metrics serves counters, and beliefs beside them.
 func (g *Gateway) metrics() http.Handler {
 	mux := http.NewServeMux()
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -273,7 +273,7 @@
 	g.registry = registry.New(registry.Config{Ledger: g.ledger, Daemons: g.daemons})
 	g.splitter = splitter.New(splitter.Config{
 		Share: d.Bounds.TrialShare, Slack: d.Bounds.TrialSlack, Leave: d.Bounds.RevertTime, Now: g.uptime, Daemons: g.fleetSize,
-		Endpoints: g.versions, Changed: g.rolloutChanged,
+		Endpoints: g.versions, Changed: g.rolloutChanged, Counted: g.rolloutCounted,
 	})
 	opened := g.scope.Counter("endpoint_connections_opened")
 	g.sender = sender.New(sender.Config{Dialer: g.c.Network, Opened: func() { opened.Inc(1) }})
--- a/internal/role/gateway/rollouts.go
+++ b/internal/role/gateway/rollouts.go
@@ -66,6 +66,21 @@
 		"source", c.Source, "age_ms", c.Age.Milliseconds())
 }
 
+// rolloutCounted counts what came of a request to a service that is rolled out.
+func (g *Gateway) rolloutCounted(r *splitter.Run, isTarget, slow bool) {
+	side, outcome := "old", "answered"
+	if isTarget {
+		side = "new"
+	}
+	switch {
+	case r.Outcome == splitter.Failed:
+		outcome = "failed"
+	case slow:
+		outcome = "slow"
+	}
+	g.scope.Tagged(map[string]string{"service": string(r.Service), "version": side, "outcome": outcome}).Counter("rollout_answers").Inc(1)
+}
+
 // orderName is how an order is written.
 func orderName(order uint64) string { return strconv.FormatUint(order, 16) }
 
--- a/internal/route/splitter/splitter.go
+++ b/internal/route/splitter/splitter.go
@@ -85,6 +85,9 @@
 	Random func() float64
 	// Changed is told of each change of a phase; may be nil.
 	Changed func(Change)
+	// Counted is told of each answer that counts, of a version that is rolled out (isTarget)
+	// or another one; may be nil.
+	Counted func(r *Run, isTarget, slow bool)
 }
 
 // Change is a change of what this daemon takes for the phase of a roll-out.
@@ -173,6 +176,9 @@
 	if c.Endpoints == nil {
 		c.Endpoints = func(identifier.Service) map[identifier.Version]int { return nil }
 	}
+	if c.Counted == nil {
+		c.Counted = func(*Run, bool, bool) {}
+	}
 	if c.Changed == nil {
 		c.Changed = func(Change) {}
 	}
--- a/internal/route/splitter/tally.go
+++ b/internal/route/splitter/tally.go
@@ -103,6 +103,7 @@
 		return
 	}
 	t.Answers++
+	s.c.Counted(r, r.Version == v.order.Target, slow)
 }
 
 // tally returns where a run counts, nil if it does not. The caller holds the lock.
