--- a/internal/fleet/promoter/promoter.go
+++ b/internal/fleet/promoter/promoter.go
@@ -61,7 +61,7 @@
 	leastAnswers = 20
 	leastOfRoute = 12
 	usualRoute   = 0.04
-	perBad       = 150
+	perBad       = 100
 	// lately is the span of the newest answers that are looked at besides all.
 	lately = 4 * time.Second
 	// looks is how often the answers are compared.
