--- a/internal/role/gateway/quota_test.go
+++ b/internal/role/gateway/quota_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"brasschute/internal/config/catalog"
+	"brasschute/internal/config/deployment"
 	"brasschute/internal/core/identifier"
 )
 
@@ -114,3 +115,56 @@
 		t.Logf("after: %.3f of %.3f", share, ideal)
 	})
 }
+
+// An organisation at 0.55 of its quota asks for six times as much for eleven seconds, at all of
+// 83 daemons. What the fleet lets in of it against one bucket that is told of everything at
+// once, second by second, goes to docs/design; no window holds more than is allowed, and nobody
+// is refused before.
+func TestSuddenOverloadAgainstOneBucket(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		const (
+			rate          = 919_158.0
+			usual, load   = 0.55, 3.3
+			from, to, end = 12, 23, 30 // s
+			part          = 0.8
+		)
+		f := newTestFleet(t)
+		defer f.end()
+		f.rate = midLink
+		f.adjust = func(d *deployment.Deployment) { d.Bounds.QuotaSlack = quotaSlack }
+		f.grow(1)
+		f.start(fleetSize(83))
+		f.settle()
+		o := &catalog.Organisation{Name: identifier.Organisation(f.name()), RatePerSecond: rate, Burst: rate}
+		var in []admitted
+		var got, best float64
+		for second := range end {
+			asked := usual
+			if second >= from && second < to {
+				asked = load
+			}
+			one, share, ideal := f.press(o, asked*rate, time.Second)
+			in = append(in, one...)
+			if second < from && share < ideal-0.05 {
+				t.Errorf("second %d: %.3f admitted, one bucket would admit %.3f", second, share, ideal)
+			}
+			sum := 0.0
+			for _, a := range one {
+				sum += a.tokens / rate
+			}
+			if second >= from && second < to+3 {
+				// The load takes the whole of a bucket that was full.
+				got += sum
+				best += min(asked, 1)
+				t.Logf("second %d: asked %.2f, admitted %.2f of the rate", second, asked, sum)
+			}
+		}
+		t.Logf("admitted %.2f, one bucket %.2f and its burst; worst window %.3f", got, best, worst(in, o))
+		if got < part*best {
+			t.Errorf("admitted %.2f, one bucket would admit %.2f", got, best)
+		}
+		if most := worst(in, o); most > 1 {
+			t.Errorf("%.3f of what is allowed in the worst window", most)
+		}
+	})
+}
