splitter: a version is tried at two of its endpoints or more; files by concept

One endpoint of ninety tried a version, which could not be told from the version: a sound one would have been reverted for a single failing endpoint. Now 1.5 times the part of the requests that try it, two at the least.

--- a/internal/role/gateway/following.go
+++ b/internal/role/gateway/following.go
@@ -4,6 +4,9 @@
 	"time"
 
 	"brasschute/internal/peer/roster"
+	"brasschute/internal/platform/object"
+	"brasschute/internal/platform/watcher"
+	"brasschute/platform"
 )
 
 // In a fleet of up to smallFleet daemons all pairs swap and all follow the store, as
@@ -20,3 +23,43 @@
 func (g *Gateway) observing() bool {
 	return g.follows() && time.Since(time.Unix(0, g.storeHeard.Load())) < roster.Living
 }
+
+type sink func([]object.Object)
+
+// Apply takes in objects.
+func (s sink) Apply(objects []object.Object) { s(objects) }
+
+// follow watches one kind of objects. A dependency that is lost or regained is
+// logged once.
+func (g *Gateway) follow(what, kind string, wait time.Duration) *watcher.Watcher {
+	var lost time.Time
+	return watcher.New(watcher.Config{
+		Platform: g.store, Sink: sink(g.take), Prefixes: []string{kind}, Idle: func() bool { return !g.follows() },
+		Known: func() map[string]uint64 { return g.mirror.Known(kind) },
+		Listed: func(l watcher.List) {
+			g.mirror.Listed(kind, l.Revision, l.Gap, l.Doubt)
+			if l.Doubt {
+				// The mirror's revision stays what it was before the list.
+				go g.ask(kind, g.mirror.Revision(kind))
+			}
+		},
+		Wait: wait, Unreadable: g.unreadable,
+		Report: func(err error) {
+			if err == nil {
+				g.storeHeard.Store(time.Now().UnixNano())
+			}
+			if err == nil && kind == platform.RolloutKind {
+				// Nothing is applied of a list that is empty.
+				g.splitter.Put(nil, sourceStore)
+			}
+			switch {
+			case err != nil && lost.IsZero():
+				lost = time.Now()
+				g.c.Logger.Warn("store lost", "follower", what, "error", err)
+			case err == nil && !lost.IsZero():
+				g.c.Logger.Info("store regained", "follower", what, "lost_ms", time.Since(lost).Milliseconds())
+				lost = time.Time{}
+			}
+		},
+	})
+}
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -61,9 +61,7 @@
 	"brasschute/internal/peer/rpc"
 	"brasschute/internal/peer/supplier"
 	"brasschute/internal/peer/swapper"
-	"brasschute/internal/platform/object"
 	"brasschute/internal/platform/registrar"
-	"brasschute/internal/platform/watcher"
 	"brasschute/internal/route/allotter"
 	"brasschute/internal/route/budgeter"
 	"brasschute/internal/route/demander"
@@ -320,46 +318,6 @@
 // Serve runs the function.
 func (s service) Serve(ctx context.Context) error { return s(ctx) }
 
-type sink func([]object.Object)
-
-// Apply takes in objects.
-func (s sink) Apply(objects []object.Object) { s(objects) }
-
-// follow watches one kind of objects. A dependency that is lost or regained is
-// logged once.
-func (g *Gateway) follow(what, kind string, wait time.Duration) *watcher.Watcher {
-	var lost time.Time
-	return watcher.New(watcher.Config{
-		Platform: g.store, Sink: sink(g.take), Prefixes: []string{kind}, Idle: func() bool { return !g.follows() },
-		Known: func() map[string]uint64 { return g.mirror.Known(kind) },
-		Listed: func(l watcher.List) {
-			g.mirror.Listed(kind, l.Revision, l.Gap, l.Doubt)
-			if l.Doubt {
-				// The mirror's revision stays what it was before the list.
-				go g.ask(kind, g.mirror.Revision(kind))
-			}
-		},
-		Wait: wait, Unreadable: g.unreadable,
-		Report: func(err error) {
-			if err == nil {
-				g.storeHeard.Store(time.Now().UnixNano())
-			}
-			if err == nil && kind == platform.RolloutKind {
-				// Nothing is applied of a list that is empty.
-				g.splitter.Put(nil, sourceStore)
-			}
-			switch {
-			case err != nil && lost.IsZero():
-				lost = time.Now()
-				g.c.Logger.Warn("store lost", "follower", what, "error", err)
-			case err == nil && !lost.IsZero():
-				g.c.Logger.Info("store regained", "follower", what, "lost_ms", time.Since(lost).Milliseconds())
-				lost = time.Time{}
-			}
-		},
-	})
-}
-
 // reread takes over a changed deployment: on a hint, and now and then without
 // one. Only the seeds can change what a running daemon does; an unreadable file
 // leaves everything as it is.
--- a/internal/route/splitter/splitter.go
+++ b/internal/route/splitter/splitter.go
@@ -31,9 +31,7 @@
 package splitter
 
 import (
-	"maps"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -43,10 +41,6 @@
 )
 
 const (
-	// grantTime is how long a grant holds: longer than news takes through a fleet (p99
-	// 1.4 s). Of the time in which a bad version must be left it is grantPart at the most.
-	grantTime = 2500 * time.Millisecond
-	grantPart = 0.5
 	// The share is for trials and for requests that would outlast the old endpoints. What
 	// trials show depends on their number, so they are a part of all requests that makes
 	// enoughTries until the deadline, tryPart of the share at the most and leastTries at the
@@ -54,6 +48,10 @@
 	enoughTries = 300
 	tryPart     = 0.4
 	leastTries  = 0.015
+	// fewFactor times the part of all requests that trials are is the part of the endpoints
+	// that they go to, leastFew at the least.
+	fewFactor = 1.5
+	leastFew  = 2
 	// shareMargin is kept of the share for clocks and counts that differ.
 	shareMargin = 0.005
 	// slackPart of what is tolerated beyond the share is dealt out.
@@ -90,37 +88,6 @@
 	Counted func(r *Run, isTarget, slow bool)
 }
 
-// Change is a change of what this daemon takes for the phase of a roll-out.
-type Change struct {
-	Service       identifier.Service
-	Target        identifier.Version
-	Order         uint64
-	Before, After rollout.Phase
-	// Source is the store or the host that said so, Age how long ago it was said.
-	Source string
-	Age    time.Duration
-}
-
-// Grant is what the holder of the duties says of an order.
-type Grant struct {
-	Service identifier.Service
-	Target  identifier.Version
-	Order   uint64
-	Phase   rollout.Phase
-	// Fencing and Beat tell which of two is newer.
-	Fencing, Beat uint64
-	// Said is when the holder said so, Ends when the old endpoints are to end, by this
-	// daemon's clock.
-	Said, Ends time.Time
-}
-
-func (g *Grant) newer(than *Grant) bool {
-	if g.Fencing != than.Fencing {
-		return g.Fencing > than.Fencing
-	}
-	return g.Beat > than.Beat
-}
-
 // Ask is a request that is to be sent.
 type Ask struct {
 	Service identifier.Service
@@ -141,27 +108,6 @@
 	services map[identifier.Service]*service
 }
 
-// service is one whose roll-out was ordered.
-type service struct {
-	order rollout.Rollout
-	// left are versions of earlier orders that did not become complete. former is the stored
-	// phase of an earlier order of the same version: until another one is stored, the store
-	// has none of this order.
-	left   map[identifier.Version]bool
-	former rollout.Phase
-	grant  Grant
-	// earned is what is left to spend on trials, moves on requests that outlast; asked
-	// counts requests since the order, routes them by route.
-	earned, moves float64
-	asked         int
-	routes        map[string]int
-	// ordered is when the order came.
-	ordered time.Time
-	tally   map[tallyKey]*Tally
-	// usual is by route.
-	usual map[string]usual
-}
-
 // New returns a splitter that knows no orders.
 func New(c Config) *Splitter {
 	if c.Daemons == nil {
@@ -185,179 +131,6 @@
 	return &Splitter{c: c, services: make(map[identifier.Service]*service)}
 }
 
-// Put takes in the orders as they are stored; a nil one is not stored any more. source says
-// who told.
-func (s *Splitter) Put(orders map[identifier.Service]*rollout.Rollout, source string) {
-	var changes []Change
-	s.mu.Lock()
-	now := s.c.Now()
-	for name, r := range orders {
-		if r == nil {
-			delete(s.services, name)
-			continue
-		}
-		if c, changed := s.put(r, source, now); changed {
-			changes = append(changes, c)
-		}
-	}
-	s.known = true
-	s.mu.Unlock()
-	s.tell(changes)
-}
-
-// Known tells whether the orders are known, be there some or none.
-func (s *Splitter) Known() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.known
-}
-
-func (s *Splitter) tell(changes []Change) {
-	for _, c := range changes {
-		s.c.Changed(c)
-	}
-}
-
-// put takes in one order. The caller holds the lock.
-func (s *Splitter) put(r *rollout.Rollout, source string, now time.Time) (Change, bool) {
-	v := s.services[r.Service]
-	switch {
-	case v == nil:
-		v = s.begin(r, now)
-	case r.Revision <= v.order.Revision:
-		return Change{}, false
-	case r.Order() != v.order.Order():
-		before := v
-		v = s.begin(r, now)
-		v.left = before.left
-		if r.Target == before.order.Target {
-			v.former, v.order.Stored = r.Stored, rollout.Ordered
-		} else if before.phase() != rollout.Complete {
-			v.left[before.order.Target] = true
-		}
-		delete(v.left, r.Target)
-	default:
-		before := v.phase()
-		v.order.Revision = r.Revision
-		if r.Stored != v.former {
-			v.former, v.order.Stored = rollout.Ordered, max(v.order.Stored, r.Stored)
-		}
-		return v.change(before, source, 0)
-	}
-	return Change{Service: r.Service, Target: r.Target, Order: r.Order(), After: v.phase(), Source: source}, true
-}
-
-func (s *Splitter) begin(r *rollout.Rollout, now time.Time) *service {
-	v := &service{
-		order: *r, left: make(map[identifier.Version]bool), routes: make(map[string]int), ordered: now,
-		tally: make(map[tallyKey]*Tally), usual: make(map[string]usual),
-		// At the order, what is earned stands anywhere between nothing and a whole trial,
-		// so that all daemons together send neither more nor fewer than they earn.
-		earned: s.c.Random(), moves: s.c.Random(),
-	}
-	if s.known {
-		// A process that starts during an order takes nothing: others were dealt its part.
-		v.earned += slackPart * s.c.Slack / float64(max(s.c.Daemons(), 1))
-	}
-	s.services[r.Service] = v
-	return v
-}
-
-// phase is the furthest that is known, from the store or the holder.
-func (v *service) phase() rollout.Phase {
-	if v.grant.Order == v.order.Order() {
-		return max(v.order.Stored, v.grant.Phase)
-	}
-	return v.order.Stored
-}
-
-func (v *service) change(before rollout.Phase, source string, age time.Duration) (Change, bool) {
-	after := v.phase()
-	return Change{
-		Service: v.order.Service, Target: v.order.Target, Order: v.order.Order(), Before: before, After: after, Source: source, Age: age,
-	}, after != before
-}
-
-// Hear takes in what the holder said, from it or passed on by another daemon.
-func (s *Splitter) Hear(g *Grant, source string) (news bool) {
-	s.mu.Lock()
-	v := s.services[g.Service]
-	if v == nil || g.Order != v.order.Order() || v.grant.Order == g.Order && !g.newer(&v.grant) && g.Phase <= v.grant.Phase {
-		s.mu.Unlock()
-		return false
-	}
-	before := v.phase()
-	next := *g
-	if v.grant.Order == g.Order {
-		if !g.newer(&v.grant) {
-			next = v.grant
-		}
-		next.Phase = max(g.Phase, v.grant.Phase)
-	}
-	v.grant = next
-	c, changed := v.change(before, source, s.c.Now().Sub(g.Said))
-	s.mu.Unlock()
-	if changed {
-		s.tell([]Change{c})
-	}
-	return changed
-}
-
-// Grants returns what is known of all orders, to be passed on.
-func (s *Splitter) Grants() []Grant {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var out []Grant
-	for _, v := range s.services {
-		if v.grant.Order == v.order.Order() {
-			out = append(out, v.grant)
-		}
-	}
-	return out
-}
-
-// Order is one that this daemon knows.
-type Order struct {
-	// Rollout has the furthest phase that is known.
-	rollout.Rollout
-	// Since is when this daemon learned of it, Granted when the holder last said to go on.
-	Since, Granted time.Time
-	// Ends is when the old endpoints are to end, as the holder said last; zero if none did.
-	Ends time.Time
-	// Asked counts this daemon's requests since then, Earned what is left to spend on trials.
-	Asked  int
-	Earned float64
-}
-
-// Orders returns the orders as they are known, by service.
-func (s *Splitter) Orders() []Order {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var out []Order
-	for _, name := range slices.Sorted(maps.Keys(s.services)) {
-		v := s.services[name]
-		o := Order{Rollout: v.order, Since: v.ordered, Asked: v.asked, Earned: v.earned}
-		o.Phase = v.phase()
-		if v.grant.Order == o.Order() {
-			o.Granted, o.Ends = v.grant.Said, v.grant.Ends
-		}
-		out = append(out, o)
-	}
-	return out
-}
-
-// granted tells whether the holder has lately said to go on.
-func (s *Splitter) granted(v *service, now time.Time) bool {
-	return v.grant.Order == v.order.Order() && now.Sub(v.grant.Said) < s.grantTime()
-}
-
-func (s *Splitter) grantTime() time.Duration {
-	if s.c.Leave <= 0 {
-		return grantTime
-	}
-	return min(grantTime, time.Duration(grantPart*float64(s.c.Leave)))
-}
-
 // Choose says which versions a request may go to.
 func (s *Splitter) Choose(a *Ask) selector.Versions {
 	s.mu.Lock()
@@ -387,7 +160,7 @@
 		return selector.Versions{Only: target, Try: true}
 	case p >= rollout.Trying && s.tries(v, a, now):
 		v.earned--
-		return selector.Versions{Only: target, Few: v.few(s.c.Endpoints(a.Service)), Try: true}
+		return selector.Versions{Only: target, Few: s.few(v), Try: true}
 	}
 	return old
 }
@@ -440,15 +213,17 @@
 	return s.c.Random() < chance*even
 }
 
-// few is the number of endpoints that try the version: each does what an old one does.
-func (v *service) few(endpoints map[identifier.Version]int) int {
+// few is the number of endpoints that try the version: each does about what an old one does
+// while what was earned before is spent, and there is another one to compare it with.
+func (s *Splitter) few(v *service) int {
 	old := 0
-	for version, n := range endpoints {
+	for version, n := range s.c.Endpoints(v.order.Service) {
 		if version != v.order.Target {
 			old += n
 		}
 	}
-	return max(int(leastTries*float64(old)+0.5), 1)
+	tries, _ := s.shares(v)
+	return max(int(fewFactor*tries*float64(old)+0.5), leastFew)
 }
 
 // outlasts tells whether a request may still run when the old endpoints end.
--- a/internal/route/splitter/splitter_test.go
+++ b/internal/route/splitter/splitter_test.go
@@ -140,3 +140,26 @@
 		t.Errorf("%+v after an order of another version", v)
 	}
 }
+
+// A request was chosen for a version and waits for its connection while the version is
+// reverted: it must not be sent there any more.
+func TestVersionIsBarredRightBeforeTheSend(t *testing.T) {
+	d := newDaemons(1, func() float64 { return 0 })
+	s := d.list[0]
+	d.put(s)
+	g := Grant{Service: lm, Target: "v2", Order: d.r.Order(), Phase: rollout.Trying, Fencing: 1, Beat: 1, Said: d.now, Ends: d.now.Add(time.Minute)}
+	s.Hear(&g, "holder")
+	for range 200 {
+		if ask(s).Only == "v2" {
+			break
+		}
+	}
+	if s.Barred(lm, "v2") {
+		t.Error("barred while it is tried")
+	}
+	g.Phase, g.Beat = rollout.Reverted, 2
+	s.Hear(&g, "holder")
+	if !s.Barred(lm, "v2") {
+		t.Error("not barred after it was reverted")
+	}
+}
