--- a/internal/role/gateway/rollouts_test.go
+++ b/internal/role/gateway/rollouts_test.go
@@ -53,6 +53,8 @@
 	arrivals []*arrival
 	replies  []reply
 	group    sync.WaitGroup
+	// after is for how long requests come after the deadline; five seconds at the least.
+	after time.Duration
 }
 
 // arrival is a request at an engine; ended is when it was answered.
@@ -167,7 +169,7 @@
 // order orders the new version while requests come, so many a second in all, and returns the
 // states that were stored and when the last one was.
 func (v *versions) order(perSecond float64, d time.Duration) (states []string, took time.Duration) {
-	most := d + 5*time.Second
+	most := d + max(v.after, 5*time.Second)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -424,3 +426,46 @@
 		}
 	})
 }
+
+// A version fails while its fleet has troubles of its own: an availability zone is cut off; all
+// daemons that know of the order are lost in the middle, and others come that do not; the store
+// answers nobody from before the order's first state on.
+func TestBadVersionBesideOtherTroubles(t *testing.T) {
+	for _, trouble := range []struct {
+		name    string
+		daemons int
+		prepare func(v *versions)
+		disturb func(v *versions)
+	}{
+		{"a zone is cut off", 8, func(*versions) {}, func(v *versions) {
+			time.Sleep(bootTime + 200*time.Millisecond)
+			v.cut(func(i int) bool { return i%v.f.zones == 1 })
+		}},
+		{"all are lost", 16, func(v *versions) {
+			v.cut(func(i int) bool { return i >= 8 })
+			v.after = 20 * time.Second
+		}, func(v *versions) {
+			time.Sleep(bootTime + 300*time.Millisecond)
+			v.cut(func(i int) bool { return i < 8 })
+		}},
+		{"the store is away", 8, func(*versions) {}, func(v *versions) {
+			v.f.store.SetFault(func(hosting.Call) hosting.Fault { return hosting.Busy })
+			time.Sleep(3 * time.Second)
+			v.f.store.SetFault(nil)
+		}},
+	} {
+		t.Run(trouble.name, func(t *testing.T) {
+			inVersionFleet(t, trouble.daemons, func(v *versions) {
+				trouble.prepare(v)
+				v.reverted(200, badVersions[0].answers, func() { trouble.disturb(v) })
+			})
+		})
+	}
+}
+
+// cut cuts off the daemons that are named, and no others.
+func (v *versions) cut(which func(i int) bool) {
+	for i := range v.f.networks {
+		v.f.networks[i].cut.Store(which(i))
+	}
+}
