splitter: ten seconds after a version is complete endpoints of any version may serve

What users would have seen: with a version complete, every endpoint of another one was passed over for good, also one that a later replacement starts. The old ones end at once and are listed for some heartbeats more; for that long they are passed over and do not count for the size of the service, and afterwards only versions that were left are.

--- a/internal/route/splitter/grant.go
+++ b/internal/route/splitter/grant.go
@@ -51,7 +51,8 @@
 		next.Phase = max(g.Phase, v.grant.Phase)
 	}
 	v.grant = next
-	c, changed := v.change(before, source, s.c.Now().Sub(g.Said))
+	now := s.c.Now()
+	c, changed := v.change(before, source, now, now.Sub(g.Said))
 	s.mu.Unlock()
 	if changed {
 		s.tell([]Change{c})
--- a/internal/route/splitter/order.go
+++ b/internal/route/splitter/order.go
@@ -34,9 +34,9 @@
 	earned, moves float64
 	asked         int
 	routes        map[string]int
-	// ordered is when the order came.
-	ordered time.Time
-	tally   map[tallyKey]*Tally
+	// ordered is when the order came, changed when its phase last did.
+	ordered, changed time.Time
+	tally            map[tallyKey]*Tally
 	// usual is by route.
 	usual map[string]usual
 }
@@ -98,14 +98,14 @@
 		if r.Stored != v.former {
 			v.former, v.order.Stored = rollout.Ordered, max(v.order.Stored, r.Stored)
 		}
-		return v.change(before, source, 0)
+		return v.change(before, source, now, 0)
 	}
 	return Change{Service: r.Service, Target: r.Target, Order: r.Order(), After: v.phase(), Source: source}, true
 }
 
 func (s *Splitter) begin(r *rollout.Rollout, now time.Time) *service {
 	v := &service{
-		order: *r, left: make(map[identifier.Version]bool), routes: make(map[string]int), ordered: now,
+		order: *r, left: make(map[identifier.Version]bool), routes: make(map[string]int), ordered: now, changed: now,
 		tally: make(map[tallyKey]*Tally), usual: make(map[string]usual),
 		// At the order, what is earned stands anywhere between nothing and a whole trial,
 		// so that all daemons together send neither more nor fewer than they earn.
@@ -127,8 +127,11 @@
 	return v.order.Stored
 }
 
-func (v *service) change(before rollout.Phase, source string, age time.Duration) (Change, bool) {
+func (v *service) change(before rollout.Phase, source string, now time.Time, age time.Duration) (Change, bool) {
 	after := v.phase()
+	if after != before {
+		v.changed = now
+	}
 	return Change{
 		Service: v.order.Service, Target: v.order.Target, Order: v.order.Order(), Before: before, After: after, Source: source, Age: age,
 	}, after != before
--- a/internal/route/splitter/splitter.go
+++ b/internal/route/splitter/splitter.go
@@ -61,6 +61,8 @@
 	pressTime = 4 * time.Second
 	// mostChance is the most of the requests that try the version meanwhile.
 	mostChance = 0.25
+	// listTime is how long endpoints that have ended may still be listed.
+	listTime = 10 * time.Second
 	// mostRoutes bounds the routes that are told apart in a service.
 	mostRoutes = 64
 )
@@ -146,8 +148,10 @@
 	}
 	target, old := v.order.Target, v.old()
 	switch p := v.phase(); {
-	case p == rollout.Complete:
+	case p == rollout.Complete && v.settling(now):
 		return selector.Versions{Only: target}
+	case p == rollout.Complete:
+		return v.others()
 	case p == rollout.Reverted, !s.granted(v, now):
 		return old
 	case p == rollout.Switching:
@@ -167,13 +171,24 @@
 
 // old are the versions that were there before.
 func (v *service) old() selector.Versions {
-	out := selector.Versions{Without: []identifier.Version{v.order.Target}}
+	out := v.others()
+	out.Without = append(out.Without, v.order.Target)
+	return out
+}
+
+// others are all versions but those of earlier orders that did not become complete.
+func (v *service) others() selector.Versions {
+	out := selector.Versions{}
 	for version := range v.left {
 		out.Without = append(out.Without, version)
 	}
 	return out
 }
 
+// settling tells whether the old endpoints of a version that is complete may still be listed:
+// they end at once, and their records some heartbeats later.
+func (v *service) settling(now time.Time) bool { return now.Sub(v.changed) < listTime }
+
 // earn takes in a request for a service.
 func (s *Splitter) earn(v *service, route string) {
 	if v.phase().Final() {
@@ -272,6 +287,8 @@
 		return true
 	case version == v.order.Target:
 		return v.phase() == rollout.Complete
+	case v.phase() == rollout.Complete && v.settling(s.c.Now()):
+		return false
 	}
 	return !v.left[version]
 }
--- a/internal/route/splitter/splitter_test.go
+++ b/internal/route/splitter/splitter_test.go
@@ -141,6 +141,23 @@
 	}
 }
 
+// A version is complete: the old endpoints are listed for some seconds more, and get nothing.
+// Endpoints that are replaced much later may come in any version that was not left.
+func TestCompleteVersion(t *testing.T) {
+	d := newDaemons(1, func() float64 { return 0.5 })
+	s := d.list[0]
+	d.put(s)
+	d.r.Revision, d.r.Stored = 2, rollout.Complete
+	d.put(s)
+	if v := ask(s); v.Only != "v2" || s.Counts(lm, "v1") || !s.Counts(lm, "v2") {
+		t.Errorf("%+v at once", v)
+	}
+	d.now = d.now.Add(listTime)
+	if v := ask(s); v.Only != "" || len(v.Without) > 0 || !s.Counts(lm, "v1") {
+		t.Errorf("%+v later", v)
+	}
+}
+
 // A request was chosen for a version and waits for its connection while the version is
 // reverted: it must not be sent there any more.
 func TestVersionIsBarredRightBeforeTheSend(t *testing.T) {
