gateway: a watch of the roll-outs' orders lasts 12 to 18 s

Orders end a watch at once; a longer one only matters where a store drops its history below it, and the followers' end at different times.

--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -28,6 +28,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -291,7 +292,7 @@
 	g.tree.Add(g.follow("configuration", platform.CatalogKind, wait))
 	g.tree.Add(g.follow("endpoints", platform.EndpointKind, wait))
 	if d.Rollouts {
-		g.tree.Add(g.follow("roll-outs", platform.RolloutKind, rolloutWatch))
+		g.tree.Add(g.follow("roll-outs", platform.RolloutKind, rolloutWatch+rand.N(rolloutWatch/2)))
 	} else {
 		g.splitter.Put(nil, sourceSettings)
 	}
--- a/internal/role/gateway/rollouts.go
+++ b/internal/role/gateway/rollouts.go
@@ -25,9 +25,10 @@
 	// rolloutPause is how often the holder of the duties looks at the orders: several times
 	// in the half second for which all requests go to a new version before it is complete.
 	rolloutPause = 100 * time.Millisecond
-	// rolloutWatch is how long a watch of the orders stays open: they come seldom, and each
-	// watch has its price.
-	rolloutWatch = 4 * time.Second
+	// rolloutWatch is how long a watch of the orders stays open at the least: they come seldom,
+	// and each watch has its price. Half of it is the most by which it lasts longer, so that
+	// the followers of a fleet do not all hear nothing of a dropped history for as long.
+	rolloutWatch = 12 * time.Second
 	// storeAgain is the pause before a state is stored again that could not be.
 	storeAgain = 500 * time.Millisecond
 	// lackPause is how often it is written down what keeps a version from moving on.
