--- a/internal/fleet/promoter/promoter.go
+++ b/internal/fleet/promoter/promoter.go
@@ -14,8 +14,9 @@
 // A bad version must not have had more than its share by the order's deadline, and a good one
 // must be complete by then. So most requests move as late as they can: those that would
 // outlast the old endpoints for [moveTime] before these end, then all new ones, and the
-// version is complete once the old endpoints have nothing left to do. Until there are enough answers of each route, or while
-// they look worse than the old ones', nothing moves, whatever the deadline.
+// version is complete once the old endpoints have nothing left to do. Until there are enough
+// answers of each route, or while they look worse than the old ones', nothing moves, whatever
+// the deadline.
 //
 // # One holder after another
 //
@@ -25,9 +26,10 @@
 //
 // # Usage
 //
-//	for _, step := range p.Step(&promoter.Input{...}) {
-//		tell(step.Grant)
-//		if step.Store { write(step) ; p.Stored(...) }
+//	p := promoter.New(promoter.Config{Share: 0.1})
+//	for _, step := range p.Step(&promoter.Input{...}) { // several times a second
+//		tell(step.Order, step.Phase, step.Ends)
+//		if step.Store { store(step.Order, step.Phase) }
 //	}
 package promoter
 
--- a/internal/route/splitter/splitter.go
+++ b/internal/route/splitter/splitter.go
@@ -23,11 +23,12 @@
 //
 // # Usage
 //
-//	s.Put(rollouts)                // from the store
-//	s.Hear(grant, now)             // from the holder, or passed on
-//	choice := s.Choose(&ask)       // for each send
-//	if s.Barred(service, version)  // right before the first byte
-//	s.Ended(...)                   // what came of it
+//	s.Put(orders, source)               // from the store
+//	s.Hear(&grant, source)              // from the holder, or passed on
+//	versions := s.Choose(&ask)          // for each choice of an endpoint
+//	if s.Barred(service, version) {...} // right before the first byte
+//	s.Sent(&run)
+//	s.Ended(&run)                       // what came of it
 package splitter
 
 import (
