splitter, promoter, gateway: what the roll-outs wrote twice, and work without a roll-out

The part of the answers that may be bad was reckoned in two places, the endpoints of other versions counted in two packages: one function each. The holder of the duties gathered and sorted what all daemons had counted ten times a second where nothing was ordered; and each attempt asked twice for what is expected of it, under the estimator's lock, where no roll-out counts it. A field that nobody read is gone; the usage of package rollout named fields that it has not.

--- a/internal/config/rollout/rollout.go
+++ b/internal/config/rollout/rollout.go
@@ -8,11 +8,12 @@
 //
 // While it is Trying, a small share of the requests goes to endpoints of the new version.
 // While Moving, requests that would outlast the old endpoints do, too; while Switching all
-// new ones, and the old endpoints end what they have. Complete and Reverted are final for an order; package promoter decides them.
+// new ones, and the old endpoints end what they have. Complete and Reverted are final for an
+// order; package promoter decides them.
 //
 // # Usage
 //
-//	if r.State == rollout.Reverted { use no endpoint of r.Order.Target }
+//	if r.Phase == rollout.Reverted { use no endpoint of r.Target }
 package rollout
 
 import (
@@ -83,6 +84,16 @@
 	return min(max(lead, leastLead), mostLead)
 }
 
+// Old counts the endpoints of other versions.
+func (r *Rollout) Old(endpoints map[identifier.Version]int) (n int) {
+	for version, count := range endpoints {
+		if version != r.Target {
+			n += count
+		}
+	}
+	return n
+}
+
 // Order numbers the order: the same for all who read it, whatever its state.
 func (r *Rollout) Order() uint64 {
 	return xxhash.Sum64String(fmt.Sprintf("%s/%s/%d/%s", r.Service, r.Target, r.Duration, r.Created))
--- a/internal/fleet/promoter/evidence.go
+++ b/internal/fleet/promoter/evidence.go
@@ -209,7 +209,7 @@
 	if bad < leastBad || answers == 0 {
 		return 0
 	}
-	expected := min(alike*float64(oldBad+firstBad)/float64(oldAnswers+firstAnswers)+unlike, 1)
+	expected := expected(oldBad, oldAnswers)
 	part := min(float64(bad)/float64(answers), 1)
 	if part <= expected {
 		return 0
@@ -221,6 +221,11 @@
 	return d * float64(answers)
 }
 
+// expected is the part of the answers that may be bad where so many of the old ones were.
+func expected(oldBad, oldAnswers int) float64 {
+	return min(alike*float64(oldBad+firstBad)/float64(oldAnswers+firstAnswers)+unlike, 1)
+}
+
 // widespread tells whether it is the version, and not one of its endpoints alone.
 func (r *route) widespread(bad func(Sum) int) bool {
 	if len(r.each) < 2 {
@@ -231,8 +236,7 @@
 	if rest.Answers < othersAnswers {
 		return bad(r.new) >= manyBad
 	}
-	old := r.old
-	expected := min(alike*float64(bad(old)+firstBad)/float64(old.Answers+firstAnswers)+unlike, 1)
+	expected := expected(bad(r.old), r.old.Answers)
 	return bad(rest) > 0 && float64(bad(rest)) >= expected*float64(rest.Answers)+elsewhere*math.Sqrt(expected*float64(rest.Answers))
 }
 
--- a/internal/fleet/promoter/promoter.go
+++ b/internal/fleet/promoter/promoter.go
@@ -114,8 +114,8 @@
 // trial is one order under way.
 type trial struct {
 	phase rollout.Phase
-	// since is when the order came, ends when the old endpoints are to end.
-	since, ends time.Time
+	// ends is when the old endpoints are to end.
+	ends time.Time
 	// counts are the highest tallies of each process, ended ones too.
 	counts map[countKey]splitter.Tally
 	looked time.Time
@@ -140,7 +140,7 @@
 		known[id] = true
 		t := p.trials[id]
 		if t == nil {
-			t = &trial{counts: make(map[countKey]splitter.Tally), since: o.Since, ends: o.Ends}
+			t = &trial{counts: make(map[countKey]splitter.Tally), ends: o.Ends}
 			if t.ends.IsZero() {
 				t.ends = o.Since.Add(o.Duration - o.Lead(p.c.Share))
 			}
@@ -219,12 +219,7 @@
 // lacks says what must come before requests may move; nothing if they may.
 func (t *trial) lacks(o *splitter.Order, in *Input) string {
 	endpoints := in.Endpoints(o.Service)
-	old := 0
-	for version, n := range endpoints {
-		if version != o.Target {
-			old += n
-		}
-	}
+	old := o.Old(endpoints)
 	switch n := endpoints[o.Target]; {
 	case float64(n) < leastPart*float64(old) || n == 0:
 		return fmt.Sprintf("%d endpoints of the new version, %d of the old", n, old)
--- a/internal/role/gateway/rollouts.go
+++ b/internal/role/gateway/rollouts.go
@@ -184,13 +184,12 @@
 		if !held || u.g.stopping.Load() {
 			return
 		}
-		tallies, running := u.tallies()
-		in := &promoter.Input{
-			Now: u.g.uptime(), Orders: u.g.splitter.Orders(), Tallies: tallies, Running: running, Endpoints: u.g.versions,
-		}
-		if len(in.Orders) == 0 {
+		orders := u.g.splitter.Orders()
+		if len(orders) == 0 {
 			return
 		}
+		tallies, running := u.tallies()
+		in := &promoter.Input{Now: u.g.uptime(), Orders: orders, Tallies: tallies, Running: running, Endpoints: u.g.versions}
 		hurry := false
 		for _, step := range u.promoter.Step(in) {
 			hurry = u.rolloutStep(ctx, fencing, &step) || hurry
--- a/internal/route/splitter/splitter.go
+++ b/internal/route/splitter/splitter.go
@@ -232,12 +232,7 @@
 // few is the number of endpoints that try the version: each does about what an old one does
 // while what was earned before is spent, and there is another one to compare it with.
 func (s *Splitter) few(v *service) int {
-	old := 0
-	for version, n := range s.c.Endpoints(v.order.Service) {
-		if version != v.order.Target {
-			old += n
-		}
-	}
+	old := v.order.Old(s.c.Endpoints(v.order.Service))
 	tries, _ := s.shares(v)
 	return max(int(fewFactor*tries*float64(old)+0.5), leastFew)
 }
--- a/internal/route/splitter/tally.go
+++ b/internal/route/splitter/tally.go
@@ -71,14 +71,18 @@
 	Left bool
 }
 
-// Sent counts a request that is sent. Ended is told of the same run.
-func (s *Splitter) Sent(r *Run) {
+// Sent counts a request that is sent, and tells whether it counts: whether Ended is to be told
+// of the same run.
+func (s *Splitter) Sent(r *Run) (counts bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if t, v := s.tally(r); t != nil {
-		t.Sent++
-		r.counted = v.order.Order()
+	t, v := s.tally(r)
+	if t == nil {
+		return false
 	}
+	t.Sent++
+	r.counted = v.order.Order()
+	return true
 }
 
 // Ended counts what came of a request.
--- a/internal/serve/relayer/attempt.go
+++ b/internal/serve/relayer/attempt.go
@@ -45,9 +45,9 @@
 	}()
 	begun, events := time.Now(), j.res.Events
 	outer := ctx
-	run := j.run(pick)
-	j.r.c.Versions.Sent(run)
-	defer func() { j.ran(outer, run, pick, err, begun, j.res.Events-events) }()
+	if run := j.run(pick); j.r.c.Versions.Sent(run) {
+		defer func() { j.ran(outer, run, pick, err, begun, j.res.Events-events) }()
+	}
 	ctx, waited := j.enter(ctx)
 	ctx, spoken := j.listen(ctx)
 	heard := func() { spoken(); waited() }
--- a/internal/serve/relayer/relayer.go
+++ b/internal/serve/relayer/relayer.go
@@ -105,8 +105,8 @@
 	Returned(s identifier.Service, v *selector.Versions) selector.Versions
 	// Barred is asked right before each send.
 	Barred(s identifier.Service, v identifier.Version) bool
-	// Sent and Ended are told of each run.
-	Sent(r *splitter.Run)
+	// Sent is told of each run, Ended of those that count.
+	Sent(r *splitter.Run) (counts bool)
 	Ended(r *splitter.Run)
 }
 
