platform, relayer, gateway: a line and a counter for each limit that an endpoint names

No line said that an endpoint names how many requests a second it takes, so nobody could tell whether the limit was not read, held by each daemon alone, or passed by requests that had been chosen before. The head of each answer but those of a misdirected request, which another endpoint gives, is told to the gateway. No decision changes yet. The stand-in engine says what a test lets it say.

--- a/internal/role/gateway/engines_test.go
+++ b/internal/role/gateway/engines_test.go
@@ -17,6 +17,9 @@
 	"brasschute/platform"
 )
 
+// askedHeader names the daemon that a client asked; daemons pass it on.
+const askedHeader = "Asked-Daemon"
+
 // Names of the deployment of model engines.
 const (
 	modelService = "lm"
@@ -55,6 +58,8 @@
 	sameIDs bool
 	// fatal tells whether a body ends the engine that runs it.
 	fatal func(body string) bool
+	// say is what an engine says of itself in an answer; nil for nothing.
+	say func(place int, id string, r *http.Request) http.Header
 
 	mu   sync.Mutex
 	last int
@@ -133,6 +138,12 @@
 		endIt(body)
 		return hosting.Drop
 	})
+	engine.Say(func(r *http.Request) http.Header {
+		if e.say == nil {
+			return nil
+		}
+		return e.say(place, id, r)
+	})
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		text, _ := io.ReadAll(r.Body)
 		r.Body = io.NopCloser(strings.NewReader(string(text)))
@@ -237,6 +248,7 @@
 	r.Header.Set("Deadline-Ms", "15000")
 	r.Header.Set("Authorization", "Bearer "+deskKey)
 	r.Header.Set("Token-Count", "600,100")
+	r.Header.Set(askedHeader, fmt.Sprint(daemon))
 	answer, err := client.Do(r)
 	if err != nil {
 		return reply{text: err.Error()}
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -177,7 +177,9 @@
 	demander  demander.Demander
 	// splitter splits requests between versions of endpoints.
 	splitter *splitter.Splitter
-	gatherer gatherer.Gatherer
+	// limitLines bounds the lines about endpoints' limits.
+	limitLines *rate.Limiter
+	gatherer   gatherer.Gatherer
 	// roster knows the other daemons, aggregator sums what they tell; parts are what
 	// relays tell the holder of the duties of the daemons of their zones.
 	roster     *roster.Roster
@@ -237,6 +239,7 @@
 		c.Uptime = uptimer.Now
 	}
 	g := &Gateway{c: c, started: time.Now(), unread: rate.NewLimiter(unreadablePerSecond, unreadablePerSecond)}
+	g.limitLines = rate.NewLimiter(limitLinesPerSecond, limitLinesPerSecond)
 	g.reporter = prometheus.NewReporter(prometheus.Options{Registerer: newMetrics()})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "brasschute", CachedReporter: g.reporter, Separator: prometheus.DefaultSeparator,
@@ -282,7 +285,7 @@
 	relay := relayer.New(relayer.Config{
 		Registry: g.registry, Placer: placer.New(placer.Config{Registry: g.registry, Estimator: &g.estimator, Zone: d.AvailabilityZone}),
 		Sender: g.sender, Codec: platform.Codec{}, Budget: g, Began: g.began, Demand: &g.demander, Quarantine: g.quarantine,
-		Versions: g.splitter,
+		Versions: g.splitter, Listener: g,
 	})
 	g.receiver = receiver.New(receiver.Config{
 		Versioner: &g.versioner, Relayer: relay, Quota: g, Quarantine: g.quarantine, Decode: platform.DecodeRequest, Refuse: platform.Codec{}.EncodeRefusal,
--- a/internal/serve/relayer/attempt.go
+++ b/internal/serve/relayer/attempt.go
@@ -72,6 +72,9 @@
 	defer x.Close()
 	j.sends++
 	reply := j.r.c.Codec.DecodeReply(x.Status, x.Header)
+	if !reply.Misdirected {
+		j.r.c.Listener.Answered(j.q, pick, &reply, begun)
+	}
 	if reply.NotRun {
 		if reply.Misdirected {
 			result = registry.Failed
--- a/internal/serve/relayer/relayer.go
+++ b/internal/serve/relayer/relayer.go
@@ -96,6 +96,14 @@
 	Quarantine Quarantine
 	// Versions splits requests between versions of endpoints.
 	Versions Versions
+	// Listener is told what endpoints say of themselves.
+	Listener Listener
+}
+
+// Listener hears what endpoints say of themselves in their answers.
+type Listener interface {
+	// Answered is told of the head of each answer to a request, and when that was sent.
+	Answered(q *request.Request, pick *registry.Pick, reply *request.Reply, sent time.Time)
 }
 
 // Versions says which version of its service's endpoints a request may go to.
--- a/internal/serve/request/request.go
+++ b/internal/serve/request/request.go
@@ -142,4 +142,14 @@
 	Load    bool
 	Running int
 	Waiting int
+	// Limit is how many requests a second the endpoint says that it takes.
+	Limit Limit
+}
+
+// Limit is what an answer says of the requests a second that its endpoint takes from all
+// daemons together.
+type Limit struct {
+	PerSecond float64
+	// Named: the answer names a limit. Unreadable: it names something that is none.
+	Named, Unreadable bool
 }
--- a/internal/standin/hosting/hosting.go
+++ b/internal/standin/hosting/hosting.go
@@ -99,6 +99,7 @@
 
 	mu      sync.Mutex
 	behave  func(*http.Request) Behaviour
+	say     func(*http.Request) http.Header
 	runs    []Run
 	arrived int
 	hold    chan struct{}
@@ -125,6 +126,14 @@
 	e.behave = f
 }
 
+// Say makes the engine ask what it says of itself in the head of each answer, refusals
+// included: headers that are added to those of the protocol.
+func (e *Engine) Say(f func(*http.Request) http.Header) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.say = f
+}
+
 // Release lets held requests go on.
 func (e *Engine) Release() {
 	e.mu.Lock()
@@ -185,8 +194,13 @@
 	body, _ := io.ReadAll(r.Body)
 	e.mu.Lock()
 	e.arrived++
-	behave := e.behave
+	behave, say := e.behave, e.say
 	e.mu.Unlock()
+	if say != nil {
+		for name, values := range say(r) {
+			w.Header()[name] = values
+		}
+	}
 	how := Serve
 	if behave != nil {
 		how = behave(r)
