pacer: an endpoint's limit is held by all daemons together

Callers saw an engine in need get worse: two engines named 1 request a second in their answers and got what they had got before, 12 to 15 in 4 s of eight daemons where 11 are allowed.

Cause: what was said to one attempt ended with the attempt. Nothing read the header, and nothing outlives an answer but a count of failures.

Change: package pacer keeps the newest word of each life of an endpoint. N + 2 daemons, the same for everybody by rendezvous hashing, send an even part each and save up one request; the others send nothing there. Ways weighed: an equal part for each daemon, which is right in the mean, but 195 daemons with one saved request each can send 195 in a second; slots of a common clock, which leave the limit unused where nobody has something to send in its slot; leases in the store, which cost calls and are not to be had when the store is away. The endpoint is left out of choices, a chosen request takes its turn, and is asked again right before the first byte, as the limit may have become known since. What one daemon hears goes into notes and digests, stamped with the fleet's estimate of the time, so that a word does not become newer by being passed on. An answer without a limit ends it, if its request was sent after the limit was named. A daemon that hears a part of the fleet sends that part of the limit. Refusals say how many endpoints take nothing, and when the next turn comes.

Estimates of the time go by the daemon's own uptime clock, as all else does that must go on while the host is suspended; in paused time each daemon had its own.

After a limit ends the engine has its part again within 4 s.

--- a/internal/role/gateway/beliefs.go
+++ b/internal/role/gateway/beliefs.go
@@ -10,6 +10,7 @@
 	"brasschute/internal/core/waiter"
 	"brasschute/internal/route/allotter"
 	"brasschute/internal/route/demander"
+	"brasschute/internal/route/pacer"
 	"brasschute/internal/route/quarantiner"
 	"brasschute/internal/route/splitter"
 )
@@ -45,6 +46,8 @@
 	// Forgotten counts those for which there was no room.
 	Quarantine []quarantiner.Suspect
 	Forgotten  int
+	// Limits are what endpoints say they take, as far as it is known.
+	Limits []pacer.Limit
 }
 
 // RolloutBelief is the roll-out of a service as the daemon sees it.
@@ -100,6 +103,7 @@
 		Host: g.c.Deployment.Host, FollowsStore: g.follows(), StoreAgeMS: -1,
 		Quotas: g.allotter.Accounts(), Demands: g.demander.Demands(), Part: g.part().String(),
 		Quarantine: g.quarantine.List(), Forgotten: g.quarantine.Forgotten(),
+		Limits: g.pacer.Limits(),
 	}
 	b.Rollouts, b.OrdersKnown = g.rolloutBeliefs(), g.splitter.Known()
 	if c := g.versioner.InForce(); c != nil {
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -67,6 +67,7 @@
 	"brasschute/internal/route/budgeter"
 	"brasschute/internal/route/demander"
 	"brasschute/internal/route/estimator"
+	"brasschute/internal/route/pacer"
 	"brasschute/internal/route/registry"
 	"brasschute/internal/route/splitter"
 	"brasschute/internal/serve/placer"
@@ -177,7 +178,8 @@
 	demander  demander.Demander
 	// splitter splits requests between versions of endpoints.
 	splitter *splitter.Splitter
-	// limitLines bounds the lines about endpoints' limits.
+	// pacer holds requests to what endpoints say they take; limitLines bounds its lines.
+	pacer      *pacer.Pacer
 	limitLines *rate.Limiter
 	gatherer   gatherer.Gatherer
 	// roster knows the other daemons, aggregator sums what they tell; parts are what
@@ -239,7 +241,6 @@
 		c.Uptime = uptimer.Now
 	}
 	g := &Gateway{c: c, started: time.Now(), unread: rate.NewLimiter(unreadablePerSecond, unreadablePerSecond)}
-	g.limitLines = rate.NewLimiter(limitLinesPerSecond, limitLinesPerSecond)
 	g.reporter = prometheus.NewReporter(prometheus.Options{Registerer: newMetrics()})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "brasschute", CachedReporter: g.reporter, Separator: prometheus.DefaultSeparator,
@@ -262,7 +263,7 @@
 	d := g.c.Deployment
 	g.tree = suture.New("gateway", suture.Spec{EventHook: g.event})
 	g.store = platform.NewStore(d.Store.String(), g.platformCaller())
-	g.clock = chronometer.New(chronometer.Config{})
+	g.clock = chronometer.New(chronometer.Config{Steady: g.c.Uptime})
 	g.roster = roster.New(roster.Config{Host: d.Host, Zone: d.AvailabilityZone, Address: d.Peers.String()})
 	g.aggregator = aggregator.New(aggregator.Config{Host: d.Host, Zone: d.AvailabilityZone, Start: g.started})
 	g.tallier = tallier.New(tallier.Config{Window: d.Bounds.UsageWindow, Keep: d.Bounds.UsageDue, Now: g.clock.Now})
@@ -272,7 +273,8 @@
 	})
 	g.budgets = make(map[identifier.Service]*budgeter.Budgeter)
 	g.ledger = ledger.New(ledger.Config{Self: &rpc.Member{Host: string(d.Host), AvailabilityZone: string(d.AvailabilityZone), PeerAddress: d.Peers.String()}})
-	g.registry = registry.New(registry.Config{Ledger: g.ledger, Daemons: g.daemons})
+	g.buildPacer()
+	g.registry = registry.New(registry.Config{Ledger: g.ledger, Daemons: g.daemons, Pacer: g.pacer})
 	g.splitter = splitter.New(splitter.Config{
 		Share: d.Bounds.TrialShare, Slack: d.Bounds.TrialSlack, Leave: d.Bounds.RevertTime, Now: g.uptime, Daemons: g.fleetSize,
 		Endpoints: g.versions, Changed: g.rolloutChanged, Counted: g.rolloutCounted,
@@ -353,10 +355,12 @@
 func (g *Gateway) prune(ctx context.Context) error {
 	return waiter.Every(ctx, prunePause, func(context.Context) {
 		addresses := make(map[string]bool)
-		for _, h := range g.registry.Hosts() {
+		hosts := g.registry.Hosts()
+		for _, h := range hosts {
 			addresses[h.Endpoints[0].Address] = true
 		}
 		g.sender.Prune(func(address string) bool { return addresses[address] })
+		g.pruneLimits(hosts)
 	})
 }
 
--- a/internal/role/gateway/limits_test.go
+++ b/internal/role/gateway/limits_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -187,6 +188,31 @@
 	})
 }
 
+// A limit ends: the engine gets its part of the requests again, from all daemons.
+func TestLimitThatEndsIsForgotten(t *testing.T) {
+	const limit, ends = 1, 8 * time.Second
+	until := func(place int, since time.Duration) float64 {
+		if place == 0 && since < ends {
+			return limit
+		}
+		return 0
+	}
+	inLimitFleets(t, 2, until, func(f *testFleet, l *limiters, perSecond float64) {
+		f.load(perSecond, ends+4*time.Second)
+		f.load(perSecond, 6*time.Second)
+		part := l.used(perSecond/engineCount, 6*time.Second)
+		f.t.Logf("%.2f of an engine's part", part)
+		if part < 0.5 {
+			f.t.Errorf("the engine gets %.2f of its part of the requests", part)
+		}
+		for _, g := range f.daemons {
+			if list := g.pacer.Limits(); len(list) > 0 {
+				f.t.Errorf("%s: %+v", g.c.Deployment.Host, list)
+			}
+		}
+	})
+}
+
 // A daemon is cut off and comes back, one is lost, and one starts anew, while two engines have
 // limits.
 func TestLimitHoldsThroughCutsAndStarts(t *testing.T) {
@@ -207,3 +233,23 @@
 		l.check(limit)
 	})
 }
+
+// Engines name what is no limit: it counts for nothing, and harms nobody.
+func TestWordsThatAreNoLimits(t *testing.T) {
+	words := []string{"NaN", "-1", "Inf", "-Inf", "", "soon", "1e999", "0x", "Wed, 21 Oct 2026 07:28:00 GMT"}
+	inEngineFleet(t, 8, func(string) bool { return false }, func(f *testFleet, e *engines) {
+		e.say = func(place int, _ string, _ *http.Request) http.Header {
+			if place == 0 {
+				return http.Header{"Server-Limit": {"1", "2"}}
+			}
+			return http.Header{"Server-Limit": {words[place%len(words)]}}
+		}
+		replies := f.load(45, 5*time.Second)
+		if n := failed(replies); n > 0 {
+			t.Errorf("%d of %d requests failed", n, len(replies))
+		}
+		if i := slices.IndexFunc(f.daemons, func(g *Gateway) bool { return g.pacer.Any() }); i >= 0 {
+			t.Errorf("%s: %+v", f.daemons[i].c.Deployment.Host, f.daemons[i].pacer.Limits())
+		}
+	})
+}
--- a/internal/route/candidate/candidate.go
+++ b/internal/route/candidate/candidate.go
@@ -30,6 +30,8 @@
 	Out     bool
 	// Silent: its streams, or those of its whole zone, have brought nothing lately.
 	Silent bool
+	// Limited: it has said how much it takes, and takes nothing more from this daemon now.
+	Limited bool
 	// Suspect: failed last, and gets one request at a time.
 	Suspect bool
 	// Reported: there has been a report in this life of the host; without one
--- a/internal/route/registry/choice.go
+++ b/internal/route/registry/choice.go
@@ -39,6 +39,7 @@
 		Writing: float64(q.Select.OutputTokens) / float64(max(q.Select.Decode, 1)),
 	}
 	p.refresh(q.Select.Now)
+	r.limit(p, q.Select.Now)
 	if q.Select.Prefix == 0 {
 		q.Select.Prefix = uint64(r.indexer.Own(q.Blocks))
 	}
@@ -50,6 +51,7 @@
 	uncached := q.Select.PromptTokens - d.Chosen.Cached
 	ahead, streams := c.Ahead, c.Streams
 	c.InFlight++
+	turn := p.limited && r.c.Pacer.Take(life(c), q.Select.Now)
 	c.Sent(q.Select.Now, uncached)
 	p.usual += usualWeight * (float64(uncached) - p.usual)
 	id := r.id(c)
@@ -58,7 +60,7 @@
 	return &Pick{
 		Endpoint: c.Endpoint, Host: c.Host, Incarnation: c.Incarnation, Born: c.Born, Address: c.Address, Pool: c.Pool,
 		Version: c.Version, Cold: q.Select.Now.Before(c.Warm),
-		PricePerSecond: c.PricePerSecond, Predicted: d.Chosen.FirstToken, Usual: time.Duration(float64(d.Chosen.FirstToken) / max(c.Slow, 1)), Uncached: uncached, Ahead: ahead, Streams: streams, Pulse: c.Pulse, id: id,
+		PricePerSecond: c.PricePerSecond, Predicted: d.Chosen.FirstToken, Usual: time.Duration(float64(d.Chosen.FirstToken) / max(c.Slow, 1)), Uncached: uncached, Ahead: ahead, Streams: streams, Pulse: c.Pulse, id: id, turn: turn,
 	}, d
 }
 
--- a/internal/route/registry/health.go
+++ b/internal/route/registry/health.go
@@ -38,6 +38,7 @@
 func (r *Registry) Withdraw(k *Pick) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.giveBack(k)
 	if c := r.find(k); c != nil {
 		k.readAt(c)
 		c.InFlight--
--- /dev/null
+++ b/internal/route/registry/limit.go
@@ -0,0 +1,68 @@
+package registry
+
+import (
+	"time"
+
+	"brasschute/internal/core/identifier"
+	"brasschute/internal/route/candidate"
+	"brasschute/internal/route/pacer"
+)
+
+// life names the present life of an endpoint as other daemons know it.
+func life(c *candidate.Candidate) pacer.Life { return pacer.Life{Endpoint: c.Endpoint, Born: c.Born} }
+
+// Life names the life of an endpoint that was chosen, as other daemons know it.
+func (k *Pick) Life() pacer.Life { return pacer.Life{Endpoint: k.Endpoint, Born: k.Born} }
+
+// limit marks the candidates that take nothing more from this daemon now. The caller holds
+// the lock.
+func (r *Registry) limit(p *pool, now time.Time) {
+	any := r.c.Pacer != nil && r.c.Pacer.Any()
+	if !any && !p.limited {
+		return
+	}
+	for i := range p.candidates {
+		c := &p.candidates[i]
+		c.Limited = any && !r.c.Pacer.Open(life(c), now)
+	}
+	p.limited = any
+}
+
+// Due takes the turn of a request that goes out now, unless it has had it since it was
+// chosen, and reports whether the endpoint takes it: its limit may have become known since.
+func (r *Registry) Due(k *Pick) bool {
+	if r.c.Pacer == nil || k.turn {
+		return true
+	}
+	k.turn = r.c.Pacer.Take(k.Life(), time.Now())
+	return k.turn
+}
+
+// Unsent gives back the turn of a request of which nothing went out.
+func (r *Registry) Unsent(k *Pick) { r.giveBack(k) }
+
+func (r *Registry) giveBack(k *Pick) {
+	if k.turn {
+		k.turn = false
+		r.c.Pacer.Return(k.Life())
+	}
+}
+
+// NextTurn is when this daemon may send to one of a pool's endpoints again that take
+// nothing now, zero if to none of them.
+func (r *Registry) NextTurn(name identifier.Pool) time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var next time.Time
+	p := r.pools[name]
+	if p == nil || !p.limited {
+		return next
+	}
+	for i := range p.candidates {
+		at := r.c.Pacer.Next(life(&p.candidates[i]))
+		if !at.IsZero() && (next.IsZero() || at.Before(next)) {
+			next = at
+		}
+	}
+	return next
+}
--- a/internal/route/registry/pick.go
+++ b/internal/route/registry/pick.go
@@ -33,6 +33,8 @@
 	Pulse *candidate.Pulse
 
 	id int32
+	// turn: the request has its part of the endpoint's limit.
+	turn bool
 	// read: the prompt tokens do not count as unread any more.
 	read bool
 }
--- a/internal/route/registry/registry.go
+++ b/internal/route/registry/registry.go
@@ -40,6 +40,7 @@
 	"brasschute/internal/platform/inventory"
 	"brasschute/internal/route/candidate"
 	"brasschute/internal/route/indexer"
+	"brasschute/internal/route/pacer"
 	"brasschute/internal/route/selector"
 )
 
@@ -70,16 +71,33 @@
 	// Changed is told after endpoints came, went or began to leave; may be
 	// nil.
 	Changed func()
+	// Pacer says how much endpoints take that name a limit; nil if none does.
+	Pacer Pacer
 	// Select decides; selector.Select if nil. Experiments put baselines here.
 	Select func(*selector.Query, []candidate.Candidate, []identifier.Tokens, []selector.Prediction) selector.Decision
 }
 
+// Pacer holds requests to what endpoints say they take.
+type Pacer interface {
+	// Any tells whether some endpoint has a limit.
+	Any() bool
+	// Open tells whether a request may go to an endpoint now; Take takes its turn, and
+	// Return gives it back.
+	Open(l pacer.Life, now time.Time) bool
+	Take(l pacer.Life, now time.Time) bool
+	Return(l pacer.Life)
+	// Next is when the next turn comes, zero if none does.
+	Next(l pacer.Life) time.Time
+}
+
 type pool struct {
 	candidates []candidate.Candidate
 	cached     []identifier.Tokens
 	scratch    []selector.Prediction
 	refreshed  time.Time
-	pace       candidate.Pace
+	// limited: some candidate may be marked as such.
+	limited bool
+	pace    candidate.Pace
 	// usual is the mean of the uncached tokens of the prompts sent.
 	usual float64
 	// versions counts the endpoints of each version that are not leaving, usualVersion is
--- a/internal/route/selector/alternative.go
+++ b/internal/route/selector/alternative.go
@@ -25,6 +25,7 @@
 	Model    int
 	Tried    int
 	Version  int
+	Limited  int
 	NotFound int
 }
 
--- a/internal/route/selector/selector.go
+++ b/internal/route/selector/selector.go
@@ -243,6 +243,8 @@
 		x.Version++
 	case c.Silent:
 		x.Silent++
+	case c.Limited:
+		x.Limited++
 	case c.Out:
 		x.Ejected++
 	case len(q.Zones) > 0 && !slices.Contains(q.Zones, c.AvailabilityZone):
--- a/internal/serve/relayer/attempt.go
+++ b/internal/serve/relayer/attempt.go
@@ -57,6 +57,7 @@
 		result = j.judge(ctx, outer, err, begun)
 		err = ownCause(ctx, err)
 		if unsent(err) {
+			j.r.c.Registry.Unsent(pick)
 			j.unsent++
 		} else {
 			j.sends++
@@ -150,7 +151,7 @@
 		// Connecting takes time; an endpoint that began to leave meanwhile must
 		// not get the request any more, nor any endpoint one that came to be held.
 		Ready: func() bool {
-			return j.r.c.Registry.Usable(pick) && !j.admit().Held && !j.r.c.Versions.Barred(j.q.Service, pick.Version)
+			return j.r.c.Registry.Usable(pick) && !j.admit().Held && !j.r.c.Versions.Barred(j.q.Service, pick.Version) && j.r.c.Registry.Due(pick)
 		},
 		Own: func(h http.Header) bool {
 			id := codec.DecodeReply(0, h).ID
--- a/internal/serve/relayer/ending.go
+++ b/internal/serve/relayer/ending.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
+	"brasschute/internal/core/identifier"
 	"brasschute/internal/engine/sender"
+	"brasschute/internal/route/selector"
 )
 
 // final decides whether a failed attempt ends the request.
@@ -78,6 +81,21 @@
 	}
 }
 
+// nobody is the reason of a refusal where no endpoint can serve, and when it pays to come
+// back.
+func (j *job) nobody(x *selector.Excluded) (reason string, after time.Duration) {
+	const none = "no endpoint can serve"
+	if x.Limited == 0 {
+		return none, shortage
+	}
+	reason = fmt.Sprintf("%s: %d take nothing more now", none, x.Limited)
+	next := j.r.c.Registry.NextTurn(identifier.Pool(j.q.Service))
+	if next.IsZero() {
+		return reason, shortage
+	}
+	return reason, min(max(time.Until(next), retryAfter), shortage)
+}
+
 // promises tells whether a status would say that the request has not run.
 func promises(status int) bool {
 	switch status {
--- a/internal/serve/relayer/relayer.go
+++ b/internal/serve/relayer/relayer.go
@@ -282,7 +282,7 @@
 	if pick == nil {
 		j.res.Excluded = d.Excluded
 		j.r.c.Demand.Refused(j.q.Service)
-		j.giveUp("no endpoint can serve", shortage)
+		j.giveUp(j.nobody(&d.Excluded))
 		return nil, true
 	}
 	if v := j.forecast(pick); v.Refuse {
