pacer: tests of idle daemons that all send at once, and of old news that comes last

Two guards could be taken away without a test that failed: with equal parts for all, 195 daemons that had been idle sent 195 requests at once; news older than what is known was taken. Each is seen now.

--- a/internal/route/pacer/pacer_test.go
+++ b/internal/route/pacer/pacer_test.go
@@ -91,6 +91,23 @@
 	})
 }
 
+// Daemons that have sent nothing for long find a request each at the same moment.
+func TestIdleDaemonsDoNotAllSendAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, limit := range []float64{0, 0.3, 1, 2.7, 10, 40} {
+			fleet := daemons(195)
+			for _, p := range fleet {
+				p.Heard(engine, Named(limit), time.Now())
+			}
+			time.Sleep(time.Hour)
+			most := busiest(load(fleet, []burst{{[]int{3}, time.Second}, {[]int{3}, time.Second}, {[]int{3}, time.Second}, {[]int{3}, 0}}))
+			if allowed := factor*limit*window.Seconds() + tolerance; float64(most) > allowed {
+				t.Errorf("%d sends in %v, %.1f allowed", most, window, allowed)
+			}
+		}
+	})
+}
+
 // Each daemon always has something to send: the limit is used.
 func TestLimitIsUsed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -151,6 +168,9 @@
 					}
 				}
 				p.Hear(news)
+				slices.Reverse(news)
+				p.Hear(news)
+				slices.Reverse(news)
 			}
 		})
 		for i, p := range fleet {
