--- a/internal/role/gateway/limits.go
+++ b/internal/role/gateway/limits.go
@@ -40,6 +40,9 @@
 
 // Answered takes in what an endpoint says of itself in the head of an answer.
 func (g *Gateway) Answered(q *request.Request, pick *registry.Pick, reply *request.Reply, sent time.Time) {
+	if reply.Departing {
+		g.departs(q, pick)
+	}
 	if reply.Limit.Unreadable {
 		g.scope.Counter("endpoint_words_unreadable").Inc(1)
 		if g.limitLines.Allow() {
--- a/internal/serve/request/request.go
+++ b/internal/serve/request/request.go
@@ -136,6 +136,8 @@
 	Encoded bool
 	// Leaving: the connection, and perhaps the endpoint, is about to end.
 	Leaving bool
+	// Departing: the endpoint says that it leaves.
+	Departing bool
 	// KeepAlive is how long the connection may stay idle; 0 if not said.
 	KeepAlive time.Duration
 	// Load: Running and Waiting are the endpoint's counts of requests.
