gateway: an engine that says in an answer that it leaves gets nothing more

Callers were sent to engines that had said they leave, 2.2 and 3.2 s after the daemon had been told (2 s allowed), while the store, which is where leaving was read, had been away for four seconds.

Cause: what was said to one attempt ended with the attempt.

Change: the word marks that life of the endpoint as leaving, as the store's does, in the ledger that nothing takes back, so that choices, requests that were chosen and not sent, retries and resumed streams leave it out at once. Peers are told by the notes and digests that tell of the store's word, with the life meant; that costs some twenty bytes, and spares each other daemon a request at an engine that is going away. The pool counts such an endpoint as gone. An answer of a misdirected request counts for nothing: another endpoint gave it.

The next life of the endpoint is free; a connection that closes, and other values, say nothing.

--- a/internal/role/gateway/duties.go
+++ b/internal/role/gateway/duties.go
@@ -19,7 +19,6 @@
 	"brasschute/internal/fleet/sizer"
 	"brasschute/internal/peer/gatherer"
 	"brasschute/internal/peer/rpc"
-	"brasschute/internal/platform/inventory"
 	"brasschute/internal/route/demander"
 	"brasschute/platform"
 
@@ -306,7 +305,7 @@
 	for _, h := range u.g.registry.Hosts() {
 		z := counts[h.AvailabilityZone]
 		e := &h.Endpoints[0]
-		if z == nil || h.State == inventory.StateLeaving || e.Pool != identifier.Pool(s) || !u.g.splitter.Counts(s, e.Version) {
+		if z == nil || u.g.leaves(&h) || e.Pool != identifier.Pool(s) || !u.g.splitter.Counts(s, e.Version) {
 			continue
 		}
 		if h.Class == document.ClassReclaimable {
--- a/internal/role/gateway/news.go
+++ b/internal/role/gateway/news.go
@@ -13,7 +13,6 @@
 	"brasschute/internal/peer/supplier"
 	"brasschute/internal/peer/swapper"
 	"brasschute/internal/peer/throttler"
-	"brasschute/internal/platform/inventory"
 	"brasschute/internal/platform/object"
 	"brasschute/internal/route/candidate"
 	"brasschute/internal/route/estimator"
@@ -292,18 +291,6 @@
 	g.spreadNews(g.mirror.Hear(out), address)
 }
 
-// leaving lists the endpoints that are listed and known to leave, for peers that do not
-// tell lives of an endpoint apart and for those that do.
-func (g *Gateway) leaving() (ids []string, departures []*rpc.Departure) {
-	for _, h := range g.registry.Hosts() {
-		if h.State == inventory.StateLeaving {
-			ids = append(ids, string(h.Host))
-			departures = append(departures, &rpc.Departure{Endpoint: string(h.Host), Born: int64(h.Born)})
-		}
-	}
-	return ids, departures
-}
-
 // askPeers fills the beliefs of a daemon that started while the store turns it
 // away: it would otherwise refuse all that its peers serve.
 func (g *Gateway) askPeers(ctx context.Context) error {
