--- a/internal/role/gateway/engines_test.go
+++ b/internal/role/gateway/engines_test.go
@@ -60,6 +60,8 @@
 	fatal func(body string) bool
 	// say is what an engine says of itself in an answer; nil for nothing.
 	say func(place int, id string, r *http.Request) http.Header
+	// refuses tells whether an engine turns requests away; nil for none.
+	refuses func(place int) bool
 
 	mu   sync.Mutex
 	last int
@@ -126,6 +128,9 @@
 	endIt := func(body string) { once.Do(func() { e.end(place, id, body, server) }) }
 	e.living[place] = endIt
 	engine.Behave(func(r *http.Request) hosting.Behaviour {
+		if e.refuses != nil && e.refuses(place) {
+			return hosting.Refuse
+		}
 		body := r.Header.Get("Body-Text")
 		if !e.fatal(body) {
 			time.Sleep(runTime)
