registry: an engine that wants rest gets it

Callers got 503 within 3 ms again and again from an engine that had asked the daemon for 3 s of rest, while others took requests: it was the first choice each time, 4 requests in a rest where 2 are allowed.

Cause: what was said to one attempt ended with the attempt; a refusal counts as nothing in an endpoint's health.

Change: the endpoint is left out of this daemon's choices until its rest is over, and looked at again right before the first byte goes out. That is kept by life, as a record may lapse and come back. A refusal says how many endpoints rest and when the first comes back.

--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -181,7 +181,9 @@
 	// pacer holds requests to what endpoints say they take; limitLines bounds its lines.
 	pacer      *pacer.Pacer
 	limitLines *rate.Limiter
-	gatherer   gatherer.Gatherer
+	// restNotes bounds the notes about endpoints that want rest.
+	restNotes *rate.Limiter
+	gatherer  gatherer.Gatherer
 	// roster knows the other daemons, aggregator sums what they tell; parts are what
 	// relays tell the holder of the duties of the daemons of their zones.
 	roster     *roster.Roster
@@ -274,6 +276,7 @@
 	g.budgets = make(map[identifier.Service]*budgeter.Budgeter)
 	g.ledger = ledger.New(ledger.Config{Self: &rpc.Member{Host: string(d.Host), AvailabilityZone: string(d.AvailabilityZone), PeerAddress: d.Peers.String()}})
 	g.buildPacer()
+	g.restNotes = restNotes()
 	g.registry = registry.New(registry.Config{Ledger: g.ledger, Daemons: g.daemons, Pacer: g.pacer})
 	g.splitter = splitter.New(splitter.Config{
 		Share: d.Bounds.TrialShare, Slack: d.Bounds.TrialSlack, Leave: d.Bounds.RevertTime, Now: g.uptime, Daemons: g.fleetSize,
--- a/internal/role/gateway/news.go
+++ b/internal/role/gateway/news.go
@@ -119,7 +119,7 @@
 	out.Leaving, out.Departures = g.leaving()
 	out.Suspects = g.quarantine.Told()
 	out.Rollouts, out.Trials, out.OrdersKnown = g.rolloutNews(), g.trials(), g.splitter.Known()
-	out.Limits = g.limits()
+	out.Limits, out.Rests = g.limits(), g.restsTold()
 	if !g.large() {
 		out.Peers = g.swapper.Lately()
 	}
@@ -133,6 +133,7 @@
 	g.account(d)
 	g.quarantine.Heard(d.GetSuspects())
 	g.pacer.Hear(limitsTold(d.GetLimits()))
+	g.spare(d.GetRests())
 	g.hearRollouts(d.GetRollouts(), d.GetHost(), d.GetAddress())
 	if d.GetOrdersKnown() && len(d.GetRollouts()) == 0 {
 		g.splitter.Put(nil, d.GetHost())
@@ -254,7 +255,7 @@
 	out.ConfigurationNumber = g.number()
 	out.Suspects = g.quarantine.Told()
 	out.Rollouts = g.rolloutNews()
-	out.Limits = g.limits()
+	out.Limits, out.Rests = g.limits(), g.restsTold()
 	return out
 }
 
@@ -270,6 +271,7 @@
 	g.led(n.GetHoldsDuties())
 	g.quarantine.Heard(n.GetSuspects())
 	g.pacer.Hear(limitsTold(n.GetLimits()))
+	g.spare(n.GetRests())
 	g.hearRollouts(n.GetRollouts(), n.GetHost(), n.GetAddress())
 	g.spread(&rpc.Digest{
 		Host: n.GetHost(), Address: n.GetAddress(), ConfigurationNumber: n.GetConfigurationNumber(), EndpointsRevision: n.GetEndpointsRevision(),
--- a/internal/role/gateway/rests_test.go
+++ b/internal/role/gateway/rests_test.go
@@ -58,6 +58,7 @@
 			if most := s.inRest(); most > allowedInRest || len(s.said) == 0 {
 				t.Errorf("%d daemons: %d requests came from one within %v of rest (%d words)", size.daemons, most, rest, len(s.said))
 			}
+			t.Logf("%d daemons: %d of %d requests failed", size.daemons, failed(replies), len(replies))
 			if n := failed(replies); n > len(replies)/50 {
 				t.Errorf("%d daemons: %d of %d requests failed", size.daemons, n, len(replies))
 			}
--- a/internal/role/gateway/sums.go
+++ b/internal/role/gateway/sums.go
@@ -116,7 +116,7 @@
 		UnixMilli: g.clock.Now().UnixMilli(), AgeMilli: time.Since(g.started).Milliseconds(), Stopping: own.Stopping,
 		ConfigurationNumber: own.ConfigurationNumber, HoldsDuties: own.HoldsDuties, Fleet: own.Fleet, EndpointsRevision: own.EndpointsRevision,
 		Observing: own.Observing, Relaying: own.Relaying, Leaving: own.Leaving, Departures: own.Departures, Speeds: own.Speeds,
-		Suspects: own.Suspects, Rollouts: g.rolloutNews(), OrdersKnown: own.OrdersKnown, Limits: own.Limits,
+		Suspects: own.Suspects, Rollouts: g.rolloutNews(), OrdersKnown: own.OrdersKnown, Limits: own.Limits, Rests: own.Rests,
 	}
 	near := to.Zone == "" || to.Zone == g.c.Deployment.AvailabilityZone
 	if near || to.Pairs {
--- a/internal/route/candidate/candidate.go
+++ b/internal/route/candidate/candidate.go
@@ -30,6 +30,10 @@
 	Out     bool
 	// Silent: its streams, or those of its whole zone, have brought nothing lately.
 	Silent bool
+	// Resting: it wants nothing from this daemon now; see RestsUntil.
+	Resting bool
+	// Spared: it wants rest from other daemons; see SparedUntil.
+	Spared bool
 	// Limited: it has said how much it takes, and takes nothing more from this daemon now.
 	Limited bool
 	// Suspect: failed last, and gets one request at a time.
@@ -79,6 +83,10 @@
 	// failures without a success between them.
 	EjectedUntil time.Time
 	Failures     int
+	// RestsUntil is when the endpoint takes requests again, as it said.
+	RestsUntil time.Time
+	// SparedUntil is when it takes those of other daemons again, as they told.
+	SparedUntil time.Time
 
 	// Running, Queued and QueuedTokens are as reported at Taken, by this
 	// daemon's clock; they say nothing once a report is stale.
@@ -299,6 +307,8 @@
 func (c *Candidate) Refresh(now time.Time, p Pace) {
 	c.Out = c.Ejected(now) || c.Silent
 	c.Suspect = c.Failures > 0
+	c.Resting = now.Before(c.RestsUntil)
+	c.Spared = now.Before(c.SparedUntil)
 	c.Fresh = now.Sub(c.Taken) <= staleAfter
 	c.forgive(now)
 	if c.known {
--- a/internal/route/registry/limit.go
+++ b/internal/route/registry/limit.go
@@ -49,20 +49,34 @@
 }
 
 // NextTurn is when this daemon may send to one of a pool's endpoints again that take
-// nothing now, zero if to none of them.
+// nothing now, zero if it is not known of any.
 func (r *Registry) NextTurn(name identifier.Pool) time.Time {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var next time.Time
 	p := r.pools[name]
-	if p == nil || !p.limited {
+	if p == nil {
 		return next
 	}
 	for i := range p.candidates {
-		at := r.c.Pacer.Next(life(&p.candidates[i]))
+		at := r.turn(&p.candidates[i])
 		if !at.IsZero() && (next.IsZero() || at.Before(next)) {
 			next = at
 		}
 	}
 	return next
 }
+
+// turn is when a candidate takes a request again of this daemon's, zero if that is not known
+// or it takes some now. The caller holds the lock.
+func (r *Registry) turn(c *candidate.Candidate) time.Time {
+	switch {
+	case c.Leaving:
+		return time.Time{}
+	case c.Resting:
+		return c.RestsUntil
+	case c.Limited:
+		return r.c.Pacer.Next(life(c))
+	}
+	return time.Time{}
+}
--- a/internal/route/registry/listing.go
+++ b/internal/route/registry/listing.go
@@ -149,6 +149,8 @@
 	if e.Cold > 0 && (!ok || c.Warm.IsZero()) {
 		c.Warm = time.Now().Add(e.Cold)
 	}
+	key := lifeKey{c.Endpoint, c.Incarnation}
+	c.RestsUntil, c.SparedUntil = r.rests[key], r.spared[key]
 	r.mark(&c)
 	p := r.pools[e.Pool]
 	if p == nil {
--- a/internal/route/registry/pick.go
+++ b/internal/route/registry/pick.go
@@ -77,7 +77,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	c := r.find(k)
-	return c != nil && !c.Leaving
+	return c != nil && !c.Leaving && !time.Now().Before(c.RestsUntil)
 }
 
 // Leaving tells whether a pick's host is leaving, and when if that is known.
--- a/internal/route/registry/registry.go
+++ b/internal/route/registry/registry.go
@@ -121,6 +121,9 @@
 	hosts map[string]inventory.Host
 	pools map[identifier.Pool]*pool
 	ids   map[lifeKey]int32
+	// rests and spared are when endpoints take requests again of this daemon and of others, by
+	// life, as a record may lapse and come back.
+	rests, spared map[lifeKey]time.Time
 	// lastID is the highest number given to a life.
 	lastID  int32
 	place   map[int32]int
@@ -152,7 +155,7 @@
 	}
 	return &Registry{
 		c: c, hosts: make(map[string]inventory.Host), pools: make(map[identifier.Pool]*pool),
-		ids: make(map[lifeKey]int32), place: make(map[int32]int), conversations: make(map[uint64]*Conversation),
+		ids: make(map[lifeKey]int32), rests: make(map[lifeKey]time.Time), spared: make(map[lifeKey]time.Time), place: make(map[int32]int), conversations: make(map[uint64]*Conversation),
 	}
 }
 
@@ -210,7 +213,7 @@
 	}
 	n := 0
 	for i := range p.candidates {
-		if !p.candidates[i].Leaving && !p.candidates[i].Ejected(time.Now()) {
+		if c := &p.candidates[i]; !c.Leaving && !c.Resting && !c.Ejected(time.Now()) {
 			n += maxInFlight
 		}
 	}
--- a/internal/route/selector/alternative.go
+++ b/internal/route/selector/alternative.go
@@ -26,6 +26,7 @@
 	Tried    int
 	Version  int
 	Limited  int
+	Resting  int
 	NotFound int
 }
 
--- a/internal/route/selector/selector.go
+++ b/internal/route/selector/selector.go
@@ -220,7 +220,12 @@
 	least := math.MaxFloat64
 	for i := range scratch {
 		if scratch[i].FirstToken >= 0 {
-			scratch[i].Cost += q.LateCost * m.late(scratch[i].FirstToken)
+			late := m.late(scratch[i].FirstToken)
+			if candidates[i].Spared {
+				// It most likely turns this daemon away, too.
+				late = 1
+			}
+			scratch[i].Cost += q.LateCost * late
 			least = min(least, scratch[i].Cost)
 		}
 	}
@@ -243,6 +248,8 @@
 		x.Version++
 	case c.Silent:
 		x.Silent++
+	case c.Resting:
+		x.Resting++
 	case c.Limited:
 		x.Limited++
 	case c.Out:
--- a/internal/serve/relayer/ending.go
+++ b/internal/serve/relayer/ending.go
@@ -85,10 +85,10 @@
 // back.
 func (j *job) nobody(x *selector.Excluded) (reason string, after time.Duration) {
 	const none = "no endpoint can serve"
-	if x.Limited == 0 {
+	if x.Limited+x.Resting == 0 {
 		return none, shortage
 	}
-	reason = fmt.Sprintf("%s: %d take nothing more now", none, x.Limited)
+	reason = fmt.Sprintf("%s: %d take nothing more now, %d want rest", none, x.Limited, x.Resting)
 	next := j.r.c.Registry.NextTurn(identifier.Pool(j.q.Service))
 	if next.IsZero() {
 		return reason, shortage
