--- a/internal/engine/caller/caller.go
+++ b/internal/engine/caller/caller.go
@@ -42,6 +42,7 @@
 	"sync/atomic"
 	"time"
 
+	"brasschute/internal/core/delayer"
 	"brasschute/internal/engine/frame"
 	"brasschute/internal/engine/order"
 	"brasschute/internal/engine/prefix"
@@ -125,11 +126,15 @@
 	Traceparent string
 
 	state atomic.Int32
+	rest  atomic.Int64
 }
 
 // State returns how far the attempt got.
 func (a *Attempt) State() State { return State(a.state.Load()) }
 
+// Rest is for how long the endpoint wants nothing, as it said; 0 if it did not.
+func (a *Attempt) Rest() time.Duration { return time.Duration(a.rest.Load()) }
+
 // body hides the reader's type, so that http.NewRequest sets no GetBody.
 type body struct{ io.Reader }
 
@@ -152,6 +157,7 @@
 		return nil, fmt.Errorf("endpoint: %w", err)
 	}
 	a.state.Store(int32(Answered))
+	a.rest.Store(int64(delayer.Decode(resp.StatusCode, resp.Header)))
 	return resp, nil
 }
 
