--- a/internal/role/gateway/beliefs.go
+++ b/internal/role/gateway/beliefs.go
@@ -94,6 +94,8 @@
 	// times longer than predicted its first events took.
 	Busy float64
 	Slow float64
+	// RestsMS is for how long it still wants nothing from this daemon, 0 if it does not.
+	RestsMS int64
 }
 
 // beliefs answers with the daemon's beliefs as JSON.
@@ -133,6 +135,7 @@
 		b.Endpoints = append(b.Endpoints, EndpointBelief{
 			Endpoint: c.Endpoint, Service: c.Pool, Zone: c.AvailabilityZone, Leaving: c.Leaving, Ejected: c.Ejected(now),
 			Failures: c.Failures, InFlight: c.InFlight, Busy: c.Busy, Slow: c.Slow,
+			RestsMS: max(c.RestsUntil.Sub(now), 0).Milliseconds(),
 		})
 	}
 	w.Header().Set("Content-Type", "application/json")
