relayer, platform: the time that an endpoint wants rest is read outside the adapter

Retry-After is an ordinary header, which both interfaces read in one place; the adapter imports types only.

--- a/internal/role/gateway/limits.go
+++ b/internal/role/gateway/limits.go
@@ -43,9 +43,6 @@
 	if reply.Departing {
 		g.departs(q, pick)
 	}
-	if reply.Rest > 0 {
-		g.rests(q, pick, reply.Rest)
-	}
 	if reply.Limit.Unreadable {
 		g.scope.Counter("endpoint_words_unreadable").Inc(1)
 		if g.limitLines.Allow() {
--- a/internal/route/registry/limit.go
+++ b/internal/route/registry/limit.go
@@ -17,15 +17,15 @@
 // limit marks the candidates that take nothing more from this daemon now. The caller holds
 // the lock.
 func (r *Registry) limit(p *pool, now time.Time) {
-	any := r.c.Pacer != nil && r.c.Pacer.Any()
-	if !any && !p.limited {
+	limited := r.c.Pacer != nil && r.c.Pacer.Any()
+	if !limited && !p.limited {
 		return
 	}
 	for i := range p.candidates {
 		c := &p.candidates[i]
-		c.Limited = any && !r.c.Pacer.Open(life(c), now)
+		c.Limited = limited && !r.c.Pacer.Open(life(c), now)
 	}
-	p.limited = any
+	p.limited = limited
 }
 
 // Due takes the turn of a request that goes out now, unless it has had it since it was
--- a/internal/serve/relayer/attempt.go
+++ b/internal/serve/relayer/attempt.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"brasschute/internal/config/catalog"
+	"brasschute/internal/core/delayer"
 	"brasschute/internal/engine/sender"
 	"brasschute/internal/route/registry"
 	"brasschute/internal/serve/request"
@@ -75,6 +76,9 @@
 	reply := j.r.c.Codec.DecodeReply(x.Status, x.Header)
 	if !reply.Misdirected {
 		j.r.c.Listener.Answered(j.q, pick, &reply, begun)
+		if d := delayer.Decode(x.Status, x.Header); d > 0 {
+			j.r.c.Listener.Rests(j.q, pick, d)
+		}
 	}
 	if reply.NotRun {
 		if reply.Misdirected {
--- a/internal/serve/relayer/relayer.go
+++ b/internal/serve/relayer/relayer.go
@@ -104,6 +104,8 @@
 type Listener interface {
 	// Answered is told of the head of each answer to a request, and when that was sent.
 	Answered(q *request.Request, pick *registry.Pick, reply *request.Reply, sent time.Time)
+	// Rests is told for how long an endpoint wants nothing that turned a request away.
+	Rests(q *request.Request, pick *registry.Pick, d time.Duration)
 }
 
 // Versions says which version of its service's endpoints a request may go to.
--- a/internal/serve/request/request.go
+++ b/internal/serve/request/request.go
@@ -144,8 +144,6 @@
 	Load    bool
 	Running int
 	Waiting int
-	// Rest is for how long the endpoint wants nothing from this daemon, 0 if it did not say.
-	Rest time.Duration
 	// Limit is how many requests a second the endpoint says that it takes.
 	Limit Limit
 }
