A refused connection is no attempt

A daemon that has just started, or whose store is down, lists endpoints that have ended.

Refused connections no longer count, in the gateway's relayer and in the product's own forwarder and streamer; the endpoint is ejected at this daemon at once, so that a daemon tries each ended endpoint once in two seconds. Results keep the first four and count the rest (refused_connections in the line).

--- a/internal/engine/caller/caller.go
+++ b/internal/engine/caller/caller.go
@@ -35,6 +35,7 @@
 	"net/http/httptrace"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"brasschute/internal/core/retryparser"
@@ -64,6 +65,9 @@
 var (
 	// ErrNotRun means that the endpoint explicitly refused to run the call.
 	ErrNotRun = errors.New("endpoint: refused, not run")
+	// ErrRefusedConnection means that the endpoint's host refused the connection: nothing
+	// listens at the address, and the call was not sent.
+	ErrRefusedConnection = errors.New("endpoint: connection refused")
 	// ErrTruncated means that the stream ended without its end marker.
 	ErrTruncated = errors.New("endpoint: stream ended without its end mark")
 	// ErrWrongStream means that a frame of another stream arrived, or that a token
@@ -152,6 +156,9 @@
 		client = &c.singleUseClient
 	}
 	resp, err := client.Do(r)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return nil, fmt.Errorf("%w: %w", ErrRefusedConnection, err)
+	}
 	if err != nil {
 		return nil, fmt.Errorf("endpoint: %w", err)
 	}
--- a/internal/engine/sender/sender.go
+++ b/internal/engine/sender/sender.go
@@ -39,6 +39,9 @@
 var (
 	// ErrUnsent means that no byte of the request was sent.
 	ErrUnsent = errors.New("request not sent")
+	// ErrRefusedConnection means that the endpoint's host refused the connection: nothing
+	// listens at the address. It wraps ErrUnsent.
+	ErrRefusedConnection = fmt.Errorf("%w: connection refused", ErrUnsent)
 	// ErrCanceled means that Request.Ready returned false once the connection was
 	// established. Nothing was sent.
 	ErrCanceled = errors.New("request withdrawn before it was sent")
@@ -148,6 +151,9 @@
 // The error wraps one of those declared in this package.
 func (s *Sender) Send(ctx context.Context, req *Request) (*Response, error) {
 	l, err := s.connect(ctx, req.Address)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return nil, fmt.Errorf("%w: %w", ErrRefusedConnection, err)
+	}
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnsent, err)
 	}
--- a/internal/ops/accesslogger/accesslogger.go
+++ b/internal/ops/accesslogger/accesslogger.go
@@ -115,6 +115,9 @@
 	if len(r.Attempts) > 0 {
 		fields = append(fields, "attempts", formatAttempts(r.Attempts))
 	}
+	if r.RefusedConnections > 0 {
+		fields = append(fields, "refused_connections", r.RefusedConnections)
+	}
 	if r.Excluded != (selector.Excluded{}) {
 		fields = append(fields, "excluded", formatExcluded(&r.Excluded))
 	}
--- a/internal/role/gateway/engines_test.go
+++ b/internal/role/gateway/engines_test.go
@@ -65,6 +65,7 @@
 
 	mu      sync.Mutex
 	started int
+	arrived int
 	exits   []engineExit
 	// sends are the arrivals of fatal requests at engines.
 	sends []engineExit
@@ -128,6 +129,9 @@
 	endIt := func(body string) { once.Do(func() { e.exit(place, id, body, server) }) }
 	e.running[place] = endIt
 	engine.SetBehaviour(func(r *http.Request) hosting.Behaviour {
+		e.mu.Lock()
+		e.arrived++
+		e.mu.Unlock()
 		if e.refuses != nil && e.refuses(place) {
 			return hosting.Refuse
 		}
@@ -199,6 +203,13 @@
 	}
 }
 
+// arrivals returns the number of requests that engines have received.
+func (e *engineFleet) arrivals() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.arrived
+}
+
 // exitsUnder returns the exits of engines that were caused by a body.
 func (e *engineFleet) exitsUnder(body string) (out []engineExit) {
 	e.mu.Lock()
--- a/internal/serve/forwarder/forwarder.go
+++ b/internal/serve/forwarder/forwarder.go
@@ -80,7 +80,8 @@
 func (f *Forwarder) Forward(ctx context.Context, c *call.Call, rec *recorder.Record) (*Answer, error) {
 	var tried []identifier.Endpoint
 	maybeRan := false
-	for n := 1; ; n++ {
+	attempts := 0
+	for {
 		if held := streamer.QuarantineRefusal(f.c.Quarantine, c); held != nil {
 			return nil, held.WithOutcome(outcomeOf(maybeRan))
 		}
@@ -98,13 +99,16 @@
 			return answer, nil
 		}
 		note.Outcome = err.Error()
+		if !errors.Is(err, caller.ErrRefusedConnection) {
+			attempts++
+		}
 		sent := state.State() != caller.Unsent && !errors.Is(err, caller.ErrNotRun)
 		maybeRan = maybeRan || sent
 		if sent && ctx.Err() == nil {
 			f.c.Quarantine.ReportBreak(ctx, streamer.NewBreak(c, pick, 0))
 		}
 		tried = append(tried, pick.Endpoint)
-		if problem := f.finalError(ctx, c, err, n, maybeRan); problem != nil {
+		if problem := f.finalError(ctx, c, err, attempts, maybeRan); problem != nil {
 			return nil, problem
 		}
 	}
@@ -118,15 +122,19 @@
 }
 
 // finalError returns the error with which a failed attempt ends the request, or nil to
-// try another endpoint.
-func (f *Forwarder) finalError(ctx context.Context, c *call.Call, err error, n int, maybeRan bool) error {
+// try another endpoint. A refused connection does not count as an attempt: its endpoint is
+// ejected, so that the endpoints bound how many there are.
+func (f *Forwarder) finalError(ctx context.Context, c *call.Call, err error, attempts int, maybeRan bool) error {
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return ctx.Err()
 	}
 	if ctx.Err() != nil {
 		return refusal.New(refusal.DeadlinePassed, "the deadline passed").WithOutcome(outcomeOf(maybeRan)).WithRetryAfter(retryAfter)
 	}
-	if maybeRan && c.NonIdempotent || n >= maxAttempts || !f.c.Budgeter.Spend() {
+	if errors.Is(err, caller.ErrRefusedConnection) {
+		return nil
+	}
+	if maybeRan && c.NonIdempotent || attempts >= maxAttempts || !f.c.Budgeter.Spend() {
 		return refusal.New(refusal.EndpointFailed, err.Error()).WithOutcome(outcomeOf(maybeRan)).WithRetryAfter(retryAfter)
 	}
 	return nil
@@ -139,7 +147,7 @@
 	if pick != nil {
 		note.Endpoint = pick.Endpoint
 	}
-	rec.Attempts = append(rec.Attempts, note)
+	rec.AddAttempt(&note)
 	if pick == nil {
 		return nil, refusal.New(refusal.NoEndpoint, "no endpoint can serve: "+note.Excluded).WithRetryAfter(retryAfter)
 	}
@@ -159,10 +167,15 @@
 		return nil, errLeaving
 	}
 	resp, err := f.c.Caller.Do(r, c.Body, c.NonIdempotent, state)
-	if err != nil {
-		if ctx.Err() != nil {
-			result = registry.Neutral
-		}
+	switch {
+	case err == nil:
+	case ctx.Err() != nil:
+		result = registry.Neutral
+		return nil, err
+	case errors.Is(err, caller.ErrRefusedConnection):
+		result = registry.Unreachable
+		return nil, err
+	default:
 		return nil, err
 	}
 	defer resp.Body.Close()
--- a/internal/serve/forwarder/forwarder_test.go
+++ b/internal/serve/forwarder/forwarder_test.go
@@ -39,6 +39,9 @@
 	registry *registry.Registry
 	reporter *crashreporter.Reporter
 	crashed  atomic.Int32
+	// listeners are the endpoints' listeners. An endpoint refuses connections once its listener
+	// is closed.
+	listeners []net.Listener
 }
 
 func newCrashingPool(t *testing.T, endpoints int) *crashingPool {
@@ -54,6 +57,7 @@
 		server.Config.ErrorLog = nil
 		server.Start()
 		t.Cleanup(server.CloseClientConnections)
+		m.listeners = append(m.listeners, server.Listener)
 		id := fmt.Sprintf("endpoint-%d", i)
 		m.registry.UpdateHosts(map[string]*inventory.Host{id: {
 			Host: identifier.Host(id), State: inventory.StateLive, AvailabilityZone: "zone-1",
@@ -139,3 +143,33 @@
 	defer cancel()
 	return s.Run(ctx, &streamer.Job{Call: c, Record: &recorder.Record{}}, discardSink{})
 }
+
+// Guards against requests that are refused as not run although an endpoint is idle: eleven of the
+// twelve listed endpoints have ended, and no retry is left in the budget.
+func TestRefusedConnectionsAreNoAttempts(t *testing.T) {
+	const endpoints = 12
+	for _, c := range []struct {
+		name string
+		send func(t *testing.T, m *crashingPool, c *call.Call) error
+	}{{"plain", forward}, {"streamed", stream}} {
+		t.Run(c.name, func(t *testing.T) {
+			for i := range endpoints {
+				m := newCrashingPool(t, endpoints)
+				for n, l := range m.listeners {
+					if n != i {
+						_ = l.Close()
+					}
+				}
+				var problem *refusal.Problem
+				posting := newCall(i)
+				posting.NonIdempotent = true
+				if err := c.send(t, m, posting); !errors.As(err, &problem) || problem.Outcome != refusal.Unknown {
+					t.Errorf("endpoint %d is alive, and was not tried: %v", i, err)
+				}
+				if n := m.crashed.Load(); n != 1 {
+					t.Errorf("the request arrived at %d endpoints, want 1", n)
+				}
+			}
+		})
+	}
+}
--- a/internal/serve/recorder/recorder.go
+++ b/internal/serve/recorder/recorder.go
@@ -19,7 +19,11 @@
 	"brasschute/internal/core/identifier"
 )
 
-const defaultSize = 4096
+const (
+	defaultSize = 4096
+	// maxAttempts bounds the attempts in a record.
+	maxAttempts = 32
+)
 
 // Config holds the size of a Recorder.
 type Config struct {
@@ -80,6 +84,16 @@
 	RecomputedTokens identifier.Tokens
 }
 
+// AddAttempt adds an attempt to the record and returns the record's copy of it. Once the record
+// is full, each further attempt replaces the last.
+func (r *Record) AddAttempt(a *Attempt) *Attempt {
+	if len(r.Attempts) == maxAttempts {
+		r.Attempts = r.Attempts[:maxAttempts-1]
+	}
+	r.Attempts = append(r.Attempts, *a)
+	return &r.Attempts[len(r.Attempts)-1]
+}
+
 // Recorder keeps the newest records. It is safe for concurrent use.
 type Recorder struct {
 	mu   sync.Mutex
--- a/internal/serve/relayer/attempt.go
+++ b/internal/serve/relayer/attempt.go
@@ -15,14 +15,24 @@
 	"brasschute/internal/serve/request"
 )
 
-// recordAttempt completes the record of the last attempt.
+// recordAttempt completes the record of the last attempt, or drops it if it is one more
+// refused connection.
 func (j *job) recordAttempt(pick *registry.Pick, begun time.Time, err error) {
-	a := &j.res.Attempts[len(j.res.Attempts)-1]
+	last := len(j.res.Attempts) - 1
+	a := &j.res.Attempts[last]
 	a.Took = time.Since(begun)
 	a.Outcome = "ok"
-	if err != nil {
-		a.Outcome = err.Error()
-		j.tried = append(j.tried, pick.Endpoint)
+	if err == nil {
+		return
+	}
+	a.Outcome = err.Error()
+	j.tried = append(j.tried, pick.Endpoint)
+	if !errors.Is(err, sender.ErrRefusedConnection) {
+		return
+	}
+	j.res.RefusedConnections++
+	if j.res.RefusedConnections > maxRecordedRefusals {
+		j.res.Attempts = j.res.Attempts[:last]
 	}
 }
 
@@ -60,7 +70,9 @@
 		err = withCause(ctx, err)
 		if isUnsent(err) {
 			j.r.c.Registry.ReturnPermit(pick)
-			j.unsent++
+			if !errors.Is(err, sender.ErrRefusedConnection) {
+				j.unsent++
+			}
 		} else {
 			j.sends++
 			j.mayHaveRun = true
--- a/internal/serve/relayer/ending.go
+++ b/internal/serve/relayer/ending.go
@@ -38,8 +38,12 @@
 }
 
 // mayRetry reports whether the request may go to another endpoint. It takes from the
-// retry budget unless the attempt was unsent.
+// retry budget unless the attempt was unsent. Refused connections are bounded by the
+// endpoints: each of them ejects its endpoint at this daemon.
 func (j *job) mayRetry(err error) bool {
+	if errors.Is(err, sender.ErrRefusedConnection) {
+		return true
+	}
 	if isUnsent(err) {
 		return j.unsent < maxUnsent
 	}
--- a/internal/serve/relayer/relayer.go
+++ b/internal/serve/relayer/relayer.go
@@ -46,8 +46,12 @@
 	// maxAnswerBytes bounds a plain answer, which is buffered until it is complete.
 	maxAnswerBytes = 8 << 20
 	// maxUnsent is the number of unreachable endpoints that are tried. They do not
-	// count as attempts.
+	// count as attempts. An endpoint that refuses the connection does not count here
+	// either: that takes one round trip, and reaches no endpoint.
 	maxUnsent = 4
+	// maxRecordedRefusals bounds the attempts in a result that ended in a refused
+	// connection. Later ones are only counted.
+	maxRecordedRefusals = 4
 	// retryAfter is sent when an endpoint refused: another daemon may choose a free one.
 	retryAfter = 200 * time.Millisecond
 	// shortageRetryAfter is sent when no endpoint is available: a replacement takes
@@ -186,7 +190,10 @@
 	TimeToFirst time.Duration
 	Events      int
 	Attempts    []Attempt
-	Reason      string
+	// RefusedConnections counts the attempts that ended in a refused connection. Only the
+	// first few of them are in Attempts.
+	RefusedConnections int
+	Reason             string
 	// Fingerprint is set if an endpoint broke the request off or the request is
 	// quarantined.
 	Fingerprint identifier.Fingerprint
@@ -311,7 +318,7 @@
 // forecast decides whether to refuse a request that was never sent, because its
 // first event is predicted to come too late.
 func (j *job) forecast(pick *registry.Pick) shedder.Decision {
-	if !j.q.HasTokenCounts || j.sends > 0 || j.unsent > 0 {
+	if !j.q.HasTokenCounts || len(j.tried) > 0 {
 		return shedder.Decision{}
 	}
 	return shedder.Decide(&shedder.Input{
--- a/internal/serve/streamer/job.go
+++ b/internal/serve/streamer/job.go
@@ -59,14 +59,3 @@
 	}
 	return refusal.NotRun
 }
-
-// recordAttempt adds an attempt to the explanation. Once maxRecordedAttempts are
-// recorded, each further one replaces the last.
-func (j *Job) recordAttempt(a *recorder.Attempt) *recorder.Attempt {
-	if len(j.Record.Attempts) < maxRecordedAttempts {
-		j.Record.Attempts = append(j.Record.Attempts, *a)
-	} else {
-		j.Record.Attempts[maxRecordedAttempts-1] = *a
-	}
-	return &j.Record.Attempts[len(j.Record.Attempts)-1]
-}
--- a/internal/serve/streamer/open.go
+++ b/internal/serve/streamer/open.go
@@ -89,8 +89,11 @@
 		j.Stream, j.Endpoint, j.Address = "", "", ""
 	}
 	j.tried = append(j.tried, pick.Endpoint)
-	if ctx.Err() != nil || refused {
+	switch {
+	case ctx.Err() != nil, refused:
 		return registry.Neutral
+	case errors.Is(err, caller.ErrRefusedConnection):
+		return registry.Unreachable
 	}
 	return registry.Failed
 }
--- a/internal/serve/streamer/streamer.go
+++ b/internal/serve/streamer/streamer.go
@@ -52,8 +52,6 @@
 	// before it looks for an engine again.
 	retryPauseStep = 50 * time.Millisecond
 	maxRetryPause  = time.Second
-	// maxRecordedAttempts bounds the attempts in an explanation.
-	maxRecordedAttempts = 32
 	// fnvOffset and fnvPrime are the parameters of 64-bit FNV-1a, which hashes the
 	// request's id to a routing seed.
 	fnvOffset = 14695981039346656037
@@ -153,7 +151,8 @@
 }
 
 // finalProblem returns the problem with which a failed attempt ends the job, or nil if
-// the job continues.
+// the job continues. A refused connection does not count as an attempt: its endpoint is
+// ejected, so that the endpoints bound how many there are.
 func (s *Streamer) finalProblem(j *Job, err error) *refusal.Problem {
 	var problem *refusal.Problem
 	if errors.As(err, &problem) {
@@ -162,6 +161,9 @@
 	if !j.hasAllTokens() && !j.holderOnly {
 		return refusal.New(refusal.StreamLost, "the engine that held the stream is gone: "+err.Error()).WithOutcome(refusal.Unknown)
 	}
+	if errors.Is(err, caller.ErrRefusedConnection) {
+		return nil
+	}
 	if j.attempts >= maxAttempts || !j.moving && !s.c.Budgeter.Spend() {
 		return refusal.New(refusal.EndpointFailed, err.Error()).WithOutcome(j.outcome()).WithRetryAfter(retryAfter)
 	}
@@ -196,6 +198,9 @@
 	note.State = state.State().String()
 	if err != nil {
 		result = s.handleOpenError(ctx, j, pick, &state, err)
+		if errors.Is(err, caller.ErrRefusedConnection) {
+			j.attempts--
+		}
 		note.Outcome = err.Error()
 		if state.State() == caller.MaybeSent && ctx.Err() == nil {
 			s.c.Quarantine.ReportBreak(ctx, NewBreak(j.Call, pick, 0))
@@ -266,11 +271,11 @@
 		return nil, nil, errNoEngine
 	}
 	if pick == nil {
-		j.recordAttempt(&note)
+		j.Record.AddAttempt(&note)
 		return nil, nil, refusal.New(refusal.NoEndpoint, "no endpoint can serve: "+note.Excluded).WithOutcome(j.outcome()).WithRetryAfter(retryAfter)
 	}
 	note.Endpoint = pick.Endpoint
-	return pick, j.recordAttempt(&note), nil
+	return pick, j.Record.AddAttempt(&note), nil
 }
 
 // takeHolder returns to the engine that holds the stream, if there is one and the job
