claimer: the batch test's store takes time to write

Its store answered at once, so how many claims shared a write was up to the processors: beside a load of 23 to 32 on 8 processors 16 of 250 runs failed (675 writes for 2,560 claims, 640 allowed). A write now takes a millisecond of the paused clock, in which all claims arrive. The bound is the property itself: at most two writes a shard, 128 instead of 640.

--- a/internal/serve/claimer/claimer_test.go
+++ b/internal/serve/claimer/claimer_test.go
@@ -37,6 +37,8 @@
 	version     uint64
 	script      []mode
 	failedReads int
+	// writeTime is how long a write takes.
+	writeTime time.Duration
 }
 
 func newStore(script ...mode) *store {
@@ -60,6 +62,7 @@
 }
 
 func (s *store) Put(_ context.Context, key string, ifVersion uint64, value any) (object.Object, error) {
+	time.Sleep(s.writeTime)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	m := works
@@ -184,6 +187,7 @@
 	// Claims that arrive during a write must share the next one.
 	synctest.Test(t, func(t *testing.T) {
 		s := newStore()
+		s.writeTime = time.Millisecond
 		a := New(Config{Store: s})
 		var group sync.WaitGroup
 		const claims = Shards * 40
@@ -195,8 +199,8 @@
 			})
 		}
 		group.Wait()
-		if s.version > claims/4 {
-			t.Errorf("%d writes for %d claims", s.version, claims)
+		if s.version > 2*Shards {
+			t.Errorf("%d writes for %d claims, want at most two a shard", s.version, claims)
 		}
 	})
 }
