roster: rosters and relays without a copy of each daemon

Rosters that have the same hash as the last ones are reused, and only the relays that are chosen are copied.

--- a/internal/peer/roster/message.go
+++ b/internal/peer/roster/message.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -56,10 +57,17 @@
 	return out
 }
 
-// buildRosters builds the rosters of all zones.
+// buildRosters builds the rosters of all zones. It reuses those that have not changed since they were
+// built last: rosters are built several times a second, and seldom change.
 func (r *Roster) buildRosters(relaying bool, own *rpc.Member, now time.Time) map[identifier.AvailabilityZone]*rpc.ZoneRoster {
-	members := map[identifier.AvailabilityZone][]*rpc.Member{r.c.Zone: {own}}
-	for _, d := range r.All(now) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.forget(now)
+	zones := map[identifier.AvailabilityZone][]*Daemon{r.c.Zone: {{
+		Host: identifier.Host(own.GetHost()), Address: own.GetPeerAddress(), Observing: own.GetObserving(), Stopping: own.GetStopping(),
+		Relaying: own.GetRelaying(),
+	}}}
+	for _, d := range r.daemons {
 		switch {
 		case d.Host == "":
 			continue
@@ -68,36 +76,47 @@
 		case relaying && !d.isLive(now):
 			continue
 		}
-		members[d.Zone] = append(members[d.Zone], &rpc.Member{
-			Host: string(d.Host), PeerAddress: d.Address, Observing: d.Observing, Stopping: d.Stopping, Relaying: d.Relaying,
-		})
+		zones[d.Zone] = append(zones[d.Zone], d)
 	}
-	out := make(map[identifier.AvailabilityZone]*rpc.ZoneRoster, len(members))
-	for zone, list := range members {
-		out[zone] = &rpc.ZoneRoster{AvailabilityZone: string(zone), Daemons: list, Hash: hash(zone, list)}
+	out := make(map[identifier.AvailabilityZone]*rpc.ZoneRoster, len(zones))
+	for zone, list := range zones {
+		slices.SortFunc(list, func(a, b *Daemon) int { return cmp.Compare(a.Address, b.Address) })
+		out[zone] = r.cached.zones[zone]
+		if sum := hash(zone, list); out[zone].GetHash() != sum {
+			out[zone] = &rpc.ZoneRoster{AvailabilityZone: string(zone), Daemons: encodeMembers(list), Hash: sum}
+		}
 	}
 	return out
 }
 
-// hash returns a hash of a zone's daemons, which are sorted by address.
-func hash(zone identifier.AvailabilityZone, members []*rpc.Member) uint64 {
-	sum := xxhash.New()
-	_, _ = sum.WriteString(string(zone))
-	for _, m := range members {
-		_, _ = sum.WriteString("/" + m.GetHost() + flagString(m) + m.GetPeerAddress())
+func encodeMembers(list []*Daemon) []*rpc.Member {
+	out := make([]*rpc.Member, len(list))
+	for i, d := range list {
+		out[i] = &rpc.Member{
+			Host: string(d.Host), PeerAddress: d.Address, Observing: d.Observing, Stopping: d.Stopping, Relaying: d.Relaying,
+		}
 	}
-	return sum.Sum64()
+	return out
 }
 
-// flagString returns the flags of a daemon as they enter the hash.
-func flagString(m *rpc.Member) string {
-	out := []byte{'-', '-', '-'}
-	for i, set := range []bool{m.GetObserving(), m.GetStopping(), m.GetRelaying()} {
-		if set {
-			out[i] = '+'
+// hash returns a hash of a zone's daemons, which are sorted by address.
+func hash(zone identifier.AvailabilityZone, list []*Daemon) uint64 {
+	sum := xxhash.New()
+	write := func(text string) { _, _ = sum.WriteString(text) }
+	write(string(zone))
+	for _, d := range list {
+		write("/")
+		write(string(d.Host))
+		for _, set := range [...]bool{d.Observing, d.Stopping, d.Relaying} {
+			if set {
+				write("+")
+			} else {
+				write("-")
+			}
 		}
+		write(d.Address)
 	}
-	return string(out)
+	return sum.Sum64()
 }
 
 // mergeRosters adds the daemons that a digest lists. If a relay sent it, it also renews
--- a/internal/peer/roster/relays.go
+++ b/internal/peer/roster/relays.go
@@ -21,38 +21,45 @@
 func (r *Roster) Relays(zone identifier.AvailabilityZone, now time.Time) []Daemon {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var usable, known []Daemon
+	usable := r.usableRelays(zone, now)
+	slices.SortFunc(usable, func(a, b *Daemon) int { return byRank(*a, *b) })
+	n := r.relaysPerZone()
+	if zone == r.c.Zone && r.countBefore(usable) < n {
+		n--
+	}
+	out := make([]Daemon, 0, n+maxExtraRelays)
+	for i, d := range usable {
+		if i < n || d.Relaying && d.isLive(now) && len(out) < n+maxExtraRelays {
+			out = append(out, *d)
+		}
+	}
+	return out
+}
+
+// usableRelays returns the daemons of a zone that this daemon may choose as relays, and if there are
+// none those that may be live. The caller holds the lock.
+func (r *Roster) usableRelays(zone identifier.AvailabilityZone, now time.Time) []*Daemon {
+	var usable, known []*Daemon
 	for _, d := range r.daemons {
 		switch {
 		case d.Host == "" || d.Zone != zone:
 		case d.usableAsRelay(now):
-			usable = append(usable, *d)
+			usable = append(usable, d)
 		case !d.Stopping:
-			known = append(known, *d)
+			known = append(known, d)
 		}
 	}
 	if len(usable) == 0 {
-		usable = known
-	}
-	slices.SortFunc(usable, byRank)
-	n := r.relaysPerZone()
-	if zone == r.c.Zone && r.countBefore(usable) < n {
-		n--
-	}
-	out := slices.Clone(usable[:min(n, len(usable))])
-	for _, d := range usable[len(out):] {
-		if d.Relaying && d.isLive(now) && len(out) < n+maxExtraRelays {
-			out = append(out, d)
-		}
+		return known
 	}
-	return out
+	return usable
 }
 
 // countBefore counts the daemons of a list that rank before this one.
-func (r *Roster) countBefore(daemons []Daemon) int {
+func (r *Roster) countBefore(daemons []*Daemon) int {
 	n, own := 0, Rank(r.c.Host)
-	for i := range daemons {
-		if Rank(daemons[i].Host) < own {
+	for _, d := range daemons {
+		if Rank(d.Host) < own {
 			n++
 		}
 	}
--- a/internal/peer/roster/roster.go
+++ b/internal/peer/roster/roster.go
@@ -201,7 +201,17 @@
 func (r *Roster) All(now time.Time) []Daemon {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.forget(now)
 	out := make([]Daemon, 0, len(r.daemons))
+	for _, d := range r.daemons {
+		out = append(out, *d)
+	}
+	slices.SortFunc(out, func(a, b Daemon) int { return cmp.Compare(a.Address, b.Address) })
+	return out
+}
+
+// forget drops the daemons that have not been heard for a minute. The caller holds the lock.
+func (r *Roster) forget(now time.Time) {
 	for address, d := range r.daemons {
 		last := d.LastHeard()
 		if last.IsZero() {
@@ -210,12 +220,8 @@
 		if now.Sub(last) > forgetAfter {
 			delete(r.daemons, address)
 			delete(r.received, address)
-			continue
 		}
-		out = append(out, *d)
 	}
-	slices.SortFunc(out, func(a, b Daemon) int { return cmp.Compare(a.Address, b.Address) })
-	return out
 }
 
 // LiveDaemons returns the live daemons, in no order.
