compressor: a window of 512 KB

The encoder keeps its window for good: 4 MB at each daemon that has ever sent a large object, 49.5 of 131 MB in use of 24 daemons before 3,000 endpoints of which 2,000 leave.

--- a/internal/core/compressor/compressor.go
+++ b/internal/core/compressor/compressor.go
@@ -22,6 +22,10 @@
 // The bound keeps a corrupt message from exhausting the memory of a small host.
 const maxDecompressedBytes = 32 << 20
 
+// windowBytes is how far back a message is compared with itself. The encoder keeps this much memory
+// from its first message on; the parts of a large message that repeat are close to each other.
+const windowBytes = 512 << 10
+
 // Compressor compresses and decompresses messages with zstd and reuses its buffers. The zero
 // value is ready for use. It is safe for concurrent use.
 type Compressor struct {
@@ -33,7 +37,7 @@
 
 func (c *Compressor) init() error {
 	c.once.Do(func() {
-		c.encoder, c.err = zstd.NewWriter(nil, zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(1), zstd.WithLowerEncoderMem(true))
+		c.encoder, c.err = zstd.NewWriter(nil, zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(1), zstd.WithLowerEncoderMem(true), zstd.WithWindowSize(windowBytes))
 		if c.err != nil {
 			return
 		}
