Read the fourth figure of an engine's load: the slowdown of its host

Engines that share their machines with others state how long work takes there now, in percent of the usual. A header of four fields was dropped whole, so even running and waiting were lost. Each field is now decoded by itself; an odd one is left out and counted (endpoint_loads_unreadable).

Its use: the time to the first event is divided by it before the estimates of speed, of the fixed latency and of an endpoint's slowdown learn from it, by no more than a factor of 3 whatever is stated. The figure is of the answer itself, so it has no age.

--- a/internal/role/gateway/engines_test.go
+++ b/internal/role/gateway/engines_test.go
@@ -31,6 +31,8 @@
 )
 
 const (
+	// promptTokens is the size of a request's prompt.
+	promptTokens = 600
 	// engineEvents is the number of events in a stream, runTime the time before the first one.
 	engineEvents = 20
 	runTime      = 50 * time.Millisecond
@@ -60,6 +62,9 @@
 	fatal func(body string) bool
 	// answerHeaders returns the headers that an engine adds to an answer; nil adds none.
 	answerHeaders func(place int, id string, r *http.Request) http.Header
+	// hostSlowdown returns by how much work takes longer on the engines' hosts, and the slowdown
+	// that the engines state; nil means that they state none.
+	hostSlowdown func() (factor float64, stated string)
 	// refuses reports whether an engine refuses requests; nil means that none does.
 	refuses func(place int) bool
 
@@ -75,14 +80,19 @@
 	closed  bool
 }
 
-// startEngines starts [engineCount] engines and writes a configuration with routes to them.
+// startEngines writes a configuration with routes to engines and starts [engineCount] of them.
 func (f *testFleet) startEngines(fatal func(string) bool) *engineFleet {
+	f.t.Helper()
+	e := f.prepareEngines(fatal)
+	e.startAll()
+	return e
+}
+
+// prepareEngines writes a configuration with routes to engines that are still to be started.
+func (f *testFleet) prepareEngines(fatal func(string) bool) *engineFleet {
 	f.t.Helper()
 	e := &engineFleet{f: f, host: f.network.Host(storeLink), fatal: fatal, running: make(map[int]func(string))}
 	f.stop = append(f.stop, e.close)
-	for i := range engineCount {
-		e.start(i)
-	}
 	route := func(name, prefix string, resumable bool) map[string]any {
 		return map[string]any{
 			"Name": name, "Host": modelHost, "PathPrefix": prefix, "Kind": "streaming", "Service": modelService, "TimeoutMs": 15000,
@@ -101,6 +111,12 @@
 	return e
 }
 
+func (e *engineFleet) startAll() {
+	for i := range engineCount {
+		e.start(i)
+	}
+}
+
 // start starts the next engine at the address of a place.
 func (e *engineFleet) start(place int) {
 	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 64, byte(place / 200), byte(1 + place%200)}), 8745)
@@ -137,7 +153,7 @@
 		}
 		body := r.Header.Get("Body-Text")
 		if !e.fatal(body) {
-			time.Sleep(runTime)
+			time.Sleep(e.runTime())
 			return hosting.Serve
 		}
 		e.mu.Lock()
@@ -147,6 +163,12 @@
 		endIt(body)
 		return hosting.CloseUnanswered
 	})
+	if e.hostSlowdown != nil {
+		engine.SetHostSlowdown(func() string {
+			_, stated := e.hostSlowdown()
+			return stated
+		})
+	}
 	engine.SetHeaders(func(r *http.Request) http.Header {
 		if e.answerHeaders == nil {
 			return nil
@@ -164,6 +186,15 @@
 	e.f.store.Write(platform.EndpointKind, id, engine.Record("ready"))
 }
 
+// runTime returns the time before the first event of a stream.
+func (e *engineFleet) runTime() time.Duration {
+	if e.hostSlowdown == nil {
+		return runTime
+	}
+	factor, _ := e.hostSlowdown()
+	return time.Duration(factor * float64(runTime))
+}
+
 // exit ends an engine and everything that it runs. Its record expires, and another engine
 // starts at its address later.
 func (e *engineFleet) exit(place int, id, body string, server *http.Server) {
@@ -263,7 +294,7 @@
 	r.Header.Set("Request-Id", f.nextID())
 	r.Header.Set("Deadline-Ms", "15000")
 	r.Header.Set("Authorization", "Bearer "+deskKey)
-	r.Header.Set("Token-Count", "600,100")
+	r.Header.Set("Token-Count", fmt.Sprint(promptTokens, ",100"))
 	r.Header.Set(askedHeader, fmt.Sprint(daemon))
 	resp, err := client.Do(r)
 	if err != nil {
--- a/internal/role/gateway/limits.go
+++ b/internal/role/gateway/limits.go
@@ -44,6 +44,9 @@
 	if reply.EndpointLeaving {
 		g.markDeparting(q, pick)
 	}
+	if reply.LoadInvalid {
+		g.scope.Counter("endpoint_loads_unreadable").Inc(1)
+	}
 	if reply.Limit.Invalid {
 		g.scope.Counter("endpoint_words_unreadable").Inc(1)
 		if g.endpointLogs.Allow() {
--- a/internal/serve/request/request.go
+++ b/internal/serve/request/request.go
@@ -147,10 +147,31 @@
 	HasLoad bool
 	Running int
 	Waiting int
+	// HostSlowdown is the slowdown of the endpoint's host when it sent the reply.
+	HostSlowdown HostSlowdown
+	// LoadInvalid is set if a part of the endpoint's load could not be parsed.
+	LoadInvalid bool
 	// Limit is the limit on requests a second that the endpoint states.
 	Limit Limit
 }
 
+// HostSlowdown is how long work takes on an endpoint's host at one moment, relative to the usual
+// time: at 2 it takes twice as long. Other work on the host changes it several times a second. 0
+// means unknown.
+type HostSlowdown float64
+
+// maxHostSlowdown bounds the factor by which a host's slowdown corrects a duration, whatever the
+// endpoint states.
+const maxHostSlowdown = 3
+
+// Correct returns the time that work which took d would have taken at the usual speed of the host.
+func (s HostSlowdown) Correct(d time.Duration) time.Duration {
+	if s <= 0 {
+		return d
+	}
+	return time.Duration(float64(d) / min(max(float64(s), 1.0/maxHostSlowdown), maxHostSlowdown))
+}
+
 // Limit is the number of requests a second that an endpoint accepts from all daemons together.
 type Limit struct {
 	PerSecond float64
--- a/internal/standin/hosting/batching.go
+++ b/internal/standin/hosting/batching.go
@@ -54,13 +54,20 @@
 	}
 }
 
-// load returns the value of the Server-Load header: running requests, waiting ones, slots.
+// load returns the value of the Server-Load header: running requests, waiting ones, slots and, if
+// set, the slowdown of the host.
 func (e *Engine) load() string {
-	if e.batch == nil {
-		return "1,0,8"
+	text := "1,0,8"
+	if e.batch != nil {
+		l := e.batch.Load()
+		text = fmt.Sprintf("%d,%d,%d", l.Running, l.Waiting, e.c.Batch.Slots)
 	}
-	l := e.batch.Load()
-	return fmt.Sprintf("%d,%d,%d", l.Running, l.Waiting, e.c.Batch.Slots)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.hostSlowdown == nil {
+		return text
+	}
+	return text + "," + e.hostSlowdown()
 }
 
 // parseJob reads a job from the headers of a model request. A header that is missing or malformed
--- a/internal/standin/hosting/hosting.go
+++ b/internal/standin/hosting/hosting.go
@@ -99,14 +99,16 @@
 type Engine struct {
 	c Config
 
-	mu         sync.Mutex
-	behaviour  func(*http.Request) Behaviour
-	headers    func(*http.Request) http.Header
-	executions []Execution
-	received   int
-	release    chan struct{}
-	held       int
-	batch      *batcher.Batcher
+	mu        sync.Mutex
+	behaviour func(*http.Request) Behaviour
+	headers   func(*http.Request) http.Header
+	// hostSlowdown returns the slowdown that the engine states for its host; nil states none.
+	hostSlowdown func() string
+	executions   []Execution
+	received     int
+	release      chan struct{}
+	held         int
+	batch        *batcher.Batcher
 	// restarted is closed when the present incarnation of the engine ends.
 	restarted chan struct{}
 }
@@ -136,6 +138,14 @@
 	e.headers = f
 }
 
+// SetHostSlowdown sets a function that returns the slowdown of the engine's host as the engine
+// states it, in percent of the usual time. It only changes what is stated.
+func (e *Engine) SetHostSlowdown(f func() string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.hostSlowdown = f
+}
+
 // Release answers the requests that are held now.
 func (e *Engine) Release() {
 	e.mu.Lock()
