Messages to peers name departures that are new, not all

Each digest and note named all listed endpoints that are leaving, twice. When thousands leave at once, as when a pool of 2,946 is reduced, each daemon sends and receives all of them several times a second for as long as they are listed: 24 daemons with 2,000 departures exchanged 2.5 MB a second each, the whole link of a small host, and allocated 14 MB a second.

The field for daemons that do not distinguish incarnations is no longer filled, as none of the last version reads it.

--- a/internal/role/gateway/departures.go
+++ b/internal/role/gateway/departures.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"brasschute/internal/peer/announcer"
 	"brasschute/internal/peer/rpc"
 	"brasschute/internal/platform/inventory"
 	"brasschute/internal/route/registry"
@@ -26,16 +27,39 @@
 // sourceAnswer names an endpoint's own answer as the source of a change.
 const sourceAnswer = "answer"
 
-// leavingEndpoints returns the listed endpoints that are leaving: ids for peers that do not
-// distinguish incarnations of an endpoint, departures for those that do.
-func (g *Gateway) leavingEndpoints() (ids []string, departures []*rpc.Departure) {
-	for _, h := range g.registry.Hosts() {
-		if g.isLeaving(&h) {
-			ids = append(ids, string(h.Host))
-			departures = append(departures, &rpc.Departure{Endpoint: string(h.Host), Born: int64(h.Born)})
-		}
+// updateDepartures updates the announcer with the listed endpoints that are leaving.
+func (g *Gateway) updateDepartures(now time.Time) {
+	g.announcer.Update(func(yield func(announcer.Known) bool) {
+		g.registry.EachHost(func(h *inventory.Host) {
+			listed := h.State == inventory.StateLeaving
+			if listed || g.registry.HostLeaving(h) {
+				yield(announcer.Known{
+					Departure: announcer.Departure{Endpoint: h.Endpoints[0].Endpoint, StartTime: h.Born}, Listed: listed,
+				})
+			}
+		})
+	}, now)
+}
+
+// digestDepartures returns the departures that a digest names, noteDepartures those of a note.
+func (g *Gateway) digestDepartures() []*rpc.Departure {
+	now := time.Now()
+	g.updateDepartures(now)
+	return encodeDepartures(g.announcer.Next(now))
+}
+
+func (g *Gateway) noteDepartures() []*rpc.Departure {
+	now := time.Now()
+	g.updateDepartures(now)
+	return encodeDepartures(g.announcer.Recent(now))
+}
+
+func encodeDepartures(list []announcer.Departure) []*rpc.Departure {
+	out := make([]*rpc.Departure, len(list))
+	for i, d := range list {
+		out[i] = &rpc.Departure{Endpoint: string(d.Endpoint), Born: int64(d.StartTime)}
 	}
-	return ids, departures
+	return out
 }
 
 // isLeaving reports whether an endpoint is known to be leaving: from the store, from the
--- a/internal/role/gateway/departures_test.go
+++ b/internal/role/gateway/departures_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -10,7 +11,12 @@
 
 // knownLeaving returns the endpoints that a daemon knows to be leaving.
 func (g *Gateway) knownLeaving() []string {
-	ids, _ := g.leavingEndpoints()
+	var ids []string
+	for _, h := range g.registry.Hosts() {
+		if g.isLeaving(&h) {
+			ids = append(ids, string(h.Host))
+		}
+	}
 	return ids
 }
 
@@ -79,3 +85,51 @@
 		}
 	})
 }
+
+// bytesAfterDepartures returns the bytes that a fleet's daemons exchange in some seconds, once a number
+// of endpoints have left at the same time.
+func bytesAfterDepartures(t *testing.T, departures int) (total int64) {
+	inPausedTime(t, func(t *testing.T) {
+		f := newTestFleet(t)
+		defer f.end()
+		f.rate = wideLink
+		f.addRoutes(1)
+		list := func(state string) {
+			for i := range departures {
+				f.store.Write(platform.EndpointKind, fmt.Sprintf("i-%04d", i), map[string]any{
+					"Service": modelService, "Address": fmt.Sprintf("10.66.%d.%d:8745", i/200, 1+i%200), "Zone": "zone-0", "State": state, "born": 1,
+				})
+			}
+		}
+		list("ready")
+		f.start(smallFleetSize + 2)
+		f.settle()
+		list("draining")
+		time.Sleep(2 * propagationTime)
+		exchanged := func() (n int64) {
+			for _, g := range f.daemons {
+				in, out := g.peerBytes.Bytes()
+				n += in + out
+			}
+			return n
+		}
+		before := exchanged()
+		time.Sleep(5 * time.Second)
+		total = exchanged() - before
+		for _, g := range f.daemons {
+			if n := len(g.knownLeaving()); n != departures {
+				t.Errorf("%s knows of %d departures, want %d", g.c.Deployment.Host, n, departures)
+			}
+		}
+	})
+	return total
+}
+
+// Guards against messages that name all endpoints that are leaving: a zone of hundreds is reclaimed at
+// once, and its records stay listed for seconds.
+func TestBytesDoNotGrowWithDepartures(t *testing.T) {
+	small, large := bytesAfterDepartures(t, 200), bytesAfterDepartures(t, 400)
+	if float64(large) > 1.2*float64(small) {
+		t.Errorf("%d bytes with 200 departures, %d with 400", small, large)
+	}
+}
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -50,6 +50,7 @@
 	"brasschute/internal/ops/accesslogger"
 	"brasschute/internal/ops/server"
 	"brasschute/internal/peer/aggregator"
+	"brasschute/internal/peer/announcer"
 	"brasschute/internal/peer/crashreporter"
 	"brasschute/internal/peer/fetcher"
 	"brasschute/internal/peer/gatherer"
@@ -185,7 +186,9 @@
 	endpointLogs *rate.Limiter
 	// backoffNotes limits the notes sent about endpoints that asked for a backoff.
 	backoffNotes *rate.Limiter
-	gatherer     gatherer.Gatherer
+	// announcer selects the departures of endpoints that messages to peers name.
+	announcer announcer.Announcer
+	gatherer  gatherer.Gatherer
 	// roster holds the members of the fleet, aggregator sums what they report. relayedDigests are
 	// the digests of other zones' daemons, which relays forward to the lease holder.
 	roster         *roster.Roster
--- a/internal/role/gateway/gossip.go
+++ b/internal/role/gateway/gossip.go
@@ -117,7 +117,7 @@
 	out.EndpointsRevision = g.endpointsRevision()
 	out.Observing = g.reachesStore()
 	out.Relaying = g.isLarge() && g.isRelay()
-	out.Leaving, out.Departures = g.leavingEndpoints()
+	out.Departures = g.digestDepartures()
 	out.Suspects = g.quarantine.RPCSuspects()
 	out.Rollouts, out.Trials, out.OrdersKnown = g.encodeRollouts(), g.encodeTrials(), g.splitter.OrdersKnown()
 	out.Limits, out.Rests = g.encodeLimits(), g.encodeBackoffs()
@@ -224,8 +224,8 @@
 }
 
 // markLeaving marks the endpoints that a peer knows to be leaving. A mark applies to the
-// incarnation that the peer means, not to one started since under the same id. A peer of the
-// previous version does not distinguish incarnations.
+// incarnation that the peer means, not to one started since under the same id. A peer of an older
+// version does not distinguish incarnations.
 func (g *Gateway) markLeaving(d *rpc.Digest) {
 	mark := func(id string, incarnation identifier.Incarnation, known bool) {
 		if known && g.registry.MarkLeaving(identifier.Host(id), incarnation, time.Time{}) {
@@ -249,7 +249,7 @@
 func (g *Gateway) newNote() *rpc.Note {
 	d := g.c.Deployment
 	out := &rpc.Note{Host: string(d.Host), Address: d.Peers.String(), EndpointsRevision: g.endpointsRevision()}
-	out.Leaving, out.Departures = g.leavingEndpoints()
+	out.Departures = g.noteDepartures()
 	if g.lease != nil {
 		out.HoldsDuties = g.lease.Confirmed()
 	}
