Keep the daemon within its host's memory

Nothing told the runtime of the memory that the settings name: the heap grew to twice what is live, whatever the host has, and a process near its limit was killed although most of it was garbage.

Package memorylimiter sets the runtime's soft limit to 0.7 of the host's memory and lets the heap grow by half of what is live between two runs of the collector. Above 0.6 of the host's memory the daemon sheds what it can do without, once a second: what it knows of the engines' prompt caches and its idle connections; a line and a counter say so (caches_shed). Requests are refused by nothing of this.

--- a/internal/ops/commander/commander.go
+++ b/internal/ops/commander/commander.go
@@ -26,6 +26,7 @@
 	"brasschute/internal/config/settings"
 	"brasschute/internal/ops/asyncwriter"
 	"brasschute/internal/ops/logger"
+	"brasschute/internal/ops/memorylimiter"
 	"brasschute/internal/role/controller"
 	"brasschute/internal/role/demonstrator"
 	"brasschute/internal/role/entry"
@@ -289,6 +290,8 @@
 	if err != nil {
 		return err
 	}
+	limiter := memorylimiter.New(memorylimiter.Config{HostBytes: d.MemoryBytes, Shed: g.ShedCaches})
+	go func() { _ = limiter.Serve(ctx) }()
 	return g.Run(ctx)
 }
 
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -172,6 +172,9 @@
 	// daemon's isolation was, both in Unix nanoseconds.
 	overdraftLoggedAt atomic.Int64
 	isolatedLoggedAt  atomic.Int64
+	// cachesShedLoggedAt is when caches were last logged as dropped for lack of memory, in Unix
+	// nanoseconds.
+	cachesShedLoggedAt atomic.Int64
 	// rejectedSumsLoggedAt is when rejected parts of a peer's sums were last logged, in Unix
 	// nanoseconds.
 	rejectedSumsLoggedAt atomic.Int64
--- a/internal/route/registry/conversation.go
+++ b/internal/route/registry/conversation.go
@@ -6,6 +6,7 @@
 	"brasschute/internal/core/identifier"
 	"brasschute/internal/engine/prefix"
 	"brasschute/internal/route/candidate"
+	"brasschute/internal/route/indexer"
 	"brasschute/internal/route/selector"
 )
 
@@ -51,6 +52,15 @@
 	}
 }
 
+// ForgetPrompts forgets which endpoints have which prompts cached. Until that is learned again,
+// prompts without a home are computed again more often.
+func (r *Registry) ForgetPrompts() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.indexer = indexer.Indexer{}
+	clear(r.conversations)
+}
+
 // TakeMigratable removes and returns the conversations whose cache is on leaving hosts.
 func (r *Registry) TakeMigratable() []*Conversation {
 	r.mu.Lock()
