placer: the expected duration of a stream holds the fixed latency

All answers took the same 722 ms; of the new version's idle endpoints 39 to 41 ms were expected, of the old busy ones some 130 ms with the predicted queue, and what is usual of the old ones, six times the expected, was asked of the new ones.

--- a/internal/serve/placer/placer.go
+++ b/internal/serve/placer/placer.go
@@ -121,7 +121,8 @@
 	if !q.HasTokenCounts {
 		return 0
 	}
-	return k.NominalFirstToken + time.Duration(events*tokensPerEvent(s))*p.c.Estimator.TokenInterval(q.Service)
+	fixed := p.c.Estimator.Estimate(q.Service, time.Now()).FixedLatency
+	return fixed + k.NominalFirstToken + time.Duration(events*tokensPerEvent(s))*p.c.Estimator.TokenInterval(q.Service)
 }
 
 // MaxUsualDuration returns the longest usual duration of an answer.
