Relays are on the hosts with the highest capacity

Which daemons relay was drawn by a hash of the name, so that nearly all relays were small hosts (20 Mbit/s, a fifth of a core), though each zone has large ones (1,000 Mbit/s). A relay sends each daemon of its zone the sums of all others 2.5 times a second, so its work is the members of the zone times the endpoints in the sum.

The capacity of a host, the binary logarithm of its link from the settings, now goes before the hash; hosts alike rank as before, and when the large hosts end the next ones relay. Daemons of the last version state none and go by the hash: while one of them is live in a zone, the first by hash relay as well.

--- a/internal/peer/roster/message.go
+++ b/internal/peer/roster/message.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strconv"
 	"time"
 
 	"brasschute/internal/core/identifier"
@@ -65,7 +66,7 @@
 	r.forget(now)
 	zones := map[identifier.AvailabilityZone][]*Daemon{r.c.Zone: {{
 		Host: identifier.Host(own.GetHost()), Address: own.GetPeerAddress(), Observing: own.GetObserving(), Stopping: own.GetStopping(),
-		Relaying: own.GetRelaying(),
+		Relaying: own.GetRelaying(), Capacity: Capacity(own.GetCapacity()),
 	}}}
 	for _, d := range r.daemons {
 		switch {
@@ -94,6 +95,7 @@
 	for i, d := range list {
 		out[i] = &rpc.Member{
 			Host: string(d.Host), PeerAddress: d.Address, Observing: d.Observing, Stopping: d.Stopping, Relaying: d.Relaying,
+			Capacity: uint32(d.Capacity),
 		}
 	}
 	return out
@@ -114,6 +116,7 @@
 				write("-")
 			}
 		}
+		write(strconv.Itoa(int(d.Capacity)))
 		write(d.Address)
 	}
 	return sum.Sum64()
@@ -205,6 +208,10 @@
 			// The daemon has not sent its own, newer digest in the last second.
 			d.Host, d.Zone = identifier.Host(m.GetHost()), identifier.AvailabilityZone(zone.GetAvailabilityZone())
 			d.Observing, d.Stopping, d.Relaying = m.GetObserving(), m.GetStopping(), m.GetRelaying()
+			if m.GetCapacity() > 0 {
+				// A relay of an older version doesn't state the capacities that it was told.
+				d.Capacity = Capacity(m.GetCapacity())
+			}
 			r.zones[d.Zone] = true
 		}
 	}
--- a/internal/peer/roster/relays.go
+++ b/internal/peer/roster/relays.go
@@ -13,16 +13,23 @@
 	return max(minRelaysPerZone, (minRelays+len(r.zones)-1)/len(r.zones))
 }
 
-// byRank compares daemons by [Rank].
-func byRank(a, b Daemon) int { return cmp.Compare(Rank(a.Host), Rank(b.Host)) }
+// byPreference compares daemons by how soon they become relays.
+func byPreference(a, b *Daemon) int {
+	return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(Rank(a.Host), Rank(b.Host)))
+}
+
+// self returns this daemon as an entry of the roster.
+func (r *Roster) self() *Daemon {
+	return &Daemon{Host: r.c.Host, Zone: r.c.Zone, Address: r.c.Address, Capacity: r.c.Capacity}
+}
 
-// Relays returns the relays of a zone by rank, without this daemon. Where no daemon is known to
+// Relays returns the relays of a zone, without this daemon. Where no daemon is known to
 // be live, it returns the first ones that may be.
 func (r *Roster) Relays(zone identifier.AvailabilityZone, now time.Time) []Daemon {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	usable := r.usableRelays(zone, now)
-	slices.SortFunc(usable, func(a, b *Daemon) int { return byRank(*a, *b) })
+	slices.SortFunc(usable, byPreference)
 	n := r.relaysPerZone()
 	if zone == r.c.Zone && r.countBefore(usable) < n {
 		n--
@@ -55,11 +62,11 @@
 	return usable
 }
 
-// countBefore counts the daemons of a list that rank before this one.
+// countBefore counts the daemons of a list that become relays before this one.
 func (r *Roster) countBefore(daemons []*Daemon) int {
-	n, own := 0, Rank(r.c.Host)
+	n, self := 0, r.self()
 	for _, d := range daemons {
-		if Rank(d.Host) < own {
+		if byPreference(d, self) < 0 {
 			n++
 		}
 	}
@@ -75,7 +82,11 @@
 
 // isRelay is IsRelay for callers that hold the lock.
 func (r *Roster) isRelay(now time.Time) bool {
-	return r.rankInZone(now, func(*Daemon) bool { return true }) < r.relaysPerZone()
+	if r.countInZone(now, func(d, self *Daemon) bool { return byPreference(d, self) < 0 }) < r.relaysPerZone() {
+		return true
+	}
+	older := r.countInZone(now, func(d, _ *Daemon) bool { return d.Capacity == 0 && !d.LastHeard().IsZero() })
+	return older > 0 && r.countInZone(now, func(d, self *Daemon) bool { return Rank(d.Host) < Rank(self.Host) }) < r.relaysPerZone()
 }
 
 // FollowsStore reports whether this daemon watches the store for others. The first relays of
@@ -88,7 +99,7 @@
 		return false
 	}
 	followersPerZone := (minFollowers + len(r.zones) - 1) / len(r.zones)
-	if r.rankInZone(now, func(d *Daemon) bool { return d.Observing }) < followersPerZone {
+	if r.countInZone(now, func(d, self *Daemon) bool { return d.Observing && byPreference(d, self) < 0 }) < followersPerZone {
 		return true
 	}
 	observers := 0
@@ -106,23 +117,27 @@
 func (r *Roster) DisplacedRelays(now time.Time) []Daemon {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	own := Rank(r.c.Host)
-	var out []Daemon
+	self := r.self()
+	var displaced []*Daemon
 	for _, d := range r.daemons {
-		if d.Host != "" && d.Zone == r.c.Zone && !d.isLive(now) && Rank(d.Host) < own {
-			out = append(out, *d)
+		if d.Host != "" && d.Zone == r.c.Zone && !d.isLive(now) && byPreference(d, self) < 0 {
+			displaced = append(displaced, d)
 		}
 	}
-	slices.SortFunc(out, byRank)
-	return out[:min(r.relaysPerZone(), len(out))]
+	slices.SortFunc(displaced, byPreference)
+	out := make([]Daemon, 0, r.relaysPerZone())
+	for _, d := range displaced[:min(r.relaysPerZone(), len(displaced))] {
+		out = append(out, *d)
+	}
+	return out
 }
 
-// rankInZone counts the usable daemons of this daemon's zone that rank before it and pass a
-// check.
-func (r *Roster) rankInZone(now time.Time, passes func(*Daemon) bool) int {
-	n, own := 0, Rank(r.c.Host)
+// countInZone counts the usable daemons of this daemon's zone that pass a check, which compares
+// them with this daemon.
+func (r *Roster) countInZone(now time.Time, passes func(d, self *Daemon) bool) int {
+	n, self := 0, r.self()
 	for _, d := range r.daemons {
-		if d.Zone == r.c.Zone && Rank(d.Host) < own && d.usableAsRelay(now) && passes(d) {
+		if d.Zone == r.c.Zone && d.usableAsRelay(now) && passes(d, self) {
 			n++
 		}
 	}
--- a/internal/peer/roster/roster.go
+++ b/internal/peer/roster/roster.go
@@ -6,10 +6,14 @@
 // daemon's list only adds addresses to try, so that daemons can't keep an ended one live by
 // repeating it to each other.
 //
-// In each availability zone the live daemons whose names hash lowest are relays:
-// [minRelaysPerZone] of them, or as many as make [minRelays] in the fleet. Each daemon
-// determines them by itself, and replaces a relay that it can't reach with the next one. A
-// daemon whose digest states that it is a relay is used as one.
+// In each availability zone some live daemons are relays: [minRelaysPerZone] of them, or as many
+// as make [minRelays] in the fleet. Those on the hosts with the highest capacity come first, as a
+// relay sends its zone many times what another daemon sends; among hosts alike those whose names
+// hash lowest. Each daemon determines them by itself, and replaces a relay that it can't reach with
+// the next one. A daemon whose digest states that it is a relay is used as one.
+//
+// Daemons of an older version state no capacity and go by the hashes alone. So that these have
+// relays as well, the first ones by hash also relay while such a daemon is live in their zone.
 //
 // # Usage
 //
@@ -20,6 +24,7 @@
 
 import (
 	"cmp"
+	"math/bits"
 	"slices"
 	"sync"
 	"time"
@@ -59,15 +64,27 @@
 	maxDaemons = 2048
 )
 
-// Rank returns a hash of a host's name that orders daemons in the same way everywhere. The
-// lowest ranks are relays.
+// Rank returns a hash of a host's name that orders daemons in the same way everywhere. Of hosts of
+// equal capacity the lowest ranks are relays.
 func Rank(host identifier.Host) uint64 { return xxhash.Sum64String(string(host)) }
 
+// Capacity says what a host can carry: the binary logarithm of its link in Mbit/s, at least 1, so
+// that hosts of nearly the same kind are alike. 0 is unknown.
+type Capacity uint32
+
+// CapacityOf returns the capacity of a host with a link of so many bytes a second.
+func CapacityOf(linkBytesPerSecond float64) Capacity {
+	const bytesPerMbit = 1e6 / 8
+	return Capacity(max(bits.Len(uint(min(max(linkBytesPerSecond/bytesPerMbit, 0), 1e9))), 1))
+}
+
 // Config identifies this daemon.
 type Config struct {
 	Host    identifier.Host
 	Zone    identifier.AvailabilityZone
 	Address string
+	// Capacity is what this daemon's host can carry.
+	Capacity Capacity
 }
 
 // Daemon is another daemon of the fleet.
@@ -76,6 +93,8 @@
 	Host    identifier.Host
 	Zone    identifier.AvailabilityZone
 	Address string
+	// Capacity is what the daemon's host can carry.
+	Capacity Capacity
 	// Observing means that the daemon watches the store and reaches it, Stopping that it takes
 	// no new work, Relaying that it states that it is a relay.
 	Observing, Stopping, Relaying bool
@@ -171,6 +190,7 @@
 	regained, d.Lost = d.Lost, false
 	d.Host, d.Zone, d.AnsweredAt = identifier.Host(digest.GetHost()), identifier.AvailabilityZone(digest.GetAvailabilityZone()), now
 	d.Observing, d.Stopping, d.Relaying = digest.GetObserving(), digest.GetStopping(), digest.GetRelaying()
+	d.Capacity = Capacity(digest.GetCapacity())
 	r.zones[d.Zone] = true
 	for _, other := range digest.GetPeers() {
 		r.add(other)
--- a/internal/peer/roster/roster_test.go
+++ b/internal/peer/roster/roster_test.go
@@ -250,3 +250,65 @@
 		}
 	})
 }
+
+// receiveCapacity makes a roster receive a digest from a daemon of zone a whose host has a capacity.
+func receiveCapacity(r *Roster, host identifier.Host, c Capacity) {
+	r.RecordAnswer(&rpc.Digest{Host: string(host), AvailabilityZone: "a", Capacity: uint32(c)}, address(host), time.Now())
+}
+
+// Guards against relays on the narrow links of small hosts while large ones are live, and against a
+// zone without relays once the large ones have ended.
+func TestRelaysAreOnLargeHosts(t *testing.T) {
+	const small, large = Capacity(5), Capacity(10)
+	synctest.Test(t, func(t *testing.T) {
+		names := ranked(6)
+		capacity := func(i int) Capacity {
+			if i >= 4 {
+				return large
+			}
+			return small
+		}
+		r := inFourZones(names[0])
+		r.c.Capacity = small
+		for i := 1; i < len(names); i++ {
+			receiveCapacity(r, names[i], capacity(i))
+		}
+		if got := hosts(r.Relays("a", time.Now())); !slices.Equal(got, names[4:]) || r.IsRelay(time.Now()) {
+			t.Errorf("relays %v, want %v; a small host is a relay: %t", got, names[4:], r.IsRelay(time.Now()))
+		}
+		time.Sleep(LivenessTimeout)
+		for i := 1; i < 4; i++ {
+			receiveCapacity(r, names[i], small)
+		}
+		if got := hosts(r.Relays("a", time.Now())); !slices.Equal(got, names[1:2]) || !r.IsRelay(time.Now()) {
+			t.Errorf("relays %v without the large hosts, want %v; the next small host is a relay: %t", got, names[1:2], r.IsRelay(time.Now()))
+		}
+	})
+}
+
+// Guards against daemons of an older version without a relay: they go by the ranks alone.
+func TestOlderDaemonsHaveRelays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		names := ranked(6)
+		r := inFourZones(names[0])
+		r.c.Capacity = 5
+		for _, host := range names[1:5] {
+			receiveCapacity(r, host, 10)
+		}
+		if r.IsRelay(time.Now()) {
+			t.Error("the first by rank is a relay, though all are of this version and others have a higher capacity")
+		}
+		receiveCapacity(r, names[5], 0)
+		if !r.IsRelay(time.Now()) {
+			t.Error("the first by rank is no relay for the daemons of an older version")
+		}
+	})
+}
+
+func TestCapacityOf(t *testing.T) {
+	for mbit, want := range map[float64]Capacity{0: 1, 1: 1, 10: 4, 20: 5, 23: 5, 26: 5, 200: 8, 1000: 10, -5: 1, 1e30: 30} {
+		if got := CapacityOf(mbit * 125e3); got != want {
+			t.Errorf("%v Mbit/s: %d, want %d", mbit, got, want)
+		}
+	}
+}
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -273,7 +273,9 @@
 	g.tree = suture.New("gateway", suture.Spec{EventHook: g.logSupervisorEvent})
 	g.store = platform.NewStore(d.Store.String(), g.newPlatformClient())
 	g.clock = chronometer.New(chronometer.Config{Monotonic: g.c.Uptime})
-	g.roster = roster.New(roster.Config{Host: d.Host, Zone: d.AvailabilityZone, Address: d.Peers.String()})
+	g.roster = roster.New(roster.Config{
+		Host: d.Host, Zone: d.AvailabilityZone, Address: d.Peers.String(), Capacity: roster.CapacityOf(d.LinkBytesPerSecond),
+	})
 	g.aggregator = aggregator.New(aggregator.Config{Host: d.Host, Zone: d.AvailabilityZone, Start: g.started})
 	g.usageCounter = usagecounter.New(usagecounter.Config{Window: d.Bounds.UsageWindow, Retention: d.Bounds.UsageDue, Now: g.clock.Now})
 	g.quotaLimiter = quotalimiter.New(quotalimiter.Config{
--- a/internal/role/gateway/gossip.go
+++ b/internal/role/gateway/gossip.go
@@ -9,6 +9,7 @@
 	"brasschute/internal/core/waiter"
 	"brasschute/internal/core/watchdog"
 	"brasschute/internal/peer/fetcher"
+	"brasschute/internal/peer/roster"
 	"brasschute/internal/peer/rpc"
 	"brasschute/internal/peer/supplier"
 	"brasschute/internal/peer/syncer"
@@ -117,6 +118,7 @@
 	out.EndpointsRevision = g.endpointsRevision()
 	out.Observing = g.reachesStore()
 	out.Relaying = g.isLarge() && g.isRelay()
+	out.Capacity = uint32(roster.CapacityOf(d.LinkBytesPerSecond))
 	out.Departures = g.digestDepartures()
 	out.Suspects = g.quarantine.RPCSuspects()
 	out.Rollouts, out.Trials, out.OrdersKnown = g.encodeRollouts(), g.encodeTrials(), g.splitter.OrdersKnown()
