mirror: the revision and the latest changes without a search of all objects

The highest version and the last 1,024 changes are now kept by kind; a peer that is further behind is still served by the search. TestChangesSinceAnyRevision compares both, for any order of changes.

--- a/internal/peer/mirror/mirror.go
+++ b/internal/peer/mirror/mirror.go
@@ -33,6 +33,10 @@
 // every few seconds. The oldest are dropped.
 const maxTombstones = 4096
 
+// maxRecent bounds the latest changes of a kind that are kept in order. A peer that is further
+// behind is served by a search of all objects.
+const maxRecent = 1024
+
 // Mirror keeps objects by key. The zero value is empty and ready to use; it is safe for
 // concurrent use.
 type Mirror struct {
@@ -43,6 +47,49 @@
 	// is, by kind, the revision up to which they are known while a list is uncertain.
 	completeFrom   map[string]uint64
 	uncertainAfter map[string]uint64
+	// kinds holds what is kept of each kind besides its objects.
+	kinds map[string]*kindState
+}
+
+// kindState is kept of a kind so that the many calls of peers that are up to date cost no search of
+// its objects.
+type kindState struct {
+	// highest is the highest version of the kind's objects, tombstones included.
+	highest uint64
+	// recent holds the versions and keys of the latest changes, in the order of the versions. Changes
+	// up to the version recentAfter may be missing.
+	recent      []change
+	recentAfter uint64
+}
+
+type change struct {
+	version uint64
+	key     string
+}
+
+// record records a change of an object.
+func (k *kindState) record(o *object.Object) {
+	k.highest = max(k.highest, o.Version)
+	if o.Version <= k.recentAfter {
+		return
+	}
+	c := change{o.Version, o.Key}
+	at := len(k.recent)
+	for i := at; i > 0 && k.recent[i-1].version >= o.Version; i-- {
+		if k.recent[i-1] == c {
+			// The object was deleted at its version.
+			return
+		}
+		if k.recent[i-1].version > o.Version {
+			at = i - 1
+		}
+	}
+	k.recent = slices.Insert(k.recent, at, c)
+	if len(k.recent) > 2*maxRecent {
+		dropped := len(k.recent) - maxRecent
+		k.recentAfter = k.recent[dropped-1].version
+		k.recent = slices.Clone(k.recent[dropped:])
+	}
 }
 
 // ErrListUncertain means that the last list lacked objects, and it is not known yet whether they
@@ -78,7 +125,7 @@
 	revisions := make(map[string]uint64)
 	var newer []object.Object
 	for _, o := range objects {
-		kind, _, _ := strings.Cut(o.Key, "/")
+		kind := kindOf(o.Key)
 		if _, ok := revisions[kind]; !ok {
 			revisions[kind] = m.Revision(kind)
 		}
@@ -102,9 +149,28 @@
 		m.countTombstone(o.Deleted)
 	}
 	m.objects[o.Key] = o
+	m.kind(kindOf(o.Key)).record(&o)
 	return !o.Deleted || !old.Deleted
 }
 
+// kind returns the state of a kind. The caller holds the lock.
+func (m *Mirror) kind(name string) *kindState {
+	k := m.kinds[name]
+	if k == nil {
+		if m.kinds == nil {
+			m.kinds = make(map[string]*kindState)
+		}
+		k = new(kindState)
+		m.kinds[name] = k
+	}
+	return k
+}
+
+func kindOf(key string) string {
+	kind, _, _ := strings.Cut(key, "/")
+	return kind
+}
+
 // countTombstone updates the number of tombstones.
 func (m *Mirror) countTombstone(deleted bool) {
 	if deleted {
@@ -132,9 +198,9 @@
 // Revision returns the revision up to which all changes of a kind's objects are known: the
 // highest version, unless a list is uncertain.
 func (m *Mirror) Revision(kind string) uint64 {
-	highest := m.highest(kind)
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	highest := m.kind(kind).highest
 	if known, in := m.uncertainAfter[kind]; in {
 		return min(highest, known)
 	}
@@ -211,9 +277,9 @@
 
 // highest returns the highest version of a kind's objects, tombstones included.
 func (m *Mirror) highest(kind string) uint64 {
-	var highest uint64
-	m.each(kind, func(o object.Object) { highest = max(highest, o.Version) })
-	return highest
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.kind(kind).highest
 }
 
 // KnownVersions returns the versions of a kind's objects by key, without deleted ones.
@@ -230,6 +296,9 @@
 // ChangedSince returns the objects of a kind that changed or were deleted after a revision, in
 // the order of their versions.
 func (m *Mirror) ChangedSince(kind string, after uint64) []object.Object {
+	if out, ok := m.recentSince(kind, after); ok {
+		return out
+	}
 	var out []object.Object
 	m.each(kind, func(o object.Object) {
 		if o.Version > after {
@@ -240,6 +309,24 @@
 	return out
 }
 
+// recentSince is ChangedSince for changes that are all among the latest ones; otherwise ok is false.
+func (m *Mirror) recentSince(kind string, after uint64) (out []object.Object, ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	k := m.kind(kind)
+	if after < k.recentAfter {
+		return nil, false
+	}
+	from, _ := slices.BinarySearchFunc(k.recent, after+1, func(c change, version uint64) int { return cmp.Compare(c.version, version) })
+	for _, c := range k.recent[from:] {
+		// An object that changed again is listed at its last change.
+		if o, known := m.objects[c.key]; known && o.Version == c.version {
+			out = append(out, o)
+		}
+	}
+	return out, true
+}
+
 // each calls f with each object of a kind, tombstones included, under the lock.
 func (m *Mirror) each(kind string, f func(object.Object)) {
 	m.mu.Lock()
--- a/internal/peer/mirror/mirror_test.go
+++ b/internal/peer/mirror/mirror_test.go
@@ -1,7 +1,10 @@
 package mirror
 
 import (
+	"cmp"
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -111,3 +114,30 @@
 		}
 	}
 }
+
+// Guards against changes that a peer misses because the latest ones are kept apart: whatever the order
+// of the changes, those since a revision are the objects with a higher version.
+func TestChangesSinceAnyRevision(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var m Mirror
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		n := rapid.SampledFrom([]int{10, 2*maxRecent + 10, 5 * maxRecent}).Draw(t, "changes")
+		for i := range n {
+			version := uint64(max(i+1-random.IntN(4), 1))
+			m.applyOne(object.Object{Key: fmt.Sprint("servers/", random.IntN(n)), Version: version, Deleted: random.IntN(4) == 0})
+		}
+		for range 5 {
+			after := rapid.Uint64Range(0, uint64(n)).Draw(t, "after")
+			want := 0
+			m.each("servers", func(o object.Object) {
+				if o.Version > after {
+					want++
+				}
+			})
+			got := m.ChangedSince("servers", after)
+			if len(got) != want || !slices.IsSortedFunc(got, func(a, b object.Object) int { return cmp.Compare(a.Version, b.Version) }) {
+				t.Fatalf("%d changes since %d, want %d, sorted by version", len(got), after, want)
+			}
+		}
+	})
+}
