A daemon without a configuration asks a few random peers, not all in order

In the first 1.5 s of the whole fleet 66 daemons sent 1,301 calls that brought nothing, as each asked all addresses that it knew, in order of address, every 0.3 s: calls that grow with the square of the fleet, and all to the same daemons first. Now three random ones, live ones first; those that have a configuration become four times as many in each interval.

--- a/internal/peer/syncer/rounds.go
+++ b/internal/peer/syncer/rounds.go
@@ -174,7 +174,7 @@
 	if len(sameZone) > 0 {
 		list = sameZone
 	}
-	rand.Shuffle(len(list), func(i, k int) { list[i], list[k] = list[k], list[i] })
+	shuffle(list)
 	for _, address := range list[:min(n, len(list))] {
 		p.add(address, standbyPeriod)
 	}
--- a/internal/peer/syncer/syncer.go
+++ b/internal/peer/syncer/syncer.go
@@ -181,7 +181,7 @@
 	if all || len(list) <= ForwardFanOut {
 		return list
 	}
-	rand.Shuffle(len(list), func(i, k int) { list[i], list[k] = list[k], list[i] })
+	shuffle(list)
 	return list[:ForwardFanOut]
 }
 
@@ -323,9 +323,17 @@
 			rest = append(rest, d.Address)
 		}
 	}
+	shuffle(out)
+	shuffle(rest)
 	return append(out, rest...)
 }
 
+// shuffle puts addresses in a random order, so that the daemons of a fleet do not all call the same
+// peers first.
+func shuffle(addresses []string) {
+	rand.Shuffle(len(addresses), func(i, k int) { addresses[i], addresses[k] = addresses[k], addresses[i] })
+}
+
 // Swap merges a peer's digest and returns this daemon's. It implements rpc.Fleet.
 func (s *Syncer) Swap(_ context.Context, d *rpc.Digest) (*rpc.Digest, error) {
 	s.merge(d, d.GetAddress())
--- a/internal/role/gateway/gossip.go
+++ b/internal/role/gateway/gossip.go
@@ -26,6 +26,9 @@
 	// bootstrapInterval is how often a daemon without a configuration or endpoints requests them
 	// from peers.
 	bootstrapInterval = 300 * time.Millisecond
+	// maxBootstrapCalls is how many peers it calls each time. Those that have a configuration become
+	// four times as many in each interval, so that a thousand daemons need five.
+	maxBootstrapCalls = 3
 	// maxAskedPeers is how many peers are asked, within askTimeout, whether objects missing from
 	// a list were deleted. More than one, because one may lag.
 	maxAskedPeers = 2
@@ -305,7 +308,8 @@
 		if g.versioner.Current() != nil && g.endpointsListed.Load() {
 			return suture.ErrDoNotRestart
 		}
-		for _, address := range g.syncer.KnownAddresses() {
+		addresses := g.syncer.KnownAddresses()
+		for _, address := range addresses[:min(len(addresses), maxBootstrapCalls)] {
 			if g.fetchSnapshot(ctx, address) {
 				break
 			}
