--- a/internal/role/gateway/digests.go
+++ b/internal/role/gateway/digests.go
@@ -118,7 +118,7 @@
 		Host: own.Host, AvailabilityZone: own.AvailabilityZone, Address: own.Address, Incarnation: own.Incarnation, Sequence: g.sequence.Add(1),
 		UnixMilli: g.clock.Now().UnixMilli(), AgeMilli: time.Since(g.started).Milliseconds(), Stopping: own.Stopping,
 		ConfigurationNumber: own.ConfigurationNumber, HoldsDuties: own.HoldsDuties, Fleet: own.Fleet, EndpointsRevision: own.EndpointsRevision,
-		Capacity: own.Capacity,
+		Capacity:  own.Capacity,
 		Observing: own.Observing, Relaying: own.Relaying, Departures: own.Departures, Speeds: own.Speeds,
 		Suspects: own.Suspects, Rollouts: g.encodeRollouts(), OrdersKnown: own.OrdersKnown, Limits: own.Limits, Rests: own.Rests,
 	}
