A long list of endpoints is counted, not told line by line

At its start each daemon logged a line for each of 3,000 endpoints, 18.6 us of processor time each (56 ms of a host with a fifth of a core), and dropped two thirds of them as its queue holds 1,024.

--- a/internal/role/gateway/objects.go
+++ b/internal/role/gateway/objects.go
@@ -6,7 +6,6 @@
 	"strings"
 	"time"
 
-	"brasschute/internal/config/document"
 	"brasschute/internal/core/identifier"
 	"brasschute/internal/platform/inventory"
 	"brasschute/internal/platform/object"
@@ -119,9 +118,10 @@
 // ready must know the whole list, not just its first entry.
 func (g *Gateway) applyEndpoints(objects []object.Object) {
 	listed := make(map[string]*inventory.Host, len(objects))
+	lines := endpointLines{logger: g.c.Logger}
 	for i := range objects {
 		id := strings.TrimPrefix(objects[i].Key, platform.EndpointKind+"/")
-		h, err := g.decodeEndpoint(id, &objects[i])
+		h, err := g.decodeEndpoint(id, &objects[i], &lines)
 		if errors.Is(err, registrar.ErrStale) {
 			// The store and peers deliver concurrently; the newer record stays.
 			continue
@@ -132,15 +132,16 @@
 		}
 		listed[id] = h
 	}
+	lines.end()
 	g.registry.UpdateHosts(listed)
 	g.endpointsListed.Store(g.endpointsListed.Load() || g.registry.HostCount() > 0)
 }
 
 // decodeEndpoint decodes an endpoint's record. It returns nil without an error if the record
 // was deleted.
-func (g *Gateway) decodeEndpoint(id string, o *object.Object) (*inventory.Host, error) {
+func (g *Gateway) decodeEndpoint(id string, o *object.Object, lines *endpointLines) (*inventory.Host, error) {
 	if o.Deleted {
-		g.c.Logger.Info("endpoint removed", "endpoint", id, "revision", o.Version)
+		lines.removed(id, o.Version)
 		return nil, nil
 	}
 	e, err := platform.DecodeEndpoint(id, o.Value)
@@ -151,9 +152,7 @@
 	if h.Incarnation, err = g.registrar.Register(identifier.Endpoint(id), h.Born, o.Version); err != nil {
 		return nil, err
 	}
-	g.c.Logger.Info("endpoint listed", "endpoint", id, "revision", o.Version, "zone", h.AvailabilityZone, "service",
-		h.Endpoints[0].Pool, "address", h.Endpoints[0].Address, "state", h.State, "reclaimable", h.Class == document.ClassReclaimable,
-		"born", h.Born, "life", h.Incarnation)
+	lines.listed(&h, o.Version)
 	return &h, nil
 }
 
