membertracker: the latest departures are kept, not the first

The tracker keeps 8,192 departures for two hours, and refused to record any more: an endpoint that left after them went on getting requests. A gateway never drops old ones, so that takes three releases of 2,946 engines in the life of a process. When it is full it now drops the quarter recorded first. TestLatestDeparturesAreKept failed at departure 8192.

--- a/internal/peer/membertracker/membertracker.go
+++ b/internal/peer/membertracker/membertracker.go
@@ -26,6 +26,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math/bits"
 	"slices"
 	"sync"
@@ -181,12 +182,24 @@
 		return false
 	}
 	if d == nil && len(t.leaving) >= maxLeaving {
-		return false
+		t.dropOldestLeaving()
 	}
 	t.leaving[h] = &departure{incarnation: i, deadline: deadline, since: now}
 	return true
 }
 
+// dropOldestLeaving drops the quarter of the departures that were recorded first. Their hosts have
+// ended long ago, and a new departure that was not recorded would get requests. The caller holds the
+// lock.
+func (t *Tracker) dropOldestLeaving() {
+	hosts := slices.SortedFunc(maps.Keys(t.leaving), func(a, b identifier.Host) int {
+		return t.leaving[a].since.Compare(t.leaving[b].since)
+	})
+	for _, h := range hosts[:len(hosts)/4] {
+		delete(t.leaving, h)
+	}
+}
+
 // MarkUnreachable makes a live member that did not answer a suspect.
 func (t *Tracker) MarkUnreachable(h identifier.Host, now time.Time) {
 	t.mu.Lock()
--- a/internal/peer/membertracker/membertracker_test.go
+++ b/internal/peer/membertracker/membertracker_test.go
@@ -125,3 +125,23 @@
 		t.Fatalf("still sends %d members, %d leaving", len(n.Members), len(n.Leaving))
 	}
 }
+
+// Guards against requests to a leaving host because more departures were recorded before than the
+// tracker keeps.
+func TestLatestDeparturesAreKept(t *testing.T) {
+	tracker := New(Config{Self: &rpc.Member{Host: "d"}})
+	now := time.Unix(0, 0)
+	for i := range 3 * maxLeaving {
+		now = now.Add(time.Millisecond)
+		h := identifier.Host(fmt.Sprint("host-", i))
+		if !tracker.MarkLeaving(h, 1, time.Time{}, now) {
+			t.Fatalf("departure %d was not recorded", i)
+		}
+		if _, leaving := tracker.Leaving(h, 1); !leaving {
+			t.Fatalf("departure %d is not known", i)
+		}
+	}
+	if n := len(tracker.leaving); n > maxLeaving {
+		t.Errorf("%d departures are kept, want at most %d", n, maxLeaving)
+	}
+}
