In a large fleet endpoints that are added trigger no notes

Each change of the list made each daemon send notes twice to its relays and three others. Added endpoints now wait for the next digest, 0.4 s at most from a relay; departures, configurations and orders are told at once as before. A note that is forwarded is sent once, as several daemons forward it.

--- a/internal/peer/syncer/syncer.go
+++ b/internal/peer/syncer/syncer.go
@@ -213,8 +213,11 @@
 		case all := <-s.notesRequested:
 			each(s.noteReceivers(all), s.notify)
 			waiter.For(ctx, notePause)
-			// Send the notes twice: a link may lose the first, and the next digest comes late.
-			each(s.noteReceivers(all), s.notify)
+			if all || !s.c.LargeFleet() {
+				// Send the notes twice: a link may lose the first, and the next digest comes late. In a
+				// large fleet, where each daemon forwards them, several others bring them as well.
+				each(s.noteReceivers(all), s.notify)
+			}
 		}
 		timer.Stop()
 	}
--- a/internal/role/gateway/objects.go
+++ b/internal/role/gateway/objects.go
@@ -48,8 +48,14 @@
 	if len(orders) > 0 {
 		g.applyRollouts(orders, source)
 	}
+	added := false
 	if len(endpoints) > 0 {
-		g.applyEndpoints(endpoints)
+		added = g.applyEndpoints(endpoints)
+	}
+	if added && len(endpoints) == len(changes) && g.isLarge() {
+		// Endpoints that are added wait for the next digest. When thousands register one after
+		// another, notes would cost each daemon dozens of calls a second.
+		return
 	}
 	g.syncer.TriggerNotes(g.watchesStore())
 }
@@ -115,8 +121,10 @@
 }
 
 // applyEndpoints applies the changes of the list of endpoints in one step: a daemon that is
-// ready must know the whole list, not just its first entry.
-func (g *Gateway) applyEndpoints(objects []object.Object) {
+// ready must know the whole list, not just its first entry. It reports whether all of them are
+// endpoints that may be used.
+func (g *Gateway) applyEndpoints(objects []object.Object) (added bool) {
+	added = true
 	listed := make(map[string]*inventory.Host, len(objects))
 	lines := endpointLines{logger: g.c.Logger}
 	for i := range objects {
@@ -130,11 +138,13 @@
 			// An undecodable record names no usable endpoint, whatever it held before.
 			g.logUnreadable([]error{fmt.Errorf("%s, revision %d: %w", objects[i].Key, objects[i].Version, err)})
 		}
+		added = added && h != nil && h.State == inventory.StateLive
 		listed[id] = h
 	}
 	lines.end()
 	g.registry.UpdateHosts(listed)
 	g.endpointsListed.Store(g.endpointsListed.Load() || g.registry.HostCount() > 0)
+	return added
 }
 
 // decodeEndpoint decodes an endpoint's record. It returns nil without an error if the record
--- a/internal/role/gateway/objects_test.go
+++ b/internal/role/gateway/objects_test.go
@@ -224,3 +224,30 @@
 		f.expectView("i-2", "born 1000, leaving false")
 	})
 }
+
+// Guards against calls of each daemon to several others for each endpoint that is added, while
+// thousands register one after another; departures are still told at once.
+func TestOnlyDeparturesAreTold(t *testing.T) {
+	record := func(state string) []object.Object {
+		return []object.Object{{
+			Key: platform.EndpointKind + "/i-1", Version: 1, Value: []byte(`{"Service":"lm","Address":"10.0.0.1:80","Zone":"z","State":"` + state + `"}`),
+		}}
+	}
+	inFleet(t, 1, func(f *testFleet) {
+		g := f.daemons[0]
+		for _, c := range []struct {
+			name    string
+			changes []object.Object
+			added   bool
+		}{
+			{"live", record("ready"), true},
+			{"leaving", record("draining"), false},
+			{"removed", []object.Object{{Key: platform.EndpointKind + "/i-1", Version: 2, Deleted: true}}, false},
+			{"unreadable", []object.Object{{Key: platform.EndpointKind + "/i-2", Version: 3, Value: []byte("{")}}, false},
+		} {
+			if added := g.applyEndpoints(c.changes); added != c.added {
+				t.Errorf("%s: added %t, want %t", c.name, added, c.added)
+			}
+		}
+	})
+}
