Departures that a peer names are counted like those of the list

A mass departure had a line for each endpoint at each daemon: 100 lines each within the fifth second of the whole fleet's lead.

--- a/internal/role/gateway/endpointlines_test.go
+++ b/internal/role/gateway/endpointlines_test.go
@@ -17,11 +17,14 @@
 		var output bytes.Buffer
 		lines := endpointLines{logger: log.New(&output)}
 		for i := range changes {
-			if i%2 == 0 {
+			switch i % 3 {
+			case 0:
 				lines.removed(fmt.Sprint("i-", i), 1)
-				continue
+			case 1:
+				lines.leaving(fmt.Sprint("i-", i), 1, "front-1")
+			default:
+				lines.listed(&inventory.Host{Endpoints: []inventory.Endpoint{{Endpoint: "i"}}}, 1)
 			}
-			lines.listed(&inventory.Host{Endpoints: []inventory.Endpoint{{Endpoint: "i"}}}, 1)
 		}
 		lines.end()
 		want := min(changes, maxEndpointLines)
--- a/internal/role/gateway/gossip.go
+++ b/internal/role/gateway/gossip.go
@@ -232,9 +232,11 @@
 // incarnation that the peer means, not to one started since under the same id. A peer of an older
 // version does not distinguish incarnations.
 func (g *Gateway) markLeaving(d *rpc.Digest) {
+	lines := endpointLines{logger: g.c.Logger}
+	defer lines.end()
 	mark := func(id string, incarnation identifier.Incarnation, known bool) {
 		if known && g.registry.MarkLeaving(identifier.Host(id), incarnation, time.Time{}) {
-			g.c.Logger.Info("endpoint leaving", "endpoint", id, "life", incarnation, "source", d.GetHost())
+			lines.leaving(id, incarnation, d.GetHost())
 		}
 	}
 	for _, l := range d.GetDepartures() {
