--- a/internal/serve/relayer/attempt.go
+++ b/internal/serve/relayer/attempt.go
@@ -87,7 +87,6 @@
 	defer x.Close()
 	j.sends++
 	reply := j.r.c.Codec.DecodeReply(x.Status, x.Header)
-	j.hostSlowdown = reply.HostSlowdown
 	if !reply.Misdirected {
 		j.r.c.ReplyObserver.ObserveReply(j.q, pick, &reply, begun)
 		if d := retryparser.Parse(x.Status, x.Header); d > 0 {
@@ -202,7 +201,7 @@
 		j.failedAnswer = a
 		return fmt.Errorf("%w: status %d", errFailed, reply.Status)
 	}
-	j.observeFirstEvent(pick, begun)
+	j.r.c.Placer.ObserveFirstEvent(j.q, pick, time.Since(begun))
 	return j.sendAnswer(a)
 }
 
@@ -215,12 +214,6 @@
 	j.r.c.OnBegin(j.q)
 }
 
-// observeFirstEvent records the time to the first event, or to the answer. Other work on the
-// endpoint's host says nothing about the endpoint.
-func (j *job) observeFirstEvent(pick *registry.Pick, begun time.Time) {
-	j.r.c.Placer.ObserveFirstEvent(j.q, pick, j.hostSlowdown.Correct(time.Since(begun)))
-}
-
 // sendAnswer sends a complete answer to the client.
 func (j *job) sendAnswer(a *answer) error {
 	h := j.w.Header()
--- a/internal/serve/relayer/relayer.go
+++ b/internal/serve/relayer/relayer.go
@@ -240,8 +240,6 @@
 	// last event.
 	headSent  bool
 	lastEvent int
-	// hostSlowdown is the slowdown of the present endpoint's host, as its reply states it.
-	hostSlowdown request.HostSlowdown
 	// failedAnswer is an endpoint's error answer, passed on if no later attempt does
 	// better.
 	failedAnswer *answer
--- a/internal/serve/relayer/stream.go
+++ b/internal/serve/relayer/stream.go
@@ -47,7 +47,7 @@
 		if len(whole) > 0 {
 			responded()
 			if j.res.Events == 0 {
-				j.observeFirstEvent(pick, begun)
+				j.r.c.Placer.ObserveFirstEvent(j.q, pick, time.Since(begun))
 			}
 			if problem := j.writeEvents(x, whole); problem != nil {
 				return problem
--- a/internal/serve/request/request.go
+++ b/internal/serve/request/request.go
@@ -160,18 +160,6 @@
 // means unknown.
 type HostSlowdown float64
 
-// maxHostSlowdown bounds the factor by which a host's slowdown corrects a duration, whatever the
-// endpoint states.
-const maxHostSlowdown = 3
-
-// Correct returns the time that work which took d would have taken at the usual speed of the host.
-func (s HostSlowdown) Correct(d time.Duration) time.Duration {
-	if s <= 0 {
-		return d
-	}
-	return time.Duration(float64(d) / min(max(float64(s), 1.0/maxHostSlowdown), maxHostSlowdown))
-}
-
 // Limit is the number of requests a second that an endpoint accepts from all daemons together.
 type Limit struct {
 	PerSecond float64
