--- a/internal/fleet/autoscaler/autoscaler.go
+++ b/internal/fleet/autoscaler/autoscaler.go
@@ -59,14 +59,13 @@
 	// demand has been seen: operators start with enough for the peak. The first requests find
 	// no prompt cached, though, and engines ordered when that shows start too late and with
 	// cold caches again. So warmUpSpareFraction of that number is wanted in addition, as
-	// reclaimable endpoints: on a day of high load a fleet of sixty engines scored 0.357
-	// without them and 0.532 with them.
+	// reclaimable endpoints.
 	warmUp              = 17 * time.Second
 	warmUpSpareFraction = 0.4
 	// maxGrowthFactor limits the wanted endpoints to this multiple of the recent number. While
-	// caches are cold and queues long, engines seem slow and the load seems high: a fleet of
-	// sixty engines ordered 104 in the third second and needed 53. Each additional engine is also
-	// a home endpoint whose cache is cold.
+	// caches are cold and queues long, engines seem slow and the load seems high, and twice the
+	// engines that are needed would be ordered. Each additional engine is also a home endpoint
+	// whose cache is cold.
 	maxGrowthFactor = 1.4
 	// peakWindow is how long an endpoint that has gone counts towards the recent number.
 	peakWindow = 20 * time.Second
--- a/internal/fleet/sizer/sizer.go
+++ b/internal/fleet/sizer/sizer.go
@@ -32,9 +32,7 @@
 const (
 	// prefillFraction is the fraction of its time that an engine at capacity spends on prefill.
 	// The decode steps of the streams beside it take as much again, and the rest keeps queues
-	// short. Over five days with 12 engines, engines estimated at 43,000 tokens a second scored
-	// best when sized for 14,000 (0.596; 0.584 at 11,000, 0.568 at 20,000), engines of 70,000
-	// when sized for 28,000 (0.579; 0.562 at 22,000).
+	// short.
 	prefillFraction = 0.32
 	// usableSlotFraction is the fraction of an engine's slots that may be in use. The rest is
 	// for requests that are placed unevenly because load reports are seconds old.
@@ -46,8 +44,6 @@
 // minCapacityFraction is the fraction of the required endpoints that remains when a zone's
 // reclaimable endpoints go: for the seconds that on-demand endpoints take to start, the others
 // may be busier. With all of the requirement kept, on-demand endpoints ran through each wave.
-// Over five days that scored 0.575, against 0.593 with 0.8 and 0.600 with 0.65; where engines
-// are cheaper there was no difference (0.597, 0.595, 0.589).
 const minCapacityFraction = 0.7
 
 // onDemandSpareFraction is the spare fraction of on-demand endpoints where there are no
