aggregator: the sums for one daemon share the items of all others

A relay built the message of all sums anew for each daemon of its zone, several times a second: 320 us and 144 KB of garbage each (160 daemons, 960 loads, 300 organisations), 340 times a second at 75 members.

--- a/internal/peer/aggregator/sums.go
+++ b/internal/peer/aggregator/sums.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"brasschute/internal/peer/rpc"
@@ -89,6 +90,8 @@
 	charges         map[string]*charge
 	demands         map[string]*demand
 	loads           map[loadKey]*load
+	// encoded holds the sums as a message without anybody's part left out; nil until the first one.
+	encoded *encodedSums
 }
 
 func newSums() *sums {
@@ -165,48 +168,100 @@
 }
 
 // message returns the sums as a message, without the part of one of the daemons unless it is
-// nil.
+// nil. A relay sends such messages to each daemon of its zone several times a second; all share the
+// items in which that daemon has no part.
 func (s *sums) message(without *member) *rpc.Summary {
-	negative := newSums()
+	if s.encoded == nil {
+		s.encoded = &encodedSums{newItems(s.charges, encodeCharge), newItems(s.demands, encodeDemand), newItems(s.loads, encodeLoad)}
+	}
 	out := &rpc.Summary{Daemons: uint32(s.daemons), Silent: uint32(s.silent)}
+	negative := newSums()
 	if without != nil {
 		s.subtract(without, negative, out)
 	}
-	for o, c := range s.charges {
-		remaining := *c
-		if part := negative.charges[o]; part != nil {
-			remaining.total, remaining.asked = c.total+part.total, c.asked+part.asked
-		}
-		out.Charges = append(out.Charges, &rpc.Charge{
-			Organisation: o, Total: max(remaining.total, 0), Level: remaining.level, AskedPerSecond: max(remaining.asked, 0),
-		})
-	}
-	for name, d := range s.demands {
-		remaining := *d
-		if part := negative.demands[name]; part != nil {
-			remaining.running, remaining.requests, remaining.tokens, remaining.refused = d.running+part.running, d.requests+part.requests, d.tokens+part.tokens, d.refused+part.refused
-		}
-		out.Demands = append(out.Demands, &rpc.Demand{
-			Service: name, Running: uint32(max(remaining.running, 0)), RequestsPerSecond: max(remaining.requests, 0),
-			TokensPerSecond: max(remaining.tokens, 0), RefusedPerSecond: max(remaining.refused, 0),
-		})
-	}
-	for key, l := range s.loads {
-		remaining := *l
-		if part := negative.loads[key]; part != nil {
-			remaining.running, remaining.tokens, remaining.unread = l.running+part.running, l.tokens+part.tokens, l.unread+part.unread
-		}
-		if remaining.running <= 0 && remaining.tokens < minLoadRate && remaining.unread < minLoadRate {
-			continue
+	out.Charges = s.encoded.charges.replace(remaining(s.charges, negative.charges, (*charge).plus), encodeCharge)
+	out.Demands = s.encoded.demands.replace(remaining(s.demands, negative.demands, (*demand).plus), encodeDemand)
+	out.Loads = s.encoded.loads.replace(remaining(s.loads, negative.loads, (*load).plus), encodeLoad)
+	return out
+}
+
+// encodedSums holds sums as the items of messages.
+type encodedSums struct {
+	charges items[string, charge, rpc.Charge]
+	demands items[string, demand, rpc.Demand]
+	loads   items[loadKey, load, rpc.EndpointLoad]
+}
+
+// items holds the items of a message and their positions, by key. An item is nil if its sum is
+// empty.
+type items[K comparable, V, M any] struct {
+	list      []*M
+	positions map[K]int
+}
+
+func newItems[K comparable, V, M any](sums map[K]*V, encode func(K, *V) *M) items[K, V, M] {
+	out := items[K, V, M]{list: make([]*M, 0, len(sums)), positions: make(map[K]int, len(sums))}
+	for k, v := range sums {
+		out.positions[k] = len(out.list)
+		out.list = append(out.list, encode(k, v))
+	}
+	return out
+}
+
+// replace returns the items with those of some keys replaced, without empty ones.
+func (i *items[K, V, M]) replace(sums map[K]*V, encode func(K, *V) *M) []*M {
+	out := slices.Clone(i.list)
+	for k, v := range sums {
+		out[i.positions[k]] = encode(k, v)
+	}
+	return slices.DeleteFunc(out, func(m *M) bool { return m == nil })
+}
+
+// remaining returns the sums of those keys that have a negative part, with that part added.
+func remaining[K comparable, V any](sums, negative map[K]*V, plus func(*V, *V) *V) map[K]*V {
+	out := make(map[K]*V, len(negative))
+	for k, part := range negative {
+		if sum := sums[k]; sum != nil {
+			out[k] = plus(sum, part)
 		}
-		out.Loads = append(out.Loads, &rpc.EndpointLoad{
-			Endpoint: key.endpoint, Born: key.born, Running: uint32(max(remaining.running, 0)), TokensPerSecond: max(remaining.tokens, 0),
-			UnreadTokens: max(remaining.unread, 0),
-		})
 	}
 	return out
 }
 
+func (c *charge) plus(part *charge) *charge {
+	return &charge{total: c.total + part.total, asked: c.asked + part.asked, level: c.level}
+}
+
+func (d *demand) plus(part *demand) *demand {
+	return &demand{d.running + part.running, d.requests + part.requests, d.tokens + part.tokens, d.refused + part.refused}
+}
+
+func (l *load) plus(part *load) *load {
+	return &load{l.running + part.running, l.tokens + part.tokens, l.unread + part.unread}
+}
+
+func encodeCharge(organisation string, c *charge) *rpc.Charge {
+	return &rpc.Charge{Organisation: organisation, Total: max(c.total, 0), Level: c.level, AskedPerSecond: max(c.asked, 0)}
+}
+
+func encodeDemand(service string, d *demand) *rpc.Demand {
+	return &rpc.Demand{
+		Service: service, Running: uint32(max(d.running, 0)), RequestsPerSecond: max(d.requests, 0),
+		TokensPerSecond: max(d.tokens, 0), RefusedPerSecond: max(d.refused, 0),
+	}
+}
+
+// encodeLoad returns nil for a load that is only a rounding error.
+func encodeLoad(key loadKey, l *load) *rpc.EndpointLoad {
+	if l.running <= 0 && l.tokens < minLoadRate && l.unread < minLoadRate {
+		return nil
+	}
+	return &rpc.EndpointLoad{
+		Endpoint: key.endpoint, Born: key.born, Running: uint32(max(l.running, 0)), TokensPerSecond: max(l.tokens, 0),
+		UnreadTokens: max(l.unread, 0),
+	}
+}
+
 // subtract adds the contribution of a daemon, as of its last digest, to negative with a negative
 // sign, and subtracts the daemon from the count in out.
 func (s *sums) subtract(m *member, negative *sums, out *rpc.Summary) {
