One check of a departure, one return of a failed call, and no factor that is always one

updateDepartures asks isLeaving instead of repeating it; the forwarder's attempt returns once on an error; the fleet in paused time no longer slows its engines down, which only the use of the hosts' slowdown needed that was taken out; a comment says why zoneCapacity copies the list. Behaviour and assertions are as before.

--- a/internal/role/gateway/departures.go
+++ b/internal/role/gateway/departures.go
@@ -31,10 +31,10 @@
 func (g *Gateway) updateDepartures(now time.Time) {
 	g.announcer.Update(func(yield func(announcer.Known) bool) {
 		g.registry.EachHost(func(h *inventory.Host) {
-			listed := h.State == inventory.StateLeaving
-			if listed || g.registry.HostLeaving(h) {
+			if g.isLeaving(h) {
 				yield(announcer.Known{
-					Departure: announcer.Departure{Endpoint: h.Endpoints[0].Endpoint, StartTime: h.Born}, Listed: listed,
+					Departure: announcer.Departure{Endpoint: h.Endpoints[0].Endpoint, StartTime: h.Born},
+					Listed:    h.State == inventory.StateLeaving,
 				})
 			}
 		})
--- a/internal/role/gateway/duties.go
+++ b/internal/role/gateway/duties.go
@@ -310,6 +310,7 @@
 	for i := range out {
 		counts[out[i].Zone] = &out[i]
 	}
+	// A copy of the list, since the splitter calls the registry under its own lock.
 	for _, h := range u.g.registry.Hosts() {
 		z := counts[h.AvailabilityZone]
 		e := &h.Endpoints[0]
--- a/internal/role/gateway/engines_test.go
+++ b/internal/role/gateway/engines_test.go
@@ -62,9 +62,9 @@
 	fatal func(body string) bool
 	// answerHeaders returns the headers that an engine adds to an answer; nil adds none.
 	answerHeaders func(place int, id string, r *http.Request) http.Header
-	// hostSlowdown returns by how much work takes longer on the engines' hosts, and the slowdown
-	// that the engines state; nil means that they state none.
-	hostSlowdown func() (factor float64, stated string)
+	// hostSlowdown returns the slowdown of their hosts that the engines state; nil means that they
+	// state none.
+	hostSlowdown func() string
 	// refuses reports whether an engine refuses requests; nil means that none does.
 	refuses func(place int) bool
 
@@ -153,7 +153,7 @@
 		}
 		body := r.Header.Get("Body-Text")
 		if !e.fatal(body) {
-			time.Sleep(e.runTime())
+			time.Sleep(runTime)
 			return hosting.Serve
 		}
 		e.mu.Lock()
@@ -163,12 +163,7 @@
 		endIt(body)
 		return hosting.CloseUnanswered
 	})
-	if e.hostSlowdown != nil {
-		engine.SetHostSlowdown(func() string {
-			_, stated := e.hostSlowdown()
-			return stated
-		})
-	}
+	engine.SetHostSlowdown(e.hostSlowdown)
 	engine.SetHeaders(func(r *http.Request) http.Header {
 		if e.answerHeaders == nil {
 			return nil
@@ -186,15 +181,6 @@
 	e.f.store.Write(platform.EndpointKind, id, engine.Record("ready"))
 }
 
-// runTime returns the time before the first event of a stream.
-func (e *engineFleet) runTime() time.Duration {
-	if e.hostSlowdown == nil {
-		return runTime
-	}
-	factor, _ := e.hostSlowdown()
-	return time.Duration(factor * float64(runTime))
-}
-
 // exit ends an engine and everything that it runs. Its record expires, and another engine
 // starts at its address later.
 func (e *engineFleet) exit(place int, id, body string, server *http.Server) {
--- a/internal/role/gateway/noise_test.go
+++ b/internal/role/gateway/slowdown_test.go
@@ -7,8 +7,8 @@
 )
 
 // learnedFirstToken returns the time to first token that one daemon learns to expect of its requests
-// if the hosts of the engines are slowed down, and the engines state it.
-func learnedFirstToken(t *testing.T, hostSlowdown func() (float64, string)) (learned time.Duration) {
+// if the engines state a slowdown of their hosts; nil states none.
+func learnedFirstToken(t *testing.T, hostSlowdown func() string) (learned time.Duration) {
 	t.Helper()
 	inPausedTime(t, func(t *testing.T) {
 		f := newTestFleet(t)
@@ -34,7 +34,7 @@
 func TestStatedSlowdownMovesNothing(t *testing.T) {
 	usual := learnedFirstToken(t, nil)
 	for _, stated := range []string{"", "0", "-100", "NaN", "1e300", "2000000000", "0.0001", "250"} {
-		got := learnedFirstToken(t, func() (float64, string) { return 1, stated })
+		got := learnedFirstToken(t, func() string { return stated })
 		if got < usual*9/10 || got > usual*11/10 {
 			t.Errorf("%q: learned %v, without it %v", stated, got, usual)
 		}
--- a/internal/serve/forwarder/forwarder.go
+++ b/internal/serve/forwarder/forwarder.go
@@ -167,15 +167,13 @@
 		return nil, errLeaving
 	}
 	resp, err := f.c.Caller.Do(r, c.Body, c.NonIdempotent, state)
-	switch {
-	case err == nil:
-	case ctx.Err() != nil:
-		result = registry.Neutral
-		return nil, err
-	case errors.Is(err, caller.ErrRefusedConnection):
-		result = registry.Unreachable
-		return nil, err
-	default:
+	if err != nil {
+		switch {
+		case ctx.Err() != nil:
+			result = registry.Neutral
+		case errors.Is(err, caller.ErrRefusedConnection):
+			result = registry.Unreachable
+		}
 		return nil, err
 	}
 	defer resp.Body.Close()
