gateway: each test runs in a process of its own, side by side

Cause: under the race detector a process can run only one synctest bubble at a time, on one processor, so the fleets in paused time ran one after the other on one core.

Change: internal/testing/sharder, called from the package's TestMain, lists the selected tests, runs the test binary again for each of them, -parallel at a time, and prints each output when the test has ended. No test changes, and new tests need no registration.

--- /dev/null
+++ b/internal/role/gateway/main_test.go
@@ -0,0 +1,12 @@
+package gateway
+
+import (
+	"os"
+	"testing"
+
+	"brasschute/internal/testing/sharder"
+)
+
+// TestMain runs each test in a process of its own: fleets in paused time cannot run side by side in
+// one process under the race detector (see inPausedTime).
+func TestMain(m *testing.M) { os.Exit(sharder.New(sharder.Config{}).Run(m)) }
