Capacity back at once: a lease holder inherits what its predecessor knew

Cause: a new holder of the duties knew only the endpoints that were left. It measured growth from them and took prompts that were prefilled again for new demand: 21, 29, 42 and 59 engines were ordered for a need of 53, then 113 for 60.

Change: package poolrecorder keeps what the autoscaler knows in fleet/pools and in the holder's notes; the newer copy counts. For 20 s after a loss the need per request of before the loss counts, and the bound of growth follows what served before it. On-demand endpoints follow a falling need within seconds, and beyond what the loss of all reclaimable ones needs they are given back during a wave too.

--- a/internal/fleet/autoscaler/autoscaler.go
+++ b/internal/fleet/autoscaler/autoscaler.go
@@ -9,10 +9,15 @@
 // Scaling up is immediate, scaling down is delayed: a fleet that follows each dip of the load pays
 // for engines that start with empty caches. A number is lowered only when a lower one has been
 // wanted for [shrinkDelay], or [shrinkDelayOnDemand]. The required number is held for [demandHold]
-// after a peak and then decays with [demandDecay]. A new lease holder has no record of its
-// predecessor's orders and, after a mass failure, none of the load: it takes the number of listed
+// after a peak and then decays with [demandDecay], for on-demand endpoints with
+// [onDemandDecay]. A new lease holder inherits what its predecessor knew; see [Autoscaler.Inherit].
+// Without that it has, after a mass failure, no record of the load: it takes the number of listed
 // endpoints as the required number.
 //
+// After a loss, prompts are prefilled again and requests wait longer, so the same clients put a
+// higher load on what is left. While a loss is recent, the need per request of before the loss
+// counts.
+//
 // The reclaimable endpoints of a zone are reclaimed all at once, at two seconds' notice, and no
 // others are available there for a while; the next zone often follows. A loss is therefore
 // replaced at the next step, the zone counts as unavailable for [reclaimBackoff] or until some
@@ -21,6 +26,7 @@
 // # Usage
 //
 //	a := autoscaler.New(autoscaler.Config{...})
+//	a.Inherit(fencing, record)        // once the lease is held, if there is a record
 //	a.Step(ctx, fencing, services) // once a second while the lease of the duty is held
 package autoscaler
 
@@ -34,6 +40,7 @@
 	"brasschute/internal/config/catalog"
 	"brasschute/internal/config/document"
 	"brasschute/internal/core/identifier"
+	"brasschute/internal/fleet/poolrecorder"
 	"brasschute/internal/fleet/sizer"
 	"brasschute/internal/platform/object"
 	"brasschute/internal/route/demandmeter"
@@ -53,6 +60,9 @@
 	// then falls by two thirds.
 	demandHold  = 4 * time.Second
 	demandDecay = 10 * time.Second
+	// onDemandDecay is the same as demandDecay for on-demand endpoints. They cost several times
+	// as much, and few of them are left idle for a peak that may return.
+	onDemandDecay = 2 * time.Second
 	// refusalBackoff is how long a zone that had no reclaimable endpoints is not asked again.
 	refusalBackoff = 3 * time.Second
 	// warmUp is how long a new fleet keeps the number of endpoints it started with, until its
@@ -69,6 +79,11 @@
 	maxGrowthFactor = 1.4
 	// peakWindow is how long an endpoint that has gone counts towards the recent number.
 	peakWindow = 20 * time.Second
+	// perRequestTime is the time over which the need per request is averaged: a few half-lives
+	// of the rates.
+	perRequestTime = 5 * time.Second
+	// lossFraction is the part of a pool whose loss in one step is not a single crash.
+	lossFraction = 0.1
 	// loadSettleTime is how long after the first request no endpoints are given back. After it
 	// the sum of the rates of all daemons, from gossip that is seconds old, reflects the load.
 	loadSettleTime = 5 * time.Second
@@ -155,7 +170,12 @@
 	started time.Time
 	fencing uint64
 	states  map[key]*state
-	demands map[identifier.Service]*peak
+	// demands are the required numbers, onDemandDemands those that apply to on-demand endpoints.
+	demands         map[identifier.Service]*peak
+	onDemandDemands map[identifier.Service]*peak
+	losses          map[identifier.Service]*loss
+	// inheritedAt is the time of the record that this holder inherited, zero if there was none.
+	inheritedAt time.Time
 	// initial is the most on-demand endpoints that a new fleet had, peaks the most endpoints of
 	// each service in the last peakWindow.
 	initial map[identifier.Service]int
@@ -171,34 +191,48 @@
 }
 
 // update records the current number and returns the number to use. An earlier peak is kept for
-// demandHold and then decays.
-func (n *peak) update(engines float64, now time.Time) float64 {
-	sinceHold := max(now.Sub(n.at)-demandHold, 0)
-	if decayed := n.engines * math.Exp(-sinceHold.Seconds()/demandDecay.Seconds()); engines < decayed {
+// demandHold and then decays with the given time constant.
+func (n *peak) update(engines float64, now time.Time, decay time.Duration) float64 {
+	if decayed := n.current(now, decay); engines < decayed {
 		return decayed
 	}
 	n.engines, n.at = engines, now
 	return engines
 }
 
+// current returns what is left of the peak.
+func (n *peak) current(now time.Time, decay time.Duration) float64 {
+	sinceHold := max(now.Sub(n.at)-demandHold, 0)
+	return n.engines * math.Exp(-sinceHold.Seconds()/decay.Seconds())
+}
+
 // maxEndpoints returns the most endpoints that may be wanted after this peak.
 func (n *peak) maxEndpoints() float64 { return max(maxGrowthFactor*n.engines, 1) }
 
 // New returns an Autoscaler that has not sent any orders.
 func New(c Config) *Autoscaler {
-	return &Autoscaler{
-		c: c, started: time.Now(), states: make(map[key]*state), demands: make(map[identifier.Service]*peak),
-		initial: make(map[identifier.Service]int), peaks: make(map[identifier.Service]*peak), firstRequest: make(map[identifier.Service]time.Time),
+	a := &Autoscaler{
+		c: c, started: time.Now(), initial: make(map[identifier.Service]int), peaks: make(map[identifier.Service]*peak),
+		firstRequest: make(map[identifier.Service]time.Time),
 	}
+	a.reset(0)
+	return a
+}
+
+// reset discards what was recorded under another fencing number.
+func (a *Autoscaler) reset(fencing uint64) {
+	a.fencing, a.inheritedAt = fencing, time.Time{}
+	a.states = make(map[key]*state)
+	a.demands = make(map[identifier.Service]*peak)
+	a.onDemandDemands = make(map[identifier.Service]*peak)
+	a.losses = make(map[identifier.Service]*loss)
 }
 
 // Step sends the orders that are due. A fencing number that differs from the one of the last step
 // discards the recorded orders and peaks.
 func (a *Autoscaler) Step(ctx context.Context, fencing uint64, services []Service) {
 	if fencing != a.fencing {
-		a.fencing = fencing
-		a.states = make(map[key]*state)
-		a.demands = make(map[identifier.Service]*peak)
+		a.reset(fencing)
 	}
 	for i := range services {
 		a.stepService(ctx, &services[i])
@@ -210,27 +244,69 @@
 	if a.startedWithin(now, listingTime) {
 		return
 	}
-	noShrink := a.loadSettling(s, now)
-	required := a.required(s, now)
+	settling := a.loadSettling(s, now)
+	reclaimed := a.observe(s, now)
+	required, onDemand := a.required(s, now)
+	// Reclaimable endpoints first: where none are available, on-demand ones are ordered in the
+	// same step.
+	for _, w := range sizer.Size(a.sizerInput(s, required, now)) {
+		a.orderIfDue(ctx, s, w.Zone, document.ClassReclaimable, w.Reclaimable, settling || reclaimed)
+	}
+	in := a.sizerInput(s, onDemand, now)
+	wanted := sizer.Size(in)
+	if reclaimed {
+		wanted = keepForWave(in, wanted)
+	}
+	for _, w := range wanted {
+		a.orderIfDue(ctx, s, w.Zone, document.ClassOnDemand, w.OnDemand, settling)
+	}
+}
+
+// observe records the listed endpoints, and reports whether some were reclaimed so recently that
+// other zones may follow.
+func (a *Autoscaler) observe(s *Service, now time.Time) (reclaimed bool) {
+	listed, before, ordered := 0, 0, 0
 	for i := range s.Zones {
 		z := &s.Zones[i]
-		t := a.state(s, z.Zone, document.ClassReclaimable)
+		t, onDemand := a.state(s, z.Zone, document.ClassReclaimable), a.state(s, z.Zone, document.ClassOnDemand)
+		before += t.listed + onDemand.listed
+		ordered += t.ordered + onDemand.ordered
+		listed += z.Reclaimable + z.OnDemand
 		t.observe(z.Reclaimable, now)
-		noShrink = noShrink || now.Sub(t.reclaimedAt) < reclaimShrinkDelay
-		a.state(s, z.Zone, document.ClassOnDemand).listed = z.OnDemand
+		onDemand.listed = z.OnDemand
+		reclaimed = reclaimed || now.Sub(t.reclaimedAt) < reclaimShrinkDelay
 	}
-	// Reclaimable endpoints first: where none are available, on-demand ones are ordered in the
-	// same step.
-	for _, w := range a.size(s, required, now) {
-		a.orderIfDue(ctx, s, w.Zone, document.ClassReclaimable, w.Reclaimable, noShrink)
+	if float64(listed) < (1-lossFraction)*float64(before) && listed < ordered {
+		a.loss(s.Service).at = now
 	}
-	for _, w := range a.size(s, required, now) {
-		a.orderIfDue(ctx, s, w.Zone, document.ClassOnDemand, w.OnDemand, noShrink)
+	return reclaimed
+}
+
+// keepForWave returns the wanted numbers with as many on-demand endpoints as are needed if the
+// reclaimable ones of all zones are lost. Only those beyond that number are given back while a
+// wave of reclaims is under way.
+func keepForWave(in *sizer.Input, wanted []sizer.Wanted) []sizer.Wanted {
+	worst := *in
+	worst.Spare, worst.Zones = 0, slices.Clone(in.Zones)
+	for i := range worst.Zones {
+		z := &worst.Zones[i]
+		z.Reclaimable, z.ReclaimableWithPending, z.ReclaimableUnavailable = 0, 0, true
+	}
+	kept := make(map[identifier.AvailabilityZone]int, len(in.Zones))
+	for _, w := range sizer.Size(&worst) {
+		kept[w.Zone] = w.OnDemand
+	}
+	for _, z := range in.Zones {
+		kept[z.Zone] = min(kept[z.Zone], z.OnDemand)
 	}
+	for i := range wanted {
+		wanted[i].OnDemand = max(wanted[i].OnDemand, kept[wanted[i].Zone])
+	}
+	return wanted
 }
 
-// size returns the wanted numbers for the endpoints that are listed and ordered now.
-func (a *Autoscaler) size(s *Service, required float64, now time.Time) []sizer.Wanted {
+// sizerInput returns the input for the endpoints that are listed and ordered now.
+func (a *Autoscaler) sizerInput(s *Service, required float64, now time.Time) *sizer.Input {
 	in := &sizer.Input{Scale: s.Scale, Required: required, Zones: slices.Clone(s.Zones)}
 	if a.startedWithin(now, warmUp) {
 		in.Spare = warmUpSpareFraction * float64(a.initial[s.Service])
@@ -241,24 +317,27 @@
 		z.ReclaimableUnavailable, z.ReclaimableWithPending = t.unavailable(now), t.withPending(s.Scale.BootTime, now)
 		z.OnDemand = a.state(s, z.Zone, document.ClassOnDemand).withPending(s.Scale.BootTime, now)
 	}
-	return sizer.Size(in)
+	return in
 }
 
 // required returns the number of endpoints that the recent demand for a service requires,
-// without the spare ones for the loss of a zone.
-func (a *Autoscaler) required(s *Service, now time.Time) float64 {
+// without the spare ones for the loss of a zone, and the number that applies to on-demand ones.
+func (a *Autoscaler) required(s *Service, now time.Time) (required, onDemand float64) {
 	p := newPool(s)
-	needed := min(s.Capacity.EndpointsFor(s.Demand), a.maxEndpoints(s.Service, p.beforeReclaims(), now))
+	needed := min(a.needed(s, now), a.maxEndpoints(s.Service, p.beforeReclaims(), now))
 	if a.startedWithin(now, warmUp) {
 		a.initial[s.Service] = max(a.initial[s.Service], p.onDemand)
-		return max(needed, float64(a.initial[s.Service]))
+		needed = max(needed, float64(a.initial[s.Service]))
+		return needed, needed
+	}
+	if a.demands[s.Service] == nil {
+		a.demands[s.Service] = &peak{engines: p.serving(), at: now}
 	}
-	n := a.demands[s.Service]
-	if n == nil {
-		n = &peak{engines: p.serving(), at: now}
-		a.demands[s.Service] = n
+	if a.onDemandDemands[s.Service] == nil {
+		n := *a.demands[s.Service]
+		a.onDemandDemands[s.Service] = &n
 	}
-	return n.update(needed, now)
+	return a.demands[s.Service].update(needed, now, demandDecay), a.onDemandDemands[s.Service].update(needed, now, onDemandDecay)
 }
 
 // pool counts a service's endpoints in all zones. fullest is the number of reclaimable
@@ -298,7 +377,7 @@
 // that serve now or served within peakWindow.
 func (a *Autoscaler) maxEndpoints(s identifier.Service, serving float64, now time.Time) float64 {
 	p := a.peaks[s]
-	if p == nil || serving >= p.engines || now.Sub(p.at) > peakWindow {
+	if p == nil || serving >= p.engines || now.Sub(p.at) > peakWindow && !a.lossUnreplaced(s, serving, now) {
 		p = &peak{engines: serving, at: now}
 		a.peaks[s] = p
 	}
@@ -368,7 +447,8 @@
 	a.c.Logger.Info("endpoints ordered", "service", s.Service, "zone", z, "class", class, "wanted", wanted, "before", t.ordered,
 		"listed", t.listed, "fencing", a.fencing, "tokens_per_second", int(s.Demand.Tokens), "running", s.Demand.Running,
 		"engine_tokens_per_second", int(s.Capacity.Tokens), "needed", s.Capacity.EndpointsFor(s.Demand),
-		"at_most", a.peaks[s.Service].maxEndpoints(), "error", err)
+		"at_most", a.peaks[s.Service].maxEndpoints(), "growth_follows", a.peaks[s.Service].engines, "loss_age_ms", poolrecorder.AgeOf(a.loss(s.Service).at, now),
+		"inherited", !a.inheritedAt.IsZero(), "inherited_age_ms", poolrecorder.AgeOf(a.inheritedAt, now), "error", err)
 	t.orderedAt = now
 	switch {
 	case err == nil:
--- /dev/null
+++ b/internal/fleet/poolrecorder/poolrecorder_test.go
@@ -0,0 +1,215 @@
+package poolrecorder
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"brasschute/internal/config/document"
+	"brasschute/internal/platform/object"
+)
+
+// store is a fake store that counts writes.
+type store struct {
+	o      object.Object
+	down   bool
+	lose   bool
+	writes int
+}
+
+func (s *store) Get(context.Context, string) (object.Object, error) {
+	switch {
+	case s.down:
+		return object.Object{}, object.ErrUnavailable
+	case s.o.Version == object.Absent:
+		return s.o, object.ErrMissing
+	}
+	return s.o, nil
+}
+
+func (s *store) Put(_ context.Context, _ string, ifVersion uint64, value any) (object.Object, error) {
+	switch {
+	case s.down:
+		return object.Object{}, object.ErrUnavailable
+	case s.o.Version != ifVersion:
+		return object.Object{}, object.ErrConflict
+	}
+	s.writes++
+	raw, _ := json.Marshal(value)
+	s.o = object.Object{Version: ifVersion + 1, Value: raw}
+	if s.lose {
+		return object.Object{}, object.ErrUnknown
+	}
+	return s.o, nil
+}
+
+// newRecorder returns a recorder whose clock differs from the true time.
+func newRecorder(s *store, unreadable *int) *Recorder {
+	return New(Config{Store: s, TrueTime: func() time.Time { return time.Now().Add(time.Hour) }, OnUnreadable: func(error) { *unreadable++ }})
+}
+
+func newRecord(fencing uint64, needed float64, now time.Time) *Record {
+	return &Record{Fencing: fencing, Pools: []Pool{{
+		Service: "lm", Needed: needed, NeededAge: 500,
+		Places: []Place{{Zone: "a", Class: document.ClassReclaimable, Ordered: 7, OrderedAge: AgeOf(now.Add(-2*time.Second), now)}},
+	}}}
+}
+
+// The newer copy counts: the store's after a note was lost, the note's while the holder could not
+// write. Ages go on while a copy lies in the store or at a candidate.
+func TestNewerCopyCounts(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		storeDown bool
+		noteFirst bool
+		source    Source
+		needed    float64
+	}{
+		{"note newer than the store", false, false, FromNote, 60},
+		{"store newer than the note", false, true, FromStore, 60},
+		{"store unreachable", true, true, FromNote, 50},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s, unreadable := new(store), 0
+				holder, next := newRecorder(s, &unreadable), newRecorder(s, &unreadable)
+				holder.Update(newRecord(3, 50, time.Now()))
+				note := holder.Encode(3)
+				if !c.noteFirst {
+					if err := holder.Write(t.Context()); err != nil {
+						t.Fatal(err)
+					}
+				}
+				holder.Update(newRecord(3, 60, time.Now()))
+				if !c.noteFirst {
+					note = holder.Encode(3)
+				} else if err := holder.Write(t.Context()); err != nil {
+					t.Fatal(err)
+				}
+				next.Merge(note)
+				time.Sleep(3 * time.Second)
+				s.down = c.storeDown
+				got, source, err := next.Inherit(t.Context())
+				if got == nil || source != c.source || got.Pools[0].Needed != c.needed || c.storeDown != (err != nil) {
+					t.Fatalf("inherited %+v from the %s (%v), want %.0f from the %s", got, source, err, c.needed, c.source)
+				}
+				ordered := got.Pools[0].Places[0].OrderedAge.Time(got.At)
+				if age := time.Since(ordered); (age - 5*time.Second).Abs() > 50*time.Millisecond {
+					t.Errorf("an order of 5 s ago is %v old", age)
+				}
+			})
+		})
+	}
+}
+
+// A note of a former holder that arrives late must not replace that of its successor, and one of
+// a daemon without the field changes nothing.
+func TestLateNoteIsIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, unreadable := &store{down: true}, 0
+		former, holder, next := newRecorder(s, &unreadable), newRecorder(s, &unreadable), newRecorder(s, &unreadable)
+		former.Update(newRecord(3, 50, time.Now()))
+		late := former.Encode(3)
+		holder.Update(newRecord(4, 60, time.Now()))
+		next.Merge(holder.Encode(4))
+		next.Merge(late)
+		next.Merge(nil)
+		if got, _, _ := next.Inherit(t.Context()); got == nil || got.Fencing != 4 {
+			t.Errorf("inherited %+v", got)
+		}
+		if former.Encode(5) != nil {
+			t.Error("a record of another fencing number is sent")
+		}
+	})
+}
+
+// An unreadable record is reported and treated as if there were none, and the next write replaces
+// it. Without that, no holder could keep a record again.
+func TestUnreadableRecordIsReplaced(t *testing.T) {
+	for _, value := range []string{"\x00", `{"Fencing":"x"}`, `{}`, `{"Fencing":1,"Pools":[{"Needed":-1}]}`, `{"Fencing":1,"Pools":[{"NeededAge":9000000000000000}]}`} {
+		synctest.Test(t, func(t *testing.T) {
+			s, unreadable := &store{o: object.Object{Version: 8, Value: []byte(value)}}, 0
+			r := newRecorder(s, &unreadable)
+			r.Merge([]byte(value))
+			if got, source, err := r.Inherit(t.Context()); got != nil || source != FromNone || err != nil || unreadable != 2 {
+				t.Errorf("%q: inherited %+v from %s, %v, %d reported", value, got, source, err, unreadable)
+			}
+			r.Update(newRecord(2, 50, time.Now()))
+			if err := r.Write(t.Context()); err != nil || s.writes != 1 {
+				t.Errorf("%q: %d writes, %v", value, s.writes, err)
+			}
+		})
+	}
+}
+
+// Guards against calls to the store that only time explains: each has a cost.
+func TestWritesOnlyChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, unreadable := new(store), 0
+		r := newRecorder(s, &unreadable)
+		orderedAt := time.Now()
+		write := func(needed float64, ordered int) int {
+			time.Sleep(time.Second)
+			record := newRecord(2, needed, time.Now())
+			record.Pools[0].Places[0].Ordered, record.Pools[0].Places[0].OrderedAge = ordered, AgeOf(orderedAt, time.Now())
+			r.Update(record)
+			if err := r.Write(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			return s.writes
+		}
+		for i, step := range []struct {
+			needed  float64
+			ordered int
+			writes  int
+		}{{50, 7, 1}, {50, 7, 1}, {52, 7, 1}, {57, 7, 2}, {57, 9, 3}, {57, 9, 3}} {
+			if got := write(step.needed, step.ordered); got != step.writes {
+				t.Errorf("%d writes after step %d, want %d", got, i, step.writes)
+			}
+		}
+	})
+}
+
+// A write whose answer is lost is followed by a read, and a record of a later holder stays.
+func TestLostAnswerAndLaterHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, unreadable := &store{lose: true}, 0
+		r, later := newRecorder(s, &unreadable), newRecorder(s, &unreadable)
+		r.Update(newRecord(2, 50, time.Now()))
+		if err := r.Write(t.Context()); err == nil {
+			t.Fatal("a lost answer is no error")
+		}
+		s.lose = false
+		if err := r.Write(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		later.Update(newRecord(3, 70, time.Now()))
+		if err := later.Write(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		r.Update(newRecord(2, 90, time.Now()))
+		for range 3 {
+			if err := r.Write(t.Context()); err == nil {
+				t.Error("the record of a later holder was replaced")
+			}
+		}
+	})
+}
+
+// A record of long ago says nothing of today's load.
+func TestOldRecordIsIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, unreadable := new(store), 0
+		r := newRecorder(s, &unreadable)
+		r.Update(newRecord(2, 50, time.Now()))
+		if err := r.Write(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(maxAge + time.Second)
+		if got, source, err := newRecorder(s, &unreadable).Inherit(t.Context()); got != nil || source != FromNone || err != nil {
+			t.Errorf("inherited %+v from %s, %v", got, source, err)
+		}
+	})
+}
--- a/internal/role/gateway/duties.go
+++ b/internal/role/gateway/duties.go
@@ -66,6 +66,8 @@
 	storedAddresses []string
 	// storedQuotasVersion is the version of the stored quotas' levels.
 	storedQuotasVersion uint64
+	// inheritedFencing is the fencing number under which the pools' record was last inherited.
+	inheritedFencing uint64
 	// storedQuarantine is the state of the stored quarantine, as heldRequests returns it.
 	storedQuarantine string
 }
@@ -96,6 +98,10 @@
 	}
 	g.tree.Add(serviceFunc(u.serve))
 	g.tree.Add(serviceFunc(u.runQuotaStore))
+	if d.FleetSizing {
+		g.pools = g.buildPools()
+		g.tree.Add(serviceFunc(u.runPoolStore))
+	}
 	if d.Rollouts {
 		g.tree.Add(serviceFunc(u.runRollouts))
 	}
@@ -136,18 +142,22 @@
 		if _, held := u.g.lease.Held(); held && !u.g.stopping.Load() {
 			u.notifyCandidates(ctx)
 		}
-		fencing, held := u.g.lease.HeldExclusively()
-		if !held || u.g.stopping.Load() {
+		fencing, exclusive := u.g.lease.HeldExclusively()
+		if _, held := u.g.lease.Held(); held && u.g.pools != nil && !u.g.stopping.Load() {
+			u.inheritPools(ctx, fencing, exclusive)
+		}
+		if !exclusive || u.g.stopping.Load() {
 			return
 		}
+		// Orders first: the records below may wait for a store that does not answer.
+		if u.g.pools != nil {
+			u.sizePools(ctx, fencing)
+		}
 		u.storeFleet(ctx)
 		u.storeQuarantine(ctx)
 		if u.g.c.Deployment.UsageReports {
 			u.usageReporter.Step(ctx, fencing)
 		}
-		if u.g.c.Deployment.FleetSizing {
-			u.autoscaler.Step(ctx, fencing, u.scalableServices())
-		}
 	})
 }
 
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -46,6 +46,7 @@
 	"brasschute/internal/core/watchdog"
 	"brasschute/internal/engine/sender"
 	"brasschute/internal/fleet/leaser"
+	"brasschute/internal/fleet/poolrecorder"
 	"brasschute/internal/fleet/usagecounter"
 	"brasschute/internal/ops/accesslogger"
 	"brasschute/internal/ops/server"
@@ -212,7 +213,9 @@
 	syncer         *syncer.Syncer
 	supplier       *supplier.Supplier
 	lease          *leaser.Leaser
-	sequence       atomic.Uint64
+	// pools keeps what the sizing of pools knows; nil where that is not a duty.
+	pools    *poolrecorder.Recorder
+	sequence atomic.Uint64
 	// reportedFleetSize is the largest fleet size reported by the store or a peer.
 	reportedFleetSize atomic.Int64
 	// holderSeenAt is when a peer last reported that it holds the lease, in Unix nanoseconds.
--- a/internal/role/gateway/gossip.go
+++ b/internal/role/gateway/gossip.go
@@ -264,6 +264,7 @@
 	out.Suspects = g.quarantine.RPCSuspects()
 	out.Rollouts = g.encodeRollouts()
 	out.Limits, out.Rests = g.encodeLimits(), g.encodeBackoffs()
+	out.Pools = g.encodePools()
 	return out
 }
 
@@ -278,6 +279,7 @@
 // mergeNote merges a peer's note.
 func (g *Gateway) mergeNote(n *rpc.Note) {
 	g.noteHolder(n.GetHoldsDuties())
+	g.mergePools(n.GetPools())
 	g.quarantine.MergeSuspects(n.GetSuspects())
 	g.pacer.Merge(decodeLimits(n.GetLimits()))
 	g.mergeBackoffs(n.GetRests())
