--- a/internal/fleet/autoscaler/replay_test.go
+++ b/internal/fleet/autoscaler/replay_test.go
@@ -40,7 +40,8 @@
 	// listed are the engines that serve, ordered the desired numbers, due when engines start.
 	listed map[key]int
 	due    map[key][]time.Time
-	noMore bool
+	// noMore is set if no more reclaimable engines are available, fails if orders fail.
+	noMore, fails bool
 	// lostAt is when engines were last reclaimed: caches are cold until they have been filled again.
 	lostAt time.Time
 	// ended holds when running requests end.
@@ -64,6 +65,9 @@
 // order is the cloud's call. Engines beyond the desired number stop at once, missing ones start.
 func (r *replay) order(_ context.Context, _ uint64, s identifier.Service, z identifier.AvailabilityZone, class document.Class, wanted int) error {
 	k := key{s, z, class}
+	if r.fails {
+		return object.ErrUnavailable
+	}
 	if class == document.ClassReclaimable && r.noMore && wanted > r.listed[k] {
 		return object.ErrConflict
 	}
@@ -253,24 +257,24 @@
 // ordered, and the first of them given back 13 s after the need was back at 60.
 func TestOnDemandIsGivenBackSoon(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		const needed = 60
-		r := newReplay(t, 110, 0)
+		const most, needed = 135, 60
+		r := newReplay(t, most, 0)
 		r.noMore = true
 		a := r.newHolder()
 		for _, z := range r.zones() {
-			r.listed[key{"lm", z, document.ClassOnDemand}] = 30
+			r.listed[key{"lm", z, document.ClassOnDemand}] = 35
 		}
 		r.run(a, 1, 20*time.Second, nil)
 		before := r.engines(true)
-		if before < 110 {
-			t.Fatalf("%d engines for a need of 110", before)
+		if before < most {
+			t.Fatalf("%d engines for a need of %d", before, most)
 		}
 		r.needed = needed
 		r.began = time.Now()
 		// The rates take some half-lives of two seconds to show the fall.
-		r.run(a, 1, 12*time.Second, nil)
-		if got := r.engines(true); got > needed+30 {
-			t.Errorf("%d engines 12 s after the need fell to %d from %d", got, needed, before)
+		r.run(a, 1, 9*time.Second, nil)
+		if got := r.engines(true); got > needed+20 {
+			t.Errorf("%d engines 9 s after the need fell to %d from %d", got, needed, before)
 		}
 		r.run(a, 1, 40*time.Second, func(time.Duration) {
 			if got := r.engines(true); got < needed {
@@ -310,6 +314,27 @@
 	})
 }
 
+// Guards against a bound of growth that follows what is left once the loss is some time ago: the
+// cloud starts no engines for half a minute after three zones lost theirs.
+func TestGrowthFollowsWhatServedUntilReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const needed = 51
+		r := newReplay(t, needed, 20)
+		a := r.newHolder()
+		r.run(a, 1, 15*time.Second, nil)
+		for _, z := range r.zones() {
+			r.reclaim(z)
+		}
+		r.fails = true
+		r.run(a, 1, 45*time.Second, nil)
+		r.fails = false
+		r.run(a, 1, 46*time.Second, nil)
+		if got := r.engines(true); got < needed {
+			t.Errorf("%d engines serve or start a second after the cloud starts some again, %d are needed", got, needed)
+		}
+	})
+}
+
 // Guards against a successor that forgets a refusal or an order of its predecessor: a zone
 // without reclaimable engines was asked again, and orders under way were repeated.
 func TestRecordHoldsOrdersAndRefusals(t *testing.T) {
--- a/internal/fleet/leaser/leaser.go
+++ b/internal/fleet/leaser/leaser.go
@@ -10,7 +10,12 @@
 // expiry is therefore counted from before its last renewal was sent, and ends a margin early;
 // [Leaser.Held] is called right before each order. An order may still be in flight when the lease
 // expires: engines that honour fencing refuse it once they have had an order of the successor, and
-// for engines that don't the successor waits [MaxOrderDelay] before its first order.
+// for engines that don't the successor sends none until [MaxOrderDelay] after the former holder's
+// own expiry.
+//
+// A holder may announce the revision of its last acknowledged renewal. A candidate that hears of
+// it counts the duration from when it first did, which is after that renewal, and reads the store
+// only when the duration has passed. If the store still has that revision, the lease has expired.
 //
 // A renewal whose answer is lost may or may not have taken effect. The holder does not count on
 // it; it reads the lease and continues from what it finds.
@@ -45,6 +50,8 @@
 	// as expired 1/marginDivisor of the duration early.
 	renewalsPerDuration = 3
 	marginDivisor       = 5
+	// takeoverSpread is the fraction of the duration over which candidates spread their takeovers.
+	takeoverSpread = 30
 )
 
 // Store is the platform's object store.
@@ -70,6 +77,9 @@
 	// HeldByOther reports whether another candidate is known to hold the lease now, so that the
 	// store need not be read; nil if that is never known.
 	HeldByOther func() bool
+	// Heard returns the highest revision of the lease that a holder has announced, and when that was
+	// first heard, by the clock of Now; 0 for none. May be nil.
+	Heard func() (revision uint64, since time.Time)
 	// OnChange is called when the lease is gained or lost; may be nil.
 	OnChange func(fencing uint64, held bool)
 	// OnUnreadable is called for a lease that no candidate has written; may be nil.
@@ -96,9 +106,11 @@
 	exclusiveFrom time.Time
 	current       record
 
-	// seenVersion is the version last observed, seenSince when it was first observed.
+	// seenVersion is the version last observed, seenSince a time at which it had been written.
 	seenVersion uint64
 	seenSince   time.Time
+	// heldVersion is the version of this candidate's last acknowledged write.
+	heldVersion uint64
 	// confirmed is set if seenVersion is the version of this candidate's last write.
 	confirmed bool
 }
@@ -117,6 +129,9 @@
 	if c.HeldByOther == nil {
 		c.HeldByOther = func() bool { return false }
 	}
+	if c.Heard == nil {
+		c.Heard = func() (uint64, time.Time) { return object.Absent, time.Time{} }
+	}
 	if c.Now == nil {
 		c.Now = time.Now
 	}
@@ -151,16 +166,45 @@
 	return l.confirmed && l.c.Now().Before(l.heldUntil)
 }
 
+// Revision returns the revision of the last acknowledged renewal while the lease is held, else 0.
+func (l *Leaser) Revision() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.c.Now().Before(l.heldUntil) {
+		return object.Absent
+	}
+	return l.heldVersion
+}
+
 // Serve renews the lease or tries to take it until ctx ends.
 func (l *Leaser) Serve(ctx context.Context) error {
 	for ctx.Err() == nil {
 		l.step(ctx)
-		pause := l.c.Duration / renewalsPerDuration
-		waiter.For(ctx, pause-pause/10+rand.N(pause/5+1))
+		waiter.For(ctx, l.pause())
 	}
 	return ctx.Err()
 }
 
+// pause returns the time until the next step: that of a renewal, or less if the lease of another
+// holder can expire before. The candidates differ by a little, so that usually one of them writes.
+func (l *Leaser) pause() time.Duration {
+	pause := l.c.Duration / renewalsPerDuration
+	pause += rand.N(pause/5+1) - pause/10
+	if _, held := l.Held(); held {
+		return pause
+	}
+	l.mu.Lock()
+	since, now := l.seenSince, l.c.Now()
+	l.mu.Unlock()
+	if revision, heardSince := l.c.Heard(); revision != object.Absent && heardSince.After(since) {
+		since = heardSince
+	}
+	if left := since.Add(l.c.Duration).Sub(now); left >= 0 && left < pause {
+		return left + 1 + rand.N(l.c.Duration/takeoverSpread)
+	}
+	return pause
+}
+
 // Release gives up the lease if it is held, so that a successor need not wait until it expires.
 // Serve must have returned before.
 func (l *Leaser) Release(ctx context.Context) error {
@@ -203,21 +247,45 @@
 	if err != nil {
 		return
 	}
-	if version != l.seenVersion {
-		l.seenVersion, l.seenSince = version, start
-	}
+	l.observe(version)
 	own := r.Holder == l.c.Host && r.FencingNumber == l.current.FencingNumber && r.FencingNumber > 0
 	// The holder's process was killed, and this is the next process on its host.
 	restarted := r.Holder == l.c.Host && !own
 	switch {
 	case own:
 		l.write(ctx, r, version, start, false)
-	case restarted || version == object.Absent || r.Released || start.Sub(l.seenSince) > max(r.Duration, l.c.Duration):
-		r.FencingNumber++
-		l.write(ctx, r, version, start, true)
+	case restarted || version == object.Absent || r.Released:
+		l.take(ctx, r, version, start, start.Add(l.c.MaxOrderDelay))
+	case start.Sub(l.seenSince) > max(r.Duration, l.c.Duration):
+		l.take(ctx, r, version, start, l.seenSince.Add(validity(max(r.Duration, l.c.Duration))+l.c.MaxOrderDelay))
+	}
+}
+
+// observe records the version that the store has. It was written before now, and before its
+// holder announced it.
+func (l *Leaser) observe(version uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if version != l.seenVersion {
+		l.seenVersion, l.seenSince = version, l.c.Now()
+	}
+	if revision, since := l.c.Heard(); revision == version && since.Before(l.seenSince) {
+		l.seenSince = since
 	}
 }
 
+// validity returns how long a holder counts on a lease after the start of its last renewal.
+func validity(duration time.Duration) time.Duration { return duration - duration/marginDivisor }
+
+// take takes the lease over. Orders of the former holder may be in flight until exclusiveFrom.
+func (l *Leaser) take(ctx context.Context, r record, version uint64, start, exclusiveFrom time.Time) {
+	l.mu.Lock()
+	l.exclusiveFrom = exclusiveFrom
+	l.mu.Unlock()
+	r.FencingNumber++
+	l.write(ctx, r, version, start, true)
+}
+
 func (l *Leaser) read(ctx context.Context) (record, uint64, error) {
 	o, err := l.c.Store.Get(ctx, l.c.Key)
 	if errors.Is(err, object.ErrMissing) {
@@ -274,10 +342,7 @@
 	if err != nil {
 		return
 	}
-	l.seenVersion, l.seenSince = o.Version, start
-	l.heldUntil = start.Add(l.c.Duration - l.c.Duration/marginDivisor)
+	l.seenVersion, l.seenSince, l.heldVersion = o.Version, start, o.Version
+	l.heldUntil = start.Add(validity(l.c.Duration))
 	l.current = r
-	if taken {
-		l.exclusiveFrom = start.Add(l.c.MaxOrderDelay)
-	}
 }
--- a/internal/role/gateway/duties.go
+++ b/internal/role/gateway/duties.go
@@ -38,6 +38,8 @@
 	holderNoteInterval = time.Second
 	// dutyInterval is how often the holder checks which duties are due.
 	dutyInterval = 500 * time.Millisecond
+	// takeoverInterval is the same while a new holder waits for calls of the former one.
+	takeoverInterval = 50 * time.Millisecond
 	// settleMargin is added to the time that other daemons' counts take to arrive.
 	settleMargin = 700 * time.Millisecond
 	// reportMargin is kept free before the time at which a usage report is due.
@@ -51,6 +53,8 @@
 	usageReporter *usagereporter.Reporter
 	autoscaler    *autoscaler.Autoscaler
 	promoter      *promoter.Promoter
+	// gained receives a value when the lease is gained.
+	gained chan struct{}
 	// grantSequence numbers the announced roll-out grants.
 	grantSequence uint64
 	// storingStatus is set while a roll-out's status is being stored, and for statusRetryDelay
@@ -60,6 +64,8 @@
 	blockedLoggedAt time.Time
 	// holderNotedAt is when the candidates were last notified that the lease is held.
 	holderNotedAt time.Time
+	// notedRevision is the revision of the lease that they were last told.
+	notedRevision uint64
 	// fleetCheckedAt is when the fleet was last compared with its record; storedAddresses are
 	// the addresses in the record.
 	fleetCheckedAt  time.Time
@@ -77,14 +83,21 @@
 	if !d.UsageReports && !d.FleetSizing && !d.Rollouts {
 		return
 	}
+	gained := make(chan struct{}, 1)
 	g.lease = leaser.New(leaser.Config{
 		Store: g.store, Key: leaseKey, Host: d.Host, Duration: d.Bounds.LeaseTime, Now: g.uptime,
-		MaxOrderDelay: maxOrderDelay, HeldByOther: g.heldByOther, OnUnreadable: func(err error) { g.logUnreadable([]error{err}) },
+		MaxOrderDelay: maxOrderDelay, HeldByOther: g.heldByOther, Heard: g.heardLease.get, OnUnreadable: func(err error) { g.logUnreadable([]error{err}) },
 		OnChange: func(fencing uint64, held bool) {
 			g.c.Logger.Info("duties", "held", held, "fencing", fencing)
+			if held {
+				select {
+				case gained <- struct{}{}:
+				default:
+				}
+			}
 		},
 	})
-	u := &duties{g: g, cloud: platform.NewCloud(d.Cloud.String(), g.newPlatformClient()), promoter: promoter.New(promoter.Config{MaxShare: d.Bounds.CanaryShare})}
+	u := &duties{g: g, gained: gained, cloud: platform.NewCloud(d.Cloud.String(), g.newPlatformClient()), promoter: promoter.New(promoter.Config{MaxShare: d.Bounds.CanaryShare})}
 	u.usageReporter = usagereporter.New(usagereporter.Config{
 		Store: g.store, Now: g.clock.Now, Window: d.Bounds.UsageWindow, ReportWithin: d.Bounds.UsageDue - reportMargin, SettleDelay: g.settleTime,
 		DaemonCounts: u.processCounts, Organisations: u.organisations, Send: u.reportUsage, Logger: g.c.Logger,
@@ -131,34 +144,58 @@
 	if g.lease == nil {
 		return
 	}
+	held := g.lease.Revision() > 0
 	if err := g.lease.Release(ctx); err != nil {
 		g.c.Logger.Warn("lease not released, it will expire", "error", err)
 	}
+	if held {
+		// The candidates need not wait for what they have heard to expire.
+		g.syncer.SendNotes(ctx, g.candidates(time.Now()))
+	}
 }
 
-// serve performs the due duties every dutyInterval while the lease is held.
+// serve performs the due duties until ctx ends: every dutyInterval, and at once when the lease was
+// gained and no call of a former holder can be in flight any more.
 func (u *duties) serve(ctx context.Context) error {
-	return waiter.Every(ctx, dutyInterval, func(ctx context.Context) {
-		if _, held := u.g.lease.Held(); held && !u.g.stopping.Load() {
-			u.notifyCandidates(ctx)
-		}
-		fencing, exclusive := u.g.lease.HeldExclusively()
-		if _, held := u.g.lease.Held(); held && u.g.pools != nil && !u.g.stopping.Load() {
-			u.inheritPools(ctx, fencing, exclusive)
+	for ctx.Err() == nil {
+		u.step(ctx)
+		pause := dutyInterval
+		_, held := u.g.lease.Held()
+		if _, exclusive := u.g.lease.HeldExclusively(); held && !exclusive {
+			pause = takeoverInterval
 		}
-		if !exclusive || u.g.stopping.Load() {
-			return
+		select {
+		case <-ctx.Done():
+		case <-u.gained:
+		case <-time.After(pause):
 		}
-		// Orders first: the records below may wait for a store that does not answer.
-		if u.g.pools != nil {
-			u.sizePools(ctx, fencing)
-		}
-		u.storeFleet(ctx)
-		u.storeQuarantine(ctx)
-		if u.g.c.Deployment.UsageReports {
-			u.usageReporter.Step(ctx, fencing)
-		}
-	})
+	}
+	return ctx.Err()
+}
+
+// step performs the due duties while the lease is held.
+func (u *duties) step(ctx context.Context) {
+	_, held := u.g.lease.Held()
+	if !held || u.g.stopping.Load() {
+		return
+	}
+	u.notifyCandidates(ctx)
+	fencing, exclusive := u.g.lease.HeldExclusively()
+	if u.g.pools != nil {
+		u.inheritPools(ctx, fencing, exclusive)
+	}
+	if !exclusive {
+		return
+	}
+	// Orders first: the records below may wait for a store that does not answer.
+	if u.g.pools != nil {
+		u.sizePools(ctx, fencing)
+	}
+	u.storeFleet(ctx)
+	u.storeQuarantine(ctx)
+	if u.g.c.Deployment.UsageReports {
+		u.usageReporter.Step(ctx, fencing)
+	}
 }
 
 // leaseHolder returns the credentials of the lease holder for a call. It fails if the lease is no
@@ -240,31 +277,28 @@
 	return out
 }
 
-// heldByOther reports whether a peer recently reported that it holds the lease. In a large fleet
-// only daemons that watch the store compete for the lease.
-func (g *Gateway) heldByOther() bool {
-	if !g.watchesStore() {
-		return true
-	}
-	return time.Since(time.Unix(0, g.holderSeenAt.Load())) < holderTimeout
-}
-
 // notifyCandidates notifies the candidates for the lease that it is held. In a large fleet
 // digests come only every four seconds, and after the loss of a holder its duties would not be
-// performed for that much longer.
+// performed for that much longer. A renewal is announced at the next step, as the candidates count
+// from when they hear of it.
 func (u *duties) notifyCandidates(ctx context.Context) {
-	now := time.Now()
-	if now.Sub(u.holderNotedAt) < holderNoteInterval {
+	now, revision := time.Now(), u.g.lease.Revision()
+	if now.Sub(u.holderNotedAt) < holderNoteInterval && revision == u.notedRevision {
 		return
 	}
-	u.holderNotedAt = now
+	u.holderNotedAt, u.notedRevision = now, revision
+	u.g.syncer.SendNotes(ctx, u.g.candidates(now))
+}
+
+// candidates returns the addresses of the peers that may compete for the lease.
+func (g *Gateway) candidates(now time.Time) []string {
 	var addresses []string
-	for _, d := range u.g.roster.LiveDaemons(now) {
+	for _, d := range g.roster.LiveDaemons(now) {
 		if d.Observing {
 			addresses = append(addresses, d.Address)
 		}
 	}
-	u.g.syncer.SendNotes(ctx, addresses)
+	return addresses
 }
 
 // scalableServices returns the services that can be scaled, with their demand and capacity.
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -220,6 +220,7 @@
 	reportedFleetSize atomic.Int64
 	// holderSeenAt is when a peer last reported that it holds the lease, in Unix nanoseconds.
 	holderSeenAt atomic.Int64
+	heardLease   heardLease
 	// storedFleetSize is the fleet size in the store.
 	storedFleetSize atomic.Int64
 	started         time.Time
--- a/internal/role/gateway/gossip.go
+++ b/internal/role/gateway/gossip.go
@@ -258,7 +258,7 @@
 	out := &rpc.Note{Host: string(d.Host), Address: d.Peers.String(), EndpointsRevision: g.endpointsRevision()}
 	out.Departures = g.noteDepartures()
 	if g.lease != nil {
-		out.HoldsDuties = g.lease.Confirmed()
+		out.HoldsDuties, out.LeaseRevision = g.lease.Confirmed(), g.lease.Revision()
 	}
 	out.ConfigurationNumber = g.configurationNumber()
 	out.Suspects = g.quarantine.RPCSuspects()
@@ -279,6 +279,7 @@
 // mergeNote merges a peer's note.
 func (g *Gateway) mergeNote(n *rpc.Note) {
 	g.noteHolder(n.GetHoldsDuties())
+	g.heardLease.hear(n, g.uptime())
 	g.mergePools(n.GetPools())
 	g.quarantine.MergeSuspects(n.GetSuspects())
 	g.pacer.Merge(decodeLimits(n.GetLimits()))
