Digests say when endpoints last showed a sign of life

Cause: a daemon sees only the events of its own streams. An endpoint that is busy with the requests of other daemons looks to it like one that stopped responding.

Change: EndpointLoad has the optional field event_age_milli, the time since the endpoint last delivered an event or a response to the sender. Sums hold the latest sign of all senders but the receiver. Ages are carried forward by the age of each message on the way and are never understated: what is reused for 100 ms states the age at the end of that time. Endpoints without substantial load are listed with nothing but the sign, for 4 s.

--- a/internal/peer/aggregator/aggregator.go
+++ b/internal/peer/aggregator/aggregator.go
@@ -295,13 +295,25 @@
 	return a.fleetSums.message(a.members[a.c.Host])
 }
 
+// OthersLoads returns the loads of OthersSum and the time to which the ages of the signs of life in
+// them refer.
+func (a *Aggregator) OthersLoads(relaying bool, now time.Time) (loads []*rpc.EndpointLoad, asOf time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !relaying {
+		return a.rest.current(now).GetLoads(), a.rest.lastHeard()
+	}
+	a.refreshSums(now)
+	return a.fleetSums.message(a.members[a.c.Host]).GetLoads(), a.fleetSums.agesAt()
+}
+
 // refreshSums computes the sums anew if they are older than maxSumAge.
 func (a *Aggregator) refreshSums(now time.Time) {
 	if a.fleetSums != nil && now.Sub(a.summedAt) < maxSumAge {
 		return
 	}
 	a.summedAt = now
-	a.zoneSums, a.fleetSums = newSums(), newSums()
+	a.zoneSums, a.fleetSums = newSums(now), newSums(now)
 	for host, m := range a.members {
 		silent := now.Sub(m.heardAt)
 		if silent > forgetAfter {
--- a/internal/peer/aggregator/group.go
+++ b/internal/peer/aggregator/group.go
@@ -231,6 +231,14 @@
 	return s.summary
 }
 
+// lastHeard returns when the primary was last heard; zero if never.
+func (g *group) lastHeard() time.Time {
+	if s := g.sources[g.primary]; s != nil {
+		return s.heardAt
+	}
+	return time.Time{}
+}
+
 // update returns the group's accounts as an update.
 func (g *group) update(name identifier.Host) Update {
 	if g.rebase {
--- a/internal/peer/aggregator/sums.go
+++ b/internal/peer/aggregator/sums.go
@@ -18,6 +18,9 @@
 	maxItems         = 8192
 	// minLoadRate is the rate below which an endpoint's load is a rounding error.
 	minLoadRate = 1e-9
+	// maxSignAge is the longest silence timeout of an attempt with an objective of 2 s. An older sign
+	// of life excuses no silence and is left out of messages.
+	maxSignAge = 4 * time.Second
 )
 
 // validAmount reports whether a number can be a sum.
@@ -82,10 +85,45 @@
 type load struct {
 	running        int64
 	tokens, unread float64
+	// lastSign is when the endpoint last showed a sign of life to any of the senders, by their
+	// ages of the sign and this daemon's clock; zero if unknown. secondSign is the latest sign to
+	// the other senders.
+	lastSign, secondSign time.Time
 }
 
-// sums are the sums over some daemons.
+// addSign adds a sign of life.
+func (l *load) addSign(at time.Time) {
+	switch {
+	case at.After(l.lastSign):
+		l.lastSign, l.secondSign = at, l.lastSign
+	case at.After(l.secondSign):
+		l.secondSign = at
+	}
+}
+
+// signOf returns when the endpoint of a load showed its last sign of life, given when the load was
+// heard of; zero if unknown.
+func signOf(l *rpc.EndpointLoad, heardAt time.Time) time.Time {
+	if l.EventAgeMilli == nil {
+		return time.Time{}
+	}
+	return heardAt.Add(-time.Duration(l.GetEventAgeMilli()) * time.Millisecond)
+}
+
+// eventAge returns the age of a sign of life at a time as a message has it, nil if it is unknown or
+// too old to matter.
+func eventAge(sign, at time.Time) *uint32 {
+	age := at.Sub(sign)
+	if sign.IsZero() || age > maxSignAge {
+		return nil
+	}
+	milli := uint32(max(age, 0) / time.Millisecond)
+	return &milli
+}
+
+// sums are the sums over some daemons, as of a time.
 type sums struct {
+	at              time.Time
 	daemons, silent int
 	charges         map[string]*charge
 	demands         map[string]*demand
@@ -94,10 +132,14 @@
 	encoded *encodedSums
 }
 
-func newSums() *sums {
-	return &sums{charges: make(map[string]*charge), demands: make(map[string]*demand), loads: make(map[loadKey]*load)}
+func newSums(at time.Time) *sums {
+	return &sums{at: at, charges: make(map[string]*charge), demands: make(map[string]*demand), loads: make(map[loadKey]*load)}
 }
 
+// agesAt returns the time to which the ages in messages refer: the end of the time for which the sums
+// are reused. So no age is understated.
+func (s *sums) agesAt() time.Time { return s.at.Add(maxSumAge) }
+
 // getOrCreate returns the value of a key, which it creates if there is none.
 func getOrCreate[K comparable, V any](m map[K]*V, k K) *V {
 	v := m[k]
@@ -128,7 +170,7 @@
 			sum.level = c.Level
 		}
 	}
-	s.addActivity(m.digest.GetDemands(), m.digest.GetLoads(), 1)
+	s.addActivity(m.digest.GetDemands(), m.digest.GetLoads(), 1, m.heardAt)
 }
 
 // addGroup adds the daemons of another zone.
@@ -146,12 +188,13 @@
 		for _, c := range source.summary.GetCharges() {
 			getOrCreate(s.charges, c.GetOrganisation()).asked += c.GetAskedPerSecond()
 		}
-		s.addActivity(source.summary.GetDemands(), source.summary.GetLoads(), 1)
+		s.addActivity(source.summary.GetDemands(), source.summary.GetLoads(), 1, source.heardAt)
 	}
 }
 
-// addActivity adds the demands and loads of daemons, or subtracts them with a sign of -1.
-func (s *sums) addActivity(demands []*rpc.Demand, loads []*rpc.EndpointLoad, sign float64) {
+// addActivity adds the demands and loads of daemons, which were heard of at the given time, or
+// subtracts them with a sign of -1.
+func (s *sums) addActivity(demands []*rpc.Demand, loads []*rpc.EndpointLoad, sign float64, heardAt time.Time) {
 	for _, d := range demands {
 		sum := getOrCreate(s.demands, d.GetService())
 		sum.running += int64(sign) * int64(d.GetRunning())
@@ -164,6 +207,7 @@
 		sum.running += int64(sign) * int64(l.GetRunning())
 		sum.tokens += sign * l.GetTokensPerSecond()
 		sum.unread += sign * l.GetUnreadTokens()
+		sum.addSign(signOf(l, heardAt))
 	}
 }
 
@@ -172,16 +216,16 @@
 // items in which that daemon has no part.
 func (s *sums) message(without *member) *rpc.Summary {
 	if s.encoded == nil {
-		s.encoded = &encodedSums{newItems(s.charges, encodeCharge), newItems(s.demands, encodeDemand), newItems(s.loads, encodeLoad)}
+		s.encoded = &encodedSums{newItems(s.charges, encodeCharge), newItems(s.demands, encodeDemand), newItems(s.loads, s.encodeLoad)}
 	}
 	out := &rpc.Summary{Daemons: uint32(s.daemons), Silent: uint32(s.silent)}
-	negative := newSums()
+	negative := newSums(s.at)
 	if without != nil {
 		s.subtract(without, negative, out)
 	}
 	out.Charges = s.encoded.charges.replace(remaining(s.charges, negative.charges, (*charge).plus), encodeCharge)
 	out.Demands = s.encoded.demands.replace(remaining(s.demands, negative.demands, (*demand).plus), encodeDemand)
-	out.Loads = s.encoded.loads.replace(remaining(s.loads, negative.loads, (*load).plus), encodeLoad)
+	out.Loads = s.encoded.loads.replace(remaining(s.loads, negative.loads, (*load).plus), s.encodeLoad)
 	return out
 }
 
@@ -236,8 +280,14 @@
 	return &demand{d.running + part.running, d.requests + part.requests, d.tokens + part.tokens, d.refused + part.refused}
 }
 
+// plus returns the load with the negative part of one sender added. If that sender had the last sign
+// of life, the next one counts.
 func (l *load) plus(part *load) *load {
-	return &load{l.running + part.running, l.tokens + part.tokens, l.unread + part.unread}
+	out := &load{running: l.running + part.running, tokens: l.tokens + part.tokens, unread: l.unread + part.unread, lastSign: l.lastSign}
+	if part.lastSign.Equal(l.lastSign) {
+		out.lastSign = l.secondSign
+	}
+	return out
 }
 
 func encodeCharge(organisation string, c *charge) *rpc.Charge {
@@ -251,14 +301,15 @@
 	}
 }
 
-// encodeLoad returns nil for a load that is only a rounding error.
-func encodeLoad(key loadKey, l *load) *rpc.EndpointLoad {
-	if l.running <= 0 && l.tokens < minLoadRate && l.unread < minLoadRate {
+// encodeLoad returns nil for a load that is only a rounding error and has no sign of life.
+func (s *sums) encodeLoad(key loadKey, l *load) *rpc.EndpointLoad {
+	age := eventAge(l.lastSign, s.agesAt())
+	if l.running <= 0 && l.tokens < minLoadRate && l.unread < minLoadRate && age == nil {
 		return nil
 	}
 	return &rpc.EndpointLoad{
 		Endpoint: key.endpoint, Born: key.born, Running: uint32(max(l.running, 0)), TokensPerSecond: max(l.tokens, 0),
-		UnreadTokens: max(l.unread, 0),
+		UnreadTokens: max(l.unread, 0), EventAgeMilli: age,
 	}
 }
 
@@ -273,5 +324,5 @@
 	for _, c := range m.digest.GetCharges() {
 		getOrCreate(negative.charges, c.GetOrganisation()).asked -= c.GetAskedPerSecond()
 	}
-	negative.addActivity(m.digest.GetDemands(), m.digest.GetLoads(), -1)
+	negative.addActivity(m.digest.GetDemands(), m.digest.GetLoads(), -1, m.heardAt)
 }
--- a/internal/role/gateway/gossip.go
+++ b/internal/role/gateway/gossip.go
@@ -111,9 +111,7 @@
 	for name, s := range g.estimator.Local() {
 		out.Speeds = append(out.Speeds, encodeSpeed(name, s))
 	}
-	for _, l := range g.registry.Loads(time.Now()) {
-		out.Loads = append(out.Loads, &rpc.EndpointLoad{Endpoint: string(l.Endpoint), Born: int64(l.StartTime), TokensPerSecond: l.TokensPerSecond, Running: uint32(l.Running), UnreadTokens: l.PendingPrefill})
-	}
+	out.Loads = g.encodeLoads()
 	if g.lease != nil {
 		out.HoldsDuties = g.lease.Confirmed()
 	}
@@ -171,35 +169,24 @@
 // runLoads updates the registry with the load that the other daemons put on each endpoint.
 func (g *Gateway) runLoads(ctx context.Context) error {
 	return waiter.Every(ctx, loadInterval, func(context.Context) {
-		sent := make(map[identifier.Endpoint]candidate.SentLoad)
-		for _, l := range g.peerLoads(time.Now()) {
-			endpoint := identifier.Endpoint(l.GetEndpoint())
-			if _, present := g.registrar.Current(endpoint, identifier.StartTime(l.GetBorn())); !present {
-				// The load was sent to an earlier incarnation of the endpoint.
-				continue
-			}
-			sum := sent[endpoint]
-			sum.TokensPerSecond += l.GetTokensPerSecond()
-			sum.Running += int(l.GetRunning())
-			sum.PendingPrefill += l.GetUnreadTokens()
-			sent[endpoint] = sum
-		}
-		g.registry.SetPeerLoads(sent)
+		g.registry.SetPeerLoads(g.peerLoads(time.Now()))
 	})
 }
 
 // peerLoads returns the loads of the other daemons, from their digests or from a relay's sum.
-func (g *Gateway) peerLoads(now time.Time) []*rpc.EndpointLoad {
+func (g *Gateway) peerLoads(now time.Time) map[identifier.Endpoint]candidate.SentLoad {
+	sent := make(map[identifier.Endpoint]candidate.SentLoad)
 	if g.isLarge() {
-		return g.aggregator.OthersSum(g.isRelay(), now).GetLoads()
+		loads, asOf := g.aggregator.OthersLoads(g.isRelay(), now)
+		g.addLoads(sent, loads, asOf)
+		return sent
 	}
-	var out []*rpc.EndpointLoad
 	for _, e := range g.gatherer.Latest(now) {
 		if now.Sub(e.ReceivedAt) <= maxLoadAge {
-			out = append(out, e.Digest.GetLoads()...)
+			g.addLoads(sent, e.Digest.GetLoads(), e.ReceivedAt)
 		}
 	}
-	return out
+	return sent
 }
 
 // peerDemands returns the demands of the other daemons' clients.
--- a/internal/route/candidate/candidate.go
+++ b/internal/route/candidate/candidate.go
@@ -28,8 +28,8 @@
 	// silent.
 	Leaving     bool
 	Unavailable bool
-	// Silent: the endpoint's streams, or all streams of its zone, have delivered no event within
-	// silentTime.
+	// Silent: the endpoint has streams and showed no sign of life within silentTime, or that is so of
+	// its whole zone.
 	Silent bool
 	// BackingOff: the endpoint asked this daemon to pause; see BackoffUntil.
 	BackingOff bool
@@ -94,7 +94,7 @@
 	Queued       int
 	QueuedTokens identifier.Tokens
 	ReportedAt   time.Time
-	// Activity tracks the events that the endpoint's streams deliver.
+	// Activity records the endpoint's signs of life.
 	Activity *Activity
 	// observedAt is when Slowdown was last updated.
 	observedAt time.Time
@@ -124,6 +124,9 @@
 	TokensPerSecond float64
 	Running         int
 	PendingPrefill  float64
+	// LastSign is when the endpoint last delivered an event or a response to the senders; zero if
+	// unknown.
+	LastSign time.Time
 }
 
 // send is one request of this daemon with its uncached prompt tokens.
@@ -195,7 +198,12 @@
 
 // SetPeerLoad sets the load sent by the other daemons. From then on it is no longer extrapolated
 // from this daemon's own load.
-func (c *Candidate) SetPeerLoad(l SentLoad) { c.peerLoad, c.peerLoadKnown = l, true }
+func (c *Candidate) SetPeerLoad(l SentLoad) {
+	c.peerLoad, c.peerLoadKnown = l, true
+	if !l.LastSign.IsZero() {
+		c.Activity.RecordPeerSign(l.LastSign)
+	}
+}
 
 // estimateFromFleet estimates the load from what all daemons report to send: the wait in a queue
 // that is served at the endpoint's prefill rate.
--- a/internal/route/registry/load.go
+++ b/internal/route/registry/load.go
@@ -15,15 +15,29 @@
 	candidate.SentLoad
 }
 
-// Loads returns the load that this daemon sends to each endpoint that it uses substantially.
+// Loads returns the load that this daemon sends to each endpoint that it uses substantially. For
+// other endpoints that lately showed a sign of life it returns only the time of that sign.
 func (r *Registry) Loads(now time.Time) []Load {
-	const minRate = 300 // tokens per second, a hundredth of an engine's prefill rate
+	const (
+		minRate = 300 // tokens per second, a hundredth of an engine's prefill rate
+		// maxSignAge is the longest silence timeout of an attempt with an objective of 2 s: older
+		// signs excuse no silence.
+		maxSignAge = 4 * time.Second
+	)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var out []Load
 	r.forEach(func(c *candidate.Candidate) {
-		if rate := c.RecentTokenRate(now); rate >= minRate {
-			out = append(out, Load{c.Endpoint, c.StartTime, candidate.SentLoad{TokensPerSecond: rate, Running: int(c.InFlight), PendingPrefill: c.PendingPrefill()}})
+		l := Load{Endpoint: c.Endpoint, StartTime: c.StartTime}
+		if sign := c.Activity.Signs().Own; now.Sub(sign) <= maxSignAge {
+			l.LastSign = sign
+		}
+		rate := c.RecentTokenRate(now)
+		if rate >= minRate {
+			l.TokensPerSecond, l.Running, l.PendingPrefill = rate, int(c.InFlight), c.PendingPrefill()
+		}
+		if rate >= minRate || !l.LastSign.IsZero() {
+			out = append(out, l)
 		}
 	})
 	return out
