A silent attempt is given up only for another one that answers sooner

Cause: an attempt was cancelled after twice the objective without an event. Under overload that is the usual wait. The prefill was thrown away, and the retry budget was asked only afterwards: without a retry the request ended with 502. Waits that ended with the client's time counted as failures, so busy endpoints were ejected.

Change: package silencejudge decides. An attempt is given up if its endpoint has shown no sign of life to any daemon for the silence timeout and a retry has been taken from the budget for an endpoint that is predicted to answer sooner; that retry is not spent again, and goes to the endpoint with the earliest prediction. Otherwise the decision is made again. A wait during which the endpoint showed a sign of life counts neither for ejection nor against a version.

--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -299,7 +299,7 @@
 	relay := relayer.New(relayer.Config{
 		Registry: g.registry, Placer: placer.New(placer.Config{Registry: g.registry, Estimator: &g.estimator, Zone: d.AvailabilityZone}),
 		Sender: g.sender, Codec: platform.Codec{}, Budget: g, OnBegin: g.countRequest, Demand: &g.demandMeter, Quarantine: g.quarantine,
-		Versions: g.splitter, ReplyObserver: g,
+		Versions: g.splitter, ReplyObserver: g, SilenceObserver: g,
 	})
 	g.receiver = receiver.New(receiver.Config{
 		Versioner: &g.versioner, Relayer: relay, Quota: g, Quarantine: g.quarantine, Decode: platform.DecodeRequest, Refuse: platform.Codec{}.EncodeRefusal,
--- a/internal/serve/relayer/attempt.go
+++ b/internal/serve/relayer/attempt.go
@@ -61,12 +61,12 @@
 		defer func() { j.reportRun(requestCtx, run, pick, err, begun, j.res.Events-events) }()
 	}
 	ctx, untrack := j.track(ctx)
-	ctx, stopWatch := j.watchSilence(ctx)
+	ctx, stopWatch := j.watchSilence(ctx, pick, begun)
 	responded := func() { stopWatch(); untrack() }
 	defer responded()
 	x, err := j.r.c.Sender.Send(ctx, j.newMessage(pick))
 	if err != nil {
-		result = j.healthResult(ctx, requestCtx, err, begun)
+		result = j.healthResult(ctx, requestCtx, err, pick, begun)
 		err = withCause(ctx, err)
 		if isUnsent(err) {
 			j.r.c.Registry.ReturnPermit(pick)
@@ -88,6 +88,7 @@
 	j.sends++
 	reply := j.r.c.Codec.DecodeReply(x.Status, x.Header)
 	if !reply.Misdirected {
+		pick.Activity.RecordEvent(time.Now())
 		j.r.c.ReplyObserver.ObserveReply(j.q, pick, &reply, begun)
 		if d := retryparser.Parse(x.Status, x.Header); d > 0 {
 			j.r.c.ReplyObserver.ObserveBackoff(j.q, pick, d)
@@ -105,7 +106,7 @@
 		responded()
 	}
 	err = j.relayReply(ctx, x, &reply, pick, begun, responded)
-	result = j.healthResult(ctx, requestCtx, err, begun)
+	result = j.healthResult(ctx, requestCtx, err, pick, begun)
 	return withCause(ctx, err)
 }
 
@@ -122,29 +123,12 @@
 	return errors.Is(err, sender.ErrUnsent) || errors.Is(err, sender.ErrCanceled)
 }
 
-// watchSilence cancels an attempt whose endpoint stays silent for too long, if the
-// request may go to another one. Otherwise an endpoint that stopped responding
-// would keep the request until the client gives up. Calling stop stops the watch.
-func (j *job) watchSilence(ctx context.Context) (watched context.Context, stop func()) {
-	if !j.q.Route.Retryable() || j.sends+1 >= j.q.Route.MaxAttempts || j.res.Events > 0 {
-		return ctx, func() {}
-	}
-	ctx, cancel := context.WithCancelCause(ctx)
-	timer := time.AfterFunc(j.silenceTimeout(), func() { cancel(errSilence) })
-	return ctx, func() { timer.Stop() }
-}
-
-// silenceTimeout is the time without a byte after which an attempt is cancelled if
-// the request may go to another endpoint.
-func (j *job) silenceTimeout() time.Duration {
-	return max(silenceObjectives*j.q.Route.FirstEventObjective, minSilenceTimeout)
-}
-
 // healthResult returns what the end of an attempt says about the endpoint's health.
 // If the deadline passed or the client disconnected, a long silence counts as a
 // failure: otherwise an endpoint that stopped responding would be chosen again and
-// again. ctx is the attempt's context, requestCtx the request's.
-func (j *job) healthResult(ctx, requestCtx context.Context, err error, begun time.Time) registry.Result {
+// again. A wait that the endpoint's queue explains does not: otherwise endpoints would be
+// ejected for being busy. ctx is the attempt's context, requestCtx the request's.
+func (j *job) healthResult(ctx, requestCtx context.Context, err error, pick *registry.Pick, begun time.Time) registry.Result {
 	switch {
 	case err == nil:
 		return registry.Succeeded
@@ -154,7 +138,7 @@
 		return registry.Unreachable
 	case errors.Is(err, errClient), errors.Is(err, errFailed), errors.Is(err, sender.ErrCanceled):
 		return registry.Neutral
-	case requestCtx.Err() != nil && (j.headSent || time.Since(begun) < j.silenceTimeout()):
+	case requestCtx.Err() != nil && (j.headSent || time.Since(begun) < j.silenceTimeout() || j.explained(pick, begun)):
 		return registry.Neutral
 	}
 	return registry.Failed
--- a/internal/serve/relayer/ending.go
+++ b/internal/serve/relayer/ending.go
@@ -39,8 +39,13 @@
 
 // mayRetry reports whether the request may go to another endpoint. It takes from the
 // retry budget unless the attempt was unsent. Refused connections are bounded by the
-// endpoints: each of them ejects its endpoint at this daemon.
+// endpoints: each of them ejects its endpoint at this daemon. A retry that was granted
+// when the attempt was given up is taken from the budget already.
 func (j *job) mayRetry(err error) bool {
+	if j.retryGranted.Swap(false) {
+		j.late = true
+		return true
+	}
 	if errors.Is(err, sender.ErrRefusedConnection) {
 		return true
 	}
--- a/internal/serve/relayer/relayer.go
+++ b/internal/serve/relayer/relayer.go
@@ -7,6 +7,9 @@
 // retried, and a broken stream only if it may be resumed. Each retry takes from
 // the retry budget of the service, so that retries do not amplify a mass failure.
 //
+// An attempt that stays silent is given up only together with the start of the next
+// one, for which the budget has been spent by then; see package silencejudge.
+//
 // An attempt that breaks off may have brought its endpoint down. A request under
 // which endpoints ended is quarantined by all daemons, see package quarantiner.
 // The quarantine is checked before each choice of an endpoint and again right
@@ -27,6 +30,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"brasschute/internal/config/catalog"
@@ -40,6 +44,7 @@
 	"brasschute/internal/route/splitter"
 	"brasschute/internal/serve/placer"
 	"brasschute/internal/serve/request"
+	"brasschute/internal/serve/silencejudge"
 )
 
 const (
@@ -57,13 +62,6 @@
 	// shortageRetryAfter is sent when no endpoint is available: a replacement takes
 	// seconds to start.
 	shortageRetryAfter = time.Second
-	// silenceObjectives times a route's objective is how long an endpoint may stay
-	// silent before a repeatable request goes to another one. Clients give up after
-	// four times the objective.
-	silenceObjectives = 2
-	// minSilenceTimeout is the lower bound of the silence timeout. A healthy endpoint
-	// answers a plain call in 30 ms, far below it.
-	minSilenceTimeout = 300 * time.Millisecond
 	// minTimeLeft is the time left to the deadline below which a request is not sent:
 	// a round trip and a few milliseconds of work.
 	minTimeLeft = 20 * time.Millisecond
@@ -98,6 +96,14 @@
 	Versions Versions
 	// ReplyObserver receives what endpoints report about themselves.
 	ReplyObserver ReplyObserver
+	// SilenceObserver receives the decisions about silent attempts.
+	SilenceObserver SilenceObserver
+}
+
+// SilenceObserver receives the decisions about silent attempts.
+type SilenceObserver interface {
+	// ObserveSilence is called for the first decision about an attempt with each reason.
+	ObserveSilence(q *request.Request, pick *registry.Pick, in *silencejudge.Input, d silencejudge.Decision)
 }
 
 // ReplyObserver receives what endpoints report about themselves in their replies.
@@ -240,6 +246,11 @@
 	// last event.
 	headSent  bool
 	lastEvent int
+	// retryGranted is set if the silence watch gave the last attempt up and has taken the
+	// next one from the retry budget. late is set once that has happened: the request then
+	// goes where it is answered soonest.
+	retryGranted atomic.Bool
+	late         bool
 	// failedAnswer is an endpoint's error answer, passed on if no later attempt does
 	// better.
 	failedAnswer *answer
--- /dev/null
+++ b/internal/serve/relayer/silence.go
@@ -0,0 +1,110 @@
+package relayer
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"brasschute/internal/core/identifier"
+	"brasschute/internal/route/registry"
+	"brasschute/internal/route/splitter"
+	"brasschute/internal/serve/silencejudge"
+)
+
+// silenceTimeout is the time without a sign of life of the endpoint after which an attempt may
+// be given up.
+func (j *job) silenceTimeout() time.Duration {
+	return silencejudge.Timeout(j.q.Route.FirstEventObjective)
+}
+
+// explained reports whether the queue of its endpoint explains that an attempt had to wait:
+// the endpoint has shown a sign of life since the attempt began.
+func (j *job) explained(pick *registry.Pick, begun time.Time) bool {
+	signs := j.r.c.Registry.Signs(pick)
+	return signs.Last(time.Now(), j.silenceTimeout()).After(begun)
+}
+
+// silenceWatch gives an attempt up when its endpoint stays silent.
+type silenceWatch struct {
+	j      *job
+	pick   *registry.Pick
+	begun  time.Time
+	cancel context.CancelCauseFunc
+	// attemptsLeft is the number of attempts that may follow, tried the endpoints that these
+	// must not go to.
+	attemptsLeft int
+	tried        []identifier.Endpoint
+
+	mu      sync.Mutex
+	timer   *time.Timer
+	stopped bool
+	// reported holds the reasons of the decisions so far.
+	reported []silencejudge.Reason
+}
+
+// watchSilence watches an attempt of a request that may go to another endpoint. Otherwise an
+// endpoint that stopped responding would keep the request until the client gives up. Calling
+// stop stops the watch.
+func (j *job) watchSilence(ctx context.Context, pick *registry.Pick, begun time.Time) (watched context.Context, stop func()) {
+	if !j.q.Route.Retryable() || j.res.Events > 0 {
+		return ctx, func() {}
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	w := &silenceWatch{j: j, pick: pick, begun: begun, cancel: cancel, attemptsLeft: j.q.Route.MaxAttempts - j.sends - 1}
+	w.tried = append(append(w.tried, j.tried...), pick.Endpoint)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer = time.AfterFunc(j.silenceTimeout(), w.decide)
+	return ctx, w.stop
+}
+
+// stop stops the watch. No attempt is given up once it has returned.
+func (w *silenceWatch) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped = true
+	w.timer.Stop()
+}
+
+// decide gives the attempt up or lets it go on until the next decision.
+func (w *silenceWatch) decide() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stopped {
+		return
+	}
+	in := w.input()
+	d := silencejudge.Decide(in)
+	if !slices.Contains(w.reported, d.Reason) {
+		w.reported = append(w.reported, d.Reason)
+		w.j.r.c.SilenceObserver.ObserveSilence(w.j.q, w.pick, in, d)
+	}
+	switch {
+	case d.GiveUp:
+		w.stopped = true
+		w.j.retryGranted.Store(true)
+		w.cancel(fmt.Errorf("%w (%s: %s)", errSilence, d.Reason, in.Text()))
+	case d.Again > 0:
+		w.timer.Reset(d.Again)
+	}
+}
+
+// input returns what the decision depends on.
+func (w *silenceWatch) input() *silencejudge.Input {
+	j := w.j
+	v := j.r.c.Versions.Choose(&splitter.Query{
+		Service: j.q.Service, Route: j.q.Route.Name, Repeated: true, MaxDuration: j.r.c.Placer.MaxUsualDuration(j.q),
+	})
+	preview := j.r.c.Placer.Preview(w.pick, j.q, j.service, w.tried, v)
+	if preview.Alternative == "" && v.AllowFallback {
+		preview = j.r.c.Placer.Preview(w.pick, j.q, j.service, w.tried, j.r.c.Versions.Fallback(j.q.Service, &v))
+	}
+	return &silencejudge.Input{
+		Now: time.Now(), Begun: w.begun, Deadline: j.q.Deadline().Add(-minTimeLeft), Objective: j.q.Route.FirstEventObjective,
+		Signs: j.r.c.Registry.Signs(w.pick), AttemptsLeft: w.attemptsLeft, Queue: preview.Queue,
+		Alternative: preview.Alternative, AlternativeTime: preview.FirstToken,
+		Spend: func() bool { return j.r.c.Budget.Spend(j.q.Service) },
+	}
+}
--- a/internal/serve/relayer/version.go
+++ b/internal/serve/relayer/version.go
@@ -13,15 +13,19 @@
 
 // place chooses an endpoint among those whose version the request may go to.
 func (j *job) place() (*registry.Pick, selector.Decision) {
+	choose := j.r.c.Placer.Place
+	if j.late {
+		choose = j.r.c.Placer.PlaceSoonest
+	}
 	v := j.r.c.Versions.Choose(&splitter.Query{
 		Service: j.q.Service, Route: j.q.Route.Name, Repeated: j.versionChosen, MaxDuration: j.r.c.Placer.MaxUsualDuration(j.q),
 	})
 	j.versionChosen = true
-	pick, d := j.r.c.Placer.Place(j.q, j.service, j.tried, v)
+	pick, d := choose(j.q, j.service, j.tried, v)
 	if pick != nil || !v.AllowFallback {
 		return pick, d
 	}
-	return j.r.c.Placer.Place(j.q, j.service, j.tried, j.r.c.Versions.Fallback(j.q.Service, &v))
+	return choose(j.q, j.service, j.tried, j.r.c.Versions.Fallback(j.q.Service, &v))
 }
 
 // newRun describes an attempt for the comparison of versions.
@@ -32,10 +36,12 @@
 }
 
 // reportRun reports the end of an attempt. A client that disconnected says nothing
-// about the version, unless it waited for far too long.
+// about the version, unless it waited for far too long. A wait that the endpoint's queue
+// explains says nothing about it either.
 func (j *job) reportRun(requestCtx context.Context, r *splitter.Run, pick *registry.Pick, err error, begun time.Time, events int) {
 	r.Elapsed, r.Expected = time.Since(begun), j.r.c.Placer.ExpectedDuration(j.q, j.service, pick, events)
 	switch {
+	case err != nil && requestCtx.Err() != nil && events == 0 && j.explained(pick, begun):
 	case err == nil, errors.Is(requestCtx.Err(), context.Canceled) && !isUnsent(err):
 		r.Outcome = splitter.Answered
 		r.Abandoned = err != nil
