Signs of life excuse silence only where requests queue

Cause: a plain endpoint that answers some requests and hangs on others is faulty, not busy. With the rule for engines, a request that hangs there would wait for its deadline instead of going to another endpoint after 300 ms.

Change: for services without an engine, the time since an attempt began decides, waits count against the endpoint, and further attempts are placed as before.

--- a/internal/serve/relayer/silence.go
+++ b/internal/serve/relayer/silence.go
@@ -19,9 +19,16 @@
 	return silencejudge.Timeout(j.q.Route.FirstEventObjective)
 }
 
+// queues reports whether the service's requests wait in queues of its endpoints. An endpoint
+// of another service that answers some requests and not others is not busy, but faulty.
+func (j *job) queues() bool { return j.service != nil && j.service.Engine != nil }
+
 // explained reports whether the queue of its endpoint explains that an attempt had to wait:
 // the endpoint has shown a sign of life since the attempt began.
 func (j *job) explained(pick *registry.Pick, begun time.Time) bool {
+	if !j.queues() {
+		return false
+	}
 	signs := j.r.c.Registry.Signs(pick)
 	return signs.Last(time.Now(), j.silenceTimeout()).After(begun)
 }
@@ -103,7 +110,7 @@
 	}
 	return &silencejudge.Input{
 		Now: time.Now(), Begun: w.begun, Deadline: j.q.Deadline().Add(-minTimeLeft), Objective: j.q.Route.FirstEventObjective,
-		Signs: j.r.c.Registry.Signs(w.pick), AttemptsLeft: w.attemptsLeft, Queue: preview.Queue,
+		Queues: j.queues(), Signs: j.r.c.Registry.Signs(w.pick), AttemptsLeft: w.attemptsLeft, Queue: preview.Queue,
 		Alternative: preview.Alternative, AlternativeTime: preview.FirstToken,
 		Spend: func() bool { return j.r.c.Budget.Spend(j.q.Service) },
 	}
--- a/internal/serve/relayer/version.go
+++ b/internal/serve/relayer/version.go
@@ -14,7 +14,7 @@
 // place chooses an endpoint among those whose version the request may go to.
 func (j *job) place() (*registry.Pick, selector.Decision) {
 	choose := j.r.c.Placer.Place
-	if j.late {
+	if j.late && j.queues() {
 		choose = j.r.c.Placer.PlaceSoonest
 	}
 	v := j.r.c.Versions.Choose(&splitter.Query{
--- a/internal/serve/silencejudge/silencejudge.go
+++ b/internal/serve/silencejudge/silencejudge.go
@@ -82,6 +82,9 @@
 	Deadline time.Time
 	// Objective is the route's objective for the first event.
 	Objective time.Duration
+	// Queues: requests wait in a queue of the endpoint, as at a model engine. Otherwise an endpoint
+	// that answers others doesn't explain why this attempt waits.
+	Queues bool
 	// Signs are the last signs of life of the endpoint and of its zone.
 	Signs candidate.Signs
 	// AttemptsLeft is the number of attempts that may follow this one.
@@ -97,9 +100,10 @@
 	Spend func() bool
 }
 
-// Silence returns for how long the endpoint has shown no sign of life during the attempt.
+// Silence returns for how long the endpoint has shown no sign of life during the attempt. Where no
+// requests queue, it is the time since the attempt began.
 func (in *Input) Silence() time.Duration {
-	if last := in.Signs.Last(in.Now, Timeout(in.Objective)); last.After(in.Begun) {
+	if last := in.Signs.Last(in.Now, Timeout(in.Objective)); in.Queues && last.After(in.Begun) {
 		return in.Now.Sub(last)
 	}
 	return in.Now.Sub(in.Begun)
--- a/internal/serve/silencejudge/silencejudge_test.go
+++ b/internal/serve/silencejudge/silencejudge_test.go
@@ -21,7 +21,7 @@
 func silent(d time.Duration) *Input {
 	return &Input{
 		Now: after(d), Begun: begun, Deadline: after(8 * time.Second), Objective: 800 * time.Millisecond,
-		Signs: candidate.Signs{Zone: after(d - 10*time.Millisecond)}, AttemptsLeft: 1, Queue: 100 * time.Millisecond,
+		Queues: true, Signs: candidate.Signs{Zone: after(d - 10*time.Millisecond)}, AttemptsLeft: 1, Queue: 100 * time.Millisecond,
 		Alternative: "i-2", AlternativeTime: 300 * time.Millisecond, Spend: func() bool { return true },
 	}
 }
@@ -39,6 +39,7 @@
 		"never a sign":                 {func(in *Input) { in.Signs = candidate.Signs{} }, ZoneSilent},
 		"signs before the attempt":     {func(in *Input) { in.Signs.Own = after(-time.Second) }, EndpointSilent},
 		"own sign":                     {func(in *Input) { in.Signs.Own = after(500 * time.Millisecond) }, SignOfLife},
+		"own sign, no queue":           {func(in *Input) { in.Signs.Own, in.Queues = after(500*time.Millisecond), false }, EndpointSilent},
 		"peers' sign":                  {func(in *Input) { in.Signs.Peers = after(500 * time.Millisecond) }, SignOfLife},
 		"peers' sign behind partition": {func(in *Input) { in.Signs.Peers, in.Signs.Zone = after(timeout), begun.Add(-time.Millisecond) }, ZoneSilent},
 		"last attempt":                 {func(in *Input) { in.AttemptsLeft = 0 }, NoAttemptLeft},
