Demand is what clients ask once

Cause: each attempt counted as a request with its tokens, and so did the return of a request that was refused, so that the need rose while clients sent no more than before.

Change: a request counts when it is first sent to an endpoint or refused; a refused one with the mean of tokens. A return states a shorter timeout than is usual on its route; no more returns are assumed than this daemon has refused requests.

--- a/internal/fleet/autoscaler/replay_test.go
+++ b/internal/fleet/autoscaler/replay_test.go
@@ -27,6 +27,8 @@
 	replayRunTime      = 1500 * time.Millisecond
 	replayBoot         = 4 * time.Second
 	replayTick         = 100 * time.Millisecond
+	replayTimeout      = 8 * time.Second
+	replayRetryAfter   = 700 * time.Millisecond
 )
 
 // replay is a pool of engines in four zones and the clients that use it. Without reclaimable
@@ -46,6 +48,9 @@
 	lostAt time.Time
 	// ended holds when running requests end.
 	ended []time.Time
+	// returns holds when refused requests return, in order; sent counts requests.
+	returns []time.Time
+	sent    int
 	// carry is the part of a request that the last tick left.
 	carry float64
 }
@@ -118,8 +123,11 @@
 	}
 	r.carry += replayRequests * replayTick.Seconds()
 	for ; r.carry >= 1; r.carry-- {
-		r.meter.CountPlaced("lm", identifier.Tokens(tokens))
-		r.ended = append(r.ended, now.Add(time.Duration(scarcity*float64(replayRunTime))))
+		r.send(identifier.Tokens(tokens), replayTimeout, scarcity)
+	}
+	for len(r.returns) > 0 && !now.Before(r.returns[0]) {
+		r.returns = r.returns[1:]
+		r.send(identifier.Tokens(tokens), replayTimeout-replayRetryAfter, scarcity)
 	}
 	left := r.ended[:0]
 	for _, at := range r.ended {
@@ -132,6 +140,27 @@
 	r.ended = left
 }
 
+// send sends one request. With too few engines every third is refused, and returns once, and every
+// other one of the rest is sent to a second engine.
+func (r *replay) send(tokens identifier.Tokens, timeout time.Duration, scarcity float64) {
+	now := time.Now()
+	r.sent++
+	counted := r.meter.IsReturn("lm", "diagnosis", timeout)
+	if scarcity > 1 && r.sent%3 == 0 {
+		r.meter.CountRefused("lm", counted)
+		if timeout == replayTimeout {
+			r.returns = append(r.returns, now.Add(replayRetryAfter))
+		}
+		return
+	}
+	r.meter.CountPlaced("lm", tokens, counted)
+	r.ended = append(r.ended, now.Add(time.Duration(scarcity*float64(replayRunTime))))
+	if scarcity > 1 && r.sent%2 == 0 {
+		r.meter.CountEnded("lm")
+		r.meter.CountPlaced("lm", tokens, true)
+	}
+}
+
 func (r *replay) service() []Service {
 	s := Service{
 		Service: "lm", Demand: r.meter.Demands()["lm"], Capacity: sizer.Capacity{Tokens: replayEngineTokens, Running: 40},
--- a/internal/route/demandmeter/demandmeter.go
+++ b/internal/route/demandmeter/demandmeter.go
@@ -1,8 +1,21 @@
 // Package demandmeter measures the demand of clients for each service.
 //
+// Demand is what clients ask once. After a loss of endpoints and during overload requests are sent
+// to endpoints again, refused and returned by their clients, and would count several times just
+// when the pool is sized by them. So a request counts when it is first sent to an endpoint or
+// refused, and not again for further attempts.
+//
+// A client that is refused returns with the same deadline, and thus with a shorter timeout than is
+// usual on the route: its first attempt lies that much back. No more requests are taken for
+// returns than this daemon has refused; requests are spread over the daemons, so that each gets
+// about as many returns as it refuses requests, and a route whose clients state various timeouts
+// counts in full while nothing is refused.
+//
 // # Usage
 //
-//	m.CountPlaced("lm", uncachedTokens); m.CountEnded("lm"); m.CountRefused("lm")
+//	counted := m.IsReturn("lm", route, clientTimeout)
+//	m.CountPlaced("lm", uncachedTokens, counted); m.CountEnded("lm") // for each attempt
+//	m.CountRefused("lm", counted)
 //	demands := m.Demands()
 package demandmeter
 
@@ -18,12 +31,30 @@
 // daemon, short compared with the time that a new endpoint takes to start.
 const halfLife = 2 * time.Second
 
+const (
+	// minReturnDelay is how much earlier a return was first sent at least: half of the shortest
+	// Retry-After, as clients round.
+	minReturnDelay = 100 * time.Millisecond
+	// minReturnFraction is the part of the usual timeout that a return has left at least. Clients
+	// wait for at most a third of the time that they have.
+	minReturnFraction = 0.5
+	// usualTime is how long the longest timeout of a route is usual, maxRoutes the number of
+	// routes for which it is kept.
+	usualTime = time.Minute
+	maxRoutes = 4096
+	// returnHalfLife is the half-life of the count of refused requests that may return: clients
+	// return within a third of their timeouts. A single one counts for that time.
+	returnHalfLife = 5 * time.Second
+	minReturns     = 0.5
+)
+
 // Demand is the current demand for a service.
 type Demand struct {
 	// Running is the number of requests at endpoints.
 	Running int
-	// Requests, Tokens and Refused are per second. Tokens counts the prompt tokens that were not
-	// presumed to be cached at any engine.
+	// Requests, Tokens and Refused are per second, and count each request once. Requests counts
+	// those sent to an endpoint, Refused those refused before. Tokens counts the prompt tokens that
+	// were not presumed to be cached at any engine; a refused request counts with the mean.
 	Requests float64
 	Tokens   float64
 	Refused  float64
@@ -39,13 +70,22 @@
 
 type rates struct {
 	Demand
-	at time.Time
+	// returns is the number of refused requests that may still return.
+	returns float64
+	at      time.Time
+}
+
+// usual is the longest timeout that clients of a route have stated lately.
+type usual struct {
+	timeout time.Duration
+	at      time.Time
 }
 
 // Meter measures demand. The zero value is ready to use; it is safe for concurrent use.
 type Meter struct {
 	mu        sync.Mutex
 	byService map[identifier.Service]*rates
+	byRoute   map[string]usual
 }
 
 func (m *Meter) get(s identifier.Service) *rates {
@@ -66,18 +106,53 @@
 	r.Requests *= factor
 	r.Tokens *= factor
 	r.Refused *= factor
+	r.returns *= math.Exp2(-now.Sub(r.at).Seconds() / returnHalfLife.Seconds())
 	r.at = now
 }
 
 // weight converts single events into a rate: the integral of an event's decay is one.
 const weight = math.Ln2 / (float64(halfLife) / float64(time.Second))
 
-// CountPlaced counts a request that is sent to an endpoint, with its uncached tokens.
-func (m *Meter) CountPlaced(s identifier.Service, tokens identifier.Tokens) {
+// IsReturn reports whether a request is the return of one that was refused, by the timeout that its
+// client states; 0 if it states none. It must be called once for each request.
+func (m *Meter) IsReturn(s identifier.Service, route string, timeout time.Duration) bool {
+	if timeout <= 0 {
+		return false
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r := m.get(s)
+	u := m.usual(route, timeout, r.at)
+	if timeout > u-minReturnDelay || float64(timeout) < minReturnFraction*float64(u) || r.returns < minReturns {
+		return false
+	}
+	r.returns = max(r.returns-1, 0)
+	return true
+}
+
+// usual returns the usual timeout of a route, after a client has stated one.
+func (m *Meter) usual(route string, timeout time.Duration, now time.Time) time.Duration {
+	u, ok := m.byRoute[route]
+	if ok && timeout < u.timeout && now.Sub(u.at) < usualTime {
+		return u.timeout
+	}
+	if m.byRoute == nil || len(m.byRoute) >= maxRoutes && !ok {
+		m.byRoute = make(map[string]usual)
+	}
+	m.byRoute[route] = usual{timeout, now}
+	return timeout
+}
+
+// CountPlaced counts a request that is sent to an endpoint, with its uncached tokens. counted is
+// set if the request has been counted before, as placed or refused.
+func (m *Meter) CountPlaced(s identifier.Service, tokens identifier.Tokens, counted bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	r := m.get(s)
 	r.Running++
+	if counted {
+		return
+	}
 	r.Requests += weight
 	r.Tokens += weight * float64(tokens)
 }
@@ -89,11 +164,20 @@
 	m.get(s).Running--
 }
 
-// CountRefused counts a request that no endpoint could take.
-func (m *Meter) CountRefused(s identifier.Service) {
+// CountRefused counts a request that is refused, and that its client may return. counted is set if
+// the request has been counted before.
+func (m *Meter) CountRefused(s identifier.Service, counted bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.get(s).Refused += weight
+	r := m.get(s)
+	r.returns++
+	if counted {
+		return
+	}
+	if asked := r.Requests + r.Refused; asked > 0 {
+		r.Tokens += weight * r.Tokens / asked
+	}
+	r.Refused += weight
 }
 
 // Demands returns the demand for each service.
--- a/internal/serve/relayer/attempt.go
+++ b/internal/serve/relayer/attempt.go
@@ -50,7 +50,8 @@
 func (j *job) attempt(ctx context.Context, pick *registry.Pick) (err error) {
 	result := registry.Neutral
 	uncached := j.q.PromptTokens - j.res.Attempts[len(j.res.Attempts)-1].Cached
-	j.r.c.Demand.CountPlaced(j.q.Service, uncached)
+	j.r.c.Demand.CountPlaced(j.q.Service, uncached, j.counted)
+	j.counted = true
 	defer func() {
 		j.r.c.Registry.Release(pick, result)
 		j.r.c.Demand.CountEnded(j.q.Service)
--- a/internal/serve/relayer/quarantine.go
+++ b/internal/serve/relayer/quarantine.go
@@ -16,7 +16,9 @@
 
 // admit decides whether the quarantine lets the request be sent now.
 func (j *job) admit() quarantiner.Decision {
-	return j.r.c.Quarantine.Admit(j.q.Fingerprint(), j.q.ID)
+	d := j.r.c.Quarantine.Admit(j.q.Fingerprint(), j.q.ID)
+	j.held = d.Held
+	return d
 }
 
 // track lets the quarantine withdraw an attempt for as long as the endpoint has
--- a/internal/serve/relayer/relayer.go
+++ b/internal/serve/relayer/relayer.go
@@ -138,11 +138,15 @@
 	Answered(f identifier.Fingerprint)
 }
 
-// Demand measures the load that requests put on services.
+// Demand measures the load that requests put on services. counted is set for a request that has
+// been counted before.
 type Demand interface {
-	CountPlaced(s identifier.Service, uncached identifier.Tokens)
+	// IsReturn reports whether a request was refused and counted before. It is called once for
+	// each request.
+	IsReturn(s identifier.Service, route string, clientTimeout time.Duration) bool
+	CountPlaced(s identifier.Service, uncached identifier.Tokens, counted bool)
 	CountEnded(s identifier.Service)
-	CountRefused(s identifier.Service)
+	CountRefused(s identifier.Service, counted bool)
 }
 
 // Outcome is how a request ended, as it is logged and counted.
@@ -240,6 +244,8 @@
 	// last event.
 	headSent  bool
 	lastEvent int
+	// counted is set once the request has been counted as demand, held if it was quarantined.
+	counted, held bool
 	// failedAnswer is an endpoint's error answer, passed on if no later attempt does
 	// better.
 	failedAnswer *answer
@@ -256,6 +262,9 @@
 // deadline passes.
 func (r *Relayer) Relay(ctx context.Context, w http.ResponseWriter, q *request.Request, s *catalog.Service) Result {
 	j := &job{r: r, q: q, service: s, w: w, flush: http.NewResponseController(w).Flush, lastEvent: q.LastEventNumber}
+	// The client of a stream that broke off asks for the rest of what it has asked before.
+	j.counted = r.c.Demand.IsReturn(q.Service, q.Route.Name, q.ClientTimeout) || q.LastEventNumber > 0
+	defer j.countRefused()
 	for {
 		pick, stop := j.choose(ctx)
 		if stop {
@@ -280,6 +289,13 @@
 	}
 }
 
+// countRefused counts a request that ends with a refusal, unless it brings endpoints down.
+func (j *job) countRefused() {
+	if j.res.Outcome == NotRun && j.res.Refusal != nil && !j.held {
+		j.r.c.Demand.CountRefused(j.q.Service, j.counted)
+	}
+}
+
 // choose selects the next endpoint. stop means that the result is final.
 func (j *job) choose(ctx context.Context) (pick *registry.Pick, stop bool) {
 	if ctx.Err() != nil || time.Until(j.q.Deadline()) < minTimeLeft {
@@ -296,13 +312,11 @@
 	pick, d := j.place()
 	if pick == nil {
 		j.res.Excluded = d.Excluded
-		j.r.c.Demand.CountRefused(j.q.Service)
 		j.endFailed(j.noEndpointReason(&d.Excluded))
 		return nil, true
 	}
 	if v := j.forecast(pick); v.Refuse {
 		j.r.c.Registry.Cancel(pick)
-		j.r.c.Demand.CountRefused(j.q.Service)
 		j.endFailed(fmt.Sprintf("%s: %s of queue, bearable %s", reasonTooLate, pick.PredictedWait().Round(time.Millisecond), v.MaxDelay.Round(time.Millisecond)), v.RetryAfter)
 		return nil, true
 	}
