First events that are late correct the number of endpoints that is needed

Cause: the need followed from estimates of what an engine serves, and nothing corrected it where engines serve less.

Change: daemons count first events and those after the objective, from the client's first attempt; digests and sums carry both.

--- a/internal/fleet/autoscaler/autoscaler.go
+++ b/internal/fleet/autoscaler/autoscaler.go
@@ -18,6 +18,10 @@
 // higher load on what is left. While a loss is recent, the need per request of before the loss
 // counts.
 //
+// Endpoints may serve less than the figures say. If too many first events are late for longer than
+// an endpoint takes to start, though there are as many endpoints as the figures require and none
+// were lost, the requirement is raised in steps, and lowered slowly once first events are on time.
+//
 // The reclaimable endpoints of a zone are reclaimed all at once, at two seconds' notice, and no
 // others are available there for a while; the next zone often follows. A loss is therefore
 // replaced at the next step, the zone counts as unavailable for [reclaimBackoff] or until some
@@ -174,6 +178,7 @@
 	demands         map[identifier.Service]*peak
 	onDemandDemands map[identifier.Service]*peak
 	losses          map[identifier.Service]*loss
+	corrections     map[identifier.Service]*correction
 	// inheritedAt is the time of the record that this holder inherited, zero if there was none.
 	inheritedAt time.Time
 	// initial is the most on-demand endpoints that a new fleet had, peaks the most endpoints of
@@ -226,6 +231,7 @@
 	a.demands = make(map[identifier.Service]*peak)
 	a.onDemandDemands = make(map[identifier.Service]*peak)
 	a.losses = make(map[identifier.Service]*loss)
+	a.corrections = make(map[identifier.Service]*correction)
 }
 
 // Step sends the orders that are due. A fencing number that differs from the one of the last step
@@ -246,7 +252,7 @@
 	}
 	settling := a.loadSettling(s, now)
 	reclaimed := a.observe(s, now)
-	required, onDemand := a.required(s, now)
+	required, onDemand := a.required(s, settling, now)
 	// Reclaimable endpoints first: where none are available, on-demand ones are ordered in the
 	// same step.
 	for _, w := range sizer.Size(a.sizerInput(s, required, now)) {
@@ -322,9 +328,9 @@
 
 // required returns the number of endpoints that the recent demand for a service requires,
 // without the spare ones for the loss of a zone, and the number that applies to on-demand ones.
-func (a *Autoscaler) required(s *Service, now time.Time) (required, onDemand float64) {
+func (a *Autoscaler) required(s *Service, settling bool, now time.Time) (required, onDemand float64) {
 	p := newPool(s)
-	needed := min(a.needed(s, now), a.maxEndpoints(s.Service, p.beforeReclaims(), now))
+	needed := min(a.correct(s, a.needed(s, now), settling || a.startedWithin(now, warmUp), now), a.maxEndpoints(s.Service, p.beforeReclaims(), now))
 	if a.startedWithin(now, warmUp) {
 		a.initial[s.Service] = max(a.initial[s.Service], p.onDemand)
 		needed = max(needed, float64(a.initial[s.Service]))
@@ -447,6 +453,7 @@
 	a.c.Logger.Info("endpoints ordered", "service", s.Service, "zone", z, "class", class, "wanted", wanted, "before", t.ordered,
 		"listed", t.listed, "fencing", a.fencing, "tokens_per_second", int(s.Demand.Tokens), "running", s.Demand.Running,
 		"engine_tokens_per_second", int(s.Capacity.Tokens), "needed", s.Capacity.EndpointsFor(s.Demand),
+		"late", s.Demand.Late/max(s.Demand.FirstEvents, s.Demand.Late, 1), "lateness_correction", a.correction(s.Service).factor,
 		"at_most", a.peaks[s.Service].maxEndpoints(), "growth_follows", a.peaks[s.Service].engines, "loss_age_ms", poolrecorder.AgeOf(a.loss(s.Service).at, now),
 		"inherited", !a.inheritedAt.IsZero(), "inherited_age_ms", poolrecorder.AgeOf(a.inheritedAt, now), "error", err)
 	t.orderedAt = now
--- a/internal/fleet/autoscaler/record.go
+++ b/internal/fleet/autoscaler/record.go
@@ -19,6 +19,7 @@
 		a.onDemandDemands[p.Service] = &peak{engines: p.OnDemandNeeded, at: p.OnDemandNeededAge.Time(r.At)}
 		a.peaks[p.Service] = &peak{engines: p.Served, at: p.ServedAge.Time(r.At)}
 		a.losses[p.Service] = &loss{at: p.LossAge.Time(r.At), perRequest: p.PerRequest, averagedAt: r.At}
+		a.corrections[p.Service] = &correction{factor: max(p.Correction, 1), changedAt: p.CorrectionAge.Time(r.At)}
 		for _, z := range p.Places {
 			a.states[key{p.Service, z.Zone, z.Class}] = &state{
 				ordered: z.Ordered, listed: z.Listed, initialised: true, orderedAt: z.OrderedAge.Time(r.At),
@@ -34,7 +35,7 @@
 	now := time.Now()
 	out := &poolrecorder.Record{Fencing: a.fencing, At: now}
 	for s, n := range a.demands {
-		l, onDemand, served := a.loss(s), a.onDemandDemands[s], a.peaks[s]
+		l, onDemand, served, late := a.loss(s), a.onDemandDemands[s], a.peaks[s], a.correction(s)
 		if onDemand == nil || served == nil {
 			continue
 		}
@@ -42,6 +43,7 @@
 			Service: s, Needed: n.engines, NeededAge: poolrecorder.AgeOf(n.at, now),
 			OnDemandNeeded: onDemand.engines, OnDemandNeededAge: poolrecorder.AgeOf(onDemand.at, now),
 			Served: served.engines, ServedAge: poolrecorder.AgeOf(served.at, now), PerRequest: l.perRequest, LossAge: poolrecorder.AgeOf(l.at, now),
+			Correction: late.factor, CorrectionAge: poolrecorder.AgeOf(late.changedAt, now),
 		})
 	}
 	slices.SortFunc(out.Pools, func(x, y poolrecorder.Pool) int { return cmp.Compare(x.Service, y.Service) })
--- a/internal/fleet/autoscaler/replay_test.go
+++ b/internal/fleet/autoscaler/replay_test.go
@@ -105,17 +105,22 @@
 	return n
 }
 
-// tick lets clients send requests for one replayTick. After a loss their prompts are prefilled
-// again, and with too few engines requests run longer and attempts are repeated.
-func (r *replay) tick() {
-	now := time.Now()
+// start lists the engines that have started.
+func (r *replay) start() {
 	for k, due := range r.due {
-		for len(due) > 0 && !now.Before(due[0]) {
+		for len(due) > 0 && !time.Now().Before(due[0]) {
 			due = due[1:]
 			r.listed[k]++
 		}
 		r.due[k] = due
 	}
+}
+
+// tick lets clients send requests for one replayTick. After a loss their prompts are prefilled
+// again, and with too few engines requests run longer and attempts are repeated.
+func (r *replay) tick() {
+	now := time.Now()
+	r.start()
 	scarcity := max(r.needed/max(float64(r.engines(false)), 1), 1)
 	tokens := r.needed * replayEngineTokens / replayRequests
 	if !r.lostAt.IsZero() && now.Sub(r.lostAt) < 10*time.Second {
@@ -145,7 +150,7 @@
 func (r *replay) send(tokens identifier.Tokens, timeout time.Duration, scarcity float64) {
 	now := time.Now()
 	r.sent++
-	counted := r.meter.IsReturn("lm", "diagnosis", timeout)
+	counted := r.meter.ReturnDelay("lm", "diagnosis", timeout) > 0
 	if scarcity > 1 && r.sent%3 == 0 {
 		r.meter.CountRefused("lm", counted)
 		if timeout == replayTimeout {
--- a/internal/fleet/poolrecorder/record.go
+++ b/internal/fleet/poolrecorder/record.go
@@ -53,7 +53,11 @@
 	// LossAge the time since the last loss.
 	PerRequest float64 `json:",omitempty"`
 	LossAge    Age     `json:",omitempty"`
-	Places     []Place
+	// Correction is the factor by which the load needs more endpoints than the figures say, 0 if
+	// not known, CorrectionAge the time since it changed.
+	Correction    float64 `json:",omitempty"`
+	CorrectionAge Age     `json:",omitempty"`
+	Places        []Place
 }
 
 // Place is what is known of one class of a pool's endpoints in one zone.
@@ -125,7 +129,8 @@
 	for i := range r.Pools {
 		p := &r.Pools[i]
 		ok = ok && validNumber(p.Needed) && validNumber(p.OnDemandNeeded) && validNumber(p.Served) && validNumber(p.PerRequest) &&
-			validAge(p.NeededAge) && validAge(p.OnDemandNeededAge) && validAge(p.ServedAge) && validAge(p.LossAge)
+			validAge(p.NeededAge) && validAge(p.OnDemandNeededAge) && validAge(p.ServedAge) && validAge(p.LossAge) &&
+			validNumber(p.Correction) && validAge(p.CorrectionAge)
 		for _, z := range p.Places {
 			ok = ok && validNumber(float64(z.Ordered)) && validNumber(float64(z.Listed)) && validAge(z.OrderedAge) && validAge(z.LowerAge) &&
 				validAge(z.RefusedAge) && validAge(z.ReclaimedAge)
@@ -147,7 +152,7 @@
 	for i := range r.Pools {
 		a, b := &r.Pools[i], &stored.Pools[i]
 		if a.Service != b.Service || len(a.Places) != len(b.Places) || math.Abs(a.Needed-b.Needed) > neededChange*max(a.Needed, b.Needed) ||
-			!same(a.LossAge, b.LossAge, r, stored) {
+			a.Correction != b.Correction || !same(a.LossAge, b.LossAge, r, stored) {
 			return true
 		}
 		for j := range a.Places {
--- a/internal/peer/aggregator/sums.go
+++ b/internal/peer/aggregator/sums.go
@@ -35,7 +35,7 @@
 	})
 	s.Demands = filter(s.GetDemands(), &rejected, func(d *rpc.Demand) bool {
 		return d.GetRunning() <= maxRunning && validAmount(d.GetRequestsPerSecond()) && validAmount(d.GetTokensPerSecond()) &&
-			validAmount(d.GetRefusedPerSecond())
+			validAmount(d.GetRefusedPerSecond()) && validAmount(d.GetFirstEventsPerSecond()) && validAmount(d.GetLatePerSecond())
 	})
 	s.Loads = filter(s.GetLoads(), &rejected, func(l *rpc.EndpointLoad) bool {
 		return l.GetRunning() <= maxRunning && validAmount(l.GetTokensPerSecond()) && validAmount(l.GetUnreadTokens())
@@ -64,11 +64,12 @@
 	level        *float64
 }
 
-// demand is the sum of the demands for a service, with requests, tokens and refused requests per
-// second.
+// demand is the sum of the demands for a service, with requests, tokens, refused requests, first
+// events and late ones per second.
 type demand struct {
 	running                   int64
 	requests, tokens, refused float64
+	firstEvents, late         float64
 }
 
 // loadKey identifies one incarnation of an endpoint.
@@ -158,6 +159,8 @@
 		sum.requests += sign * d.GetRequestsPerSecond()
 		sum.tokens += sign * d.GetTokensPerSecond()
 		sum.refused += sign * d.GetRefusedPerSecond()
+		sum.firstEvents += sign * d.GetFirstEventsPerSecond()
+		sum.late += sign * d.GetLatePerSecond()
 	}
 	for _, l := range loads {
 		sum := getOrCreate(s.loads, loadKey{l.GetEndpoint(), l.GetBorn()})
@@ -233,7 +236,10 @@
 }
 
 func (d *demand) plus(part *demand) *demand {
-	return &demand{d.running + part.running, d.requests + part.requests, d.tokens + part.tokens, d.refused + part.refused}
+	return &demand{
+		d.running + part.running, d.requests + part.requests, d.tokens + part.tokens, d.refused + part.refused,
+		d.firstEvents + part.firstEvents, d.late + part.late,
+	}
 }
 
 func (l *load) plus(part *load) *load {
@@ -248,6 +254,7 @@
 	return &rpc.Demand{
 		Service: service, Running: uint32(max(d.running, 0)), RequestsPerSecond: max(d.requests, 0),
 		TokensPerSecond: max(d.tokens, 0), RefusedPerSecond: max(d.refused, 0),
+		FirstEventsPerSecond: max(d.firstEvents, 0), LatePerSecond: max(d.late, 0),
 	}
 }
 
--- a/internal/role/gateway/demand_test.go
+++ b/internal/role/gateway/demand_test.go
@@ -58,13 +58,15 @@
 		if status := f.askWithin(7 * time.Second); status != http.StatusOK {
 			t.Fatalf("status %d when it returns", status)
 		}
-		if d := f.modelDemand(); d.Requests > 0 {
+		// The client first sent the request two seconds before, and the objective is one.
+		if d := f.modelDemand(); d.Requests > 0 || d.Late == 0 {
 			t.Errorf("demand %+v after the return", d)
 		}
+		late := f.modelDemand().Late
 		if status := f.askWithin(9 * time.Second); status != http.StatusOK {
 			t.Fatalf("status %d of another request", status)
 		}
-		if d := f.modelDemand(); d.Requests == 0 {
+		if d := f.modelDemand(); d.Requests == 0 || d.Late > late || d.FirstEvents <= d.Late {
 			t.Errorf("demand %+v after another request", d)
 		}
 	})
--- a/internal/role/gateway/duties.go
+++ b/internal/role/gateway/duties.go
@@ -338,6 +338,7 @@
 		sum := out[s]
 		sum.Add(demandmeter.Demand{
 			Running: int(n.GetRunning()), Requests: n.GetRequestsPerSecond(), Tokens: n.GetTokensPerSecond(), Refused: n.GetRefusedPerSecond(),
+			FirstEvents: n.GetFirstEventsPerSecond(), Late: n.GetLatePerSecond(),
 		})
 		out[s] = sum
 	}
--- a/internal/role/gateway/gossip.go
+++ b/internal/role/gateway/gossip.go
@@ -106,6 +106,7 @@
 		out.Demands = append(out.Demands, &rpc.Demand{
 			Service: string(name), Running: uint32(max(n.Running, 0)), RequestsPerSecond: n.Requests,
 			TokensPerSecond: n.Tokens, RefusedPerSecond: n.Refused,
+			FirstEventsPerSecond: n.FirstEvents, LatePerSecond: n.Late,
 		})
 	}
 	for name, s := range g.estimator.Local() {
--- a/internal/route/demandmeter/demandmeter.go
+++ b/internal/route/demandmeter/demandmeter.go
@@ -13,9 +13,10 @@
 //
 // # Usage
 //
-//	counted := m.IsReturn("lm", route, clientTimeout)
-//	m.CountPlaced("lm", uncachedTokens, counted); m.CountEnded("lm") // for each attempt
-//	m.CountRefused("lm", counted)
+//	before := m.ReturnDelay("lm", route, clientTimeout)
+//	m.CountPlaced("lm", uncachedTokens, before > 0); m.CountEnded("lm") // for each attempt
+//	m.CountFirstEvent("lm", before+waited > objective)
+//	m.CountRefused("lm", before > 0)
 //	demands := m.Demands()
 package demandmeter
 
@@ -58,6 +59,10 @@
 	Requests float64
 	Tokens   float64
 	Refused  float64
+	// FirstEvents is the rate of first events, and Late that of those after their objective. A
+	// request that got none before it ended counts as late.
+	FirstEvents float64
+	Late        float64
 }
 
 // Add adds the demand o to d.
@@ -66,6 +71,8 @@
 	d.Requests += o.Requests
 	d.Tokens += o.Tokens
 	d.Refused += o.Refused
+	d.FirstEvents += o.FirstEvents
+	d.Late += o.Late
 }
 
 type rates struct {
@@ -106,6 +113,8 @@
 	r.Requests *= factor
 	r.Tokens *= factor
 	r.Refused *= factor
+	r.FirstEvents *= factor
+	r.Late *= factor
 	r.returns *= math.Exp2(-now.Sub(r.at).Seconds() / returnHalfLife.Seconds())
 	r.at = now
 }
@@ -113,21 +122,22 @@
 // weight converts single events into a rate: the integral of an event's decay is one.
 const weight = math.Ln2 / (float64(halfLife) / float64(time.Second))
 
-// IsReturn reports whether a request is the return of one that was refused, by the timeout that its
-// client states; 0 if it states none. It must be called once for each request.
-func (m *Meter) IsReturn(s identifier.Service, route string, timeout time.Duration) bool {
+// ReturnDelay returns how long before a request its client first sent it, if it is the return of a
+// refused one, by the timeout that the client states; 0 if it states none. It returns 0 for any
+// other request. It must be called once for each request.
+func (m *Meter) ReturnDelay(s identifier.Service, route string, timeout time.Duration) time.Duration {
 	if timeout <= 0 {
-		return false
+		return 0
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	r := m.get(s)
 	u := m.usual(route, timeout, r.at)
 	if timeout > u-minReturnDelay || float64(timeout) < minReturnFraction*float64(u) || r.returns < minReturns {
-		return false
+		return 0
 	}
 	r.returns = max(r.returns-1, 0)
-	return true
+	return u - timeout
 }
 
 // usual returns the usual timeout of a route, after a client has stated one.
@@ -164,6 +174,17 @@
 	m.get(s).Running--
 }
 
+// CountFirstEvent counts the first event of a request, or the end of one that got none in time.
+func (m *Meter) CountFirstEvent(s identifier.Service, late bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r := m.get(s)
+	r.FirstEvents += weight
+	if late {
+		r.Late += weight
+	}
+}
+
 // CountRefused counts a request that is refused, and that its client may return. counted is set if
 // the request has been counted before.
 func (m *Meter) CountRefused(s identifier.Service, counted bool) {
--- a/internal/route/demandmeter/demandmeter_test.go
+++ b/internal/route/demandmeter/demandmeter_test.go
@@ -30,7 +30,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		m := new(Meter)
 		d := run(m, func(int) {
-			counted := m.IsReturn("lm", "r", timeout)
+			counted := m.ReturnDelay("lm", "r", timeout) > 0
 			m.CountPlaced("lm", tokens, counted)
 			m.CountEnded("lm")
 			m.CountPlaced("lm", tokens, true)
@@ -49,7 +49,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				m := new(Meter)
 				place := func(timeout time.Duration) {
-					m.CountPlaced("lm", tokens, m.IsReturn("lm", "r", timeout))
+					m.CountPlaced("lm", tokens, m.ReturnDelay("lm", "r", timeout) > 0)
 					m.CountEnded("lm")
 				}
 				d := run(m, func(i int) {
@@ -57,7 +57,7 @@
 						place(timeout)
 						return
 					}
-					m.CountRefused("lm", m.IsReturn("lm", "r", timeout))
+					m.CountRefused("lm", m.ReturnDelay("lm", "r", timeout) > 0)
 					if returns && i > 10 {
 						place(timeout - retryAfter)
 					}
@@ -76,7 +76,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		m := new(Meter)
 		d := run(m, func(i int) {
-			m.CountPlaced("lm", tokens, m.IsReturn("lm", "r", timeout-time.Duration(i%20)*100*time.Millisecond))
+			m.CountPlaced("lm", tokens, m.ReturnDelay("lm", "r", timeout-time.Duration(i%20)*100*time.Millisecond) > 0)
 			m.CountEnded("lm")
 		})
 		if !near(d.Requests, 10) {
@@ -85,7 +85,7 @@
 		m.CountRefused("lm", false)
 		returns := 0
 		for range 20 {
-			if m.IsReturn("lm", "r", timeout/2+time.Second) {
+			if m.ReturnDelay("lm", "r", timeout/2+time.Second) > 0 {
 				returns++
 			}
 		}
@@ -96,7 +96,7 @@
 }
 
 // What is a return depends on what is usual on the route lately.
-func TestIsReturn(t *testing.T) {
+func TestReturnDelay(t *testing.T) {
 	for name, c := range map[string]struct {
 		first, second time.Duration
 		after         time.Duration
@@ -114,13 +114,13 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				m := new(Meter)
-				if m.IsReturn("lm", "r", c.first) {
+				if m.ReturnDelay("lm", "r", c.first) > 0 {
 					t.Fatal("the first request is a return")
 				}
 				m.CountRefused("lm", false)
 				m.CountRefused("lm", false)
 				time.Sleep(c.after)
-				if got := m.IsReturn("lm", "r", c.second); got != c.want {
+				if got := m.ReturnDelay("lm", "r", c.second) > 0; got != c.want {
 					t.Errorf("return: %v", got)
 				}
 			})
@@ -132,7 +132,7 @@
 func TestRoutesAreBounded(t *testing.T) {
 	m := new(Meter)
 	for i := range 2*maxRoutes + 2 {
-		m.IsReturn("lm", string(rune(i)), timeout)
+		m.ReturnDelay("lm", string(rune(i)), timeout)
 	}
 	if len(m.byRoute) > maxRoutes {
 		t.Errorf("%d routes", len(m.byRoute))
--- a/internal/serve/relayer/attempt.go
+++ b/internal/serve/relayer/attempt.go
@@ -223,6 +223,7 @@
 	}
 	h.Set("Content-Length", fmt.Sprint(len(a.body)))
 	j.res.Status, j.res.Outcome, j.res.TimeToFirst = a.status, Answered, time.Since(j.q.Received)
+	j.countFirstEvent()
 	j.w.WriteHeader(a.status)
 	if _, err := j.w.Write(a.body); err != nil {
 		j.res.Outcome = ClientGone
--- a/internal/serve/relayer/relayer.go
+++ b/internal/serve/relayer/relayer.go
@@ -141,12 +141,14 @@
 // Demand measures the load that requests put on services. counted is set for a request that has
 // been counted before.
 type Demand interface {
-	// IsReturn reports whether a request was refused and counted before. It is called once for
-	// each request.
-	IsReturn(s identifier.Service, route string, clientTimeout time.Duration) bool
+	// ReturnDelay returns how long before its client first sent a request that was refused and
+	// counted before; 0 for any other request. It is called once for each request.
+	ReturnDelay(s identifier.Service, route string, clientTimeout time.Duration) time.Duration
 	CountPlaced(s identifier.Service, uncached identifier.Tokens, counted bool)
 	CountEnded(s identifier.Service)
 	CountRefused(s identifier.Service, counted bool)
+	// CountFirstEvent counts the first event of a request, or its end if it got none in time.
+	CountFirstEvent(s identifier.Service, late bool)
 }
 
 // Outcome is how a request ended, as it is logged and counted.
@@ -246,6 +248,8 @@
 	lastEvent int
 	// counted is set once the request has been counted as demand, held if it was quarantined.
 	counted, held bool
+	// returnDelay is how long before its arrival the client first sent the request.
+	returnDelay time.Duration
 	// failedAnswer is an endpoint's error answer, passed on if no later attempt does
 	// better.
 	failedAnswer *answer
@@ -263,8 +267,9 @@
 func (r *Relayer) Relay(ctx context.Context, w http.ResponseWriter, q *request.Request, s *catalog.Service) Result {
 	j := &job{r: r, q: q, service: s, w: w, flush: http.NewResponseController(w).Flush, lastEvent: q.LastEventNumber}
 	// The client of a stream that broke off asks for the rest of what it has asked before.
-	j.counted = r.c.Demand.IsReturn(q.Service, q.Route.Name, q.ClientTimeout) || q.LastEventNumber > 0
-	defer j.countRefused()
+	j.returnDelay = r.c.Demand.ReturnDelay(q.Service, q.Route.Name, q.ClientTimeout)
+	j.counted = j.returnDelay > 0 || q.LastEventNumber > 0
+	defer j.countEnd()
 	for {
 		pick, stop := j.choose(ctx)
 		if stop {
@@ -289,13 +294,29 @@
 	}
 }
 
-// countRefused counts a request that ends with a refusal, unless it brings endpoints down.
-func (j *job) countRefused() {
-	if j.res.Outcome == NotRun && j.res.Refusal != nil && !j.held {
+// countEnd counts a request that ends with a refusal, unless it brings endpoints down, and one that
+// got no event although its objective has passed.
+func (j *job) countEnd() {
+	switch {
+	case j.res.Outcome == NotRun && j.res.Refusal != nil && !j.held:
 		j.r.c.Demand.CountRefused(j.q.Service, j.counted)
+	case j.res.TimeToFirst == 0 && j.late():
+		j.countFirstEvent()
 	}
 }
 
+// countFirstEvent counts a first event on a route with an objective.
+func (j *job) countFirstEvent() {
+	if j.q.Route.FirstEventObjective > 0 && j.q.LastEventNumber == 0 {
+		j.r.c.Demand.CountFirstEvent(j.q.Service, j.late())
+	}
+}
+
+// late reports whether the objective has passed, counted from the client's first attempt.
+func (j *job) late() bool {
+	return j.returnDelay+time.Since(j.q.Received) > j.q.Route.FirstEventObjective
+}
+
 // choose selects the next endpoint. stop means that the result is final.
 func (j *job) choose(ctx context.Context) (pick *registry.Pick, stop bool) {
 	if ctx.Err() != nil || time.Until(j.q.Deadline()) < minTimeLeft {
--- a/internal/serve/relayer/stream.go
+++ b/internal/serve/relayer/stream.go
@@ -115,6 +115,7 @@
 	}
 	j.headSent = true
 	j.res.Status, j.res.TimeToFirst = x.Status, time.Since(j.q.Received)
+	j.countFirstEvent()
 	j.w.WriteHeader(x.Status)
 }
 
