--- a/internal/fleet/autoscaler/replay_test.go
+++ b/internal/fleet/autoscaler/replay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"testing"
 	"testing/synctest"
@@ -27,6 +28,8 @@
 	replayRunTime      = 1500 * time.Millisecond
 	replayBoot         = 4 * time.Second
 	replayTick         = 100 * time.Millisecond
+	replayTimeout      = 8 * time.Second
+	replayRetryAfter   = 700 * time.Millisecond
 )
 
 // replay is a pool of engines in four zones and the clients that use it. Without reclaimable
@@ -46,6 +49,9 @@
 	lostAt time.Time
 	// ended holds when running requests end.
 	ended []time.Time
+	// returns holds when refused requests return, in order; sent counts requests.
+	returns []time.Time
+	sent    int
 	// carry is the part of a request that the last tick left.
 	carry float64
 }
@@ -100,17 +106,22 @@
 	return n
 }
 
-// tick lets clients send requests for one replayTick. After a loss their prompts are prefilled
-// again, and with too few engines requests run longer and attempts are repeated.
-func (r *replay) tick() {
-	now := time.Now()
+// start lists the engines that have started.
+func (r *replay) start() {
 	for k, due := range r.due {
-		for len(due) > 0 && !now.Before(due[0]) {
+		for len(due) > 0 && !time.Now().Before(due[0]) {
 			due = due[1:]
 			r.listed[k]++
 		}
 		r.due[k] = due
 	}
+}
+
+// tick lets clients send requests for one replayTick. After a loss their prompts are prefilled
+// again, and with too few engines requests run longer and attempts are repeated.
+func (r *replay) tick() {
+	now := time.Now()
+	r.start()
 	scarcity := max(r.needed/max(float64(r.engines(false)), 1), 1)
 	tokens := r.needed * replayEngineTokens / replayRequests
 	if !r.lostAt.IsZero() && now.Sub(r.lostAt) < 10*time.Second {
@@ -118,8 +129,11 @@
 	}
 	r.carry += replayRequests * replayTick.Seconds()
 	for ; r.carry >= 1; r.carry-- {
-		r.meter.CountPlaced("lm", identifier.Tokens(tokens))
-		r.ended = append(r.ended, now.Add(time.Duration(scarcity*float64(replayRunTime))))
+		r.send(identifier.Tokens(tokens), replayTimeout, scarcity)
+	}
+	for len(r.returns) > 0 && !now.Before(r.returns[0]) {
+		r.returns = r.returns[1:]
+		r.send(identifier.Tokens(tokens), replayTimeout-replayRetryAfter, scarcity)
 	}
 	left := r.ended[:0]
 	for _, at := range r.ended {
@@ -132,6 +146,27 @@
 	r.ended = left
 }
 
+// send sends one request. With too few engines every third is refused, and returns once, and every
+// other one of the rest is sent to a second engine.
+func (r *replay) send(tokens identifier.Tokens, timeout time.Duration, scarcity float64) {
+	now := time.Now()
+	r.sent++
+	counted := r.meter.ReturnDelay("lm", "diagnosis", timeout) > 0
+	if scarcity > 1 && r.sent%3 == 0 {
+		r.meter.CountRefused("lm", counted)
+		if timeout == replayTimeout {
+			r.returns = append(r.returns, now.Add(replayRetryAfter))
+		}
+		return
+	}
+	r.meter.CountPlaced("lm", tokens, counted)
+	r.ended = append(r.ended, now.Add(time.Duration(scarcity*float64(replayRunTime))))
+	if scarcity > 1 && r.sent%2 == 0 {
+		r.meter.CountEnded("lm")
+		r.meter.CountPlaced("lm", tokens, true)
+	}
+}
+
 func (r *replay) service() []Service {
 	s := Service{
 		Service: "lm", Demand: r.meter.Demands()["lm"], Capacity: sizer.Capacity{Tokens: replayEngineTokens, Running: 40},
@@ -220,20 +255,29 @@
 // prompts that were prefilled again for new demand: it ordered 21, 29, 42 and 59 engines, and had
 // 113 for a need of 60.
 func TestCapacityReturnsAtOnceAfterHolderIsReplaced(t *testing.T) {
-	const needed = 51
-	// After 3.4 s without a renewal, and after the last reclaim.
-	for _, takeover := range []time.Duration{10 * time.Second, 13500 * time.Millisecond} {
-		t.Run(takeover.String(), func(t *testing.T) {
+	for _, c := range []struct {
+		needed   int
+		takeover time.Duration
+	}{
+		// After 3.4 s without a renewal, and after the last reclaim.
+		{51, 10 * time.Second},
+		{51, 13500 * time.Millisecond},
+		// With a need that rose to 135 by the figures while clients sent no more than before.
+		{77, 10 * time.Second},
+		{77, 13500 * time.Millisecond},
+	} {
+		t.Run(fmt.Sprint(c.needed, " needed, taken over after ", c.takeover), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				got := lossReplay(t, needed, takeover, true)
+				got, needed := lossReplay(t, float64(c.needed), c.takeover, true), float64(c.needed)
+				t.Logf("%+v", got)
 				if float64(got.first) < 0.9*needed {
-					t.Errorf("%d engines after the first orders, %d are needed", got.first, needed)
+					t.Errorf("%d engines after the first orders, %d are needed", got.first, c.needed)
 				}
-				if got.served < needed {
-					t.Errorf("%d engines serve a start plus 2 s after the last reclaim, %d are needed", got.served, needed)
+				if got.served < c.needed {
+					t.Errorf("%d engines serve a start plus 2 s after the last reclaim, %d are needed", got.served, c.needed)
 				}
 				if float64(got.most) > 1.3*needed {
-					t.Errorf("%d engines serve or start, %d are needed", got.most, needed)
+					t.Errorf("%d engines serve or start, %d are needed", got.most, c.needed)
 				}
 			})
 		})
--- a/internal/serve/relayer/attempt.go
+++ b/internal/serve/relayer/attempt.go
@@ -50,7 +50,8 @@
 func (j *job) attempt(ctx context.Context, pick *registry.Pick) (err error) {
 	result := registry.Neutral
 	uncached := j.q.PromptTokens - j.res.Attempts[len(j.res.Attempts)-1].Cached
-	j.r.c.Demand.CountPlaced(j.q.Service, uncached)
+	j.r.c.Demand.CountPlaced(j.q.Service, uncached, j.counted)
+	j.counted = true
 	defer func() {
 		j.r.c.Registry.Release(pick, result)
 		j.r.c.Demand.CountEnded(j.q.Service)
@@ -206,6 +207,7 @@
 	}
 	h.Set("Content-Length", fmt.Sprint(len(a.body)))
 	j.res.Status, j.res.Outcome, j.res.TimeToFirst = a.status, Answered, time.Since(j.q.Received)
+	j.countFirstEvent()
 	j.w.WriteHeader(a.status)
 	if _, err := j.w.Write(a.body); err != nil {
 		j.res.Outcome = ClientGone
--- a/internal/serve/relayer/ending.go
+++ b/internal/serve/relayer/ending.go
@@ -43,7 +43,7 @@
 // when the attempt was given up is taken from the budget already.
 func (j *job) mayRetry(err error) bool {
 	if j.retryGranted.Swap(false) {
-		j.late = true
+		j.soonest = true
 		return true
 	}
 	if errors.Is(err, sender.ErrRefusedConnection) {
--- a/internal/serve/relayer/relayer.go
+++ b/internal/serve/relayer/relayer.go
@@ -144,11 +144,17 @@
 	Answered(f identifier.Fingerprint)
 }
 
-// Demand measures the load that requests put on services.
+// Demand measures the load that requests put on services. counted is set for a request that has
+// been counted before.
 type Demand interface {
-	CountPlaced(s identifier.Service, uncached identifier.Tokens)
+	// ReturnDelay returns how long before its client first sent a request that was refused and
+	// counted before; 0 for any other request. It is called once for each request.
+	ReturnDelay(s identifier.Service, route string, clientTimeout time.Duration) time.Duration
+	CountPlaced(s identifier.Service, uncached identifier.Tokens, counted bool)
 	CountEnded(s identifier.Service)
-	CountRefused(s identifier.Service)
+	CountRefused(s identifier.Service, counted bool)
+	// CountFirstEvent counts the first event of a request, or its end if it got none in time.
+	CountFirstEvent(s identifier.Service, late bool)
 }
 
 // Outcome is how a request ended, as it is logged and counted.
@@ -247,10 +253,14 @@
 	headSent  bool
 	lastEvent int
 	// retryGranted is set if the silence watch gave the last attempt up and has taken the
-	// next one from the retry budget. late is set once that has happened: the request then
+	// next one from the retry budget. soonest is set once that has happened: the request then
 	// goes where it is answered soonest.
 	retryGranted atomic.Bool
-	late         bool
+	soonest      bool
+	// counted is set once the request has been counted as demand, held if it was quarantined.
+	counted, held bool
+	// returnDelay is how long before its arrival the client first sent the request.
+	returnDelay time.Duration
 	// failedAnswer is an endpoint's error answer, passed on if no later attempt does
 	// better.
 	failedAnswer *answer
@@ -267,6 +277,10 @@
 // deadline passes.
 func (r *Relayer) Relay(ctx context.Context, w http.ResponseWriter, q *request.Request, s *catalog.Service) Result {
 	j := &job{r: r, q: q, service: s, w: w, flush: http.NewResponseController(w).Flush, lastEvent: q.LastEventNumber}
+	// The client of a stream that broke off asks for the rest of what it has asked before.
+	j.returnDelay = r.c.Demand.ReturnDelay(q.Service, q.Route.Name, q.ClientTimeout)
+	j.counted = j.returnDelay > 0 || q.LastEventNumber > 0
+	defer j.countEnd()
 	for {
 		pick, stop := j.choose(ctx)
 		if stop {
@@ -291,6 +305,29 @@
 	}
 }
 
+// countEnd counts a request that ends with a refusal, unless it brings endpoints down, and one that
+// got no event although its objective has passed.
+func (j *job) countEnd() {
+	switch {
+	case j.res.Outcome == NotRun && j.res.Refusal != nil && !j.held:
+		j.r.c.Demand.CountRefused(j.q.Service, j.counted)
+	case j.res.TimeToFirst == 0 && j.late():
+		j.countFirstEvent()
+	}
+}
+
+// countFirstEvent counts a first event on a route with an objective.
+func (j *job) countFirstEvent() {
+	if j.q.Route.FirstEventObjective > 0 && j.q.LastEventNumber == 0 {
+		j.r.c.Demand.CountFirstEvent(j.q.Service, j.late())
+	}
+}
+
+// late reports whether the objective has passed, counted from the client's first attempt.
+func (j *job) late() bool {
+	return j.returnDelay+time.Since(j.q.Received) > j.q.Route.FirstEventObjective
+}
+
 // choose selects the next endpoint. stop means that the result is final.
 func (j *job) choose(ctx context.Context) (pick *registry.Pick, stop bool) {
 	if ctx.Err() != nil || time.Until(j.q.Deadline()) < minTimeLeft {
@@ -307,13 +344,11 @@
 	pick, d := j.place()
 	if pick == nil {
 		j.res.Excluded = d.Excluded
-		j.r.c.Demand.CountRefused(j.q.Service)
 		j.endFailed(j.noEndpointReason(&d.Excluded))
 		return nil, true
 	}
 	if v := j.forecast(pick); v.Refuse {
 		j.r.c.Registry.Cancel(pick)
-		j.r.c.Demand.CountRefused(j.q.Service)
 		j.endFailed(fmt.Sprintf("%s: %s of queue, bearable %s", reasonTooLate, pick.PredictedWait().Round(time.Millisecond), v.MaxDelay.Round(time.Millisecond)), v.RetryAfter)
 		return nil, true
 	}
