--- a/internal/peer/aggregator/lateness_test.go
+++ b/internal/peer/aggregator/lateness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"brasschute/internal/peer/rpc"
 )
@@ -12,7 +13,7 @@
 	demand := func(firstEvents, late float64) *rpc.Digest {
 		return &rpc.Digest{Demands: []*rpc.Demand{{Service: "lm", FirstEventsPerSecond: firstEvents, LatePerSecond: late}}}
 	}
-	s, other := newSums(), &member{digest: demand(5, 1)}
+	s, other := newSums(time.Now()), &member{digest: demand(5, 1)}
 	s.addMember(&member{digest: demand(7, 2)}, false, true)
 	s.addMember(other, false, false)
 	for name, c := range map[string]struct {
