--- a/internal/serve/relayer/attempt.go
+++ b/internal/serve/relayer/attempt.go
@@ -88,13 +88,7 @@
 	defer x.Close()
 	j.sends++
 	reply := j.r.c.Codec.DecodeReply(x.Status, x.Header)
-	if !reply.Misdirected {
-		pick.Activity.RecordEvent(time.Now())
-		j.r.c.ReplyObserver.ObserveReply(j.q, pick, &reply, begun)
-		if d := retryparser.Parse(x.Status, x.Header); d > 0 {
-			j.r.c.ReplyObserver.ObserveBackoff(j.q, pick, d)
-		}
-	}
+	j.observeReply(x, &reply, pick, begun)
 	if reply.NotRun {
 		if reply.Misdirected {
 			result = registry.Failed
@@ -111,6 +105,19 @@
 	return withCause(ctx, err)
 }
 
+// observeReply passes on what an endpoint's reply says about it. A reply of another endpoint, which
+// has the address now, says nothing.
+func (j *job) observeReply(x *sender.Response, reply *request.Reply, pick *registry.Pick, begun time.Time) {
+	if reply.Misdirected {
+		return
+	}
+	pick.Activity.RecordEvent(time.Now())
+	j.r.c.ReplyObserver.ObserveReply(j.q, pick, reply, begun)
+	if d := retryparser.Parse(x.Status, x.Header); d > 0 {
+		j.r.c.ReplyObserver.ObserveBackoff(j.q, pick, d)
+	}
+}
+
 // withCause wraps err with the reason for which this daemon cancelled the attempt, if it did.
 func withCause(ctx context.Context, err error) error {
 	if cause := context.Cause(ctx); err != nil && (errors.Is(cause, errSilence) || errors.Is(cause, errQuarantined)) {
