sharder: half as many processes as processors, long tests first

Cause: with as many processes as processors, the tests of other packages that go test runs beside these find no idle processor, and a fleet takes up to 2.1 GB (measured). Long tests that stand last in the source start last and run alone at the end.

Change: Config.Processes bounds the processes, by default to half of the processors; Config.First names tests to start first. Names that no longer exist do no harm.

--- a/internal/testing/sharder/sharder.go
+++ b/internal/testing/sharder/sharder.go
@@ -7,7 +7,7 @@
 // output of each when it has ended. New test functions need no registration.
 //
 // The flags of go test work as usual: -run and -skip select the tests, -parallel bounds the number
-// of processes, -timeout applies to all of them together, and the others are handed on. The tests
+// of processes further, -timeout applies to all of them together, and the others are handed on. The tests
 // run in the calling process as if there were no sharder, so that debuggers and profilers can be
 // used, if only one test is selected or a flag is set that concerns one process, such as -bench,
 // -fuzz, -cover and the profiles. Results are not cached by go test.
@@ -19,12 +19,14 @@
 
 import (
 	"bytes"
+	"cmp"
 	"flag"
 	"fmt"
 	"io"
 	"os"
 	"os/exec"
 	"regexp"
+	"runtime"
 	"slices"
 	"strings"
 	"sync"
@@ -47,6 +49,12 @@
 type Config struct {
 	// Output receives the output of the tests; os.Stdout by default.
 	Output io.Writer
+	// First names tests that are started before the others: a long one that starts last would
+	// run alone at the end.
+	First []string
+	// Processes bounds the tests that run at the same time, besides -parallel; by default half as
+	// many as processors, because go test runs the tests of other packages beside these.
+	Processes int
 }
 
 // Sharder runs the tests of one test binary.
@@ -62,6 +70,9 @@
 	if c.Output == nil {
 		c.Output = os.Stdout
 	}
+	if c.Processes == 0 {
+		c.Processes = (runtime.GOMAXPROCS(0) + 1) / 2
+	}
 	return &Sharder{c: c, start: time.Now()}
 }
 
@@ -147,11 +158,12 @@
 	return out, nil
 }
 
-// runAll runs the tests in processes of their own, as many at a time as -parallel allows.
+// runAll runs the tests in processes of their own, as many at a time as allowed.
 func (s *Sharder) runAll(names []string) {
+	slices.SortStableFunc(names, func(a, b string) int { return cmp.Compare(s.rank(a), s.rank(b)) })
 	parallel := flag.Lookup("test.parallel").Value.(flag.Getter).Get().(int)
 	failFast := flag.Lookup("test.failfast").Value.String() == "true"
-	slots := make(chan struct{}, max(1, parallel))
+	slots := make(chan struct{}, max(1, min(parallel, s.c.Processes)))
 	var running sync.WaitGroup
 	for _, name := range names {
 		slots <- struct{}{}
@@ -166,6 +178,14 @@
 	running.Wait()
 }
 
+// rank returns the place of a test in the order of their start.
+func (s *Sharder) rank(name string) int {
+	if i := slices.Index(s.c.First, name); i >= 0 {
+		return i
+	}
+	return len(s.c.First)
+}
+
 // runTest runs one test in a process of its own and prints its output.
 func (s *Sharder) runTest(name string) {
 	start := time.Now()
