integration: processes have sessions of their own; the known red test is mended

Cause: TestMembershipOfPausedDaemon stops entry-3 by a signal. When the shell of the job in which the tests run ends meanwhile, the stopped process gets SIGHUP and SIGCONT. Under nohup it ignores SIGHUP and goes on: its state went from T to S, and entry-1 rightly listed it as alive for the whole 30 s. Without nohup it ends, and entry-1 lists it as dead for the 30 s after SIGCONT. The membership code reports what is there; it is not changed.

Change: each process of the tests runs in a session of its own, where no such signals reach it. As no signals of the terminal reach it either, it ends with the test binary.

--- a/integration/fleet_test.go
+++ b/integration/fleet_test.go
@@ -65,6 +65,10 @@
 	p.cmd = exec.Command(os.Args[0], args...)
 	p.cmd.Env = append(append(os.Environ(), roleEnv+"="+role), env...)
 	p.cmd.Stdout, p.cmd.Stderr = log, log
+	// In a session of its own: otherwise a process that a test has stopped gets SIGHUP and SIGCONT
+	// when the shell of the job in which the tests run ends, and it ends, or goes on under nohup.
+	// As it gets no signals from the terminal then, it ends with the test binary.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Setsid: true, Pdeathsig: syscall.SIGKILL}
 	if err := p.cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
--- a/integration/membership_test.go
+++ b/integration/membership_test.go
@@ -31,6 +31,17 @@
 	p.awaitMemberState("entry-1", rpc.State_ALIVE)
 }
 
+// TestProcessesHaveSessionsOfTheirOwn guards the tests that stop a process by a signal: in the
+// session of the tests, it would get SIGHUP and SIGCONT when the shell of their job ends, and would
+// end or go on instead of staying stopped.
+func TestProcessesHaveSessionsOfTheirOwn(t *testing.T) {
+	f := newFleet(t)
+	pid := f.platform.cmd.Process.Pid
+	if group, err := syscall.Getpgid(pid); err != nil || group != pid {
+		t.Fatalf("process %d is in the process group %d: %v", pid, group, err)
+	}
+}
+
 // TestMembershipOfRestartedDaemon kills a daemon and starts it again at the same address. The
 // others must list the new incarnation as alive, and it must know them.
 func TestMembershipOfRestartedDaemon(t *testing.T) {
