Endpoints have coordinators that are asked before requests are sent

Cause: daemons learn of each other's requests from digests sent every 0.4 to 1 s, in which an engine prefills more than a prompt. Predictions do not see the queue.

Change: each endpoint has one coordinating daemon (peer/assigner, peer/coordinator), which the others ask before they send (peer/reserver). The registry proposes up to three endpoints without counting, and the cheapest one by the answers is taken (serve/placer). Requests that can't start wait at their daemon, within bounds, or are refused.

--- a/internal/ops/accesslogger/accesslogger.go
+++ b/internal/ops/accesslogger/accesslogger.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"brasschute/internal/route/selector"
+	"brasschute/internal/serve/placer"
 	"brasschute/internal/serve/relayer"
 	"brasschute/internal/serve/request"
 
@@ -115,6 +116,9 @@
 	if len(r.Attempts) > 0 {
 		fields = append(fields, "attempts", formatAttempts(r.Attempts))
 	}
+	if r.Schedule != nil {
+		fields = append(fields, "scheduled", formatSchedule(r.Schedule))
+	}
 	if r.RefusedConnections > 0 {
 		fields = append(fields, "refused_connections", r.RefusedConnections)
 	}
@@ -130,6 +134,12 @@
 		x.Leaving, x.Ejected, x.Full, x.Tried, x.NotFound, x.Silent, x.Version, x.Limited, x.BackingOff)
 }
 
+// formatSchedule returns how coordinators decided.
+func formatSchedule(s *placer.Schedule) string {
+	return fmt.Sprintf("coordinator %s decision %s waited_ms %d predicted_ms %d moved %d",
+		s.Coordinator, s.Decision, s.Waited.Milliseconds(), s.Predicted.Milliseconds(), s.Moved)
+}
+
 // formatAttempts returns the attempts separated by semicolons.
 func formatAttempts(list []relayer.Attempt) string {
 	var b strings.Builder
@@ -137,8 +147,12 @@
 		if i > 0 {
 			b.WriteString("; ")
 		}
-		fmt.Fprintf(&b, "%s at %dms predicted %dms cached %d took %dms: %s", a.Endpoint, a.At.Milliseconds(),
-			a.Predicted.Milliseconds(), a.Cached, a.Took.Milliseconds(), a.Outcome)
+		exact := ""
+		if a.Exact {
+			exact = " (exact)"
+		}
+		fmt.Fprintf(&b, "%s at %dms predicted %dms cached %d%s took %dms: %s", a.Endpoint, a.At.Milliseconds(),
+			a.Predicted.Milliseconds(), a.Cached, exact, a.Took.Milliseconds(), a.Outcome)
 	}
 	return b.String()
 }
--- /dev/null
+++ b/internal/peer/coordinator/report.go
@@ -0,0 +1,171 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"brasschute/internal/core/identifier"
+	"brasschute/internal/peer/rpc"
+	"brasschute/internal/peer/translator"
+	"brasschute/internal/route/scheduler"
+
+	"github.com/twitchtv/twirp"
+)
+
+// Report replaces the list of requests that a daemon has started.
+func (c *Coordinator) Report(_ context.Context, m *rpc.RequestStates) (*rpc.ReportReply, error) {
+	host := identifier.Host(m.GetHost())
+	if host == "" || len(m.GetStates()) > maxStates {
+		return nil, twirp.InvalidArgumentError("states", "are not valid")
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	d := c.heard(host, now)
+	if d == nil || m.GetIncarnation() < d.incarnation || m.GetIncarnation() == d.incarnation && m.GetSequence() <= d.sequence {
+		// A newer list has come already.
+		return &rpc.ReportReply{}, nil
+	}
+	d.incarnation, d.sequence, d.heardAt = m.GetIncarnation(), m.GetSequence(), now
+	listed := make(map[Endpoint]map[scheduler.Key]bool)
+	for _, s := range m.GetStates() {
+		r, err := translator.DecodeRequest(s.GetRequest(), host)
+		e := endpointOf(s.GetEndpoint())
+		to := c.entry(e, now)
+		if err != nil || to == nil {
+			continue
+		}
+		if listed[e] == nil {
+			listed[e] = make(map[scheduler.Key]bool)
+		}
+		listed[e][r.Key()] = true
+		to.start(&r, s.GetFirstEvent(), now)
+	}
+	for e, at := range c.entries {
+		at.endUnlisted(host, listed[e], now)
+	}
+	return &rpc.ReportReply{}, nil
+}
+
+// start records a request that its daemon reports as started.
+func (e *entry) start(r *scheduler.Request, firstEvent bool, now time.Time) {
+	k := r.Key()
+	if _, granted := e.granted[k]; !granted && !e.isStarted(k) {
+		e.Started(r, now)
+	}
+	delete(e.granted, k)
+	if firstEvent && !e.delivered[k] {
+		e.FirstEvent(k, now)
+	}
+	e.delivered[k] = firstEvent || e.delivered[k]
+}
+
+// isStarted reports whether a report has listed a request before.
+func (e *entry) isStarted(k scheduler.Key) bool {
+	_, ok := e.delivered[k]
+	return ok
+}
+
+// endUnlisted ends the requests of a daemon that its report does not list, except those that were
+// granted lately: they may have started after the report was built.
+func (e *entry) endUnlisted(h identifier.Host, listed map[scheduler.Key]bool, now time.Time) {
+	for _, k := range e.Keys(h) {
+		if at, granted := e.granted[k]; !listed[k] && (!granted || now.Sub(at) >= grantTime) {
+			e.end(k, now)
+		}
+	}
+	for k := range e.delivered {
+		if k.Daemon == h && !listed[k] {
+			e.end(k, now)
+		}
+	}
+}
+
+// end ends a request.
+func (e *entry) end(k scheduler.Key, now time.Time) {
+	e.End(k, now)
+	delete(e.granted, k)
+	delete(e.delivered, k)
+}
+
+// Sync sets the endpoints that are assigned to this daemon, ends what is no longer heard of, and
+// reports changes of scarcity. It is called every second.
+func (c *Coordinator) Sync(assigned map[Endpoint]scheduler.Config, now time.Time) {
+	for e, s := range c.sync(assigned, now) {
+		c.c.OnScarcity(e, s)
+	}
+}
+
+// sync returns the endpoints whose scarcity changed.
+func (c *Coordinator) sync(assigned map[Endpoint]scheduler.Config, now time.Time) map[Endpoint]scheduler.State {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for e, config := range assigned {
+		if c.entries[e] == nil {
+			c.add(e, config, now)
+		}
+	}
+	c.dropSilent(now)
+	changed := make(map[Endpoint]scheduler.State)
+	for e, at := range c.entries {
+		_, at.assigned = assigned[e]
+		if !at.assigned && now.Sub(at.usedAt) >= unassignedTime {
+			delete(c.entries, e)
+			continue
+		}
+		for k, granted := range at.granted {
+			if now.Sub(granted) >= grantTime {
+				at.end(k, now)
+			}
+		}
+		if s := at.State(now); s.Scarce != at.scarce {
+			at.scarce = s.Scarce
+			changed[e] = s
+		}
+	}
+	return changed
+}
+
+// dropSilent drops the daemons that have sent no report for too long, with their requests. The
+// caller holds the lock.
+func (c *Coordinator) dropSilent(now time.Time) {
+	for h, d := range c.daemons {
+		if now.Sub(d.heardAt) < silenceTimeout {
+			continue
+		}
+		delete(c.daemons, h)
+		for _, e := range c.entries {
+			e.DropDaemon(h, now)
+			e.forget(h)
+		}
+	}
+}
+
+// forget removes what is kept of a daemon's requests besides the scheduler.
+func (e *entry) forget(h identifier.Host) {
+	for k := range e.granted {
+		if k.Daemon == h {
+			delete(e.granted, k)
+		}
+	}
+	for k := range e.delivered {
+		if k.Daemon == h {
+			delete(e.delivered, k)
+		}
+	}
+}
+
+// Counts returns the number of coordinated endpoints, and how many of them are scarce.
+func (c *Coordinator) Counts() (endpoints, scarce int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, e := range c.entries {
+		if e.assigned {
+			endpoints++
+		}
+		if e.scarce {
+			scarce++
+		}
+	}
+	return endpoints, scarce
+}
--- a/internal/peer/roster/message.go
+++ b/internal/peer/roster/message.go
@@ -66,7 +66,7 @@
 	r.forget(now)
 	zones := map[identifier.AvailabilityZone][]*Daemon{r.c.Zone: {{
 		Host: identifier.Host(own.GetHost()), Address: own.GetPeerAddress(), Observing: own.GetObserving(), Stopping: own.GetStopping(),
-		Relaying: own.GetRelaying(), Capacity: Capacity(own.GetCapacity()),
+		Relaying: own.GetRelaying(), Capacity: Capacity(own.GetCapacity()), Schedules: own.GetSchedules(),
 	}}}
 	for _, d := range r.daemons {
 		switch {
@@ -95,7 +95,7 @@
 	for i, d := range list {
 		out[i] = &rpc.Member{
 			Host: string(d.Host), PeerAddress: d.Address, Observing: d.Observing, Stopping: d.Stopping, Relaying: d.Relaying,
-			Capacity: uint32(d.Capacity),
+			Capacity: uint32(d.Capacity), Schedules: d.Schedules,
 		}
 	}
 	return out
@@ -117,6 +117,9 @@
 			}
 		}
 		write(strconv.Itoa(int(d.Capacity)))
+		if d.Schedules {
+			write("s")
+		}
 		write(d.Address)
 	}
 	return sum.Sum64()
@@ -212,6 +215,10 @@
 				// A relay of an older version doesn't state the capacities that it was told.
 				d.Capacity = Capacity(m.GetCapacity())
 			}
+			if m.GetSchedules() {
+				// Nor does it state which daemons coordinate endpoints.
+				d.Schedules = true
+			}
 			r.zones[d.Zone] = true
 		}
 	}
--- a/internal/peer/roster/roster.go
+++ b/internal/peer/roster/roster.go
@@ -98,6 +98,8 @@
 	// Observing means that the daemon watches the store and reaches it, Stopping that it takes
 	// no new work, Relaying that it states that it is a relay.
 	Observing, Stopping, Relaying bool
+	// Schedules means that the daemon coordinates endpoints.
+	Schedules bool
 	// AnsweredAt is when the daemon last answered or called, VouchedAt when a relay last
 	// listed it as live, AddedAt when it became known.
 	AnsweredAt, VouchedAt, AddedAt time.Time
@@ -190,7 +192,7 @@
 	regained, d.Lost = d.Lost, false
 	d.Host, d.Zone, d.AnsweredAt = identifier.Host(digest.GetHost()), identifier.AvailabilityZone(digest.GetAvailabilityZone()), now
 	d.Observing, d.Stopping, d.Relaying = digest.GetObserving(), digest.GetStopping(), digest.GetRelaying()
-	d.Capacity = Capacity(digest.GetCapacity())
+	d.Capacity, d.Schedules = Capacity(digest.GetCapacity()), digest.GetSchedules()
 	r.zones[d.Zone] = true
 	for _, other := range digest.GetPeers() {
 		r.add(other)
--- a/internal/role/gateway/digests.go
+++ b/internal/role/gateway/digests.go
@@ -119,6 +119,7 @@
 		UnixMilli: g.clock.Now().UnixMilli(), AgeMilli: time.Since(g.started).Milliseconds(), Stopping: own.Stopping,
 		ConfigurationNumber: own.ConfigurationNumber, HoldsDuties: own.HoldsDuties, Fleet: own.Fleet, EndpointsRevision: own.EndpointsRevision,
 		Capacity:  own.Capacity,
+		Schedules: own.Schedules,
 		Observing: own.Observing, Relaying: own.Relaying, Departures: own.Departures, Speeds: own.Speeds,
 		Suspects: own.Suspects, Rollouts: g.encodeRollouts(), OrdersKnown: own.OrdersKnown, Limits: own.Limits, Rests: own.Rests,
 	}
@@ -165,7 +166,7 @@
 func (g *Gateway) rosterMember(own *rpc.Digest) *rpc.Member {
 	return &rpc.Member{
 		Host: own.Host, PeerAddress: own.Address, Observing: own.Observing, Stopping: own.Stopping, Relaying: own.Relaying,
-		Capacity: own.Capacity,
+		Capacity: own.Capacity, Schedules: own.Schedules,
 	}
 }
 
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -51,12 +51,15 @@
 	"brasschute/internal/ops/server"
 	"brasschute/internal/peer/aggregator"
 	"brasschute/internal/peer/announcer"
+	"brasschute/internal/peer/assigner"
+	"brasschute/internal/peer/coordinator"
 	"brasschute/internal/peer/crashreporter"
 	"brasschute/internal/peer/fetcher"
 	"brasschute/internal/peer/gatherer"
 	"brasschute/internal/peer/membertracker"
 	"brasschute/internal/peer/meter"
 	"brasschute/internal/peer/mirror"
+	"brasschute/internal/peer/reserver"
 	"brasschute/internal/peer/roster"
 	"brasschute/internal/peer/rpc"
 	"brasschute/internal/peer/supplier"
@@ -69,6 +72,7 @@
 	"brasschute/internal/route/pacer"
 	"brasschute/internal/route/quotalimiter"
 	"brasschute/internal/route/registry"
+	"brasschute/internal/route/scheduler"
 	"brasschute/internal/route/splitter"
 	"brasschute/internal/serve/placer"
 	"brasschute/internal/serve/receiver"
@@ -123,6 +127,9 @@
 	Reload <-chan os.Signal
 	// Network opens connections and listeners; nil means the host's own network.
 	Network Network
+	// NewScheduler returns the scheduler of an endpoint that this daemon coordinates; nil for that of
+	// package scheduler.
+	NewScheduler func(scheduler.Config) coordinator.Scheduler
 	// Uptime returns the time of a clock that continues while the host is suspended; nil means
 	// the host's clock.
 	Uptime func() time.Time
@@ -159,6 +166,8 @@
 	scope        tally.Scope
 	closer       func() error
 
+	// peerClient calls the coordinators among the peers.
+	peerClient *http.Client
 	// peerBytes counts the bytes exchanged with peers.
 	peerBytes meter.Meter
 
@@ -189,6 +198,16 @@
 	endpointLogs *rate.Limiter
 	// backoffNotes limits the notes sent about endpoints that asked for a backoff.
 	backoffNotes *rate.Limiter
+	// assigner determines the coordinators of endpoints. coordinator is this daemon's own, reserver
+	// asks all of them.
+	assigner    *assigner.Assigner
+	coordinator *coordinator.Coordinator
+	reserver    *reserver.Reserver
+	// scarcityLogs limits the log lines about scarce endpoints.
+	scarcityLogs *rate.Limiter
+	// predictions are the histograms of measured over predicted times to first events, by service.
+	predictionMu sync.Mutex
+	predictions  map[identifier.Service]tally.Histogram
 	// announcer selects the departures of endpoints that messages to peers name.
 	announcer announcer.Announcer
 	gatherer  gatherer.Gatherer
@@ -296,8 +315,11 @@
 	g.quarantine = crashreporter.New(crashreporter.Config{
 		Host: d.Host, Dialer: g.c.Network, Leaving: g.registry.Leaving, OnChange: g.gossipEndings, Logger: g.c.Logger, Metrics: g.scope,
 	})
+	g.buildScheduling()
 	relay := relayer.New(relayer.Config{
-		Registry: g.registry, Placer: placer.New(placer.Config{Registry: g.registry, Estimator: &g.estimator, Zone: d.AvailabilityZone}),
+		Registry: g.registry, Placer: placer.New(placer.Config{
+			Registry: g.registry, Estimator: &g.estimator, Zone: d.AvailabilityZone, Host: d.Host, Reserver: g.reserver, OnFirstEvent: g.recordPrediction,
+		}),
 		Sender: g.sender, Codec: platform.Codec{}, Budget: g, OnBegin: g.countRequest, Demand: &g.demandMeter, Quarantine: g.quarantine,
 		Versions: g.splitter, ReplyObserver: g,
 	})
--- a/internal/role/gateway/gossip.go
+++ b/internal/role/gateway/gossip.go
@@ -8,6 +8,7 @@
 	"brasschute/internal/core/identifier"
 	"brasschute/internal/core/waiter"
 	"brasschute/internal/core/watchdog"
+	"brasschute/internal/peer/coordinator"
 	"brasschute/internal/peer/fetcher"
 	"brasschute/internal/peer/roster"
 	"brasschute/internal/peer/rpc"
@@ -54,12 +55,13 @@
 		Roster: g.roster, Relaying: g.isRelay, LargeFleet: g.isLarge,
 		BuildDigest: g.digestFor, OnDigest: g.mergeDigest, BuildNote: g.newNote, OnNote: g.mergeNote, Client: &http.Client{Transport: transport},
 	})
+	g.peerClient = &http.Client{Transport: transport}
 	throttle := throttler.New(throttler.Config{BytesPerSecond: d.LinkBytesPerSecond})
 	g.supplier = supplier.New(supplier.Config{
 		Address: d.Peers.String(), Objects: &g.mirror, Kinds: []string{platform.CatalogKind, platform.EndpointKind, platform.RolloutKind}, Throttler: throttle,
 		Client: watchdog.New(watchdog.Config{Transport: transport, IdleTimeout: peerStallTimeout}), Logger: g.c.Logger,
 	})
-	g.peerHandler = throttle.Handler(rpc.NewFleetServer(fleetServer{g.syncer, g.supplier}))
+	g.peerHandler = throttle.Handler(rpc.NewFleetServer(fleetServer{g.syncer, g.supplier, g.coordinator}))
 	for _, seed := range d.Seeds {
 		g.roster.Add(seed.String())
 	}
@@ -81,6 +83,7 @@
 type fleetServer struct {
 	*syncer.Syncer
 	*supplier.Supplier
+	*coordinator.Coordinator
 }
 
 // endpointsRevision returns the revision up to which the list of endpoints is known.
@@ -121,7 +124,7 @@
 	out.EndpointsRevision = g.endpointsRevision()
 	out.Observing = g.reachesStore()
 	out.Relaying = g.isLarge() && g.isRelay()
-	out.Capacity = uint32(roster.CapacityOf(d.LinkBytesPerSecond))
+	out.Capacity, out.Schedules = uint32(roster.CapacityOf(d.LinkBytesPerSecond)), true
 	out.Departures = g.digestDepartures()
 	out.Suspects = g.quarantine.RPCSuspects()
 	out.Rollouts, out.Trials, out.OrdersKnown = g.encodeRollouts(), g.encodeTrials(), g.splitter.OrdersKnown()
--- a/internal/route/registry/choice.go
+++ b/internal/route/registry/choice.go
@@ -25,6 +25,20 @@
 func (r *Registry) Choose(q *Query) (*Pick, selector.Decision) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	p, d := r.decide(q)
+	if d.Index == selector.None {
+		return nil, d
+	}
+	c := &p.candidates[d.Index]
+	return r.count(q, p, c, q.Select.Now, figures{
+		firstToken: d.Chosen.FirstToken, nominal: time.Duration(float64(d.Chosen.FirstToken) / max(c.Slowdown, 1)),
+		cached: d.Chosen.Cached, ahead: c.TokensAhead, streams: c.Streams,
+	}), d
+}
+
+// decide makes the decision for a query. The pool is nil if the query's pool has no endpoints. The
+// caller holds the lock.
+func (r *Registry) decide(q *Query) (*pool, selector.Decision) {
 	p := r.pools[q.Pool]
 	if p == nil {
 		d := selector.Decision{Index: selector.None}
@@ -44,25 +58,33 @@
 	if q.Select.Prefix == 0 {
 		q.Select.Prefix = uint64(r.indexer.ConversationBlock(q.Blocks))
 	}
-	d := r.c.Select(&q.Select, p.candidates, p.cached, p.scratch)
-	if d.Index == selector.None {
-		return nil, d
-	}
-	c := &p.candidates[d.Index]
-	uncached := q.Select.PromptTokens - d.Chosen.Cached
-	ahead, streams := c.TokensAhead, c.Streams
+	return p, r.c.Select(&q.Select, p.candidates, p.cached, p.scratch)
+}
+
+// figures are the predictions that a pick was made by.
+type figures struct {
+	firstToken, nominal time.Duration
+	cached              identifier.Tokens
+	ahead, streams      float64
+	exact               bool
+}
+
+// count counts a request as in flight at a candidate. The caller holds the lock.
+func (r *Registry) count(q *Query, p *pool, c *candidate.Candidate, now time.Time, f figures) *Pick {
+	uncached := q.Select.PromptTokens - f.cached
 	c.InFlight++
-	permit := p.limited && r.c.RateLimiter.Take(incarnationOf(c), q.Select.Now)
-	c.RecordSent(q.Select.Now, uncached)
+	permit := p.limited && r.c.RateLimiter.Take(incarnationOf(c), now)
+	c.RecordSent(now, uncached)
 	p.meanUncached += meanUncachedWeight * (float64(uncached) - p.meanUncached)
 	id := r.id(c)
 	r.indexer.RecordSent(q.Blocks, id)
 	r.remember(q, c)
 	return &Pick{
 		Endpoint: c.Endpoint, Host: c.Host, Incarnation: c.Incarnation, StartTime: c.StartTime, Address: c.Address, Pool: c.Pool,
-		Version: c.Version, Cold: q.Select.Now.Before(c.WarmAt),
-		PricePerSecond: c.PricePerSecond, PredictedFirstToken: d.Chosen.FirstToken, NominalFirstToken: time.Duration(float64(d.Chosen.FirstToken) / max(c.Slowdown, 1)), UncachedTokens: uncached, TokensAhead: ahead, Streams: streams, Activity: c.Activity, id: id, permit: permit,
-	}, d
+		Version: c.Version, Cold: now.Before(c.WarmAt), PricePerSecond: c.PricePerSecond, PredictedFirstToken: f.firstToken,
+		NominalFirstToken: f.nominal, UncachedTokens: uncached, TokensAhead: f.ahead, Streams: f.streams, Exact: f.exact,
+		Activity: c.Activity, id: id, permit: permit,
+	}
 }
 
 // refresh updates the fields that depend on the time, at most once per refreshPause.
--- a/internal/route/registry/pick.go
+++ b/internal/route/registry/pick.go
@@ -28,6 +28,8 @@
 	UncachedTokens    identifier.Tokens
 	TokensAhead       float64
 	Streams           float64
+	// Exact: the figures are those of the endpoint's coordinator, not this daemon's prediction.
+	Exact bool
 
 	// Activity records the events that arrive from the endpoint. The sender of the request reports
 	// them to it.
--- a/internal/route/selector/alternative.go
+++ b/internal/route/selector/alternative.go
@@ -38,6 +38,10 @@
 type Decision struct {
 	// Index is the position of the chosen candidate, or None.
 	Index int
+	// Home is the position of the home of the request's prefix. It is valid if HasHome is set: the
+	// prefix has a home, which can serve the request.
+	Home    int
+	HasHome bool
 	// Chosen holds the predictions for the chosen candidate.
 	Chosen Alternative
 	// Alternatives holds the best endpoints, the best one first; the chosen one may be among them.
--- a/internal/route/selector/selector.go
+++ b/internal/route/selector/selector.go
@@ -131,6 +131,9 @@
 			d.addAlternative(m.alternative(c, p, m.cached(cached, i)))
 		}
 	}
+	if m.home != None && scratch[m.home].FirstToken >= 0 {
+		d.Home, d.HasHome = m.home, true
+	}
 	if least.any {
 		d.pick(q, candidates, scratch, &m, &least)
 		d.Chosen = m.alternative(&candidates[d.Index], scratch[d.Index], m.cached(cached, d.Index))
--- a/internal/serve/placer/placer.go
+++ b/internal/serve/placer/placer.go
@@ -11,11 +11,20 @@
 //
 // # Usage
 //
-//	pick, decision := p.Place(q, service, tried, versions)
-//	defer registry.Release(pick, result)
+//	placement := p.Place(ctx, q, service, tried, versions)
+//	defer p.End(q, placement.Pick)
+//	defer registry.Release(placement.Pick, result)
+//
+// # Exact figures
+//
+// For engines whose capacity is known, up to three endpoints are drawn by this daemon's own
+// prediction, and their coordinators are asked for the exact queue and cache. So daemons that send at
+// the same time do not overload one engine while others idle. A request that can't start waits here,
+// within bounds, and is started, moved or refused as the coordinator says.
 package placer
 
 import (
+	"context"
 	"time"
 
 	"brasschute/internal/config/catalog"
@@ -60,7 +69,8 @@
 
 // Placer places requests. It is safe for concurrent use.
 type Placer struct {
-	c Config
+	c       Config
+	waiting waitingRoom
 }
 
 // Config holds the dependencies of a Placer.
@@ -68,16 +78,32 @@
 	Registry *registry.Registry
 	// Estimator predicts the prefill and decode speed of engines.
 	Estimator *estimator.Estimator
-	// Zone is the zone of this daemon.
+	// Zone is the zone of this daemon, Host its name.
 	Zone identifier.AvailabilityZone
+	Host identifier.Host
+	// Reserver asks the coordinators of endpoints; nil if there are none.
+	Reserver Reserver
+	// OnFirstEvent is called with the measured and the predicted time to each first event of a
+	// request with token counts; may be nil.
+	OnFirstEvent func(s identifier.Service, took, predicted time.Duration)
 }
 
 // New returns a placer.
-func New(c Config) *Placer { return &Placer{c} }
+func New(c Config) *Placer { return &Placer{c: c} }
+
+// Place chooses an endpoint for a request and counts the request there. It may wait until the
+// request can start, but not after ctx has ended.
+func (p *Placer) Place(ctx context.Context, q *request.Request, s *catalog.Service, tried []identifier.Endpoint, v selector.VersionFilter) Placement {
+	query := p.query(q, s, tried, v)
+	if p.isScheduled(q, s) {
+		return p.schedule(ctx, q, query)
+	}
+	pick, d := p.c.Registry.Choose(query)
+	return Placement{Pick: pick, Decision: d}
+}
 
-// Place chooses an endpoint for a request and counts the request there. The pick is nil
-// if no endpoint can serve; the decision says why.
-func (p *Placer) Place(q *request.Request, s *catalog.Service, tried []identifier.Endpoint, v selector.VersionFilter) (*registry.Pick, selector.Decision) {
+// query returns the query for an endpoint.
+func (p *Placer) query(q *request.Request, s *catalog.Service, tried []identifier.Endpoint, v selector.VersionFilter) *registry.Query {
 	now := time.Now()
 	blocks, sizes := prefixBlocks(q)
 	query := &registry.Query{
@@ -98,18 +124,31 @@
 	if n := len(blocks); n > 0 && sizes[n-1] >= minHomeTokens {
 		query.Select.Prefix, query.Select.PriorTokens = uint64(blocks[n-1]), sizes[n-1]
 	}
-	return p.c.Registry.Choose(query)
+	return query
 }
 
 // ObserveFirstEvent records how long a pick took to the first event, or to the answer.
 func (p *Placer) ObserveFirstEvent(q *request.Request, k *registry.Pick, took time.Duration) {
 	p.c.Registry.ObserveFirstToken(k, took)
+	if p.c.Reserver != nil {
+		p.c.Reserver.FirstEvent(k.Endpoint, q.ID)
+	}
 	if !q.HasTokenCounts {
 		return
 	}
+	if p.c.OnFirstEvent != nil && k.PredictedFirstToken > 0 {
+		p.c.OnFirstEvent(q.Service, took, k.PredictedFirstToken)
+	}
 	p.c.Estimator.ObserveFirstEvent(q.Service, estimator.Observation{Uncached: k.UncachedTokens, TokensAhead: k.TokensAhead, Streams: k.Streams, Took: took})
 }
 
+// End records that the request of a pick has ended at its endpoint, or was not sent there.
+func (p *Placer) End(q *request.Request, k *registry.Pick) {
+	if p.c.Reserver != nil {
+		p.c.Reserver.End(k.Endpoint, q.ID)
+	}
+}
+
 // ObserveStream records how long an ended stream took from its first event to its last.
 func (p *Placer) ObserveStream(q *request.Request, s *catalog.Service, events int, took time.Duration) {
 	p.c.Estimator.ObserveStream(q.Service, (events-1)*tokensPerEvent(s), took)
--- /dev/null
+++ b/internal/serve/placer/schedule.go
@@ -0,0 +1,294 @@
+package placer
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"brasschute/internal/config/catalog"
+	"brasschute/internal/core/identifier"
+	"brasschute/internal/peer/reserver"
+	"brasschute/internal/route/candidate"
+	"brasschute/internal/route/registry"
+	"brasschute/internal/route/scheduler"
+	"brasschute/internal/route/selector"
+	"brasschute/internal/route/shedder"
+	"brasschute/internal/serve/request"
+)
+
+const (
+	// maxPlacings bounds how often a request is placed anew because its endpoint left while it
+	// waited. After that it is placed by this daemon's own prediction.
+	maxPlacings = 8
+	// minPause and maxPause bound the pause before a coordinator is asked again: a call takes a few
+	// milliseconds, and with a call's time-out no request waits longer for a silent coordinator than
+	// a quarter of a second.
+	minPause = 5 * time.Millisecond
+	maxPause = 100 * time.Millisecond
+	// remainingFraction of the time left is the longest that clients wait before they return.
+	remainingFraction = 1.0 / 3
+	// assumedTokens is the size that a request of a quota in requests is assumed to have.
+	// minWeight and maxWeight bound the weights of organisations.
+	assumedTokens = 8000
+	minWeight     = 0.01
+	maxWeight     = 100
+)
+
+// Reserver asks the coordinators of endpoints and tells them what was started; see
+// [reserver.Reserver].
+type Reserver interface {
+	Coordinator(e identifier.Endpoint, z identifier.AvailabilityZone) identifier.Host
+	Quote(ctx context.Context, r *scheduler.Request, targets []reserver.Target) []reserver.Quote
+	Reserve(ctx context.Context, r *scheduler.Request, t reserver.Target) reserver.Quote
+	Start(r *scheduler.Request, t reserver.Target, reserved bool)
+	FirstEvent(e identifier.Endpoint, id identifier.Request)
+	End(e identifier.Endpoint, id identifier.Request)
+}
+
+// Placement is the outcome of placing a request.
+type Placement struct {
+	// Pick is nil if the request was not placed: it was refused, no endpoint can serve it, or its
+	// context has ended.
+	Pick     *registry.Pick
+	Decision selector.Decision
+	// Refusal is set if the request is refused although endpoints could serve it.
+	Refusal *Refusal
+	// Schedule is set if coordinators were to be asked.
+	Schedule *Schedule
+}
+
+// Refusal says why a request is not served now, and when its client may return.
+type Refusal struct {
+	Reason     string
+	RetryAfter time.Duration
+}
+
+// Schedule says how coordinators decided.
+type Schedule struct {
+	// Coordinator is the daemon that coordinates the chosen endpoint, empty if none does.
+	Coordinator identifier.Host
+	// Decision is the coordinator's last decision, "fallback" if none answered.
+	Decision string
+	// Waited is how long the request waited, Predicted the predicted time to its first event from
+	// then on.
+	Waited    time.Duration
+	Predicted time.Duration
+	// Moved counts how often the request was placed anew because its endpoint left.
+	Moved int
+}
+
+// fallbackDecision is the decision in a Schedule if no coordinator answered.
+const fallbackDecision = "fallback"
+
+// isScheduled reports whether a request is scheduled by coordinators: the capacity of its engines,
+// its tokens and its objective must be known.
+func (p *Placer) isScheduled(q *request.Request, s *catalog.Service) bool {
+	return p.c.Reserver != nil && s != nil && s.Engine != nil && s.Engine.Slots > 0 && s.Engine.MemoryTokens > 0 &&
+		q.HasTokenCounts && q.Route.FirstEventObjective > 0
+}
+
+// schedule places a request with the figures of coordinators.
+func (p *Placer) schedule(ctx context.Context, q *request.Request, query *registry.Query) Placement {
+	began, schedule := time.Now(), &Schedule{}
+	for ; schedule.Moved < maxPlacings; schedule.Moved++ {
+		query.Select.Now = time.Now()
+		query.Select.Target = max(q.Route.FirstEventObjective-query.Select.Now.Sub(q.Received), time.Millisecond)
+		proposals, d := p.c.Registry.Propose(query, p.coordinator)
+		if len(proposals) == 0 {
+			return Placement{Decision: d, Schedule: schedule}
+		}
+		quotes := p.c.Reserver.Quote(ctx, p.newRequest(q, query), targetsOf(proposals))
+		i, chosen := compare(&query.Select, proposals, quotes)
+		d.Chosen = chosen
+		a := &placing{p: p, q: q, query: query, proposal: &proposals[i], quote: quotes[i], predicted: chosen.FirstToken, decision: d, schedule: schedule}
+		schedule.Coordinator = quotes[i].Coordinator
+		out, done := a.run(ctx)
+		schedule.Waited = time.Since(began)
+		if done {
+			return out
+		}
+	}
+	return p.fallBack(query, schedule)
+}
+
+// coordinator returns the coordinator of a candidate.
+func (p *Placer) coordinator(c *candidate.Candidate) identifier.Host {
+	return p.c.Reserver.Coordinator(c.Endpoint, c.AvailabilityZone)
+}
+
+// fallBack places a request by this daemon's own prediction.
+func (p *Placer) fallBack(query *registry.Query, schedule *Schedule) Placement {
+	schedule.Decision = fallbackDecision
+	query.Select.Now = time.Now()
+	pick, d := p.c.Registry.Choose(query)
+	schedule.Predicted = d.Chosen.FirstToken
+	return Placement{Pick: pick, Decision: d, Schedule: schedule}
+}
+
+// newRequest describes a request for coordinators.
+func (p *Placer) newRequest(q *request.Request, query *registry.Query) *scheduler.Request {
+	now := time.Now()
+	waited := now.Sub(q.Received)
+	r := &scheduler.Request{
+		ID: q.ID, Daemon: p.c.Host, Rank: q.Rank(), Weight: 1, Fingerprint: q.Fingerprint(), PromptTokens: q.PromptTokens, OutputTokens: q.OutputTokens,
+		Blocks: query.Blocks, Sizes: query.Sizes, ObjectiveLeft: q.Route.FirstEventObjective - waited, TimeLeft: q.Deadline().Sub(now),
+	}
+	r.SilenceLeft = r.TimeLeft
+	if q.Route.Kind == catalog.Streaming {
+		r.SilenceLeft = min(r.SilenceLeft, shedder.ClientTimeout(q.Route)-waited)
+	}
+	if q.Organisation != nil {
+		r.Organisation, r.Weight = q.Organisation.Name, weight(q.Organisation, float64(query.Select.PrefillRate))
+	}
+	return r
+}
+
+// weight returns the weight of an organisation: its quota relative to what one engine prefills, so
+// that quotas in tokens, quotas in requests and organisations without a quota compare.
+func weight(o *catalog.Organisation, tokensPerSecond float64) float64 {
+	if o.RatePerSecond <= 0 || tokensPerSecond <= 0 {
+		return 1
+	}
+	rate := o.RatePerSecond
+	if !o.ByTokens {
+		rate *= assumedTokens
+	}
+	return min(max(rate/tokensPerSecond, minWeight), maxWeight)
+}
+
+func targetsOf(proposals []registry.Proposal) []reserver.Target {
+	out := make([]reserver.Target, len(proposals))
+	for i := range proposals {
+		out[i] = targetOf(&proposals[i])
+	}
+	return out
+}
+
+func targetOf(p *registry.Proposal) reserver.Target {
+	c := &p.Candidate
+	return reserver.Target{Endpoint: c.Endpoint, Born: c.StartTime, Zone: c.AvailabilityZone}
+}
+
+// compare sets the proposals to the figures of their quotes and returns the position of the cheapest,
+// with its predictions. One that is refused is chosen only if all are.
+func compare(q *selector.Query, proposals []registry.Proposal, quotes []reserver.Quote) (int, selector.Alternative) {
+	options, positions := make([]selector.Option, 0, len(proposals)), make([]int, 0, len(proposals))
+	allRefuse := true
+	for i := range proposals {
+		apply(&proposals[i], &quotes[i])
+		allRefuse = allRefuse && quotes[i].Decision == scheduler.Refuse
+	}
+	for i := range proposals {
+		if allRefuse || quotes[i].Decision != scheduler.Refuse {
+			options, positions = append(options, proposals[i].Option), append(positions, i)
+		}
+	}
+	best, chosen := selector.Compare(q, options)
+	return positions[best], chosen
+}
+
+// apply sets a proposal to the figures of a quote. An offer without a predicted first event has no
+// figures. Until a coordinator has heard of what all daemons have started, the longer of its
+// prediction and this daemon's own counts.
+func apply(p *registry.Proposal, q *reserver.Quote) {
+	if !q.Known || q.FirstEventIn <= 0 || !q.Complete && p.Presumed > q.FirstEventIn {
+		return
+	}
+	p.FirstToken = q.FirstEventIn
+	p.Cached, p.Candidate.TokensAhead, p.Candidate.Streams = q.Cached, q.TokensAhead, float64(q.Streams)
+}
+
+// placing is the attempt to place a request at one endpoint.
+type placing struct {
+	p         *Placer
+	q         *request.Request
+	query     *registry.Query
+	proposal  *registry.Proposal
+	quote     reserver.Quote
+	predicted time.Duration
+	decision  selector.Decision
+	schedule  *Schedule
+}
+
+// run places the request, waits or refuses it as its quote says. done is false if the endpoint no
+// longer takes it, so that it must be placed anew.
+func (a *placing) run(ctx context.Context) (out Placement, done bool) {
+	if !a.quote.Known {
+		a.schedule.Decision = fallbackDecision
+		return a.take(false)
+	}
+	a.schedule.Decision = a.quote.Decision.String()
+	if a.quote.Decision == scheduler.Start {
+		return a.take(false)
+	}
+	if reason, ok := a.p.waiting.enter(len(a.q.Body)); !ok {
+		return a.refuse(reason), true
+	}
+	defer a.p.waiting.leave(len(a.q.Body))
+	return a.wait(ctx)
+}
+
+// take counts the request at its endpoint and tells the coordinator, unless it has reserved the
+// place.
+func (a *placing) take(reserved bool) (out Placement, done bool) {
+	target := targetOf(a.proposal)
+	pick := a.p.c.Registry.Take(a.query, a.proposal, a.predicted, time.Now())
+	if pick == nil {
+		a.p.c.Reserver.End(target.Endpoint, a.q.ID)
+		return Placement{}, false
+	}
+	a.p.c.Reserver.Start(a.p.newRequest(a.q, a.query), target, reserved)
+	a.schedule.Predicted = a.predicted
+	return Placement{Pick: pick, Decision: a.decision, Schedule: a.schedule}, true
+}
+
+// refuse returns the placement of a request that is refused.
+func (a *placing) refuse(reason string) Placement {
+	after := a.quote.RetryAfter
+	if longest := time.Duration(remainingFraction * float64(time.Until(a.q.Deadline()))); after <= 0 || after > longest {
+		after = max(longest, 0)
+	}
+	a.schedule.Decision = scheduler.Refuse.String()
+	return Placement{Decision: a.decision, Schedule: a.schedule, Refusal: &Refusal{Reason: reason, RetryAfter: after}}
+}
+
+// wait asks the coordinator until the request starts, is refused or ends.
+func (a *placing) wait(ctx context.Context) (out Placement, done bool) {
+	target := targetOf(a.proposal)
+	for {
+		if a.quote = a.p.c.Reserver.Reserve(ctx, a.p.newRequest(a.q, a.query), target); !a.quote.Known {
+			if ctx.Err() != nil {
+				return Placement{Schedule: a.schedule}, true
+			}
+			return a.p.fallBack(a.query, a.schedule), true
+		}
+		a.schedule.Decision = a.quote.Decision.String()
+		switch a.quote.Decision {
+		case scheduler.Refuse:
+			return a.refuse(fmt.Sprintf("%s by %s: %s", reasonScheduled, a.quote.Coordinator, a.quote.Reason)), true
+		case scheduler.Start:
+			a.update()
+			return a.take(true)
+		}
+		pause := time.NewTimer(min(max(a.quote.AskAgain, minPause), maxPause))
+		select {
+		case <-ctx.Done():
+			pause.Stop()
+			return Placement{Schedule: a.schedule}, true
+		case <-pause.C:
+		}
+		if !a.p.c.Registry.Available(a.query, a.proposal, time.Now()) {
+			return Placement{}, false
+		}
+	}
+}
+
+// reasonScheduled is the start of the reason when a coordinator refuses a request.
+const reasonScheduled = "refused"
+
+// update sets the predictions to those of the coordinator's last answer.
+func (a *placing) update() {
+	apply(a.proposal, &a.quote)
+	_, a.decision.Chosen = selector.Compare(&a.query.Select, []selector.Option{a.proposal.Option})
+	a.predicted = a.decision.Chosen.FirstToken
+}
--- a/internal/serve/relayer/relayer.go
+++ b/internal/serve/relayer/relayer.go
@@ -169,6 +169,8 @@
 	Endpoint  identifier.Endpoint
 	Predicted time.Duration
 	Cached    identifier.Tokens
+	// Exact: these figures are those of the endpoint's coordinator.
+	Exact bool
 	// At is the time from the arrival of the request to the start of the attempt, Took
 	// the duration of the attempt.
 	At   time.Duration
@@ -199,6 +201,8 @@
 	Fingerprint identifier.Fingerprint
 	// Excluded counts the endpoints that could not be chosen, by reason.
 	Excluded selector.Excluded
+	// Schedule says how coordinators decided; nil if none were to be asked.
+	Schedule *placer.Schedule
 }
 
 // Refusal is an error response that the daemon itself gives.
@@ -263,6 +267,7 @@
 		}
 		begun, events := time.Now(), j.res.Events
 		err := j.attempt(ctx, pick)
+		r.c.Placer.End(q, pick)
 		j.recordAttempt(pick, begun, err)
 		if err == nil || errors.Is(err, errFailed) {
 			r.c.Quarantine.Answered(q.Fingerprint())
@@ -293,32 +298,50 @@
 		j.endFailed(quarantineReason(&v), v.RetryAfter)
 		return nil, true
 	}
-	pick, d := j.place()
-	if pick == nil {
-		j.res.Excluded = d.Excluded
-		j.r.c.Demand.CountRefused(j.q.Service)
-		j.endFailed(j.noEndpointReason(&d.Excluded))
+	placed := j.place(ctx)
+	if placed.Schedule != nil {
+		j.res.Schedule = placed.Schedule
+	}
+	if pick = placed.Pick; pick == nil {
+		j.endUnplaced(ctx, &placed)
 		return nil, true
 	}
 	if v := j.forecast(pick); v.Refuse {
 		j.r.c.Registry.Cancel(pick)
+		j.r.c.Placer.End(j.q, pick)
 		j.r.c.Demand.CountRefused(j.q.Service)
 		j.endFailed(fmt.Sprintf("%s: %s of queue, bearable %s", reasonTooLate, pick.PredictedWait().Round(time.Millisecond), v.MaxDelay.Round(time.Millisecond)), v.RetryAfter)
 		return nil, true
 	}
+	chosen := &placed.Decision.Chosen
 	j.res.Attempts = append(j.res.Attempts, Attempt{
-		Endpoint: pick.Endpoint, Predicted: d.Chosen.FirstToken, Cached: d.Chosen.Cached, At: time.Since(j.q.Received),
+		Endpoint: pick.Endpoint, Predicted: chosen.FirstToken, Cached: chosen.Cached, Exact: pick.Exact, At: time.Since(j.q.Received),
 	})
 	return pick, false
 }
 
+// endUnplaced ends a request for which no endpoint was chosen.
+func (j *job) endUnplaced(ctx context.Context, placed *placer.Placement) {
+	switch {
+	case ctx.Err() != nil:
+		j.endTimedOut(ctx)
+	case placed.Refusal != nil:
+		j.r.c.Demand.CountRefused(j.q.Service)
+		j.endFailed(placed.Refusal.Reason, placed.Refusal.RetryAfter)
+	default:
+		j.res.Excluded = placed.Decision.Excluded
+		j.r.c.Demand.CountRefused(j.q.Service)
+		j.endFailed(j.noEndpointReason(&placed.Decision.Excluded))
+	}
+}
+
 // reasonTooLate is the start of the reason when the forecast refuses a request.
 const reasonTooLate = "the first event would come too late"
 
 // forecast decides whether to refuse a request that was never sent, because its
-// first event is predicted to come too late.
+// first event is predicted to come too late. The coordinator of an endpoint has decided that itself.
 func (j *job) forecast(pick *registry.Pick) shedder.Decision {
-	if !j.q.HasTokenCounts || len(j.tried) > 0 {
+	if !j.q.HasTokenCounts || len(j.tried) > 0 || pick.Exact {
 		return shedder.Decision{}
 	}
 	return shedder.Decide(&shedder.Input{
--- a/internal/serve/relayer/version.go
+++ b/internal/serve/relayer/version.go
@@ -7,21 +7,21 @@
 
 	"brasschute/internal/engine/sender"
 	"brasschute/internal/route/registry"
-	"brasschute/internal/route/selector"
 	"brasschute/internal/route/splitter"
+	"brasschute/internal/serve/placer"
 )
 
 // place chooses an endpoint among those whose version the request may go to.
-func (j *job) place() (*registry.Pick, selector.Decision) {
+func (j *job) place(ctx context.Context) placer.Placement {
 	v := j.r.c.Versions.Choose(&splitter.Query{
 		Service: j.q.Service, Route: j.q.Route.Name, Repeated: j.versionChosen, MaxDuration: j.r.c.Placer.MaxUsualDuration(j.q),
 	})
 	j.versionChosen = true
-	pick, d := j.r.c.Placer.Place(j.q, j.service, j.tried, v)
-	if pick != nil || !v.AllowFallback {
-		return pick, d
+	placed := j.r.c.Placer.Place(ctx, j.q, j.service, j.tried, v)
+	if placed.Pick != nil || placed.Refusal != nil || ctx.Err() != nil || !v.AllowFallback {
+		return placed
 	}
-	return j.r.c.Placer.Place(j.q, j.service, j.tried, j.r.c.Versions.Fallback(j.q.Service, &v))
+	return j.r.c.Placer.Place(ctx, j.q, j.service, j.tried, j.r.c.Versions.Fallback(j.q.Service, &v))
 }
 
 // newRun describes an attempt for the comparison of versions.
