Tests of coordinators: each failure once, in a fleet before batching engines

Cause: what happens when a coordinator is killed, paused or cut off, or when two daemons believe that they coordinate an endpoint, was not tested.

--- a/internal/peer/reserver/report.go
+++ b/internal/peer/reserver/report.go
@@ -144,7 +144,8 @@
 		}
 	}
 	for h, r := range v.reporters {
-		if r.sending || !r.changed && !(periodic && len(states[h]) > 0) {
+		due := r.changed || periodic && len(states[h]) > 0
+		if r.sending || !due {
 			continue
 		}
 		r.changed, r.sending = false, true
--- a/internal/role/gateway/fleet_test.go
+++ b/internal/role/gateway/fleet_test.go
@@ -55,6 +55,8 @@
 	stop     []func()
 	// adjust changes a daemon's deployment before it starts; may be nil.
 	adjust func(*deployment.Deployment)
+	// prepare changes the configuration of a daemon before it is built; may be nil.
+	prepare func(*Config)
 
 	mu sync.Mutex
 	// requests counts the requests of clients.
@@ -165,7 +167,11 @@
 	f.serveStore(d.Host, d.Store)
 	network := &isolatableNetwork{Network: f.network.Host(rate)}
 	f.networks = append(f.networks, network)
-	g, err := New(Config{Deployment: d, Logger: log.New(f.logOutput()), Network: network, Uptime: time.Now})
+	c := Config{Deployment: d, Logger: log.New(f.logOutput()), Network: network, Uptime: time.Now}
+	if f.prepare != nil {
+		f.prepare(&c)
+	}
+	g, err := New(c)
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- a/internal/role/gateway/load_test.go
+++ b/internal/role/gateway/load_test.go
@@ -85,10 +85,18 @@
 
 // inBatchFleet runs a check among daemons in front of engines that batch requests.
 func inBatchFleet(t *testing.T, daemons, engines int, check func(m *batchFleet)) {
+	t.Helper()
+	inPreparedBatchFleet(t, daemons, engines, nil, check)
+}
+
+// inPreparedBatchFleet is inBatchFleet with a function that changes the configuration of each daemon
+// before it is built.
+func inPreparedBatchFleet(t *testing.T, daemons, engines int, prepare func(*Config), check func(m *batchFleet)) {
 	t.Helper()
 	inPausedTime(t, func(t *testing.T) {
 		f := newTestFleet(t)
 		defer f.end()
+		f.prepare = prepare
 		f.rate = wideLink
 		m := &batchFleet{f: f, host: f.network.Host(storeLink), random: rand.New(rand.NewPCG(3, 4))}
 		clients := f.network.Host(storeLink)
