--- /dev/null
+++ b/internal/serve/placer/schedule_test.go
@@ -0,0 +1,294 @@
+package placer
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"brasschute/internal/config/catalog"
+	"brasschute/internal/core/identifier"
+	"brasschute/internal/peer/membertracker"
+	"brasschute/internal/peer/reserver"
+	"brasschute/internal/peer/rpc"
+	"brasschute/internal/platform/inventory"
+	"brasschute/internal/platform/object"
+	"brasschute/internal/route/estimator"
+	"brasschute/internal/route/registry"
+	"brasschute/internal/route/scheduler"
+	"brasschute/internal/route/selector"
+	"brasschute/internal/serve/request"
+)
+
+// fakeReserver answers quotes and reservations by functions, and records what was started and ended.
+type fakeReserver struct {
+	quote   func(e identifier.Endpoint) reserver.Quote
+	reserve func(e identifier.Endpoint) reserver.Quote
+
+	asked    int
+	reserved int
+	started  []identifier.Endpoint
+	ended    []identifier.Endpoint
+}
+
+func (f *fakeReserver) Coordinator(e identifier.Endpoint, _ identifier.AvailabilityZone) identifier.Host {
+	return identifier.Host("of-" + e)
+}
+
+func (f *fakeReserver) Quote(_ context.Context, _ *scheduler.Request, targets []reserver.Target) (out []reserver.Quote) {
+	f.asked++
+	for i := range targets {
+		out = append(out, f.quote(targets[i].Endpoint))
+	}
+	return out
+}
+
+func (f *fakeReserver) Reserve(_ context.Context, _ *scheduler.Request, t reserver.Target) reserver.Quote {
+	f.reserved++
+	return f.reserve(t.Endpoint)
+}
+
+func (f *fakeReserver) Start(_ *scheduler.Request, t reserver.Target, _ bool) {
+	f.started = append(f.started, t.Endpoint)
+}
+func (f *fakeReserver) FirstEvent(identifier.Endpoint, identifier.Request) {}
+func (f *fakeReserver) End(e identifier.Endpoint, _ identifier.Request)    { f.ended = append(f.ended, e) }
+
+func known(d scheduler.Decision, firstEvent time.Duration) reserver.Quote {
+	return reserver.Quote{Known: true, Complete: true, Coordinator: "front-9", Offer: scheduler.Offer{
+		Decision: d, FirstEventIn: firstEvent, Cached: 600, TokensAhead: 50, Streams: 2, AskAgain: 20 * time.Millisecond, RetryAfter: 700 * time.Millisecond, Reason: "9 wait",
+	}}
+}
+
+const poolName = "lm"
+
+func listHost(t *testing.T, r *registry.Registry, name string, s inventory.State) {
+	t.Helper()
+	value, err := json.Marshal(inventory.Host{
+		Host: identifier.Host(name), Incarnation: 1, State: s, AvailabilityZone: "z",
+		Endpoints: []inventory.Endpoint{{Endpoint: identifier.Endpoint(name), Pool: poolName, Address: "a"}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.ApplyObject(&object.Object{Key: inventory.HostPrefix + "z/" + name, Value: value})
+}
+
+// inPlacer runs a check with a placer over two endpoints in paused time.
+func inPlacer(t *testing.T, f *fakeReserver, check func(t *testing.T, p *Placer, r *registry.Registry)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		r := registry.New(registry.Config{LeavingHosts: membertracker.New(membertracker.Config{Self: &rpc.Member{Host: "front-1"}})})
+		for i := range 2 {
+			listHost(t, r, fmt.Sprintf("i-%d", i), inventory.StateLive)
+		}
+		check(t, New(Config{Registry: r, Estimator: new(estimator.Estimator), Zone: "z", Host: "front-1", Reserver: f}), r)
+	})
+}
+
+func newRequest() *request.Request {
+	return &request.Request{
+		ID: "r-1", Received: time.Now(), Service: poolName, PromptTokens: 1000, OutputTokens: 100, HasTokenCounts: true, Body: []byte("body"),
+		Route: &catalog.Route{Kind: catalog.Streaming, FirstEventObjective: 800 * time.Millisecond, Timeout: 10 * time.Second},
+	}
+}
+
+var engineService = &catalog.Service{Engine: &catalog.Engine{Slots: 8, MemoryTokens: 100_000}}
+
+func place(ctx context.Context, p *Placer, s *catalog.Service) Placement {
+	return p.Place(ctx, newRequest(), s, nil, selector.VersionFilter{})
+}
+
+func inFlight(r *registry.Registry) (n int) {
+	for _, c := range r.Endpoints() {
+		n += int(c.InFlight)
+	}
+	return n
+}
+
+// The endpoint must be the one that its coordinator says is best, with its figures in the
+// prediction, and count one request though several were considered.
+func TestCheapestQuoteIsTaken(t *testing.T) {
+	var best identifier.Endpoint
+	f := new(fakeReserver)
+	f.quote = func(e identifier.Endpoint) reserver.Quote {
+		// The second endpoint that is asked is the better one.
+		if f.asked == 1 && best == "" && len(f.started) == 0 {
+			best = "none yet"
+			return known(scheduler.Start, 5*time.Second)
+		}
+		best = e
+		return known(scheduler.Start, 30*time.Millisecond)
+	}
+	inPlacer(t, f, func(t *testing.T, p *Placer, r *registry.Registry) {
+		got := place(t.Context(), p, engineService)
+		if got.Pick == nil || got.Pick.Endpoint != best || !got.Pick.Exact {
+			t.Fatalf("pick %+v, want %s", got.Pick, best)
+		}
+		if k := got.Pick; k.UncachedTokens != 400 || k.TokensAhead != 50 || k.Streams != 2 || k.PredictedFirstToken != 30*time.Millisecond {
+			t.Errorf("figures of the pick: %+v", k)
+		}
+		if n := inFlight(r); n != 1 || len(f.started) != 1 {
+			t.Errorf("%d in flight, %d started, want 1", n, len(f.started))
+		}
+		if got.Schedule.Decision != "start" || got.Schedule.Coordinator != "front-9" {
+			t.Errorf("schedule %+v", got.Schedule)
+		}
+	})
+}
+
+// Only services that state their engines' capacity pay for the calls.
+func TestPlainServiceAsksNobody(t *testing.T) {
+	f := &fakeReserver{quote: func(identifier.Endpoint) reserver.Quote { return known(scheduler.Start, time.Second) }}
+	inPlacer(t, f, func(t *testing.T, p *Placer, _ *registry.Registry) {
+		for _, s := range []*catalog.Service{nil, {}, {Engine: &catalog.Engine{Slots: 8}}} {
+			if got := place(t.Context(), p, s); got.Pick == nil || got.Schedule != nil || f.asked > 0 {
+				t.Errorf("%+v: %+v, asked %d times", s, got, f.asked)
+			}
+		}
+	})
+}
+
+// Without an answer, or with one that has no figures, the daemon's own prediction must serve.
+func TestFallBackWithoutAnswer(t *testing.T) {
+	quotes := map[string]reserver.Quote{
+		"no answer":  {},
+		"no figures": {Known: true, Complete: true},
+		// A new coordinator believes its endpoints to be idle.
+		"incomplete": {Known: true, Offer: scheduler.Offer{FirstEventIn: time.Microsecond}},
+	}
+	for name, q := range quotes {
+		t.Run(name, func(t *testing.T) {
+			f := &fakeReserver{quote: func(identifier.Endpoint) reserver.Quote { return q }}
+			inPlacer(t, f, func(t *testing.T, p *Placer, _ *registry.Registry) {
+				got := place(t.Context(), p, engineService)
+				if got.Pick == nil || got.Pick.Exact || got.Pick.PredictedFirstToken < time.Millisecond {
+					t.Errorf("pick %+v", got.Pick)
+				}
+			})
+		})
+	}
+}
+
+// A request that can't start must wait without counting anywhere, and start as soon as the
+// coordinator says so.
+func TestWaitsUntilStart(t *testing.T) {
+	f := &fakeReserver{quote: func(identifier.Endpoint) reserver.Quote { return known(scheduler.Wait, time.Second) }}
+	f.reserve = func(identifier.Endpoint) reserver.Quote {
+		if f.reserved <= 5 {
+			return known(scheduler.Wait, time.Second)
+		}
+		return known(scheduler.Start, 40*time.Millisecond)
+	}
+	inPlacer(t, f, func(t *testing.T, p *Placer, r *registry.Registry) {
+		time.AfterFunc(50*time.Millisecond, func() {
+			if n := inFlight(r); n > 0 {
+				t.Errorf("%d in flight while the request waits", n)
+			}
+		})
+		got := place(t.Context(), p, engineService)
+		if got.Pick == nil || got.Schedule.Waited != 100*time.Millisecond || got.Schedule.Predicted != 40*time.Millisecond {
+			t.Errorf("pick %+v, schedule %+v", got.Pick, got.Schedule)
+		}
+		if p.waiting.requests != 0 || p.waiting.bytes != 0 {
+			t.Errorf("%d requests still count as waiting", p.waiting.requests)
+		}
+	})
+}
+
+// A request that waits must end with its client, at once.
+func TestWaitEndsWithTheClient(t *testing.T) {
+	wait := func(identifier.Endpoint) reserver.Quote { return known(scheduler.Wait, time.Second) }
+	inPlacer(t, &fakeReserver{quote: wait, reserve: wait}, func(t *testing.T, p *Placer, r *registry.Registry) {
+		ctx, cancel := context.WithTimeout(t.Context(), 33*time.Millisecond)
+		defer cancel()
+		began := time.Now()
+		got := place(ctx, p, engineService)
+		if got.Pick != nil || got.Refusal != nil || time.Since(began) != 33*time.Millisecond || inFlight(r) > 0 {
+			t.Errorf("got %+v after %v, %d in flight", got, time.Since(began), inFlight(r))
+		}
+	})
+}
+
+// If the coordinator of a waiting request falls silent, the request must be placed by the daemon's
+// own prediction after at most one pause.
+func TestWaitEndsWithTheCoordinator(t *testing.T) {
+	f := &fakeReserver{quote: func(identifier.Endpoint) reserver.Quote { return known(scheduler.Wait, time.Second) }}
+	f.reserve = func(identifier.Endpoint) reserver.Quote {
+		if f.reserved > 1 {
+			return reserver.Quote{}
+		}
+		q := known(scheduler.Wait, time.Second)
+		q.AskAgain = time.Minute
+		return q
+	}
+	inPlacer(t, f, func(t *testing.T, p *Placer, _ *registry.Registry) {
+		got := place(t.Context(), p, engineService)
+		if got.Pick == nil || got.Schedule.Decision != fallbackDecision || got.Schedule.Waited != maxPause {
+			t.Errorf("pick %+v, schedule %+v", got.Pick, got.Schedule)
+		}
+	})
+}
+
+// An endpoint that begins to leave must not get the request that waits for it.
+func TestWaitMovesFromALeavingEndpoint(t *testing.T) {
+	f := &fakeReserver{}
+	var first identifier.Endpoint
+	f.quote = func(identifier.Endpoint) reserver.Quote {
+		if f.asked == 1 {
+			return known(scheduler.Wait, time.Second)
+		}
+		return known(scheduler.Start, 40*time.Millisecond)
+	}
+	inPlacer(t, f, func(t *testing.T, p *Placer, r *registry.Registry) {
+		f.reserve = func(e identifier.Endpoint) reserver.Quote {
+			first = e
+			if f.reserved == 3 {
+				listHost(t, r, string(e), inventory.StateLeaving)
+			}
+			return known(scheduler.Wait, time.Second)
+		}
+		got := place(t.Context(), p, engineService)
+		if got.Pick == nil || got.Pick.Endpoint == first || got.Schedule.Moved != 1 || got.Schedule.Waited != 60*time.Millisecond {
+			t.Errorf("pick %+v, schedule %+v, first %s", got.Pick, got.Schedule, first)
+		}
+	})
+}
+
+// A refusal must say why, and name a time that the client can wait for.
+func TestRefusal(t *testing.T) {
+	refuse := func(identifier.Endpoint) reserver.Quote { return known(scheduler.Refuse, 20*time.Second) }
+	inPlacer(t, &fakeReserver{quote: refuse, reserve: refuse}, func(t *testing.T, p *Placer, r *registry.Registry) {
+		got := place(t.Context(), p, engineService)
+		if got.Pick != nil || got.Refusal == nil || got.Refusal.RetryAfter != 700*time.Millisecond || !strings.Contains(got.Refusal.Reason, "9 wait") || inFlight(r) > 0 {
+			t.Errorf("got %+v", got.Refusal)
+		}
+	})
+}
+
+// What waits is bounded in number and bytes: a host has 184 MB.
+func TestWaitingRoomIsBounded(t *testing.T) {
+	var w waitingRoom
+	for i := range maxWaiting {
+		if _, ok := w.enter(100); !ok {
+			t.Fatalf("request %d was not admitted", i)
+		}
+	}
+	if reason, ok := w.enter(0); ok || reason == "" {
+		t.Error("one request too many was admitted")
+	}
+	w.leave(100)
+	if _, ok := w.enter(maxWaitingBytes); ok {
+		t.Error("too many bytes were admitted")
+	}
+	wait := func(identifier.Endpoint) reserver.Quote { return known(scheduler.Wait, time.Second) }
+	inPlacer(t, &fakeReserver{quote: wait, reserve: wait}, func(t *testing.T, p *Placer, _ *registry.Registry) {
+		p.waiting.requests = maxWaiting
+		if got := place(t.Context(), p, engineService); got.Refusal == nil || got.Refusal.RetryAfter != 700*time.Millisecond {
+			t.Errorf("got %+v", got.Refusal)
+		}
+	})
+}
