This daemon's own choice stays unless coordinators name a clearly better endpoint

Cause: among proposals of nearly equal cost the cheapest was taken. The selector spreads requests over such endpoints by a hash; without that all daemons choose the same one.

Change: the first proposal, which the selector chose, is kept unless another one is cheaper by more than the selector's tolerance, or if no coordinator named figures.

--- a/internal/role/gateway/scheduling_test.go
+++ b/internal/role/gateway/scheduling_test.go
@@ -513,12 +513,14 @@
 			idleRate/n, calmRate/n, burstRate/n, calmCalls/n, burstCalls/n)
 		calmMedian, calmHigh := m.logRatios("calm", m.log.between(calm.Add(4*time.Second), burst))
 		median, high := m.logRatios("burst", m.log.between(burst, over.Add(recovery)))
+		// The limits for calm load are those that predictions from digests do not keep.
 		for _, c := range []struct {
-			when         string
-			median, high float64
-		}{{"calm", calmMedian, calmHigh}, {"burst", median, high}} {
-			if c.median < 0.67 || c.median > 1.5 || c.high > 4 {
-				t.Errorf("%s: actual over predicted first event: median %.2f, want 0.67 to 1.5; 90th percentile %.2f, want at most 4", c.when, c.median, c.high)
+			when                  string
+			median, high, maxHigh float64
+		}{{"calm", calmMedian, calmHigh, 2}, {"burst", median, high, 4}} {
+			if c.median < 0.67 || c.median > 1.5 || c.high > c.maxHigh {
+				t.Errorf("%s: actual over predicted first event: median %.2f, want 0.67 to 1.5; 90th percentile %.2f, want at most %.0f",
+					c.when, c.median, c.high, c.maxHigh)
 			}
 		}
 	})
--- a/internal/route/selector/option.go
+++ b/internal/route/selector/option.go
@@ -1,7 +1,6 @@
 package selector
 
 import (
-	"math"
 	"time"
 
 	"brasschute/internal/core/identifier"
@@ -20,7 +19,8 @@
 }
 
 // Compare returns the position of the option with the lowest cost, the expected cost of being late
-// included, and the predictions for it. Options must not be empty.
+// included, and the predictions for it. The first option, which [Select] chose, is kept if its cost is
+// nearly the lowest: Select spreads requests over equal endpoints. Options must not be empty.
 func Compare(q *Query, options []Option) (int, Alternative) {
 	cached := make([]identifier.Tokens, len(options))
 	hasHome := false
@@ -33,15 +33,14 @@
 	if hasHome {
 		m.awayCost = m.costPerRecomputedToken * float64(q.PromptTokens) * nextTurnProbability
 	}
-	best, least := None, math.MaxFloat64
-	var chosen Alternative
-	for i := range options {
-		if p := m.predictOption(&options[i]); p.Cost < least {
-			best, least = i, p.Cost
-			chosen = m.alternative(&options[i].Candidate, p, options[i].Cached)
+	best, chosen := 0, m.predictOption(&options[0])
+	least := chosen.Cost - costTolerance*max(q.LateCost, 1)
+	for i := range options[1:] {
+		if p := m.predictOption(&options[i+1]); p.Cost < least {
+			best, least, chosen = i+1, p.Cost, p
 		}
 	}
-	return best, chosen
+	return best, m.alternative(&options[best].Candidate, chosen, options[best].Cached)
 }
 
 // predictOption is predict for an option, with the cost of being late.
--- a/internal/route/selector/option_test.go
+++ b/internal/route/selector/option_test.go
@@ -11,7 +11,7 @@
 	now := time.Now()
 	list := candidates(3, now)
 	q := query(now)
-	q.LateCost = 10
+	q.LateCost, q.RecomputeWeight = 10, 1
 	cases := []struct {
 		name    string
 		options []Option
@@ -25,6 +25,8 @@
 		{"home", []Option{
 			{Candidate: list[1], FirstToken: 50 * time.Millisecond}, {Candidate: list[1], Home: true, FirstToken: 50 * time.Millisecond},
 		}, 1},
+		// If all daemons took the one that seems best by a hair, they would overload it together.
+		{"nearly equal", []Option{{Candidate: list[1], Cached: 700, FirstToken: 50 * time.Millisecond}, {Candidate: list[0], Cached: 710, FirstToken: 49 * time.Millisecond}}, 0},
 		{"late home", []Option{
 			{Candidate: list[1], FirstToken: 50 * time.Millisecond}, {Candidate: list[1], Home: true, FirstToken: time.Second},
 		}, 0},
--- a/internal/serve/placer/schedule.go
+++ b/internal/serve/placer/schedule.go
@@ -98,7 +98,7 @@
 			return Placement{Decision: d, Schedule: schedule}
 		}
 		quotes := p.c.Reserver.Quote(ctx, p.newRequest(q, query), targetsOf(proposals))
-		i, chosen := compare(&query.Select, proposals, quotes)
+		i, chosen := compare(&query.Select, proposals, quotes, d.Chosen)
 		d.Chosen = chosen
 		a := &placing{p: p, q: q, query: query, proposal: &proposals[i], quote: quotes[i], predicted: chosen.FirstToken, decision: d, schedule: schedule}
 		schedule.Coordinator = quotes[i].Coordinator
@@ -170,13 +170,18 @@
 }
 
 // compare sets the proposals to the figures of their quotes and returns the position of the cheapest,
-// with its predictions. One that is refused is chosen only if all are.
-func compare(q *selector.Query, proposals []registry.Proposal, quotes []reserver.Quote) (int, selector.Alternative) {
+// with its predictions. One that is refused is chosen only if all are. Without any figures this
+// daemon's own choice, the first proposal, stays.
+func compare(q *selector.Query, proposals []registry.Proposal, quotes []reserver.Quote, own selector.Alternative) (int, selector.Alternative) {
 	options, positions := make([]selector.Option, 0, len(proposals)), make([]int, 0, len(proposals))
-	allRefuse := true
+	allRefuse, none := true, true
 	for i := range proposals {
 		apply(&proposals[i], &quotes[i])
 		allRefuse = allRefuse && quotes[i].Decision == scheduler.Refuse
+		none = none && proposals[i].FirstToken == 0 && quotes[i].Decision == scheduler.Start
+	}
+	if none {
+		return 0, own
 	}
 	for i := range proposals {
 		if allRefuse || quotes[i].Decision != scheduler.Refuse {
