The test of proposals covers several seeds

Cause: with one seed the next best endpoint had another coordinator by chance, so the test passed without the rule.

--- a/internal/route/registry/proposal_test.go
+++ b/internal/route/registry/proposal_test.go
@@ -26,12 +26,17 @@
 // where there is one: it answers when the first one does not.
 func TestProposeCountsNothing(t *testing.T) {
 	r := newRegistry(t, "h1", "h2", "h3")
-	proposals, d := r.Propose(proposalQuery(), coordinatorOf)
-	if len(proposals) != 2 || d.Index == selector.None {
-		t.Fatalf("%d proposals", len(proposals))
-	}
-	if a, b := &proposals[0].Candidate, &proposals[1].Candidate; a.Endpoint == b.Endpoint || coordinatorOf(a) == coordinatorOf(b) {
-		t.Errorf("proposed %s and %s", a.Endpoint, b.Endpoint)
+	var proposals []Proposal
+	for seed := range uint64(20) {
+		q := proposalQuery()
+		q.Select.Seed = seed
+		var d selector.Decision
+		if proposals, d = r.Propose(q, coordinatorOf); len(proposals) != 2 || d.Index == selector.None {
+			t.Fatalf("%d proposals", len(proposals))
+		}
+		if a, b := &proposals[0].Candidate, &proposals[1].Candidate; a.Endpoint == b.Endpoint || coordinatorOf(a) == coordinatorOf(b) {
+			t.Errorf("seed %d: proposed %s and %s", seed, a.Endpoint, b.Endpoint)
+		}
 	}
 	for _, c := range r.Endpoints() {
 		if c.InFlight > 0 || c.PendingPrefill() > 0 {
