--- a/internal/serve/placer/sooner.go
+++ b/internal/serve/placer/sooner.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"context"
 	"time"
 
 	"brasschute/internal/config/catalog"
@@ -13,9 +14,15 @@
 
 // PlaceSoonest chooses the endpoint that is predicted to answer a request soonest, and counts the
 // request there. It is meant for requests that are late already: to these, computing or carrying
-// more is worth any time that it saves.
-func (p *Placer) PlaceSoonest(q *request.Request, s *catalog.Service, tried []identifier.Endpoint, v selector.VersionFilter) (*registry.Pick, selector.Decision) {
-	return p.c.Registry.Choose(p.soonestQuery(q, s, tried, v))
+// more is worth any time that it saves. No coordinator is asked: the retry was granted by the same
+// prediction, and can't be refused any more.
+func (p *Placer) PlaceSoonest(_ context.Context, q *request.Request, s *catalog.Service, tried []identifier.Endpoint, v selector.VersionFilter) Placement {
+	query := p.soonestQuery(q, s, tried, v)
+	pick, d := p.c.Registry.Choose(query)
+	if pick != nil && p.isScheduled(q, s) {
+		p.report(q, query, pick)
+	}
+	return Placement{Pick: pick, Decision: d}
 }
 
 // Preview returns the outlook of the attempt of a pick, and of another one that is placed by
