--- /dev/null
+++ b/internal/route/scheduler/order.go
@@ -0,0 +1,178 @@
+package scheduler
+
+import (
+	"cmp"
+	"math"
+	"time"
+
+	"brasschute/internal/core/identifier"
+)
+
+// firstEventMargin is the time from the end of a prompt's prefill to its first event at the client,
+// and what a prediction misses: the step under way, the next one, and the ways between daemons.
+const firstEventMargin = 50 * time.Millisecond
+
+// place is the position of an entry in the order: what is served before it.
+type place struct {
+	// pending is what the endpoint itself prefills first, tokens that and what the entries before this
+	// one add to it.
+	pending float64
+	tokens  float64
+	entries int
+	memory  identifier.Tokens
+	// others is the number of other entries that wait.
+	others int
+}
+
+// standing is what the order of entries depends on.
+type standing struct {
+	entry   *entry
+	starved bool
+	onTime  bool
+	share   float64
+}
+
+// placeOf returns the position of an entry among those that wait.
+func (s *Scheduler) placeOf(e *entry, now time.Time) place {
+	p := place{pending: s.engine.pending(e.request.Rank)}
+	p.tokens = p.pending
+	own := s.standingOf(e, now)
+	for k, other := range s.waiting {
+		if k == e.request.Key() {
+			continue
+		}
+		p.others++
+		if st := s.standingOf(other, now); compareStandings(&st, &own) < 0 {
+			p.entries++
+			p.tokens += st.entry.uncached
+			p.memory += memoryNeed(&other.request)
+		}
+	}
+	return p
+}
+
+// standingOf returns the standing of an entry.
+func (s *Scheduler) standingOf(e *entry, now time.Time) standing {
+	tokens := s.engine.pending(e.request.Rank) + s.uncachedOf(e)
+	return standing{
+		entry: e, starved: !now.Before(e.starved),
+		onTime: !now.Add(s.speed.duration(tokens)).After(e.objective),
+		share:  s.shares.of(e.request.Organisation, now),
+	}
+}
+
+// compareStandings orders entries: by rank, those that have waited for too long, those that can still
+// be on time, due places, the organisation that got least, the earliest objective.
+func compareStandings(a, b *standing) int {
+	return cmp.Or(
+		cmp.Compare(a.entry.request.Rank, b.entry.request.Rank),
+		-compareBools(a.starved, b.starved),
+		-compareBools(a.onTime, b.onTime),
+		-compareBools(a.entry.due, b.entry.due),
+		cmp.Compare(a.share, b.share),
+		a.entry.objective.Compare(b.entry.objective),
+		cmp.Compare(a.entry.sequence, b.entry.sequence),
+	)
+}
+
+// compareBools orders false before true.
+func compareBools(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
+// dropLast drops the last waiting entry of the order if too many wait. It is refused when its daemon
+// asks again.
+func (s *Scheduler) dropLast(now time.Time) {
+	if len(s.waiting) <= maxWaiting {
+		return
+	}
+	var last standing
+	for _, e := range s.waiting {
+		if st := s.standingOf(e, now); last.entry == nil || compareStandings(&st, &last) > 0 {
+			last = st
+		}
+	}
+	delete(s.waiting, last.entry.request.Key())
+}
+
+// fits reports whether an entry can start: the endpoint has little to prefill, a slot and memory are
+// free, and all that is left for those before it.
+func (s *Scheduler) fits(e *entry, p *place) bool {
+	if p.tokens >= s.speed.within(engineQueue) {
+		return false
+	}
+	return s.hasRoom(&e.request, p.entries, p.memory)
+}
+
+// hasRoom reports whether slots and memory suffice for a request behind others. A request larger than
+// the memory fits into an idle endpoint, which then answers for itself.
+func (s *Scheduler) hasRoom(r *Request, entries int, memory identifier.Tokens) bool {
+	started := len(s.engine.runs)
+	if started+entries == 0 {
+		return true
+	}
+	return started+entries < s.c.Slots && (s.c.MemoryTokens <= 0 || s.engine.memory+memory+memoryNeed(r) <= s.c.MemoryTokens)
+}
+
+// verdict is the outcome for an entry, with the booking that a refusal makes.
+type verdict struct {
+	Offer
+	booking *booking
+}
+
+// decide decides on an entry and changes nothing.
+func (s *Scheduler) decide(e *entry, now time.Time) verdict {
+	p := s.placeOf(e, now)
+	own := s.speed.duration(e.uncached)
+	o := Offer{
+		StartIn: s.speed.duration(p.tokens), TokensAhead: p.tokens, Streams: len(s.engine.runs), Scarce: s.scarcity.scarce,
+		Cached: max(e.request.PromptTokens-identifier.Tokens(math.Round(e.uncached)), 0),
+	}
+	fits := s.fits(e, &p)
+	if !fits {
+		// While the entry waits, more urgent ones arrive and go before it.
+		o.StartIn = time.Duration(float64(o.StartIn) / (1 - s.inflow.moreUrgent(e.request.Rank, s.speed.tokensPerSecond, now)))
+	}
+	o.FirstEventIn = o.StartIn + own + firstEventMargin
+	limit := min(e.silence.Sub(now), e.deadline.Sub(now))
+	onTime := o.FirstEventIn <= e.objective.Sub(now)
+	starved := !now.Before(e.starved)
+	busy := p.others > 0 || float64(len(s.engine.runs)) >= busyFraction*float64(s.c.Slots)
+	switch {
+	case busy && o.FirstEventIn > limit:
+		return s.refuse(e, o, now, reason("no first event before the client gives up", "predicted in %d ms, limit %d ms", o.FirstEventIn.Milliseconds(), limit.Milliseconds()))
+	case fits:
+		o.Decision = Start
+		return verdict{Offer: o}
+	case p.entries >= maxWaiting:
+		return s.refuse(e, o, now, reason("too many wait", "%d", p.entries))
+	case busy && !onTime && !e.due && !starved && s.scarcity.scarce:
+		return s.refuse(e, o, now, reason("scarce and can't be on time", "predicted in %d ms, objective %d ms", o.FirstEventIn.Milliseconds(), e.objective.Sub(now).Milliseconds()))
+	}
+	o.Decision, o.AskAgain = Wait, s.askAgain(e, &p)
+	o.Reason = reason("waits", "%d before it, %.0f tokens ahead, %d started", p.entries, p.tokens, len(s.engine.runs))
+	return verdict{Offer: o}
+}
+
+// refuse refuses an entry and finds a place for its return.
+func (s *Scheduler) refuse(e *entry, o Offer, now time.Time, why string) verdict {
+	b, note := s.bookings.find(e, s.backlog(e), s.speed.tokensPerSecond, now)
+	o.Decision, o.RetryAfter, o.Reason = Refuse, max(b.at.Sub(now), 0), why+"; "+note
+	return verdict{Offer: o, booking: b}
+}
+
+// askAgain returns the time after which the daemon of a waiting entry asks again: when the endpoint
+// is expected to have room for it, or, if slots or memory are short, soon for those in front.
+func (s *Scheduler) askAgain(e *entry, p *place) time.Duration {
+	d := s.speed.duration(p.tokens - s.speed.within(engineQueue))
+	if !s.hasRoom(&e.request, p.entries, p.memory) {
+		d = max(d, time.Duration(p.entries+1)*2*minAskAgain)
+	}
+	return min(max(d, minAskAgain), maxAskAgain)
+}
--- a/internal/route/scheduler/scheduler.go
+++ b/internal/route/scheduler/scheduler.go
@@ -3,8 +3,6 @@
 // An endpoint with a queue of its own serves requests by urgency and arrival, and what has been
 // sent can't be taken back. A [Scheduler] therefore lets only as many requests start as keep the
 // endpoint busy. The others wait at their daemons, or are refused with the time at which there
-// will be room for them.
-//
 // # Usage
 //
 //	s := scheduler.New(scheduler.Config{Slots: 64, MemoryTokens: 640_000})
@@ -17,10 +15,35 @@
 package scheduler
 
 import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
 	"time"
 
 	"brasschute/internal/core/identifier"
 	"brasschute/internal/engine/prefix"
+	"brasschute/internal/route/cachetracker"
+)
+
+const (
+	// engineQueue is how much prefill work is kept at the endpoint: enough for the answer of a call
+	// between zones and for the pauses of a busy host, and little against the shortest objective.
+	engineQueue = 150 * time.Millisecond
+	// maxWaiting bounds the waiting requests.
+	maxWaiting = 64
+	// maxStarted bounds the started requests: several times the slots of the largest engines.
+	maxStarted = 4096
+	// entryTTL is how long a waiting request is kept without being asked for again. Its daemon asks
+	// every maxAskAgain at least, so that it has missed several turns by then.
+	entryTTL = 300 * time.Millisecond
+	// Waiting daemons ask again after minAskAgain to maxAskAgain: sooner is more calls than the
+	// prefill of a chunk is worth, later leaves the endpoint idle when it is faster than predicted.
+	minAskAgain = 5 * time.Millisecond
+	maxAskAgain = 80 * time.Millisecond
+	// busyFraction of the slots has to be taken, or something has to wait, before anything is
+	// refused.
+	busyFraction = 0.5
 )
 
 // Config describes the endpoint.
@@ -121,39 +144,253 @@
 
 // Scheduler is the queue of one endpoint. It is not safe for concurrent use.
 type Scheduler struct {
-	c Config
+	c     Config
+	cache *cachetracker.Tracker
+	// cacheVersion changes whenever the contents of cache may have changed.
+	cacheVersion int
+	engine       engine
+	waiting      map[Key]*entry
+	bookings     bookings
+	shares       shares
+	inflow       inflow
+	speed        speed
+	scarcity     scarcity
+	// sequence orders the arrivals of requests.
+	sequence int
+}
+
+// entry is a waiting request. Its times are points in time, so that they hold between calls.
+type entry struct {
+	request  Request
+	sequence int
+	arrived  time.Time
+	asked    time.Time
+	// objective, silence and deadline are when the times left of the request have passed.
+	objective time.Time
+	silence   time.Time
+	deadline  time.Time
+	// due is set for a request that returned at its booked place, starved for one that has waited for
+	// half of its client's timeout.
+	due     bool
+	starved time.Time
+	// uncached are the prompt tokens to prefill as of cacheVersion.
+	uncached     float64
+	cacheVersion int
 }
 
 // New returns the scheduler of an endpoint that runs nothing.
-func New(c Config) *Scheduler { return &Scheduler{c: c} }
+func New(c Config) *Scheduler {
+	c.Slots = max(c.Slots, 1)
+	return &Scheduler{
+		c: c, cache: cachetracker.New(c.MemoryTokens), waiting: make(map[Key]*entry),
+		engine: newEngine(), bookings: newBookings(), shares: newShares(), speed: newSpeed(c.TokensPerSecond),
+	}
+}
 
 // Quote returns what [Scheduler.Reserve] would, and changes nothing.
 func (s *Scheduler) Quote(r *Request, now time.Time) Offer {
-	return Offer{Decision: Start}
+	// What the passing of time changes is taken back, so that later answers do not depend on how often
+	// somebody asked.
+	engine, scarcity := s.engine.save(), s.scarcity
+	defer func() {
+		s.engine.restore(engine)
+		s.scarcity = scarcity
+	}()
+	s.advance(now)
+	if run := s.engine.runs[r.Key()]; run != nil {
+		return s.startedOffer(run)
+	}
+	return s.decide(s.entryOf(r, now), now).Offer
 }
 
 // Reserve enters a request. It is idempotent: a daemon whose request waits calls it again, and a
 // request that has started stays started.
 func (s *Scheduler) Reserve(r *Request, now time.Time) Offer {
-	return Offer{Decision: Start}
+	s.advance(now)
+	if run := s.engine.runs[r.Key()]; run != nil {
+		return s.startedOffer(run)
+	}
+	e := s.entryOf(r, now)
+	v := s.decide(e, now)
+	if s.waiting[r.Key()] == nil {
+		s.sequence++
+		s.inflow.add(r.Rank, e.uncached, now)
+	}
+	delete(s.waiting, r.Key())
+	switch v.Decision {
+	case Start:
+		s.start(e, now)
+	case Wait:
+		s.enter(e, now)
+	case Refuse:
+		s.bookings.add(r, v.booking)
+	}
+	s.updateScarcity(now)
+	return v.Offer
 }
 
 // Started records a request that its daemon has sent without a reservation, or that was sent
 // before this scheduler existed.
-func (s *Scheduler) Started(r *Request, now time.Time) {}
+func (s *Scheduler) Started(r *Request, now time.Time) {
+	s.advance(now)
+	if s.engine.runs[r.Key()] != nil || len(s.engine.runs) >= maxStarted {
+		return
+	}
+	e := s.entryOf(r, now)
+	if s.waiting[r.Key()] == nil {
+		s.sequence++
+		s.inflow.add(r.Rank, e.uncached, now)
+	}
+	delete(s.waiting, r.Key())
+	s.start(e, now)
+	s.updateScarcity(now)
+}
 
 // FirstEvent records that a started request has delivered its first event, so that its prompt is
 // cached.
-func (s *Scheduler) FirstEvent(k Key, now time.Time) {}
+func (s *Scheduler) FirstEvent(k Key, now time.Time) {
+	s.advance(now)
+	run := s.engine.runs[k]
+	if run == nil || run.firstEvent {
+		return
+	}
+	s.speed.firstEvent(run.uncached, s.engine.firstEvent(run), now)
+	r := &run.request
+	shared := identifier.Tokens(0)
+	if n := min(len(r.Blocks), len(r.Sizes)); n > 0 {
+		shared = r.Sizes[n-1]
+	}
+	s.cache.Add(r.Blocks, r.Sizes, max(r.PromptTokens-shared, 0))
+	s.cacheVersion++
+}
 
 // End records that a request has ended, was withdrawn or never started.
-func (s *Scheduler) End(k Key, now time.Time) {}
+func (s *Scheduler) End(k Key, now time.Time) {
+	s.advance(now)
+	delete(s.waiting, k)
+	s.remove(k)
+}
 
 // DropDaemon ends all requests of a daemon that is no longer heard of.
-func (s *Scheduler) DropDaemon(h identifier.Host, now time.Time) {}
+func (s *Scheduler) DropDaemon(h identifier.Host, now time.Time) {
+	s.advance(now)
+	for k := range s.waiting {
+		if k.Daemon == h {
+			delete(s.waiting, k)
+		}
+	}
+	for _, k := range s.Keys(h) {
+		s.remove(k)
+	}
+}
 
 // Keys returns the started requests of a daemon.
-func (s *Scheduler) Keys(h identifier.Host) []Key { return nil }
+func (s *Scheduler) Keys(h identifier.Host) []Key {
+	var keys []Key
+	for k := range s.engine.runs {
+		if k.Daemon == h {
+			keys = append(keys, k)
+		}
+	}
+	slices.SortFunc(keys, func(a, b Key) int { return cmp.Compare(a.Request, b.Request) })
+	return keys
+}
 
 // State returns the scheduler's state.
-func (s *Scheduler) State(now time.Time) State { return State{} }
+func (s *Scheduler) State(now time.Time) State {
+	s.advance(now)
+	return State{
+		Started: len(s.engine.runs), Waiting: len(s.waiting), Booked: len(s.bookings.byFingerprint),
+		Backlog: s.speed.duration(s.backlog(nil)), TokensPerSecond: s.speed.tokensPerSecond,
+		Scarce: s.scarcity.scarce, Reason: s.scarcity.reason,
+	}
+}
+
+// advance brings the state to the present: the endpoint has prefilled, and entries and bookings
+// whose time has passed are dropped.
+func (s *Scheduler) advance(now time.Time) {
+	s.engine.advance(s.speed.tokensPerSecond, now)
+	for k, e := range s.waiting {
+		if now.Sub(e.asked) > entryTTL || now.After(e.deadline) {
+			delete(s.waiting, k)
+		}
+	}
+	s.bookings.expire(now)
+	s.updateScarcity(now)
+}
+
+// entryOf returns the entry of a request: the waiting one, brought up to date, or a new one.
+func (s *Scheduler) entryOf(r *Request, now time.Time) *entry {
+	e := &entry{request: *r, sequence: s.sequence + 1, arrived: now, cacheVersion: -1}
+	e.due = s.bookings.due(r, now)
+	e.starved = now.Add(min(r.SilenceLeft, r.TimeLeft) / 2)
+	if known := s.waiting[r.Key()]; known != nil {
+		e.sequence, e.arrived, e.starved = known.sequence, known.arrived, known.starved
+		e.due = known.due
+	}
+	e.asked = now
+	e.objective, e.silence, e.deadline = now.Add(r.ObjectiveLeft), now.Add(r.SilenceLeft), now.Add(r.TimeLeft)
+	s.uncachedOf(e)
+	return e
+}
+
+// uncachedOf returns the prompt tokens of an entry that the endpoint has to prefill.
+func (s *Scheduler) uncachedOf(e *entry) float64 {
+	if e.cacheVersion != s.cacheVersion {
+		e.uncached = float64(max(e.request.PromptTokens-s.cache.Cached(e.request.Blocks, e.request.Sizes), 1))
+		e.cacheVersion = s.cacheVersion
+	}
+	return e.uncached
+}
+
+// enter makes an entry wait. Blocks and sizes are copied, as they belong to the caller. A place that
+// is due is used up, as the entry now counts among those that wait.
+func (s *Scheduler) enter(e *entry, now time.Time) {
+	if e.due {
+		s.bookings.remove(&e.request)
+	}
+	s.scarcity.observe(e.request.ObjectiveLeft, now)
+	e.request.Blocks, e.request.Sizes = slices.Clone(e.request.Blocks), slices.Clone(e.request.Sizes)
+	s.waiting[e.request.Key()] = e
+	s.dropLast(now)
+}
+
+// start records that an entry is sent to the endpoint. Its booking is used up.
+func (s *Scheduler) start(e *entry, now time.Time) {
+	r := &e.request
+	r.Blocks, r.Sizes = slices.Clone(r.Blocks), slices.Clone(r.Sizes)
+	s.bookings.remove(r)
+	s.shares.add(r, s.uncachedOf(e), now)
+	s.engine.start(&run{request: *r, sequence: e.sequence, started: now, uncached: e.uncached, remaining: e.uncached})
+	s.scarcity.observe(r.ObjectiveLeft, now)
+	s.updateReserved()
+}
+
+// remove ends a started request.
+func (s *Scheduler) remove(k Key) {
+	if s.engine.runs[k] == nil {
+		return
+	}
+	s.engine.remove(k)
+	s.updateReserved()
+}
+
+func (s *Scheduler) updateReserved() {
+	s.cache.SetReserved(s.engine.memory)
+	s.cacheVersion++
+}
+
+// startedOffer answers for a request that has started already.
+func (s *Scheduler) startedOffer(r *run) Offer {
+	ahead := max(s.engine.pendingBefore(r)-r.remaining, 0)
+	return Offer{
+		Decision: Start, StartIn: s.speed.duration(ahead), FirstEventIn: s.speed.duration(ahead + r.remaining),
+		Cached: r.request.PromptTokens - identifier.Tokens(r.uncached), TokensAhead: ahead,
+		Streams: len(s.engine.runs), Scarce: s.scarcity.scarce,
+	}
+}
+
+// reason joins the parts of an offer's reason.
+func reason(text, format string, figures ...any) string {
+	return strings.TrimSpace(text + ": " + fmt.Sprintf(format, figures...))
+}
