scheduler: late requests behind all that can be on time, room for the cache and for urgent requests

Change: while scarce, late requests start only when little is left to prefill; runs leave 0.15 of the memory to the cache, and less urgent ranks leave slots free.

--- /dev/null
+++ b/internal/route/scheduler/flow.go
@@ -0,0 +1,53 @@
+package scheduler
+
+import (
+	"time"
+
+	"brasschute/internal/core/identifier"
+)
+
+const (
+	// flowTime is how long arrivals and ends count for those that are expected: some objectives, so
+	// that a burst is noticed within one.
+	flowTime = time.Second
+	// maxInflow bounds the part of the endpoint that arrivals are expected to take.
+	maxInflow = 0.9
+	// inflowRanks is the number of ranks that are told apart.
+	inflowRanks = 8
+)
+
+// inflow measures how many prompt tokens a second arrive, by rank.
+type inflow struct {
+	ranks [inflowRanks]decaying
+}
+
+// add records an arrival.
+func (f *inflow) add(rank int, tokens float64, now time.Time) {
+	f.ranks[min(max(rank, 0), inflowRanks-1)].add(tokens, flowTime, now)
+}
+
+// before returns the part of the endpoint's speed that arrivals of ranks less than the given one take.
+func (f *inflow) before(rank int, tokensPerSecond float64, now time.Time) float64 {
+	sum := 0.0
+	for i := range min(max(rank, 0), inflowRanks) {
+		sum += f.ranks[i].value(flowTime, now)
+	}
+	return min(sum/flowTime.Seconds()/tokensPerSecond, maxInflow)
+}
+
+// outflow measures how fast slots and memory become free.
+type outflow struct {
+	slots, memory decaying
+}
+
+// add records the end of a started request.
+func (f *outflow) add(memory identifier.Tokens, now time.Time) {
+	f.slots.add(1, flowTime, now)
+	f.memory.add(float64(memory), flowTime, now)
+}
+
+// until returns the time until a number of slots and tokens of memory are free.
+func (f *outflow) until(slots int, memory identifier.Tokens, now time.Time) time.Duration {
+	seconds := max(0, float64(slots)/max(f.slots.value(flowTime, now), 1), float64(memory)/max(f.memory.value(flowTime, now), 1))
+	return time.Duration(min(seconds, maxHorizon.Seconds()) * float64(time.Second))
+}
--- a/internal/route/scheduler/order.go
+++ b/internal/route/scheduler/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math"
 	"time"
 
@@ -12,6 +13,23 @@
 // and what a prediction misses: the step under way, the next one, and the ways between daemons.
 const firstEventMargin = 50 * time.Millisecond
 
+const (
+	// cacheRoom is the part of the memory that is left to cached parts: a shared part that is evicted
+	// for one more run has to be prefilled again, which costs more than the run is worth.
+	cacheRoom = 0.15
+	// While the endpoint is scarce, urgentSlots of its slots are left to more urgent requests for each
+	// rank, up to maxSlotRanks of them: a slot stays taken for seconds, longer than objectives are.
+	urgentSlots  = 0.05
+	maxSlotRanks = 2
+	// While the endpoint is scarce, a request that can't be on time starts when no more than lateQueue
+	// is left to prefill, as the next one that can may come in the meantime.
+	lateQueue = 10 * time.Millisecond
+	// inflowWeight is the weight of more urgent arrivals in the prediction of a wait. Some of them are
+	// refused, and one that waits in vain is refused when it asks again; one that is refused without
+	// need loses its objective.
+	inflowWeight = 0.5
+)
+
 // place is the position of an entry in the order: what is served before it.
 type place struct {
 	// pending is what the endpoint itself prefills first, tokens that and what the entries before this
@@ -26,7 +44,10 @@
 
 // standing is what the order of entries depends on.
 type standing struct {
-	entry   *entry
+	entry *entry
+	// last is set for an entry that can't be on time while the endpoint is scarce: it goes behind all
+	// that can.
+	last    bool
 	starved bool
 	onTime  bool
 	share   float64
@@ -54,17 +75,21 @@
 // standingOf returns the standing of an entry.
 func (s *Scheduler) standingOf(e *entry, now time.Time) standing {
 	tokens := s.engine.pending(e.request.Rank) + s.uncachedOf(e)
-	return standing{
+	st := standing{
 		entry: e, starved: !now.Before(e.starved),
 		onTime: !now.Add(s.speed.duration(tokens)).After(e.objective),
-		share:  s.shares.of(e.request.Organisation, now),
+		share:  s.shares.of(&e.request, now),
 	}
+	st.last = s.scarcity.scarce && !st.onTime && !st.starved
+	return st
 }
 
-// compareStandings orders entries: by rank, those that have waited for too long, those that can still
+// compareStandings orders entries: while the endpoint is scarce those that can still be on time, then
+// by rank, those that have waited for too long, those that can still
 // be on time, due places, the organisation that got least, the earliest objective.
 func compareStandings(a, b *standing) int {
 	return cmp.Or(
+		compareBools(a.last, b.last),
 		cmp.Compare(a.entry.request.Rank, b.entry.request.Rank),
 		-compareBools(a.starved, b.starved),
 		-compareBools(a.onTime, b.onTime),
@@ -104,7 +129,8 @@
 // fits reports whether an entry can start: the endpoint has little to prefill, a slot and memory are
 // free, and all that is left for those before it.
 func (s *Scheduler) fits(e *entry, p *place) bool {
-	if p.tokens >= s.speed.within(engineQueue) {
+	unread := s.engine.pending(lowestRank)
+	if unread+p.tokens-p.pending >= s.speed.within(engineQueue) {
 		return false
 	}
 	return s.hasRoom(&e.request, p.entries, p.memory)
@@ -113,11 +139,26 @@
 // hasRoom reports whether slots and memory suffice for a request behind others. A request larger than
 // the memory fits into an idle endpoint, which then answers for itself.
 func (s *Scheduler) hasRoom(r *Request, entries int, memory identifier.Tokens) bool {
-	started := len(s.engine.runs)
-	if started+entries == 0 {
-		return true
+	slots, free := s.room(r)
+	return len(s.engine.runs)+entries == 0 || entries < slots && (s.c.MemoryTokens <= 0 || memory+memoryNeed(r) <= free)
+}
+
+// room returns the slots and the memory that are free for a request.
+func (s *Scheduler) room(r *Request) (slots int, memory identifier.Tokens) {
+	slots = s.c.Slots
+	if s.scarcity.scarce {
+		slots -= int(urgentSlots * float64(min(max(r.Rank, 0), maxSlotRanks)) * float64(slots))
+	}
+	return slots - len(s.engine.runs), identifier.Tokens((1-cacheRoom)*float64(s.c.MemoryTokens)) - s.engine.memory
+}
+
+// roomIn returns the time until slots and memory suffice for a request behind others.
+func (s *Scheduler) roomIn(r *Request, p *place, now time.Time) time.Duration {
+	if s.hasRoom(r, p.entries, p.memory) {
+		return 0
 	}
-	return started+entries < s.c.Slots && (s.c.MemoryTokens <= 0 || s.engine.memory+memory+memoryNeed(r) <= s.c.MemoryTokens)
+	slots, memory := s.room(r)
+	return s.outflow.until(p.entries+1-slots, p.memory+memoryNeed(r)-memory, now)
 }
 
 // verdict is the outcome for an entry, with the booking that a refusal makes.
@@ -129,37 +170,48 @@
 // decide decides on an entry and changes nothing.
 func (s *Scheduler) decide(e *entry, now time.Time) verdict {
 	p := s.placeOf(e, now)
-	own := s.speed.duration(e.uncached)
 	o := Offer{
 		StartIn: s.speed.duration(p.tokens), TokensAhead: p.tokens, Streams: len(s.engine.runs), Scarce: s.scarcity.scarce,
 		Cached: max(e.request.PromptTokens-identifier.Tokens(math.Round(e.uncached)), 0),
 	}
 	fits := s.fits(e, &p)
 	if !fits {
-		// While the entry waits, more urgent ones arrive and go before it.
-		o.StartIn = time.Duration(float64(o.StartIn) / (1 - s.inflow.moreUrgent(e.request.Rank, s.speed.tokensPerSecond, now)))
+		o.StartIn = s.waitOf(e, &p, now)
 	}
-	o.FirstEventIn = o.StartIn + own + firstEventMargin
+	o.FirstEventIn = o.StartIn + s.speed.duration(e.uncached) + firstEventMargin
 	limit := min(e.silence.Sub(now), e.deadline.Sub(now))
-	onTime := o.FirstEventIn <= e.objective.Sub(now)
-	starved := !now.Before(e.starved)
+	late := o.FirstEventIn > e.objective.Sub(now)
+	if late && s.scarcity.scarce && s.engine.pending(lowestRank) > s.speed.within(lateQueue) {
+		fits = false
+	}
 	busy := p.others > 0 || float64(len(s.engine.runs)) >= busyFraction*float64(s.c.Slots)
 	switch {
 	case busy && o.FirstEventIn > limit:
-		return s.refuse(e, o, now, reason("no first event before the client gives up", "predicted in %d ms, limit %d ms", o.FirstEventIn.Milliseconds(), limit.Milliseconds()))
+		return s.refuse(e, o, now, fmt.Sprintf("no first event before the client gives up: predicted in %d ms, limit %d ms", o.FirstEventIn.Milliseconds(), limit.Milliseconds()))
 	case fits:
 		o.Decision = Start
 		return verdict{Offer: o}
 	case p.entries >= maxWaiting:
-		return s.refuse(e, o, now, reason("too many wait", "%d", p.entries))
-	case busy && !onTime && !e.due && !starved && s.scarcity.scarce:
-		return s.refuse(e, o, now, reason("scarce and can't be on time", "predicted in %d ms, objective %d ms", o.FirstEventIn.Milliseconds(), e.objective.Sub(now).Milliseconds()))
+		return s.refuse(e, o, now, fmt.Sprintf("too many wait: %d before it", p.entries))
+	case busy && late && s.scarcity.scarce && !e.due && now.Before(e.starved):
+		return s.refuse(e, o, now, fmt.Sprintf("scarce and can't be on time: predicted in %d ms, objective in %d ms", o.FirstEventIn.Milliseconds(), e.objective.Sub(now).Milliseconds()))
 	}
 	o.Decision, o.AskAgain = Wait, s.askAgain(e, &p)
-	o.Reason = reason("waits", "%d before it, %.0f tokens ahead, %d started", p.entries, p.tokens, len(s.engine.runs))
+	o.Reason = fmt.Sprintf("waits: %d before it, %.0f tokens ahead, %d started", p.entries, p.tokens, len(s.engine.runs))
 	return verdict{Offer: o}
 }
 
+// waitOf returns the predicted time until an entry that does not fit starts. More urgent ones arrive
+// meanwhile and go before it; all that do if it can't be on time.
+func (s *Scheduler) waitOf(e *entry, p *place, now time.Time) time.Duration {
+	d := max(s.speed.duration(p.tokens), s.roomIn(&e.request, p, now))
+	before := inflowWeight * s.inflow.before(e.request.Rank, s.speed.tokensPerSecond, now)
+	if s.scarcity.scarce && !s.standingOf(e, now).onTime {
+		before = s.inflow.before(lowestRank, s.speed.tokensPerSecond, now)
+	}
+	return time.Duration(float64(d) / (1 - before))
+}
+
 // refuse refuses an entry and finds a place for its return.
 func (s *Scheduler) refuse(e *entry, o Offer, now time.Time, why string) verdict {
 	b, note := s.bookings.find(e, s.backlog(e), s.speed.tokensPerSecond, now)
--- a/internal/route/scheduler/scarcity.go
+++ b/internal/route/scheduler/scarcity.go
@@ -90,8 +90,8 @@
 		if s.hasRoom(&e.request, 0, 0) {
 			continue
 		}
-		if len(s.engine.runs) >= s.c.Slots {
-			return fmt.Sprintf("slots: all %d taken, %d wait", s.c.Slots, len(s.waiting))
+		if slots, _ := s.room(&e.request); slots <= 0 {
+			return fmt.Sprintf("slots: %d of %d taken, %d wait", len(s.engine.runs), s.c.Slots, len(s.waiting))
 		}
 		return fmt.Sprintf("memory: %d of %d tokens taken, %d wait", s.engine.memory, s.c.MemoryTokens, len(s.waiting))
 	}
--- a/internal/route/scheduler/scheduler.go
+++ b/internal/route/scheduler/scheduler.go
@@ -3,6 +3,9 @@
 // An endpoint with a queue of its own serves requests by urgency and arrival, and what has been
 // sent can't be taken back. A [Scheduler] therefore lets only as many requests start as keep the
 // endpoint busy. The others wait at their daemons, or are refused with the time at which there
+// will be room for them. It answers the load in which more is asked of an endpoint for some seconds
+// than it can prefill in time, much of it by one organisation, while refused clients return.
+//
 // # Usage
 //
 //	s := scheduler.New(scheduler.Config{Slots: 64, MemoryTokens: 640_000})
@@ -16,9 +19,7 @@
 
 import (
 	"cmp"
-	"fmt"
 	"slices"
-	"strings"
 	"time"
 
 	"brasschute/internal/core/identifier"
@@ -153,6 +154,7 @@
 	bookings     bookings
 	shares       shares
 	inflow       inflow
+	outflow      outflow
 	speed        speed
 	scarcity     scarcity
 	// sequence orders the arrivals of requests.
@@ -212,10 +214,7 @@
 	}
 	e := s.entryOf(r, now)
 	v := s.decide(e, now)
-	if s.waiting[r.Key()] == nil {
-		s.sequence++
-		s.inflow.add(r.Rank, e.uncached, now)
-	}
+	s.count(e, now)
 	delete(s.waiting, r.Key())
 	switch v.Decision {
 	case Start:
@@ -237,10 +236,7 @@
 		return
 	}
 	e := s.entryOf(r, now)
-	if s.waiting[r.Key()] == nil {
-		s.sequence++
-		s.inflow.add(r.Rank, e.uncached, now)
-	}
+	s.count(e, now)
 	delete(s.waiting, r.Key())
 	s.start(e, now)
 	s.updateScarcity(now)
@@ -268,7 +264,7 @@
 func (s *Scheduler) End(k Key, now time.Time) {
 	s.advance(now)
 	delete(s.waiting, k)
-	s.remove(k)
+	s.remove(k, now)
 }
 
 // DropDaemon ends all requests of a daemon that is no longer heard of.
@@ -280,7 +276,7 @@
 		}
 	}
 	for _, k := range s.Keys(h) {
-		s.remove(k)
+		s.remove(k, now)
 	}
 }
 
@@ -319,6 +315,19 @@
 	s.updateScarcity(now)
 }
 
+// count counts the arrival of an entry that did not wait. A request that was refused before was
+// counted then.
+func (s *Scheduler) count(e *entry, now time.Time) {
+	r := &e.request
+	if s.waiting[r.Key()] != nil {
+		return
+	}
+	s.sequence++
+	if s.bookings.byFingerprint[keyOf(r)] == nil {
+		s.inflow.add(r.Rank, s.uncachedOf(e), now)
+	}
+}
+
 // entryOf returns the entry of a request: the waiting one, brought up to date, or a new one.
 func (s *Scheduler) entryOf(r *Request, now time.Time) *entry {
 	e := &entry{request: *r, sequence: s.sequence + 1, arrived: now, cacheVersion: -1}
@@ -367,11 +376,13 @@
 }
 
 // remove ends a started request.
-func (s *Scheduler) remove(k Key) {
-	if s.engine.runs[k] == nil {
+func (s *Scheduler) remove(k Key, now time.Time) {
+	r := s.engine.runs[k]
+	if r == nil {
 		return
 	}
 	s.engine.remove(k)
+	s.outflow.add(memoryNeed(&r.request), now)
 	s.updateReserved()
 }
 
@@ -389,8 +400,3 @@
 		Streams: len(s.engine.runs), Scarce: s.scarcity.scarce,
 	}
 }
-
-// reason joins the parts of an offer's reason.
-func reason(text, format string, figures ...any) string {
-	return strings.TrimSpace(text + ": " + fmt.Sprintf(format, figures...))
-}
--- a/internal/route/scheduler/shares.go
+++ b/internal/route/scheduler/shares.go
@@ -11,20 +11,20 @@
 	// shareTime is how long the use of the endpoint by an organisation counts: as long as a scarcity
 	// usually lasts, so that a burst at its start counts until its end.
 	shareTime = 10 * time.Second
-	// maxOrganisations bounds the organisations that are tracked. Of the others nothing is known, so
+	// maxShares bounds the organisations and ranks that are tracked. Of the others nothing is known, so
 	// they go first.
-	maxOrganisations = 1024
-	// inflowTime is how long arrivals count for the load that is expected.
-	inflowTime = time.Second
-	// maxInflow bounds the part of the endpoint that more urgent requests are expected to take.
-	maxInflow = 0.9
-	// inflowRanks is the number of ranks that are told apart.
-	inflowRanks = 8
+	maxShares = 1024
 )
 
-// shares counts what organisations got of the endpoint recently, by their weights.
+// shares counts what organisations got of the endpoint recently, by their weights. Each rank counts by
+// itself: what an organisation gets in a rank that is served in full is not scarce.
 type shares struct {
-	used map[identifier.Organisation]decaying
+	used map[shareKey]decaying
+}
+
+type shareKey struct {
+	organisation identifier.Organisation
+	rank         int
 }
 
 // decaying is a sum whose parts lose their weight over time.
@@ -41,53 +41,41 @@
 	return d.sum * math.Exp(-now.Sub(d.at).Seconds()/over.Seconds())
 }
 
-func newShares() shares { return shares{used: make(map[identifier.Organisation]decaying)} }
+// add adds an amount.
+func (d *decaying) add(amount float64, over time.Duration, now time.Time) {
+	*d = decaying{d.value(over, now) + amount, now}
+}
+
+func newShares() shares { return shares{used: make(map[shareKey]decaying)} }
 
 // add records that a request takes tokens of prefill.
 func (s *shares) add(r *Request, tokens float64, now time.Time) {
-	if _, known := s.used[r.Organisation]; !known && len(s.used) >= maxOrganisations {
+	key := shareKey{r.Organisation, r.Rank}
+	if _, known := s.used[key]; !known && len(s.used) >= maxShares {
 		s.forget(now)
 	}
 	weight := r.Weight
 	if weight <= 0 {
 		weight = 1
 	}
-	s.used[r.Organisation] = decaying{s.of(r.Organisation, now) + tokens/weight, now}
+	used := s.used[key]
+	used.add(tokens/weight, shareTime, now)
+	s.used[key] = used
 }
 
-// of returns what an organisation got, divided by its weight.
-func (s *shares) of(o identifier.Organisation, now time.Time) float64 {
-	return s.used[o].value(shareTime, now)
+// of returns what the organisation of a request got in its rank, divided by its weight.
+func (s *shares) of(r *Request, now time.Time) float64 {
+	return s.used[shareKey{r.Organisation, r.Rank}].value(shareTime, now)
 }
 
-// forget drops the organisation that got least.
+// forget drops the share that is smallest.
 func (s *shares) forget(now time.Time) {
-	var least identifier.Organisation
+	var least shareKey
 	lowest := math.Inf(1)
-	for o := range s.used {
-		if v := s.of(o, now); v < lowest {
-			least, lowest = o, v
+	for key, used := range s.used {
+		if v := used.value(shareTime, now); v < lowest {
+			least, lowest = key, v
 		}
 	}
 	delete(s.used, least)
 }
-
-// inflow measures how many prompt tokens a second arrive, by rank.
-type inflow struct {
-	ranks [inflowRanks]decaying
-}
-
-// add records an arrival.
-func (f *inflow) add(rank int, tokens float64, now time.Time) {
-	d := &f.ranks[min(max(rank, 0), inflowRanks-1)]
-	*d = decaying{d.value(inflowTime, now) + tokens, now}
-}
-
-// moreUrgent returns the part of the endpoint's speed that requests more urgent than a rank take.
-func (f *inflow) moreUrgent(rank int, tokensPerSecond float64, now time.Time) float64 {
-	sum := 0.0
-	for i := range min(max(rank, 0), inflowRanks) {
-		sum += f.ranks[i].value(inflowTime, now)
-	}
-	return min(sum/inflowTime.Seconds()/tokensPerSecond, maxInflow)
-}
