--- a/internal/route/scheduler/order.go
+++ b/internal/route/scheduler/order.go
@@ -19,15 +19,22 @@
 	cacheRoom = 0.15
 	// While the endpoint is scarce, urgentSlots of its slots are left to more urgent requests for each
 	// rank, up to maxSlotRanks of them: a slot stays taken for seconds, longer than objectives are.
-	urgentSlots  = 0.05
+	urgentSlots  = 0.04
 	maxSlotRanks = 2
+	// shareSlots are left to the other organisations by one that got more than the mean.
+	shareSlots = 0.02
 	// While the endpoint is scarce, a request that can't be on time starts when no more than lateQueue
 	// is left to prefill, as the next one that can may come in the meantime.
-	lateQueue = 10 * time.Millisecond
+	lateQueue = time.Millisecond
+	// While the endpoint is scarce, an organisation that got more than the mean starts requests with
+	// shareQueue of that, as those of the others who come next would have to wait for its prefill.
+	shareQueue = 0.3
+	// minQueue is the least prefill work that the queue at the endpoint may hold for any rank: a step.
+	minQueue = 25 * time.Millisecond
 	// inflowWeight is the weight of more urgent arrivals in the prediction of a wait. Some of them are
 	// refused, and one that waits in vain is refused when it asks again; one that is refused without
 	// need loses its objective.
-	inflowWeight = 0.5
+	inflowWeight = 0.4
 )
 
 // place is the position of an entry in the order: what is served before it.
@@ -128,36 +135,52 @@
 
 // fits reports whether an entry can start: the endpoint has little to prefill, a slot and memory are
 // free, and all that is left for those before it.
-func (s *Scheduler) fits(e *entry, p *place) bool {
+func (s *Scheduler) fits(e *entry, p *place, now time.Time) bool {
 	unread := s.engine.pending(lowestRank)
-	if unread+p.tokens-p.pending >= s.speed.within(engineQueue) {
+	if unread+p.tokens-p.pending >= s.speed.within(s.queueFor(&e.request, now)) {
 		return false
 	}
-	return s.hasRoom(&e.request, p.entries, p.memory)
+	return s.hasRoom(&e.request, p.entries, p.memory, now)
+}
+
+// queueFor returns how much prefill work may be at the endpoint when a request starts. A less urgent
+// one starts with less ahead of it, as urgent ones overtake it at the endpoint, where it can't be
+// taken back.
+func (s *Scheduler) queueFor(r *Request, now time.Time) time.Duration {
+	before := s.inflow.before(r.Rank, s.speed.tokensPerSecond, now)
+	d := (1 - before) * float64(engineQueue)
+	if s.scarcity.scarce && s.shares.over(r, now) {
+		d *= shareQueue
+	}
+	return max(time.Duration(d), minQueue)
 }
 
 // hasRoom reports whether slots and memory suffice for a request behind others. A request larger than
 // the memory fits into an idle endpoint, which then answers for itself.
-func (s *Scheduler) hasRoom(r *Request, entries int, memory identifier.Tokens) bool {
-	slots, free := s.room(r)
+func (s *Scheduler) hasRoom(r *Request, entries int, memory identifier.Tokens, now time.Time) bool {
+	slots, free := s.room(r, now)
 	return len(s.engine.runs)+entries == 0 || entries < slots && (s.c.MemoryTokens <= 0 || memory+memoryNeed(r) <= free)
 }
 
 // room returns the slots and the memory that are free for a request.
-func (s *Scheduler) room(r *Request) (slots int, memory identifier.Tokens) {
+func (s *Scheduler) room(r *Request, now time.Time) (slots int, memory identifier.Tokens) {
 	slots = s.c.Slots
 	if s.scarcity.scarce {
-		slots -= int(urgentSlots * float64(min(max(r.Rank, 0), maxSlotRanks)) * float64(slots))
+		left := urgentSlots * float64(min(max(r.Rank, 0), maxSlotRanks))
+		if s.shares.over(r, now) {
+			left += shareSlots
+		}
+		slots -= int(left * float64(slots))
 	}
 	return slots - len(s.engine.runs), identifier.Tokens((1-cacheRoom)*float64(s.c.MemoryTokens)) - s.engine.memory
 }
 
 // roomIn returns the time until slots and memory suffice for a request behind others.
 func (s *Scheduler) roomIn(r *Request, p *place, now time.Time) time.Duration {
-	if s.hasRoom(r, p.entries, p.memory) {
+	if s.hasRoom(r, p.entries, p.memory, now) {
 		return 0
 	}
-	slots, memory := s.room(r)
+	slots, memory := s.room(r, now)
 	return s.outflow.until(p.entries+1-slots, p.memory+memoryNeed(r)-memory, now)
 }
 
@@ -174,7 +197,7 @@
 		StartIn: s.speed.duration(p.tokens), TokensAhead: p.tokens, Streams: len(s.engine.runs), Scarce: s.scarcity.scarce,
 		Cached: max(e.request.PromptTokens-identifier.Tokens(math.Round(e.uncached)), 0),
 	}
-	fits := s.fits(e, &p)
+	fits := s.fits(e, &p, now)
 	if !fits {
 		o.StartIn = s.waitOf(e, &p, now)
 	}
@@ -186,7 +209,7 @@
 	}
 	busy := p.others > 0 || float64(len(s.engine.runs)) >= busyFraction*float64(s.c.Slots)
 	switch {
-	case busy && o.FirstEventIn > limit:
+	case limit <= 0 || busy && o.FirstEventIn > limit:
 		return s.refuse(e, o, now, fmt.Sprintf("no first event before the client gives up: predicted in %d ms, limit %d ms", o.FirstEventIn.Milliseconds(), limit.Milliseconds()))
 	case fits:
 		o.Decision = Start
@@ -196,7 +219,7 @@
 	case busy && late && s.scarcity.scarce && !e.due && now.Before(e.starved):
 		return s.refuse(e, o, now, fmt.Sprintf("scarce and can't be on time: predicted in %d ms, objective in %d ms", o.FirstEventIn.Milliseconds(), e.objective.Sub(now).Milliseconds()))
 	}
-	o.Decision, o.AskAgain = Wait, s.askAgain(e, &p)
+	o.Decision, o.AskAgain = Wait, s.askAgain(e, &p, now)
 	o.Reason = fmt.Sprintf("waits: %d before it, %.0f tokens ahead, %d started", p.entries, p.tokens, len(s.engine.runs))
 	return verdict{Offer: o}
 }
@@ -221,9 +244,9 @@
 
 // askAgain returns the time after which the daemon of a waiting entry asks again: when the endpoint
 // is expected to have room for it, or, if slots or memory are short, soon for those in front.
-func (s *Scheduler) askAgain(e *entry, p *place) time.Duration {
-	d := s.speed.duration(p.tokens - s.speed.within(engineQueue))
-	if !s.hasRoom(&e.request, p.entries, p.memory) {
+func (s *Scheduler) askAgain(e *entry, p *place, now time.Time) time.Duration {
+	d := s.speed.duration(p.tokens) - s.queueFor(&e.request, now)
+	if !s.hasRoom(&e.request, p.entries, p.memory, now) {
 		d = max(d, time.Duration(p.entries+1)*2*minAskAgain)
 	}
 	return min(max(d, minAskAgain), maxAskAgain)
--- a/internal/route/scheduler/scarcity.go
+++ b/internal/route/scheduler/scarcity.go
@@ -66,7 +66,7 @@
 	objective := c.shortest(now)
 	backlog := s.speed.duration(s.backlog(nil))
 	why := ""
-	if blocked := s.blocked(); blocked != "" {
+	if blocked := s.blocked(now); blocked != "" {
 		why = blocked
 	} else if objective > 0 && backlog > time.Duration(beginFraction*float64(objective)) {
 		why = fmt.Sprintf("prefill: %d ms ahead of a new request, shortest objective %d ms, %.0f tokens/s", backlog.Milliseconds(), objective.Milliseconds(), s.speed.tokensPerSecond)
@@ -85,12 +85,12 @@
 }
 
 // blocked says whether all slots or the memory are taken while something waits.
-func (s *Scheduler) blocked() string {
+func (s *Scheduler) blocked(now time.Time) string {
 	for _, e := range s.waiting {
-		if s.hasRoom(&e.request, 0, 0) {
+		if s.hasRoom(&e.request, 0, 0, now) {
 			continue
 		}
-		if slots, _ := s.room(&e.request); slots <= 0 {
+		if slots, _ := s.room(&e.request, now); slots <= 0 {
 			return fmt.Sprintf("slots: %d of %d taken, %d wait", len(s.engine.runs), s.c.Slots, len(s.waiting))
 		}
 		return fmt.Sprintf("memory: %d of %d tokens taken, %d wait", s.engine.memory, s.c.MemoryTokens, len(s.waiting))
--- a/internal/route/scheduler/scheduler.go
+++ b/internal/route/scheduler/scheduler.go
@@ -396,7 +396,7 @@
 	ahead := max(s.engine.pendingBefore(r)-r.remaining, 0)
 	return Offer{
 		Decision: Start, StartIn: s.speed.duration(ahead), FirstEventIn: s.speed.duration(ahead + r.remaining),
-		Cached: r.request.PromptTokens - identifier.Tokens(r.uncached), TokensAhead: ahead,
+		Cached: max(r.request.PromptTokens-identifier.Tokens(r.uncached), 0), TokensAhead: ahead,
 		Streams: len(s.engine.runs), Scarce: s.scarcity.scarce,
 	}
 }
--- a/internal/route/scheduler/shares.go
+++ b/internal/route/scheduler/shares.go
@@ -68,6 +68,18 @@
 	return s.used[shareKey{r.Organisation, r.Rank}].value(shareTime, now)
 }
 
+// over reports whether the organisation of a request got more than the mean in its rank.
+func (s *shares) over(r *Request, now time.Time) bool {
+	sum, n := 0.0, 0.0
+	for key, used := range s.used {
+		if v := used.value(shareTime, now); key.rank == r.Rank && v >= 1 {
+			sum += v
+			n++
+		}
+	}
+	return n > 1 && s.of(r, now) > sum/n
+}
+
 // forget drops the share that is smallest.
 func (s *shares) forget(now time.Time) {
 	var least shareKey
