--- a/internal/route/scheduler/shares.go
+++ b/internal/route/scheduler/shares.go
@@ -20,6 +20,10 @@
 // itself: what an organisation gets in a rank that is served in full is not scarce.
 type shares struct {
 	used map[shareKey]decaying
+	// means holds the mean of each rank that was asked for at meansAt; infinite if only one
+	// organisation or none got anything.
+	means   map[int]float64
+	meansAt time.Time
 }
 
 type shareKey struct {
@@ -46,7 +50,9 @@
 	*d = decaying{d.value(over, now) + amount, now}
 }
 
-func newShares() shares { return shares{used: make(map[shareKey]decaying)} }
+func newShares() shares {
+	return shares{used: make(map[shareKey]decaying), means: make(map[int]float64)}
+}
 
 // add records that a request takes tokens of prefill.
 func (s *shares) add(r *Request, tokens float64, now time.Time) {
@@ -58,6 +64,7 @@
 	if weight <= 0 {
 		weight = 1
 	}
+	clear(s.means)
 	used := s.used[key]
 	used.add(tokens/weight, shareTime, now)
 	s.used[key] = used
@@ -70,14 +77,25 @@
 
 // over reports whether the organisation of a request got more than the mean in its rank.
 func (s *shares) over(r *Request, now time.Time) bool {
-	sum, n := 0.0, 0.0
-	for key, used := range s.used {
-		if v := used.value(shareTime, now); key.rank == r.Rank && v >= 1 {
-			sum += v
-			n++
+	if !s.meansAt.Equal(now) {
+		s.meansAt = now
+		clear(s.means)
+	}
+	mean, known := s.means[r.Rank]
+	if !known {
+		sum, n := 0.0, 0.0
+		for key, used := range s.used {
+			if v := used.value(shareTime, now); key.rank == r.Rank && v >= 1 {
+				sum += v
+				n++
+			}
+		}
+		if mean = math.Inf(1); n > 1 {
+			mean = sum / n
 		}
+		s.means[r.Rank] = mean
 	}
-	return n > 1 && s.of(r, now) > sum/n
+	return s.of(r, now) > mean
 }
 
 // forget drops the share that is smallest.
