scheduler: the test of urgent returns fails if the ranks are reversed

Cause: in the test, the backlog hid the difference between ranks. Change: it asks for places without a backlog, and for an urgent one after many less urgent ones. Result: fails with reversed ranks.

--- a/internal/route/scheduler/scheduler_test.go
+++ b/internal/route/scheduler/scheduler_test.go
@@ -209,18 +209,30 @@
 	}
 }
 
-// Guards against less urgent requests that are called back before more urgent ones.
+// Guards against less urgent requests that are called back before more urgent ones, and against less
+// urgent ones that leave no early place to those.
 func TestUrgentRequestsReturnFirst(t *testing.T) {
 	last := time.Duration(0)
+	b := newBookings()
 	for rank := range 4 {
-		s, _, _ := scarce(t)
-		r := request("b")
-		r.Rank, r.ObjectiveLeft = rank, 0
-		o := s.Reserve(r, start)
-		if o.Decision != Refuse || o.RetryAfter < last || o.RetryAfter > r.TimeLeft/3 {
-			t.Errorf("rank %d: %+v after %v", rank, o, last)
+		r := request("a")
+		r.Rank = rank
+		k, _ := b.find(&entry{request: *r, uncached: 5000}, 0, 50_000, start)
+		if d := k.at.Sub(start); d <= last || d > r.TimeLeft/3 {
+			t.Errorf("rank %d: return in %v after %v", rank, d, last)
 		}
-		last = o.RetryAfter
+		last = k.at.Sub(start)
+	}
+	for i := range 100 {
+		r := request(fmt.Sprint(i))
+		r.Rank = 2
+		k, _ := b.find(&entry{request: *r, uncached: 5000}, 0, 50_000, start)
+		b.add(r, k)
+	}
+	r := request("urgent")
+	r.Rank = 0
+	if k, note := b.find(&entry{request: *r, uncached: 4000}, 0, 50_000, start); k.at.Sub(start) > time.Second {
+		t.Errorf("return in %v, %s", k.at.Sub(start), note)
 	}
 }
 
