--- a/internal/route/scheduler/scheduler_test.go
+++ b/internal/route/scheduler/scheduler_test.go
@@ -231,8 +231,30 @@
 	}
 	r := request("urgent")
 	r.Rank = 0
-	if k, note := b.find(&entry{request: *r, uncached: 4000}, 0, 50_000, start); k.at.Sub(start) > time.Second {
-		t.Errorf("return in %v, %s", k.at.Sub(start), note)
+	later := start.Add(500 * time.Millisecond) // when the first places of the others are the next ones
+	if k, note := b.find(&entry{request: *r, uncached: 4000}, 0, 50_000, later); k.at.Sub(later) > 500*time.Millisecond {
+		t.Errorf("return in %v, %s", k.at.Sub(later), note)
+	}
+}
+
+// Guards against a request that is held although it can't be on time and nothing is left for it, and
+// against the refusal of one that can.
+func TestLateRequestIsRefusedAtOnceWhileScarce(t *testing.T) {
+	s := testScheduler()
+	for i := range 5 {
+		s.Started(request(fmt.Sprint(i)), start)
+	}
+	late := request("late")
+	late.ObjectiveLeft = 100 * time.Millisecond
+	if o := s.Quote(late, start); o.Decision != Refuse || !o.Scarce {
+		t.Errorf("%+v", o)
+	}
+	if o := s.Quote(request("in time"), start); o.Decision != Wait {
+		t.Errorf("%+v", o)
+	}
+	s.scarcity.scarce, s.scarcity.present = false, 0
+	if o := s.Quote(late, start); o.Decision != Wait {
+		t.Errorf("not scarce: %+v", o)
 	}
 }
 
@@ -283,7 +305,9 @@
 		now := start
 		known := make(map[Key]*Request)
 		for i := range rapid.IntRange(1, 150).Draw(t, "calls") {
-			now = now.Add(time.Duration(rapid.IntRange(0, 80).Draw(t, "pause")) * time.Millisecond)
+			pause := time.Duration(rapid.IntRange(0, 80).Draw(t, "pause")) * time.Millisecond
+			quoted.Quote(drawRequest(t, 1000), now.Add(pause/3))
+			now = now.Add(pause)
 			r := drawRequest(t, rapid.IntRange(0, i).Draw(t, "request"))
 			known[r.Key()] = r
 			call := rapid.IntRange(0, 9).Draw(t, "call")
@@ -311,7 +335,6 @@
 					t.Fatalf("return in %v with %v left", o.RetryAfter, r.TimeLeft)
 				}
 			}
-			quoted.Quote(drawRequest(t, 1000), now)
 			st := s.State(now)
 			if same := quoted.State(now); st != same {
 				t.Fatalf("%+v, without quotes %+v", same, st)
