--- a/internal/route/registry/pick.go
+++ b/internal/route/registry/pick.go
@@ -9,13 +9,14 @@
 
 // Pick is a chosen endpoint with one request counted on it.
 type Pick struct {
-	Endpoint    identifier.Endpoint
-	Host        identifier.Host
-	Incarnation identifier.Incarnation
-	StartTime   identifier.StartTime
-	Address     string
-	Pool        identifier.Pool
-	Version     identifier.Version
+	Endpoint         identifier.Endpoint
+	Host             identifier.Host
+	Incarnation      identifier.Incarnation
+	StartTime        identifier.StartTime
+	Address          string
+	AvailabilityZone identifier.AvailabilityZone
+	Pool             identifier.Pool
+	Version          identifier.Version
 	// Cold: the endpoint is still slow from its start.
 	Cold bool
 	// PricePerSecond is the price of the host.
@@ -28,6 +29,8 @@
 	UncachedTokens    identifier.Tokens
 	TokensAhead       float64
 	Streams           float64
+	// Exact: the figures are those of the endpoint's coordinator, not this daemon's prediction.
+	Exact bool
 
 	// Activity records the events that arrive from the endpoint. The sender of the request reports
 	// them to it.
--- /dev/null
+++ b/internal/route/scheduler/order.go
@@ -0,0 +1,253 @@
+package scheduler
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"time"
+
+	"brasschute/internal/core/identifier"
+)
+
+// firstEventMargin is the time from the end of a prompt's prefill to its first event at the client,
+// and what a prediction misses: the step under way, the next one, and the ways between daemons.
+const firstEventMargin = 50 * time.Millisecond
+
+const (
+	// cacheRoom is the part of the memory that is left to cached parts: a shared part that is evicted
+	// for one more run has to be prefilled again, which costs more than the run is worth.
+	cacheRoom = 0.15
+	// While the endpoint is scarce, urgentSlots of its slots are left to more urgent requests for each
+	// rank, up to maxSlotRanks of them: a slot stays taken for seconds, longer than objectives are.
+	urgentSlots  = 0.04
+	maxSlotRanks = 2
+	// shareSlots are left to the other organisations by one that got more than the mean.
+	shareSlots = 0.02
+	// While the endpoint is scarce, a request that can't be on time starts when no more than lateQueue
+	// is left to prefill, as the next one that can may come in the meantime.
+	lateQueue = time.Millisecond
+	// While the endpoint is scarce, an organisation that got more than the mean starts requests with
+	// shareQueue of that, as those of the others who come next would have to wait for its prefill.
+	shareQueue = 0.3
+	// minQueue is the least prefill work that the queue at the endpoint may hold for any rank: a step.
+	minQueue = 25 * time.Millisecond
+	// inflowWeight is the weight of more urgent arrivals in the prediction of a wait. Some of them are
+	// refused, and one that waits in vain is refused when it asks again; one that is refused without
+	// need loses its objective.
+	inflowWeight = 0.4
+)
+
+// place is the position of an entry in the order: what is served before it.
+type place struct {
+	// pending is what the endpoint itself prefills first, tokens that and what the entries before this
+	// one add to it.
+	pending float64
+	tokens  float64
+	entries int
+	memory  identifier.Tokens
+	// others is the number of other entries that wait.
+	others int
+}
+
+// standing is what the order of entries depends on.
+type standing struct {
+	entry *entry
+	// last is set for an entry that can't be on time while the endpoint is scarce: it goes behind all
+	// that can.
+	last    bool
+	starved bool
+	onTime  bool
+	share   float64
+}
+
+// placeOf returns the position of an entry among those that wait.
+func (s *Scheduler) placeOf(e *entry, now time.Time) place {
+	p := place{pending: s.engine.pending(e.request.Rank)}
+	p.tokens = p.pending
+	own := s.standingOf(e, now)
+	for k, other := range s.waiting {
+		if k == e.request.Key() {
+			continue
+		}
+		p.others++
+		if st := s.standingOf(other, now); compareStandings(&st, &own) < 0 {
+			p.entries++
+			p.tokens += st.entry.uncached
+			p.memory += memoryNeed(&other.request)
+		}
+	}
+	return p
+}
+
+// standingOf returns the standing of an entry.
+func (s *Scheduler) standingOf(e *entry, now time.Time) standing {
+	tokens := s.engine.pending(e.request.Rank) + s.uncachedOf(e)
+	st := standing{
+		entry: e, starved: !now.Before(e.starved),
+		onTime: !now.Add(s.speed.duration(tokens)).After(e.objective),
+		share:  s.shares.of(&e.request, now),
+	}
+	st.last = s.scarcity.scarce && !st.onTime && !st.starved
+	return st
+}
+
+// compareStandings orders entries: while the endpoint is scarce those that can still be on time, then
+// by rank, those that have waited for too long, those that can still
+// be on time, due places, the organisation that got least, the earliest objective.
+func compareStandings(a, b *standing) int {
+	return cmp.Or(
+		compareBools(a.last, b.last),
+		cmp.Compare(a.entry.request.Rank, b.entry.request.Rank),
+		-compareBools(a.starved, b.starved),
+		-compareBools(a.onTime, b.onTime),
+		-compareBools(a.entry.due, b.entry.due),
+		cmp.Compare(a.share, b.share),
+		a.entry.objective.Compare(b.entry.objective),
+		cmp.Compare(a.entry.sequence, b.entry.sequence),
+	)
+}
+
+// compareBools orders false before true.
+func compareBools(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
+// dropLast drops the last waiting entry of the order if too many wait. It is refused when its daemon
+// asks again.
+func (s *Scheduler) dropLast(now time.Time) {
+	if len(s.waiting) <= maxWaiting {
+		return
+	}
+	var last standing
+	for _, e := range s.waiting {
+		if st := s.standingOf(e, now); last.entry == nil || compareStandings(&st, &last) > 0 {
+			last = st
+		}
+	}
+	delete(s.waiting, last.entry.request.Key())
+}
+
+// fits reports whether an entry can start: the endpoint has little to prefill, a slot and memory are
+// free, and all that is left for those before it.
+func (s *Scheduler) fits(e *entry, p *place, now time.Time) bool {
+	unread := s.engine.pending(lowestRank)
+	if unread+p.tokens-p.pending >= s.speed.within(s.queueFor(&e.request, now)) {
+		return false
+	}
+	return s.hasRoom(&e.request, p.entries, p.memory, now)
+}
+
+// queueFor returns how much prefill work may be at the endpoint when a request starts. A less urgent
+// one starts with less ahead of it, as urgent ones overtake it at the endpoint, where it can't be
+// taken back.
+func (s *Scheduler) queueFor(r *Request, now time.Time) time.Duration {
+	before := s.inflow.before(r.Rank, s.speed.tokensPerSecond, now)
+	d := (1 - before) * float64(engineQueue)
+	if s.scarcity.scarce && s.shares.over(r, now) {
+		d *= shareQueue
+	}
+	return max(time.Duration(d), minQueue)
+}
+
+// hasRoom reports whether slots and memory suffice for a request behind others. A request larger than
+// the memory fits into an idle endpoint, which then answers for itself.
+func (s *Scheduler) hasRoom(r *Request, entries int, memory identifier.Tokens, now time.Time) bool {
+	slots, free := s.room(r, now)
+	return len(s.engine.runs)+entries == 0 || entries < slots && (s.c.MemoryTokens <= 0 || memory+memoryNeed(r) <= free)
+}
+
+// room returns the slots and the memory that are free for a request.
+func (s *Scheduler) room(r *Request, now time.Time) (slots int, memory identifier.Tokens) {
+	slots = s.c.Slots
+	if s.scarcity.scarce {
+		left := urgentSlots * float64(min(max(r.Rank, 0), maxSlotRanks))
+		if s.shares.over(r, now) {
+			left += shareSlots
+		}
+		slots -= int(left * float64(slots))
+	}
+	return slots - len(s.engine.runs), identifier.Tokens((1-cacheRoom)*float64(s.c.MemoryTokens)) - s.engine.memory
+}
+
+// roomIn returns the time until slots and memory suffice for a request behind others.
+func (s *Scheduler) roomIn(r *Request, p *place, now time.Time) time.Duration {
+	if s.hasRoom(r, p.entries, p.memory, now) {
+		return 0
+	}
+	slots, memory := s.room(r, now)
+	return s.outflow.until(p.entries+1-slots, p.memory+memoryNeed(r)-memory, now)
+}
+
+// verdict is the outcome for an entry, with the booking that a refusal makes.
+type verdict struct {
+	Offer
+	booking *booking
+}
+
+// decide decides on an entry and changes nothing.
+func (s *Scheduler) decide(e *entry, now time.Time) verdict {
+	p := s.placeOf(e, now)
+	o := Offer{
+		StartIn: s.speed.duration(p.tokens), TokensAhead: p.tokens, Streams: len(s.engine.runs), Scarce: s.scarcity.scarce,
+		Cached: max(e.request.PromptTokens-identifier.Tokens(math.Round(e.uncached)), 0),
+	}
+	fits := s.fits(e, &p, now)
+	if !fits {
+		o.StartIn = s.waitOf(e, &p, now)
+	}
+	o.FirstEventIn = o.StartIn + s.speed.duration(e.uncached) + firstEventMargin
+	limit := min(e.silence.Sub(now), e.deadline.Sub(now))
+	late := o.FirstEventIn > e.objective.Sub(now)
+	if late && s.scarcity.scarce && s.engine.pending(lowestRank) > s.speed.within(lateQueue) {
+		fits = false
+	}
+	busy := p.others > 0 || float64(len(s.engine.runs)) >= busyFraction*float64(s.c.Slots)
+	switch {
+	case limit <= 0 || busy && o.FirstEventIn > limit:
+		return s.refuse(e, o, now, fmt.Sprintf("no first event before the client gives up: predicted in %d ms, limit %d ms", o.FirstEventIn.Milliseconds(), limit.Milliseconds()))
+	case fits:
+		o.Decision = Start
+		return verdict{Offer: o}
+	case p.entries >= maxWaiting:
+		return s.refuse(e, o, now, fmt.Sprintf("too many wait: %d before it", p.entries))
+	case busy && late && s.scarcity.scarce && !e.due && now.Before(e.starved):
+		return s.refuse(e, o, now, fmt.Sprintf("scarce and can't be on time: predicted in %d ms, objective in %d ms", o.FirstEventIn.Milliseconds(), e.objective.Sub(now).Milliseconds()))
+	}
+	o.Decision, o.AskAgain = Wait, s.askAgain(e, &p, now)
+	o.Reason = fmt.Sprintf("waits: %d before it, %.0f tokens ahead, %d started", p.entries, p.tokens, len(s.engine.runs))
+	return verdict{Offer: o}
+}
+
+// waitOf returns the predicted time until an entry that does not fit starts. More urgent ones arrive
+// meanwhile and go before it; all that do if it can't be on time.
+func (s *Scheduler) waitOf(e *entry, p *place, now time.Time) time.Duration {
+	d := max(s.speed.duration(p.tokens), s.roomIn(&e.request, p, now))
+	before := inflowWeight * s.inflow.before(e.request.Rank, s.speed.tokensPerSecond, now)
+	if s.scarcity.scarce && !s.standingOf(e, now).onTime {
+		before = s.inflow.before(lowestRank, s.speed.tokensPerSecond, now)
+	}
+	return time.Duration(float64(d) / (1 - before))
+}
+
+// refuse refuses an entry and finds a place for its return.
+func (s *Scheduler) refuse(e *entry, o Offer, now time.Time, why string) verdict {
+	b, note := s.bookings.find(e, s.backlog(e), s.speed.tokensPerSecond, now)
+	o.Decision, o.RetryAfter, o.Reason = Refuse, max(b.at.Sub(now), 0), why+"; "+note
+	return verdict{Offer: o, booking: b}
+}
+
+// askAgain returns the time after which the daemon of a waiting entry asks again: when the endpoint
+// is expected to have room for it, or, if slots or memory are short, soon for those in front.
+func (s *Scheduler) askAgain(e *entry, p *place, now time.Time) time.Duration {
+	d := s.speed.duration(p.tokens) - s.queueFor(&e.request, now)
+	if !s.hasRoom(&e.request, p.entries, p.memory, now) {
+		d = max(d, time.Duration(p.entries+1)*2*minAskAgain)
+	}
+	return min(max(d, minAskAgain), maxAskAgain)
+}
