placer: if all endpoints that were asked refuse a request, the next best ones are asked once

Cause: up to three endpoints were asked by this daemon's own prediction, which does not see their queues; a request was refused while others were idle.

--- a/internal/serve/placer/schedule.go
+++ b/internal/serve/placer/schedule.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"brasschute/internal/config/catalog"
@@ -93,11 +94,10 @@
 	for ; schedule.Moved < maxPlacings; schedule.Moved++ {
 		query.Select.Now = time.Now()
 		query.Select.Target = max(q.Route.FirstEventObjective-query.Select.Now.Sub(q.Received), time.Millisecond)
-		proposals, d := p.c.Registry.Propose(query, p.coordinator)
+		proposals, quotes, d := p.quoteProposals(ctx, q, query)
 		if len(proposals) == 0 {
 			return Placement{Decision: d, Schedule: schedule}
 		}
-		quotes := p.c.Reserver.Quote(ctx, p.newRequest(q, query), targetsOf(proposals))
 		i, chosen := compare(&query.Select, proposals, quotes, d.Chosen)
 		d.Chosen = chosen
 		a := &placing{p: p, q: q, query: query, proposal: &proposals[i], quote: quotes[i], predicted: chosen.FirstToken, decision: d, schedule: schedule}
@@ -111,6 +111,41 @@
 	return p.fallBack(q, query, schedule)
 }
 
+// quoteProposals returns the endpoints to consider for a request, with what their coordinators
+// answered. If all of these refuse it, the next best ones are asked, once: a few endpoints may be
+// busy while others are not, as this daemon's own predictions don't see their queues.
+func (p *Placer) quoteProposals(ctx context.Context, q *request.Request, query *registry.Query) ([]registry.Proposal, []reserver.Quote, selector.Decision) {
+	proposals, d := p.c.Registry.Propose(query, p.coordinator)
+	if len(proposals) == 0 {
+		return nil, nil, d
+	}
+	quotes := p.c.Reserver.Quote(ctx, p.newRequest(q, query), targetsOf(proposals))
+	if !allRefuse(quotes) {
+		return proposals, quotes, d
+	}
+	others := *query
+	others.Select.Tried = slices.Clone(query.Select.Tried)
+	for i := range proposals {
+		others.Select.Tried = append(others.Select.Tried, proposals[i].Candidate.Endpoint)
+	}
+	more, next := p.c.Registry.Propose(&others, p.coordinator)
+	if len(more) == 0 {
+		return proposals, quotes, d
+	}
+	answers := p.c.Reserver.Quote(ctx, p.newRequest(q, query), targetsOf(more))
+	if allRefuse(answers) {
+		// The refusal comes from an endpoint of the first choice: the client's return meets its
+		// booking there.
+		return proposals, quotes, d
+	}
+	return more, answers, next
+}
+
+// allRefuse reports whether all quotes are refusals.
+func allRefuse(quotes []reserver.Quote) bool {
+	return !slices.ContainsFunc(quotes, func(q reserver.Quote) bool { return q.Decision != scheduler.Refuse })
+}
+
 // coordinator returns the coordinator of a candidate.
 func (p *Placer) coordinator(c *candidate.Candidate) identifier.Host {
 	return p.c.Reserver.Coordinator(c.Endpoint, c.AvailabilityZone)
@@ -183,17 +218,16 @@
 // daemon's own choice, the first proposal, stays.
 func compare(q *selector.Query, proposals []registry.Proposal, quotes []reserver.Quote, own selector.Alternative) (int, selector.Alternative) {
 	options, positions := make([]selector.Option, 0, len(proposals)), make([]int, 0, len(proposals))
-	allRefuse, none := true, true
+	refused, none := allRefuse(quotes), true
 	for i := range proposals {
 		apply(&proposals[i], &quotes[i])
-		allRefuse = allRefuse && quotes[i].Decision == scheduler.Refuse
 		none = none && proposals[i].FirstToken == 0 && quotes[i].Decision == scheduler.Start
 	}
 	if none {
 		return 0, own
 	}
 	for i := range proposals {
-		if allRefuse || quotes[i].Decision != scheduler.Refuse {
+		if refused || quotes[i].Decision != scheduler.Refuse {
 			options, positions = append(options, proposals[i].Option), append(positions, i)
 		}
 	}
