poolrecorder: refresh the stored record under a steady load

A record that did not change was not written again and was too old to be inherited after 30 s. It is now written again after 10 s, and when the on-demand need or the number that served changes. Errors of encoding are reported, and OnUnreadable may be nil.

--- a/internal/fleet/poolrecorder/poolrecorder.go
+++ b/internal/fleet/poolrecorder/poolrecorder.go
@@ -4,7 +4,7 @@
 // the endpoints that are left orders too few, and in small steps.
 //
 // There are two copies. One is an object in the platform's store, written at most once a second,
-// and only if more than the passing of time has changed it. The other travels in the holder's
+// and only if more than the passing of time has changed it or it is [refreshAge] old. The other travels in the holder's
 // notes to the candidates for the lease, as the holder may be cut off from the store. The newer
 // copy counts. Times are ages, carried forward: by the receiver's clock for notes, by the estimate of
 // the true time for the stored object.
@@ -13,14 +13,15 @@
 //
 //	r := poolrecorder.New(poolrecorder.Config{Store: c, TrueTime: clock.Now})
 //	r.Merge(note.GetPools())                     // at each candidate
-//	record, source := r.Inherit(ctx)             // at a new holder
-//	r.Update(record); err := r.Write(ctx)        // at the holder
+//	record, source, err := r.Inherit(ctx)        // at a new holder
+//	r.Update(record); err = r.Write(ctx)         // at the holder
 package poolrecorder
 
 import (
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -45,7 +46,7 @@
 	Store Store
 	// TrueTime returns an estimate of the true time.
 	TrueTime func() time.Time
-	// OnUnreadable is called for a record that can't be decoded.
+	// OnUnreadable is called for a record that can't be decoded or encoded; may be nil.
 	OnUnreadable func(error)
 }
 
@@ -74,7 +75,12 @@
 }
 
 // New returns a Recorder that knows no record.
-func New(c Config) *Recorder { return &Recorder{c: c} }
+func New(c Config) *Recorder {
+	if c.OnUnreadable == nil {
+		c.OnUnreadable = func(error) {}
+	}
+	return &Recorder{c: c}
+}
 
 // Update replaces the holder's record. Its ages must be current.
 func (r *Recorder) Update(record *Record) {
@@ -88,14 +94,20 @@
 	r.current = &next
 }
 
-// Encode returns the holder's record for a note, nil if there is none under a fencing number.
+// Encode returns the holder's record for a note, nil if there is none under a fencing number or it
+// can't be encoded.
 func (r *Recorder) Encode(fencing uint64) []byte {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.current == nil || r.current.Fencing != fencing {
+	current := r.current
+	r.mu.Unlock()
+	if current == nil || current.Fencing != fencing {
+		return nil
+	}
+	raw, err := json.Marshal(current.encode(time.Now(), r.c.TrueTime()))
+	if err != nil {
+		r.c.OnUnreadable(fmt.Errorf("pool record: %w", err))
 		return nil
 	}
-	raw, _ := json.Marshal(r.current.encode(time.Now(), r.c.TrueTime()))
 	return raw
 }
 
--- a/internal/fleet/poolrecorder/poolrecorder_test.go
+++ b/internal/fleet/poolrecorder/poolrecorder_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -172,6 +173,70 @@
 	})
 }
 
+// Guards against a stored record that is too old to be inherited because the load is steady, and
+// against more calls to the store than that takes.
+func TestSteadyRecordIsRefreshed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, unreadable := new(store), 0
+		r := newRecorder(s, &unreadable)
+		orderedAt := time.Now()
+		for range 61 {
+			record := newRecord(2, 50, time.Now())
+			record.Pools[0].Places[0].OrderedAge = AgeOf(orderedAt, time.Now())
+			r.Update(record)
+			if err := r.Write(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(time.Second)
+		}
+		if got, source, _ := newRecorder(s, &unreadable).Inherit(t.Context()); got == nil || source != FromStore {
+			t.Errorf("inherited %+v from %s after a minute of steady load", got, source)
+		}
+		if s.writes > 7 {
+			t.Errorf("%d writes in a minute of steady load", s.writes)
+		}
+		// A record that is no longer updated does not become newer by being stored again.
+		writes := s.writes
+		time.Sleep(time.Minute)
+		if err := r.Write(t.Context()); err != nil || s.writes != writes {
+			t.Errorf("%d writes of an unchanged record, %v", s.writes-writes, err)
+		}
+	})
+}
+
+// Guards against a change of the numbers besides the need that is not stored.
+func TestWritesOtherNumbers(t *testing.T) {
+	for name, change := range map[string]func(*Pool){
+		"on-demand need": func(p *Pool) { p.OnDemandNeeded = 20 },
+		"served":         func(p *Pool) { p.Served = 20 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Now()
+			a, b := newRecord(2, 50, now), newRecord(2, 50, now)
+			a.At, b.At = now, now
+			if a.differs(b) {
+				t.Fatal("equal records differ")
+			}
+			change(&a.Pools[0])
+			if !a.differs(b) {
+				t.Error("the change is not stored")
+			}
+		})
+	}
+}
+
+// Guards against a call of a missing OnUnreadable, and a record that can't be encoded being left
+// out of the notes without a report.
+func TestUnreadableIsReported(t *testing.T) {
+	New(Config{TrueTime: time.Now}).Merge([]byte("x"))
+	s, unreadable := new(store), 0
+	r := newRecorder(s, &unreadable)
+	r.Update(newRecord(2, math.Inf(1), time.Now()))
+	if raw := r.Encode(2); raw != nil || unreadable != 1 {
+		t.Errorf("encoded %q, %d errors reported", raw, unreadable)
+	}
+}
+
 // A write whose answer is lost is followed by a read, and a record of a later holder stays.
 func TestLostAnswerAndLaterHolder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/fleet/poolrecorder/record.go
+++ b/internal/fleet/poolrecorder/record.go
@@ -16,8 +16,12 @@
 	maxRecordBytes = 128 << 10
 	// maxNumber exceeds the endpoints of any pool.
 	maxNumber = 1e6
-	// neededChange is the relative change of a needed number that is worth a call to the store.
+	// neededChange is the relative change of a number of endpoints that is worth a call to the store.
 	neededChange = 0.1
+	// refreshAge is by how much the stored record may be older than the current one if nothing else
+	// differs. A record older than maxAge is not inherited. Refreshing costs a call to the store each
+	// 10 s under a steady load; the holder can't tell whether the copies of its notes have arrived.
+	refreshAge = maxAge / 3
 	// roundingError is the difference of two ages of one event that rounding explains.
 	roundingError = 20 * time.Millisecond
 )
@@ -144,15 +148,16 @@
 // validAge reports whether an age can be one: a year is longer than any.
 func validAge(a Age) bool { return a >= 0 && time.Duration(a) < 365*24*time.Hour/time.Millisecond }
 
-// differs reports whether r differs from the stored record by more than the passing of time.
+// differs reports whether r differs from the stored record by more than the passing of time, or is
+// so much newer that the stored one must be refreshed.
 func (r *Record) differs(stored *Record) bool {
-	if stored == nil || r.Fencing != stored.Fencing || len(r.Pools) != len(stored.Pools) {
+	if stored == nil || r.Fencing != stored.Fencing || len(r.Pools) != len(stored.Pools) || r.At.Sub(stored.At) >= refreshAge {
 		return true
 	}
 	for i := range r.Pools {
 		a, b := &r.Pools[i], &stored.Pools[i]
-		if a.Service != b.Service || len(a.Places) != len(b.Places) || math.Abs(a.Needed-b.Needed) > neededChange*max(a.Needed, b.Needed) ||
-			a.Correction != b.Correction || !same(a.LossAge, b.LossAge, r, stored) {
+		if a.Service != b.Service || len(a.Places) != len(b.Places) || changed(a.Needed, b.Needed) ||
+			changed(a.OnDemandNeeded, b.OnDemandNeeded) || changed(a.Served, b.Served) || a.Correction != b.Correction || !same(a.LossAge, b.LossAge, r, stored) {
 			return true
 		}
 		for j := range a.Places {
@@ -166,6 +171,9 @@
 	return false
 }
 
+// changed reports whether a number of endpoints has changed enough for a call to the store.
+func changed(a, b float64) bool { return math.Abs(a-b) > neededChange*max(a, b) }
+
 // same reports whether ages of two records are those of one event.
 func same(a, b Age, r, o *Record) bool {
 	if a == 0 || b == 0 {
