--- a/internal/fleet/poolrecorder/poolrecorder.go
+++ b/internal/fleet/poolrecorder/poolrecorder.go
@@ -82,8 +82,13 @@
 	return &Recorder{c: c}
 }
 
-// Update replaces the holder's record. Its ages must be current.
+// Update replaces the holder's record. Its ages must be current. A record without pools is ignored:
+// a new holder that does not know the need yet would otherwise replace its predecessor's record, as
+// its fencing number is higher.
 func (r *Recorder) Update(record *Record) {
+	if len(record.Pools) == 0 {
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	next := *record
--- a/internal/fleet/poolrecorder/poolrecorder_test.go
+++ b/internal/fleet/poolrecorder/poolrecorder_test.go
@@ -204,6 +204,29 @@
 	})
 }
 
+// Guards against a new holder that does not know the need yet and replaces its predecessor's record
+// by an empty one, in the store or in its notes.
+func TestEmptyRecordReplacesNone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, unreadable := new(store), 0
+		former, holder := newRecorder(s, &unreadable), newRecorder(s, &unreadable)
+		former.Update(newRecord(3, 50, time.Now()))
+		if err := former.Write(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		holder.Update(&Record{Fencing: 4, At: time.Now()})
+		if err := holder.Write(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if raw := holder.Encode(4); raw != nil {
+			t.Errorf("a record without pools is sent: %s", raw)
+		}
+		if got, _, err := newRecorder(s, &unreadable).Inherit(t.Context()); got == nil || got.Fencing != 3 {
+			t.Errorf("inherited %+v, %v", got, err)
+		}
+	})
+}
+
 // Guards against a change of the numbers besides the need that is not stored.
 func TestWritesOtherNumbers(t *testing.T) {
 	for name, change := range map[string]func(*Pool){
