--- a/internal/fleet/autoscaler/autoscaler.go
+++ b/internal/fleet/autoscaler/autoscaler.go
@@ -283,7 +283,8 @@
 		reclaimed = reclaimed || now.Sub(t.reclaimedAt) < reclaimShrinkDelay
 	}
 	if float64(listed) < (1-lossFraction)*float64(before) && listed < ordered {
-		a.loss(s.Service).at = now
+		l := a.loss(s.Service)
+		l.at, l.replaced = now, false
 	}
 	return reclaimed
 }
@@ -382,8 +383,8 @@
 // maxEndpoints returns the most endpoints of a service that may be wanted, given the number
 // that serve now or served within peakWindow.
 func (a *Autoscaler) maxEndpoints(s identifier.Service, serving float64, now time.Time) float64 {
-	p := a.peaks[s]
-	if p == nil || serving >= p.engines || now.Sub(p.at) > peakWindow && !a.lossUnreplaced(s, serving, now) {
+	p, unreplaced := a.peaks[s], a.lossUnreplaced(s, serving, now)
+	if p == nil || serving >= p.engines || now.Sub(p.at) > peakWindow && !unreplaced {
 		p = &peak{engines: serving, at: now}
 		a.peaks[s] = p
 	}
--- a/internal/fleet/autoscaler/loss.go
+++ b/internal/fleet/autoscaler/loss.go
@@ -10,6 +10,8 @@
 // loss is the last loss of a service's endpoints, and what a request needed before it.
 type loss struct {
 	at time.Time
+	// replaced is set once as many endpoints serve after the loss as are needed.
+	replaced bool
 	// perRequest is the number of endpoints that one request per second needs, as averaged until
 	// averagedAt while no loss was recent.
 	perRequest float64
@@ -55,8 +57,13 @@
 }
 
 // lossUnreplaced reports whether endpoints were lost and fewer serve than the need from before,
-// which still holds. Until then the bound of growth follows what served before the loss.
+// which still holds. Until then the bound of growth follows what served before the loss. A need
+// that exceeds what serves later has other reasons than the loss.
 func (a *Autoscaler) lossUnreplaced(s identifier.Service, serving float64, now time.Time) bool {
-	n := a.demands[s]
-	return n != nil && !a.loss(s).at.IsZero() && n.current(now, demandDecay) > serving
+	n, l := a.demands[s], a.loss(s)
+	if n == nil || l.at.IsZero() || l.replaced {
+		return false
+	}
+	l.replaced = n.current(now, demandDecay) <= serving
+	return !l.replaced
 }
--- a/internal/fleet/autoscaler/record.go
+++ b/internal/fleet/autoscaler/record.go
@@ -18,7 +18,7 @@
 		a.demands[p.Service] = &peak{engines: p.Needed, at: p.NeededAge.Time(r.At)}
 		a.onDemandDemands[p.Service] = &peak{engines: p.OnDemandNeeded, at: p.OnDemandNeededAge.Time(r.At)}
 		a.peaks[p.Service] = &peak{engines: p.Served, at: p.ServedAge.Time(r.At)}
-		a.losses[p.Service] = &loss{at: p.LossAge.Time(r.At), perRequest: p.PerRequest, averagedAt: r.At}
+		a.losses[p.Service] = &loss{at: p.LossAge.Time(r.At), replaced: p.LossReplaced, perRequest: p.PerRequest, averagedAt: r.At}
 		a.corrections[p.Service] = &correction{factor: max(p.Correction, 1), changedAt: p.CorrectionAge.Time(r.At)}
 		for _, z := range p.Places {
 			a.states[key{p.Service, z.Zone, z.Class}] = &state{
@@ -42,7 +42,7 @@
 		out.Pools = append(out.Pools, poolrecorder.Pool{
 			Service: s, Needed: n.engines, NeededAge: poolrecorder.AgeOf(n.at, now),
 			OnDemandNeeded: onDemand.engines, OnDemandNeededAge: poolrecorder.AgeOf(onDemand.at, now),
-			Served: served.engines, ServedAge: poolrecorder.AgeOf(served.at, now), PerRequest: l.perRequest, LossAge: poolrecorder.AgeOf(l.at, now),
+			Served: served.engines, ServedAge: poolrecorder.AgeOf(served.at, now), PerRequest: l.perRequest, LossAge: poolrecorder.AgeOf(l.at, now), LossReplaced: l.replaced,
 			Correction: late.factor, CorrectionAge: poolrecorder.AgeOf(late.changedAt, now),
 		})
 	}
--- a/internal/fleet/autoscaler/replay_test.go
+++ b/internal/fleet/autoscaler/replay_test.go
@@ -379,6 +379,35 @@
 	})
 }
 
+// Guards against a loss that was replaced long ago and still keeps the bound of growth at what
+// served then, also after the lease has changed hands.
+func TestReplacedLossDoesNotHoldTheBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := New(Config{Logger: log.New(io.Discard)})
+		a.peaks["lm"] = &peak{engines: 100, at: time.Now()}
+		a.onDemandDemands["lm"] = new(peak)
+		a.loss("lm").at = time.Now()
+		bound := func(needed, serving float64) float64 {
+			a.demands["lm"] = &peak{engines: needed, at: time.Now()}
+			return a.maxEndpoints("lm", serving, time.Now())
+		}
+		time.Sleep(peakWindow + time.Second)
+		if got := bound(60, 40); got != 100*maxGrowthFactor {
+			t.Errorf("at most %.0f before the loss is replaced", got)
+		}
+		if got := bound(60, 60); got != 60*maxGrowthFactor {
+			t.Errorf("at most %.0f once the loss is replaced", got)
+		}
+		r := a.Record()
+		a = New(Config{Logger: log.New(io.Discard)})
+		a.Inherit(2, r)
+		time.Sleep(peakWindow + time.Second)
+		if got := bound(50, 30); got != 30*maxGrowthFactor {
+			t.Errorf("at most %.0f for a later need, with 30 that serve", got)
+		}
+	})
+}
+
 // Guards against a successor that forgets a refusal or an order of its predecessor: a zone
 // without reclaimable engines was asked again, and orders under way were repeated.
 func TestRecordHoldsOrdersAndRefusals(t *testing.T) {
--- a/internal/fleet/poolrecorder/record.go
+++ b/internal/fleet/poolrecorder/record.go
@@ -54,9 +54,11 @@
 	Served    float64
 	ServedAge Age
 	// PerRequest is the number of endpoints that one request per second needed before a loss,
-	// LossAge the time since the last loss.
-	PerRequest float64 `json:",omitempty"`
-	LossAge    Age     `json:",omitempty"`
+	// LossAge the time since the last loss, LossReplaced is set once as many endpoints served as were
+	// needed after it.
+	PerRequest   float64 `json:",omitempty"`
+	LossAge      Age     `json:",omitempty"`
+	LossReplaced bool    `json:",omitempty"`
 	// Correction is the factor by which the load needs more endpoints than the figures say, 0 if
 	// not known, CorrectionAge the time since it changed.
 	Correction    float64 `json:",omitempty"`
@@ -157,7 +159,7 @@
 	for i := range r.Pools {
 		a, b := &r.Pools[i], &stored.Pools[i]
 		if a.Service != b.Service || len(a.Places) != len(b.Places) || changed(a.Needed, b.Needed) ||
-			changed(a.OnDemandNeeded, b.OnDemandNeeded) || changed(a.Served, b.Served) || a.Correction != b.Correction || !same(a.LossAge, b.LossAge, r, stored) {
+			changed(a.OnDemandNeeded, b.OnDemandNeeded) || changed(a.Served, b.Served) || a.Correction != b.Correction || a.LossReplaced != b.LossReplaced || !same(a.LossAge, b.LossAge, r, stored) {
 			return true
 		}
 		for j := range a.Places {
