--- a/internal/fleet/autoscaler/autoscaler.go
+++ b/internal/fleet/autoscaler/autoscaler.go
@@ -37,6 +37,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -235,16 +236,40 @@
 }
 
 // Step sends the orders that are due. A fencing number that differs from the one of the last step
-// discards the recorded orders and peaks.
+// discards the recorded orders and peaks. What is known of services that are not named is discarded
+// too, unless none is named: then the catalog has not been read yet.
 func (a *Autoscaler) Step(ctx context.Context, fencing uint64, services []Service) {
 	if fencing != a.fencing {
 		a.reset(fencing)
 	}
+	if len(services) > 0 {
+		a.discardOthers(services)
+	}
 	for i := range services {
 		a.stepService(ctx, &services[i])
 	}
 }
 
+// discardOthers discards what is known of all services but the given ones. Otherwise each lease
+// holder would inherit and record services that no longer exist.
+func (a *Autoscaler) discardOthers(services []Service) {
+	known := make(map[identifier.Service]bool, len(services))
+	for i := range services {
+		known[services[i].Service] = true
+	}
+	discard(a.demands, known)
+	discard(a.onDemandDemands, known)
+	discard(a.losses, known)
+	discard(a.corrections, known)
+	discard(a.peaks, known)
+	maps.DeleteFunc(a.states, func(k key, _ *state) bool { return !known[k.service] })
+}
+
+// discard removes the entries of services that are not known.
+func discard[V any](m map[identifier.Service]V, known map[identifier.Service]bool) {
+	maps.DeleteFunc(m, func(s identifier.Service, _ V) bool { return !known[s] })
+}
+
 func (a *Autoscaler) stepService(ctx context.Context, s *Service) {
 	now := time.Now()
 	if a.startedWithin(now, listingTime) {
--- a/internal/fleet/autoscaler/replay_test.go
+++ b/internal/fleet/autoscaler/replay_test.go
@@ -408,6 +408,33 @@
 	})
 }
 
+// Guards against services that no longer exist being inherited and recorded for ever, and against a
+// record that is discarded because the catalog has not been read yet.
+func TestUnknownServicesAreDiscarded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newReplay(t, 20, 10)
+		old := r.newHolder()
+		r.run(old, 1, 5*time.Second, nil)
+		record := old.Record()
+		removed := record.Pools[0]
+		removed.Service = "removed"
+		record.Pools = append(record.Pools, removed)
+		next := r.newHolder()
+		next.Inherit(2, record)
+		next.Step(t.Context(), 2, nil)
+		if got := len(next.Record().Pools); got != 2 {
+			t.Errorf("%d services recorded before the catalog is known, want 2", got)
+		}
+		next.Step(t.Context(), 2, r.service())
+		if got := next.Record().Pools; len(got) != 1 || got[0].Service != "lm" {
+			t.Errorf("recorded %+v", got)
+		}
+		if next.losses["removed"] != nil || next.corrections["removed"] != nil || next.states[key{"removed", "a", document.ClassReclaimable}] != nil {
+			t.Error("a removed service is kept")
+		}
+	})
+}
+
 // Guards against a successor that forgets a refusal or an order of its predecessor: a zone
 // without reclaimable engines was asked again, and orders under way were repeated.
 func TestRecordHoldsOrdersAndRefusals(t *testing.T) {
