--- a/internal/fleet/autoscaler/lateness.go
+++ b/internal/fleet/autoscaler/lateness.go
@@ -46,11 +46,11 @@
 
 // observeLateness raises the correction if more than maxLateFraction of the first events are late
 // for longer than an endpoint takes to start, though as many endpoints are listed as the figures
-// require. A recent loss explains lateness, and so does a load that has just begun. observed is
-// false in these cases.
-func (c *correction) observeLateness(s *Service, enough, observed bool, now time.Time) {
+// require, which endpointsSuffice reports. A recent loss explains lateness, and so does a load that
+// has just begun. conditionsNormal is false in these cases.
+func (c *correction) observeLateness(s *Service, endpointsSuffice, conditionsNormal bool, now time.Time) {
 	late := s.Demand.FirstEvents >= minFirstEvents && s.Demand.Late > maxLateFraction*s.Demand.FirstEvents
-	if !late || !enough || !observed {
+	if !late || !endpointsSuffice || !conditionsNormal {
 		c.lateSince = time.Time{}
 	} else if c.lateSince.IsZero() {
 		c.lateSince = now
@@ -59,7 +59,7 @@
 	switch {
 	case !c.lateSince.IsZero() && now.Sub(c.lateSince) > wait && now.Sub(c.changedAt) > wait:
 		c.factor, c.changedAt = min(c.factor*raiseStep, maxCorrection), now
-	case observed && c.factor > 1 && s.Demand.FirstEvents >= minFirstEvents && s.Demand.Late < onTimeFraction*s.Demand.FirstEvents &&
+	case conditionsNormal && c.factor > 1 && s.Demand.FirstEvents >= minFirstEvents && s.Demand.Late < onTimeFraction*s.Demand.FirstEvents &&
 		now.Sub(c.changedAt) > lowerInterval:
 		c.factor, c.changedAt = max(c.factor*lowerStep, 1), now
 	}
--- a/internal/fleet/autoscaler/lateness_test.go
+++ b/internal/fleet/autoscaler/lateness_test.go
@@ -71,7 +71,8 @@
 	}
 }
 
-// The correction rises in bounded steps, waits for the engines of each, and falls slowly.
+// Guards against a correction that rises again before the engines of the last step serve, or falls
+// at once.
 func TestLatenessCorrectionIsBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		a := New(Config{Logger: log.New(io.Discard)})
@@ -91,7 +92,7 @@
 	})
 }
 
-// A successor goes on with the correction.
+// Guards against a successor that starts without its predecessor's correction.
 func TestCorrectionIsInherited(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newReplay(t, 20, 10)
--- a/internal/fleet/autoscaler/record.go
+++ b/internal/fleet/autoscaler/record.go
@@ -52,13 +52,13 @@
 		if i < 0 || !t.initialised {
 			continue
 		}
-		out.Pools[i].Places = append(out.Pools[i].Places, poolrecorder.Place{
+		out.Pools[i].Places = append(out.Pools[i].Places, poolrecorder.ZonePool{
 			Zone: k.zone, Class: k.class, Ordered: t.ordered, Listed: t.listed, OrderedAge: poolrecorder.AgeOf(t.orderedAt, now),
 			LowerAge: poolrecorder.AgeOf(t.lowerSince, now), RefusedAge: poolrecorder.AgeOf(t.refusedAt, now), ReclaimedAge: poolrecorder.AgeOf(t.reclaimedAt, now),
 		})
 	}
 	for i := range out.Pools {
-		slices.SortFunc(out.Pools[i].Places, func(x, y poolrecorder.Place) int {
+		slices.SortFunc(out.Pools[i].Places, func(x, y poolrecorder.ZonePool) int {
 			return cmp.Or(cmp.Compare(x.Zone, y.Zone), cmp.Compare(x.Class, y.Class))
 		})
 	}
--- a/internal/fleet/autoscaler/replay_test.go
+++ b/internal/fleet/autoscaler/replay_test.go
@@ -249,11 +249,8 @@
 	return out
 }
 
-// Guards against capacity that comes back in steps of the growth bound, and then at twice the
-// need. 112 engines were listed and 51 needed when four zones lost theirs within 13 s and the
-// holder was cut off. The next holder measured growth from the engines that were left and took
-// prompts that were prefilled again for new demand: it ordered 21, 29, 42 and 59 engines, and had
-// 113 for a need of 60.
+// Guards against a new holder that measures growth from the endpoints left after a loss, and takes
+// prompts that are prefilled again for new demand.
 func TestCapacityReturnsAtOnceAfterHolderIsReplaced(t *testing.T) {
 	for _, c := range []struct {
 		needed   int
--- a/internal/fleet/leaser/leaser.go
+++ b/internal/fleet/leaser/leaser.go
@@ -78,7 +78,8 @@
 	// store need not be read; nil if that is never known.
 	HeldByOther func() bool
 	// Heard returns the highest revision of the lease that a holder has announced, and when that was
-	// first heard, by the clock of Now; 0 for none. May be nil.
+	// first heard, by the clock of Now; 0 for none. Called with the lock held; must not call back.
+	// May be nil.
 	Heard func() (revision uint64, since time.Time)
 	// OnChange is called when the lease is gained or lost; may be nil.
 	OnChange func(fencing uint64, held bool)
--- a/internal/fleet/poolrecorder/poolrecorder.go
+++ b/internal/fleet/poolrecorder/poolrecorder.go
@@ -1,4 +1,5 @@
-// Package poolrecorder keeps what the sizing of pools knows beyond the end of its lease holder.
+// Package poolrecorder persists the autoscaler's state so that the next lease holder continues from
+// it.
 //
 // It answers reclaims of several zones during which the holder fails: a successor that knows only
 // the endpoints that are left orders too few, and in small steps.
--- a/internal/fleet/poolrecorder/poolrecorder_test.go
+++ b/internal/fleet/poolrecorder/poolrecorder_test.go
@@ -54,7 +54,7 @@
 func newRecord(fencing uint64, needed float64, now time.Time) *Record {
 	return &Record{Fencing: fencing, Pools: []Pool{{
 		Service: "lm", Needed: needed, NeededAge: 500,
-		Places: []Place{{Zone: "a", Class: document.ClassReclaimable, Ordered: 7, OrderedAge: AgeOf(now.Add(-2*time.Second), now)}},
+		Places: []ZonePool{{Zone: "a", Class: document.ClassReclaimable, Ordered: 7, OrderedAge: AgeOf(now.Add(-2*time.Second), now)}},
 	}}}
 }
 
--- a/internal/fleet/poolrecorder/record.go
+++ b/internal/fleet/poolrecorder/record.go
@@ -63,11 +63,11 @@
 	// not known, CorrectionAge the time since it changed.
 	Correction    float64 `json:",omitempty"`
 	CorrectionAge Age     `json:",omitempty"`
-	Places        []Place
+	Places        []ZonePool
 }
 
-// Place is what is known of one class of a pool's endpoints in one zone.
-type Place struct {
+// ZonePool is what is known of the endpoints of one class in one zone.
+type ZonePool struct {
 	Zone    identifier.AvailabilityZone
 	Class   document.Class
 	Ordered int
--- a/internal/peer/aggregator/sums.go
+++ b/internal/peer/aggregator/sums.go
@@ -194,22 +194,22 @@
 }
 
 // addActivity adds the demands and loads of daemons, which were heard of at the given time, or
-// subtracts them with a sign of -1.
-func (s *sums) addActivity(demands []*rpc.Demand, loads []*rpc.EndpointLoad, sign float64, heardAt time.Time) {
+// subtracts them with a factor of -1.
+func (s *sums) addActivity(demands []*rpc.Demand, loads []*rpc.EndpointLoad, factor float64, heardAt time.Time) {
 	for _, d := range demands {
 		sum := getOrCreate(s.demands, d.GetService())
-		sum.running += int64(sign) * int64(d.GetRunning())
-		sum.requests += sign * d.GetRequestsPerSecond()
-		sum.tokens += sign * d.GetTokensPerSecond()
-		sum.refused += sign * d.GetRefusedPerSecond()
-		sum.firstEvents += sign * d.GetFirstEventsPerSecond()
-		sum.late += sign * d.GetLatePerSecond()
+		sum.running += int64(factor) * int64(d.GetRunning())
+		sum.requests += factor * d.GetRequestsPerSecond()
+		sum.tokens += factor * d.GetTokensPerSecond()
+		sum.refused += factor * d.GetRefusedPerSecond()
+		sum.firstEvents += factor * d.GetFirstEventsPerSecond()
+		sum.late += factor * d.GetLatePerSecond()
 	}
 	for _, l := range loads {
 		sum := getOrCreate(s.loads, loadKey{l.GetEndpoint(), l.GetBorn()})
-		sum.running += int64(sign) * int64(l.GetRunning())
-		sum.tokens += sign * l.GetTokensPerSecond()
-		sum.unread += sign * l.GetUnreadTokens()
+		sum.running += int64(factor) * int64(l.GetRunning())
+		sum.tokens += factor * l.GetTokensPerSecond()
+		sum.unread += factor * l.GetUnreadTokens()
 		sum.addSign(signOf(l, heardAt))
 	}
 }
@@ -321,7 +321,7 @@
 }
 
 // subtract adds the contribution of a daemon, as of its last digest, to negative with a negative
-// sign, and subtracts the daemon from the count in out.
+// factor, and subtracts the daemon from the count in out.
 func (s *sums) subtract(m *member, negative *sums, out *rpc.Summary) {
 	out.Daemons = uint32(max(s.daemons-1, 0))
 	out.Silent = min(out.Silent, out.Daemons)
--- a/internal/role/gateway/pools_test.go
+++ b/internal/role/gateway/pools_test.go
@@ -125,7 +125,7 @@
 	})
 }
 
-// A holder that ends gives up the lease, and its successor reads the record from the store.
+// Guards against a release that candidates hear of only when the lease expires.
 func TestReleasedDutiesAreTakenOverAtOnce(t *testing.T) {
 	inPausedTime(t, func(t *testing.T) {
 		f := newTestFleet(t)
--- a/internal/route/candidate/activity.go
+++ b/internal/route/candidate/activity.go
@@ -9,9 +9,8 @@
 // before new requests go elsewhere. Streams deliver an event every 20 to 100 ms. The longest pause
 // of a stream is the prefill of one chunk of another prompt.
 //
-// A host behind a partition, or a hung process, resets no connection. Without this check daemons
-// keep sending to a partitioned zone for three seconds, until the kernel gives the connections up:
-// 25 requests were lost when one zone of four was cut off.
+// A host behind a partition, or a hung process, resets no connection. Without this check, requests go
+// to a partitioned zone until the kernel closes its connections, about three seconds later.
 const silentTime = 400 * time.Millisecond
 
 // Activity records when an endpoint last showed a sign of life: an event of a stream or a response
--- a/internal/route/demandmeter/demandmeter.go
+++ b/internal/route/demandmeter/demandmeter.go
@@ -185,8 +185,8 @@
 	}
 }
 
-// CountRefused counts a request that is refused, and that its client may return. counted is set if
-// the request has been counted before.
+// CountRefused counts a refused request, which its client may send again. counted is set if the
+// request has been counted before.
 func (m *Meter) CountRefused(s identifier.Service, counted bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
