--- a/internal/fleet/autoscaler/autoscaler.go
+++ b/internal/fleet/autoscaler/autoscaler.go
@@ -37,6 +37,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -235,16 +236,40 @@
 }
 
 // Step sends the orders that are due. A fencing number that differs from the one of the last step
-// discards the recorded orders and peaks.
+// discards the recorded orders and peaks. What is known of services that are not named is discarded
+// too, unless none is named: then the catalog has not been read yet.
 func (a *Autoscaler) Step(ctx context.Context, fencing uint64, services []Service) {
 	if fencing != a.fencing {
 		a.reset(fencing)
 	}
+	if len(services) > 0 {
+		a.discardOthers(services)
+	}
 	for i := range services {
 		a.stepService(ctx, &services[i])
 	}
 }
 
+// discardOthers discards what is known of all services but the given ones. Otherwise each lease
+// holder would inherit and record services that no longer exist.
+func (a *Autoscaler) discardOthers(services []Service) {
+	known := make(map[identifier.Service]bool, len(services))
+	for i := range services {
+		known[services[i].Service] = true
+	}
+	discard(a.demands, known)
+	discard(a.onDemandDemands, known)
+	discard(a.losses, known)
+	discard(a.corrections, known)
+	discard(a.peaks, known)
+	maps.DeleteFunc(a.states, func(k key, _ *state) bool { return !known[k.service] })
+}
+
+// discard removes the entries of services that are not known.
+func discard[V any](m map[identifier.Service]V, known map[identifier.Service]bool) {
+	maps.DeleteFunc(m, func(s identifier.Service, _ V) bool { return !known[s] })
+}
+
 func (a *Autoscaler) stepService(ctx context.Context, s *Service) {
 	now := time.Now()
 	if a.startedWithin(now, listingTime) {
@@ -283,7 +308,8 @@
 		reclaimed = reclaimed || now.Sub(t.reclaimedAt) < reclaimShrinkDelay
 	}
 	if float64(listed) < (1-lossFraction)*float64(before) && listed < ordered {
-		a.loss(s.Service).at = now
+		l := a.loss(s.Service)
+		l.at, l.replaced = now, false
 	}
 	return reclaimed
 }
@@ -382,8 +408,8 @@
 // maxEndpoints returns the most endpoints of a service that may be wanted, given the number
 // that serve now or served within peakWindow.
 func (a *Autoscaler) maxEndpoints(s identifier.Service, serving float64, now time.Time) float64 {
-	p := a.peaks[s]
-	if p == nil || serving >= p.engines || now.Sub(p.at) > peakWindow && !a.lossUnreplaced(s, serving, now) {
+	p, unreplaced := a.peaks[s], a.lossUnreplaced(s, serving, now)
+	if p == nil || serving >= p.engines || now.Sub(p.at) > peakWindow && !unreplaced {
 		p = &peak{engines: serving, at: now}
 		a.peaks[s] = p
 	}
--- a/internal/fleet/autoscaler/replay_test.go
+++ b/internal/fleet/autoscaler/replay_test.go
@@ -249,11 +249,8 @@
 	return out
 }
 
-// Guards against capacity that comes back in steps of the growth bound, and then at twice the
-// need. 112 engines were listed and 51 needed when four zones lost theirs within 13 s and the
-// holder was cut off. The next holder measured growth from the engines that were left and took
-// prompts that were prefilled again for new demand: it ordered 21, 29, 42 and 59 engines, and had
-// 113 for a need of 60.
+// Guards against a new holder that measures growth from the endpoints left after a loss, and takes
+// prompts that are prefilled again for new demand.
 func TestCapacityReturnsAtOnceAfterHolderIsReplaced(t *testing.T) {
 	for _, c := range []struct {
 		needed   int
@@ -379,6 +376,62 @@
 	})
 }
 
+// Guards against a loss that was replaced long ago and still keeps the bound of growth at what
+// served then, also after the lease has changed hands.
+func TestReplacedLossDoesNotHoldTheBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := New(Config{Logger: log.New(io.Discard)})
+		a.peaks["lm"] = &peak{engines: 100, at: time.Now()}
+		a.onDemandDemands["lm"] = new(peak)
+		a.loss("lm").at = time.Now()
+		bound := func(needed, serving float64) float64 {
+			a.demands["lm"] = &peak{engines: needed, at: time.Now()}
+			return a.maxEndpoints("lm", serving, time.Now())
+		}
+		time.Sleep(peakWindow + time.Second)
+		if got := bound(60, 40); got != 100*maxGrowthFactor {
+			t.Errorf("at most %.0f before the loss is replaced", got)
+		}
+		if got := bound(60, 60); got != 60*maxGrowthFactor {
+			t.Errorf("at most %.0f once the loss is replaced", got)
+		}
+		r := a.Record()
+		a = New(Config{Logger: log.New(io.Discard)})
+		a.Inherit(2, r)
+		time.Sleep(peakWindow + time.Second)
+		if got := bound(50, 30); got != 30*maxGrowthFactor {
+			t.Errorf("at most %.0f for a later need, with 30 that serve", got)
+		}
+	})
+}
+
+// Guards against services that no longer exist being inherited and recorded for ever, and against a
+// record that is discarded because the catalog has not been read yet.
+func TestUnknownServicesAreDiscarded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newReplay(t, 20, 10)
+		old := r.newHolder()
+		r.run(old, 1, 5*time.Second, nil)
+		record := old.Record()
+		removed := record.Pools[0]
+		removed.Service = "removed"
+		record.Pools = append(record.Pools, removed)
+		next := r.newHolder()
+		next.Inherit(2, record)
+		next.Step(t.Context(), 2, nil)
+		if got := len(next.Record().Pools); got != 2 {
+			t.Errorf("%d services recorded before the catalog is known, want 2", got)
+		}
+		next.Step(t.Context(), 2, r.service())
+		if got := next.Record().Pools; len(got) != 1 || got[0].Service != "lm" {
+			t.Errorf("recorded %+v", got)
+		}
+		if next.losses["removed"] != nil || next.corrections["removed"] != nil || next.states[key{"removed", "a", document.ClassReclaimable}] != nil {
+			t.Error("a removed service is kept")
+		}
+	})
+}
+
 // Guards against a successor that forgets a refusal or an order of its predecessor: a zone
 // without reclaimable engines was asked again, and orders under way were repeated.
 func TestRecordHoldsOrdersAndRefusals(t *testing.T) {
--- a/internal/fleet/poolrecorder/poolrecorder_test.go
+++ b/internal/fleet/poolrecorder/poolrecorder_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -53,7 +54,7 @@
 func newRecord(fencing uint64, needed float64, now time.Time) *Record {
 	return &Record{Fencing: fencing, Pools: []Pool{{
 		Service: "lm", Needed: needed, NeededAge: 500,
-		Places: []Place{{Zone: "a", Class: document.ClassReclaimable, Ordered: 7, OrderedAge: AgeOf(now.Add(-2*time.Second), now)}},
+		Places: []ZonePool{{Zone: "a", Class: document.ClassReclaimable, Ordered: 7, OrderedAge: AgeOf(now.Add(-2*time.Second), now)}},
 	}}}
 }
 
@@ -172,6 +173,93 @@
 	})
 }
 
+// Guards against a stored record that is too old to be inherited because the load is steady, and
+// against more calls to the store than that takes.
+func TestSteadyRecordIsRefreshed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, unreadable := new(store), 0
+		r := newRecorder(s, &unreadable)
+		orderedAt := time.Now()
+		for range 61 {
+			record := newRecord(2, 50, time.Now())
+			record.Pools[0].Places[0].OrderedAge = AgeOf(orderedAt, time.Now())
+			r.Update(record)
+			if err := r.Write(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(time.Second)
+		}
+		if got, source, _ := newRecorder(s, &unreadable).Inherit(t.Context()); got == nil || source != FromStore {
+			t.Errorf("inherited %+v from %s after a minute of steady load", got, source)
+		}
+		if s.writes > 7 {
+			t.Errorf("%d writes in a minute of steady load", s.writes)
+		}
+		// A record that is no longer updated does not become newer by being stored again.
+		writes := s.writes
+		time.Sleep(time.Minute)
+		if err := r.Write(t.Context()); err != nil || s.writes != writes {
+			t.Errorf("%d writes of an unchanged record, %v", s.writes-writes, err)
+		}
+	})
+}
+
+// Guards against a new holder that does not know the need yet and replaces its predecessor's record
+// by an empty one, in the store or in its notes.
+func TestEmptyRecordReplacesNone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, unreadable := new(store), 0
+		former, holder := newRecorder(s, &unreadable), newRecorder(s, &unreadable)
+		former.Update(newRecord(3, 50, time.Now()))
+		if err := former.Write(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		holder.Update(&Record{Fencing: 4, At: time.Now()})
+		if err := holder.Write(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if raw := holder.Encode(4); raw != nil {
+			t.Errorf("a record without pools is sent: %s", raw)
+		}
+		if got, _, err := newRecorder(s, &unreadable).Inherit(t.Context()); got == nil || got.Fencing != 3 {
+			t.Errorf("inherited %+v, %v", got, err)
+		}
+	})
+}
+
+// Guards against a change of the numbers besides the need that is not stored.
+func TestWritesOtherNumbers(t *testing.T) {
+	for name, change := range map[string]func(*Pool){
+		"on-demand need": func(p *Pool) { p.OnDemandNeeded = 20 },
+		"served":         func(p *Pool) { p.Served = 20 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Now()
+			a, b := newRecord(2, 50, now), newRecord(2, 50, now)
+			a.At, b.At = now, now
+			if a.differs(b) {
+				t.Fatal("equal records differ")
+			}
+			change(&a.Pools[0])
+			if !a.differs(b) {
+				t.Error("the change is not stored")
+			}
+		})
+	}
+}
+
+// Guards against a call of a missing OnUnreadable, and a record that can't be encoded being left
+// out of the notes without a report.
+func TestUnreadableIsReported(t *testing.T) {
+	New(Config{TrueTime: time.Now}).Merge([]byte("x"))
+	s, unreadable := new(store), 0
+	r := newRecorder(s, &unreadable)
+	r.Update(newRecord(2, math.Inf(1), time.Now()))
+	if raw := r.Encode(2); raw != nil || unreadable != 1 {
+		t.Errorf("encoded %q, %d errors reported", raw, unreadable)
+	}
+}
+
 // A write whose answer is lost is followed by a read, and a record of a later holder stays.
 func TestLostAnswerAndLaterHolder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
