--- a/internal/role/gateway/pools_test.go
+++ b/internal/role/gateway/pools_test.go
@@ -202,6 +202,10 @@
 			t.Fatal("no holder")
 		}
 		g := f.daemons[former]
+		// Right after a renewal the lease is valid for longer than until the first check.
+		for renewal := g.lease.Revision(); g.lease.Revision() == renewal; {
+			time.Sleep(pollInterval)
+		}
 		f.refuseStoreCalls(g.c.Deployment.Host)
 		time.Sleep(1500 * time.Millisecond)
 		if n := g.newNote(); n.GetHoldsDuties() || n.GetLeaseRevision() == 0 || len(n.GetPools()) == 0 {
