--- a/internal/serve/placer/placer.go
+++ b/internal/serve/placer/placer.go
@@ -70,7 +70,7 @@
 // Placer places requests. It is safe for concurrent use.
 type Placer struct {
 	c       Config
-	waiting waitingRoom
+	waiting waitLimiter
 }
 
 // Config holds the dependencies of a Placer.
--- a/internal/serve/placer/schedule.go
+++ b/internal/serve/placer/schedule.go
@@ -81,10 +81,11 @@
 const fallbackDecision = "fallback"
 
 // isScheduled reports whether a request is scheduled by coordinators: the capacity of its engines,
-// its tokens and its objective must be known.
+// its tokens and its objective must be known. The answer of a route of another kind than streaming is
+// reported at its end, which would look like a very late first event to the model of the engine.
 func (p *Placer) isScheduled(q *request.Request, s *catalog.Service) bool {
 	return p.c.Reserver != nil && s != nil && s.Engine != nil && s.Engine.Slots > 0 && s.Engine.MemoryTokens > 0 &&
-		q.HasTokenCounts && q.Route.FirstEventObjective > 0
+		q.HasTokenCounts && q.Route.Kind == catalog.Streaming && q.Route.FirstEventObjective > 0
 }
 
 // schedule places a request with the figures of coordinators.
@@ -235,10 +236,10 @@
 	if a.quote.Decision == scheduler.Start || a.quote.Decision == scheduler.Refuse && a.isRetry() {
 		return a.take(false)
 	}
-	if reason, ok := a.p.waiting.enter(len(a.q.Body)); !ok {
+	if reason, ok := a.p.waiting.acquire(len(a.q.Body)); !ok {
 		return a.refuse(reason), true
 	}
-	defer a.p.waiting.leave(len(a.q.Body))
+	defer a.p.waiting.release(len(a.q.Body))
 	return a.wait(ctx)
 }
 
--- a/internal/serve/placer/schedule_test.go
+++ b/internal/serve/placer/schedule_test.go
@@ -144,6 +144,12 @@
 func TestPlainServiceAsksNobody(t *testing.T) {
 	f := &fakeReserver{quote: func(identifier.Endpoint) reserver.Quote { return known(scheduler.Start, time.Second) }}
 	inPlacer(t, f, func(t *testing.T, p *Placer, _ *registry.Registry) {
+		plain := newRequest()
+		plain.Route.Kind = catalog.Idempotent
+		// Its answer's end would be taken for the first event.
+		if got := p.Place(t.Context(), plain, engineService, nil, selector.VersionFilter{}); got.Pick == nil || got.Schedule != nil || f.asked > 0 {
+			t.Errorf("plain route: %+v, asked %d times", got, f.asked)
+		}
 		for _, s := range []*catalog.Service{nil, {}, {Engine: &catalog.Engine{Slots: 8}}} {
 			if got := place(t.Context(), p, s); got.Pick == nil || got.Schedule != nil || f.asked > 0 {
 				t.Errorf("%+v: %+v, asked %d times", s, got, f.asked)
@@ -270,18 +276,18 @@
 }
 
 // What waits is bounded in number and bytes: a host has 184 MB.
-func TestWaitingRoomIsBounded(t *testing.T) {
-	var w waitingRoom
+func TestWaitLimiter(t *testing.T) {
+	var w waitLimiter
 	for i := range maxWaiting {
-		if _, ok := w.enter(100); !ok {
+		if _, ok := w.acquire(100); !ok {
 			t.Fatalf("request %d was not admitted", i)
 		}
 	}
-	if reason, ok := w.enter(0); ok || reason == "" {
+	if reason, ok := w.acquire(0); ok || reason == "" {
 		t.Error("one request too many was admitted")
 	}
-	w.leave(100)
-	if _, ok := w.enter(maxWaitingBytes); ok {
+	w.release(100)
+	if _, ok := w.acquire(maxWaitingBytes); ok {
 		t.Error("too many bytes were admitted")
 	}
 	wait := func(identifier.Endpoint) reserver.Quote { return known(scheduler.Wait, time.Second) }
