coordinator: a report may overtake a reservation; calls count against silence

- A request that a report has listed is not granted again: Sync ended it while it ran.
- Every call of a daemon refreshes the time by which it counts as silent, as a daemon whose requests only wait sends no reports.
Its started requests still end after 3 s without reports, as a restarted daemon does not list those of its former run.
- The gauge endpoint_scarce counts assigned endpoints only.
- Config says which callbacks are called with a lock held.

--- a/internal/peer/assigner/assigner.go
+++ b/internal/peer/assigner/assigner.go
@@ -34,7 +34,8 @@
 
 // Config holds the source of the daemons.
 type Config struct {
-	// Daemons returns the live daemons that coordinate endpoints, this one included.
+	// Daemons returns the live daemons that coordinate endpoints, this one included. Called with a
+	// lock held; must not call back.
 	Daemons func(now time.Time) []Daemon
 }
 
--- a/internal/peer/coordinator/coordinator.go
+++ b/internal/peer/coordinator/coordinator.go
@@ -36,8 +36,8 @@
 	// learningTime is how long a new coordinator may lack reports: daemons report every second
 	// while anything runs, and half a second more covers one that is delayed.
 	learningTime = 1500 * time.Millisecond
-	// silenceTimeout is how long a daemon may send no report before it is dropped with its requests:
-	// as long as daemons count as live.
+	// silenceTimeout is how long a daemon may make no call before it is dropped with its requests: as
+	// long as daemons count as live.
 	silenceTimeout = 3 * time.Second
 	// grantTime is how long a started request may be missing in its daemon's reports: its start may
 	// cross a report, and the next one follows within 50 ms and a slow call.
@@ -45,7 +45,8 @@
 	// unassignedTime is how long an endpoint that is assigned to another daemon is kept after its
 	// last use: daemons differ for seconds in who is live.
 	unassignedTime = 3 * time.Second
-	// maxEndpoints bounds the endpoints of one call: daemons ask for three at once.
+	// maxEndpoints bounds the endpoints of one call: daemons ask for up to registry's number of
+	// proposals, three.
 	maxEndpoints = 16
 	// maxStates bounds the requests of one report: four times what a daemon's host serves at once.
 	maxStates = 4096
@@ -74,9 +75,10 @@
 // Config holds the dependencies of a coordinator.
 type Config struct {
 	// Describe returns the capacity of an endpoint. ok is false if it is not listed in this
-	// incarnation, or its service states no capacity.
+	// incarnation, or its service states no capacity. Called with a lock held; must not call back.
 	Describe func(Endpoint) (c scheduler.Config, ok bool)
 	// Daemons returns the live daemons that may have requests at the endpoints, this one included.
+	// Called with a lock held; must not call back.
 	Daemons func() []identifier.Host
 	// NewScheduler returns the scheduler of an endpoint; nil for [scheduler.New].
 	NewScheduler func(scheduler.Config) Scheduler
@@ -111,10 +113,11 @@
 	scarce    bool
 }
 
-// daemon is a daemon that has reported.
+// daemon is a daemon that has reported or reserved.
 type daemon struct {
 	incarnation, sequence uint64
-	heardAt               time.Time
+	// heardAt is the time of the last call, reportedAt that of the last report.
+	heardAt, reportedAt time.Time
 }
 
 // New returns a coordinator of no endpoint.
@@ -137,6 +140,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
+	if d := c.daemons[r.Daemon]; d != nil {
+		d.heardAt = now
+	}
 	out := new(rpc.QuoteReply)
 	for _, ref := range m.GetEndpoints() {
 		e := c.entry(endpointOf(ref), now)
@@ -159,6 +165,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
+	// Daemons whose requests only wait send no reports, and those that end before their first report
+	// must be dropped, too.
+	c.heard(r.Daemon, now)
 	e := c.entry(endpointOf(m.GetEndpoint()), now)
 	if e == nil {
 		return &rpc.ReserveReply{Offer: &rpc.Offer{Unknown: true}}, nil
@@ -169,22 +178,25 @@
 		e.Started(&r, now)
 		o.Decision = scheduler.Start
 	}
-	if o.Decision == scheduler.Start {
+	// A report may have overtaken the call. A request that it listed is not granted: Sync would end
+	// it before the next report.
+	if o.Decision == scheduler.Start && !e.isStarted(r.Key()) {
 		e.granted[r.Key()] = now
-		// A daemon that ends before its first report must be dropped, too.
-		c.heard(r.Daemon, now)
 	}
 	return &rpc.ReserveReply{Offer: translator.EncodeOffer(&o, c.isComplete(e, now))}, nil
 }
 
-// heard returns the state of a daemon, which is nil if there is no room for it. The caller holds the
+// heard records a call of a daemon and returns its state, which is nil if there is no room for it. The caller holds the
 // lock.
 func (c *Coordinator) heard(h identifier.Host, now time.Time) *daemon {
 	d := c.daemons[h]
 	if d == nil && len(c.daemons) < maxDaemons {
-		d = &daemon{heardAt: now}
+		d = new(daemon)
 		c.daemons[h] = d
 	}
+	if d != nil {
+		d.heardAt = now
+	}
 	return d
 }
 
@@ -221,7 +233,7 @@
 	}
 	for _, h := range c.c.Daemons() {
 		d := c.daemons[h]
-		if d == nil || d.sequence == 0 || d.heardAt.Before(e.created) {
+		if d == nil || d.sequence == 0 || d.reportedAt.Before(e.created) {
 			return false
 		}
 	}
--- a/internal/peer/coordinator/coordinator_test.go
+++ b/internal/peer/coordinator/coordinator_test.go
@@ -184,6 +184,52 @@
 	})
 }
 
+// A report may overtake the call that enters a sent request. If the call left the request as
+// granted, Sync would end it while it runs.
+func TestReportOvertakesReserve(t *testing.T) {
+	inCoordinator(t, func(c *Coordinator, f *fakeScheduler) {
+		sendReport(t, c, "a", 1, false, "1")
+		reserve(t, c, "a", "1", true)
+		time.Sleep(grantTime)
+		c.Sync(nil, time.Now())
+		if n := f.started[scheduler.Key{Daemon: "a", Request: "1"}]; n != 1 {
+			t.Errorf("started %d times, want 1", n)
+		}
+	})
+}
+
+// A daemon whose requests only wait sends no reports. If it counted as silent, its requests would
+// lose their places in the queue. What it had started before it was restarted must end all the same.
+func TestWaitingDaemonIsNotSilent(t *testing.T) {
+	inCoordinator(t, func(c *Coordinator, f *fakeScheduler) {
+		sendReport(t, c, "b", 1, false, "1")
+		sendReport(t, c, "a", 1, false, "0")
+		for range 2 {
+			time.Sleep(silenceTimeout - time.Second)
+			sendReport(t, c, "b", uint64(time.Now().Unix()), false, "1")
+			reserve(t, c, "a", "2", false)
+		}
+		c.Sync(map[Endpoint]scheduler.Config{engine: {}}, time.Now())
+		if c.daemons["a"] == nil {
+			t.Error("the daemon was dropped though it asks")
+		}
+		if f.started[scheduler.Key{Daemon: "a", Request: "0"}] != 0 {
+			t.Error("a request that is no longer reported holds its place")
+		}
+	})
+}
+
+// The gauge of scarce endpoints is compared with that of the coordinated ones.
+func TestCountsOnlyAssigned(t *testing.T) {
+	inCoordinator(t, func(c *Coordinator, _ *fakeScheduler) {
+		sendReport(t, c, "a", 1, false, "1", "2")
+		c.Sync(nil, time.Now())
+		if endpoints, scarce := c.Counts(); endpoints != 0 || scarce != 0 {
+			t.Errorf("%d endpoints, %d scarce, want none", endpoints, scarce)
+		}
+	})
+}
+
 // A daemon that has ended must not keep the slots that its requests had.
 func TestSilentDaemonIsDropped(t *testing.T) {
 	inCoordinator(t, func(c *Coordinator, f *fakeScheduler) {
--- a/internal/peer/coordinator/report.go
+++ b/internal/peer/coordinator/report.go
@@ -26,7 +26,7 @@
 		// A newer list has come already.
 		return &rpc.ReportReply{}, nil
 	}
-	d.incarnation, d.sequence, d.heardAt = m.GetIncarnation(), m.GetSequence(), now
+	d.incarnation, d.sequence, d.reportedAt = m.GetIncarnation(), m.GetSequence(), now
 	listed := make(map[Endpoint]map[scheduler.Key]bool)
 	for _, s := range m.GetStates() {
 		r, err := translator.DecodeRequest(s.GetRequest(), host)
@@ -126,11 +126,17 @@
 	return changed
 }
 
-// dropSilent drops the daemons that have sent no report for too long, with their requests. The
-// caller holds the lock.
+// dropSilent drops the daemons that have made no call for too long, with their requests. Of one that
+// calls but has sent no report, it ends the started requests: a daemon that has any reports every
+// second, so they are those of a daemon that was restarted. The caller holds the lock.
 func (c *Coordinator) dropSilent(now time.Time) {
 	for h, d := range c.daemons {
 		if now.Sub(d.heardAt) < silenceTimeout {
+			if now.Sub(d.reportedAt) >= silenceTimeout {
+				for _, e := range c.entries {
+					e.endUnlisted(h, nil, now)
+				}
+			}
 			continue
 		}
 		delete(c.daemons, h)
@@ -163,7 +169,7 @@
 		if e.assigned {
 			endpoints++
 		}
-		if e.scarce {
+		if e.assigned && e.scarce {
 			scarce++
 		}
 	}
