coordinator: a reserved or waiting request can be withdrawn

ReserveRequest.withdrawn holds the request's id. The request is not set then, so that a coordinator that does not know the field answers InvalidArgument and enters nothing. Report says why a request of another daemon is entered as sent now, whatever its age. The bound of a report's states moves to translator, as the sender needs it too.

--- a/internal/peer/coordinator/coordinator.go
+++ b/internal/peer/coordinator/coordinator.go
@@ -48,8 +48,6 @@
 	// maxEndpoints bounds the endpoints of one call: daemons ask for up to registry's number of
 	// proposals, three.
 	maxEndpoints = 16
-	// maxStates bounds the requests of one report: four times what a daemon's host serves at once.
-	maxStates = 4096
 	// maxDaemons bounds the daemons that are kept.
 	maxDaemons = 2048
 )
@@ -158,6 +156,10 @@
 
 // Reserve enters a request at an endpoint.
 func (c *Coordinator) Reserve(_ context.Context, m *rpc.ReserveRequest) (*rpc.ReserveReply, error) {
+	if m.GetWithdrawn() != "" {
+		c.withdraw(m)
+		return &rpc.ReserveReply{}, nil
+	}
 	r, err := translator.DecodeRequest(m.GetRequest(), identifier.Host(m.GetHost()))
 	if err != nil {
 		return nil, twirp.InvalidArgumentError("request", "is not valid")
@@ -186,6 +188,17 @@
 	return &rpc.ReserveReply{Offer: translator.EncodeOffer(&o, c.isComplete(e, now))}, nil
 }
 
+// withdraw ends a request that waits or has a reserved place, unless its daemon has reported that it
+// was sent.
+func (c *Coordinator) withdraw(m *rpc.ReserveRequest) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	k := scheduler.Key{Daemon: identifier.Host(m.GetHost()), Request: identifier.Request(m.GetWithdrawn())}
+	if e := c.entries[endpointOf(m.GetEndpoint())]; e != nil && !e.isStarted(k) {
+		e.end(k, time.Now())
+	}
+}
+
 // heard records a call of a daemon and returns its state, which is nil if there is no room for it. The caller holds the
 // lock.
 func (c *Coordinator) heard(h identifier.Host, now time.Time) *daemon {
--- a/internal/peer/coordinator/coordinator_test.go
+++ b/internal/peer/coordinator/coordinator_test.go
@@ -219,6 +219,27 @@
 	})
 }
 
+// A reserved place that is not used must be free at once; a request that is reported as sent runs.
+func TestWithdraw(t *testing.T) {
+	inCoordinator(t, func(c *Coordinator, f *fakeScheduler) {
+		withdraw := func(id string) {
+			if _, err := c.Reserve(context.Background(), &rpc.ReserveRequest{Host: "a", Endpoint: ref(engine), Withdrawn: id}); err != nil {
+				t.Error(err)
+			}
+		}
+		reserve(t, c, "a", "1", false)
+		withdraw("1")
+		if len(f.started) > 0 {
+			t.Error("the place is still taken")
+		}
+		sendReport(t, c, "a", 1, false, "2")
+		withdraw("2")
+		if len(f.started) != 1 {
+			t.Error("a request that runs was ended")
+		}
+	})
+}
+
 // The gauge of scarce endpoints is compared with that of the coordinated ones.
 func TestCountsOnlyAssigned(t *testing.T) {
 	inCoordinator(t, func(c *Coordinator, _ *fakeScheduler) {
--- a/internal/peer/coordinator/report.go
+++ b/internal/peer/coordinator/report.go
@@ -15,7 +15,7 @@
 // Report replaces the list of requests that a daemon has started.
 func (c *Coordinator) Report(_ context.Context, m *rpc.RequestStates) (*rpc.ReportReply, error) {
 	host := identifier.Host(m.GetHost())
-	if host == "" || len(m.GetStates()) > maxStates {
+	if host == "" || len(m.GetStates()) > translator.MaxStates {
 		return nil, twirp.InvalidArgumentError("states", "are not valid")
 	}
 	c.mu.Lock()
@@ -47,7 +47,9 @@
 	return &rpc.ReportReply{}, nil
 }
 
-// start records a request that its daemon reports as started.
+// start records a request that its daemon reports as started. A new coordinator enters a request of
+// unknown prefill as sent now, whatever its age: the scheduler's calls must come in the order of time,
+// and the overestimate lasts only until the report tells of the first event.
 func (e *entry) start(r *scheduler.Request, firstEvent bool, now time.Time) {
 	k := r.Key()
 	if _, granted := e.granted[k]; !granted && !e.isStarted(k) {
--- a/internal/peer/translator/translator.go
+++ b/internal/peer/translator/translator.go
@@ -19,6 +19,9 @@
 // maxBlocks bounds the shared parts of a prompt that a message may name: prompts have a few.
 const maxBlocks = 256
 
+// MaxStates bounds the requests of one report: four times what a daemon's host serves at once.
+const MaxStates = 4096
+
 // ErrInvalid means that a message can't be translated.
 var ErrInvalid = errors.New("translator: invalid message")
 
