reserver: repeats failed reports, asks its own coordinator at once

- A failed report is due again after 50 ms, then every second while the coordinator does not answer; one without requests for 3 s.
It left slots taken until the daemon was dropped.
- The own coordinator is asked while the calls to others are under way.
- Reports follow a coordinator to its new address.
- Background calls end with Serve; backoffs that are over are pruned.
- quietTime becomes unreachableBackoff.

--- a/internal/peer/reserver/report.go
+++ b/internal/peer/reserver/report.go
@@ -1,7 +1,9 @@
 package reserver
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"brasschute/internal/core/identifier"
@@ -33,6 +35,8 @@
 	assigner.Daemon
 	// changed: the coordinator does not know the newest state. sending: a report is under way.
 	changed, sending bool
+	// failedAt is when the first of the reports failed that have failed since one arrived.
+	failedAt time.Time
 }
 
 // Start records that a request is being sent to an endpoint. The endpoint's coordinator is told in
@@ -48,7 +52,7 @@
 	v.mu.Unlock()
 	if !reserved {
 		sent := *r
-		go v.reserve(context.Background(), &sent, t, true)
+		go v.reserve(v.background, &sent, t, true)
 	}
 	v.notify()
 }
@@ -92,6 +96,10 @@
 
 // assign sets the coordinator that is told of a request. The caller holds the lock.
 func (v *Reserver) assign(n *run, d assigner.Daemon) {
+	if r := v.reporters[d.Host]; r != nil {
+		// It may have restarted at another address.
+		r.Daemon = d
+	}
 	if n.coordinator == d.Host {
 		return
 	}
@@ -100,7 +108,6 @@
 	if v.reporters[d.Host] == nil {
 		v.reporters[d.Host] = &reporter{Daemon: d}
 	}
-	v.reporters[d.Host].Daemon = d
 	v.markChanged(d.Host)
 }
 
@@ -113,6 +120,7 @@
 
 // Serve sends reports until ctx ends: at a change, and every reportPeriod while anything runs.
 func (v *Reserver) Serve(ctx context.Context) error {
+	defer v.stop()
 	tick := time.NewTicker(reportPeriod)
 	defer tick.Stop()
 	for {
@@ -134,6 +142,11 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := time.Now()
+	for h, until := range v.backoffUntil {
+		if !now.Before(until) {
+			delete(v.backoffUntil, h)
+		}
+	}
 	states := make(map[identifier.Host][]*rpc.RequestState)
 	for _, n := range v.runs {
 		if d, ok := v.c.Assign(n.target.Endpoint, n.target.Zone, now); ok {
@@ -150,11 +163,25 @@
 		}
 		r.changed, r.sending = false, true
 		v.sequence++
-		m := &rpc.RequestStates{Host: string(v.c.Host), Incarnation: v.c.Incarnation, Sequence: v.sequence, States: states[h]}
+		m := &rpc.RequestStates{Host: string(v.c.Host), Incarnation: v.c.Incarnation, Sequence: v.sequence, States: v.cut(states[h])}
 		go v.send(ctx, r, m)
 	}
 }
 
+// cut bounds the states of a report to what coordinators accept. It keeps the oldest, so that
+// successive reports list the same requests.
+func (v *Reserver) cut(states []*rpc.RequestState) []*rpc.RequestState {
+	excess := len(states) - translator.MaxStates
+	if excess <= 0 {
+		return states
+	}
+	v.statesCut.Inc(int64(excess))
+	slices.SortFunc(states, func(a, b *rpc.RequestState) int {
+		return cmp.Or(cmp.Compare(b.GetAgeMilli(), a.GetAgeMilli()), cmp.Compare(a.GetRequest().GetId(), b.GetRequest().GetId()))
+	})
+	return states[:translator.MaxStates]
+}
+
 // state returns the state of a request for a report.
 func (n *run) state(now time.Time) *rpc.RequestState {
 	return &rpc.RequestState{
@@ -162,17 +189,28 @@
 	}
 }
 
-// send sends a report. A lost one is made up for by the next.
+// send sends a report. If it fails, the next one is due after reportInterval. Further ones to a
+// coordinator that does not answer follow after reportPeriod, as it would drop this daemon's requests
+// after 3 s without a report. A report without requests is given up after emptyReportTime.
 func (v *Reserver) send(ctx context.Context, r *reporter, m *rpc.RequestStates) {
 	v.mu.Lock()
 	d := r.Daemon
 	v.mu.Unlock()
-	_ = v.call(ctx, d, func(ctx context.Context, c Coordinator) error {
+	failed := v.call(ctx, d, func(ctx context.Context, c Coordinator) error {
 		_, err := c.Report(ctx, m)
 		return err
 	})
+	if failed && !waiter.For(ctx, v.retryPause(r, d)) {
+		return
+	}
 	v.mu.Lock()
 	r.sending = false
+	switch {
+	case !failed:
+		r.failedAt = time.Time{}
+	case len(m.GetStates()) > 0 || time.Since(r.failedAt) < emptyReportTime:
+		r.changed = true
+	}
 	again := r.changed
 	if !again && len(m.GetStates()) == 0 && v.reporters[d.Host] == r {
 		delete(v.reporters, d.Host)
@@ -182,3 +220,19 @@
 		v.notify()
 	}
 }
+
+// retryPause returns how long to wait after a report to a coordinator has failed.
+func (v *Reserver) retryPause(r *reporter, d assigner.Daemon) time.Duration {
+	now := time.Now()
+	backingOff := v.backingOff(d.Host, now)
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if r.failedAt.IsZero() {
+		r.failedAt = now
+		return reportInterval
+	}
+	if backingOff {
+		return reportPeriod
+	}
+	return reportInterval
+}
--- a/internal/peer/reserver/reserver.go
+++ b/internal/peer/reserver/reserver.go
@@ -2,7 +2,7 @@
 // what this daemon has started.
 //
 // Several coordinators are asked at once, this daemon's own without a call. One that does not answer
-// within [reserveTimeout] is left alone for [quietTime]; meanwhile its endpoints are predicted by the
+// within [reserveTimeout] is not called for [unreachableBackoff]; meanwhile its endpoints are predicted by the
 // caller as before. So a coordinator that is killed, paused or cut off delays the requests that ask
 // it first, and no others.
 //
@@ -20,6 +20,8 @@
 
 import (
 	"context"
+	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -29,20 +31,24 @@
 	"brasschute/internal/peer/translator"
 	"brasschute/internal/route/scheduler"
 
+	"github.com/twitchtv/twirp"
 	"github.com/uber-go/tally/v4"
 )
 
 const (
-	// reserveTimeout bounds a call: a tenth of the shortest objective of 500 ms, plus 100 ms for the
-	// pauses of a busy host with a fifth of a core.
+	// reserveTimeout bounds a call. A coordinator answers within milliseconds; 150 ms covers a pause
+	// of a busy host and costs less than a third of the shortest objective of 500 ms.
 	reserveTimeout = 150 * time.Millisecond
-	// quietTime is how long a coordinator that did not answer is not asked: an ended daemon counts
-	// as live for 3 s.
-	quietTime = 2 * time.Second
+	// unreachableBackoff is how long a coordinator that did not answer is not asked: an ended daemon
+	// counts as live for 3 s.
+	unreachableBackoff = 2 * time.Second
 	// reportInterval is the least time between two reports to one coordinator, reportPeriod the
 	// longest while anything runs.
 	reportInterval = 50 * time.Millisecond
 	reportPeriod   = time.Second
+	// emptyReportTime is how long a report without requests is repeated if it fails: after 3 s without
+	// a report a coordinator drops what it knows of a daemon.
+	emptyReportTime = 3 * time.Second
 )
 
 // Coordinator answers calls about the endpoints that it coordinates.
@@ -60,7 +66,8 @@
 	// Local is this daemon's own coordinator. Dial returns that of the daemon at an address.
 	Local Coordinator
 	Dial  func(address string) Coordinator
-	// Assign returns the daemon that coordinates an endpoint, if any does.
+	// Assign returns the daemon that coordinates an endpoint, if any does. Called with a lock held;
+	// must not call back.
 	Assign  func(e identifier.Endpoint, z identifier.AvailabilityZone, now time.Time) (assigner.Daemon, bool)
 	Metrics tally.Scope
 }
@@ -99,20 +106,26 @@
 	quotes       map[string]tally.Counter
 	reservations map[string]tally.Counter
 	wake         chan struct{}
+	// statesCut counts the states that were left out of reports.
+	statesCut tally.Counter
+	// background bounds the calls that no request waits for; stop ends it with Serve.
+	background context.Context
+	stop       context.CancelFunc
 
 	mu sync.Mutex
-	// quietUntil holds until when coordinators are not asked.
-	quietUntil map[identifier.Host]time.Time
-	runs       map[runKey]*run
-	reporters  map[identifier.Host]*reporter
-	sequence   uint64
+	// backoffUntil holds until when coordinators are not asked.
+	backoffUntil map[identifier.Host]time.Time
+	runs         map[runKey]*run
+	reporters    map[identifier.Host]*reporter
+	sequence     uint64
 }
 
 // New returns a reserver without started requests.
 func New(c Config) *Reserver {
+	background, stop := context.WithCancel(context.Background())
 	return &Reserver{
-		c: c, quotes: newCounters(c.Metrics, "quotes"), reservations: newCounters(c.Metrics, "reservations"), wake: make(chan struct{}, 1),
-		quietUntil: make(map[identifier.Host]time.Time), runs: make(map[runKey]*run), reporters: make(map[identifier.Host]*reporter),
+		background: background, stop: stop, statesCut: c.Metrics.Counter("report_states_cut"), c: c, quotes: newCounters(c.Metrics, "quotes"), reservations: newCounters(c.Metrics, "reservations"), wake: make(chan struct{}, 1),
+		backoffUntil: make(map[identifier.Host]time.Time), runs: make(map[runKey]*run), reporters: make(map[identifier.Host]*reporter),
 	}
 }
 
@@ -144,7 +157,7 @@
 	for i := range targets {
 		d, ok := v.c.Assign(targets[i].Endpoint, targets[i].Zone, now)
 		out[i].Coordinator = d.Host
-		if !ok || v.isQuiet(d.Host, now) {
+		if !ok || v.backingOff(d.Host, now) {
 			v.quotes[resultFallback].Inc(1)
 			continue
 		}
@@ -156,16 +169,21 @@
 		}
 		groups = append(groups, group{d, []int{i}})
 	}
+	// The own coordinator is asked here while the calls are under way, or else the last one is.
+	inline := slices.IndexFunc(groups, func(g group) bool { return g.d.Host == v.c.Host })
+	if inline < 0 {
+		inline = len(groups) - 1
+	}
 	var calls sync.WaitGroup
-	for _, g := range groups {
-		ask := func() { v.quoteOne(ctx, r, targets, g.d, g.positions, out) }
-		if g.d.Host == v.c.Host || len(groups) == 1 {
-			defer ask()
-			continue
+	for i, g := range groups {
+		if i != inline {
+			calls.Go(func() { v.quoteOne(ctx, r, targets, g.d, g.positions, out) })
 		}
-		calls.Go(ask)
 	}
-	defer calls.Wait()
+	if inline >= 0 {
+		v.quoteOne(ctx, r, targets, groups[inline].d, groups[inline].positions, out)
+	}
+	calls.Wait()
 	return out
 }
 
@@ -216,7 +234,7 @@
 	now := time.Now()
 	d, ok := v.c.Assign(t.Endpoint, t.Zone, now)
 	q := Quote{Coordinator: d.Host}
-	if !ok || v.isQuiet(d.Host, now) {
+	if !ok || v.backingOff(d.Host, now) {
 		v.reservations[resultFallback].Inc(1)
 		return q
 	}
@@ -234,8 +252,24 @@
 	return q
 }
 
+// Withdraw tells the coordinator of an endpoint, in the background, that a request that waits or has
+// a reserved place there will not be sent.
+func (v *Reserver) Withdraw(t Target, id identifier.Request) {
+	now := time.Now()
+	d, ok := v.c.Assign(t.Endpoint, t.Zone, now)
+	if !ok || v.backingOff(d.Host, now) {
+		return
+	}
+	m := &rpc.ReserveRequest{Host: string(v.c.Host), Endpoint: t.ref(), Withdrawn: string(id)}
+	go v.call(v.background, d, func(ctx context.Context, c Coordinator) error {
+		_, err := c.Reserve(ctx, m)
+		return err
+	})
+}
+
 // call calls a coordinator, without the network if it is this daemon's own. It reports whether that
-// failed, and leaves one that did not answer alone for quietTime.
+// failed. One that did not answer is not called for unreachableBackoff. One that found the message
+// invalid did answer.
 func (v *Reserver) call(ctx context.Context, d assigner.Daemon, f func(context.Context, Coordinator) error) (failed bool) {
 	if d.Host == v.c.Host {
 		return f(ctx, v.c.Local) != nil
@@ -243,22 +277,28 @@
 	limited, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
 	err := f(limited, v.c.Dial(d.Address))
-	if err != nil && ctx.Err() == nil {
+	if err != nil && ctx.Err() == nil && !isInvalid(err) {
 		v.mu.Lock()
-		v.quietUntil[d.Host] = time.Now().Add(quietTime)
+		v.backoffUntil[d.Host] = time.Now().Add(unreachableBackoff)
 		v.mu.Unlock()
 	}
 	return err != nil
 }
 
-// isQuiet reports whether a coordinator is not to be asked.
-func (v *Reserver) isQuiet(h identifier.Host, now time.Time) bool {
+// isInvalid reports whether a coordinator answered that a message is not valid.
+func isInvalid(err error) bool {
+	e, ok := errors.AsType[twirp.Error](err)
+	return ok && e.Code() == twirp.InvalidArgument
+}
+
+// backingOff reports whether a coordinator is not to be asked.
+func (v *Reserver) backingOff(h identifier.Host, now time.Time) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	until, quiet := v.quietUntil[h]
-	if quiet && !now.Before(until) {
-		delete(v.quietUntil, h)
+	until, ok := v.backoffUntil[h]
+	if ok && !now.Before(until) {
+		delete(v.backoffUntil, h)
 		return false
 	}
-	return quiet
+	return ok
 }
--- a/internal/peer/reserver/reserver_test.go
+++ b/internal/peer/reserver/reserver_test.go
@@ -11,8 +11,10 @@
 	"brasschute/internal/core/identifier"
 	"brasschute/internal/peer/assigner"
 	"brasschute/internal/peer/rpc"
+	"brasschute/internal/peer/translator"
 	"brasschute/internal/route/scheduler"
 
+	"github.com/twitchtv/twirp"
 	"github.com/uber-go/tally/v4"
 )
 
@@ -141,7 +143,7 @@
 }
 
 // A coordinator that hangs may cost one request its time-out, not each request that follows.
-func TestSilentCoordinatorIsLeftAlone(t *testing.T) {
+func TestSilentCoordinatorIsNotCalled(t *testing.T) {
 	inReserver(t, func(t *testing.T, v *testReserver) {
 		b := v.peers["b"]
 		b.hangs = true
@@ -160,10 +162,10 @@
 			t.Errorf("second: %+v after %v, %d calls, want no further call", q, took, b.calls)
 		}
 		if q := v.Reserve(t.Context(), request("1"), Target{Endpoint: "b"}); q.Known || b.calls != 1 {
-			t.Error("a reservation called a coordinator that is to be left alone")
+			t.Error("a reservation called a coordinator that had not answered")
 		}
 		b.hangs = false
-		time.Sleep(quietTime)
+		time.Sleep(unreachableBackoff)
 		if q, _ := ask(); !q.Known {
 			t.Error("not asked again")
 		}
@@ -184,8 +186,8 @@
 		if q := v.Quote(ctx, request("1"), []Target{{Endpoint: "c"}}); q[0].Known {
 			t.Errorf("quote: %+v", q[0])
 		}
-		if v.isQuiet("c", time.Now()) {
-			t.Error("the coordinator is left alone because a client left")
+		if v.backingOff("c", time.Now()) {
+			t.Error("the coordinator is not called because a client left")
 		}
 	})
 }
@@ -250,3 +252,97 @@
 		}
 	})
 }
+
+// A lost report must be repeated soon. The last one, without requests, has no successor: if it is
+// lost, the slots stay taken until the coordinator drops the daemon.
+func TestLostReportIsRepeated(t *testing.T) {
+	inReserver(t, func(t *testing.T, v *testReserver) {
+		b := v.peers["b"]
+		setError := func(err error) {
+			b.mu.Lock()
+			b.err = err
+			b.mu.Unlock()
+		}
+		v.Start(request("1"), Target{Endpoint: "b"}, true)
+		time.Sleep(2 * reportInterval)
+		for range 2 {
+			setError(errors.New("reset"))
+			v.FirstEvent("b", "1")
+			time.Sleep(time.Millisecond)
+			setError(nil)
+			before, _ := b.lastStates()
+			time.Sleep(3 * reportInterval)
+			if n, _ := b.lastStates(); n != before+1 {
+				t.Errorf("%d reports after the lost one, want 1", n-before)
+			}
+			v.End("b", "1")
+		}
+		setError(errors.New("reset"))
+		v.Start(request("2"), Target{Endpoint: "b"}, true)
+		v.End("b", "2")
+		time.Sleep(emptyReportTime + 2*reportPeriod)
+		before, _ := b.lastStates()
+		time.Sleep(2 * reportPeriod)
+		if n, _ := b.lastStates(); n != before {
+			t.Error("a report without requests is repeated without end")
+		}
+	})
+}
+
+// A coordinator that finds a message invalid has answered. It must not lose the requests of others
+// that could be asked.
+func TestInvalidMessageIsNoSilence(t *testing.T) {
+	inReserver(t, func(t *testing.T, v *testReserver) {
+		v.peers["b"].err = twirp.InvalidArgumentError("request", "is not valid")
+		v.Quote(t.Context(), request("1"), []Target{{Endpoint: "b"}})
+		if v.backingOff("b", time.Now()) {
+			t.Error("the coordinator is not called though it answered")
+		}
+	})
+}
+
+// A coordinator rejects a report of too many states, and would end all requests of the daemon.
+func TestReportIsBounded(t *testing.T) {
+	inReserver(t, func(t *testing.T, v *testReserver) {
+		states := make([]*rpc.RequestState, translator.MaxStates+2)
+		for i := range states {
+			states[i] = &rpc.RequestState{AgeMilli: uint32(i)}
+		}
+		if got := v.cut(states); len(got) != translator.MaxStates || got[len(got)-1].GetAgeMilli() != 2 {
+			t.Errorf("%d states, the newest of age %d, want the oldest", len(got), got[len(got)-1].GetAgeMilli())
+		}
+	})
+}
+
+// The daemon's own coordinator must be asked while the calls to others are under way: its figures
+// would otherwise be newer than theirs, by up to the time-out.
+func TestOwnCoordinatorIsAskedAtOnce(t *testing.T) {
+	inReserver(t, func(t *testing.T, v *testReserver) {
+		v.peers["b"].hangs = true
+		time.AfterFunc(reserveTimeout/2, func() {
+			a := v.peers["a"]
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			if a.calls != 1 {
+				t.Error("not asked while another coordinator hangs")
+			}
+		})
+		v.Quote(t.Context(), request("1"), []Target{{Endpoint: "a"}, {Endpoint: "b"}})
+	})
+}
+
+// A coordinator that restarted at another address must get the reports there.
+func TestReportsFollowTheAddress(t *testing.T) {
+	inReserver(t, func(t *testing.T, v *testReserver) {
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		v.Reserver.mu.Lock()
+		defer v.Reserver.mu.Unlock()
+		n := new(run)
+		v.Reserver.assign(n, assigner.Daemon{Host: "b", Address: "b"})
+		v.Reserver.assign(n, assigner.Daemon{Host: "b", Address: "c"})
+		if got := v.reporters["b"].Address; got != "c" {
+			t.Errorf("address %s, want c", got)
+		}
+	})
+}
