--- a/internal/serve/placer/schedule.go
+++ b/internal/serve/placer/schedule.go
@@ -43,6 +43,7 @@
 	Start(r *scheduler.Request, t reserver.Target, reserved bool)
 	FirstEvent(e identifier.Endpoint, id identifier.Request)
 	End(e identifier.Endpoint, id identifier.Request)
+	Withdraw(t reserver.Target, id identifier.Request)
 }
 
 // Placement is the outcome of placing a request.
@@ -253,7 +254,9 @@
 	target := targetOf(a.proposal)
 	pick := a.p.c.Registry.Take(a.query, a.proposal, a.predicted, time.Now())
 	if pick == nil {
-		a.p.c.Reserver.End(target.Endpoint, a.q.ID)
+		if reserved {
+			a.p.c.Reserver.Withdraw(target, a.q.ID)
+		}
 		return Placement{}, false
 	}
 	a.p.c.Reserver.Start(a.p.newRequest(a.q, a.query), target, reserved)
@@ -277,6 +280,7 @@
 	for {
 		if a.quote = a.p.c.Reserver.Reserve(ctx, a.p.newRequest(a.q, a.query), target); !a.quote.Known {
 			if ctx.Err() != nil {
+				a.p.c.Reserver.Withdraw(target, a.q.ID)
 				return Placement{Schedule: a.schedule}, true
 			}
 			return a.p.fallBack(a.q, a.query, a.schedule), true
@@ -295,10 +299,12 @@
 		select {
 		case <-ctx.Done():
 			pause.Stop()
+			a.p.c.Reserver.Withdraw(target, a.q.ID)
 			return Placement{Schedule: a.schedule}, true
 		case <-pause.C:
 		}
 		if !a.p.c.Registry.Available(a.query, a.proposal, time.Now()) {
+			a.p.c.Reserver.Withdraw(target, a.q.ID)
 			return Placement{}, false
 		}
 	}
--- a/internal/serve/placer/schedule_test.go
+++ b/internal/serve/placer/schedule_test.go
@@ -32,6 +32,8 @@
 	reserved int
 	started  []identifier.Endpoint
 	ended    []identifier.Endpoint
+	// withdrawn holds the endpoints at which a request was withdrawn.
+	withdrawn []identifier.Endpoint
 }
 
 func (f *fakeReserver) Coordinator(e identifier.Endpoint, _ identifier.AvailabilityZone) identifier.Host {
@@ -57,6 +59,10 @@
 func (f *fakeReserver) FirstEvent(identifier.Endpoint, identifier.Request) {}
 func (f *fakeReserver) End(e identifier.Endpoint, _ identifier.Request)    { f.ended = append(f.ended, e) }
 
+func (f *fakeReserver) Withdraw(t reserver.Target, _ identifier.Request) {
+	f.withdrawn = append(f.withdrawn, t.Endpoint)
+}
+
 func known(d scheduler.Decision, firstEvent time.Duration) reserver.Quote {
 	return reserver.Quote{Known: true, Complete: true, Coordinator: "front-9", Offer: scheduler.Offer{
 		Decision: d, FirstEventIn: firstEvent, Cached: 600, TokensAhead: 50, Streams: 2, AskAgain: 20 * time.Millisecond, RetryAfter: 700 * time.Millisecond, Reason: "9 wait",
@@ -205,14 +211,18 @@
 	})
 }
 
-// A request that waits must end with its client, at once.
+// A request that waits must end with its client, at once, and not hold its place in the queue.
 func TestWaitEndsWithTheClient(t *testing.T) {
 	wait := func(identifier.Endpoint) reserver.Quote { return known(scheduler.Wait, time.Second) }
-	inPlacer(t, &fakeReserver{quote: wait, reserve: wait}, func(t *testing.T, p *Placer, r *registry.Registry) {
+	f := &fakeReserver{quote: wait, reserve: wait}
+	inPlacer(t, f, func(t *testing.T, p *Placer, r *registry.Registry) {
 		ctx, cancel := context.WithTimeout(t.Context(), 33*time.Millisecond)
 		defer cancel()
 		began := time.Now()
 		got := place(ctx, p, engineService)
+		if len(f.withdrawn) != 1 {
+			t.Errorf("withdrawn %d times, want once", len(f.withdrawn))
+		}
 		if got.Pick != nil || got.Refusal != nil || time.Since(began) != 33*time.Millisecond || inFlight(r) > 0 {
 			t.Errorf("got %+v after %v, %d in flight", got, time.Since(began), inFlight(r))
 		}
@@ -239,6 +249,26 @@
 	})
 }
 
+// A reserved place of an endpoint that leaves before the request is sent must be given back.
+func TestReservedPlaceIsWithdrawn(t *testing.T) {
+	f := &fakeReserver{}
+	f.quote = func(identifier.Endpoint) reserver.Quote {
+		if f.asked == 1 {
+			return known(scheduler.Wait, time.Second)
+		}
+		return known(scheduler.Start, 40*time.Millisecond)
+	}
+	inPlacer(t, f, func(t *testing.T, p *Placer, r *registry.Registry) {
+		f.reserve = func(e identifier.Endpoint) reserver.Quote {
+			listHost(t, r, string(e), inventory.StateLeaving)
+			return known(scheduler.Start, 40*time.Millisecond)
+		}
+		if got := place(t.Context(), p, engineService); got.Pick == nil || len(f.withdrawn) != 1 || len(f.ended) > 0 {
+			t.Errorf("pick %+v, withdrawn at %v", got.Pick, f.withdrawn)
+		}
+	})
+}
+
 // An endpoint that begins to leave must not get the request that waits for it.
 func TestWaitMovesFromALeavingEndpoint(t *testing.T) {
 	f := &fakeReserver{}
