--- a/internal/peer/reserver/reserver_test.go
+++ b/internal/peer/reserver/reserver_test.go
@@ -26,6 +26,7 @@
 	err      error
 	calls    int
 	sent     int
+	returned int // calls that hung and have ended
 	reports  []*rpc.RequestStates
 }
 
@@ -36,6 +37,9 @@
 	f.mu.Unlock()
 	if hangs {
 		<-ctx.Done()
+		f.mu.Lock()
+		f.returned++
+		f.mu.Unlock()
 		return ctx.Err()
 	}
 	return err
@@ -346,3 +350,45 @@
 		}
 	})
 }
+
+// Hosts come and go. The backoff of one that is never asked again must not stay in memory.
+func TestBackoffsArePruned(t *testing.T) {
+	inReserver(t, func(t *testing.T, v *testReserver) {
+		v.peers["b"].err = errors.New("reset")
+		v.Quote(t.Context(), request("1"), []Target{{Endpoint: "b"}})
+		time.Sleep(unreachableBackoff + 2*reportPeriod)
+		v.Reserver.mu.Lock()
+		defer v.Reserver.mu.Unlock()
+		if len(v.backoffUntil) > 0 {
+			t.Errorf("backoffs: %v", v.backoffUntil)
+		}
+	})
+}
+
+// A call that no request waits for must not outlive the service.
+func TestBackgroundCallsEndWithServe(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &fakeCoordinator{hangs: true}
+		v := New(Config{
+			Host: "a", Dial: func(string) Coordinator { return b }, Metrics: tally.NoopScope,
+			Assign: func(identifier.Endpoint, identifier.AvailabilityZone, time.Time) (assigner.Daemon, bool) {
+				return assigner.Daemon{Host: "b"}, true
+			},
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		_ = v.Serve(ctx)
+		v.Start(request("1"), Target{Endpoint: "b"}, false)
+		synctest.Wait()
+		if v.backingOff("b", time.Now()) {
+			t.Error("the end of the service counts as silence of a coordinator")
+		}
+		v.Withdraw(Target{Endpoint: "b"}, "1")
+		synctest.Wait()
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		if b.returned != 2 {
+			t.Errorf("%d of 2 calls have ended", b.returned)
+		}
+	})
+}
