--- a/internal/peer/coordinator/report.go
+++ b/internal/peer/coordinator/report.go
@@ -15,7 +15,7 @@
 // Report replaces the list of requests that a daemon has started.
 func (c *Coordinator) Report(_ context.Context, m *rpc.RequestStates) (*rpc.ReportReply, error) {
 	host := identifier.Host(m.GetHost())
-	if host == "" || len(m.GetStates()) > maxStates {
+	if host == "" || len(m.GetStates()) > translator.MaxStates {
 		return nil, twirp.InvalidArgumentError("states", "are not valid")
 	}
 	c.mu.Lock()
@@ -26,7 +26,7 @@
 		// A newer list has come already.
 		return &rpc.ReportReply{}, nil
 	}
-	d.incarnation, d.sequence, d.heardAt = m.GetIncarnation(), m.GetSequence(), now
+	d.incarnation, d.sequence, d.reportedAt = m.GetIncarnation(), m.GetSequence(), now
 	listed := make(map[Endpoint]map[scheduler.Key]bool)
 	for _, s := range m.GetStates() {
 		r, err := translator.DecodeRequest(s.GetRequest(), host)
@@ -47,7 +47,9 @@
 	return &rpc.ReportReply{}, nil
 }
 
-// start records a request that its daemon reports as started.
+// start records a request that its daemon reports as started. A new coordinator enters a request of
+// unknown prefill as sent now, whatever its age: the scheduler's calls must come in the order of time,
+// and the overestimate lasts only until the report tells of the first event.
 func (e *entry) start(r *scheduler.Request, firstEvent bool, now time.Time) {
 	k := r.Key()
 	if _, granted := e.granted[k]; !granted && !e.isStarted(k) {
@@ -126,11 +128,17 @@
 	return changed
 }
 
-// dropSilent drops the daemons that have sent no report for too long, with their requests. The
-// caller holds the lock.
+// dropSilent drops the daemons that have made no call for too long, with their requests. Of one that
+// calls but has sent no report, it ends the started requests: a daemon that has any reports every
+// second, so they are those of a daemon that was restarted. The caller holds the lock.
 func (c *Coordinator) dropSilent(now time.Time) {
 	for h, d := range c.daemons {
 		if now.Sub(d.heardAt) < silenceTimeout {
+			if now.Sub(d.reportedAt) >= silenceTimeout {
+				for _, e := range c.entries {
+					e.endUnlisted(h, nil, now)
+				}
+			}
 			continue
 		}
 		delete(c.daemons, h)
@@ -163,7 +171,7 @@
 		if e.assigned {
 			endpoints++
 		}
-		if e.scarce {
+		if e.assigned && e.scarce {
 			scarce++
 		}
 	}
--- a/internal/serve/placer/schedule.go
+++ b/internal/serve/placer/schedule.go
@@ -44,6 +44,7 @@
 	Start(r *scheduler.Request, t reserver.Target, reserved bool)
 	FirstEvent(e identifier.Endpoint, id identifier.Request)
 	End(e identifier.Endpoint, id identifier.Request)
+	Withdraw(t reserver.Target, id identifier.Request)
 }
 
 // Placement is the outcome of placing a request.
@@ -82,10 +83,11 @@
 const fallbackDecision = "fallback"
 
 // isScheduled reports whether a request is scheduled by coordinators: the capacity of its engines,
-// its tokens and its objective must be known.
+// its tokens and its objective must be known. The answer of a route of another kind than streaming is
+// reported at its end, which would look like a very late first event to the model of the engine.
 func (p *Placer) isScheduled(q *request.Request, s *catalog.Service) bool {
 	return p.c.Reserver != nil && s != nil && s.Engine != nil && s.Engine.Slots > 0 && s.Engine.MemoryTokens > 0 &&
-		q.HasTokenCounts && q.Route.FirstEventObjective > 0
+		q.HasTokenCounts && q.Route.Kind == catalog.Streaming && q.Route.FirstEventObjective > 0
 }
 
 // schedule places a request with the figures of coordinators.
@@ -269,10 +271,10 @@
 	if a.quote.Decision == scheduler.Start || a.quote.Decision == scheduler.Refuse && a.isRetry() {
 		return a.take(false)
 	}
-	if reason, ok := a.p.waiting.enter(len(a.q.Body)); !ok {
+	if reason, ok := a.p.waiting.acquire(len(a.q.Body)); !ok {
 		return a.refuse(reason), true
 	}
-	defer a.p.waiting.leave(len(a.q.Body))
+	defer a.p.waiting.release(len(a.q.Body))
 	return a.wait(ctx)
 }
 
@@ -286,7 +288,9 @@
 	target := targetOf(a.proposal)
 	pick := a.p.c.Registry.Take(a.query, a.proposal, a.predicted, time.Now())
 	if pick == nil {
-		a.p.c.Reserver.End(target.Endpoint, a.q.ID)
+		if reserved {
+			a.p.c.Reserver.Withdraw(target, a.q.ID)
+		}
 		return Placement{}, false
 	}
 	a.p.c.Reserver.Start(a.p.newRequest(a.q, a.query), target, reserved)
@@ -310,6 +314,7 @@
 	for {
 		if a.quote = a.p.c.Reserver.Reserve(ctx, a.p.newRequest(a.q, a.query), target); !a.quote.Known {
 			if ctx.Err() != nil {
+				a.p.c.Reserver.Withdraw(target, a.q.ID)
 				return Placement{Schedule: a.schedule}, true
 			}
 			return a.p.fallBack(a.q, a.query, a.schedule), true
@@ -328,10 +333,12 @@
 		select {
 		case <-ctx.Done():
 			pause.Stop()
+			a.p.c.Reserver.Withdraw(target, a.q.ID)
 			return Placement{Schedule: a.schedule}, true
 		case <-pause.C:
 		}
 		if !a.p.c.Registry.Available(a.query, a.proposal, time.Now()) {
+			a.p.c.Reserver.Withdraw(target, a.q.ID)
 			return Placement{}, false
 		}
 	}
