scheduler: test scarcity against all slots and memory, bound the slots by maxStarted

Scarcity withholds slots from some requests. These counted as blocked, so that scarcity could sustain itself, as could one request that waits for the part of the memory that is left to cached parts, or for more than there is.

Reserve starts no more requests than Started records.

--- a/internal/route/scheduler/scarcity.go
+++ b/internal/route/scheduler/scarcity.go
@@ -66,7 +66,7 @@
 	objective := c.shortest(now)
 	backlog := s.speed.duration(s.backlog(nil))
 	why := ""
-	if blocked := s.blocked(now); blocked != "" {
+	if blocked := s.blocked(); blocked != "" {
 		why = blocked
 	} else if objective > 0 && backlog > time.Duration(beginFraction*float64(objective)) {
 		why = fmt.Sprintf("prefill: %d ms ahead of a new request, shortest objective %d ms, %.0f tokens/s", backlog.Milliseconds(), objective.Milliseconds(), s.speed.tokensPerSecond)
@@ -84,18 +84,29 @@
 	}
 }
 
-// blocked says whether all slots or the memory are taken while something waits.
-func (s *Scheduler) blocked(now time.Time) string {
+// blocked says whether all slots or the memory are taken while something waits. What is withheld from
+// some requests does not count, as it is withheld because the endpoint is scarce, nor does a request
+// larger than the memory, which waits until the endpoint is idle.
+func (s *Scheduler) blocked() string {
+	var oldest *entry
+	full := len(s.engine.runs) >= s.c.Slots
 	for _, e := range s.waiting {
-		if s.hasRoom(&e.request, 0, 0, now) {
+		need := memoryNeed(&e.request)
+		bounded := s.c.MemoryTokens > 0
+		if bounded && need > s.c.MemoryTokens || !full && (!bounded || s.engine.memory+need <= s.c.MemoryTokens) {
 			continue
 		}
-		if slots, _ := s.room(&e.request, now); slots <= 0 {
-			return fmt.Sprintf("slots: %d of %d taken, %d wait", len(s.engine.runs), s.c.Slots, len(s.waiting))
+		if oldest == nil || e.sequence < oldest.sequence {
+			oldest = e
 		}
-		return fmt.Sprintf("memory: %d of %d tokens taken, %d wait", s.engine.memory, s.c.MemoryTokens, len(s.waiting))
 	}
-	return ""
+	switch {
+	case oldest == nil:
+		return ""
+	case full:
+		return fmt.Sprintf("slots: %d of %d taken, %d wait", len(s.engine.runs), s.c.Slots, len(s.waiting))
+	}
+	return fmt.Sprintf("memory: %d of %d tokens taken, %d needed by the oldest, %d wait", s.engine.memory, s.c.MemoryTokens, memoryNeed(&oldest.request), len(s.waiting))
 }
 
 // backlog returns the prompt tokens that were started or wait, without those of one entry.
--- a/internal/route/scheduler/scheduler.go
+++ b/internal/route/scheduler/scheduler.go
@@ -33,7 +33,7 @@
 	engineQueue = 150 * time.Millisecond
 	// maxWaiting bounds the waiting requests.
 	maxWaiting = 64
-	// maxStarted bounds the started requests: several times the slots of the largest engines.
+	// maxStarted bounds the started requests, and so the slots: several times the slots of the largest engines.
 	maxStarted = 4096
 	// entryTTL is how long a waiting request is kept without being asked for again. Its daemon asks
 	// every maxAskAgain at least, so that it has missed several turns by then.
@@ -182,7 +182,7 @@
 
 // New returns the scheduler of an endpoint that runs nothing.
 func New(c Config) *Scheduler {
-	c.Slots = max(c.Slots, 1)
+	c.Slots = min(max(c.Slots, 1), maxStarted)
 	return &Scheduler{
 		c: c, cache: cachetracker.New(c.MemoryTokens), waiting: make(map[Key]*entry),
 		engine: newEngine(), bookings: newBookings(), shares: newShares(), speed: newSpeed(c.TokensPerSecond),
--- a/internal/route/scheduler/scheduler_test.go
+++ b/internal/route/scheduler/scheduler_test.go
@@ -427,6 +427,51 @@
 	}
 }
 
+// Guards against a scarcity that sustains itself: by the slots that it withholds from a waiting request,
+// or by a request that waits for the memory that is left to cached parts or for more than there is.
+func TestWithheldRoomIsNoScarcity(t *testing.T) {
+	for _, test := range []struct {
+		name            string
+		started         int
+		tokens          identifier.Tokens
+		scarce, blocked bool
+	}{
+		{"slot withheld", 31, 10, true, false},
+		{"memory left to cached parts", 1, 900_000, false, false},
+		{"larger than the memory", 1, 2_000_000, false, false},
+		{"all slots taken", 32, 10, false, true},
+		{"memory taken", 1, 999_800, false, true},
+	} {
+		s := New(Config{Slots: 32, MemoryTokens: 1_000_000, TokensPerSecond: 50_000})
+		for i := range test.started {
+			r := request(fmt.Sprint("started", i))
+			r.PromptTokens = 10
+			s.Started(r, start)
+			s.FirstEvent(r.Key(), start)
+		}
+		s.scarcity.scarce = test.scarce
+		r := request("waiting")
+		r.Rank, r.PromptTokens = 2, test.tokens
+		s.enter(s.entryOf(r, start), start)
+		if got := s.blocked() != ""; got != test.blocked {
+			t.Errorf("%s: blocked %v: %s", test.name, got, s.blocked())
+		}
+	}
+}
+
+// Guards against more started requests than are tracked, if an endpoint states that many slots.
+func TestStartedRequestsAreBounded(t *testing.T) {
+	s := New(Config{Slots: 2 * maxStarted, TokensPerSecond: 50_000})
+	for i := range maxStarted {
+		r := request(fmt.Sprint(i))
+		s.Started(r, start)
+		s.FirstEvent(r.Key(), start)
+	}
+	if o := s.Reserve(request("next"), start); o.Decision == Start || len(s.engine.runs) != maxStarted {
+		t.Errorf("%+v with %d started", o, len(s.engine.runs))
+	}
+}
+
 // Guards against a speed that follows an idle endpoint, or a single measurement.
 func TestSpeedIsLearnedInSteps(t *testing.T) {
 	s := newSpeed(50_000)
