--- a/internal/serve/placer/placer.go
+++ b/internal/serve/placer/placer.go
@@ -127,12 +127,17 @@
 	return query
 }
 
-// ObserveFirstEvent records how long a pick took to the first event, or to the answer.
-func (p *Placer) ObserveFirstEvent(q *request.Request, k *registry.Pick, took time.Duration) {
-	p.c.Registry.ObserveFirstToken(k, took)
+// ReportFirstEvent reports to the endpoint's coordinator that an attempt has received its first event,
+// or its answer. Without it, the coordinator takes the endpoint for stalled.
+func (p *Placer) ReportFirstEvent(q *request.Request, k *registry.Pick) {
 	if p.c.Reserver != nil {
 		p.c.Reserver.FirstEvent(k.Endpoint, q.ID)
 	}
+}
+
+// ObserveFirstEvent records how long a pick took to the first event, or to the answer.
+func (p *Placer) ObserveFirstEvent(q *request.Request, k *registry.Pick, took time.Duration) {
+	p.c.Registry.ObserveFirstToken(k, took)
 	if !q.HasTokenCounts {
 		return
 	}
--- a/internal/serve/relayer/attempt.go
+++ b/internal/serve/relayer/attempt.go
@@ -193,6 +193,7 @@
 		j.failedAnswer = a
 		return fmt.Errorf("%w: status %d", errFailed, reply.Status)
 	}
+	j.r.c.Placer.ReportFirstEvent(j.q, pick)
 	j.r.c.Placer.ObserveFirstEvent(j.q, pick, time.Since(begun))
 	return j.sendAnswer(a)
 }
--- a/internal/serve/relayer/stream.go
+++ b/internal/serve/relayer/stream.go
@@ -27,6 +27,7 @@
 	buffer := make([]byte, 0, readBytes)
 	chunk := make([]byte, readBytes)
 	var first time.Time
+	reported := false
 	defer func() {
 		if !first.IsZero() {
 			pick.Activity.EndStream()
@@ -46,6 +47,11 @@
 		whole, rest := splitEvents(buffer)
 		if len(whole) > 0 {
 			responded()
+			// Each attempt has a run at its coordinator, also one that continues a stream.
+			if !reported {
+				reported = true
+				j.r.c.Placer.ReportFirstEvent(j.q, pick)
+			}
 			if j.res.Events == 0 {
 				j.r.c.Placer.ObserveFirstEvent(j.q, pick, time.Since(begun))
 			}
