relayer: cancel the context of an attempt at its end

The context of a silence watch, and that of the quarantine, was canceled only if they ended the attempt, and stayed registered at the request's context otherwise. Both now cancel one context.

--- a/internal/serve/relayer/attempt.go
+++ b/internal/serve/relayer/attempt.go
@@ -61,8 +61,11 @@
 	if run := j.newRun(pick); j.r.c.Versions.RunStarted(run) {
 		defer func() { j.reportRun(requestCtx, run, pick, err, begun, j.res.Events-events) }()
 	}
-	ctx, untrack := j.track(ctx)
-	ctx, stopWatch := j.watchSilence(ctx, pick, begun)
+	ctx, cancel := context.WithCancelCause(ctx)
+	// The health of the endpoint is judged by the cause before this.
+	defer cancel(nil)
+	untrack := j.track(cancel)
+	stopWatch := j.watchSilence(cancel, pick, begun)
 	responded := func() { stopWatch(); untrack() }
 	defer responded()
 	x, err := j.r.c.Sender.Send(ctx, j.newMessage(pick))
--- a/internal/serve/relayer/quarantine.go
+++ b/internal/serve/relayer/quarantine.go
@@ -21,11 +21,10 @@
 	return d
 }
 
-// track lets the quarantine withdraw an attempt for as long as the endpoint has
+// track lets the quarantine cancel an attempt for as long as the endpoint has
 // returned nothing. untrack must be called when it has, or when the attempt ends.
-func (j *job) track(ctx context.Context) (withdrawable context.Context, untrack func()) {
-	ctx, withdraw := context.WithCancelCause(ctx)
-	return ctx, j.r.c.Quarantine.Track(j.q.Fingerprint(), func() { withdraw(errQuarantined) })
+func (j *job) track(cancel context.CancelCauseFunc) (untrack func()) {
+	return j.r.c.Quarantine.Track(j.q.Fingerprint(), func() { cancel(errQuarantined) })
 }
 
 // QuarantineRefusal returns the refusal of a request that is quarantined and was not sent.
--- a/internal/serve/relayer/silence.go
+++ b/internal/serve/relayer/silence.go
@@ -52,19 +52,18 @@
 }
 
 // watchSilence watches an attempt of a request that may go to another endpoint. Otherwise an
-// endpoint that stopped responding would keep the request until the client gives up. Calling
-// stop stops the watch.
-func (j *job) watchSilence(ctx context.Context, pick *registry.Pick, begun time.Time) (watched context.Context, stop func()) {
+// endpoint that stopped responding would keep the request until the client gives up. cancel cancels
+// the attempt's context. Calling stop stops the watch.
+func (j *job) watchSilence(cancel context.CancelCauseFunc, pick *registry.Pick, begun time.Time) (stop func()) {
 	if !j.q.Route.Retryable() || j.res.Events > 0 {
-		return ctx, func() {}
+		return func() {}
 	}
-	ctx, cancel := context.WithCancelCause(ctx)
 	w := &silenceWatch{j: j, pick: pick, begun: begun, cancel: cancel, attemptsLeft: j.q.Route.MaxAttempts - j.sends - 1}
 	w.tried = append(append(w.tried, j.tried...), pick.Endpoint)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.timer = time.AfterFunc(j.silenceTimeout(), w.decide)
-	return ctx, w.stop
+	return w.stop
 }
 
 // stop stops the watch. No attempt is given up once it has returned.
