--- a/internal/route/scheduler/order.go
+++ b/internal/route/scheduler/order.go
@@ -133,13 +133,18 @@
 	delete(s.waiting, last.entry.request.Key())
 }
 
-// fits reports whether an entry can start: the endpoint has little to prefill, a slot and memory are
-// free, and all that is left for those before it.
+// fits reports whether an entry can start: the endpoint has little to prefill, or nothing if the entry
+// would be late while the endpoint is scarce, a slot and memory are free, and all that is left for
+// those before it.
 func (s *Scheduler) fits(e *entry, p *place, now time.Time) bool {
 	unread := s.engine.pending(lowestRank)
 	if unread+p.tokens-p.pending >= s.speed.within(s.queueFor(&e.request, now)) {
 		return false
 	}
+	firstEventIn := s.speed.duration(p.tokens) + s.speed.duration(e.uncached) + firstEventMargin
+	if s.scarcity.scarce && firstEventIn > e.objective.Sub(now) && unread > s.speed.within(lateQueue) {
+		return false
+	}
 	return s.hasRoom(&e.request, p.entries, p.memory, now)
 }
 
@@ -204,9 +209,6 @@
 	o.FirstEventIn = o.StartIn + s.speed.duration(e.uncached) + firstEventMargin
 	limit := min(e.silence.Sub(now), e.deadline.Sub(now))
 	late := o.FirstEventIn > e.objective.Sub(now)
-	if late && s.scarcity.scarce && s.engine.pending(lowestRank) > s.speed.within(lateQueue) {
-		fits = false
-	}
 	busy := p.others > 0 || float64(len(s.engine.runs)) >= busyFraction*float64(s.c.Slots)
 	switch {
 	case limit <= 0 || busy && o.FirstEventIn > limit:
--- a/internal/route/scheduler/scheduler_test.go
+++ b/internal/route/scheduler/scheduler_test.go
@@ -258,6 +258,21 @@
 	}
 }
 
+// Guards against a prediction as if it started now for a request that can't start because it is late.
+func TestLateRequestIsPredictedToWait(t *testing.T) {
+	s := testScheduler()
+	ahead := request("ahead")
+	ahead.PromptTokens = 1000
+	s.Started(ahead, start)
+	s.inflow.add(0, 20_000, start)
+	s.scarcity.scarce = true
+	late := request("late")
+	late.ObjectiveLeft = 10 * time.Millisecond
+	if o := s.Quote(late, start); o.Decision == Start || o.StartIn <= 20*time.Millisecond {
+		t.Errorf("%+v", o)
+	}
+}
+
 // Guards against more returns in a quarter of a second than it has room for, places beyond a third of
 // the remaining time, and bookings without bound.
 func TestBookingsKeepTheirBounds(t *testing.T) {
