--- a/internal/route/cachetracker/cachetracker.go
+++ b/internal/route/cachetracker/cachetracker.go
@@ -2,7 +2,7 @@
 //
 // An engine keeps the parts of the prompts that it has computed, and evicts the least recently used
 // ones when running requests need the memory. A daemon that sees all requests to an engine can
-// therefore tell what it has cached. It answers the load in which most prompts repeat the leading
+// therefore tell what it has cached. It is needed when most prompts repeat the leading
 // parts of earlier ones, and an engine that is presumed to have cached what it never computed gets
 // more prompts than it can prefill in time.
 //
--- a/internal/route/scheduler/bookings.go
+++ b/internal/route/scheduler/bookings.go
@@ -19,11 +19,14 @@
 	earlyTolerance = 10 * time.Millisecond
 	lateTolerance  = 500 * time.Millisecond
 	// minRetryAfter keeps refused clients from returning before anything has changed. Clients wait for
-	// no longer than remainingFraction of the time until their deadline.
+	// no longer than remainingFraction of the time until their deadline, and for maxHorizon at most,
+	// also if no place is left.
 	minRetryAfter     = 200 * time.Millisecond
 	remainingFraction = 1.0 / 3
 	// The most urgent requests may book urgentFill of what fits into a quarter, each less urgent rank
-	// rankFill less, down to minFill. So urgent requests find room before the others.
+	// rankFill less, down to minFill. So urgent requests find room before the others. Some clients don't
+	// return, so that a quarter may be overbooked: with more, those that return find the engine taken
+	// and are refused again; with less, it idles while clients wait for later places.
 	urgentFill = 1.2
 	rankFill   = 0.2
 	minFill    = 0.6
--- a/internal/route/scheduler/order.go
+++ b/internal/route/scheduler/order.go
@@ -14,26 +14,30 @@
 const firstEventMargin = 50 * time.Millisecond
 
 const (
-	// cacheRoom is the part of the memory that is left to cached parts: a shared part that is evicted
-	// for one more run has to be prefilled again, which costs more than the run is worth.
+	// cacheRoom is the part of the memory that is left to cached parts. With more, requests wait
+	// although the engine has memory for them; with less, running requests evict shared parts, which
+	// the next callers' prompts then have prefilled again.
 	cacheRoom = 0.15
 	// While the endpoint is scarce, urgentSlots of its slots are left to more urgent requests for each
-	// rank, up to maxSlotRanks of them: a slot stays taken for seconds, longer than objectives are.
+	// rank, up to maxSlotRanks of them: a slot stays taken for seconds, longer than objectives are. With more,
+	// slots idle while less urgent callers wait; with less, urgent ones find all slots taken.
 	urgentSlots  = 0.04
 	maxSlotRanks = 2
-	// shareSlots are left to the other organisations by one that got more than the mean.
+	// shareSlots are left to the other organisations by one that got more than the mean. With more, the
+	// slots idle when the others ask for nothing; with less, they wait for the end of its streams.
 	shareSlots = 0.02
 	// While the endpoint is scarce, a request that can't be on time starts when no more than lateQueue
 	// is left to prefill, as the next one that can may come in the meantime.
 	lateQueue = time.Millisecond
 	// While the endpoint is scarce, an organisation that got more than the mean starts requests with
-	// shareQueue of that, as those of the others who come next would have to wait for its prefill.
+	// shareQueue of that, as those of the others who come next would have to wait for its prefill. With
+	// more they wait for longer; with less the engine idles between requests when only one asks.
 	shareQueue = 0.3
 	// minQueue is the least prefill work that the queue at the endpoint may hold for any rank: a step.
 	minQueue = 25 * time.Millisecond
-	// inflowWeight is the weight of more urgent arrivals in the prediction of a wait. Some of them are
-	// refused, and one that waits in vain is refused when it asks again; one that is refused without
-	// need loses its objective.
+	// inflowWeight is the weight of more urgent arrivals in the prediction of a wait, as some of them
+	// are refused. With more, callers are refused that would have been on time; with less, callers wait
+	// in vain and are refused when they ask again.
 	inflowWeight = 0.4
 )
 
@@ -91,9 +95,9 @@
 	return st
 }
 
-// compareStandings orders entries: while the endpoint is scarce those that can still be on time, then
-// by rank, those that have waited for too long, those that can still
-// be on time, due places, the organisation that got least, the earliest objective.
+// compareStandings orders entries by these criteria, of which the first that differs decides: on time
+// or starved (only while the endpoint is scarce), rank, starved, on time, booking due, smaller share of
+// its organisation, earlier objective, arrival.
 func compareStandings(a, b *standing) int {
 	return cmp.Or(
 		compareBools(a.last, b.last),
@@ -118,8 +122,8 @@
 	return 1
 }
 
-// dropLast drops the last waiting entry of the order if too many wait. It is refused when its daemon
-// asks again.
+// dropLast drops the last waiting entry of the order if too many wait. When its daemon asks again, it
+// is a new arrival, and is refused if maxWaiting entries go before it.
 func (s *Scheduler) dropLast(now time.Time) {
 	if len(s.waiting) <= maxWaiting {
 		return
--- a/internal/route/scheduler/scheduler.go
+++ b/internal/route/scheduler/scheduler.go
@@ -3,13 +3,13 @@
 // An endpoint with a queue of its own serves requests by urgency and arrival, and what has been
 // sent can't be taken back. A [Scheduler] therefore lets only as many requests start as keep the
 // endpoint busy. The others wait at their daemons, or are refused with the time at which there
-// will be room for them. It answers the load in which more is asked of an endpoint for some seconds
+// will be room for them. It is needed when more is asked of an endpoint for some seconds
 // than it can prefill in time, much of it by one organisation, while refused clients return.
 //
 // # Usage
 //
 //	s := scheduler.New(scheduler.Config{Slots: 64, MemoryTokens: 640_000})
-//	offer := s.Quote(request, now) // changes nothing
+//	offer := s.Quote(request, now) // enters nothing
 //	offer = s.Reserve(request, now) // again after offer.AskAgain while the decision is Wait
 //	s.FirstEvent(request.Key(), now)
 //	s.End(request.Key(), now)
@@ -43,7 +43,8 @@
 	minAskAgain = 5 * time.Millisecond
 	maxAskAgain = 80 * time.Millisecond
 	// busyFraction of the slots has to be taken, or something has to wait, before anything is
-	// refused.
+	// refused. With more, requests that are sure to be late start and delay those that come next; with
+	// less, a prediction that is wrong refuses requests that an almost idle endpoint would serve.
 	busyFraction = 0.5
 )
 
@@ -189,7 +190,8 @@
 	}
 }
 
-// Quote returns what [Scheduler.Reserve] would, and changes nothing.
+// Quote returns what [Scheduler.Reserve] would. It enters nothing; entries and bookings whose time has
+// passed are dropped as by any call.
 func (s *Scheduler) Quote(r *Request, now time.Time) Offer {
 	// What the passing of time changes is taken back, so that later answers do not depend on how often
 	// somebody asked.
@@ -315,8 +317,8 @@
 	s.updateScarcity(now)
 }
 
-// count counts the arrival of an entry that did not wait. A request that was refused before was
-// counted then.
+// count counts the arrival of an entry that did not wait. A request with a booking was counted when
+// it was refused. One without a booking is counted at each return.
 func (s *Scheduler) count(e *entry, now time.Time) {
 	r := &e.request
 	if s.waiting[r.Key()] != nil {
@@ -352,8 +354,8 @@
 	return e.uncached
 }
 
-// enter makes an entry wait. Blocks and sizes are copied, as they belong to the caller. A place that
-// is due is used up, as the entry now counts among those that wait.
+// enter makes an entry wait. Blocks and sizes are copied, as they belong to the caller. A due
+// booking is removed, because the entry now waits.
 func (s *Scheduler) enter(e *entry, now time.Time) {
 	if e.due {
 		s.bookings.remove(&e.request)
@@ -364,7 +366,7 @@
 	s.dropLast(now)
 }
 
-// start records that an entry is sent to the endpoint. Its booking is used up.
+// start records that an entry is sent to the endpoint. Its booking is removed.
 func (s *Scheduler) start(e *entry, now time.Time) {
 	r := &e.request
 	r.Blocks, r.Sizes = slices.Clone(r.Blocks), slices.Clone(r.Sizes)
--- a/internal/route/scheduler/shares.go
+++ b/internal/route/scheduler/shares.go
@@ -11,8 +11,8 @@
 	// shareTime is how long the use of the endpoint by an organisation counts: as long as a scarcity
 	// usually lasts, so that a burst at its start counts until its end.
 	shareTime = 10 * time.Second
-	// maxShares bounds the organisations and ranks that are tracked. Of the others nothing is known, so
-	// they go first.
+	// maxShares bounds the tracked pairs of organisation and rank. The pair with the smallest share is
+	// dropped for a new one.
 	maxShares = 1024
 )
 
--- a/internal/route/scheduler/speed.go
+++ b/internal/route/scheduler/speed.go
@@ -12,7 +12,9 @@
 	speedTime    = 400 * time.Millisecond
 	maxSpeedStep = 1.15
 	speedRange   = 4
-	// speedWeight is the weight of a measurement.
+	// speedWeight is the weight of a measurement. With more, one that is disturbed changes whom the
+	// scheduler refuses; with less, it refuses callers, or keeps too many, for long after the engine's
+	// speed has changed.
 	speedWeight = 0.4
 )
 
