--- a/internal/route/scheduler/bookings.go
+++ b/internal/route/scheduler/bookings.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// quarter is the resolution of bookings.
-	quarter = 250 * time.Millisecond
+	// bucketDuration is the resolution of bookings.
+	bucketDuration = 250 * time.Millisecond
 	// maxBookings bounds the bookings, maxHorizon how far ahead they are.
 	maxBookings = 256
 	maxHorizon  = 30 * time.Second
@@ -23,9 +23,9 @@
 	// also if no place is left.
 	minRetryAfter     = 200 * time.Millisecond
 	remainingFraction = 1.0 / 3
-	// The most urgent requests may book urgentFill of what fits into a quarter, each less urgent rank
+	// The most urgent requests may book urgentFill of what fits into a bucket, each less urgent rank
 	// rankFill less, down to minFill. So urgent requests find room before the others. Some clients don't
-	// return, so that a quarter may be overbooked: with more, those that return find the engine taken
+	// return, so that a bucket may be overbooked: with more, those that return find the engine taken
 	// and are refused again; with less, it idles while clients wait for later places.
 	urgentFill = 1.2
 	rankFill   = 0.2
@@ -35,8 +35,8 @@
 // bookings holds the places of refused requests in the capacity to come.
 type bookings struct {
 	byFingerprint map[bookingKey]*booking
-	// quarters holds the tokens that are booked by quarter, numbered since the Unix epoch.
-	quarters map[int64]float64
+	// buckets holds the tokens that are booked by bucket, numbered since the Unix epoch.
+	buckets map[int64]float64
 }
 
 // bookingKey identifies a client's request. A request without a fingerprint is identified by its
@@ -50,14 +50,14 @@
 // booking is a place.
 type booking struct {
 	at time.Time
-	// parts are the tokens that it takes of successive quarters, from the one numbered first on; none
+	// parts are the tokens that it takes of successive buckets, from the one numbered first on; none
 	// if no place was left.
 	first int64
 	parts []float64
 }
 
 func newBookings() bookings {
-	return bookings{byFingerprint: make(map[bookingKey]*booking), quarters: make(map[int64]float64)}
+	return bookings{byFingerprint: make(map[bookingKey]*booking), buckets: make(map[int64]float64)}
 }
 
 // keyOf returns the key of a request's booking.
@@ -90,7 +90,7 @@
 		return without, "no place left, a third of the remaining time: too many bookings"
 	}
 	fill := max(urgentFill-rankFill*float64(max(r.Rank, 0)), minFill)
-	earliest := now.Add(minRetryAfter + time.Duration(min(max(r.Rank, 0), 4))*quarter)
+	earliest := now.Add(minRetryAfter + time.Duration(min(max(r.Rank, 0), 4))*bucketDuration)
 	for n := numberOf(earliest); ; n++ {
 		start := latestOf(startOf(n), earliest)
 		if start.After(latest) {
@@ -102,23 +102,23 @@
 		if p == nil {
 			continue
 		}
-		// Those of one quarter return one after the other.
-		taken := time.Duration(b.quarters[n] / (urgentFill * tokensPerSecond) * float64(time.Second))
+		// Those of one bucket return one after the other.
+		taken := time.Duration(b.buckets[n] / (urgentFill * tokensPerSecond) * float64(time.Second))
 		at := earliestOf(latestOf(start, startOf(n).Add(taken)), latest)
 		return &booking{at: at, first: n, parts: p}, fmt.Sprintf("booked a place in %d ms", at.Sub(now).Milliseconds())
 	}
 	return without, "no place left, a third of the remaining time"
 }
 
-// partsFrom returns what tokens take of successive quarters, nil if they don't fit: only a request
-// larger than a quarter takes more than one.
+// partsFrom returns what tokens take of successive buckets, nil if they don't fit: only a request
+// larger than a bucket takes more than one.
 func (b *bookings) partsFrom(n int64, tokens float64, free func(n int64) float64) (parts []float64) {
 	for ; tokens > 0; n++ {
 		left := free(n)
 		if left >= tokens {
 			return append(parts, tokens)
 		}
-		if left <= 0 || b.quarters[n] > 0 || len(parts) > int(maxHorizon/quarter) {
+		if left <= 0 || b.buckets[n] > 0 || len(parts) > int(maxHorizon/bucketDuration) {
 			return nil
 		}
 		parts = append(parts, left)
@@ -127,13 +127,13 @@
 	return parts
 }
 
-// free returns the tokens that are left in a quarter.
+// free returns the tokens that are left in a bucket.
 func (b *bookings) free(n int64, fill, backlog, tokensPerSecond float64, now time.Time) float64 {
-	whole := tokensPerSecond * quarter.Seconds()
+	whole := tokensPerSecond * bucketDuration.Seconds()
 	start, end := startOf(n).Sub(now).Seconds(), startOf(n+1).Sub(now).Seconds()
 	// The backlog takes the time from now on.
 	taken := max(min(backlog/tokensPerSecond, end)-max(start, 0), 0) * tokensPerSecond
-	return fill*whole - b.quarters[n] - taken
+	return fill*whole - b.buckets[n] - taken
 }
 
 // add enters a booking of a refused request. One without parts found no place.
@@ -144,7 +144,7 @@
 	b.remove(r)
 	b.byFingerprint[keyOf(r)] = k
 	for i, tokens := range k.parts {
-		b.quarters[k.first+int64(i)] += tokens
+		b.buckets[k.first+int64(i)] += tokens
 	}
 }
 
@@ -159,8 +159,8 @@
 	delete(b.byFingerprint, key)
 	for i, tokens := range k.parts {
 		n := k.first + int64(i)
-		if b.quarters[n] -= tokens; math.Abs(b.quarters[n]) < 1e-6 {
-			delete(b.quarters, n)
+		if b.buckets[n] -= tokens; math.Abs(b.buckets[n]) < 1e-6 {
+			delete(b.buckets, n)
 		}
 	}
 }
@@ -174,9 +174,9 @@
 	}
 }
 
-func numberOf(t time.Time) int64 { return t.UnixNano() / int64(quarter) }
+func numberOf(t time.Time) int64 { return t.UnixNano() / int64(bucketDuration) }
 
-func startOf(n int64) time.Time { return time.Unix(0, n*int64(quarter)) }
+func startOf(n int64) time.Time { return time.Unix(0, n*int64(bucketDuration)) }
 
 func earliestOf(a, b time.Time) time.Time {
 	if a.Before(b) {
--- a/internal/route/scheduler/engine.go
+++ b/internal/route/scheduler/engine.go
@@ -136,22 +136,22 @@
 	return sum
 }
 
-// saved is what the passing of time changes in an engine.
-type saved struct {
+// snapshot is what the passing of time changes in an engine.
+type snapshot struct {
 	at        time.Time
 	remaining []float64
 	prefilled []time.Time
 }
 
-func (g *engine) save() *saved {
-	v := &saved{at: g.at, remaining: make([]float64, len(g.prefilling)), prefilled: make([]time.Time, len(g.prefilling))}
+func (g *engine) save() *snapshot {
+	v := &snapshot{at: g.at, remaining: make([]float64, len(g.prefilling)), prefilled: make([]time.Time, len(g.prefilling))}
 	for i, r := range g.prefilling {
 		v.remaining[i], v.prefilled[i] = r.remaining, r.prefilled
 	}
 	return v
 }
 
-func (g *engine) restore(v *saved) {
+func (g *engine) restore(v *snapshot) {
 	g.at = v.at
 	for i, r := range g.prefilling {
 		r.remaining, r.prefilled = v.remaining[i], v.prefilled[i]
--- a/internal/route/scheduler/order.go
+++ b/internal/route/scheduler/order.go
@@ -35,14 +35,14 @@
 	shareQueue = 0.3
 	// minQueue is the least prefill work that the queue at the endpoint may hold for any rank: a step.
 	minQueue = 25 * time.Millisecond
-	// inflowWeight is the weight of more urgent arrivals in the prediction of a wait, as some of them
+	// arrivalWeight is the weight of more urgent arrivals in the prediction of a wait, as some of them
 	// are refused. With more, callers are refused that would have been on time; with less, callers wait
 	// in vain and are refused when they ask again.
-	inflowWeight = 0.4
+	arrivalWeight = 0.4
 )
 
-// place is the position of an entry in the order: what is served before it.
-type place struct {
+// queuePosition is the position of an entry in the order: what is served before it.
+type queuePosition struct {
 	// pending is what the endpoint itself prefills first, tokens that and what the entries before this
 	// one add to it.
 	pending float64
@@ -53,8 +53,8 @@
 	others int
 }
 
-// standing is what the order of entries depends on.
-type standing struct {
+// orderKey is what the order of entries depends on.
+type orderKey struct {
 	entry *entry
 	// last is set for an entry that can't be on time while the endpoint is scarce: it goes behind all
 	// that can.
@@ -64,17 +64,17 @@
 	share   float64
 }
 
-// placeOf returns the position of an entry among those that wait.
-func (s *Scheduler) placeOf(e *entry, now time.Time) place {
-	p := place{pending: s.engine.pending(e.request.Rank)}
+// positionOf returns the position of an entry among those that wait.
+func (s *Scheduler) positionOf(e *entry, now time.Time) queuePosition {
+	p := queuePosition{pending: s.engine.pending(e.request.Rank)}
 	p.tokens = p.pending
-	own := s.standingOf(e, now)
+	own := s.orderKeyOf(e, now)
 	for k, other := range s.waiting {
 		if k == e.request.Key() {
 			continue
 		}
 		p.others++
-		if st := s.standingOf(other, now); compareStandings(&st, &own) < 0 {
+		if st := s.orderKeyOf(other, now); compareOrderKeys(&st, &own) < 0 {
 			p.entries++
 			p.tokens += st.entry.uncached
 			p.memory += memoryNeed(&other.request)
@@ -83,22 +83,22 @@
 	return p
 }
 
-// standingOf returns the standing of an entry.
-func (s *Scheduler) standingOf(e *entry, now time.Time) standing {
+// orderKeyOf returns the order key of an entry.
+func (s *Scheduler) orderKeyOf(e *entry, now time.Time) orderKey {
 	tokens := s.engine.pending(e.request.Rank) + s.uncachedOf(e)
-	st := standing{
-		entry: e, starved: !now.Before(e.starved),
+	key := orderKey{
+		entry: e, starved: !now.Before(e.starvesAt),
 		onTime: !now.Add(s.speed.duration(tokens)).After(e.objective),
 		share:  s.shares.of(&e.request, now),
 	}
-	st.last = s.scarcity.scarce && !st.onTime && !st.starved
-	return st
+	key.last = s.scarcity.scarce && !key.onTime && !key.starved
+	return key
 }
 
-// compareStandings orders entries by these criteria, of which the first that differs decides: on time
+// compareOrderKeys orders entries by these criteria, of which the first that differs decides: on time
 // or starved (only while the endpoint is scarce), rank, starved, on time, booking due, smaller share of
 // its organisation, earlier objective, arrival.
-func compareStandings(a, b *standing) int {
+func compareOrderKeys(a, b *orderKey) int {
 	return cmp.Or(
 		compareBools(a.last, b.last),
 		cmp.Compare(a.entry.request.Rank, b.entry.request.Rank),
@@ -128,9 +128,9 @@
 	if len(s.waiting) <= maxWaiting {
 		return
 	}
-	var last standing
+	var last orderKey
 	for _, e := range s.waiting {
-		if st := s.standingOf(e, now); last.entry == nil || compareStandings(&st, &last) > 0 {
+		if st := s.orderKeyOf(e, now); last.entry == nil || compareOrderKeys(&st, &last) > 0 {
 			last = st
 		}
 	}
@@ -140,9 +140,9 @@
 // fits reports whether an entry can start: the endpoint has little to prefill, or nothing if the entry
 // would be late while the endpoint is scarce, a slot and memory are free, and all that is left for
 // those before it.
-func (s *Scheduler) fits(e *entry, p *place, now time.Time) bool {
+func (s *Scheduler) fits(e *entry, p *queuePosition, now time.Time) bool {
 	unread := s.engine.pending(lowestRank)
-	if unread+p.tokens-p.pending >= s.speed.within(s.queueFor(&e.request, now)) {
+	if unread+p.tokens-p.pending >= s.speed.within(s.maxPrefillAhead(&e.request, now)) {
 		return false
 	}
 	firstEventIn := s.speed.duration(p.tokens) + s.speed.duration(e.uncached) + firstEventMargin
@@ -152,11 +152,11 @@
 	return s.hasRoom(&e.request, p.entries, p.memory, now)
 }
 
-// queueFor returns how much prefill work may be at the endpoint when a request starts. A less urgent
-// one starts with less ahead of it, as urgent ones overtake it at the endpoint, where it can't be
-// taken back.
-func (s *Scheduler) queueFor(r *Request, now time.Time) time.Duration {
-	before := s.inflow.before(r.Rank, s.speed.tokensPerSecond, now)
+// maxPrefillAhead returns how much prefill work may be at the endpoint when a request starts. A less
+// urgent one starts with less ahead of it, as urgent ones overtake it at the endpoint, where it can't
+// be taken back.
+func (s *Scheduler) maxPrefillAhead(r *Request, now time.Time) time.Duration {
+	before := s.arrivalRate.before(r.Rank, s.speed.tokensPerSecond, now)
 	d := (1 - before) * float64(engineQueue)
 	if s.scarcity.scarce && s.shares.over(r, now) {
 		d *= shareQueue
@@ -185,23 +185,23 @@
 }
 
 // roomIn returns the time until slots and memory suffice for a request behind others.
-func (s *Scheduler) roomIn(r *Request, p *place, now time.Time) time.Duration {
+func (s *Scheduler) roomIn(r *Request, p *queuePosition, now time.Time) time.Duration {
 	if s.hasRoom(r, p.entries, p.memory, now) {
 		return 0
 	}
 	slots, memory := s.room(r, now)
-	return s.outflow.until(p.entries+1-slots, p.memory+memoryNeed(r)-memory, now)
+	return s.releaseRate.until(p.entries+1-slots, p.memory+memoryNeed(r)-memory, now)
 }
 
-// verdict is the outcome for an entry, with the booking that a refusal makes.
-type verdict struct {
+// outcome is the decision on an entry, with the booking that a refusal makes.
+type outcome struct {
 	Offer
 	booking *booking
 }
 
 // decide decides on an entry and changes nothing.
-func (s *Scheduler) decide(e *entry, now time.Time) verdict {
-	p := s.placeOf(e, now)
+func (s *Scheduler) decide(e *entry, now time.Time) outcome {
+	p := s.positionOf(e, now)
 	o := Offer{
 		StartIn: s.speed.duration(p.tokens), TokensAhead: p.tokens, Streams: len(s.engine.runs), Scarce: s.scarcity.scarce,
 		Cached: max(e.request.PromptTokens-identifier.Tokens(math.Round(e.uncached)), 0),
@@ -219,39 +219,39 @@
 		return s.refuse(e, o, now, fmt.Sprintf("no first event before the client gives up: predicted in %d ms, limit %d ms", o.FirstEventIn.Milliseconds(), limit.Milliseconds()))
 	case fits:
 		o.Decision = Start
-		return verdict{Offer: o}
+		return outcome{Offer: o}
 	case p.entries >= maxWaiting:
 		return s.refuse(e, o, now, fmt.Sprintf("too many wait: %d before it", p.entries))
-	case busy && late && s.scarcity.scarce && !e.due && now.Before(e.starved):
+	case busy && late && s.scarcity.scarce && !e.due && now.Before(e.starvesAt):
 		return s.refuse(e, o, now, fmt.Sprintf("scarce and can't be on time: predicted in %d ms, objective in %d ms", o.FirstEventIn.Milliseconds(), e.objective.Sub(now).Milliseconds()))
 	}
 	o.Decision, o.AskAgain = Wait, s.askAgain(e, &p, now)
 	o.Reason = fmt.Sprintf("waits: %d before it, %.0f tokens ahead, %d started", p.entries, p.tokens, len(s.engine.runs))
-	return verdict{Offer: o}
+	return outcome{Offer: o}
 }
 
 // waitOf returns the predicted time until an entry that does not fit starts. More urgent ones arrive
 // meanwhile and go before it; all that do if it can't be on time.
-func (s *Scheduler) waitOf(e *entry, p *place, now time.Time) time.Duration {
+func (s *Scheduler) waitOf(e *entry, p *queuePosition, now time.Time) time.Duration {
 	d := max(s.speed.duration(p.tokens), s.roomIn(&e.request, p, now))
-	before := inflowWeight * s.inflow.before(e.request.Rank, s.speed.tokensPerSecond, now)
-	if s.scarcity.scarce && !s.standingOf(e, now).onTime {
-		before = s.inflow.before(lowestRank, s.speed.tokensPerSecond, now)
+	before := arrivalWeight * s.arrivalRate.before(e.request.Rank, s.speed.tokensPerSecond, now)
+	if s.scarcity.scarce && !s.orderKeyOf(e, now).onTime {
+		before = s.arrivalRate.before(lowestRank, s.speed.tokensPerSecond, now)
 	}
 	return time.Duration(float64(d) / (1 - before))
 }
 
 // refuse refuses an entry and finds a place for its return.
-func (s *Scheduler) refuse(e *entry, o Offer, now time.Time, why string) verdict {
+func (s *Scheduler) refuse(e *entry, o Offer, now time.Time, why string) outcome {
 	b, note := s.bookings.find(e, s.backlog(e), s.speed.tokensPerSecond, now)
 	o.Decision, o.RetryAfter, o.Reason = Refuse, max(b.at.Sub(now), 0), why+"; "+note
-	return verdict{Offer: o, booking: b}
+	return outcome{Offer: o, booking: b}
 }
 
 // askAgain returns the time after which the daemon of a waiting entry asks again: when the endpoint
 // is expected to have room for it, or, if slots or memory are short, soon for those in front.
-func (s *Scheduler) askAgain(e *entry, p *place, now time.Time) time.Duration {
-	d := s.speed.duration(p.tokens) - s.queueFor(&e.request, now)
+func (s *Scheduler) askAgain(e *entry, p *queuePosition, now time.Time) time.Duration {
+	d := s.speed.duration(p.tokens) - s.maxPrefillAhead(&e.request, now)
 	if !s.hasRoom(&e.request, p.entries, p.memory, now) {
 		d = max(d, time.Duration(p.entries+1)*2*minAskAgain)
 	}
--- a/internal/route/scheduler/replay_test.go
+++ b/internal/route/scheduler/replay_test.go
@@ -416,7 +416,7 @@
 // engine prefills in that time.
 func (r *result) mostReturns(m *mix) (most float64) {
 	for _, tokens := range r.returns {
-		most = max(most, tokens/(m.engine.PrefillTokensPerSecond*quarter.Seconds()))
+		most = max(most, tokens/(m.engine.PrefillTokensPerSecond*bucketDuration.Seconds()))
 	}
 	return most
 }
--- a/internal/route/scheduler/scheduler.go
+++ b/internal/route/scheduler/scheduler.go
@@ -154,8 +154,8 @@
 	waiting      map[Key]*entry
 	bookings     bookings
 	shares       shares
-	inflow       inflow
-	outflow      outflow
+	arrivalRate  arrivalRate
+	releaseRate  releaseRate
 	speed        speed
 	scarcity     scarcity
 	// sequence orders the arrivals of requests.
@@ -172,10 +172,10 @@
 	objective time.Time
 	silence   time.Time
 	deadline  time.Time
-	// due is set for a request that returned at its booked place, starved for one that has waited for
+	// due is set for a request that returned at its booked place. From starvesAt on it has waited for
 	// half of its client's timeout.
-	due     bool
-	starved time.Time
+	due       bool
+	starvesAt time.Time
 	// uncached are the prompt tokens to prefill as of cacheVersion.
 	uncached     float64
 	cacheVersion int
@@ -326,7 +326,7 @@
 	}
 	s.sequence++
 	if s.bookings.byFingerprint[keyOf(r)] == nil {
-		s.inflow.add(r.Rank, s.uncachedOf(e), now)
+		s.arrivalRate.add(r.Rank, s.uncachedOf(e), now)
 	}
 }
 
@@ -334,9 +334,9 @@
 func (s *Scheduler) entryOf(r *Request, now time.Time) *entry {
 	e := &entry{request: *r, sequence: s.sequence + 1, arrived: now, cacheVersion: -1}
 	e.due = s.bookings.due(r, now)
-	e.starved = now.Add(min(r.SilenceLeft, r.TimeLeft) / 2)
+	e.starvesAt = now.Add(min(r.SilenceLeft, r.TimeLeft) / 2)
 	if known := s.waiting[r.Key()]; known != nil {
-		e.sequence, e.arrived, e.starved = known.sequence, known.arrived, known.starved
+		e.sequence, e.arrived, e.starvesAt = known.sequence, known.arrived, known.starvesAt
 		e.due = known.due
 	}
 	e.asked = now
@@ -384,7 +384,7 @@
 		return
 	}
 	s.engine.remove(k)
-	s.outflow.add(memoryNeed(&r.request), now)
+	s.releaseRate.add(memoryNeed(&r.request), now)
 	s.updateReserved()
 }
 
--- a/internal/route/scheduler/scheduler_test.go
+++ b/internal/route/scheduler/scheduler_test.go
@@ -52,7 +52,7 @@
 	late := func(e *entry) { e.objective = start }
 	order := []*entry{
 		make("urgent", func(e *entry) { e.request.Rank = 0 }),
-		make("starved", func(e *entry) { e.starved = start; late(e) }),
+		make("starved", func(e *entry) { e.starvesAt = start; late(e) }),
 		make("due", func(e *entry) { e.due = true; e.objective = start.Add(2000 * ms) }),
 		make("early objective", func(e *entry) { e.objective = start.Add(500 * ms) }),
 		make("later objective", func(*entry) {}),
@@ -63,16 +63,16 @@
 	}
 	for i := range order {
 		for j := range order {
-			a, b := s.standingOf(order[i], start), s.standingOf(order[j], start)
-			if got := compareStandings(&a, &b); got < 0 != (i < j) || got > 0 != (i > j) {
+			a, b := s.orderKeyOf(order[i], start), s.orderKeyOf(order[j], start)
+			if got := compareOrderKeys(&a, &b); got < 0 != (i < j) || got > 0 != (i > j) {
 				t.Errorf("%s against %s: %d", order[i].request.ID, order[j].request.ID, got)
 			}
 		}
 	}
 	// While the endpoint is scarce, those that can't be on time go behind all others.
 	s.scarcity.scarce = true
-	a, b := s.standingOf(order[7], start), s.standingOf(order[8], start)
-	if compareStandings(&a, &b) < 0 {
+	a, b := s.orderKeyOf(order[7], start), s.orderKeyOf(order[8], start)
+	if compareOrderKeys(&a, &b) < 0 {
 		t.Error("a late request goes before one that can be on time")
 	}
 }
@@ -204,7 +204,7 @@
 		}
 	}
 	s.advance(at.Add(lateTolerance + 1))
-	if s.entryOf(r, at.Add(lateTolerance+1)).due || len(s.bookings.quarters) != 0 {
+	if s.entryOf(r, at.Add(lateTolerance+1)).due || len(s.bookings.buckets) != 0 {
 		t.Error("the booking has not expired")
 	}
 }
@@ -264,7 +264,7 @@
 	ahead := request("ahead")
 	ahead.PromptTokens = 1000
 	s.Started(ahead, start)
-	s.inflow.add(0, 20_000, start)
+	s.arrivalRate.add(0, 20_000, start)
 	s.scarcity.scarce = true
 	late := request("late")
 	late.ObjectiveLeft = 10 * time.Millisecond
@@ -300,12 +300,12 @@
 				}
 			}
 			for n, sum := range sums {
-				if sum > 1.2*speed*quarter.Seconds()+1 || sum-b.quarters[n] > 1 || b.quarters[n]-sum > 1 {
-					t.Fatalf("quarter %d: %.0f tokens booked, %.0f counted", n, sum, b.quarters[n])
+				if sum > 1.2*speed*bucketDuration.Seconds()+1 || sum-b.buckets[n] > 1 || b.buckets[n]-sum > 1 {
+					t.Fatalf("bucket %d: %.0f tokens booked, %.0f counted", n, sum, b.buckets[n])
 				}
 			}
-			if len(b.byFingerprint) > maxBookings || len(b.quarters) > len(sums) {
-				t.Fatalf("%d bookings, %d quarters", len(b.byFingerprint), len(b.quarters))
+			if len(b.byFingerprint) > maxBookings || len(b.buckets) > len(sums) {
+				t.Fatalf("%d bookings, %d buckets", len(b.byFingerprint), len(b.buckets))
 			}
 		}
 	})
--- a/internal/route/scheduler/shares.go
+++ b/internal/route/scheduler/shares.go
@@ -19,7 +19,7 @@
 // shares counts what organisations got of the endpoint recently, by their weights. Each rank counts by
 // itself: what an organisation gets in a rank that is served in full is not scarce.
 type shares struct {
-	used map[shareKey]decaying
+	used map[shareKey]decayingSum
 	// means holds the mean of each rank that was asked for at meansAt; infinite if only one
 	// organisation or none got anything.
 	means   map[int]float64
@@ -31,14 +31,14 @@
 	rank         int
 }
 
-// decaying is a sum whose parts lose their weight over time.
-type decaying struct {
+// decayingSum is a sum whose parts lose their weight over time.
+type decayingSum struct {
 	sum float64
 	at  time.Time
 }
 
 // value returns the sum at a time.
-func (d decaying) value(over time.Duration, now time.Time) float64 {
+func (d decayingSum) value(over time.Duration, now time.Time) float64 {
 	if d.sum == 0 {
 		return 0
 	}
@@ -46,12 +46,12 @@
 }
 
 // add adds an amount.
-func (d *decaying) add(amount float64, over time.Duration, now time.Time) {
-	*d = decaying{d.value(over, now) + amount, now}
+func (d *decayingSum) add(amount float64, over time.Duration, now time.Time) {
+	*d = decayingSum{d.value(over, now) + amount, now}
 }
 
 func newShares() shares {
-	return shares{used: make(map[shareKey]decaying), means: make(map[int]float64)}
+	return shares{used: make(map[shareKey]decayingSum), means: make(map[int]float64)}
 }
 
 // add records that a request takes tokens of prefill.
--- a/internal/serve/relayer/silence.go
+++ b/internal/serve/relayer/silence.go
@@ -91,9 +91,9 @@
 	case d.GiveUp:
 		w.stopped = true
 		w.j.retryGranted.Store(true)
-		w.cancel(fmt.Errorf("%w (%s: %s)", errSilence, d.Reason, in.Text()))
-	case d.Again > 0:
-		w.timer.Reset(d.Again)
+		w.cancel(fmt.Errorf("%w (%s: %s)", errSilence, d.Reason, in))
+	case d.RecheckAfter > 0:
+		w.timer.Reset(d.RecheckAfter)
 	}
 }
 
@@ -109,7 +109,7 @@
 	}
 	return &silencejudge.Input{
 		Now: time.Now(), Begun: w.begun, Deadline: j.q.Deadline().Add(-minTimeLeft), Objective: j.q.Route.FirstEventObjective,
-		Queues: j.queues(), Signs: j.r.c.Registry.Signs(w.pick), AttemptsLeft: w.attemptsLeft, Queue: preview.Queue,
+		QueuesRequests: j.queues(), Signs: j.r.c.Registry.Signs(w.pick), AttemptsLeft: w.attemptsLeft, Queue: preview.Queue,
 		Alternative: preview.Alternative, AlternativeTime: preview.FirstToken,
 		Spend: func() bool { return j.r.c.Budget.Spend(j.q.Service) },
 	}
--- a/internal/serve/silencejudge/silencejudge.go
+++ b/internal/serve/silencejudge/silencejudge.go
@@ -16,7 +16,7 @@
 // # Usage
 //
 //	d := silencejudge.Decide(&silencejudge.Input{...})
-//	if d.GiveUp { cancel the attempt and start another one } else if d.Again > 0 { decide again then }
+//	if d.GiveUp { cancel the attempt and start another one } else if d.RecheckAfter > 0 { decide again after it }
 package silencejudge
 
 import (
@@ -82,9 +82,9 @@
 	Deadline time.Time
 	// Objective is the route's objective for the first event.
 	Objective time.Duration
-	// Queues: requests wait in a queue of the endpoint, as at a model engine. Otherwise an endpoint
+	// QueuesRequests: requests wait in a queue of the endpoint, as at a model engine. Otherwise an endpoint
 	// that answers others doesn't explain why this attempt waits.
-	Queues bool
+	QueuesRequests bool
 	// Signs are the last signs of life of the endpoint and of its zone.
 	Signs candidate.Signs
 	// AttemptsLeft is the number of attempts that may follow this one.
@@ -103,7 +103,7 @@
 // Silence returns for how long the endpoint has shown no sign of life during the attempt. Where no
 // requests queue, it is the time since the attempt began.
 func (in *Input) Silence() time.Duration {
-	if last := in.Signs.Last(in.Now, Timeout(in.Objective)); in.Queues && last.After(in.Begun) {
+	if last := in.Signs.Last(in.Now, Timeout(in.Objective)); in.QueuesRequests && last.After(in.Begun) {
 		return in.Now.Sub(last)
 	}
 	return in.Now.Sub(in.Begun)
@@ -112,8 +112,8 @@
 // Expected returns the time after which the attempt's first event is expected.
 func (in *Input) Expected() time.Duration { return max(in.Queue, in.Silence()) }
 
-// Text describes the input for a log line.
-func (in *Input) Text() string {
+// String describes the input for a log line.
+func (in *Input) String() string {
 	return fmt.Sprintf("silent %dms, endpoint %dms, expected in %dms, %s in %dms", in.Now.Sub(in.Begun).Milliseconds(),
 		in.Silence().Milliseconds(), in.Expected().Milliseconds(), in.Alternative, in.AlternativeTime.Milliseconds())
 }
@@ -123,8 +123,8 @@
 	// GiveUp: the attempt is given up, and a retry was taken from the budget for the next one.
 	GiveUp bool
 	Reason Reason
-	// Again is the time until the next decision, 0 for none.
-	Again time.Duration
+	// RecheckAfter is the time until the next decision, 0 for none.
+	RecheckAfter time.Duration
 }
 
 // Decide decides whether a silent attempt is given up now.
@@ -134,15 +134,15 @@
 	case in.AttemptsLeft <= 0:
 		return Decision{Reason: NoAttemptLeft}
 	case silence < timeout:
-		return Decision{Reason: SignOfLife, Again: max(timeout-silence, minInterval)}
+		return Decision{Reason: SignOfLife, RecheckAfter: max(timeout-silence, minInterval)}
 	case in.Alternative == "":
-		return Decision{Reason: NoEndpoint, Again: repeatInterval}
+		return Decision{Reason: NoEndpoint, RecheckAfter: repeatInterval}
 	case in.AlternativeTime >= in.Expected():
-		return Decision{Reason: NotSooner, Again: repeatInterval}
+		return Decision{Reason: NotSooner, RecheckAfter: repeatInterval}
 	case in.AlternativeTime >= in.Deadline.Sub(in.Now):
-		return Decision{Reason: NoTime, Again: repeatInterval}
+		return Decision{Reason: NoTime, RecheckAfter: repeatInterval}
 	case !in.Spend():
-		return Decision{Reason: NoBudget, Again: repeatInterval}
+		return Decision{Reason: NoBudget, RecheckAfter: repeatInterval}
 	case in.Signs.ZoneReached(in.Now, timeout):
 		return Decision{GiveUp: true, Reason: EndpointSilent}
 	}
--- a/internal/serve/silencejudge/silencejudge_test.go
+++ b/internal/serve/silencejudge/silencejudge_test.go
@@ -21,7 +21,7 @@
 func silent(d time.Duration) *Input {
 	return &Input{
 		Now: after(d), Begun: begun, Deadline: after(8 * time.Second), Objective: 800 * time.Millisecond,
-		Queues: true, Signs: candidate.Signs{Zone: after(d - 10*time.Millisecond)}, AttemptsLeft: 1, Queue: 100 * time.Millisecond,
+		QueuesRequests: true, Signs: candidate.Signs{Zone: after(d - 10*time.Millisecond)}, AttemptsLeft: 1, Queue: 100 * time.Millisecond,
 		Alternative: "i-2", AlternativeTime: 300 * time.Millisecond, Spend: func() bool { return true },
 	}
 }
@@ -39,7 +39,7 @@
 		"never a sign":                 {func(in *Input) { in.Signs = candidate.Signs{} }, ZoneSilent},
 		"signs before the attempt":     {func(in *Input) { in.Signs.Own = after(-time.Second) }, EndpointSilent},
 		"own sign":                     {func(in *Input) { in.Signs.Own = after(500 * time.Millisecond) }, SignOfLife},
-		"own sign, no queue":           {func(in *Input) { in.Signs.Own, in.Queues = after(500*time.Millisecond), false }, EndpointSilent},
+		"own sign, no queue":           {func(in *Input) { in.Signs.Own, in.QueuesRequests = after(500*time.Millisecond), false }, EndpointSilent},
 		"peers' sign":                  {func(in *Input) { in.Signs.Peers = after(500 * time.Millisecond) }, SignOfLife},
 		"peers' sign behind partition": {func(in *Input) { in.Signs.Peers, in.Signs.Zone = after(timeout), begun.Add(-time.Millisecond) }, ZoneSilent},
 		"last attempt":                 {func(in *Input) { in.AttemptsLeft = 0 }, NoAttemptLeft},
@@ -55,11 +55,11 @@
 		if d.Reason != k.want || d.GiveUp != (k.want == EndpointSilent || k.want == ZoneSilent) {
 			t.Errorf("%s: %+v, want %s", name, d, k.want)
 		}
-		if !d.GiveUp && d.Again <= 0 && k.want != NoAttemptLeft {
+		if !d.GiveUp && d.RecheckAfter <= 0 && k.want != NoAttemptLeft {
 			t.Errorf("%s: not decided again", name)
 		}
 	}
-	if d := Decide(silent(timeout - time.Millisecond)); d.GiveUp || d.Again != minInterval {
+	if d := Decide(silent(timeout - time.Millisecond)); d.GiveUp || d.RecheckAfter != minInterval {
 		t.Errorf("given up before the silence timeout: %+v", d)
 	}
 }
@@ -86,7 +86,7 @@
 			t.Fatalf("goes on (%s), but a retry was spent", d.Reason)
 		case d.GiveUp && in.Now.Sub(in.Signs.Own) < Timeout(in.Objective):
 			t.Fatalf("given up %v after a sign of life", in.Now.Sub(in.Signs.Own))
-		case d.GiveUp && d.Again != 0, d.Again < 0:
+		case d.GiveUp && d.RecheckAfter != 0, d.RecheckAfter < 0:
 			t.Fatalf("decided again: %+v", d)
 		}
 	})
