--- a/internal/route/scheduler/scheduler.go
+++ b/internal/route/scheduler/scheduler.go
@@ -3,13 +3,13 @@
 // An endpoint with a queue of its own serves requests by urgency and arrival, and what has been
 // sent can't be taken back. A [Scheduler] therefore lets only as many requests start as keep the
 // endpoint busy. The others wait at their daemons, or are refused with the time at which there
-// will be room for them. It answers the load in which more is asked of an endpoint for some seconds
+// will be room for them. It is needed when more is asked of an endpoint for some seconds
 // than it can prefill in time, much of it by one organisation, while refused clients return.
 //
 // # Usage
 //
 //	s := scheduler.New(scheduler.Config{Slots: 64, MemoryTokens: 640_000})
-//	offer := s.Quote(request, now) // changes nothing
+//	offer := s.Quote(request, now) // enters nothing
 //	offer = s.Reserve(request, now) // again after offer.AskAgain while the decision is Wait
 //	s.FirstEvent(request.Key(), now)
 //	s.End(request.Key(), now)
@@ -33,7 +33,7 @@
 	engineQueue = 150 * time.Millisecond
 	// maxWaiting bounds the waiting requests.
 	maxWaiting = 64
-	// maxStarted bounds the started requests: several times the slots of the largest engines.
+	// maxStarted bounds the started requests, and so the slots: several times the slots of the largest engines.
 	maxStarted = 4096
 	// entryTTL is how long a waiting request is kept without being asked for again. Its daemon asks
 	// every maxAskAgain at least, so that it has missed several turns by then.
@@ -43,7 +43,8 @@
 	minAskAgain = 5 * time.Millisecond
 	maxAskAgain = 80 * time.Millisecond
 	// busyFraction of the slots has to be taken, or something has to wait, before anything is
-	// refused.
+	// refused. With more, requests that are sure to be late start and delay those that come next; with
+	// less, a prediction that is wrong refuses requests that an almost idle endpoint would serve.
 	busyFraction = 0.5
 )
 
@@ -153,8 +154,8 @@
 	waiting      map[Key]*entry
 	bookings     bookings
 	shares       shares
-	inflow       inflow
-	outflow      outflow
+	arrivalRate  arrivalRate
+	releaseRate  releaseRate
 	speed        speed
 	scarcity     scarcity
 	// sequence orders the arrivals of requests.
@@ -171,10 +172,10 @@
 	objective time.Time
 	silence   time.Time
 	deadline  time.Time
-	// due is set for a request that returned at its booked place, starved for one that has waited for
+	// due is set for a request that returned at its booked place. From starvesAt on it has waited for
 	// half of its client's timeout.
-	due     bool
-	starved time.Time
+	due       bool
+	starvesAt time.Time
 	// uncached are the prompt tokens to prefill as of cacheVersion.
 	uncached     float64
 	cacheVersion int
@@ -182,14 +183,15 @@
 
 // New returns the scheduler of an endpoint that runs nothing.
 func New(c Config) *Scheduler {
-	c.Slots = max(c.Slots, 1)
+	c.Slots = min(max(c.Slots, 1), maxStarted)
 	return &Scheduler{
 		c: c, cache: cachetracker.New(c.MemoryTokens), waiting: make(map[Key]*entry),
 		engine: newEngine(), bookings: newBookings(), shares: newShares(), speed: newSpeed(c.TokensPerSecond),
 	}
 }
 
-// Quote returns what [Scheduler.Reserve] would, and changes nothing.
+// Quote returns what [Scheduler.Reserve] would. It enters nothing; entries and bookings whose time has
+// passed are dropped as by any call.
 func (s *Scheduler) Quote(r *Request, now time.Time) Offer {
 	// What the passing of time changes is taken back, so that later answers do not depend on how often
 	// somebody asked.
@@ -315,8 +317,8 @@
 	s.updateScarcity(now)
 }
 
-// count counts the arrival of an entry that did not wait. A request that was refused before was
-// counted then.
+// count counts the arrival of an entry that did not wait. A request with a booking was counted when
+// it was refused. One without a booking is counted at each return.
 func (s *Scheduler) count(e *entry, now time.Time) {
 	r := &e.request
 	if s.waiting[r.Key()] != nil {
@@ -324,7 +326,7 @@
 	}
 	s.sequence++
 	if s.bookings.byFingerprint[keyOf(r)] == nil {
-		s.inflow.add(r.Rank, s.uncachedOf(e), now)
+		s.arrivalRate.add(r.Rank, s.uncachedOf(e), now)
 	}
 }
 
@@ -332,9 +334,9 @@
 func (s *Scheduler) entryOf(r *Request, now time.Time) *entry {
 	e := &entry{request: *r, sequence: s.sequence + 1, arrived: now, cacheVersion: -1}
 	e.due = s.bookings.due(r, now)
-	e.starved = now.Add(min(r.SilenceLeft, r.TimeLeft) / 2)
+	e.starvesAt = now.Add(min(r.SilenceLeft, r.TimeLeft) / 2)
 	if known := s.waiting[r.Key()]; known != nil {
-		e.sequence, e.arrived, e.starved = known.sequence, known.arrived, known.starved
+		e.sequence, e.arrived, e.starvesAt = known.sequence, known.arrived, known.starvesAt
 		e.due = known.due
 	}
 	e.asked = now
@@ -352,8 +354,8 @@
 	return e.uncached
 }
 
-// enter makes an entry wait. Blocks and sizes are copied, as they belong to the caller. A place that
-// is due is used up, as the entry now counts among those that wait.
+// enter makes an entry wait. Blocks and sizes are copied, as they belong to the caller. A due
+// booking is removed, because the entry now waits.
 func (s *Scheduler) enter(e *entry, now time.Time) {
 	if e.due {
 		s.bookings.remove(&e.request)
@@ -364,7 +366,7 @@
 	s.dropLast(now)
 }
 
-// start records that an entry is sent to the endpoint. Its booking is used up.
+// start records that an entry is sent to the endpoint. Its booking is removed.
 func (s *Scheduler) start(e *entry, now time.Time) {
 	r := &e.request
 	r.Blocks, r.Sizes = slices.Clone(r.Blocks), slices.Clone(r.Sizes)
@@ -382,7 +384,7 @@
 		return
 	}
 	s.engine.remove(k)
-	s.outflow.add(memoryNeed(&r.request), now)
+	s.releaseRate.add(memoryNeed(&r.request), now)
 	s.updateReserved()
 }
 
--- a/internal/serve/relayer/silence.go
+++ b/internal/serve/relayer/silence.go
@@ -52,19 +52,18 @@
 }
 
 // watchSilence watches an attempt of a request that may go to another endpoint. Otherwise an
-// endpoint that stopped responding would keep the request until the client gives up. Calling
-// stop stops the watch.
-func (j *job) watchSilence(ctx context.Context, pick *registry.Pick, begun time.Time) (watched context.Context, stop func()) {
+// endpoint that stopped responding would keep the request until the client gives up. cancel cancels
+// the attempt's context. Calling stop stops the watch.
+func (j *job) watchSilence(cancel context.CancelCauseFunc, pick *registry.Pick, begun time.Time) (stop func()) {
 	if !j.q.Route.Retryable() || j.res.Events > 0 {
-		return ctx, func() {}
+		return func() {}
 	}
-	ctx, cancel := context.WithCancelCause(ctx)
 	w := &silenceWatch{j: j, pick: pick, begun: begun, cancel: cancel, attemptsLeft: j.q.Route.MaxAttempts - j.sends - 1}
 	w.tried = append(append(w.tried, j.tried...), pick.Endpoint)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.timer = time.AfterFunc(j.silenceTimeout(), w.decide)
-	return ctx, w.stop
+	return w.stop
 }
 
 // stop stops the watch. No attempt is given up once it has returned.
@@ -92,9 +91,9 @@
 	case d.GiveUp:
 		w.stopped = true
 		w.j.retryGranted.Store(true)
-		w.cancel(fmt.Errorf("%w (%s: %s)", errSilence, d.Reason, in.Text()))
-	case d.Again > 0:
-		w.timer.Reset(d.Again)
+		w.cancel(fmt.Errorf("%w (%s: %s)", errSilence, d.Reason, in))
+	case d.RecheckAfter > 0:
+		w.timer.Reset(d.RecheckAfter)
 	}
 }
 
@@ -110,7 +109,7 @@
 	}
 	return &silencejudge.Input{
 		Now: time.Now(), Begun: w.begun, Deadline: j.q.Deadline().Add(-minTimeLeft), Objective: j.q.Route.FirstEventObjective,
-		Queues: j.queues(), Signs: j.r.c.Registry.Signs(w.pick), AttemptsLeft: w.attemptsLeft, Queue: preview.Queue,
+		QueuesRequests: j.queues(), Signs: j.r.c.Registry.Signs(w.pick), AttemptsLeft: w.attemptsLeft, Queue: preview.Queue,
 		Alternative: preview.Alternative, AlternativeTime: preview.FirstToken,
 		Spend: func() bool { return j.r.c.Budget.Spend(j.q.Service) },
 	}
