placer: a request that has waited is not refused, and moves if another endpoint is idle

Change: after an eighth of the objective a request is no longer refused, but sent by the daemon's own prediction; a waiting request that has become late looks every 100 ms whether another endpoint can start it.

--- a/internal/serve/placer/schedule.go
+++ b/internal/serve/placer/schedule.go
@@ -26,6 +26,12 @@
 	// a quarter of a second.
 	minPause = 5 * time.Millisecond
 	maxPause = 100 * time.Millisecond
+	// compareInterval is how often other endpoints are asked for a waiting request that has become
+	// late: each time costs a few calls.
+	compareInterval = 100 * time.Millisecond
+	// refusalDivisor bounds how long a request may have waited when it is refused, as a part of its
+	// objective.
+	refusalDivisor = 8
 	// remainingFraction of the time left is the longest that clients wait before they return.
 	remainingFraction = 1.0 / 3
 	// assumedTokens is the size that a request of a quota in requests is assumed to have.
@@ -258,6 +264,8 @@
 	predicted time.Duration
 	decision  selector.Decision
 	schedule  *Schedule
+	// comparedAt is when other endpoints were last asked while the request waited.
+	comparedAt time.Time
 }
 
 // run places the request, waits or refuses it as its quote says. done is false if the endpoint no
@@ -275,6 +283,7 @@
 		return a.refuse(reason), true
 	}
 	defer a.p.waiting.release(len(a.q.Body))
+	a.comparedAt = time.Now()
 	return a.wait(ctx)
 }
 
@@ -282,6 +291,31 @@
 // client could not be told that it has not run.
 func (a *placing) isRetry() bool { return len(a.query.Select.Tried) > 0 }
 
+// hasWaited reports whether the request has waited for too long to be refused: a refusal must come
+// while the client can still make use of it.
+func (a *placing) hasWaited() bool {
+	return time.Since(a.q.Received) > a.q.Route.FirstEventObjective/refusalDivisor
+}
+
+// sooner reports whether another endpoint would serve a waiting request that has become late much
+// sooner. The queue that it waits in has grown by more urgent requests, while others may be idle.
+func (a *placing) sooner(ctx context.Context) bool {
+	now := time.Now()
+	if a.quote.FirstEventIn <= a.q.Route.FirstEventObjective-now.Sub(a.q.Received) || now.Sub(a.comparedAt) < compareInterval {
+		return false
+	}
+	a.comparedAt = now
+	a.query.Select.Now = now
+	proposals, quotes, _ := a.p.quoteProposals(ctx, a.q, a.query)
+	for i := range proposals {
+		other := proposals[i].Candidate.Endpoint != a.proposal.Candidate.Endpoint
+		if other && quotes[i].Known && quotes[i].Decision == scheduler.Start && quotes[i].FirstEventIn < a.quote.FirstEventIn/2 {
+			return true
+		}
+	}
+	return false
+}
+
 // take counts the request at its endpoint and tells the coordinator, unless it has reserved the
 // place.
 func (a *placing) take(reserved bool) (out Placement, done bool) {
@@ -321,7 +355,7 @@
 		}
 		a.schedule.Decision = a.quote.Decision.String()
 		switch {
-		case a.quote.Decision == scheduler.Refuse && a.isRetry():
+		case a.quote.Decision == scheduler.Refuse && (a.isRetry() || a.hasWaited()):
 			return a.p.fallBack(a.q, a.query, a.schedule), true
 		case a.quote.Decision == scheduler.Refuse:
 			return a.refuse(fmt.Sprintf("%s by %s: %s", reasonScheduled, a.quote.Coordinator, a.quote.Reason)), true
@@ -337,7 +371,7 @@
 			return Placement{Schedule: a.schedule}, true
 		case <-pause.C:
 		}
-		if !a.p.c.Registry.Available(a.query, a.proposal, time.Now()) {
+		if !a.p.c.Registry.Available(a.query, a.proposal, time.Now()) || a.sooner(ctx) {
 			a.p.c.Reserver.Withdraw(target, a.q.ID)
 			return Placement{}, false
 		}
--- a/internal/serve/placer/schedule_test.go
+++ b/internal/serve/placer/schedule_test.go
@@ -328,3 +328,69 @@
 		}
 	})
 }
+
+// Guards against requests that are refused while endpoints beyond the first few are idle.
+func TestRefusalAsksOtherEndpoints(t *testing.T) {
+	f := &fakeReserver{quote: func(e identifier.Endpoint) reserver.Quote {
+		if e == "i-7" {
+			return known(scheduler.Start, 40*time.Millisecond)
+		}
+		return known(scheduler.Refuse, time.Second)
+	}}
+	inPlacer(t, f, func(t *testing.T, p *Placer, r *registry.Registry) {
+		for i := range 4 {
+			listHost(t, r, fmt.Sprintf("i-%d", 4+i), inventory.StateLive)
+		}
+		// Endpoints in use are predicted to answer later, so that i-7 is not among the first few.
+		r.PickEndpoint("i-7")
+		if got := place(t.Context(), p, engineService); got.Pick == nil || got.Pick.Endpoint != "i-7" || f.asked != 2 {
+			t.Errorf("pick %+v after %d rounds of quotes", got.Pick, f.asked)
+		}
+	})
+}
+
+// Guards against a refusal that comes when the client can no longer make use of it: a request that has
+// waited for more than an eighth of its objective is sent to an endpoint.
+func TestRefusalAfterWaitingIsNotPassedOn(t *testing.T) {
+	f := &fakeReserver{quote: func(identifier.Endpoint) reserver.Quote { return known(scheduler.Wait, 500*time.Millisecond) }}
+	for _, c := range []struct {
+		polls   int
+		refused bool
+	}{{3, true}, {7, false}} {
+		f.reserved = 0
+		f.reserve = func(identifier.Endpoint) reserver.Quote {
+			if f.reserved > c.polls {
+				return known(scheduler.Refuse, time.Second)
+			}
+			return known(scheduler.Wait, 500*time.Millisecond)
+		}
+		inPlacer(t, f, func(t *testing.T, p *Placer, _ *registry.Registry) {
+			if got := place(t.Context(), p, engineService); (got.Refusal != nil) != c.refused || (got.Pick == nil) != c.refused {
+				t.Errorf("after %d polls: pick %+v, refusal %+v", c.polls, got.Pick, got.Refusal)
+			}
+		})
+	}
+}
+
+// Guards against a request that waits in a queue that has grown, until it is late, while another
+// endpoint could serve it at once.
+func TestLateWaitMovesToAnIdleEndpoint(t *testing.T) {
+	f := &fakeReserver{}
+	var first identifier.Endpoint
+	f.quote = func(e identifier.Endpoint) reserver.Quote {
+		if f.asked > 1 && e != first {
+			return known(scheduler.Start, 40*time.Millisecond)
+		}
+		return known(scheduler.Wait, 500*time.Millisecond)
+	}
+	f.reserve = func(e identifier.Endpoint) reserver.Quote {
+		first = e
+		return known(scheduler.Wait, 2*time.Second)
+	}
+	inPlacer(t, f, func(t *testing.T, p *Placer, _ *registry.Registry) {
+		got := place(t.Context(), p, engineService)
+		if got.Pick == nil || got.Pick.Endpoint == first || got.Schedule.Moved != 1 || len(f.withdrawn) != 1 {
+			t.Errorf("pick %+v, schedule %+v, withdrawn %v", got.Pick, got.Schedule, f.withdrawn)
+		}
+	})
+}
