--- a/internal/serve/placer/schedule.go
+++ b/internal/serve/placer/schedule.go
@@ -31,7 +31,10 @@
 	compareInterval = 100 * time.Millisecond
 	// refusalDivisor bounds how long a request may have waited when it is refused, as a part of its
 	// objective.
-	refusalDivisor = 8
+	refusalDivisor = 10
+	// maxRounds bounds how often endpoints are asked before a request is refused: a round takes a few
+	// milliseconds, and a refusal must not be held back.
+	maxRounds = 3
 	// remainingFraction of the time left is the longest that clients wait before they return.
 	remainingFraction = 1.0 / 3
 	// assumedTokens is the size that a request of a quota in requests is assumed to have.
@@ -120,33 +123,30 @@
 }
 
 // quoteProposals returns the endpoints to consider for a request, with what their coordinators
-// answered. If all of these refuse it, the next best ones are asked, once: a few endpoints may be
-// busy while others are not, as this daemon's own predictions don't see their queues.
+// answered. While all that were asked refuse it, the next best ones are asked, up to maxRounds times:
+// a few endpoints may be busy while others are not, as this daemon's own predictions don't see
+// their queues. If all refuse, those of the first round are returned: there the client's return meets
+// its booking.
 func (p *Placer) quoteProposals(ctx context.Context, q *request.Request, query *registry.Query) ([]registry.Proposal, []reserver.Quote, selector.Decision) {
-	proposals, d := p.c.Registry.Propose(query, p.coordinator)
-	if len(proposals) == 0 {
-		return nil, nil, d
-	}
-	quotes := p.c.Reserver.Quote(ctx, p.newRequest(q, query), targetsOf(proposals))
-	if !allRefuse(quotes) {
-		return proposals, quotes, d
+	first, decision := p.c.Registry.Propose(query, p.coordinator)
+	if len(first) == 0 {
+		return nil, nil, decision
 	}
+	firstQuotes := p.c.Reserver.Quote(ctx, p.newRequest(q, query), targetsOf(first))
 	others := *query
 	others.Select.Tried = slices.Clone(query.Select.Tried)
-	for i := range proposals {
-		others.Select.Tried = append(others.Select.Tried, proposals[i].Candidate.Endpoint)
-	}
-	more, next := p.c.Registry.Propose(&others, p.coordinator)
-	if len(more) == 0 {
-		return proposals, quotes, d
-	}
-	answers := p.c.Reserver.Quote(ctx, p.newRequest(q, query), targetsOf(more))
-	if allRefuse(answers) {
-		// The refusal comes from an endpoint of the first choice: the client's return meets its
-		// booking there.
-		return proposals, quotes, d
+	proposals, quotes, d := first, firstQuotes, decision
+	for round := 1; allRefuse(quotes); round++ {
+		for i := range proposals {
+			others.Select.Tried = append(others.Select.Tried, proposals[i].Candidate.Endpoint)
+		}
+		proposals, d = p.c.Registry.Propose(&others, p.coordinator)
+		if round == maxRounds || len(proposals) == 0 {
+			return first, firstQuotes, decision
+		}
+		quotes = p.c.Reserver.Quote(ctx, p.newRequest(q, query), targetsOf(proposals))
 	}
-	return more, answers, next
+	return proposals, quotes, d
 }
 
 // allRefuse reports whether all quotes are refusals.
@@ -276,7 +276,7 @@
 		return a.take(false)
 	}
 	a.schedule.Decision = a.quote.Decision.String()
-	if a.quote.Decision == scheduler.Start || a.quote.Decision == scheduler.Refuse && a.isRetry() {
+	if a.quote.Decision == scheduler.Start || a.quote.Decision == scheduler.Refuse && a.mustStart() {
 		return a.take(false)
 	}
 	if reason, ok := a.p.waiting.acquire(len(a.q.Body)); !ok {
@@ -287,14 +287,11 @@
 	return a.wait(ctx)
 }
 
-// isRetry reports whether the request may have run at another endpoint. It is not refused then, as its
-// client could not be told that it has not run.
-func (a *placing) isRetry() bool { return len(a.query.Select.Tried) > 0 }
-
-// hasWaited reports whether the request has waited for too long to be refused: a refusal must come
+// mustStart reports whether the request can no longer be refused. A retry can't, as its client could
+// not be told that it has not run. Nor can a request that has waited for long: a refusal must come
 // while the client can still make use of it.
-func (a *placing) hasWaited() bool {
-	return time.Since(a.q.Received) > a.q.Route.FirstEventObjective/refusalDivisor
+func (a *placing) mustStart() bool {
+	return len(a.query.Select.Tried) > 0 || time.Since(a.q.Received) > a.q.Route.FirstEventObjective/refusalDivisor
 }
 
 // sooner reports whether another endpoint would serve a waiting request that has become late much
@@ -355,8 +352,8 @@
 		}
 		a.schedule.Decision = a.quote.Decision.String()
 		switch {
-		case a.quote.Decision == scheduler.Refuse && (a.isRetry() || a.hasWaited()):
-			return a.p.fallBack(a.q, a.query, a.schedule), true
+		case a.quote.Decision == scheduler.Refuse && a.mustStart():
+			return Placement{}, false
 		case a.quote.Decision == scheduler.Refuse:
 			return a.refuse(fmt.Sprintf("%s by %s: %s", reasonScheduled, a.quote.Coordinator, a.quote.Reason)), true
 		case a.quote.Decision == scheduler.Start:
