One piece for what stood twice: hashes, refusals, queries, decisions, lateness

Now - assigner and selector share the bit mixer (core/mixer); - the scheduler, the placer and the shedder share what clients wait for at most (shedder.MaxRetryAfter); - Select and Compare share the expected cost of being late; - the placer's two queries share what request and service state, and whether a service's capacity is known is asked of the catalog in the gateway and the placer; - Preview makes the decision that PlaceSoonest will make, by the same function. It left out two inputs, the load parameters and the block that breaks ties, so that the previewed endpoint could be another, equal one; - digests and sums share the age from which a sign of life counts for nothing; - the autoscaler counts a pool's endpoints in one place, the leaser's random schedules draw their steps in one. A round of proposals that was never asked about is no longer computed. Comments of moves say why they happen. No test lost an assertion.

--- a/internal/config/catalog/catalog.go
+++ b/internal/config/catalog/catalog.go
@@ -121,6 +121,12 @@
 	Scale  *Scale
 }
 
+// HasCapacity reports whether the capacity of the service's engines is known. It is false for a nil
+// service.
+func (s *Service) HasCapacity() bool {
+	return s != nil && s.Engine != nil && s.Engine.Slots > 0 && s.Engine.MemoryTokens > 0
+}
+
 // Organisation is a customer with its API keys and quota.
 type Organisation struct {
 	Name identifier.Organisation
--- a/internal/fleet/autoscaler/autoscaler.go
+++ b/internal/fleet/autoscaler/autoscaler.go
@@ -388,6 +388,9 @@
 	return p
 }
 
+// listed returns the number of all endpoints.
+func (p pool) listed() int { return p.onDemand + p.reclaimable }
+
 // serving returns the number of endpoints that serve the load: all but those of the fullest zone,
 // which are spare for the loss of a zone. Where all other zones have lost theirs, the last zone's
 // endpoints serve the load: a new lease holder, which has not seen the others, would otherwise
--- a/internal/fleet/autoscaler/lateness.go
+++ b/internal/fleet/autoscaler/lateness.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"brasschute/internal/core/identifier"
-	"brasschute/internal/fleet/sizer"
 )
 
 const (
@@ -68,7 +67,7 @@
 // correct returns the needed number with what seen lateness adds.
 func (a *Autoscaler) correct(s *Service, needed float64, settling bool, now time.Time) float64 {
 	c := a.correction(s.Service)
-	before, endpoints := c.factor, listed(s.Zones)
+	before, endpoints := c.factor, newPool(s).listed()
 	c.observeLateness(s, float64(endpoints) >= needed*before, !settling && !a.loss(s.Service).recent(now), now)
 	if c.factor != before {
 		a.c.Logger.Info("lateness correction changed", "service", s.Service, "before", before, "factor", c.factor, "late_per_second", s.Demand.Late,
@@ -76,11 +75,3 @@
 	}
 	return needed * c.factor
 }
-
-// listed returns the number of listed endpoints.
-func listed(zones []sizer.Zone) (n int) {
-	for i := range zones {
-		n += zones[i].OnDemand + zones[i].Reclaimable
-	}
-	return n
-}
--- a/internal/fleet/leaser/heard_test.go
+++ b/internal/fleet/leaser/heard_test.go
@@ -147,10 +147,7 @@
 func TestHeardLeaseNeverTwoHolders(t *testing.T) {
 	steps := rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) heardStep {
 		return heardStep{
-			scheduleStep{
-				Who: rapid.IntRange(0, 2).Draw(rt, "who"), Pause: time.Duration(rapid.IntRange(0, 4000).Draw(rt, "ms")) * time.Millisecond,
-				Lose: rapid.IntRange(0, 4).Draw(rt, "lose") == 0, Down: rapid.IntRange(0, 4).Draw(rt, "down") == 0,
-			},
+			drawScheduleStep(rt),
 			rapid.IntRange(0, 7).Draw(rt, "hears"), rapid.IntRange(0, 7).Draw(rt, "late"),
 		}
 	}), 1, 60)
--- a/internal/fleet/leaser/leaser_test.go
+++ b/internal/fleet/leaser/leaser_test.go
@@ -176,15 +176,18 @@
 	Lose, Down bool
 }
 
+// drawScheduleStep draws a step of one of three candidates.
+func drawScheduleStep(rt *rapid.T) scheduleStep {
+	return scheduleStep{
+		Who: rapid.IntRange(0, 2).Draw(rt, "who"), Pause: time.Duration(rapid.IntRange(0, 4000).Draw(rt, "ms")) * time.Millisecond,
+		Lose: rapid.IntRange(0, 4).Draw(rt, "lose") == 0, Down: rapid.IntRange(0, 4).Draw(rt, "down") == 0,
+	}
+}
+
 func TestLeaseNeverTwoHolders(t *testing.T) {
 	// For any schedule of steps, pauses and faults of three candidates, at most one holds the
 	// lease and the fencing number never falls.
-	moves := rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) scheduleStep {
-		return scheduleStep{
-			Who: rapid.IntRange(0, 2).Draw(rt, "who"), Pause: time.Duration(rapid.IntRange(0, 4000).Draw(rt, "ms")) * time.Millisecond,
-			Lose: rapid.IntRange(0, 4).Draw(rt, "lose") == 0, Down: rapid.IntRange(0, 4).Draw(rt, "down") == 0,
-		}
-	}), 1, 60)
+	moves := rapid.SliceOfN(rapid.Custom(drawScheduleStep), 1, 60)
 	rapid.Check(t, func(rt *rapid.T) {
 		schedule := moves.Draw(rt, "schedule")
 		failure := ""
--- a/internal/peer/aggregator/sums.go
+++ b/internal/peer/aggregator/sums.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"brasschute/internal/peer/rpc"
+	"brasschute/internal/route/candidate"
 )
 
 const (
@@ -18,9 +19,6 @@
 	maxItems         = 8192
 	// minLoadRate is the rate below which an endpoint's load is a rounding error.
 	minLoadRate = 1e-9
-	// maxSignAge is the longest silence timeout of an attempt with an objective of 2 s. An older sign
-	// of life excuses no silence and is left out of messages.
-	maxSignAge = 4 * time.Second
 )
 
 // validAmount reports whether a number can be a sum.
@@ -115,7 +113,7 @@
 // too old to matter.
 func eventAge(sign, at time.Time) *uint32 {
 	age := at.Sub(sign)
-	if sign.IsZero() || age > maxSignAge {
+	if sign.IsZero() || age > candidate.MaxSignAge {
 		return nil
 	}
 	milli := uint32(max(age, 0) / time.Millisecond)
--- a/internal/peer/assigner/assigner.go
+++ b/internal/peer/assigner/assigner.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"brasschute/internal/core/identifier"
+	"brasschute/internal/core/mixer"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -72,7 +73,7 @@
 	}
 	endpoint, highest := xxhash.Sum64String(string(e)), uint64(0)
 	for i := range list {
-		h := mix(endpoint ^ list[i].hash)
+		h := mixer.Mix(endpoint ^ list[i].hash)
 		if !ok || h > highest || h == highest && list[i].Host < d.Host {
 			d, highest, ok = list[i].Daemon, h, true
 		}
@@ -90,10 +91,3 @@
 		a.zones[d.Zone] = append(a.zones[d.Zone], h)
 	}
 }
-
-// mix spreads the bits of a combined hash (the finalizer of SplitMix64).
-func mix(x uint64) uint64 {
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
--- a/internal/role/gateway/scheduling.go
+++ b/internal/role/gateway/scheduling.go
@@ -80,7 +80,7 @@
 		return c, false
 	}
 	s := current.Service(name)
-	if s == nil || s.Engine == nil || s.Engine.Slots <= 0 || s.Engine.MemoryTokens <= 0 {
+	if !s.HasCapacity() {
 		return c, false
 	}
 	return scheduler.Config{Slots: s.Engine.Slots, MemoryTokens: s.Engine.MemoryTokens, TokensPerSecond: float64(g.estimator.Estimate(name, now).Speed)}, true
--- a/internal/route/candidate/activity.go
+++ b/internal/route/candidate/activity.go
@@ -13,6 +13,10 @@
 // to a partitioned zone until the kernel closes its connections, about three seconds later.
 const silentTime = 400 * time.Millisecond
 
+// MaxSignAge is the longest silence timeout of an attempt with an objective of 2 s. An older sign of
+// life excuses no silence and is left out of messages.
+const MaxSignAge = 4 * time.Second
+
 // Activity records when an endpoint last showed a sign of life: an event of a stream or a response
 // that it delivered to this daemon, or to another one. It is shared by all requests to the endpoint
 // and safe for concurrent use.
--- a/internal/route/registry/load.go
+++ b/internal/route/registry/load.go
@@ -18,18 +18,13 @@
 // Loads returns the load that this daemon sends to each endpoint that it uses substantially. For
 // other endpoints that lately showed a sign of life it returns only the time of that sign.
 func (r *Registry) Loads(now time.Time) []Load {
-	const (
-		minRate = 300 // tokens per second, a hundredth of an engine's prefill rate
-		// maxSignAge is the longest silence timeout of an attempt with an objective of 2 s: older
-		// signs excuse no silence.
-		maxSignAge = 4 * time.Second
-	)
+	const minRate = 300 // tokens per second, a hundredth of an engine's prefill rate
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var out []Load
 	r.forEach(func(c *candidate.Candidate) {
 		l := Load{Endpoint: c.Endpoint, StartTime: c.StartTime}
-		if sign := c.Activity.Signs().Own; now.Sub(sign) <= maxSignAge {
+		if sign := c.Activity.Signs().Own; now.Sub(sign) <= candidate.MaxSignAge {
 			l.LastSign = sign
 		}
 		rate := c.RecentTokenRate(now)
--- a/internal/route/registry/outlook.go
+++ b/internal/route/registry/outlook.go
@@ -24,21 +24,12 @@
 func (r *Registry) Preview(k *Pick, q *Query) Outlook {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	p := r.pools[q.Pool]
-	if p == nil {
-		return Outlook{}
-	}
-	if q.Select.Versions.MajorityOnly && len(p.versions) > 1 {
-		q.Select.Versions.Only = p.majorityVersion
-	}
-	r.matchPrefix(p, q)
-	p.refresh(q.Select.Now)
-	r.markLimited(p, q.Select.Now)
+	_, d := r.decide(q)
 	out := Outlook{}
 	if c := r.find(k); c != nil {
 		out.Queue = queueTime(c, q.Select.PrefillRate)
 	}
-	if d := r.c.Select(&q.Select, p.candidates, p.cached, p.scratch); d.Index != selector.None {
+	if d.Index != selector.None {
 		out.Alternative, out.FirstToken = d.Chosen.Endpoint, d.Chosen.FirstToken
 	}
 	return out
--- a/internal/route/scheduler/bookings.go
+++ b/internal/route/scheduler/bookings.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"brasschute/internal/core/identifier"
+	"brasschute/internal/route/shedder"
 )
 
 const (
@@ -19,10 +20,8 @@
 	earlyTolerance = 10 * time.Millisecond
 	lateTolerance  = 500 * time.Millisecond
 	// minRetryAfter keeps refused clients from returning before anything has changed. Clients wait for
-	// no longer than remainingFraction of the time until their deadline, and for maxHorizon at most,
-	// also if no place is left.
-	minRetryAfter     = 200 * time.Millisecond
-	remainingFraction = 1.0 / 3
+	// no longer than shedder.MaxRetryAfter, and for maxHorizon at most, also if no place is left.
+	minRetryAfter = 200 * time.Millisecond
 	// The most urgent requests may book urgentFill of what fits into a bucket, each less urgent rank
 	// rankFill less, down to minFill. So urgent requests find room before the others. Some clients don't
 	// return, so that a bucket may be overbooked: with more, those that return find the engine taken
@@ -84,7 +83,7 @@
 	if known != nil && !known.isDue(now) {
 		return known, "keeps its place"
 	}
-	latest := now.Add(min(time.Duration(remainingFraction*float64(max(r.TimeLeft, 0))), maxHorizon))
+	latest := now.Add(min(shedder.MaxRetryAfter(r.TimeLeft), maxHorizon))
 	without := &booking{at: latest}
 	if known == nil && len(b.byFingerprint) >= maxBookings {
 		return without, "no place left, a third of the remaining time: too many bookings"
--- a/internal/route/selector/model.go
+++ b/internal/route/selector/model.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"brasschute/internal/core/identifier"
+	"brasschute/internal/core/mixer"
 	"brasschute/internal/route/candidate"
 )
 
@@ -32,13 +33,6 @@
 	return ratio * ratio / 2
 }
 
-// mix spreads the bits of a combined hash (the finalizer of SplitMix64).
-func mix(x uint64) uint64 {
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
 // mostCached returns the largest number of prompt tokens that any candidate has cached.
 func mostCached(cached []identifier.Tokens) identifier.Tokens {
 	var most identifier.Tokens
@@ -93,13 +87,24 @@
 		if c.Leaving || c.Unavailable || c.PricePerSecond > cheapest+premium || !v.Allow(c) {
 			continue
 		}
-		if h := mix(prefix ^ c.Hash); best == None || h > highest {
+		if h := mixer.Mix(prefix ^ c.Hash); best == None || h > highest {
 			best, highest = i, h
 		}
 	}
 	return best
 }
 
+// costOfLateness returns the expected cost of a first token after the target, given the predicted time
+// to first token in seconds.
+func (m *model) costOfLateness(c *candidate.Candidate, firstToken float64) float64 {
+	late := m.lateness(firstToken)
+	if c.PeerBackingOff {
+		// An endpoint that asked another daemon to back off will most likely refuse this one, too.
+		late = 1
+	}
+	return m.q.LateCost * late
+}
+
 // model holds the inputs that the predictions for all candidates share. Times are in seconds.
 type model struct {
 	q                      *Query
--- a/internal/route/selector/option.go
+++ b/internal/route/selector/option.go
@@ -56,10 +56,6 @@
 	if !o.Home {
 		p.Cost += m.awayCost
 	}
-	late := m.lateness(p.FirstToken)
-	if c.PeerBackingOff {
-		late = 1
-	}
-	p.Cost += m.q.LateCost * late
+	p.Cost += m.costOfLateness(c, p.FirstToken)
 	return p
 }
--- a/internal/route/selector/selector.go
+++ b/internal/route/selector/selector.go
@@ -39,6 +39,7 @@
 	"time"
 
 	"brasschute/internal/core/identifier"
+	"brasschute/internal/core/mixer"
 	"brasschute/internal/route/candidate"
 )
 
@@ -207,7 +208,7 @@
 		if foundOwn && !own {
 			continue
 		}
-		h := mix(seed ^ candidates[i].Hash)
+		h := mixer.Mix(seed ^ candidates[i].Hash)
 		if d.Index == None || own && !foundOwn || h > highest {
 			highest = h
 			d.Index = i
@@ -222,13 +223,7 @@
 	least := math.MaxFloat64
 	for i := range scratch {
 		if scratch[i].FirstToken >= 0 {
-			late := m.lateness(scratch[i].FirstToken)
-			if candidates[i].PeerBackingOff {
-				// An endpoint that asked another daemon to back off will most likely refuse this
-				// one, too.
-				late = 1
-			}
-			scratch[i].Cost += q.LateCost * late
+			scratch[i].Cost += m.costOfLateness(&candidates[i], scratch[i].FirstToken)
 			least = min(least, scratch[i].Cost)
 		}
 	}
@@ -237,7 +232,7 @@
 		if p.FirstToken < 0 || p.Cost > least+costTolerance*max(q.LateCost, 1) {
 			continue
 		}
-		if h := mix(q.Seed ^ candidates[i].Hash); d.Index == None || h > highest {
+		if h := mixer.Mix(q.Seed ^ candidates[i].Hash); d.Index == None || h > highest {
 			highest, d.Index = h, i
 		}
 	}
--- a/internal/route/shedder/shedder.go
+++ b/internal/route/shedder/shedder.go
@@ -72,6 +72,12 @@
 	return max(minClientTimeout, objectiveFactor*r.FirstEventObjective, gapFactor*r.EventGapObjective)
 }
 
+// MaxRetryAfter returns the longest Retry-After that a client honours, given the time until its
+// deadline.
+func MaxRetryAfter(remaining time.Duration) time.Duration {
+	return max(time.Duration(remainingFraction*float64(remaining)), 0)
+}
+
 // Decide decides whether to refuse a request that has not been sent yet.
 func Decide(in *Input) Decision {
 	d := Decision{MaxDelay: in.Remaining}
@@ -89,6 +95,6 @@
 	after := time.Duration(float64(in.QueueDelay-in.Route.FirstEventObjective/2) * factor)
 	after = max(after, minRetryAfter)
 	after += rand.N(after/2 + 1)
-	d.RetryAfter = max(min(after, time.Duration(remainingFraction*float64(in.Remaining))), 0)
+	d.RetryAfter = min(after, MaxRetryAfter(in.Remaining))
 	return d
 }
--- a/internal/serve/placer/placer.go
+++ b/internal/serve/placer/placer.go
@@ -102,28 +102,35 @@
 	return Placement{Pick: pick, Decision: d}
 }
 
-// query returns the query for an endpoint.
+// query returns the query for the endpoint with the lowest cost, that of being late included.
 func (p *Placer) query(q *request.Request, s *catalog.Service, tried []identifier.Endpoint, v selector.VersionFilter) *registry.Query {
+	query := p.baseQuery(q, s, tried, v)
+	query.Select.Target = max(q.Route.FirstEventObjective-query.Select.Now.Sub(q.Received), time.Millisecond)
+	query.Select.RecomputeWeight, query.Select.LateCost = recomputeWeight, lateCost(q)
+	query.Select.CrossZoneCost = zoneCostPerByte * float64(len(q.Body)+eventBytes*int(q.OutputTokens)/tokensPerEvent(s))
+	// The last block identifies the whole shared prefix.
+	if n := len(query.Blocks); n > 0 && query.Sizes[n-1] >= minHomeTokens {
+		query.Select.Prefix, query.Select.PriorTokens = uint64(query.Blocks[n-1]), query.Sizes[n-1]
+	}
+	return query
+}
+
+// baseQuery returns a query with what a request and its service state, without target and costs.
+func (p *Placer) baseQuery(q *request.Request, s *catalog.Service, tried []identifier.Endpoint, v selector.VersionFilter) *registry.Query {
 	now := time.Now()
 	blocks, sizes := prefixBlocks(q)
 	query := &registry.Query{
 		Pool: identifier.Pool(q.Service), Blocks: blocks, Sizes: sizes,
 		Select: selector.Query{
 			Now: now, Seed: streamer.RoutingSeed(q.ID), Zone: p.c.Zone, PromptTokens: q.PromptTokens, OutputTokens: q.OutputTokens,
-			MaxInFlight: maxPlainInFlight, Target: max(q.Route.FirstEventObjective-now.Sub(q.Received), time.Millisecond),
-			PrefillRate: int(p.c.Estimator.Estimate(q.Service, now).Speed), DecodeRate: int(time.Second / p.c.Estimator.TokenInterval(q.Service)),
-			RecomputeWeight: recomputeWeight, Tried: tried, Versions: v, LateCost: lateCost(q),
-			CrossZoneCost: zoneCostPerByte * float64(len(q.Body)+eventBytes*int(q.OutputTokens)/tokensPerEvent(s)),
+			MaxInFlight: maxPlainInFlight, PrefillRate: int(p.c.Estimator.Estimate(q.Service, now).Speed),
+			DecodeRate: int(time.Second / p.c.Estimator.TokenInterval(q.Service)), Tried: tried, Versions: v,
 		},
 	}
 	if s != nil && s.Engine != nil {
 		query.Select.Slots = max(s.Engine.Slots, 1)
 		query.Select.MaxInFlight = query.Select.Slots
 	}
-	// The last block identifies the whole shared prefix.
-	if n := len(blocks); n > 0 && sizes[n-1] >= minHomeTokens {
-		query.Select.Prefix, query.Select.PriorTokens = uint64(blocks[n-1]), sizes[n-1]
-	}
 	return query
 }
 
--- a/internal/serve/placer/schedule.go
+++ b/internal/serve/placer/schedule.go
@@ -18,8 +18,8 @@
 )
 
 const (
-	// maxPlacings bounds how often a request is placed anew because its endpoint left while it
-	// waited. After that it is placed by this daemon's own prediction.
+	// maxPlacings bounds how often a waiting request is placed anew, as its endpoint left, refused it
+	// late or is slower than another one. After that it is placed by this daemon's own prediction.
 	maxPlacings = 8
 	// minPause and maxPause bound the pause before a coordinator is asked again: a call takes a few
 	// milliseconds, and with a call's time-out no request waits longer for a silent coordinator than
@@ -35,8 +35,6 @@
 	// maxRounds bounds how often endpoints are asked before a request is refused: a round takes a few
 	// milliseconds, and a refusal must not be held back.
 	maxRounds = 3
-	// remainingFraction of the time left is the longest that clients wait before they return.
-	remainingFraction = 1.0 / 3
 	// assumedTokens is the size that a request of a quota in requests is assumed to have.
 	// minWeight and maxWeight bound the weights of organisations.
 	assumedTokens = 8000
@@ -84,7 +82,7 @@
 	// then on.
 	Waited    time.Duration
 	Predicted time.Duration
-	// Moved counts how often the request was placed anew because its endpoint left.
+	// Moved counts how often the request was placed anew while it waited.
 	Moved int
 }
 
@@ -95,7 +93,7 @@
 // its tokens and its objective must be known. The answer of a route of another kind than streaming is
 // reported at its end, which would look like a very late first event to the model of the engine.
 func (p *Placer) isScheduled(q *request.Request, s *catalog.Service) bool {
-	return p.c.Reserver != nil && s != nil && s.Engine != nil && s.Engine.Slots > 0 && s.Engine.MemoryTokens > 0 &&
+	return p.c.Reserver != nil && s.HasCapacity() &&
 		q.HasTokenCounts && q.Route.Kind == catalog.Streaming && q.Route.FirstEventObjective > 0
 }
 
@@ -140,8 +138,11 @@
 		for i := range proposals {
 			others.Select.Tried = append(others.Select.Tried, proposals[i].Candidate.Endpoint)
 		}
+		if round == maxRounds {
+			return first, firstQuotes, decision
+		}
 		proposals, d = p.c.Registry.Propose(&others, p.coordinator)
-		if round == maxRounds || len(proposals) == 0 {
+		if len(proposals) == 0 {
 			return first, firstQuotes, decision
 		}
 		quotes = p.c.Reserver.Quote(ctx, p.newRequest(q, query), targetsOf(proposals))
@@ -268,8 +269,8 @@
 	comparedAt time.Time
 }
 
-// run places the request, waits or refuses it as its quote says. done is false if the endpoint no
-// longer takes it, so that it must be placed anew.
+// run places the request, waits or refuses it as its quote says. done is false if the request must be
+// placed anew.
 func (a *placing) run(ctx context.Context) (out Placement, done bool) {
 	if !a.quote.Known {
 		a.schedule.Decision = fallbackDecision
@@ -332,8 +333,8 @@
 // refuse returns the placement of a request that is refused.
 func (a *placing) refuse(reason string) Placement {
 	after := a.quote.RetryAfter
-	if longest := time.Duration(remainingFraction * float64(time.Until(a.q.Deadline()))); after <= 0 || after > longest {
-		after = max(longest, 0)
+	if longest := shedder.MaxRetryAfter(time.Until(a.q.Deadline())); after <= 0 || after > longest {
+		after = longest
 	}
 	a.schedule.Decision = scheduler.Refuse.String()
 	return Placement{Decision: a.decision, Schedule: a.schedule, Refusal: &Refusal{Reason: reason, RetryAfter: after}}
--- a/internal/serve/placer/sooner.go
+++ b/internal/serve/placer/sooner.go
@@ -9,7 +9,6 @@
 	"brasschute/internal/route/registry"
 	"brasschute/internal/route/selector"
 	"brasschute/internal/serve/request"
-	"brasschute/internal/serve/streamer"
 )
 
 // PlaceSoonest chooses the endpoint that is predicted to answer a request soonest, and counts the
@@ -34,19 +33,7 @@
 // soonestQuery asks for the endpoint with the earliest first event. No endpoint meets the target, so
 // that the costs decide nothing.
 func (p *Placer) soonestQuery(q *request.Request, s *catalog.Service, tried []identifier.Endpoint, v selector.VersionFilter) *registry.Query {
-	now := time.Now()
-	blocks, sizes := prefixBlocks(q)
-	query := &registry.Query{
-		Pool: identifier.Pool(q.Service), Blocks: blocks, Sizes: sizes,
-		Select: selector.Query{
-			Now: now, Seed: streamer.RoutingSeed(q.ID), Zone: p.c.Zone, PromptTokens: q.PromptTokens, OutputTokens: q.OutputTokens, MaxInFlight: maxPlainInFlight,
-			Target: time.Nanosecond, PrefillRate: int(p.c.Estimator.Estimate(q.Service, now).Speed),
-			DecodeRate: int(time.Second / p.c.Estimator.TokenInterval(q.Service)), Tried: tried, Versions: v,
-		},
-	}
-	if s != nil && s.Engine != nil {
-		query.Select.Slots = max(s.Engine.Slots, 1)
-		query.Select.MaxInFlight = query.Select.Slots
-	}
+	query := p.baseQuery(q, s, tried, v)
+	query.Select.Target = time.Nanosecond
 	return query
 }
