--- a/internal/peer/aggregator/sums.go
+++ b/internal/peer/aggregator/sums.go
@@ -100,9 +100,9 @@
 	}
 }
 
-// signOf returns when the endpoint of a load showed its last sign of life, given when the load was
+// SignOf returns when the endpoint of a load showed its last sign of life, given when the load was
 // heard of; zero if unknown.
-func signOf(l *rpc.EndpointLoad, heardAt time.Time) time.Time {
+func SignOf(l *rpc.EndpointLoad, heardAt time.Time) time.Time {
 	if l.EventAgeMilli == nil {
 		return time.Time{}
 	}
@@ -208,7 +208,7 @@
 		sum.running += int64(factor) * int64(l.GetRunning())
 		sum.tokens += factor * l.GetTokensPerSecond()
 		sum.unread += factor * l.GetUnreadTokens()
-		sum.addSign(signOf(l, heardAt))
+		sum.addSign(SignOf(l, heardAt))
 	}
 }
 
--- a/internal/role/gateway/loads.go
+++ b/internal/role/gateway/loads.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"brasschute/internal/core/identifier"
+	"brasschute/internal/peer/aggregator"
 	"brasschute/internal/peer/rpc"
 	"brasschute/internal/route/candidate"
 )
@@ -44,10 +45,8 @@
 		sum.TokensPerSecond += l.GetTokensPerSecond()
 		sum.Running += int(l.GetRunning())
 		sum.PendingPrefill += l.GetUnreadTokens()
-		if l.EventAgeMilli != nil {
-			if sign := asOf.Add(-time.Duration(l.GetEventAgeMilli()) * time.Millisecond); sign.After(sum.LastSign) {
-				sum.LastSign = sign
-			}
+		if sign := aggregator.SignOf(l, asOf); sign.After(sum.LastSign) {
+			sum.LastSign = sign
 		}
 		sent[endpoint] = sum
 	}
