relayer, accesslogger: lines state the version of each attempt and where a stream goes on

Our lines could not tell a daemon that continues a stream at another version from one at which a client takes it up: they stated no versions, and not that a request continues a stream. An attempt now states its endpoint's version and the event after which it goes on, a request the attempt that brought its first event (Resumes). No decision changes.

--- a/internal/ops/accesslogger/accesslogger.go
+++ b/internal/ops/accesslogger/accesslogger.go
@@ -107,6 +107,9 @@
 	if q.Organisation != nil {
 		fields = append(fields, "organisation", q.Organisation.Name)
 	}
+	if q.LastEventNumber > 0 {
+		fields = append(fields, "after_event", q.LastEventNumber, "resumes", q.Resumes)
+	}
 	if r.Fingerprint != "" {
 		fields = append(fields, "fingerprint", r.Fingerprint)
 	}
@@ -155,7 +158,14 @@
 		if a.Peer != "" {
 			peer = " through " + string(a.Peer)
 		}
-		fmt.Fprintf(&b, "%s%s at %dms predicted %dms cached %d%s took %dms: %s", a.Endpoint, peer, a.At.Milliseconds(),
+		version, after := "", ""
+		if a.Version != "" {
+			version = " version " + string(a.Version)
+		}
+		if a.AfterEvent > 0 {
+			after = fmt.Sprintf(" after event %d", a.AfterEvent)
+		}
+		fmt.Fprintf(&b, "%s%s%s%s at %dms predicted %dms cached %d%s took %dms: %s", a.Endpoint, version, after, peer, a.At.Milliseconds(),
 			a.Predicted.Milliseconds(), a.Cached, exact, a.Took.Milliseconds(), a.Outcome)
 	}
 	return b.String()
--- a/internal/serve/relayer/relayer.go
+++ b/internal/serve/relayer/relayer.go
@@ -169,9 +169,14 @@
 
 // Attempt describes one attempt, for the log and for explanations.
 type Attempt struct {
-	Endpoint  identifier.Endpoint
-	Predicted time.Duration
-	Cached    identifier.Tokens
+	Endpoint identifier.Endpoint
+	// Version is the version of the endpoint's software.
+	Version identifier.Version
+	// AfterEvent is the number of the event after which the attempt continues the stream; 0 for a
+	// new one.
+	AfterEvent int
+	Predicted  time.Duration
+	Cached     identifier.Tokens
 	// Exact: these figures are those of the endpoint's coordinator.
 	Exact bool
 	// At is the time from the arrival of the request to the start of the attempt, Took
@@ -355,7 +360,7 @@
 	}
 	chosen := &placed.Decision.Chosen
 	j.res.Attempts = append(j.res.Attempts, Attempt{
-		Endpoint: pick.Endpoint, Predicted: chosen.FirstToken, Cached: chosen.Cached, Exact: pick.Exact, At: time.Since(j.q.Received),
+		Endpoint: pick.Endpoint, Version: pick.Version, AfterEvent: j.lastEvent, Predicted: chosen.FirstToken, Cached: chosen.Cached, Exact: pick.Exact, At: time.Since(j.q.Received),
 	})
 	return pick, false
 }
--- a/internal/serve/request/request.go
+++ b/internal/serve/request/request.go
@@ -57,6 +57,9 @@
 	HasTokenCounts bool
 	// LastEventNumber is the number of the last event that the client has, 0 for none.
 	LastEventNumber int
+	// Resumes is the client attempt that brought the first event of the stream that the request
+	// continues, as the client states it; empty if it does not.
+	Resumes identifier.Request
 
 	fingerprint identifier.Fingerprint
 }
