--- a/internal/role/gateway/engines_test.go
+++ b/internal/role/gateway/engines_test.go
@@ -76,6 +76,10 @@
 	refuses func(place int) bool
 	// refusesID does so by place and id; nil means that none does.
 	refusesID func(place int, id string) bool
+	// version returns the version of an engine's software; nil means that engines state none.
+	version func(place int) string
+	// behave returns the behaviour of an engine that runs a request; nil serves all.
+	behave func(place int, r *http.Request) hosting.Behaviour
 
 	mu      sync.Mutex
 	started int
@@ -152,8 +156,12 @@
 	if e.sameIDs {
 		id = fmt.Sprintf("i-%03d", place)
 	}
+	version := ""
+	if e.version != nil {
+		version = e.version(place)
+	}
 	engine := hosting.NewEngine(hosting.Config{
-		ID: id, Service: modelService, Zone: fmt.Sprintf("zone-%d", place%e.f.zones), Address: address.String(), StreamLength: engineEvents,
+		Version: version, ID: id, Service: modelService, Zone: fmt.Sprintf("zone-%d", place%e.f.zones), Address: address.String(), StreamLength: engineEvents,
 		StartedUnixMilli: time.Now().UnixMilli(),
 	})
 	server := &http.Server{}
@@ -173,6 +181,9 @@
 				time.Sleep(slowRunTime)
 			}
 			time.Sleep(runTime)
+			if e.behave != nil {
+				return e.behave(place, r)
+			}
 			return hosting.Serve
 		}
 		e.mu.Lock()
@@ -297,6 +308,11 @@
 
 // ask sends a body to one daemon over a new connection.
 func (f *testFleet) ask(daemon int, path, body string) clientReply {
+	return f.askWith(daemon, path, body, map[string]string{"Request-Id": f.nextID()})
+}
+
+// askWith is like ask, with further headers.
+func (f *testFleet) askWith(daemon int, path, body string, headers map[string]string) clientReply {
 	host := f.network.Host(storeLink)
 	client := &http.Client{Transport: &http.Transport{DialContext: host.DialContext, DisableKeepAlives: true}}
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
@@ -307,13 +323,15 @@
 		return clientReply{}
 	}
 	r.Host = modelHost
-	r.Header.Set("Request-Id", f.nextID())
 	r.Header.Set("Deadline-Ms", "15000")
 	r.Header.Set("Authorization", "Bearer "+deskKey)
 	if !f.withoutTokens {
 		r.Header.Set("Token-Count", fmt.Sprint(promptTokens, ",100"))
 	}
 	r.Header.Set(askedHeader, fmt.Sprint(daemon))
+	for name, value := range headers {
+		r.Header.Set(name, value)
+	}
 	resp, err := client.Do(r)
 	if err != nil {
 		return clientReply{text: err.Error()}
--- /dev/null
+++ b/internal/role/gateway/versions_test.go
@@ -0,0 +1,193 @@
+package gateway
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"brasschute/internal/standin/hosting"
+)
+
+const (
+	// versionedStreams is the number of streams that a check breaks off.
+	versionedStreams = 60
+	// retriedStream is the body of streams that engines break off until their client takes them up,
+	// brokenStream that of streams that only the first engine breaks off.
+	retriedStream = "broken off until it is taken up"
+	brokenStream  = "broken off once"
+)
+
+// streamRun is a run of a stream at an engine.
+type streamRun struct {
+	version string
+	after   int
+}
+
+// versionedFleet is a fleet of daemons in front of engines of two versions, which break streams off in the
+// middle. Half of the engines have each version.
+type versionedFleet struct {
+	*testFleet
+	engines *engineFleet
+
+	mu sync.Mutex
+	// runs are the runs of each stream, by the client attempt that began it.
+	runs map[string][]streamRun
+}
+
+// inVersionedFleet runs a check once all daemons know each other.
+func inVersionedFleet(t *testing.T, daemons int, check func(v *versionedFleet)) {
+	t.Helper()
+	inPausedTime(t, func(t *testing.T) {
+		f := newTestFleet(t)
+		defer f.end()
+		f.rate = wideLink
+		v := &versionedFleet{testFleet: f, runs: make(map[string][]streamRun)}
+		v.engines = f.prepareEngines(func(string) bool { return false })
+		v.engines.version = func(place int) string { return fmt.Sprintf("v%d", place%2) }
+		v.engines.behave = v.behave
+		v.engines.startAll()
+		f.start(daemons)
+		f.settle()
+		check(v)
+	})
+}
+
+// behave records a run and breaks it off as its body says.
+func (v *versionedFleet) behave(place int, r *http.Request) hosting.Behaviour {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	stream, resumed := r.Header.Get("Request-Id"), r.Header.Get("Resumes")
+	if resumed != "" {
+		stream = resumed
+	}
+	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	v.runs[stream] = append(v.runs[stream], streamRun{v.engines.version(place), after})
+	broken := r.Header.Get("Body-Text") == retriedStream && resumed == "" || r.Header.Get("Body-Text") == brokenStream && after == 0
+	if broken {
+		return hosting.TruncateAnswer
+	}
+	return hosting.Serve
+}
+
+// begin starts a stream at a daemon and returns its id and what the client received.
+func (v *versionedFleet) begin(daemon int, body string) (id string, r clientReply) {
+	id = v.nextID()
+	return id, v.askWith(daemon, resumePath, body, map[string]string{"Request-Id": id})
+}
+
+// takeUp asks a daemon for the rest of a stream.
+func (v *versionedFleet) takeUp(daemon int, id string, received clientReply, body string) clientReply {
+	return v.askWith(daemon, resumePath, body, map[string]string{
+		"Request-Id": v.nextID(), "Resumes": id, "Last-Event-Id": fmt.Sprint(countEvents(received.text)),
+	})
+}
+
+// countEvents counts the whole events of a stream.
+func countEvents(text string) int { return bytes.Count([]byte(text), []byte("\n\n")) }
+
+// ofTwoVersions counts the streams that went on at another version than the one that began them.
+func (v *versionedFleet) ofTwoVersions() (n int) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, list := range v.runs {
+		for _, run := range list {
+			if run.after > 0 && run.version != list[0].version {
+				n++
+				break
+			}
+		}
+	}
+	return n
+}
+
+// allowedOfTwoVersions is the number of streams that may hold events of two versions.
+const allowedOfTwoVersions = 2
+
+// Guards against a stream that its daemon continues, within one response, at another version.
+func TestBrokenStreamContinuesAtItsVersion(t *testing.T) {
+	inVersionedFleet(t, 8, func(v *versionedFleet) {
+		complete := 0
+		for n := range versionedStreams {
+			if _, r := v.begin(n%len(v.daemons), brokenStream); r.complete {
+				complete++
+			}
+		}
+		v.check(complete, versionedStreams)
+	})
+}
+
+// Guards against a stream that a client takes up at another daemon, which continues it at another version.
+func TestStreamTakenUpElsewhereContinuesAtItsVersion(t *testing.T) {
+	inVersionedFleet(t, 8, func(v *versionedFleet) {
+		complete := 0
+		for n := range versionedStreams {
+			id, r := v.begin(n%len(v.daemons), retriedStream)
+			if r = v.takeUp((n+1+n/len(v.daemons))%len(v.daemons), id, r, retriedStream); endsWhole(r) {
+				complete++
+			}
+		}
+		v.check(complete, versionedStreams)
+	})
+}
+
+// Guards against streams that are lost, or go on at another version, when three of eight daemons end at once.
+func TestStreamsOfEndedDaemonsContinueAtTheirVersion(t *testing.T) {
+	inVersionedFleet(t, 8, func(v *versionedFleet) {
+		const ended = 3
+		var ids []string
+		var received []clientReply
+		for n := range versionedStreams {
+			id, r := v.begin(n%ended, retriedStream)
+			ids, received = append(ids, id), append(received, r)
+		}
+		for i := range ended {
+			v.networks[i].isolated.Store(true)
+		}
+		complete := 0
+		for n, id := range ids {
+			if endsWhole(v.takeUp(ended+n%(len(v.daemons)-ended), id, received[n], retriedStream)) {
+				complete++
+			}
+		}
+		v.check(complete, versionedStreams)
+	})
+}
+
+// Guards against a daemon without contact to others that guesses at which version a stream goes on.
+func TestIsolatedDaemonContinuesNoStreamAtAnotherVersion(t *testing.T) {
+	inVersionedFleet(t, 8, func(v *versionedFleet) {
+		v.networks[0].isolated.Store(true)
+		time.Sleep(startTime)
+		v.networks[0].isolated.Store(false)
+		v.refuseStoreCalls("front-0")
+		for n := range versionedStreams {
+			id, r := v.begin(1+n%(len(v.daemons)-1), retriedStream)
+			v.takeUp(0, id, r, retriedStream)
+		}
+		if n := v.ofTwoVersions(); n > allowedOfTwoVersions {
+			v.t.Errorf("%d of %d streams went on at another version", n, versionedStreams)
+		}
+	})
+}
+
+// endsWhole reports whether a reply brought the end of a stream.
+func endsWhole(r clientReply) bool {
+	return r.status == http.StatusOK && strings.HasSuffix(r.text, hosting.EventText(engineEvents))
+}
+
+// check checks the versions of all streams, and that at least half of them, as of new ones, went on.
+func (v *versionedFleet) check(complete, streams int) {
+	v.t.Helper()
+	v.t.Logf("%d of %d streams went on, %d at another version", complete, streams, v.ofTwoVersions())
+	if n := v.ofTwoVersions(); n > allowedOfTwoVersions {
+		v.t.Errorf("%d of %d streams went on at another version", n, streams)
+	}
+	if complete < streams/2 {
+		v.t.Errorf("%d of %d streams went on", complete, streams)
+	}
+}
