origintracker: a stream goes on only at the version that began it

Cause: nothing tied a stream to the version of the engine that began it. Class: what an earlier step has decided for good was not kept for the later ones.

Now a stream is bound to the version of its first event. The daemon that relays that event records the version before it passes it on, and copies the record to two daemons that the id selects, unless the service is proved to have had one version only. A daemon at which a stream is taken up continues it only at the recorded version, or at the sole one; otherwise it refuses at once. Records state what happened and never change, so a lost one ends a stream and can't garble it. The share of a version that is rolled out includes streams that continue there.

--- a/internal/ops/accesslogger/accesslogger.go
+++ b/internal/ops/accesslogger/accesslogger.go
@@ -110,6 +110,9 @@
 	if q.LastEventNumber > 0 {
 		fields = append(fields, "after_event", q.LastEventNumber, "resumes", q.Resumes)
 	}
+	if o := r.Origin; o != nil {
+		fields = append(fields, "origin", fmt.Sprintf("%s %s, %d of %d daemons answered", o.Source, o.Version, o.Answered, o.Asked))
+	}
 	if r.Fingerprint != "" {
 		fields = append(fields, "fingerprint", r.Fingerprint)
 	}
--- a/internal/peer/assigner/assigner.go
+++ b/internal/peer/assigner/assigner.go
@@ -1,4 +1,4 @@
-// Package assigner determines which daemon coordinates an endpoint.
+// Package assigner determines which daemon coordinates an endpoint, and which daemons keep a record.
 //
 // All daemons must find the same coordinator without communication, and must spread the endpoints
 // evenly over the daemons. The coordinator is the live daemon of the endpoint's zone that wins a
@@ -10,9 +10,12 @@
 //
 //	a := assigner.New(assigner.Config{Daemons: liveDaemons})
 //	d, ok := a.Coordinator("i-38b230184d", "zone-1", now)
+//	keepers := a.Select("request-1", 2, now)
 package assigner
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
@@ -81,6 +84,38 @@
 	return d, ok
 }
 
+// Select returns up to n daemons of all zones for a key, in the order of a rendezvous hash. The end
+// of a daemon moves only the keys for which it was selected.
+func (a *Assigner) Select(key string, n int, now time.Time) []Daemon {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.zones == nil || now.Sub(a.asOf) >= maxAge {
+		a.refresh(now)
+	}
+	type ranked struct {
+		Daemon
+		weight uint64
+	}
+	hash := xxhash.Sum64String(key)
+	best := make([]ranked, 0, n+1)
+	for i := range a.all {
+		r := ranked{a.all[i].Daemon, mixer.Mix(hash ^ a.all[i].hash)}
+		at, _ := slices.BinarySearchFunc(best, r, func(b, r ranked) int {
+			return cmp.Or(cmp.Compare(r.weight, b.weight), cmp.Compare(b.Host, r.Host))
+		})
+		if at == n {
+			continue
+		}
+		best = slices.Insert(best, at, r)
+		best = best[:min(len(best), n)]
+	}
+	out := make([]Daemon, len(best))
+	for i := range best {
+		out[i] = best[i].Daemon
+	}
+	return out
+}
+
 // refresh reads the daemons. The caller holds the lock.
 func (a *Assigner) refresh(now time.Time) {
 	daemons := a.c.Daemons(now)
--- a/internal/role/gateway/gossip.go
+++ b/internal/role/gateway/gossip.go
@@ -10,6 +10,7 @@
 	"brasschute/internal/core/watchdog"
 	"brasschute/internal/peer/coordinator"
 	"brasschute/internal/peer/fetcher"
+	"brasschute/internal/peer/origintracker"
 	"brasschute/internal/peer/roster"
 	"brasschute/internal/peer/rpc"
 	"brasschute/internal/peer/supplier"
@@ -63,7 +64,7 @@
 		Client: watchdog.New(watchdog.Config{Transport: transport, IdleTimeout: peerStallTimeout}), Logger: g.c.Logger,
 	})
 	peers := http.NewServeMux()
-	peers.Handle("/", throttle.Handler(rpc.NewFleetServer(fleetServer{g.syncer, g.supplier, g.coordinator})))
+	peers.Handle("/", throttle.Handler(rpc.NewFleetServer(fleetServer{g.syncer, g.supplier, g.coordinator, g.origins})))
 	peers.Handle("POST "+wrapper.Path, g.proxier)
 	g.peerHandler = peers
 	for _, seed := range d.Seeds {
@@ -88,6 +89,7 @@
 	*syncer.Syncer
 	*supplier.Supplier
 	*coordinator.Coordinator
+	*origintracker.Tracker
 }
 
 // endpointsRevision returns the revision up to which the list of endpoints is known.
--- a/internal/role/gateway/objects.go
+++ b/internal/role/gateway/objects.go
@@ -149,6 +149,7 @@
 	}
 	lines.end()
 	g.registry.UpdateHosts(listed)
+	g.observeVersions()
 	g.endpointsListed.Store(g.endpointsListed.Load() || g.registry.HostCount() > 0)
 	return added
 }
--- /dev/null
+++ b/internal/role/gateway/streams.go
@@ -0,0 +1,62 @@
+package gateway
+
+import (
+	"context"
+	"iter"
+	"time"
+
+	"brasschute/internal/core/identifier"
+	"brasschute/internal/peer/origintracker"
+	"brasschute/internal/peer/rpc"
+	"brasschute/internal/platform/inventory"
+	"brasschute/internal/route/versiontracker"
+)
+
+// streamRetention is how long a stream may be taken up after it began: longer than any client waits.
+const streamRetention = time.Minute
+
+// buildStreams builds what knows at which version each stream began.
+func (g *Gateway) buildStreams() {
+	g.versions = versiontracker.New(versiontracker.Config{Retention: streamRetention, FirstStart: g.c.Deployment.FirstStart, Now: g.uptime})
+	g.origins = origintracker.New(origintracker.Config{
+		Host: g.c.Deployment.Host, Versions: g.versions, Select: g.assigner.Select, Retention: streamRetention, Metrics: g.scope,
+		Dial: func(address string) origintracker.Peer {
+			return rpc.NewFleetProtobufClient("http://"+address, g.peerClient)
+		},
+	})
+}
+
+// observeVersions records the versions of the listed endpoints. If a service has one more, the
+// records of its streams are copied.
+func (g *Gateway) observeVersions() {
+	changed := g.versions.Observe(g.listedVersions())
+	if len(changed) > 0 {
+		go g.origins.CopyPending(context.Background(), changed)
+	}
+}
+
+// listedVersions yields the service and the version of each listed endpoint.
+func (g *Gateway) listedVersions() iter.Seq2[identifier.Service, identifier.Version] {
+	return func(yield func(identifier.Service, identifier.Version) bool) {
+		more := true
+		g.registry.EachHost(func(h *inventory.Host) {
+			e := &h.Endpoints[0]
+			more = more && yield(identifier.Service(e.Pool), e.Version)
+		})
+	}
+}
+
+// confirmVersions records that the list of endpoints is current, if this daemon watches the store
+// and reaches it, or hears of changes from a daemon that does.
+func (g *Gateway) confirmVersions() {
+	if g.reachesStore() {
+		g.versions.Confirm()
+		return
+	}
+	for _, d := range g.roster.LiveDaemons(time.Now()) {
+		if d.Observing {
+			g.versions.Confirm()
+			return
+		}
+	}
+}
--- a/internal/role/gateway/watchers.go
+++ b/internal/role/gateway/watchers.go
@@ -62,6 +62,9 @@
 			if err == nil {
 				g.storeAnsweredAt.Store(time.Now().UnixNano())
 			}
+			if err == nil && kind == platform.EndpointKind {
+				g.versions.Confirm()
+			}
 			if err == nil && kind == platform.RolloutKind {
 				// An empty list applies no objects, so record that the orders are known.
 				g.splitter.ApplyOrders(nil, sourceStore)
--- a/internal/route/selector/versions.go
+++ b/internal/route/selector/versions.go
@@ -14,6 +14,8 @@
 	// endpoints of that version are used.
 	Only         identifier.Version
 	MaxEndpoints int
+	// Exact allows the version Only alone, even if it is empty. None allows no version.
+	Exact, None bool
 	// Except lists versions that are not allowed.
 	Except []identifier.Version
 	// AllowFallback is set if the request may go to other versions when no endpoint of Only can
@@ -27,6 +29,10 @@
 // Allow reports whether the request may go to c.
 func (v *VersionFilter) Allow(c *candidate.Candidate) bool {
 	switch {
+	case v.None:
+		return false
+	case v.Exact:
+		return c.Version == v.Only
 	case v.Only != "":
 		return c.Version == v.Only && (v.MaxEndpoints == 0 || int(c.VersionRank) < v.MaxEndpoints)
 	case len(v.Except) > 0:
--- a/internal/route/splitter/splitter.go
+++ b/internal/route/splitter/splitter.go
@@ -102,6 +102,9 @@
 	Repeated bool
 	// MaxDuration is how long the answer may take.
 	MaxDuration time.Duration
+	// Continues: the request continues a stream that began at Version.
+	Continues bool
+	Version   identifier.Version
 }
 
 // Splitter decides which versions requests may go to. It is safe for concurrent use.
@@ -142,6 +145,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	v := s.services[q.Service]
+	if q.Continues {
+		return s.chooseOrigin(v, q)
+	}
 	if v == nil {
 		// Without knowledge of the orders, the version that most endpoints run is used.
 		return selector.VersionFilter{MajorityOnly: !s.known}
@@ -174,6 +180,26 @@
 	return old
 }
 
+// chooseOrigin returns the version at which a stream began, if it may get requests. v is the
+// service's roll-out, nil for none. The caller holds the lock.
+func (s *Splitter) chooseOrigin(v *service, q *Query) selector.VersionFilter {
+	origin := selector.VersionFilter{Only: q.Version, Exact: true}
+	if v == nil {
+		return origin
+	}
+	if !q.Repeated {
+		s.countRequest(v, q.Route)
+	}
+	if s.isBlocked(v, q.Version) {
+		return selector.VersionFilter{None: true}
+	}
+	if q.Version == v.order.Target && !v.phase().IsFinal() {
+		// It counts towards the share of the version; later requests make up for it.
+		v.canaryBudget--
+	}
+	return origin
+}
+
 // old allows the versions from before the roll-out.
 func (v *service) old() selector.VersionFilter {
 	out := v.others()
@@ -269,9 +295,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	v := s.services[name]
-	if v == nil {
-		return false
-	}
+	return v != nil && s.isBlocked(v, version)
+}
+
+// isBlocked is [Splitter.Blocked] for a service with a roll-out. The caller holds the lock.
+func (s *Splitter) isBlocked(v *service, version identifier.Version) bool {
 	if version != v.order.Target {
 		return v.abandoned[version]
 	}
--- a/internal/serve/relayer/relayer.go
+++ b/internal/serve/relayer/relayer.go
@@ -36,6 +36,7 @@
 	"brasschute/internal/config/catalog"
 	"brasschute/internal/core/identifier"
 	"brasschute/internal/peer/crashreporter"
+	"brasschute/internal/peer/origintracker"
 	"brasschute/internal/route/quarantiner"
 	"brasschute/internal/route/registry"
 	"brasschute/internal/route/selector"
@@ -95,6 +96,8 @@
 	Quarantine Quarantine
 	// Versions splits requests between versions of endpoints.
 	Versions Versions
+	// Origins knows at which versions streams began.
+	Origins Origins
 	// ReplyObserver receives what endpoints report about themselves.
 	ReplyObserver replyreader.Observer
 	// SilenceObserver receives the decisions about silent attempts.
@@ -122,6 +125,14 @@
 	RunEnded(r *splitter.Run)
 }
 
+// Origins knows at which versions streams began.
+type Origins interface {
+	// Begin is called before the first event of a stream that may be taken up goes to the client.
+	Begin(ctx context.Context, o origintracker.Origin)
+	// Find returns the version at which a stream began, by the client attempt that began it.
+	Find(ctx context.Context, s identifier.Service, began identifier.Request) origintracker.Found
+}
+
 // Quarantine holds back requests that bring endpoints down.
 type Quarantine interface {
 	// Admit decides whether a request may be sent. It is called right before each send.
@@ -211,6 +222,8 @@
 	Fingerprint identifier.Fingerprint
 	// Excluded counts the endpoints that could not be chosen, by reason.
 	Excluded selector.Excluded
+	// Origin says where a stream began that the request continues; nil for other requests.
+	Origin *origintracker.Found
 	// Schedule says how coordinators decided; nil if none were to be asked.
 	Schedule *placer.Schedule
 }
@@ -242,6 +255,9 @@
 	tried []identifier.Endpoint
 	// versionChosen is set once the version for the request has been chosen.
 	versionChosen bool
+	// origin is the version that began the stream, if originKnown.
+	origin      identifier.Version
+	originKnown bool
 	// sends counts the endpoints that may have received the request, unsent those
 	// that did not receive it.
 	sends  int
@@ -283,6 +299,9 @@
 	j.returnDelay = r.c.Demand.ReturnDelay(q.Service, q.Route.Name, q.ClientTimeout)
 	j.counted = j.returnDelay > 0 || q.LastEventNumber > 0
 	defer j.countEnd()
+	if !j.findOrigin(ctx) {
+		return j.res
+	}
 	for {
 		pick, stop := j.choose(ctx)
 		if stop {
--- a/internal/serve/relayer/silence.go
+++ b/internal/serve/relayer/silence.go
@@ -9,7 +9,6 @@
 
 	"brasschute/internal/core/identifier"
 	"brasschute/internal/route/registry"
-	"brasschute/internal/route/splitter"
 	"brasschute/internal/serve/silencejudge"
 )
 
@@ -118,9 +117,7 @@
 // input returns what the decision depends on.
 func (w *silenceWatch) input() *silencejudge.Input {
 	j := w.j
-	v := j.r.c.Versions.Choose(&splitter.Query{
-		Service: j.q.Service, Route: j.q.Route.Name, Repeated: true, MaxDuration: j.r.c.Placer.MaxUsualDuration(j.q),
-	})
+	v := j.r.c.Versions.Choose(j.versionQuery(true))
 	preview := j.r.c.Placer.Preview(w.pick, j.q, j.service, w.tried, v)
 	if preview.Alternative == "" && v.AllowFallback {
 		preview = j.r.c.Placer.Preview(w.pick, j.q, j.service, w.tried, j.r.c.Versions.Fallback(j.q.Service, &v))
--- a/internal/serve/relayer/stream.go
+++ b/internal/serve/relayer/stream.go
@@ -55,7 +55,7 @@
 			if j.res.Events == 0 {
 				j.r.c.Placer.ObserveFirstEvent(j.q, pick, time.Since(begun))
 			}
-			if problem := j.writeEvents(x, whole); problem != nil {
+			if problem := j.writeEvents(ctx, x, whole, pick); problem != nil {
 				return problem
 			}
 			buffer = append(buffer[:0], rest...)
@@ -77,7 +77,7 @@
 
 // writeEvents checks the numbers of whole events and writes those that the client
 // does not have.
-func (j *job) writeEvents(x *sender.Response, whole []byte) error {
+func (j *job) writeEvents(ctx context.Context, x *sender.Response, whole []byte, pick *registry.Pick) error {
 	out := whole[:0:0]
 	for len(whole) > 0 {
 		event, rest := cutEvent(whole)
@@ -100,6 +100,7 @@
 		return nil
 	}
 	j.markBegun()
+	j.beginStream(ctx, pick)
 	if !j.headSent {
 		j.writeHead(x)
 	}
--- a/internal/serve/relayer/version.go
+++ b/internal/serve/relayer/version.go
@@ -5,7 +5,9 @@
 	"errors"
 	"time"
 
+	"brasschute/internal/config/catalog"
 	"brasschute/internal/engine/sender"
+	"brasschute/internal/peer/origintracker"
 	"brasschute/internal/route/registry"
 	"brasschute/internal/route/splitter"
 	"brasschute/internal/serve/placer"
@@ -17,9 +19,7 @@
 	if j.soonest && j.queues() {
 		choose = j.r.c.Placer.PlaceSoonest
 	}
-	v := j.r.c.Versions.Choose(&splitter.Query{
-		Service: j.q.Service, Route: j.q.Route.Name, Repeated: j.versionChosen, MaxDuration: j.r.c.Placer.MaxUsualDuration(j.q),
-	})
+	v := j.r.c.Versions.Choose(j.versionQuery(j.versionChosen))
 	j.versionChosen = true
 	placed := choose(ctx, j.q, j.service, j.tried, v)
 	if placed.Pick != nil || placed.Refusal != nil || ctx.Err() != nil || !v.AllowFallback {
@@ -28,6 +28,41 @@
 	return choose(ctx, j.q, j.service, j.tried, j.r.c.Versions.Fallback(j.q.Service, &v))
 }
 
+// versionQuery asks for the versions that the request may go to.
+func (j *job) versionQuery(repeated bool) *splitter.Query {
+	return &splitter.Query{
+		Service: j.q.Service, Route: j.q.Route.Name, Repeated: repeated, MaxDuration: j.r.c.Placer.MaxUsualDuration(j.q),
+		Continues: j.originKnown, Version: j.origin,
+	}
+}
+
+// findOrigin finds the version at which the stream began that the request continues. It reports
+// false if that is not known; then the result is final.
+func (j *job) findOrigin(ctx context.Context) bool {
+	if j.q.LastEventNumber == 0 || j.q.Route.Kind != catalog.Streaming {
+		return true
+	}
+	found := j.r.c.Origins.Find(ctx, j.q.Service, j.q.Resumes)
+	j.res.Origin = &found
+	j.origin, j.originKnown = found.Version, found.Source != origintracker.Unknown
+	if !j.originKnown {
+		j.endFailed("it is not known at which version the stream began", retryAfter)
+	}
+	return j.originKnown
+}
+
+// beginStream records the version of the endpoint that brings the first event of a stream. From
+// then on the stream goes on at that version only.
+func (j *job) beginStream(ctx context.Context, pick *registry.Pick) {
+	if j.originKnown {
+		return
+	}
+	j.origin, j.originKnown = pick.Version, true
+	if j.q.Route.Resumable {
+		j.r.c.Origins.Begin(ctx, origintracker.Origin{Request: j.q.ID, Service: j.q.Service, Version: pick.Version})
+	}
+}
+
 // newRun describes an attempt for the comparison of versions.
 func (j *job) newRun(pick *registry.Pick) *splitter.Run {
 	return &splitter.Run{
