--- a/internal/peer/assigner/assigner_test.go
+++ b/internal/peer/assigner/assigner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -69,3 +70,35 @@
 		t.Errorf("%s coordinates, want none", d.Host)
 	}
 }
+
+// If daemons that know different lists selected different ones for a key, a record could not be
+// found again once a daemon has ended.
+func TestSelectionMovesLittle(t *testing.T) {
+	now := time.Now()
+	list := daemons(4, 5)
+	a := New(Config{Daemons: func(time.Time) []Daemon { return list }})
+	b := New(Config{Daemons: func(time.Time) []Daemon { return list[3:] }})
+	counts := make(map[identifier.Host]int)
+	const keys, n = 2000, 3
+	for i := range keys {
+		key := fmt.Sprint("request-", i)
+		before, after := a.Select(key, n, now), b.Select(key, n, now)
+		if len(before) != n || len(after) != n {
+			t.Fatalf("%s: selected %v, %v", key, before, after)
+		}
+		for _, d := range before {
+			counts[d.Host]++
+			if !slices.Contains(after, d) && slices.Contains(list[3:], d) {
+				t.Errorf("%s: %s is not selected any more at the end of others", key, d.Host)
+			}
+		}
+	}
+	for h, c := range counts {
+		if c < keys*n/20/2 || c > keys*n/20*2 {
+			t.Errorf("%s is selected for %d of %d keys", h, c, keys)
+		}
+	}
+	if few := New(Config{Daemons: func(time.Time) []Daemon { return list[:2] }}).Select("key", n, now); len(few) != 2 {
+		t.Errorf("selected %v of two daemons", few)
+	}
+}
--- a/internal/role/gateway/versions_test.go
+++ b/internal/role/gateway/versions_test.go
@@ -46,6 +46,9 @@
 		f := newTestFleet(t)
 		defer f.end()
 		f.rate = wideLink
+		if daemons > smallFleetSize {
+			daemons = scaledFleetSize(daemons)
+		}
 		v := &versionedFleet{testFleet: f, runs: make(map[string][]streamRun)}
 		v.engines = f.prepareEngines(func(string) bool { return false })
 		v.engines.version = func(place int) string { return fmt.Sprintf("v%d", place%2) }
@@ -123,16 +126,20 @@
 
 // Guards against a stream that a client takes up at another daemon, which continues it at another version.
 func TestStreamTakenUpElsewhereContinuesAtItsVersion(t *testing.T) {
-	inVersionedFleet(t, 8, func(v *versionedFleet) {
-		complete := 0
-		for n := range versionedStreams {
-			id, r := v.begin(n%len(v.daemons), retriedStream)
-			if r = v.takeUp((n+1+n/len(v.daemons))%len(v.daemons), id, r, retriedStream); endsWhole(r) {
-				complete++
-			}
-		}
-		v.check(complete, versionedStreams)
-	})
+	for _, daemons := range []int{8, 60} {
+		t.Run(fmt.Sprint(daemons, " daemons"), func(t *testing.T) {
+			inVersionedFleet(t, daemons, func(v *versionedFleet) {
+				complete := 0
+				for n := range versionedStreams {
+					id, r := v.begin(n%len(v.daemons), retriedStream)
+					if r = v.takeUp((n+1+n/len(v.daemons))%len(v.daemons), id, r, retriedStream); endsWhole(r) {
+						complete++
+					}
+				}
+				v.check(complete, versionedStreams)
+			})
+		})
+	}
 }
 
 // Guards against streams that are lost, or go on at another version, when three of eight daemons end at once.
--- a/internal/route/splitter/splitter_test.go
+++ b/internal/route/splitter/splitter_test.go
@@ -6,6 +6,7 @@
 
 	"brasschute/internal/config/rollout"
 	"brasschute/internal/core/identifier"
+	"brasschute/internal/route/candidate"
 	"brasschute/internal/route/selector"
 
 	"pgregory.net/rapid"
@@ -182,3 +183,41 @@
 		t.Error("not blocked after the version was reverted")
 	}
 }
+
+// Guards against streams that go on at another version than the one that began them, or at one that
+// may get no requests, and against streams beyond the share of the new version.
+func TestStreamsContinueAtTheirVersion(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		phase   rollout.Phase
+		version identifier.Version
+		want    bool
+	}{
+		{"old version, not granted", rollout.Ordered, "v1", true},
+		{"new version, not granted", rollout.Ordered, "v2", false},
+		{"old version, canary", rollout.Canary, "v1", true},
+		{"new version, canary", rollout.Canary, "v2", true},
+		{"old version, switching", rollout.Switching, "v1", true},
+		{"new version, reverted", rollout.Reverted, "v2", false},
+		{"new version, complete", rollout.Complete, "v2", true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			d := newDaemons(1, func() float64 { return 1 })
+			s := d.list[0]
+			d.applyOrder(s)
+			if c.phase != rollout.Ordered {
+				s.ApplyGrant(&Grant{Service: lm, Target: "v2", Order: d.r.OrderID(), Phase: c.phase, Fencing: 1, Sequence: 1, IssuedAt: d.now}, "holder")
+			}
+			before := s.services[lm].canaryBudget
+			f := s.Choose(&Query{Service: lm, Route: "letters", Continues: true, Version: c.version, Repeated: true})
+			for _, v := range []identifier.Version{"v1", "v2", ""} {
+				if got, want := f.Allow(&candidate.Candidate{Version: v}), c.want && v == c.version; got != want {
+					t.Errorf("%q allowed: %v, want %v", v, got, want)
+				}
+			}
+			if charged := s.services[lm].canaryBudget < before; charged != (c.want && c.version == "v2" && c.phase != rollout.Complete) {
+				t.Errorf("charged to the share: %v", charged)
+			}
+		})
+	}
+}
