--- a/internal/route/versiontracker/versiontracker_test.go
+++ b/internal/route/versiontracker/versiontracker_test.go
@@ -57,27 +57,33 @@
 		{"two versions", true, func(k *clock) { k.Observe(list("v1", "v2")) }, Sole{Several: true}, "two serve"},
 		{
 			"one left lately", true, func(k *clock) { k.Observe(list("v1", "v2")); k.Observe(list("v2")); k.pass(retention - time.Second) },
-			Sole{Several: true}, "streams of the other may still be taken up",
+			Sole{Several: true},
+			"streams of the other may still be taken up",
 		},
 		{
 			"one left long ago", true, func(k *clock) { k.Observe(list("v1", "v2")); k.Observe(list("v2")); k.pass(retention) },
-			Sole{Version: "v2", Proven: true}, "streams of the other have ended",
+			Sole{Version: "v2", Proven: true},
+			"streams of the other have ended",
 		},
 		{
 			"all left", true, func(k *clock) { k.Observe(list("v1")); k.Observe(list()); k.Observe(list("v2")) },
-			Sole{Several: true}, "streams of the other may still be taken up",
+			Sole{Several: true},
+			"streams of the other may still be taken up",
 		},
 		{
 			"not confirmed", true, func(k *clock) { k.Observe(list("v1")); k.now = k.now.Add(confirmTimeout + time.Second) },
-			Sole{Version: "v1"}, "the list may be old",
+			Sole{Version: "v1"},
+			"the list may be old",
 		},
 		{
 			"after a gap", true, func(k *clock) { k.Observe(list("v1")); k.now = k.now.Add(confirmTimeout + time.Second); k.Confirm() },
-			Sole{Version: "v1"}, "another version may have come and left unseen",
+			Sole{Version: "v1"},
+			"another version may have come and left unseen",
 		},
 		{
 			"adopted", false, func(k *clock) { k.Observe(list("v1")); k.Adopt("lm", "v1") },
-			Sole{Version: "v1", Proven: true}, "another daemon has seen all of the time",
+			Sole{Version: "v1", Proven: true},
+			"another daemon has seen all of the time",
 		},
 		{"adopted for another version", false, func(k *clock) { k.Observe(list("v1")); k.Adopt("lm", "v2") }, Sole{Version: "v1"}, "the proof is not of this version"},
 		{
@@ -88,7 +94,8 @@
 				k.now = k.now.Add(confirmTimeout + time.Second)
 				k.Confirm()
 			},
-			Sole{Version: "v1"}, "the proof ends with the gap",
+			Sole{Version: "v1"},
+			"the proof ends with the gap",
 		},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/serve/handler/model.go
+++ b/internal/serve/handler/model.go
@@ -100,7 +100,7 @@
 		Request: string(c.Instance), Organisation: string(c.Organisation.Name), Service: string(c.Service.Name),
 		Body: c.Body, Delivered: j.Delivered, Endpoint: string(j.Endpoint), EndpointAddress: j.Address, Stream: j.Stream,
 		Streaming: c.Streaming, Priority: c.Priority, Pool: string(c.Pool.Name), NonIdempotent: c.NonIdempotent,
-		Completions: c.Completions,
+		Completions: c.Completions, Version: string(j.Version),
 	}
 	if claim != nil {
 		e.ClaimKey, e.ClaimToken = claim.Identity()
--- a/internal/serve/handler/resume.go
+++ b/internal/serve/handler/resume.go
@@ -114,7 +114,7 @@
 	defer cancel()
 	j := &streamer.Job{
 		Call: c, Record: rec, Offset: len(e.Delivered), Delivered: e.Delivered, Stream: e.Stream,
-		Endpoint: identifier.Endpoint(e.Endpoint), Address: e.EndpointAddress,
+		Endpoint: identifier.Endpoint(e.Endpoint), Address: e.EndpointAddress, Version: identifier.Version(e.GetVersion()),
 	}
 	var claim *claimer.Claim
 	if e.ClaimKey != "" {
--- a/internal/serve/streamer/job.go
+++ b/internal/serve/streamer/job.go
@@ -21,6 +21,9 @@
 	Stream   string
 	Endpoint identifier.Endpoint
 	Address  string
+	// Version is the version of the engine that delivered the first token, at which the stream goes
+	// on; empty if the platform states none.
+	Version identifier.Version
 
 	attempts  int
 	maybeSent bool
--- a/internal/serve/streamer/open.go
+++ b/internal/serve/streamer/open.go
@@ -17,6 +17,9 @@
 	if !j.returning && !s.c.Registry.Usable(pick) {
 		return nil, errHostLeaving
 	}
+	if j.Offset == 0 {
+		j.Version = pick.Version
+	}
 	old, oldAddress := j.Stream, j.Address
 	id := fmt.Sprintf("%s.%d", j.Call.Instance, j.Offset*maxAttempts+j.attempts)
 	if old == "" {
--- a/internal/serve/streamer/streamer.go
+++ b/internal/serve/streamer/streamer.go
@@ -303,10 +303,14 @@
 
 func (s *Streamer) query(j *Job) *registry.Query {
 	c := j.Call
-	return &registry.Query{
+	q := &registry.Query{
 		Pool: c.Pool.Name, Blocks: c.Blocks,
 		Select: NewQuery(c, s.c.Zone, j.tried),
 	}
+	if j.Offset > 0 {
+		q.Select.Versions.Only = j.Version
+	}
+	return q
 }
 
 // relay passes frames on until the stream is complete or broken.
