origintracker: a daemon that has started asks others for proofs of sole versions

A daemon now asks another one until its services are proved, for 15 s after its start. TestProofOutlivesRestartsWithoutStreams fails before.

--- a/internal/peer/origintracker/origintracker.go
+++ b/internal/peer/origintracker/origintracker.go
@@ -26,11 +26,13 @@
 //	t := origintracker.New(origintracker.Config{...})
 //	t.Begin(ctx, origintracker.Origin{Request: id, Service: service, Version: version})
 //	found := t.Find(ctx, service, id)
-//	t.CopyPending(services) // after a version was added
+//	t.CopyPending(ctx, services) // after a version was added
+//	t.AskProofs(ctx)             // some times after the start
 package origintracker
 
 import (
 	"context"
+	"crypto/rand"
 	"errors"
 	"sync"
 	"time"
@@ -72,6 +74,8 @@
 // Versions knows which versions the endpoints of services had lately.
 type Versions interface {
 	Version(identifier.Service) versiontracker.Sole
+	// Unproven returns the services whose sole version is not proved.
+	Unproven() []identifier.Service
 	Adopt(identifier.Service, identifier.Version)
 }
 
@@ -287,6 +291,28 @@
 	return out
 }
 
+// AskProofs asks one other daemon for its proofs of sole versions, unless all are proved here. Daemons
+// that have started lately lack them, so that streams without a record could not be taken up there.
+func (t *Tracker) AskProofs(ctx context.Context) {
+	unproven := t.c.Versions.Unproven()
+	if len(unproven) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	others := t.others(identifier.Request(rand.Text()), copies)
+	if len(others) == 0 {
+		return
+	}
+	for _, s := range unproven {
+		reply, err := t.c.Dial(others[0].Address).FindOrigin(ctx, &rpc.OriginRequest{Service: string(s)})
+		if err != nil {
+			return
+		}
+		t.adopt(reply.GetService())
+	}
+}
+
 // Find returns the version at which a stream of a service began, by the client attempt that brought
 // its first event; empty if the client did not state it.
 func (t *Tracker) Find(ctx context.Context, s identifier.Service, id identifier.Request) Found {
--- a/internal/peer/origintracker/origintracker_test.go
+++ b/internal/peer/origintracker/origintracker_test.go
@@ -197,6 +197,7 @@
 				d.partitioned = !d.partitioned
 				f.pass(unconfirmedTime)
 			},
+			"ask proofs": func(t *rapid.T) { f.daemons[anyDaemon.Draw(t, "daemon")].AskProofs(context.Background()) },
 			"take up": func(t *rapid.T) {
 				if len(f.streams) == 0 {
 					return
@@ -263,6 +264,23 @@
 	}
 }
 
+// Guards against streams of a service with one version that are lost when daemons restart one after
+// the other and begin no stream meanwhile.
+func TestProofOutlivesRestartsWithoutStreams(t *testing.T) {
+	f := newFleet(8, "v1")
+	s := stream{Origin{"not-recorded", service, "v1"}, f.now}
+	for i := range f.daemons {
+		f.start(i, false)
+		f.pass(time.Second)
+		f.daemons[i].AskProofs(context.Background())
+	}
+	for i := range f.daemons {
+		if got := f.find(i, s); got.Source != SoleVersion || got.Version != "v1" {
+			t.Errorf("%s found %+v", host(i), got)
+		}
+	}
+}
+
 // Guards against streams that are lost beside daemons of an older version, which keep no records.
 func TestSoleVersionBesideOlderDaemons(t *testing.T) {
 	f := newFleet(4, "v1")
--- a/internal/role/gateway/streams.go
+++ b/internal/role/gateway/streams.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"brasschute/internal/core/identifier"
+	"brasschute/internal/core/waiter"
 	"brasschute/internal/peer/origintracker"
 	"brasschute/internal/peer/rpc"
 	"brasschute/internal/platform/inventory"
@@ -15,6 +16,13 @@
 // streamRetention is how long a stream may be taken up after it began: longer than any client waits.
 const streamRetention = time.Minute
 
+const (
+	// proofInterval is how often a daemon that has started lately asks others for proofs of sole
+	// versions, proofTime for how long: by then the others live that will, or none has any.
+	proofInterval = 500 * time.Millisecond
+	proofTime     = 15 * time.Second
+)
+
 // buildStreams builds what knows at which version each stream began.
 func (g *Gateway) buildStreams() {
 	g.versions = versiontracker.New(versiontracker.Config{Retention: streamRetention, FirstStart: g.c.Deployment.FirstStart, Now: g.uptime})
@@ -24,6 +32,16 @@
 			return rpc.NewFleetProtobufClient("http://"+address, g.peerClient)
 		},
 	})
+	g.tree.Add(serviceFunc(g.askProofs))
+}
+
+// askProofs asks other daemons for proofs of sole versions for a time after the start.
+func (g *Gateway) askProofs(ctx context.Context) error {
+	limited, cancel := context.WithTimeout(ctx, proofTime)
+	defer cancel()
+	_ = waiter.Every(limited, proofInterval, g.origins.AskProofs)
+	<-ctx.Done()
+	return ctx.Err()
 }
 
 // observeVersions records the versions of the listed endpoints. If a service has one more, the
--- a/internal/route/versiontracker/versiontracker.go
+++ b/internal/route/versiontracker/versiontracker.go
@@ -155,6 +155,21 @@
 	return out
 }
 
+// Unproven returns the services with one version that is not proved to be the only one.
+func (t *Tracker) Unproven() (out []identifier.Service) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.c.Now().Before(t.completeFrom) {
+		return nil
+	}
+	for name, s := range t.services {
+		if len(s.leftAt) == 1 && !s.proven {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
 // Adopt records that another daemon has proved the sole version of a service.
 func (t *Tracker) Adopt(name identifier.Service, version identifier.Version) {
 	t.mu.Lock()
