--- a/internal/peer/crashreporter/crashreporter.go
+++ b/internal/peer/crashreporter/crashreporter.go
@@ -63,7 +63,9 @@
 type BrokenRequest struct {
 	Fingerprint identifier.Fingerprint
 	Request     identifier.Request
-	Pick        *registry.Pick
+	// Parts are the parts of its prompt that other requests may have as well.
+	Parts []string
+	Pick  *registry.Pick
 	// Events is the number of events that the endpoint had sent.
 	Events int
 }
@@ -121,7 +123,7 @@
 	}
 	if r.logLimiter.Allow() {
 		r.c.Logger.Info(message, "request", b.Request, "fingerprint", b.Fingerprint, "endpoint", b.Pick.Endpoint,
-			"born", incarnation, "events", b.Events, "probe", found)
+			"born", incarnation, "events", b.Events, "parts", strings.Join(b.Parts, " "), "probe", found)
 	}
 	e := quarantiner.Ending{Endpoint: b.Pick.Endpoint, Born: incarnation, Weak: b.Events > 0}
 	if found == prober.Refused && r.RecordEnding(b.Fingerprint, e) {
--- a/internal/serve/relayer/relayer.go
+++ b/internal/serve/relayer/relayer.go
@@ -319,7 +319,7 @@
 		}
 		if brokenOff(ctx, err) {
 			j.res.Fingerprint = q.Fingerprint()
-			r.c.Quarantine.ReportBreak(ctx, &crashreporter.BrokenRequest{Fingerprint: q.Fingerprint(), Request: q.ID, Pick: pick, Events: j.res.Events - events})
+			r.c.Quarantine.ReportBreak(ctx, &crashreporter.BrokenRequest{Fingerprint: q.Fingerprint(), Request: q.ID, Parts: q.SharedParts(), Pick: pick, Events: j.res.Events - events})
 		}
 		if j.endsRequest(ctx, err) {
 			return j.res
--- a/internal/serve/request/request.go
+++ b/internal/serve/request/request.go
@@ -88,6 +88,19 @@
 	return r.fingerprint
 }
 
+// SharedParts returns the ids of the parts of the prompt that other requests may have as well: all
+// but the last.
+func (r *Request) SharedParts() []string {
+	if len(r.Parts) < 2 {
+		return nil
+	}
+	out := make([]string, len(r.Parts)-1)
+	for i := range out {
+		out[i] = r.Parts[i].ID
+	}
+	return out
+}
+
 // Deadline is when the request times out: the shorter one of the timeouts of client and
 // route after its arrival.
 func (r *Request) Deadline() time.Time {
