--- a/internal/role/gateway/engines_test.go
+++ b/internal/role/gateway/engines_test.go
@@ -62,6 +62,8 @@
 	sameIDs bool
 	// fatal reports whether a body crashes the engine that runs it.
 	fatal func(body string) bool
+	// fatalPart is a part of a prompt that crashes the engine that runs a request with it; empty for none.
+	fatalPart string
 	// answerHeaders returns the headers that an engine adds to an answer; nil adds none.
 	answerHeaders func(place int, id string, r *http.Request) http.Header
 	// hostSlowdown returns the slowdown of their hosts that the engines state; nil means that they
@@ -176,7 +178,10 @@
 			return hosting.Refuse
 		}
 		body := r.Header.Get("Body-Text")
-		if !e.fatal(body) {
+		if e.fatalPart != "" && strings.Contains(r.Header.Get("Prompt-Prefix"), e.fatalPart+":") {
+			body = e.fatalPart
+		}
+		if body != e.fatalPart && !e.fatal(body) {
 			if e.slow.Load() {
 				time.Sleep(slowRunTime)
 			}
@@ -282,15 +287,19 @@
 
 // sentAfter counts the arrivals of a body later than propagationTime after the third engine
 // exited under it.
-func (e *engineFleet) sentAfter(body string) (n int) {
+func (e *engineFleet) sentAfter(body string) int { return e.sentAfterExits(body, 3) }
+
+// sentAfterExits counts the arrivals of a body later than propagationTime after so many engines
+// exited under it.
+func (e *engineFleet) sentAfterExits(body string, exits int) (n int) {
 	ends := e.exitsUnder(body)
-	if len(ends) < 3 {
+	if len(ends) < exits {
 		return 0
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, s := range e.sends {
-		if s.body == body && s.at.Sub(ends[2].at) > propagationTime {
+		if s.body == body && s.at.Sub(ends[exits-1].at) > propagationTime {
 			n++
 		}
 	}
