quarantiner: a part of prompts under which engines crash is held

Cause: the quarantine knew whole requests only, by a fingerprint of all that they ask for. Each of these requests was the first of its kind to it. Class: the identity by which failures are joined was finer than what causes them.

An ending of a request that had no event yet now counts against each part of its prompt but the last as well, once for each request. A part is held after three endpoints have ended under it, six if it was answered within the last minute. An event of any request clears all its parts on all daemons, as such a part crashes an engine before the first event. A held part explains the endings of requests and of earlier parts that were only near, and frees those that were held for them; so a caller's first part is not held for one of its conversations. Parts are told, stored, withdrawn, lifted and explained as requests are; they travel with requests through peers. A peer that sends a request for another daemon now reports whether the endpoint had delivered something.

--- a/internal/core/identifier/identifier.go
+++ b/internal/core/identifier/identifier.go
@@ -12,6 +12,12 @@
 // All types are strings or integers; their zero value means "not known".
 package identifier
 
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"strings"
+)
+
 // Host names one machine: an entry host or one that runs endpoints.
 type Host string
 
@@ -40,6 +46,29 @@
 // the same request, regardless of its id, deadline and headers.
 type Fingerprint string
 
+// partPrefix starts the fingerprints of parts of prompts.
+const partPrefix = "part:"
+
+// maxPartID is the length up to which the fingerprint of a part holds its id as it is.
+const maxPartID = 40
+
+// NewPartFingerprint returns the fingerprint of a part of prompts, by its id at the engines of a
+// service.
+func NewPartFingerprint(s Service, id string) Fingerprint {
+	if len(id) > maxPartID || strings.ContainsFunc(id, func(r rune) bool { return !isPlain(r) }) {
+		sum := sha256.Sum256([]byte(id))
+		id = "sha256-" + hex.EncodeToString(sum[:16])
+	}
+	return Fingerprint(partPrefix + string(s) + ":" + id)
+}
+
+func isPlain(r rune) bool {
+	return r >= '0' && r <= '9' || r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r == '-' || r == '_'
+}
+
+// IsPart reports whether f identifies a part of prompts.
+func (f Fingerprint) IsPart() bool { return strings.HasPrefix(string(f), partPrefix) }
+
 // ConfigurationNumber numbers accepted configurations; it only increases.
 type ConfigurationNumber uint64
 
--- a/internal/ops/accesslogger/accesslogger.go
+++ b/internal/ops/accesslogger/accesslogger.go
@@ -114,7 +114,7 @@
 		fields = append(fields, "origin", fmt.Sprintf("%s %s, %d of %d daemons answered", o.Source, o.Version, o.Answered, o.Asked))
 	}
 	if r.Fingerprint != "" {
-		fields = append(fields, "fingerprint", r.Fingerprint, "parts", strings.Join(q.SharedParts(), " "))
+		fields = append(fields, "fingerprint", r.Fingerprint, "parts", fmt.Sprint(q.SharedParts()))
 	}
 	if r.Reason != "" {
 		fields = append(fields, "reason", r.Reason)
--- a/internal/peer/crashreporter/crashreporter.go
+++ b/internal/peer/crashreporter/crashreporter.go
@@ -18,6 +18,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"time"
 
@@ -64,7 +65,7 @@
 	Fingerprint identifier.Fingerprint
 	Request     identifier.Request
 	// Parts are the parts of its prompt that other requests may have as well.
-	Parts []string
+	Parts []identifier.Fingerprint
 	Pick  *registry.Pick
 	// Events is the number of events that the endpoint had sent.
 	Events int
@@ -123,10 +124,10 @@
 	}
 	if r.logLimiter.Allow() {
 		r.c.Logger.Info(message, "request", b.Request, "fingerprint", b.Fingerprint, "endpoint", b.Pick.Endpoint,
-			"born", incarnation, "events", b.Events, "parts", strings.Join(b.Parts, " "), "probe", found)
+			"born", incarnation, "events", b.Events, "parts", fmt.Sprint(b.Parts), "probe", found)
 	}
 	e := quarantiner.Ending{Endpoint: b.Pick.Endpoint, Born: incarnation, Weak: b.Events > 0}
-	if found == prober.Refused && r.RecordEnding(b.Fingerprint, e) {
+	if found == prober.Refused && r.RecordEnding(b.Fingerprint, e, b.Parts...) {
 		r.c.OnChange(true)
 	}
 }
@@ -138,6 +139,14 @@
 	}
 }
 
+// RecordEvent records that an endpoint has begun to write an answer to a request with some parts of
+// prompts: none of them crashes endpoints.
+func (r *Reporter) RecordEvent(parts ...identifier.Fingerprint) {
+	if r.Quarantiner.RecordEvent(parts...) {
+		r.c.OnChange(true)
+	}
+}
+
 // Lift clears a request at an operator's command, and reports whether any ending counted against
 // it.
 func (r *Reporter) Lift(f identifier.Fingerprint) bool {
@@ -151,13 +160,16 @@
 
 // logChange logs and counts that a request was quarantined or released.
 func (r *Reporter) logChange(s *quarantiner.Suspect) {
-	message, state := "request released from quarantine", "free"
+	what, message, state := "request", " released from quarantine", "free"
+	if s.Fingerprint.IsPart() {
+		what = "prompt part"
+	}
 	if s.Held {
-		message, state = "request quarantined", "held"
+		message, state = " quarantined", "held"
 	}
 	r.c.Metrics.Tagged(map[string]string{"state": state}).Counter("quarantine_changes").Inc(1)
 	if r.logLimiter.Allow() {
-		r.c.Logger.Warn(message, "fingerprint", s.Fingerprint, "endings", describe(s.Endings))
+		r.c.Logger.Warn(what+message, "fingerprint", s.Fingerprint, "endings", describe(s.Endings))
 	}
 }
 
@@ -187,7 +199,7 @@
 		for _, e := range s.Endings {
 			out[i].Endings = append(out[i].Endings, &rpc.Ending{
 				Endpoint: string(e.Endpoint), Born: int64(e.Born), Host: string(e.Seen), AgeMilli: now.Sub(e.At).Milliseconds(),
-				Weak: e.Weak, Void: e.Void,
+				Weak: e.Weak, Void: e.Void, Request: string(e.Request), Depth: uint32(e.Depth),
 			})
 		}
 	}
@@ -207,6 +219,7 @@
 			list[i].Endings = append(list[i].Endings, quarantiner.Ending{
 				Endpoint: identifier.Endpoint(e.GetEndpoint()), Born: identifier.StartTime(e.GetBorn()), Seen: identifier.Host(e.GetHost()),
 				At: now.Add(-endingAge(e)), Weak: e.GetWeak(), Void: e.GetVoid(),
+				Request: identifier.Fingerprint(e.GetRequest()), Depth: int(min(e.GetDepth(), quarantiner.MaxDepth)),
 			})
 		}
 	}
--- a/internal/peer/wrapper/wrapper.go
+++ b/internal/peer/wrapper/wrapper.go
@@ -42,10 +42,12 @@
 	headerStartTime   = headerPrefix + "Start-Time"
 	headerRequest     = headerPrefix + "Request"
 	headerFingerprint = headerPrefix + "Fingerprint"
-	headerMethod      = headerPrefix + "Method"
-	headerTarget      = headerPrefix + "Target"
-	headerHost        = headerPrefix + "Host"
-	headerProbe       = headerPrefix + "Probe"
+	// headerParts is missing in requests without parts, and from daemons of older versions.
+	headerParts  = headerPrefix + "Parts"
+	headerMethod = headerPrefix + "Method"
+	headerTarget = headerPrefix + "Target"
+	headerHost   = headerPrefix + "Host"
+	headerProbe  = headerPrefix + "Probe"
 )
 
 // probeTrue is the value of the header of a probe.
@@ -84,6 +86,8 @@
 	// ID is the request's id, for log lines, and Fingerprint identifies what it asks for.
 	ID          identifier.Request
 	Fingerprint identifier.Fingerprint
+	// Parts are the parts of its prompt that other requests may have as well.
+	Parts []identifier.Fingerprint
 	// Probe: nothing is sent to the endpoint. The peer only connects to it; the outcome is Answered if
 	// that succeeds.
 	Probe bool
@@ -107,6 +111,9 @@
 	h.Set(headerStartTime, strconv.FormatInt(int64(r.StartTime), 10))
 	h.Set(headerRequest, string(r.ID))
 	h.Set(headerFingerprint, string(r.Fingerprint))
+	for _, part := range r.Parts {
+		h.Add(headerParts, string(part))
+	}
 	h.Set(headerMethod, r.Method)
 	h.Set(headerTarget, r.Target)
 	h.Set(headerHost, r.Host)
@@ -135,6 +142,9 @@
 	if r.Service == "" || r.Endpoint == "" || !r.Probe && (r.Method == "" || r.Target == "") {
 		return nil, errIncomplete
 	}
+	for _, part := range h.Values(headerParts) {
+		r.Parts = append(r.Parts, identifier.Fingerprint(part))
+	}
 	for name, values := range h {
 		if !strings.HasPrefix(name, headerPrefix) && !isHopHeader(name) {
 			r.Header[name] = values
--- a/internal/peer/wrapper/wrapper_test.go
+++ b/internal/peer/wrapper/wrapper_test.go
@@ -4,13 +4,15 @@
 	"net/http"
 	"reflect"
 	"testing"
+
+	"brasschute/internal/core/identifier"
 )
 
 // Guards against a wrapped request that reaches the endpoint changed, and against headers of a client
 // that take the place of the daemon's own.
 func TestRequestSurvivesWrapping(t *testing.T) {
 	r := &Request{
-		Service: "lm", Endpoint: "i-1", StartTime: -7, ID: "r-1", Fingerprint: "f", Method: "POST", Target: "/a%2Fb?c=%20", Host: "desk.example",
+		Service: "lm", Endpoint: "i-1", StartTime: -7, ID: "r-1", Fingerprint: "f", Parts: []identifier.Fingerprint{"part:lm:1", "part:lm:2"}, Method: "POST", Target: "/a%2Fb?c=%20", Host: "desk.example",
 		Header: http.Header{"Tenant": {"desk"}, "X-Two": {"1", "2"}},
 	}
 	wrapped := r.Encode()
--- a/internal/route/quarantiner/attempt.go
+++ b/internal/route/quarantiner/attempt.go
@@ -5,23 +5,29 @@
 // attempt is one attempt in progress.
 type attempt struct{ withdraw func() }
 
-// Track registers an attempt that has delivered nothing yet. withdraw is called once if the request
-// becomes held meanwhile: the request may be queued at an endpoint that has not begun it. The
-// caller calls untrack when the endpoint has delivered something or the attempt has ended.
-func (z *Quarantiner) Track(f identifier.Fingerprint, withdraw func()) (untrack func()) {
+// Track registers an attempt of a request, whose prompt has some shared parts, that has delivered
+// nothing yet. withdraw is called if the request or a part becomes held meanwhile: the request may be
+// queued at an endpoint that has not begun it. The caller calls untrack when the endpoint has
+// delivered something or the attempt has ended.
+func (z *Quarantiner) Track(f identifier.Fingerprint, withdraw func(), parts ...identifier.Fingerprint) (untrack func()) {
+	keys := append([]identifier.Fingerprint{f}, parts...)
+	a := &attempt{withdraw}
 	z.mu.Lock()
 	defer z.mu.Unlock()
-	a := &attempt{withdraw}
-	if z.running[f] == nil {
-		z.running[f] = make(map[*attempt]bool)
+	for _, key := range keys {
+		if z.running[key] == nil {
+			z.running[key] = make(map[*attempt]bool)
+		}
+		z.running[key][a] = true
 	}
-	z.running[f][a] = true
 	return func() {
 		z.mu.Lock()
 		defer z.mu.Unlock()
-		delete(z.running[f], a)
-		if len(z.running[f]) == 0 {
-			delete(z.running, f)
+		for _, key := range keys {
+			delete(z.running[key], a)
+			if len(z.running[key]) == 0 {
+				delete(z.running, key)
+			}
 		}
 	}
 }
--- a/internal/route/quarantiner/gossip.go
+++ b/internal/route/quarantiner/gossip.go
@@ -1,6 +1,8 @@
 package quarantiner
 
 import (
+	"cmp"
+	"slices"
 	"time"
 )
 
@@ -39,27 +41,41 @@
 func (z *Quarantiner) Merge(updates []Suspect) bool {
 	now := time.Now()
 	anyNew := false
-	for _, s := range updates {
-		z.mu.Lock()
-		isNew, changed := z.mergeSuspect(&s, now)
-		z.mu.Unlock()
-		anyNew = anyNew || isNew
-		z.notify(changed)
+	// Later parts come first, as in RecordEnding.
+	updates = slices.Clone(updates)
+	slices.SortStableFunc(updates, func(a, b Suspect) int { return cmp.Compare(b.depth(), a.depth()) })
+	var changes changes
+	z.mu.Lock()
+	for i := range updates {
+		anyNew = z.mergeSuspect(&updates[i], now, &changes) || anyNew
 	}
+	z.mu.Unlock()
+	z.notify(changes)
 	return anyNew
 }
 
+// depth returns the position of a part in prompts, 0 for a request.
+func (s *Suspect) depth() int {
+	if len(s.Endings) == 0 {
+		return 0
+	}
+	return s.Endings[0].Depth
+}
+
 // mergeSuspect merges one suspect. The caller holds the lock.
-func (z *Quarantiner) mergeSuspect(update *Suspect, now time.Time) (isNew bool, changed *Suspect) {
+func (z *Quarantiner) mergeSuspect(update *Suspect, now time.Time, changes *changes) (isNew bool) {
 	endings := make([]Ending, 0, len(update.Endings))
 	for _, e := range update.Endings {
 		// Endings that have lapsed here are not added again.
 		if age := now.Sub(e.At); e.Endpoint != "" && age < heldTime {
+			if e.Depth > 0 && z.answered.has(update.Fingerprint, now) {
+				e.Weak = true
+			}
 			endings = append(endings, e)
 		}
 	}
 	if len(endings) == 0 || update.Fingerprint == "" {
-		return false, nil
+		return false
 	}
-	return z.add(update.Fingerprint, endings[:min(len(endings), maxEndings)], now)
+	return z.add(update.Fingerprint, endings[:min(len(endings), maxEndings)], now, changes)
 }
--- /dev/null
+++ b/internal/route/quarantiner/parts_test.go
@@ -0,0 +1,191 @@
+package quarantiner
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+
+	"pgregory.net/rapid"
+
+	"brasschute/internal/core/identifier"
+)
+
+// Parts of prompts: callerPart is the first one of all requests of a caller.
+var (
+	guilty     = part("guilty")
+	callerPart = part("caller")
+)
+
+func part(id string) identifier.Fingerprint { return identifier.NewPartFingerprint("lm", id) }
+
+// crash records that the nth endpoint ended under a request, and returns the request.
+func crash(z *Quarantiner, n int, parts ...identifier.Fingerprint) identifier.Fingerprint {
+	f := identifier.Fingerprint(fmt.Sprint("request-", n))
+	z.RecordEnding(f, ending(n), parts...)
+	return f
+}
+
+// Guards against a part that crashes endpoints and is not held, and against a caller's or a
+// conversation's part that is.
+func TestVerdictsOfParts(t *testing.T) {
+	both := []identifier.Fingerprint{callerPart, guilty}
+	for _, c := range []struct {
+		name         string
+		do           func(z *Quarantiner)
+		held, caller bool
+	}{
+		{"two endings", func(z *Quarantiner) { crash(z, 1, both...); crash(z, 2, both...) }, false, false},
+		{"three endings", func(z *Quarantiner) { crash(z, 1, both...); crash(z, 2, both...); crash(z, 3, both...) }, true, false},
+		{"three endings, the first part differs", func(z *Quarantiner) {
+			for n := range 3 {
+				crash(z, n, part(fmt.Sprint("first-", n)), guilty)
+			}
+		}, true, false},
+		{"three endings, the second part differs", func(z *Quarantiner) {
+			for n := range 3 {
+				crash(z, n, guilty, part(fmt.Sprint("second-", n)))
+			}
+		}, true, false},
+		{"three endings under one request", func(z *Quarantiner) {
+			for n := range 3 {
+				z.RecordEnding("same", ending(n), both...)
+			}
+		}, false, false},
+		{"three endings after events", func(z *Quarantiner) {
+			for n := range 3 {
+				z.RecordEnding(identifier.Fingerprint(fmt.Sprint(n)), Ending{Endpoint: identifier.Endpoint(fmt.Sprint(n)), Weak: true}, both...)
+			}
+		}, false, false},
+		{"an event after two of three endings", func(z *Quarantiner) {
+			crash(z, 1, both...)
+			crash(z, 2, both...)
+			z.RecordEvent(both...)
+			crash(z, 3, both...)
+		}, false, false},
+		{"an event of another conversation of the caller", func(z *Quarantiner) {
+			crash(z, 1, both...)
+			crash(z, 2, both...)
+			z.RecordEvent(callerPart, part("another"))
+			crash(z, 3, both...)
+		}, true, false},
+		{"an event after it was held", func(z *Quarantiner) {
+			for n := range 3 {
+				crash(z, n, both...)
+			}
+			z.RecordEvent(both...)
+		}, false, false},
+		{"three endings shortly after an event", func(z *Quarantiner) {
+			z.RecordEvent(both...)
+			for n := range 3 {
+				crash(z, n, both...)
+			}
+		}, false, false},
+		{"six endings shortly after an event", func(z *Quarantiner) {
+			z.RecordEvent(both...)
+			for n := range 6 {
+				crash(z, n, both...)
+			}
+		}, true, false},
+		{"the caller's part crashes by itself", func(z *Quarantiner) {
+			for n := range 3 {
+				crash(z, n, callerPart, part(fmt.Sprint("conversation-", n)))
+			}
+		}, false, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			withFakeTime(t, func(t *testing.T, z *Quarantiner) {
+				c.do(z)
+				if got := held(z, guilty); got != c.held {
+					t.Errorf("part held: %v, want %v", got, c.held)
+				}
+				if got := held(z, callerPart); got != c.caller {
+					t.Errorf("caller's part held: %v, want %v", got, c.caller)
+				}
+				if d := z.Admit("new request", "x", both...); d.Held != (c.held || c.caller) {
+					t.Errorf("request with the part: %+v", d)
+				}
+				if d := z.Admit("new request", "x", part("another")); d.Held {
+					t.Errorf("request without the part: %+v", d)
+				}
+			})
+		})
+	}
+}
+
+// Guards against requests that stay held because they were near the crashes of a part.
+func TestHeldPartFreesRequestsThatWereNear(t *testing.T) {
+	withFakeTime(t, func(t *testing.T, z *Quarantiner) {
+		for n := range 2 {
+			crash(z, n, callerPart, guilty)
+			z.RecordEnding("bystander", ending(n), callerPart)
+		}
+		if !held(z, "bystander") {
+			t.Fatal("the request is not held after two endings")
+		}
+		crash(z, 2, callerPart, guilty)
+		if !held(z, guilty) || held(z, "bystander") {
+			t.Errorf("part held: %v, request near it held: %v", held(z, guilty), held(z, "bystander"))
+		}
+	})
+}
+
+// Guards against requests with a part that wait at endpoints when the part becomes held.
+func TestRequestsWithAHeldPartAreWithdrawn(t *testing.T) {
+	withFakeTime(t, func(t *testing.T, z *Quarantiner) {
+		withdrawn, other := 0, 0
+		defer z.Track("waiting", func() { withdrawn++ }, callerPart, guilty)()
+		defer z.Track("sound", func() { other++ }, callerPart, part("another"))()
+		for n := range 3 {
+			crash(z, n, callerPart, guilty)
+		}
+		synctest.Wait()
+		if withdrawn != 1 || other != 0 {
+			t.Errorf("withdrawn %d times, a request without the part %d times", withdrawn, other)
+		}
+	})
+}
+
+// Guards against daemons that do not hold a guilty part after five crashes whatever requests were
+// near them, or that go on holding a caller's part once requests of the caller are answered.
+func TestPartIsHeldAfterFiveCrashes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const daemons = 4
+		var list []*Quarantiner
+		for i := range daemons {
+			list = append(list, New(Config{Host: identifier.Host(fmt.Sprint("front-", i))}))
+		}
+		anyDaemon := func(name string) *Quarantiner { return list[rapid.IntRange(0, daemons-1).Draw(t, name)] }
+		for n := range 5 {
+			anyDaemon("daemon").RecordEnding(identifier.Fingerprint(fmt.Sprint("guilty-", n)), ending(n), callerPart, guilty)
+			for range rapid.IntRange(0, 6).Draw(t, "requests near") {
+				request := identifier.Fingerprint(fmt.Sprint("near-", rapid.IntRange(0, 4).Draw(t, "request")))
+				conversation := part(fmt.Sprint("conversation-", rapid.IntRange(0, 3).Draw(t, "conversation")))
+				anyDaemon("daemon").RecordEnding(request, ending(n), callerPart, conversation)
+			}
+			for _, from := range list {
+				for _, to := range list {
+					to.Merge(from.Updates())
+				}
+			}
+			if rapid.Bool().Draw(t, "event") {
+				anyDaemon("daemon").RecordEvent(callerPart, part(fmt.Sprint("conversation-", rapid.IntRange(0, 3).Draw(t, "conversation"))))
+			}
+		}
+		list[0].RecordEvent(callerPart)
+		for range 2 {
+			for _, from := range list {
+				for _, to := range list {
+					to.Merge(from.Updates())
+				}
+			}
+		}
+		for i, z := range list {
+			if !held(z, guilty) {
+				t.Errorf("front-%d does not hold the part after five crashes: %+v", i, z.List())
+			}
+			if held(z, callerPart) {
+				t.Errorf("front-%d holds the caller's part", i)
+			}
+		}
+	})
+}
--- a/internal/route/quarantiner/quarantiner.go
+++ b/internal/route/quarantiner/quarantiner.go
@@ -3,7 +3,8 @@
 // Some requests end the process of each endpoint that begins to run them, and with it all other
 // answers in progress there. Their clients get an error and send them again, to any daemon. What a
 // daemon learns from one arrival must therefore be kept after its end and reach all daemons.
-// Requests are identified by their fingerprint.
+// Requests are identified by their fingerprint. Of others no two are alike, but they have a part of
+// their prompts in common; such parts are identified, and held, in the same way.
 //
 // # Evidence
 //
@@ -14,9 +15,17 @@
 // endings no longer count. When a request is held, the endings that it explains no longer count
 // against other requests.
 //
+// An ending of a request of which the endpoint had delivered nothing counts against each part of its
+// prompt but the last as well. A part that crashes endpoints crashes all of them before the first
+// event, so an event of any request clears all parts of its prompt ([Quarantiner.RecordEvent]), on
+// all daemons. Endings under the same request count once against a part: a request that is only
+// nearby may come back and meet the next ending.
+//
 // # Decision
 //
-// A request with at least [limit] points is held: [Quarantiner.Admit] refuses it. The decision
+// A request with at least [limit] points is held: [Quarantiner.Admit] refuses it. A part is held from
+// [partLimit] points on, and requests with it are refused. All requests of a caller may have the
+// first part in common, so the later one of two parts explains what both have been near. The decision
 // follows from the endings alone, so daemons that have the same endings decide the same. After a
 // pause, which becomes ten times as long with each further ending, the daemon that saw the last
 // ending admits one arrival as a trial. An answer clears the request, another ending prolongs the
@@ -35,9 +44,10 @@
 // # Usage
 //
 //	z := quarantiner.New(quarantiner.Config{Host: name})
-//	if d := z.Admit(fingerprint, id); d.Held { ... }
-//	changed := z.RecordEnding(fingerprint, ending)
-//	z.RecordAnswer(fingerprint)
+//	if d := z.Admit(fingerprint, id, parts...); d.Held { ... }
+//	changed := z.RecordEnding(fingerprint, ending, parts...)
+//	changed = z.RecordEvent(parts...)
+//	changed = z.RecordAnswer(fingerprint)
 package quarantiner
 
 import (
@@ -55,6 +65,11 @@
 	strong = 2
 	weak   = 1
 	limit  = 4
+	// partLimit is that of parts of prompts: three endpoints, or six if the part was answered shortly
+	// before. Each ending leaves several requests without an event, whose parts are new to it.
+	partLimit = 6
+	// MaxDepth bounds the positions of parts in prompts that are told apart.
+	MaxDepth = 64
 )
 
 const (
@@ -86,6 +101,10 @@
 	// Void: the request has been answered since, an operator lifted it, or another request explains
 	// the ending.
 	Void bool
+	// Of a part of prompts, Request is the request under which the endpoint ended and Depth the
+	// position of the part in its prompt, counted from 1.
+	Request identifier.Fingerprint `json:",omitempty"`
+	Depth   int                    `json:",omitempty"`
 }
 
 // points returns how much the ending counts.
@@ -114,6 +133,8 @@
 	// Held: the request must not be sent. Trial: the request is held, but this arrival may be sent.
 	Held  bool
 	Trial bool
+	// Part is the part of the prompt that is held; empty if it is the whole request.
+	Part identifier.Fingerprint
 	// Endings are the endings that count.
 	Endings []Ending
 	// RetryAfter is the time until the next trial. It is meaningful only if Held is set.
@@ -143,6 +164,8 @@
 
 // suspect is the state of a request with endings.
 type suspect struct {
+	// part: it is a part of prompts, not a request.
+	part    bool
 	endings []Ending
 	held    bool
 	changed time.Time
@@ -161,11 +184,25 @@
 	}
 }
 
-// Admit decides whether an arrival of a request may be sent to an endpoint now. It must be called
-// again right before each send.
-func (z *Quarantiner) Admit(f identifier.Fingerprint, id identifier.Request) Decision {
+// Admit decides whether an arrival of a request, whose prompt has some shared parts, may be sent to
+// an endpoint now. It must be called again right before each send.
+func (z *Quarantiner) Admit(f identifier.Fingerprint, id identifier.Request, parts ...identifier.Fingerprint) Decision {
 	z.mu.Lock()
 	defer z.mu.Unlock()
+	d := z.admit(f, id)
+	for _, part := range parts {
+		if d.Held {
+			break
+		}
+		if p := z.admit(part, id); p.Held || p.Trial {
+			d, d.Part = p, part
+		}
+	}
+	return d
+}
+
+// admit decides on a request or a part. The caller holds the lock.
+func (z *Quarantiner) admit(f identifier.Fingerprint, id identifier.Request) Decision {
 	s := z.suspects[f]
 	if s == nil || !s.held {
 		return Decision{}
@@ -181,19 +218,46 @@
 	return d
 }
 
-// RecordEnding adds an ending of a request and reports whether it is new and must reach the other
-// daemons.
-func (z *Quarantiner) RecordEnding(f identifier.Fingerprint, e Ending) bool {
+// RecordEnding adds an ending of a request whose prompt has some shared parts, and reports whether it
+// is new and must reach the other daemons.
+func (z *Quarantiner) RecordEnding(f identifier.Fingerprint, e Ending, parts ...identifier.Fingerprint) bool {
 	z.mu.Lock()
 	now := time.Now()
 	e.Seen, e.At = z.c.Host, now
+	var changes changes
+	isNew := false
+	// Later parts come first, as they explain what the earlier ones were near.
+	for i := min(len(parts), MaxDepth) - 1; i >= 0 && !e.Weak; i-- {
+		p := e
+		p.Request, p.Depth, p.Weak = f, i+1, z.answered.has(parts[i], now)
+		isNew = z.add(parts[i], []Ending{p}, now, &changes) || isNew
+	}
 	e.Weak = e.Weak || z.answered.has(f, now)
-	isNew, changed := z.add(f, []Ending{e}, now)
+	isNew = z.add(f, []Ending{e}, now, &changes) || isNew
 	z.mu.Unlock()
-	z.notify(changed)
+	z.notify(changes)
 	return isNew
 }
 
+// RecordEvent clears parts of prompts, as an endpoint has begun to write an answer to a request with
+// them. It reports whether anything counted against one of them, so that the event must reach the
+// other daemons.
+func (z *Quarantiner) RecordEvent(parts ...identifier.Fingerprint) (cleared bool) {
+	if len(parts) == 0 {
+		return false
+	}
+	z.mu.Lock()
+	now := time.Now()
+	var changes changes
+	for _, part := range parts {
+		z.answered.add(part, now)
+		cleared = z.lift(part, now, &changes) || cleared
+	}
+	z.mu.Unlock()
+	z.notify(changes)
+	return cleared
+}
+
 // RecordAnswer clears a request that an endpoint has run to its end. It reports whether anything
 // counted against the request, so that the answer must reach the other daemons.
 func (z *Quarantiner) RecordAnswer(f identifier.Fingerprint) bool {
@@ -203,19 +267,25 @@
 	return z.Lift(f)
 }
 
-// Lift clears a request and reports whether anything counted against it.
+// Lift clears a request or a part and reports whether anything counted against it.
 func (z *Quarantiner) Lift(f identifier.Fingerprint) bool {
 	z.mu.Lock()
+	var changes changes
+	lifted := z.lift(f, time.Now(), &changes)
+	z.mu.Unlock()
+	z.notify(changes)
+	return lifted
+}
+
+// lift voids all endings of a suspect. The caller holds the lock.
+func (z *Quarantiner) lift(f identifier.Fingerprint, now time.Time, changes *changes) bool {
 	s := z.suspects[f]
 	if s == nil || s.points() == 0 {
-		z.mu.Unlock()
 		return false
 	}
 	s.void(func(*Ending) bool { return true })
-	s.changed = time.Now()
-	changed := z.updateHeld(f, s)
-	z.mu.Unlock()
-	z.notify(changed)
+	s.changed = now
+	z.updateHeld(f, s, changes)
 	return true
 }
 
@@ -246,19 +316,22 @@
 	return z.evicted
 }
 
-// notify calls OnChange for a change, if there is one. The caller must not hold the lock.
-func (z *Quarantiner) notify(changed *Suspect) {
-	if changed != nil {
-		z.c.OnChange(changed)
+// changes are the suspects that became held or free in one step.
+type changes []*Suspect
+
+// notify calls OnChange for changes. The caller must not hold the lock.
+func (z *Quarantiner) notify(list changes) {
+	for _, s := range list {
+		z.c.OnChange(s)
 	}
 }
 
-// add merges endings into the suspect. The caller holds the lock.
-func (z *Quarantiner) add(f identifier.Fingerprint, endings []Ending, now time.Time) (isNew bool, changed *Suspect) {
+// add merges endings into a suspect. The caller holds the lock.
+func (z *Quarantiner) add(f identifier.Fingerprint, endings []Ending, now time.Time, changes *changes) (isNew bool) {
 	s := z.suspects[f]
 	if s == nil {
 		z.evict(now)
-		s = &suspect{}
+		s = &suspect{part: f.IsPart()}
 		z.suspects[f] = s
 	}
 	if !s.held {
@@ -270,33 +343,50 @@
 	if isNew {
 		s.changed = now
 	}
-	return isNew, z.updateHeld(f, s)
+	z.updateHeld(f, s, changes)
+	return isNew
 }
 
-// updateHeld recomputes whether a request is held and returns the suspect if that changed. The
+// updateHeld recomputes whether a suspect is held, and adds it to changes if that has changed. The
 // caller holds the lock.
-func (z *Quarantiner) updateHeld(f identifier.Fingerprint, s *suspect) *Suspect {
-	held := s.points() >= limit
+func (z *Quarantiner) updateHeld(f identifier.Fingerprint, s *suspect, changes *changes) {
+	held := s.points() >= s.limit()
 	if held == s.held {
-		return nil
+		return
 	}
 	s.held = held
+	*changes = append(*changes, &Suspect{Fingerprint: f, Endings: slices.Clone(s.endings), Held: held})
 	if held {
 		z.withdraw(f)
-		z.voidExplained(s)
+		z.voidExplained(f, s, changes)
 	}
-	return &Suspect{Fingerprint: f, Endings: slices.Clone(s.endings), Held: held}
 }
 
-// voidExplained voids the endings of other requests that a held request explains.
-func (z *Quarantiner) voidExplained(by *suspect) {
-	for _, s := range z.suspects {
-		if !s.held {
-			s.void(func(e *Ending) bool { return by.has(e) })
+// voidExplained voids the endings of others that a held suspect explains.
+func (z *Quarantiner) voidExplained(f identifier.Fingerprint, by *suspect, changes *changes) {
+	for other, s := range z.suspects {
+		if s == by {
+			continue
 		}
+		s.void(func(e *Ending) bool { return by.has(e) && by.explains(f, s, e) })
+		z.updateHeld(other, s, changes)
 	}
 }
 
+// explains reports whether s, which is held as f, explains an ending that counts against o as well.
+func (s *suspect) explains(f identifier.Fingerprint, o *suspect, e *Ending) bool {
+	switch {
+	case s.part && o.part:
+		return o.depth() < s.depth()
+	case s.part:
+		return true
+	case o.part:
+		// Many requests are near an ending, so only its own endings speak for the parts of a request.
+		return !o.held && e.Request == f
+	}
+	return !o.held
+}
+
 // evict makes room for one more suspect. The caller holds the lock.
 func (z *Quarantiner) evict(now time.Time) {
 	var oldest identifier.Fingerprint
@@ -328,14 +418,34 @@
 	return age > heldTime || age > suspectTime && !s.held
 }
 
-// points returns the sum of the points of all endings.
+// points returns the sum of the points of all endings. Of a part, those under one request count once.
 func (s *suspect) points() (sum int) {
 	for i := range s.endings {
-		sum += s.endings[i].points()
+		e := &s.endings[i]
+		repeated := e.Request != "" && slices.ContainsFunc(s.endings[:i], func(o Ending) bool { return !o.Void && o.Request == e.Request })
+		if !repeated {
+			sum += e.points()
+		}
 	}
 	return sum
 }
 
+// limit returns the number of points from which on s is held.
+func (s *suspect) limit() int {
+	if s.part {
+		return partLimit
+	}
+	return limit
+}
+
+// depth returns the largest position of a part in prompts.
+func (s *suspect) depth() (depth int) {
+	for i := range s.endings {
+		depth = max(depth, s.endings[i].Depth)
+	}
+	return depth
+}
+
 // counting returns the endings that count.
 func (s *suspect) counting() (out []Ending) {
 	for _, e := range s.endings {
@@ -358,7 +468,7 @@
 // pause returns the time between the last ending and the next trial.
 func (s *suspect) pause() time.Duration {
 	pause := firstPause
-	for points := s.points() - limit; points >= strong && pause < heldTime; points -= strong {
+	for points := s.points() - s.limit(); points >= strong && pause < heldTime; points -= strong {
 		pause *= pauseFactor
 	}
 	return pause
@@ -387,6 +497,10 @@
 	if i := s.find(e); i >= 0 {
 		known := &s.endings[i]
 		void, weak := known.Void || e.Void, known.Weak && e.Weak
+		if s.part {
+			// A daemon that knows of an answer is right.
+			weak = known.Weak || e.Weak
+		}
 		changed := void != known.Void || weak != known.Weak
 		known.Void, known.Weak = void, weak
 		return changed
--- a/internal/serve/dispatcher/dispatcher.go
+++ b/internal/serve/dispatcher/dispatcher.go
@@ -54,7 +54,9 @@
 	To          pathtracker.Destination
 	ID          identifier.Request
 	Fingerprint identifier.Fingerprint
-	Message     *sender.Request
+	// Parts are the parts of its prompt that other requests may have as well.
+	Parts   []identifier.Fingerprint
+	Message *sender.Request
 }
 
 // Dispatcher sends requests. It is safe for concurrent use.
--- a/internal/serve/dispatcher/peers.go
+++ b/internal/serve/dispatcher/peers.go
@@ -149,7 +149,7 @@
 // those after which no other peer may be asked.
 func (d *Dispatcher) sendThrough(ctx context.Context, r *Request, p Peer) (*Response, wrapper.Outcome, error) {
 	w := wrapper.Request{
-		Service: r.To.Service, Endpoint: r.To.Endpoint, StartTime: r.To.StartTime, ID: r.ID, Fingerprint: r.Fingerprint,
+		Service: r.To.Service, Endpoint: r.To.Endpoint, StartTime: r.To.StartTime, ID: r.ID, Fingerprint: r.Fingerprint, Parts: r.Parts,
 		Method: r.Message.Method, Target: r.Message.Target, Host: r.Message.Host, Header: r.Message.Header,
 	}
 	message := *r.Message
--- a/internal/serve/proxier/proxier.go
+++ b/internal/serve/proxier/proxier.go
@@ -56,7 +56,7 @@
 
 // Quarantine holds back requests that bring endpoints down; see package relayer.
 type Quarantine interface {
-	Admit(f identifier.Fingerprint, id identifier.Request) quarantiner.Decision
+	Admit(f identifier.Fingerprint, id identifier.Request, parts ...identifier.Fingerprint) quarantiner.Decision
 	ReportBreak(ctx context.Context, b *crashreporter.BrokenRequest)
 }
 
@@ -184,6 +184,8 @@
 	wrapped *wrapper.Request
 	pick    *registry.Pick
 	to      pathtracker.Destination
+	// events counts the reads of the body that have brought some of it.
+	events int
 }
 
 // probe connects to the endpoint.
@@ -241,7 +243,7 @@
 		Address: j.pick.Address, Method: j.wrapped.Method, Target: j.wrapped.Target, Host: j.wrapped.Host, Header: j.wrapped.Header, Body: body,
 		// Connecting takes time. Meanwhile the endpoint may have begun to leave.
 		Ready: func() bool {
-			return j.p.c.Registry.Usable(j.pick) && !j.p.c.Quarantine.Admit(j.wrapped.Fingerprint, j.wrapped.ID).Held && j.p.c.Registry.AcquirePermit(j.pick)
+			return j.p.c.Registry.Usable(j.pick) && !j.p.c.Quarantine.Admit(j.wrapped.Fingerprint, j.wrapped.ID, j.wrapped.Parts...).Held && j.p.c.Registry.AcquirePermit(j.pick)
 		},
 		Matches: replyreader.Matches(codec, j.wrapped.ID), KeepAlive: replyreader.KeepAlive(codec),
 	}
@@ -280,7 +282,7 @@
 		return
 	}
 	j.p.c.Registry.Report(j.pick, registry.Failed)
-	j.p.c.Quarantine.ReportBreak(ctx, &crashreporter.BrokenRequest{Fingerprint: j.wrapped.Fingerprint, Request: j.wrapped.ID, Pick: j.pick})
+	j.p.c.Quarantine.ReportBreak(ctx, &crashreporter.BrokenRequest{Fingerprint: j.wrapped.Fingerprint, Request: j.wrapped.ID, Parts: j.wrapped.Parts, Pick: j.pick, Events: j.events})
 }
 
 // observe passes on what the endpoint's reply says about it.
@@ -300,6 +302,7 @@
 	for {
 		n, err := body.Read(chunk)
 		if n > 0 {
+			j.events++
 			j.pick.Activity.RecordEvent(time.Now())
 			if _, err := w.Write(chunk[:n]); err != nil {
 				return errPeer
--- a/internal/serve/proxier/proxier_test.go
+++ b/internal/serve/proxier/proxier_test.go
@@ -46,7 +46,7 @@
 
 func (r *recorder) ObserveBackoff(*request.Request, *registry.Pick, time.Duration) {}
 
-func (r *recorder) Admit(identifier.Fingerprint, identifier.Request) quarantiner.Decision {
+func (r *recorder) Admit(identifier.Fingerprint, identifier.Request, ...identifier.Fingerprint) quarantiner.Decision {
 	return quarantiner.Decision{Held: r.held}
 }
 
--- a/internal/serve/receiver/receiver.go
+++ b/internal/serve/receiver/receiver.go
@@ -60,7 +60,7 @@
 
 // Quarantine decides which requests may not reach endpoints.
 type Quarantine interface {
-	Admit(f identifier.Fingerprint, id identifier.Request) quarantiner.Decision
+	Admit(f identifier.Fingerprint, id identifier.Request, parts ...identifier.Fingerprint) quarantiner.Decision
 }
 
 // Observer is notified of the end of each request.
@@ -142,7 +142,7 @@
 // serve checks quarantine and quota, relays the request and reports its end.
 func (v *Receiver) serve(w http.ResponseWriter, r *http.Request, c *catalog.Catalog, q *request.Request) {
 	v.c.OnArrival(q)
-	if decision := v.c.Quarantine.Admit(q.Fingerprint(), q.ID); decision.Held {
+	if decision := v.c.Quarantine.Admit(q.Fingerprint(), q.ID, q.SharedParts()...); decision.Held {
 		v.refuse(w, q, &relayer.Result{Outcome: relayer.NotRun, Fingerprint: q.Fingerprint(), Refusal: relayer.QuarantineRefusal(&decision)})
 		return
 	}
--- a/internal/serve/relayer/attempt_test.go
+++ b/internal/serve/relayer/attempt_test.go
@@ -39,7 +39,7 @@
 func TestEachAttemptReportsItsFirstEvent(t *testing.T) {
 	rec, r := new(fakeReserver), registry.New(registry.Config{})
 	j := &job{
-		r: New(Config{Registry: r, Placer: placer.New(placer.Config{Registry: r, Estimator: new(estimator.Estimator), Reserver: rec})}),
+		r: New(Config{Registry: r, Placer: placer.New(placer.Config{Registry: r, Estimator: new(estimator.Estimator), Reserver: rec}), Quarantine: fakes{}}),
 		q: &request.Request{Route: &catalog.Route{Kind: catalog.Streaming}}, w: httptest.NewRecorder(), flush: func() error { return nil },
 		headSent: true, began: true, lastEvent: 1, res: Result{Events: 1},
 	}
@@ -78,7 +78,10 @@
 func (fakes) CountPlaced(identifier.Service, identifier.Tokens, bool) {}
 func (fakes) CountEnded(identifier.Service)                           {}
 func (fakes) RunStarted(*splitter.Run) bool                           { return false }
-func (fakes) Track(identifier.Fingerprint, func()) func()             { return func() {} }
+func (fakes) Track(identifier.Fingerprint, func(), ...identifier.Fingerprint) func() {
+	return func() {}
+}
+func (fakes) RecordEvent(...identifier.Fingerprint) {}
 func (fakes) DialContext(context.Context, string, string) (net.Conn, error) {
 	return nil, errors.New("unreachable")
 }
--- a/internal/serve/relayer/quarantine.go
+++ b/internal/serve/relayer/quarantine.go
@@ -16,7 +16,7 @@
 
 // admit decides whether the quarantine lets the request be sent now.
 func (j *job) admit() quarantiner.Decision {
-	d := j.r.c.Quarantine.Admit(j.q.Fingerprint(), j.q.ID)
+	d := j.r.c.Quarantine.Admit(j.q.Fingerprint(), j.q.ID, j.parts...)
 	j.held = d.Held
 	return d
 }
@@ -24,7 +24,7 @@
 // track lets the quarantine cancel an attempt for as long as the endpoint has
 // returned nothing. untrack must be called when it has, or when the attempt ends.
 func (j *job) track(cancel context.CancelCauseFunc) (untrack func()) {
-	return j.r.c.Quarantine.Track(j.q.Fingerprint(), func() { cancel(errQuarantined) })
+	return j.r.c.Quarantine.Track(j.q.Fingerprint(), func() { cancel(errQuarantined) }, j.parts...)
 }
 
 // QuarantineRefusal returns the refusal of a request that is quarantined and was not sent.
@@ -39,5 +39,9 @@
 	for i, e := range d.Endings {
 		endings[i] = fmt.Sprintf("%s %.1f s ago", e.Endpoint, now.Sub(e.At).Seconds())
 	}
-	return "endpoints ended while they ran the same request: " + strings.Join(endings, ", ")
+	what := "the same request"
+	if d.Part != "" {
+		what = "requests with " + string(d.Part) + " in their prompts"
+	}
+	return "endpoints ended while they ran " + what + ": " + strings.Join(endings, ", ")
 }
--- a/internal/serve/relayer/relayer.go
+++ b/internal/serve/relayer/relayer.go
@@ -136,10 +136,12 @@
 // Quarantine holds back requests that bring endpoints down.
 type Quarantine interface {
 	// Admit decides whether a request may be sent. It is called right before each send.
-	Admit(f identifier.Fingerprint, id identifier.Request) quarantiner.Decision
+	Admit(f identifier.Fingerprint, id identifier.Request, parts ...identifier.Fingerprint) quarantiner.Decision
 	// Track registers an attempt until leave is called. withdraw is called if the
 	// request is quarantined meanwhile.
-	Track(f identifier.Fingerprint, withdraw func()) (leave func())
+	Track(f identifier.Fingerprint, withdraw func(), parts ...identifier.Fingerprint) (leave func())
+	// RecordEvent is called when an endpoint begins to write an answer to a request with some parts.
+	RecordEvent(parts ...identifier.Fingerprint)
 	// ReportBreak is called for each attempt that an endpoint broke off.
 	ReportBreak(ctx context.Context, b *crashreporter.BrokenRequest)
 	// Answered is called for each request that an endpoint ran to its end.
@@ -252,6 +254,8 @@
 	flush   func() error
 	res     Result
 
+	// parts are the parts of the prompt that other requests may have as well.
+	parts []identifier.Fingerprint
 	tried []identifier.Endpoint
 	// versionChosen is set once the version for the request has been chosen.
 	versionChosen bool
@@ -294,7 +298,7 @@
 // Relay serves one request. ctx must end when the client disconnects or the request's
 // deadline passes.
 func (r *Relayer) Relay(ctx context.Context, w http.ResponseWriter, q *request.Request, s *catalog.Service) Result {
-	j := &job{r: r, q: q, service: s, w: w, flush: http.NewResponseController(w).Flush, lastEvent: q.LastEventNumber}
+	j := &job{r: r, q: q, service: s, w: w, flush: http.NewResponseController(w).Flush, lastEvent: q.LastEventNumber, parts: q.SharedParts()}
 	// The client of a stream that broke off asks for the rest of what it has asked before.
 	j.returnDelay = r.c.Demand.ReturnDelay(q.Service, q.Route.Name, q.ClientTimeout)
 	j.counted = j.returnDelay > 0 || q.LastEventNumber > 0
@@ -319,7 +323,7 @@
 		}
 		if brokenOff(ctx, err) {
 			j.res.Fingerprint = q.Fingerprint()
-			r.c.Quarantine.ReportBreak(ctx, &crashreporter.BrokenRequest{Fingerprint: q.Fingerprint(), Request: q.ID, Parts: q.SharedParts(), Pick: pick, Events: j.res.Events - events})
+			r.c.Quarantine.ReportBreak(ctx, &crashreporter.BrokenRequest{Fingerprint: q.Fingerprint(), Request: q.ID, Parts: j.parts, Pick: pick, Events: j.res.Events - events})
 		}
 		if j.endsRequest(ctx, err) {
 			return j.res
--- a/internal/serve/request/request.go
+++ b/internal/serve/request/request.go
@@ -88,15 +88,15 @@
 	return r.fingerprint
 }
 
-// SharedParts returns the ids of the parts of the prompt that other requests may have as well: all
-// but the last.
-func (r *Request) SharedParts() []string {
+// SharedParts returns the fingerprints of the parts of the prompt that other requests may have as
+// well: all but the last.
+func (r *Request) SharedParts() []identifier.Fingerprint {
 	if len(r.Parts) < 2 {
 		return nil
 	}
-	out := make([]string, len(r.Parts)-1)
+	out := make([]identifier.Fingerprint, len(r.Parts)-1)
 	for i := range out {
-		out[i] = r.Parts[i].ID
+		out[i] = identifier.NewPartFingerprint(r.Service, r.Parts[i].ID)
 	}
 	return out
 }
--- a/internal/serve/streamer/quarantine.go
+++ b/internal/serve/streamer/quarantine.go
@@ -14,7 +14,7 @@
 // Quarantine holds back requests that bring endpoints down.
 type Quarantine interface {
 	// Admit decides whether a request may be sent. It is called right before each send.
-	Admit(f identifier.Fingerprint, id identifier.Request) quarantiner.Decision
+	Admit(f identifier.Fingerprint, id identifier.Request, parts ...identifier.Fingerprint) quarantiner.Decision
 	// ReportBreak is called for each attempt that an endpoint broke off.
 	ReportBreak(ctx context.Context, b *crashreporter.BrokenRequest)
 	// Answered is called for each request that an endpoint ran to its end.
