--- /dev/null
+++ b/internal/role/gateway/concentration_test.go
@@ -0,0 +1,69 @@
+package gateway
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+)
+
+// minServedShare is the smallest part of the former rate at which requests may be served while one
+// daemon gets most connections.
+const minServedShare = 0.75
+
+// sendWhere sends requests at a constant rate for a time, each to a daemon that choose selects, and
+// returns the part of them that was served.
+func (f *testFleet) sendWhere(choose func(n int) int, perSecond float64, d time.Duration) float64 {
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	var replies []clientReply
+	interval := time.Duration(float64(time.Second) / perSecond)
+	for n, begun := 0, time.Now(); time.Since(begun) < d; n++ {
+		daemon := choose(n)
+		group.Go(func() {
+			r := f.ask(daemon, streamPath, fmt.Sprintf("letter %d", n))
+			mu.Lock()
+			defer mu.Unlock()
+			replies = append(replies, r)
+		})
+		time.Sleep(interval)
+	}
+	group.Wait()
+	return 1 - float64(countFailed(replies))/float64(len(replies))
+}
+
+// anyDaemon selects a random daemon.
+func (f *testFleet) anyDaemon(int) int { return f.random.IntN(len(f.daemons)) }
+
+// mostly selects the given daemon for 19 of 20 requests, and a random one for the others.
+func (f *testFleet) mostly(daemon int) func(int) int {
+	return func(n int) int {
+		if n%20 == 0 {
+			return f.anyDaemon(n)
+		}
+		return daemon
+	}
+}
+
+// Guards against requests that are refused at the daemon that gets most connections while the shares
+// that other daemons have of the engines' limits are not used.
+func TestDaemonWithMostConnectionsUsesTheLimitsOfEngines(t *testing.T) {
+	const limit = 4
+	all := func(int, time.Duration) float64 { return limit }
+	for _, daemons := range []int{8, 60} {
+		t.Run(fmt.Sprint(daemons, " daemons"), func(t *testing.T) {
+			inLimitFleet(t, daemons, all, func(f *testFleet, l *limitedEngines) {
+				const perSecond = limit * engineCount / 2
+				f.sendWhere(f.anyDaemon, perSecond, 4*time.Second)
+				before := f.sendWhere(f.anyDaemon, perSecond, 8*time.Second)
+				first := f.sendWhere(f.mostly(0), perSecond, 8*time.Second)
+				second := f.sendWhere(f.mostly(1), perSecond, 8*time.Second)
+				t.Logf("%.2f served before, %.2f and %.2f while one daemon gets 19 of 20 connections", before, first, second)
+				if min(first, second) < minServedShare*before {
+					t.Errorf("%.2f and %.2f are served while one daemon gets most connections, %.2f before", first, second, before)
+				}
+				l.check(limit)
+			})
+		})
+	}
+}
--- a/internal/route/quarantiner/parts_test.go
+++ b/internal/route/quarantiner/parts_test.go
@@ -18,11 +18,9 @@
 
 func part(id string) identifier.Fingerprint { return identifier.NewPartFingerprint("lm", id) }
 
-// crash records that the nth endpoint ended under a request, and returns the request.
-func crash(z *Quarantiner, n int, parts ...identifier.Fingerprint) identifier.Fingerprint {
-	f := identifier.Fingerprint(fmt.Sprint("request-", n))
-	z.RecordEnding(f, ending(n), parts...)
-	return f
+// crash records that the nth endpoint ended under a request of its own.
+func crash(z *Quarantiner, n int, parts ...identifier.Fingerprint) {
+	z.RecordEnding(identifier.Fingerprint(fmt.Sprint("request-", n)), ending(n), parts...)
 }
 
 // Guards against a part that crashes endpoints and is not held, and against a caller's or a
