permitborrower: a daemon borrows other daemons' parts of engines' limits

What callers would see: while most new connections go to one daemon and engines state limits, that daemon refuses what the limits allow.

Cause: each daemon has a fixed part of a limit, by the number of daemons and not by who has requests. Class: a shared bound that is split by heads. The parts of the others were not used.

A request that only limits keep from an endpoint now asks up to three of the daemons that send there for a send slot. The lender counts it as used before it answers, the borrower uses it within 200 ms of its call, so the limit holds whichever of them ends.

--- a/internal/role/gateway/concentration_test.go
+++ b/internal/role/gateway/concentration_test.go
@@ -11,13 +11,12 @@
 // daemon gets most connections.
 const minServedShare = 0.75
 
-// sendWhere sends requests at a constant rate for a time, each to a daemon that choose selects, and
+// sendWhere sends requests at an interval for a time, each to a daemon that choose selects, and
 // returns the part of them that was served.
-func (f *testFleet) sendWhere(choose func(n int) int, perSecond float64, d time.Duration) float64 {
+func (f *testFleet) sendWhere(choose func(n int) int, interval, d time.Duration) float64 {
 	var mu sync.Mutex
 	var group sync.WaitGroup
 	var replies []clientReply
-	interval := time.Duration(float64(time.Second) / perSecond)
 	for n, begun := 0, time.Now(); time.Since(begun) < d; n++ {
 		daemon := choose(n)
 		group.Go(func() {
@@ -49,15 +48,17 @@
 // that other daemons have of the engines' limits are not used.
 func TestDaemonWithMostConnectionsUsesTheLimitsOfEngines(t *testing.T) {
 	const limit = 4
+	// halfOfLimits is the time between two requests at half the rate that all limits allow.
+	const halfOfLimits = 2 * time.Second / (limit * engineCount)
 	all := func(int, time.Duration) float64 { return limit }
 	for _, daemons := range []int{8, 60} {
 		t.Run(fmt.Sprint(daemons, " daemons"), func(t *testing.T) {
 			inLimitFleet(t, daemons, all, func(f *testFleet, l *limitedEngines) {
-				const perSecond = limit * engineCount / 2
-				f.sendWhere(f.anyDaemon, perSecond, 4*time.Second)
-				before := f.sendWhere(f.anyDaemon, perSecond, 8*time.Second)
-				first := f.sendWhere(f.mostly(0), perSecond, 8*time.Second)
-				second := f.sendWhere(f.mostly(1), perSecond, 8*time.Second)
+				const part = 8 * time.Second
+				f.sendWhere(f.anyDaemon, halfOfLimits, part/2)
+				before := f.sendWhere(f.anyDaemon, halfOfLimits, part)
+				first := f.sendWhere(f.mostly(0), halfOfLimits, part)
+				second := f.sendWhere(f.mostly(1), halfOfLimits, part)
 				t.Logf("%.2f served before, %.2f and %.2f while one daemon gets 19 of 20 connections", before, first, second)
 				if min(first, second) < minServedShare*before {
 					t.Errorf("%.2f and %.2f are served while one daemon gets most connections, %.2f before", first, second, before)
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -61,6 +61,7 @@
 	"brasschute/internal/peer/meter"
 	"brasschute/internal/peer/mirror"
 	"brasschute/internal/peer/origintracker"
+	"brasschute/internal/peer/permitborrower"
 	"brasschute/internal/peer/reserver"
 	"brasschute/internal/peer/roster"
 	"brasschute/internal/peer/rpc"
@@ -226,6 +227,7 @@
 	// versions tracks the versions of services' endpoints, origins those at which streams began.
 	versions *versiontracker.Tracker
 	origins  *origintracker.Tracker
+	permits  *permitborrower.Borrower
 	// scarcityLogs limits the log lines about scarce endpoints.
 	scarcityLogs *rate.Limiter
 	// predictions are the histograms of measured over predicted times to first events, by service.
@@ -346,14 +348,13 @@
 	})
 	g.buildProxier()
 	g.buildScheduling()
-	g.buildStreams()
 	relay := relayer.New(relayer.Config{
 		Registry: g.registry, Placer: placer.New(placer.Config{
 			Registry: g.registry, Estimator: &g.estimator, Zone: d.AvailabilityZone, Host: d.Host, Reserver: g.reserver, OnFirstEvent: g.recordPrediction,
 			SurvivedRejections: g.survivedRejections,
 		}),
 		Dispatcher: g.dispatcher, Codec: platform.Codec{}, Budget: g, OnBegin: g.countRequest, Demand: &g.demandMeter, Quarantine: g.quarantine,
-		Versions: g.splitter, Origins: g.origins, ReplyObserver: g, SilenceObserver: g,
+		Versions: g.splitter, Origins: g.origins, Permits: g.permits, ReplyObserver: g, SilenceObserver: g,
 	})
 	g.receiver = receiver.New(receiver.Config{
 		Versioner: &g.versioner, Relayer: relay, Quota: g, Quarantine: g.quarantine, Decode: platform.DecodeRequest, Refuse: platform.Codec{}.EncodeRefusal,
--- a/internal/role/gateway/gossip.go
+++ b/internal/role/gateway/gossip.go
@@ -11,6 +11,7 @@
 	"brasschute/internal/peer/coordinator"
 	"brasschute/internal/peer/fetcher"
 	"brasschute/internal/peer/origintracker"
+	"brasschute/internal/peer/permitborrower"
 	"brasschute/internal/peer/roster"
 	"brasschute/internal/peer/rpc"
 	"brasschute/internal/peer/supplier"
@@ -64,7 +65,7 @@
 		Client: watchdog.New(watchdog.Config{Transport: transport, IdleTimeout: peerStallTimeout}), Logger: g.c.Logger,
 	})
 	peers := http.NewServeMux()
-	peers.Handle("/", throttle.Handler(rpc.NewFleetServer(fleetServer{g.syncer, g.supplier, g.coordinator, g.origins})))
+	peers.Handle("/", throttle.Handler(rpc.NewFleetServer(fleetServer{g.syncer, g.supplier, g.coordinator, g.origins, g.permits})))
 	peers.Handle("POST "+wrapper.Path, g.proxier)
 	g.peerHandler = peers
 	for _, seed := range d.Seeds {
@@ -90,6 +91,7 @@
 	*supplier.Supplier
 	*coordinator.Coordinator
 	*origintracker.Tracker
+	*permitborrower.Borrower
 }
 
 // endpointsRevision returns the revision up to which the list of endpoints is known.
--- a/internal/role/gateway/limits.go
+++ b/internal/role/gateway/limits.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"brasschute/internal/core/identifier"
+	"brasschute/internal/peer/permitborrower"
 	"brasschute/internal/peer/rpc"
 	"brasschute/internal/route/pacer"
 	"brasschute/internal/route/registry"
@@ -26,6 +27,26 @@
 	g.pacer = pacer.New(pacer.Config{Host: g.c.Deployment.Host, Fleet: g.pacingFleet, Now: g.clock.Now, OnChange: g.onLimitChange})
 }
 
+// buildPermits builds what borrows other daemons' parts of endpoints' limits.
+func (g *Gateway) buildPermits() {
+	g.permits = permitborrower.New(permitborrower.Config{
+		Pacer: g.pacer, Address: g.peerAddress, Metrics: g.scope,
+		Dial: func(address string) permitborrower.Lender {
+			return rpc.NewFleetProtobufClient("http://"+address, g.peerClient)
+		},
+	})
+}
+
+// peerAddress returns the address of a live daemon.
+func (g *Gateway) peerAddress(host identifier.Host) (address string, ok bool) {
+	for _, d := range g.roster.LiveDaemons(time.Now()) {
+		if d.Host == host {
+			return d.Address, true
+		}
+	}
+	return "", false
+}
+
 // pacingFleet returns the live daemons that share endpoints' limits with this one.
 func (g *Gateway) pacingFleet() pacer.Fleet {
 	f := pacer.Fleet{Size: g.fleetSize(), Stopping: g.stopping.Load()}
--- a/internal/role/gateway/scheduling.go
+++ b/internal/role/gateway/scheduling.go
@@ -29,7 +29,8 @@
 // predictionBuckets are the bounds of the ratios of measured to predicted times to first events.
 var predictionBuckets = tally.ValueBuckets{0.1, 0.25, 0.5, 0.67, 0.8, 1, 1.25, 1.5, 2, 3, 4, 6, 10, 20, 50}
 
-// buildScheduling builds this daemon's coordinator and the reserver that asks all coordinators.
+// buildScheduling builds this daemon's coordinator, the reserver that asks all coordinators, and what
+// else decides together with other daemons where a request goes.
 func (g *Gateway) buildScheduling() {
 	d := g.c.Deployment
 	g.predictions = make(map[identifier.Service]tally.Histogram)
@@ -46,6 +47,8 @@
 	})
 	g.tree.Add(g.reserver)
 	g.tree.Add(serviceFunc(g.runCoordinator))
+	g.buildStreams()
+	g.buildPermits()
 }
 
 // schedulingDaemons returns the live daemons that coordinate endpoints, this one included.
--- /dev/null
+++ b/internal/route/pacer/lending.go
@@ -0,0 +1,94 @@
+package pacer
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"brasschute/internal/core/identifier"
+)
+
+// borrowTTL is how long a borrowed send slot may be used, from the call for it on. The lender has
+// used the slot up by then, so that a limit is exceeded by no more than what is sent in this time.
+const borrowTTL = 200 * time.Millisecond
+
+// Lend uses this daemon's send slot at one of some incarnations, for a request that another daemon
+// sends. If none is due, next is when the first one will be, zero if this daemon sends to none.
+func (p *Pacer) Lend(list []Incarnation, now time.Time) (lent Incarnation, ok bool, next time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(list) == 0 {
+		return Incarnation{}, false, next
+	}
+	first := rand.IntN(len(list))
+	for n := range list {
+		i := list[(first+n)%len(list)]
+		e := p.entries[i]
+		if e == nil || !e.Limited {
+			continue
+		}
+		p.refresh(e, now)
+		if e.rate == 0 {
+			continue
+		}
+		due := e.lastSend.Add(e.interval())
+		if !due.After(now) {
+			e.lastSend = now
+			return i, true, next
+		}
+		if next.IsZero() || due.Before(next) {
+			next = due
+		}
+	}
+	return Incarnation{}, false, next
+}
+
+// Borrow adds a send slot that another daemon has lent in a call that began at a given time.
+func (p *Pacer) Borrow(i Incarnation, called time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if e := p.entries[i]; e != nil && e.Limited {
+		e.borrowed = append(e.borrowed, called.Add(borrowTTL))
+	}
+}
+
+// takeBorrowed uses a borrowed slot. The caller holds the lock.
+func (e *entry) takeBorrowed(now time.Time) bool {
+	if !e.hasBorrowed(now) {
+		return false
+	}
+	e.borrowed = e.borrowed[1:]
+	return true
+}
+
+// hasBorrowed reports whether a borrowed slot is left, and drops those that have lapsed. The caller
+// holds the lock.
+func (e *entry) hasBorrowed(now time.Time) bool {
+	e.borrowed = slices.DeleteFunc(e.borrowed, func(until time.Time) bool { return !now.Before(until) })
+	return len(e.borrowed) > 0
+}
+
+// Senders returns the other daemons that send to an incarnation with a limit; none if it has none.
+func (p *Pacer) Senders(i Incarnation) (out []identifier.Host) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e := p.entries[i]
+	if e == nil || !e.Limited {
+		return nil
+	}
+	p.refresh(e, time.Now())
+	all := append([]identifier.Host{p.c.Host}, p.fleet.Peers...)
+	seed := seedOf(i.Endpoint)
+	slices.SortFunc(all, func(a, b identifier.Host) int {
+		if weight(seed, a) > weight(seed, b) {
+			return -1
+		}
+		return 1
+	})
+	for _, host := range all[:min(senders(e.PerSecond, len(all)), len(all))] {
+		if host != p.c.Host {
+			out = append(out, host)
+		}
+	}
+	return out
+}
--- a/internal/route/pacer/pacer.go
+++ b/internal/route/pacer/pacer.go
@@ -17,6 +17,9 @@
 // by their number per second, evenly spaced, and saves up no more than one request. So T seconds
 // bring at most N·T + N + [spareSenders] requests, whatever came before.
 //
+// If clients prefer one daemon, that daemon borrows the slots of others ([Pacer.Lend]), which they
+// then do not use.
+//
 // A daemon that receives gossip from only a part of the fleet uses only that part of the limit,
 // because it may be partitioned from others that go on sending.
 //
@@ -110,6 +113,8 @@
 	refreshedAt time.Time
 	// lastSend is when a request last used its send slot.
 	lastSend time.Time
+	// borrowed holds until when slots lent by other daemons may be used.
+	borrowed []time.Time
 }
 
 // Pacer tracks the limits of endpoints and spaces this daemon's requests accordingly. It is safe
@@ -229,6 +234,11 @@
 		return true
 	}
 	p.refresh(e, now)
+	return e.slotDue(now) || e.hasBorrowed(now)
+}
+
+// slotDue reports whether this daemon's own slot is due.
+func (e *entry) slotDue(now time.Time) bool {
 	return e.rate > 0 && now.Sub(e.lastSend) >= e.interval()
 }
 
@@ -240,11 +250,12 @@
 	if e == nil || !e.Limited {
 		return true
 	}
-	if !p.ready(e, now) {
-		return false
+	p.refresh(e, now)
+	if e.slotDue(now) {
+		e.lastSend = now
+		return true
 	}
-	e.lastSend = now
-	return true
+	return e.takeBorrowed(now)
 }
 
 // Return gives back the slot of a request that was not sent.
--- a/internal/route/pacer/share.go
+++ b/internal/route/pacer/share.go
@@ -57,11 +57,8 @@
 	}
 	perSecond := max(e.PerSecond, minRate)
 	reachable := len(p.fleet.Peers) + 1
-	senders := reachable
-	if perSecond < float64(reachable) {
-		senders = min(int(perSecond)+spareSenders, reachable)
-	}
-	seed := xxhash.Sum64String(string(e.Endpoint))
+	senders := senders(perSecond, reachable)
+	seed := seedOf(e.Endpoint)
 	self, ahead := weight(seed, p.c.Host), 0
 	for _, other := range p.fleet.Peers {
 		if weight(seed, other) > self {
@@ -74,6 +71,17 @@
 	return perSecond / float64(senders) * float64(reachable) / float64(max(p.fleet.Size, reachable))
 }
 
+// senders returns how many of the reachable daemons send to an endpoint with a limit.
+func senders(perSecond float64, reachable int) int {
+	if perSecond >= float64(reachable) {
+		return reachable
+	}
+	return min(int(max(perSecond, minRate))+spareSenders, reachable)
+}
+
+// seedOf returns the seed of an endpoint's weights.
+func seedOf(e identifier.Endpoint) uint64 { return xxhash.Sum64String(string(e)) }
+
 // weight is the rendezvous weight of a daemon for an endpoint, the same at every daemon.
 func weight(seed uint64, host identifier.Host) uint64 {
 	const multiplier = 0x9e3779b97f4a7c15
--- a/internal/route/registry/limit.go
+++ b/internal/route/registry/limit.go
@@ -1,11 +1,13 @@
 package registry
 
 import (
+	"slices"
 	"time"
 
 	"brasschute/internal/core/identifier"
 	"brasschute/internal/route/candidate"
 	"brasschute/internal/route/pacer"
+	"brasschute/internal/route/selector"
 )
 
 // incarnationOf identifies the current incarnation of an endpoint by its start time, as all daemons
@@ -88,3 +90,22 @@
 	}
 	return time.Time{}
 }
+
+// Limited returns the incarnations of a pool's endpoints that would take a request of one of some
+// versions but for their rate limit, without those tried already.
+func (r *Registry) Limited(name identifier.Pool, tried []identifier.Endpoint, v *selector.VersionFilter) (out []pacer.Incarnation) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.pools[name]
+	if p == nil || !p.limited {
+		return nil
+	}
+	for i := range p.candidates {
+		c := &p.candidates[i]
+		usable := !c.Leaving && !c.Unavailable && !c.Silent && !c.BackingOff && v.Allow(c) && !slices.Contains(tried, c.Endpoint)
+		if usable && c.Limited {
+			out = append(out, incarnationOf(c))
+		}
+	}
+	return out
+}
--- a/internal/serve/relayer/relayer.go
+++ b/internal/serve/relayer/relayer.go
@@ -37,6 +37,7 @@
 	"brasschute/internal/core/identifier"
 	"brasschute/internal/peer/crashreporter"
 	"brasschute/internal/peer/origintracker"
+	"brasschute/internal/route/pacer"
 	"brasschute/internal/route/quarantiner"
 	"brasschute/internal/route/registry"
 	"brasschute/internal/route/selector"
@@ -98,6 +99,8 @@
 	Versions Versions
 	// Origins knows at which versions streams began.
 	Origins Origins
+	// Permits borrows what other daemons may send to endpoints with rate limits.
+	Permits Permits
 	// ReplyObserver receives what endpoints report about themselves.
 	ReplyObserver replyreader.Observer
 	// SilenceObserver receives the decisions about silent attempts.
@@ -125,6 +128,12 @@
 	RunEnded(r *splitter.Run)
 }
 
+// Permits borrows what other daemons may send to endpoints with rate limits.
+type Permits interface {
+	// Borrow reports whether a request may now be sent to one of some endpoints.
+	Borrow(ctx context.Context, wanted []pacer.Incarnation) bool
+}
+
 // Origins knows at which versions streams began.
 type Origins interface {
 	// Begin is called before the first event of a stream that may be taken up goes to the client.
--- a/internal/serve/relayer/version.go
+++ b/internal/serve/relayer/version.go
@@ -6,11 +6,14 @@
 	"time"
 
 	"brasschute/internal/config/catalog"
+	"brasschute/internal/core/identifier"
 	"brasschute/internal/engine/sender"
 	"brasschute/internal/peer/origintracker"
 	"brasschute/internal/route/registry"
+	"brasschute/internal/route/selector"
 	"brasschute/internal/route/splitter"
 	"brasschute/internal/serve/placer"
+	"brasschute/internal/serve/request"
 )
 
 // place chooses an endpoint among those whose version the request may go to.
@@ -21,11 +24,31 @@
 	}
 	v := j.r.c.Versions.Choose(j.versionQuery(j.versionChosen))
 	j.versionChosen = true
-	placed := choose(ctx, j.q, j.service, j.tried, v)
+	placed := j.placeAmong(ctx, choose, v)
 	if placed.Pick != nil || placed.Refusal != nil || ctx.Err() != nil || !v.AllowFallback {
 		return placed
 	}
-	return choose(ctx, j.q, j.service, j.tried, j.r.c.Versions.Fallback(j.q.Service, &v))
+	return j.placeAmong(ctx, choose, j.r.c.Versions.Fallback(j.q.Service, &v))
+}
+
+// maxBorrowed is how often a request may borrow a permit: another request of this daemon may use it
+// first.
+const maxBorrowed = 3
+
+// choice chooses an endpoint; see [placer.Placer.Place].
+type choice func(context.Context, *request.Request, *catalog.Service, []identifier.Endpoint, selector.VersionFilter) placer.Placement
+
+// placeAmong chooses an endpoint among those of some versions. If only their rate limits are in the
+// way, it borrows a permit of another daemon.
+func (j *job) placeAmong(ctx context.Context, choose choice, v selector.VersionFilter) placer.Placement {
+	placed := choose(ctx, j.q, j.service, j.tried, v)
+	for n := 0; n < maxBorrowed && placed.Pick == nil && placed.Refusal == nil && placed.Decision.Excluded.Limited > 0 && ctx.Err() == nil; n++ {
+		if !j.r.c.Permits.Borrow(ctx, j.r.c.Registry.Limited(identifier.Pool(j.q.Service), j.tried, &v)) {
+			break
+		}
+		placed = choose(ctx, j.q, j.service, j.tried, v)
+	}
+	return placed
 }
 
 // versionQuery asks for the versions that the request may go to.
