gateway: streams that end with their connection, as tests

A stream that ends inside an event has been broken off. The stand-in engine writes such streams now.

--- a/internal/role/gateway/concentration_test.go
+++ b/internal/role/gateway/concentration_test.go
@@ -55,7 +55,7 @@
 		t.Run(fmt.Sprint(daemons, " daemons"), func(t *testing.T) {
 			inLimitFleet(t, daemons, all, func(f *testFleet, l *limitedEngines) {
 				const part = 8 * time.Second
-				f.sendWhere(f.anyDaemon, halfOfLimits, part/2)
+				f.sendWhere(f.anyDaemon, 2*halfOfLimits, part/2)
 				before := f.sendWhere(f.anyDaemon, halfOfLimits, part)
 				first := f.sendWhere(f.mostly(0), halfOfLimits, part)
 				second := f.sendWhere(f.mostly(1), halfOfLimits, part)
--- a/internal/standin/hosting/hosting.go
+++ b/internal/standin/hosting/hosting.go
@@ -23,6 +23,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -58,6 +59,9 @@
 	EncodeUnasked
 	// OmitLength answers without Content-Length; the end of the connection ends the answer.
 	OmitLength
+	// OmitLengthAndTruncate does so and ends a stream inside an event, in its middle, as an engine does
+	// that crashes.
+	OmitLengthAndTruncate
 	// AnswerWrongRequest sends an answer with the id of another request before the right one.
 	AnswerWrongRequest
 )
@@ -269,8 +273,8 @@
 		e.waitForRelease(r, restarted)
 	case EncodeUnasked:
 		w.Header().Set("Content-Encoding", "gzip")
-	case OmitLength, AnswerTwice, AnswerWrongRequest:
-		e.writeRaw(w, r, behaviour)
+	case OmitLength, OmitLengthAndTruncate, AnswerTwice, AnswerWrongRequest:
+		e.writeRaw(w, r, behaviour, after)
 		return
 	}
 	if e.c.StreamLength == 0 {
@@ -340,7 +344,7 @@
 }
 
 // writeRaw writes answers that net/http does not let a handler write.
-func (e *Engine) writeRaw(w http.ResponseWriter, r *http.Request, behaviour Behaviour) {
+func (e *Engine) writeRaw(w http.ResponseWriter, r *http.Request, behaviour Behaviour, after int) {
 	conn, buffer, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return
@@ -348,7 +352,10 @@
 	defer conn.Close()
 	id, text := r.Header.Get("Request-Id"), e.AnswerBody()
 	switch behaviour {
-	case OmitLength:
+	case OmitLength, OmitLengthAndTruncate:
+		if e.c.StreamLength > 0 {
+			text = e.unframedStream(after, behaviour == OmitLengthAndTruncate)
+		}
 		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Stamp: s\r\nConnection: close\r\n\r\n%s", id, text)
 	case AnswerWrongRequest:
 		e.writeResponse(conn, "another-request", "not yours")
@@ -360,6 +367,21 @@
 	}
 }
 
+// unframedStream returns the events of a stream after a number of them, or those of the first half with
+// a piece of the next one.
+func (e *Engine) unframedStream(after int, truncate bool) string {
+	var b strings.Builder
+	for n := after + 1; n <= e.c.StreamLength; n++ {
+		text := EventText(n)
+		if truncate && n > e.c.StreamLength/2 {
+			b.WriteString(text[:len(text)/2])
+			break
+		}
+		b.WriteString(text)
+	}
+	return b.String()
+}
+
 // answerTwice answers each further request of a connection twice. The client receives the second
 // answer before it sends its next request, or in place of the answer to that one.
 func (e *Engine) answerTwice(conn net.Conn, reader *bufio.Reader) {
