pacer: the daemons that send to an endpoint are found without sorting a fleet

A request that borrows asks for 16 endpoints at most, and each costs one pass over the daemons (986 of the target size), not a sort of them with a hash in each comparison.

--- a/internal/role/gateway/streams.go
+++ b/internal/role/gateway/streams.go
@@ -39,6 +39,7 @@
 func (g *Gateway) askProofs(ctx context.Context) error {
 	limited, cancel := context.WithTimeout(ctx, proofTime)
 	defer cancel()
+	// It ends with its context only.
 	_ = waiter.Every(limited, proofInterval, g.origins.AskProofs)
 	<-ctx.Done()
 	return ctx.Err()
--- a/internal/route/pacer/lending.go
+++ b/internal/route/pacer/lending.go
@@ -1,6 +1,7 @@
 package pacer
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -77,17 +78,28 @@
 		return nil
 	}
 	p.refresh(e, time.Now())
-	all := append([]identifier.Host{p.c.Host}, p.fleet.Peers...)
+	type ranked struct {
+		host   identifier.Host
+		weight uint64
+	}
+	n := senders(e.PerSecond, len(p.fleet.Peers)+1)
+	best := make([]ranked, 0, n+1)
 	seed := seedOf(i.Endpoint)
-	slices.SortFunc(all, func(a, b identifier.Host) int {
-		if weight(seed, a) > weight(seed, b) {
-			return -1
+	rank := func(host identifier.Host) {
+		r := ranked{host, weight(seed, host)}
+		at, _ := slices.BinarySearchFunc(best, r, func(b, r ranked) int { return cmp.Compare(r.weight, b.weight) })
+		if at < n {
+			best = slices.Insert(best, at, r)
+			best = best[:min(len(best), n)]
 		}
-		return 1
-	})
-	for _, host := range all[:min(senders(e.PerSecond, len(all)), len(all))] {
-		if host != p.c.Host {
-			out = append(out, host)
+	}
+	rank(p.c.Host)
+	for _, host := range p.fleet.Peers {
+		rank(host)
+	}
+	for _, r := range best {
+		if r.host != p.c.Host {
+			out = append(out, r.host)
 		}
 	}
 	return out
--- a/internal/route/registry/limit.go
+++ b/internal/route/registry/limit.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -91,8 +92,12 @@
 	return time.Time{}
 }
 
-// Limited returns the incarnations of a pool's endpoints that would take a request of one of some
-// versions but for their rate limit, without those tried already.
+// maxWanted bounds the endpoints for which a permit is borrowed at once. In a large fleet each costs a
+// pass over all daemons.
+const maxWanted = 16
+
+// Limited returns up to maxWanted incarnations of a pool's endpoints that would take a request of one
+// of some versions but for their rate limit, without those tried already.
 func (r *Registry) Limited(name identifier.Pool, tried []identifier.Endpoint, v *selector.VersionFilter) (out []pacer.Incarnation) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -100,8 +105,12 @@
 	if p == nil || !p.limited {
 		return nil
 	}
-	for i := range p.candidates {
-		c := &p.candidates[i]
+	first := rand.IntN(max(len(p.candidates), 1))
+	for n := range p.candidates {
+		if len(out) == maxWanted {
+			break
+		}
+		c := &p.candidates[(first+n)%len(p.candidates)]
 		usable := !c.Leaving && !c.Unavailable && !c.Silent && !c.BackingOff && v.Allow(c) && !slices.Contains(tried, c.Endpoint)
 		if usable && c.Limited {
 			out = append(out, incarnationOf(c))
