soak: engines of two versions, and clients that take streams up at other daemons

Half of the model engines have another version, broken streams are taken up with Resumes, over connections to any daemon; the soak checks at which version the engines ran the rest.

--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -51,8 +51,10 @@
 	r      *rand.Rand
 	errorf func(format string, args ...any)
 
-	mu            sync.Mutex
-	answers       map[string]soakAnswer
+	mu      sync.Mutex
+	answers map[string]soakAnswer
+	// began holds the engine whose event came first, by the id of the request that began the stream.
+	began         map[string]string
 	engineProxies []*injector.Injector
 	// proxyAddresses holds the address of each engine's proxy, by engine id.
 	proxyAddresses map[string]string
@@ -66,21 +68,37 @@
 	status int
 }
 
+// soakRequest is a request of a client.
+type soakRequest struct {
+	kind, id string
+	// resumes is the request that began the stream which this one continues after an event.
+	resumes string
+	after   int
+}
+
+// stampPrefix starts the signature of a stand-in engine; the engine's id follows.
+const stampPrefix = "stamp-"
+
 // engineFaults are the behaviours that engines show for one request in six; they serve all
 // others.
 var engineFaults = []hosting.Behaviour{
 	hosting.Refuse, hosting.Misdirect, hosting.Fail, hosting.CloseUnanswered, hosting.TruncateAnswer, hosting.AnswerTwice, hosting.OmitSignature,
-	hosting.EncodeUnasked, hosting.OmitLength, hosting.AnswerWrongRequest, hosting.HoldUntilRelease,
+	hosting.EncodeUnasked, hosting.OmitLength, hosting.OmitLengthAndTruncate, hosting.AnswerWrongRequest, hosting.HoldUntilRelease,
 }
 
+// soakEvents is the number of events in a stream.
+const soakEvents = 12
+
 // runSoak runs clients and faults for one seed, waits for recovery, and checks the results.
 func runSoak(t *testing.T, seed uint64) {
-	s := &soak{site: newSite(t), r: rand.New(rand.NewPCG(seed, 0)), answers: make(map[string]soakAnswer), proxyAddresses: make(map[string]string)}
+	s := &soak{site: newSite(t), r: rand.New(rand.NewPCG(seed, 0)), answers: make(map[string]soakAnswer), began: make(map[string]string), proxyAddresses: make(map[string]string)}
 	s.errorf = func(format string, args ...any) { t.Errorf("seed %d: "+format, append([]any{seed}, args...)...) }
 	s.duties = `["usage"]`
 	for n, c := range []hosting.Config{
-		{ID: "i-lm-1", Service: modelService, StreamLength: 12, StartedUnixMilli: 1000},
-		{ID: "i-lm-2", Service: modelService, StreamLength: 12, StartedUnixMilli: 1000},
+		{ID: "i-lm-1", Service: modelService, Version: "v1", StreamLength: soakEvents, StartedUnixMilli: 1000},
+		{ID: "i-lm-2", Service: modelService, Version: "v1", StreamLength: soakEvents, StartedUnixMilli: 1000},
+		{ID: "i-lm-3", Service: modelService, Version: "v2", StreamLength: soakEvents, StartedUnixMilli: 1000},
+		{ID: "i-lm-4", Service: modelService, Version: "v2", StreamLength: soakEvents, StartedUnixMilli: 1000},
 		{ID: "i-app-1", Service: plainService, StartedUnixMilli: 1000},
 		{ID: "i-app-2", Service: plainService},
 	} {
@@ -153,7 +171,7 @@
 
 // injectEngineFault restarts an engine under its id, or replaces a record by an invalid one.
 func (s *soak) injectEngineFault(r *rand.Rand) {
-	ids := []string{"i-lm-1", "i-lm-2", "i-app-1", "i-app-2"}
+	ids := []string{"i-lm-1", "i-lm-2", "i-lm-3", "i-lm-4", "i-app-1", "i-app-2"}
 	id := ids[r.IntN(len(ids))]
 	pause := time.Duration(r.IntN(400)) * time.Millisecond
 	switch r.IntN(4) {
@@ -177,9 +195,10 @@
 }
 
 // runClient sends requests one after the other until stop is closed, over one connection as long
-// as it can be used.
+// as it can be used. It takes streams that are cut up at another daemon.
 func (s *soak) runClient(r *rand.Rand, n int, stop <-chan struct{}) {
 	var conn net.Conn
+	var q soakRequest
 	for i := 0; ; i++ {
 		select {
 		case <-stop:
@@ -189,8 +208,10 @@
 			return
 		default:
 		}
-		kind := []string{streamingPath, nonIdempotentPath, idempotentPath}[r.IntN(3)]
-		id := fmt.Sprintf("c%d-%d", n, i)
+		if q.resumes == "" {
+			q.kind = []string{streamingPath, nonIdempotentPath, idempotentPath}[r.IntN(3)]
+		}
+		q.id = fmt.Sprintf("c%d-%d", n, i)
 		if conn == nil {
 			h := s.hosts[r.IntN(len(s.hosts))]
 			c, err := net.DialTimeout("tcp", h.ip+":8101", time.Second)
@@ -200,7 +221,9 @@
 			}
 			conn = c
 		}
-		if !s.sendRequest(conn, kind, id) {
+		next, reusable := s.sendRequest(conn, q)
+		q = next
+		if !reusable {
 			_ = conn.Close()
 			conn = nil
 			// A refused client does not retry at once.
@@ -210,45 +233,68 @@
 }
 
 // sendRequest sends a request, checks its answer, and reports whether the connection may be used
-// again.
-func (s *soak) sendRequest(c net.Conn, kind, id string) bool {
-	method := http.MethodPost
-	if kind == idempotentPath {
+// again. If the answer is a stream that was cut, next asks for the rest.
+func (s *soak) sendRequest(c net.Conn, q soakRequest) (next soakRequest, reusable bool) {
+	method, resume := http.MethodPost, ""
+	if q.kind == idempotentPath {
 		method = http.MethodGet
 	}
+	if q.resumes != "" {
+		resume = fmt.Sprintf("Resumes: %s\r\nLast-Event-Id: %d\r\n", q.resumes, q.after)
+	}
 	_ = c.SetDeadline(time.Now().Add(3 * time.Second))
-	_, err := fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: 1500\r\nTenant: forged\r\nAuthorization: Bearer %s\r\nContent-Length: 0\r\n\r\n",
-		method, kind, hostedDomain, id, deskKey)
+	_, err := fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: 1500\r\nTenant: forged\r\nAuthorization: Bearer %s\r\n%sContent-Length: 0\r\n\r\n",
+		method, q.kind, hostedDomain, q.id, deskKey, resume)
 	s.mu.Lock()
 	s.sent++
 	s.mu.Unlock()
 	if err != nil {
-		return false
+		return next, false
 	}
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil {
-		return false
+		return next, false
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.answers[id] = soakAnswer{kind, resp.StatusCode}
+	s.answers[q.id] = soakAnswer{q.kind, resp.StatusCode}
 	if resp.StatusCode == http.StatusOK {
-		s.checkAnswer(kind, id, resp, string(body), err)
+		s.checkAnswer(&q, resp, string(body), err)
+		next = s.takeUp(&q, resp, string(body), err)
 	}
-	return err == nil && !resp.Close
+	return next, err == nil && !resp.Close
+}
+
+// takeUp returns the request for the rest of a stream that was cut after an event. The caller holds
+// s.mu.
+func (s *soak) takeUp(q *soakRequest, resp *http.Response, body string, err error) (next soakRequest) {
+	events := strings.Count(body, "\n\n")
+	if q.kind != streamingPath || events == 0 {
+		return next
+	}
+	began := q.resumes
+	if began == "" {
+		began = q.id
+		s.began[began] = strings.TrimPrefix(resp.Header.Get("Response-Stamp"), stampPrefix)
+	}
+	if err == nil {
+		return next
+	}
+	return soakRequest{kind: streamingPath, resumes: began, after: q.after + events}
 }
 
 // checkAnswer checks an answer with status 200. The caller holds s.mu.
-func (s *soak) checkAnswer(kind, id string, resp *http.Response, body string, err error) {
+func (s *soak) checkAnswer(q *soakRequest, resp *http.Response, body string, err error) {
+	kind, id := q.kind, q.id
 	if got := resp.Header.Get("Request-Id"); got != id {
 		s.errorf("%s got the answer to %s", id, got)
 	}
 	if resp.Header.Get("Response-Stamp") == "" {
 		s.errorf("%s: success without a signature", id)
 	}
-	full := streamText(12)
+	full := strings.TrimPrefix(streamText(soakEvents), streamText(q.after))
 	switch {
 	case err != nil && kind == streamingPath && !strings.HasPrefix(full, body):
 		s.errorf("%s: the text of a cut stream is not a prefix of the whole: %q", id, body)
@@ -363,6 +409,7 @@
 			s.errorf("%s was answered %d, although its key and route always existed", id, a.status)
 		}
 	}
+	s.checkVersions()
 	if _, err := s.reportedRequests(deskName); err != nil {
 		s.errorf("%v", err)
 	}
@@ -371,3 +418,31 @@
 	}
 	s.t.Logf("%d requests sent, %d served completely", s.sent, s.served)
 }
+
+// allowedOfTwoVersions is the number of streams that may hold events of two versions.
+const allowedOfTwoVersions = 2
+
+// checkVersions checks that streams went on at the version of the engine that began them.
+func (s *soak) checkVersions() {
+	other, continued := 0, 0
+	for _, e := range s.engines {
+		for _, run := range e.Executions() {
+			stream := run.Header.Get("Resumes")
+			if stream == "" {
+				stream = run.Request
+			}
+			first := s.engines[s.began[stream]]
+			if run.After == 0 || first == nil {
+				continue
+			}
+			continued++
+			if first.Record("ready")["Version"] != e.Record("ready")["Version"] {
+				other++
+			}
+		}
+	}
+	s.t.Logf("streams went on %d times, %d of them at another version", continued, other)
+	if other > allowedOfTwoVersions {
+		s.errorf("%d of %d times a stream went on at another version", other, continued)
+	}
+}
--- a/internal/standin/hosting/hosting.go
+++ b/internal/standin/hosting/hosting.go
@@ -356,7 +356,7 @@
 		if e.c.StreamLength > 0 {
 			text = e.unframedStream(after, behaviour == OmitLengthAndTruncate)
 		}
-		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Stamp: s\r\nConnection: close\r\n\r\n%s", id, text)
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Stamp: stamp-%s\r\nConnection: close\r\n\r\n%s", id, e.c.ID, text)
 	case AnswerWrongRequest:
 		e.writeResponse(conn, "another-request", "not yours")
 		e.writeResponse(conn, id, text)
