integration: ports of processes to be started lie below those that the kernel gives out

The port had been free when it was chosen, from the kernel's own range, and not handed out twice. Until the process listens, the kernel may give it to any connection or listener at that IP; which one took it isn't shown. Ports are now chosen below that range, where the kernel gives out none.

--- a/integration/fleet_test.go
+++ b/integration/fleet_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -243,19 +244,30 @@
 // freeAddress returns an address of ip with a port that is free and was not handed out before.
 func freeAddress(t testing.TB, ip string) string {
 	t.Helper()
-	for {
-		l, err := net.Listen("tcp", ip+":0")
+	const attempts = 100
+	for range attempts {
+		address := fmt.Sprintf("%s:%d", ip, firstPort+rand.IntN(firstEphemeralPort-firstPort))
+		l, err := net.Listen("tcp", address)
 		if err != nil {
-			t.Fatal(err)
+			continue
 		}
-		address := l.Addr().String()
 		l.Close()
 		if _, assigned := assignedAddresses.LoadOrStore(address, true); !assigned {
 			return address
 		}
 	}
+	t.Fatalf("no free port at %s", ip)
+	return ""
 }
 
+// Ports for processes that are still to be started lie below those that the kernel gives out itself:
+// a proxy's listener or a connection from the same IP would take one of these before the process
+// listens.
+const (
+	firstPort          = 10000
+	firstEphemeralPort = 32768
+)
+
 // nextIP returns an unused IP address in a zone.
 func (f *fleet) nextIP(zone int) string {
 	f.lastIP[zone]++
