proxier: an ended endpoint is compared with several others

Traced by its lines: the second crash was logged as "endpoint out of this daemon's reach", probe partitioned, and so did not count. A daemon whose probe is refused asks its peers whether the endpoint refuses them, too; a peer that is refused connects to one other endpoint, to tell its own links from an ended process. That one was drawn at random among all and may have crashed as well: with the first crash 3 ms before, one of seven. In a series of crashes, with half of the endpoints down, every second comparison is wrong.

A peer now compares with up to four others; one that takes a connection is enough. TestEndedEndpointIsComparedWithOneThatServes fails before.

--- a/internal/serve/proxier/proxier.go
+++ b/internal/serve/proxier/proxier.go
@@ -48,6 +48,9 @@
 	maxBytes    = 16 << 20
 	// bodyTimeout is how long a peer may take to send a request's body.
 	bodyTimeout = 5 * time.Second
+	// maxCompared is the number of other endpoints to which a connection is tried. While requests crash
+	// endpoints, half of them may be down: then one in sixteen comparisons is wrong.
+	maxCompared = 4
 	// recentTime is how long an established connection shows that this daemon reaches a service.
 	recentTime = time.Second
 	// readBytes is the size of one read from an endpoint: several events of a stream.
@@ -197,14 +200,26 @@
 	j.p.reply(w, j.compare(ctx))
 }
 
-// compare connects to another endpoint of the service, to tell an endpoint that ended from links that
-// failed. It returns the outcome of a request for which there is no connection.
+// compare connects to other endpoints of the service, to tell an endpoint that ended from links that
+// failed. It returns the outcome of a request for which there is no connection. One that can be reached
+// is enough: others may have ended as well.
 func (j *job) compare(ctx context.Context) wrapper.Outcome {
 	others := slices.DeleteFunc(j.p.c.Endpoints(j.to.Service), func(d pathtracker.Destination) bool { return d.Endpoint == j.to.Endpoint })
-	if len(others) > 0 && j.p.c.Dispatcher.Connect(ctx, others[rand.IntN(len(others))]) != nil {
-		return wrapper.Partitioned
+	if len(others) == 0 {
+		return wrapper.Unreachable
+	}
+	rand.Shuffle(len(others), func(a, b int) { others[a], others[b] = others[b], others[a] })
+	others = others[:min(len(others), maxCompared)]
+	failed := make(chan bool, len(others))
+	for _, d := range others {
+		go func() { failed <- j.p.c.Dispatcher.Connect(ctx, d) != nil }()
+	}
+	for range others {
+		if !<-failed {
+			return wrapper.Unreachable
+		}
 	}
-	return wrapper.Unreachable
+	return wrapper.Partitioned
 }
 
 // serve sends the request and passes the response on.
--- a/internal/serve/proxier/proxier_test.go
+++ b/internal/serve/proxier/proxier_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -201,3 +202,30 @@
 		t.Errorf("%d breaks reported", f.broken)
 	}
 }
+
+// Guards against an endpoint that ended and counts as out of reach, because the endpoint that is
+// compared with it has ended, too.
+func TestEndedEndpointIsComparedWithOneThatServes(t *testing.T) {
+	f := newFixture(t)
+	ended := func(id string) pathtracker.Destination {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		return pathtracker.Destination{Service: "app", Endpoint: identifier.Endpoint(id), Address: l.Addr().String()}
+	}
+	to := ended("i-0")
+	list := append(f.c.Endpoints("app"), to, ended("i-2"), ended("i-3"), ended("i-4"))
+	f.c.Endpoints = func(identifier.Service) []pathtracker.Destination { return slices.Clone(list) }
+	j := &job{p: f.Proxier, to: to}
+	for range 20 {
+		if o := j.compare(t.Context()); o != wrapper.Unreachable {
+			t.Fatalf("%s, though one endpoint serves", o)
+		}
+	}
+	list = list[1:]
+	if o := j.compare(t.Context()); o != wrapper.Partitioned {
+		t.Errorf("%s, though none of the others can be reached", o)
+	}
+}
