origintracker: records are copied once the proof of a sole version is lost

Found by reading: while a service has one version, records of streams stay at the daemon that began them. After three seconds without the store nobody has a proof any more, and the streams begun before could be taken up only where the right daemon was asked. Now each daemon copies such records within a second of losing the proof.

--- a/internal/peer/origintracker/origintracker.go
+++ b/internal/peer/origintracker/origintracker.go
@@ -17,7 +17,7 @@
 // [Tracker.Begin] is called before the first event of a stream goes to its client. Unless the
 // service is proved to have a sole version, the record is copied to [copies] other daemons that the
 // id selects, and Begin waits for the first of them, at most for [recordTimeout]. When a second
-// version appears, the records that were not copied are copied then.
+// version appears, or the proof is lost, the records that were not copied are copied then.
 //
 // All state is soft. A record is kept for the retention time, and at most [maxRecords] are.
 //
@@ -27,6 +27,7 @@
 //	t.Begin(ctx, origintracker.Origin{Request: id, Service: service, Version: version})
 //	found := t.Find(ctx, service, id)
 //	t.CopyPending(ctx, services) // after a version was added
+//	t.CopyUnproven(ctx)          // every second
 //	t.AskProofs(ctx)             // some times after the start
 package origintracker
 
@@ -34,6 +35,8 @@
 	"context"
 	"crypto/rand"
 	"errors"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -274,6 +277,33 @@
 	calls.Wait()
 }
 
+// CopyUnproven copies the pending records of services whose sole version is no longer proved, as after
+// a time without contact to the store: the other daemons could not tell where these streams began.
+func (t *Tracker) CopyUnproven(ctx context.Context) {
+	var services []identifier.Service
+	for _, s := range t.pendingServices() {
+		if !t.isProven(s) {
+			services = append(services, s)
+		}
+	}
+	if len(services) > 0 {
+		t.CopyPending(ctx, services)
+	}
+}
+
+// pendingServices returns the services with pending records.
+func (t *Tracker) pendingServices() []identifier.Service {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	seen := make(map[identifier.Service]bool)
+	for _, r := range t.order {
+		if r.pending {
+			seen[r.Service] = true
+		}
+	}
+	return slices.Collect(maps.Keys(seen))
+}
+
 // takePending returns the pending records of services, which are not pending any more.
 func (t *Tracker) takePending(services []identifier.Service) (out []Origin) {
 	wanted := make(map[identifier.Service]bool)
--- a/internal/peer/origintracker/origintracker_test.go
+++ b/internal/peer/origintracker/origintracker_test.go
@@ -333,3 +333,20 @@
 		t.Errorf("found %+v, the stream began at v2", got)
 	}
 }
+
+// Guards against streams that are lost after the store could not be reached for some seconds: no daemon
+// has a proof then, and the records of streams that began before are not copied.
+func TestRecordsAreCopiedOnceTheProofIsLost(t *testing.T) {
+	f := newFleet(8, "v1")
+	s := f.begin(0, "v1")
+	f.now = f.now.Add(unconfirmedTime)
+	for _, d := range f.daemons {
+		d.CopyUnproven(context.Background())
+	}
+	f.sync()
+	for i := range f.daemons {
+		if got := f.find(i, s); got.Source != Recorded || got.Version != "v1" {
+			t.Errorf("%s found %+v", host(i), got)
+		}
+	}
+}
--- a/internal/role/gateway/streams.go
+++ b/internal/role/gateway/streams.go
@@ -21,6 +21,8 @@
 	// versions, proofTime for how long: by then the others live that will, or none has any.
 	proofInterval = 500 * time.Millisecond
 	proofTime     = 15 * time.Second
+	// copyInterval is how often records are copied whose service has lost its proof.
+	copyInterval = time.Second
 )
 
 // buildStreams builds what knows at which version each stream began.
@@ -33,6 +35,12 @@
 		},
 	})
 	g.tree.Add(serviceFunc(g.askProofs))
+	g.tree.Add(serviceFunc(g.copyRecords))
+}
+
+// copyRecords copies the records of streams once they are needed elsewhere.
+func (g *Gateway) copyRecords(ctx context.Context) error {
+	return waiter.Every(ctx, copyInterval, g.origins.CopyUnproven)
 }
 
 // askProofs asks other daemons for proofs of sole versions for a time after the start.
--- a/internal/role/gateway/versions_test.go
+++ b/internal/role/gateway/versions_test.go
@@ -28,8 +28,8 @@
 	after   int
 }
 
-// versionedFleet is a fleet of daemons in front of engines of two versions, which break streams off in the
-// middle. Half of the engines have each version.
+// versionedFleet is a fleet of daemons in front of engines of some versions, which break streams off in the
+// middle. Equally many engines have each version.
 type versionedFleet struct {
 	*testFleet
 	engines *engineFleet
@@ -39,8 +39,15 @@
 	runs map[string][]streamRun
 }
 
-// inVersionedFleet runs a check once all daemons know each other.
+// inVersionedFleet runs a check among daemons in front of engines of two versions, once all daemons
+// know each other.
 func inVersionedFleet(t *testing.T, daemons int, check func(v *versionedFleet)) {
+	t.Helper()
+	inFleetOfVersions(t, daemons, 2, check)
+}
+
+// inFleetOfVersions is like inVersionedFleet, with so many versions.
+func inFleetOfVersions(t *testing.T, daemons, versions int, check func(v *versionedFleet)) {
 	t.Helper()
 	inPausedTime(t, func(t *testing.T) {
 		f := newTestFleet(t)
@@ -49,9 +56,10 @@
 		if daemons > smallFleetSize {
 			daemons = scaledFleetSize(daemons)
 		}
+		f.prepare = func(c *Config) { c.Deployment.FirstStart = true }
 		v := &versionedFleet{testFleet: f, runs: make(map[string][]streamRun)}
 		v.engines = f.prepareEngines(func(string) bool { return false })
-		v.engines.version = func(place int) string { return fmt.Sprintf("v%d", place%2) }
+		v.engines.version = func(place int) string { return fmt.Sprintf("v%d", place%versions) }
 		v.engines.behave = v.behave
 		v.engines.startAll()
 		f.start(daemons)
@@ -83,9 +91,9 @@
 	return id, v.askWith(daemon, resumePath, body, map[string]string{"Request-Id": id})
 }
 
-// takeUp asks a daemon for the rest of a stream.
-func (v *versionedFleet) takeUp(daemon int, id string, received clientReply, body string) clientReply {
-	return v.askWith(daemon, resumePath, body, map[string]string{
+// takeUp asks a daemon for the rest of a retried stream.
+func (v *versionedFleet) takeUp(daemon int, id string, received clientReply) clientReply {
+	return v.askWith(daemon, resumePath, retriedStream, map[string]string{
 		"Request-Id": v.nextID(), "Resumes": id, "Last-Event-Id": fmt.Sprint(countEvents(received.text)),
 	})
 }
@@ -120,7 +128,7 @@
 				complete++
 			}
 		}
-		v.check(complete, versionedStreams)
+		v.check(complete)
 	})
 }
 
@@ -132,11 +140,11 @@
 				complete := 0
 				for n := range versionedStreams {
 					id, r := v.begin(n%len(v.daemons), retriedStream)
-					if r = v.takeUp((n+1+n/len(v.daemons))%len(v.daemons), id, r, retriedStream); endsWhole(r) {
+					if r = v.takeUp((n+1+n/len(v.daemons))%len(v.daemons), id, r); endsWhole(r) {
 						complete++
 					}
 				}
-				v.check(complete, versionedStreams)
+				v.check(complete)
 			})
 		})
 	}
@@ -157,11 +165,11 @@
 		}
 		complete := 0
 		for n, id := range ids {
-			if endsWhole(v.takeUp(ended+n%(len(v.daemons)-ended), id, received[n], retriedStream)) {
+			if endsWhole(v.takeUp(ended+n%(len(v.daemons)-ended), id, received[n])) {
 				complete++
 			}
 		}
-		v.check(complete, versionedStreams)
+		v.check(complete)
 	})
 }
 
@@ -174,7 +182,7 @@
 		v.refuseStoreCalls("front-0")
 		for n := range versionedStreams {
 			id, r := v.begin(1+n%(len(v.daemons)-1), retriedStream)
-			v.takeUp(0, id, r, retriedStream)
+			v.takeUp(0, id, r)
 		}
 		if n := v.ofTwoVersions(); n > allowedOfTwoVersions {
 			v.t.Errorf("%d of %d streams went on at another version", n, versionedStreams)
@@ -188,13 +196,37 @@
 }
 
 // check checks the versions of all streams, and that at least half of them, as of new ones, went on.
-func (v *versionedFleet) check(complete, streams int) {
+func (v *versionedFleet) check(complete int) {
 	v.t.Helper()
-	v.t.Logf("%d of %d streams went on, %d at another version", complete, streams, v.ofTwoVersions())
+	v.t.Logf("%d of %d streams went on, %d at another version", complete, versionedStreams, v.ofTwoVersions())
 	if n := v.ofTwoVersions(); n > allowedOfTwoVersions {
-		v.t.Errorf("%d of %d streams went on at another version", n, streams)
+		v.t.Errorf("%d of %d streams went on at another version", n, versionedStreams)
 	}
-	if complete < streams/2 {
-		v.t.Errorf("%d of %d streams went on", complete, streams)
+	if complete < versionedStreams/2 {
+		v.t.Errorf("%d of %d streams went on", complete, versionedStreams)
 	}
 }
+
+// Guards against streams that are lost after the store was away, while all engines have one version.
+func TestStreamsGoOnAfterTheStoreWasAway(t *testing.T) {
+	inFleetOfVersions(t, 60, 1, func(v *versionedFleet) {
+		const outage = 6 * time.Second
+		v.store.SetFault(func(hosting.Call) hosting.Fault { return hosting.Unavailable })
+		var ids []string
+		var received []clientReply
+		for n := range versionedStreams {
+			id, r := v.begin(n%len(v.daemons), retriedStream)
+			ids, received = append(ids, id), append(received, r)
+		}
+		time.Sleep(outage)
+		v.store.SetFault(nil)
+		time.Sleep(time.Second)
+		complete := 0
+		for n, id := range ids {
+			if endsWhole(v.takeUp((n+1+n/len(v.daemons))%len(v.daemons), id, received[n])) {
+				complete++
+			}
+		}
+		v.check(complete)
+	})
+}
