--- a/internal/serve/relayer/relayer.go
+++ b/internal/serve/relayer/relayer.go
@@ -15,6 +15,9 @@
 // The quarantine is checked before each choice of an endpoint and again right
 // before the first byte is sent, and a request that still waits is withdrawn.
 //
+// A stream goes on only at the software version that began it, here and where its client
+// takes it up, see package origintracker.
+//
 // A status that means "not run" is sent only if no attempt can have run. An
 // endpoint's answer is passed on unchanged, unless its status would mean "not run"
 // without the endpoint having stated that.
