dispatcher, prober: a peer that does not answer does not hide that an endpoint ended

Asking the peers shared the 100 ms of the probe's own connection, so one peer that did not answer used all of it, and the others were not asked. A daemon that loses power, or is paused, would do the same to each crash while it counts as live, 3 s.

Each peer now has 150 ms, and all of them 500. The request that was broken off waits 25 ms for the result at most, as before; a later result counts. TestSilentPeerDoesNotHideThatAnEndpointEnded fails before.

--- a/internal/engine/prober/prober.go
+++ b/internal/engine/prober/prober.go
@@ -26,6 +26,8 @@
 	// dialTimeout is far above the round-trip time between availability zones, a few
 	// milliseconds.
 	dialTimeout = 100 * time.Millisecond
+	// confirmTimeout bounds Config.Confirm: some of the daemons that it asks may have ended or be busy.
+	confirmTimeout = 500 * time.Millisecond
 	// resultTTL is how long a result is reused: all requests that ended with an endpoint
 	// call Probe within milliseconds.
 	resultTTL = 250 * time.Millisecond
@@ -113,7 +115,7 @@
 	defer p.mu.Unlock()
 	now := time.Now()
 	for a, old := range p.probes {
-		if now.Sub(old.started) > resultTTL+dialTimeout {
+		if now.Sub(old.started) > resultTTL+dialTimeout+confirmTimeout {
 			delete(p.probes, a)
 		}
 	}
@@ -129,17 +131,27 @@
 }
 
 func (p *Prober) dial(ctx context.Context, address string) Result {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	dialing, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	conn, err := p.c.Dialer.DialContext(ctx, "tcp", address)
+	conn, err := p.c.Dialer.DialContext(dialing, "tcp", address)
 	switch {
 	case err == nil:
 		_ = conn.Close()
 		return Listening
-	case errors.Is(err, syscall.ECONNREFUSED) && p.c.Confirm != nil && !p.c.Confirm(ctx, address):
+	case errors.Is(err, syscall.ECONNREFUSED) && !p.confirm(ctx, address):
 		return Partitioned
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return Refused
 	}
 	return Unknown
 }
+
+// confirm reports whether an address that refused a connection refuses those of other daemons.
+func (p *Prober) confirm(ctx context.Context, address string) bool {
+	if p.c.Confirm == nil {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	return p.c.Confirm(ctx, address)
+}
--- a/internal/serve/dispatcher/dispatcher_test.go
+++ b/internal/serve/dispatcher/dispatcher_test.go
@@ -178,3 +178,22 @@
 		}
 	}
 }
+
+// Guards against an endpoint that ended and counts as out of reach, because the first peer that is
+// asked does not answer.
+func TestSilentPeerDoesNotHideThatAnEndpointEnded(t *testing.T) {
+	for range 4 {
+		f := newFixture()
+		silent := func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+		f.addPeer(t, "silent", silent)
+		f.addPeer(t, "other", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(wrapper.OutcomeHeader, string(wrapper.Unreachable))
+			w.WriteHeader(http.StatusServiceUnavailable)
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), 3*probeTimeout)
+		defer cancel()
+		if !f.Refuses(ctx, pathtracker.Destination{Service: "app", Endpoint: "i-1"}) {
+			t.Fatal("the endpoint counts as reachable for others")
+		}
+	}
+}
--- a/internal/serve/dispatcher/peers.go
+++ b/internal/serve/dispatcher/peers.go
@@ -20,6 +20,9 @@
 	// maxPeers is the number of peers that a request is handed to until one can send it. A refusal takes
 	// one round trip. Half of a fleet may be partitioned at once.
 	maxPeers = 6
+	// probeTimeout bounds a probe through one peer, which takes a few milliseconds, so that a peer that
+	// has ended leaves time for the others.
+	probeTimeout = 150 * time.Millisecond
 	// minUnreachable is the number of peers that must fail to connect to an endpoint until it counts
 	// as unreachable.
 	minUnreachable = 2
@@ -130,6 +133,8 @@
 
 // probeThrough lets a peer connect to an endpoint.
 func (d *Dispatcher) probeThrough(ctx context.Context, p Peer, to pathtracker.Destination) wrapper.Outcome {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
 	w := wrapper.Request{Service: to.Service, Endpoint: to.Endpoint, StartTime: to.StartTime, Probe: true}
 	x, err := d.c.PeerSender.Send(ctx, &sender.Request{
 		Address: p.Address, Method: http.MethodPost, Target: wrapper.Path, Host: p.Address, Header: w.Encode(), KeepAlive: keepPeerAlive,
