--- a/internal/peer/origintracker/origintracker_test.go
+++ b/internal/peer/origintracker/origintracker_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -29,11 +30,14 @@
 // fleet is a fleet of daemons that exchange records without a network, and a list of versions that
 // those that are not partitioned see at once.
 type fleet struct {
-	now      time.Time
-	daemons  []*daemon
 	listed   []identifier.Version
 	assigner *assigner.Assigner
 	streams  []stream
+
+	// mu protects what calls of other daemons read, as some end after the call that started them.
+	mu      sync.Mutex
+	now     time.Time
+	daemons []*daemon
 	// older daemons do not know the calls.
 	older map[int]bool
 }
@@ -51,10 +55,9 @@
 }
 
 func newFleet(n int, listed ...identifier.Version) *fleet {
-	f := &fleet{now: time.Unix(1000, 0), listed: listed, older: make(map[int]bool)}
+	f := &fleet{now: time.Unix(1000, 0), listed: listed, older: make(map[int]bool), daemons: make([]*daemon, n)}
 	f.assigner = assigner.New(assigner.Config{Daemons: f.live})
 	for i := range n {
-		f.daemons = append(f.daemons, nil)
 		f.start(i, true)
 	}
 	f.sync()
@@ -73,14 +76,43 @@
 
 // start starts a daemon that knows nothing.
 func (f *fleet) start(i int, first bool) {
-	d := &daemon{versions: versiontracker.New(versiontracker.Config{Retention: retention, FirstStart: first, Now: func() time.Time { return f.now }})}
+	d := &daemon{versions: versiontracker.New(versiontracker.Config{Retention: retention, FirstStart: first, Now: f.clock})}
 	d.Tracker = New(Config{
 		Host: host(i), Versions: d.versions, Select: f.assigner.Select, Retention: time.Hour, Metrics: tally.NoopScope,
 		Dial: func(address string) Peer { return link{f, d, address} },
 	})
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.daemons[i] = d
 }
 
+func (f *fleet) clock() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.now
+}
+
+// advance advances the clock while no daemon confirms its list.
+func (f *fleet) advance(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.now = f.now.Add(d)
+}
+
+// setPartitioned partitions a daemon or ends that.
+func (f *fleet) setPartitioned(i int, partitioned bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.daemons[i].partitioned = partitioned
+}
+
+// setOlder makes a daemon one that does not know the calls.
+func (f *fleet) setOlder(i int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.older[i] = true
+}
+
 // link is the link from a daemon to another one.
 type link struct {
 	f    *fleet
@@ -91,6 +123,8 @@
 var errPartitioned = errors.New("partitioned")
 
 func (l link) peer() (*daemon, error) {
+	l.f.mu.Lock()
+	defer l.f.mu.Unlock()
 	for i, d := range l.f.daemons {
 		switch {
 		case fmt.Sprint(i) != l.to:
@@ -142,7 +176,7 @@
 // pass lets time pass, while daemons that are not partitioned confirm their lists.
 func (f *fleet) pass(d time.Duration) {
 	for ; d > 0; d -= time.Second {
-		f.now = f.now.Add(time.Second)
+		f.advance(time.Second)
 		f.sync()
 	}
 }
@@ -189,12 +223,12 @@
 				i := anyDaemon.Draw(t, "daemon")
 				partitioned := f.daemons[i].partitioned
 				f.start(i, false)
-				f.daemons[i].partitioned = partitioned
+				f.setPartitioned(i, partitioned)
 				f.sync()
 			},
 			"partition or heal": func(t *rapid.T) {
-				d := f.daemons[anyDaemon.Draw(t, "daemon")]
-				d.partitioned = !d.partitioned
+				i := anyDaemon.Draw(t, "daemon")
+				f.setPartitioned(i, !f.daemons[i].partitioned)
 				f.pass(unconfirmedTime)
 			},
 			"ask proofs": func(t *rapid.T) { f.daemons[anyDaemon.Draw(t, "daemon")].AskProofs(context.Background()) },
@@ -285,7 +319,7 @@
 func TestSoleVersionBesideOlderDaemons(t *testing.T) {
 	f := newFleet(4, "v1")
 	for i := 1; i < len(f.daemons); i++ {
-		f.older[i] = true
+		f.setOlder(i)
 	}
 	s := stream{Origin{"of-an-older-daemon", service, "v1"}, f.now}
 	if got := f.find(0, s); got.Source != SoleVersion || got.Version != "v1" {
@@ -308,7 +342,7 @@
 // one.
 func TestPartitionedDaemonDoesNotTrustItsList(t *testing.T) {
 	f := newFleet(4, "v1")
-	f.daemons[0].partitioned = true
+	f.setPartitioned(0, true)
 	f.listed = []identifier.Version{"v1", "v2"}
 	f.sync()
 	if got := f.find(0, f.begin(1, "v2")); got.Source != Unknown {
@@ -320,14 +354,14 @@
 // are lost.
 func TestVersionThatWasMissedDuringAPartition(t *testing.T) {
 	f := newFleet(2, "v1")
-	f.daemons[0].partitioned = true
+	f.setPartitioned(0, true)
 	f.pass(unconfirmedTime)
 	f.listed = []identifier.Version{"v1", "v2"}
 	f.sync()
 	s := f.begin(1, "v2")
 	f.start(1, false)
 	f.listed = []identifier.Version{"v1"}
-	f.daemons[0].partitioned = false
+	f.setPartitioned(0, false)
 	f.sync()
 	if got := f.find(0, s); got.Source != Unknown {
 		t.Errorf("found %+v, the stream began at v2", got)
@@ -339,7 +373,7 @@
 func TestRecordsAreCopiedOnceTheProofIsLost(t *testing.T) {
 	f := newFleet(8, "v1")
 	s := f.begin(0, "v1")
-	f.now = f.now.Add(unconfirmedTime)
+	f.advance(unconfirmedTime)
 	for _, d := range f.daemons {
 		d.CopyUnproven(context.Background())
 	}
