request: the shared parts of a prompt are fingerprinted once

The receiver, the relayer and the access log each built them anew, and the relayer kept a copy besides. They are kept with the request now, as its fingerprint is. No behaviour changes.

--- a/internal/serve/relayer/attempt.go
+++ b/internal/serve/relayer/attempt.go
@@ -165,7 +165,7 @@
 func (j *job) newRequest(pick *registry.Pick) *dispatcher.Request {
 	return &dispatcher.Request{
 		To: pathtracker.Destination{Service: j.q.Service, Endpoint: pick.Endpoint, StartTime: pick.StartTime, Address: pick.Address},
-		ID: j.q.ID, Fingerprint: j.q.Fingerprint(), Parts: j.parts, Message: j.newMessage(pick),
+		ID: j.q.ID, Fingerprint: j.q.Fingerprint(), Parts: j.q.SharedParts(), Message: j.newMessage(pick),
 	}
 }
 
--- a/internal/serve/relayer/quarantine.go
+++ b/internal/serve/relayer/quarantine.go
@@ -16,7 +16,7 @@
 
 // admit decides whether the quarantine lets the request be sent now.
 func (j *job) admit() quarantiner.Decision {
-	d := j.r.c.Quarantine.Admit(j.q.Fingerprint(), j.q.ID, j.parts...)
+	d := j.r.c.Quarantine.Admit(j.q.Fingerprint(), j.q.ID, j.q.SharedParts()...)
 	j.held = d.Held
 	return d
 }
@@ -24,7 +24,7 @@
 // track lets the quarantine cancel an attempt for as long as the endpoint has
 // returned nothing. untrack must be called when it has, or when the attempt ends.
 func (j *job) track(cancel context.CancelCauseFunc) (untrack func()) {
-	return j.r.c.Quarantine.Track(j.q.Fingerprint(), func() { cancel(errQuarantined) }, j.parts...)
+	return j.r.c.Quarantine.Track(j.q.Fingerprint(), func() { cancel(errQuarantined) }, j.q.SharedParts()...)
 }
 
 // QuarantineRefusal returns the refusal of a request that is quarantined and was not sent.
--- a/internal/serve/relayer/relayer.go
+++ b/internal/serve/relayer/relayer.go
@@ -266,8 +266,6 @@
 	flush   func() error
 	res     Result
 
-	// parts are the parts of the prompt that other requests may have as well.
-	parts []identifier.Fingerprint
 	tried []identifier.Endpoint
 	// versionChosen is set once the version for the request has been chosen.
 	versionChosen bool
@@ -310,7 +308,7 @@
 // Relay serves one request. ctx must end when the client disconnects or the request's
 // deadline passes.
 func (r *Relayer) Relay(ctx context.Context, w http.ResponseWriter, q *request.Request, s *catalog.Service) Result {
-	j := &job{r: r, q: q, service: s, w: w, flush: http.NewResponseController(w).Flush, lastEvent: q.LastEventNumber, parts: q.SharedParts()}
+	j := &job{r: r, q: q, service: s, w: w, flush: http.NewResponseController(w).Flush, lastEvent: q.LastEventNumber}
 	// The client of a stream that broke off asks for the rest of what it has asked before.
 	j.returnDelay = r.c.Demand.ReturnDelay(q.Service, q.Route.Name, q.ClientTimeout)
 	j.counted = j.returnDelay > 0 || q.LastEventNumber > 0
@@ -335,7 +333,7 @@
 		}
 		if brokenOff(ctx, err) {
 			j.res.Fingerprint = q.Fingerprint()
-			r.c.Quarantine.ReportBreak(ctx, &crashreporter.BrokenRequest{Fingerprint: q.Fingerprint(), Request: q.ID, Parts: j.parts, Pick: pick, Events: j.res.Events - events})
+			r.c.Quarantine.ReportBreak(ctx, &crashreporter.BrokenRequest{Fingerprint: q.Fingerprint(), Request: q.ID, Parts: q.SharedParts(), Pick: pick, Events: j.res.Events - events})
 		}
 		if j.endsRequest(ctx, err) {
 			return j.res
--- a/internal/serve/relayer/stream.go
+++ b/internal/serve/relayer/stream.go
@@ -50,7 +50,7 @@
 			// Each attempt has a run at its coordinator, also one that continues a stream.
 			if !reported {
 				reported = true
-				j.r.c.Quarantine.RecordEvent(j.parts...)
+				j.r.c.Quarantine.RecordEvent(j.q.SharedParts()...)
 				j.r.c.Placer.ReportFirstEvent(j.q, pick)
 			}
 			if j.res.Events == 0 {
--- a/internal/serve/request/request.go
+++ b/internal/serve/request/request.go
@@ -62,6 +62,7 @@
 	Resumes identifier.Request
 
 	fingerprint identifier.Fingerprint
+	sharedParts []identifier.Fingerprint
 }
 
 // fingerprintBytes is the length to which the SHA-256 is truncated. 16 bytes are enough
@@ -89,16 +90,16 @@
 }
 
 // SharedParts returns the fingerprints of the parts of the prompt that other requests may have as
-// well: all but the last.
+// well: all but the last. It is called once the service is known, and is not safe for concurrent use.
 func (r *Request) SharedParts() []identifier.Fingerprint {
-	if len(r.Parts) < 2 {
-		return nil
+	if len(r.Parts) < 2 || r.sharedParts != nil {
+		return r.sharedParts
 	}
-	out := make([]identifier.Fingerprint, len(r.Parts)-1)
-	for i := range out {
-		out[i] = identifier.NewPartFingerprint(r.Service, r.Parts[i].ID)
+	r.sharedParts = make([]identifier.Fingerprint, len(r.Parts)-1)
+	for i := range r.sharedParts {
+		r.sharedParts[i] = identifier.NewPartFingerprint(r.Service, r.Parts[i].ID)
 	}
-	return out
+	return r.sharedParts
 }
 
 // Deadline is when the request times out: the shorter one of the timeouts of client and
