ranker: one selection of the highest rendezvous weights

The daemons that keep a record (assigner) and those that send to an endpoint with a rate limit (pacer) were each selected by the same bounded insertion. The same daemons are selected.

--- a/internal/peer/assigner/assigner.go
+++ b/internal/peer/assigner/assigner.go
@@ -14,13 +14,12 @@
 package assigner
 
 import (
-	"cmp"
-	"slices"
 	"sync"
 	"time"
 
 	"brasschute/internal/core/identifier"
 	"brasschute/internal/core/mixer"
+	"brasschute/internal/core/ranker"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -92,28 +91,12 @@
 	if a.zones == nil || now.Sub(a.asOf) >= maxAge {
 		a.refresh(now)
 	}
-	type ranked struct {
-		Daemon
-		weight uint64
-	}
 	hash := xxhash.Sum64String(key)
-	best := make([]ranked, 0, n+1)
+	best := ranker.New[Daemon](n)
 	for i := range a.all {
-		r := ranked{a.all[i].Daemon, mixer.Mix(hash ^ a.all[i].hash)}
-		at, _ := slices.BinarySearchFunc(best, r, func(b, r ranked) int {
-			return cmp.Or(cmp.Compare(r.weight, b.weight), cmp.Compare(b.Host, r.Host))
-		})
-		if at == n {
-			continue
-		}
-		best = slices.Insert(best, at, r)
-		best = best[:min(len(best), n)]
-	}
-	out := make([]Daemon, len(best))
-	for i := range best {
-		out[i] = best[i].Daemon
+		best.Add(a.all[i].Daemon, mixer.Mix(hash^a.all[i].hash))
 	}
-	return out
+	return best.Items()
 }
 
 // refresh reads the daemons. The caller holds the lock.
--- a/internal/route/pacer/lending.go
+++ b/internal/route/pacer/lending.go
@@ -1,12 +1,12 @@
 package pacer
 
 import (
-	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
 
 	"brasschute/internal/core/identifier"
+	"brasschute/internal/core/ranker"
 )
 
 // borrowTTL is how long a borrowed send slot may be used, from the call for it on. The lender has
@@ -70,7 +70,7 @@
 }
 
 // Senders returns the other daemons that send to an incarnation with a limit; none if it has none.
-func (p *Pacer) Senders(i Incarnation) (out []identifier.Host) {
+func (p *Pacer) Senders(i Incarnation) []identifier.Host {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	e := p.entries[i]
@@ -78,29 +78,11 @@
 		return nil
 	}
 	p.refresh(e, time.Now())
-	type ranked struct {
-		host   identifier.Host
-		weight uint64
-	}
-	n := senders(e.PerSecond, len(p.fleet.Peers)+1)
-	best := make([]ranked, 0, n+1)
+	best := ranker.New[identifier.Host](senders(e.PerSecond, len(p.fleet.Peers)+1))
 	seed := seedOf(i.Endpoint)
-	rank := func(host identifier.Host) {
-		r := ranked{host, weight(seed, host)}
-		at, _ := slices.BinarySearchFunc(best, r, func(b, r ranked) int { return cmp.Compare(r.weight, b.weight) })
-		if at < n {
-			best = slices.Insert(best, at, r)
-			best = best[:min(len(best), n)]
-		}
-	}
-	rank(p.c.Host)
+	best.Add(p.c.Host, weight(seed, p.c.Host))
 	for _, host := range p.fleet.Peers {
-		rank(host)
-	}
-	for _, r := range best {
-		if r.host != p.c.Host {
-			out = append(out, r.host)
-		}
+		best.Add(host, weight(seed, host))
 	}
-	return out
+	return slices.DeleteFunc(best.Items(), func(h identifier.Host) bool { return h == p.c.Host })
 }
