pacer: a lent slot is found by the rule by which own slots are used

When a slot is due stood three times (Ready, NextSend, Lend), and the lender's answer was searched for in the list that it had just been taken from. Lend returns the position now. No behaviour changes; the tests check the position, too.

--- a/internal/peer/permitborrower/permitborrower.go
+++ b/internal/peer/permitborrower/permitborrower.go
@@ -47,7 +47,7 @@
 // Pacer keeps the limits of endpoints; see [pacer.Pacer].
 type Pacer interface {
 	Senders(i pacer.Incarnation) []identifier.Host
-	Lend(list []pacer.Incarnation, now time.Time) (lent pacer.Incarnation, ok bool, next time.Time)
+	Lend(list []pacer.Incarnation, now time.Time) (at int, ok bool, next time.Time)
 	Borrow(i pacer.Incarnation, called time.Time)
 }
 
@@ -172,7 +172,7 @@
 		list = append(list, pacer.Incarnation{Endpoint: identifier.Endpoint(e.GetEndpoint()), Born: identifier.StartTime(e.GetBorn())})
 	}
 	now := time.Now()
-	lent, ok, next := b.c.Pacer.Lend(list, now)
+	at, ok, next := b.c.Pacer.Lend(list, now)
 	if !ok {
 		reply := &rpc.PermitReply{RetryMilli: unreachableBackoff.Milliseconds()}
 		if !next.IsZero() {
@@ -181,12 +181,7 @@
 		return reply, nil
 	}
 	b.count("permits_lent", "granted")
-	for n, i := range list {
-		if i == lent {
-			return &rpc.PermitReply{Granted: true, Index: uint32(n)}, nil
-		}
-	}
-	return new(rpc.PermitReply), nil
+	return &rpc.PermitReply{Granted: true, Index: uint32(at)}, nil
 }
 
 func (b *Borrower) count(name, result string) {
--- a/internal/peer/permitborrower/permitborrower_test.go
+++ b/internal/peer/permitborrower/permitborrower_test.go
@@ -25,12 +25,12 @@
 func (p *fakePacer) Senders(pacer.Incarnation) []identifier.Host { return p.senders }
 func (p *fakePacer) Borrow(i pacer.Incarnation, _ time.Time)     { p.borrowed = append(p.borrowed, i) }
 
-func (p *fakePacer) Lend(list []pacer.Incarnation, now time.Time) (lent pacer.Incarnation, ok bool, next time.Time) {
+func (p *fakePacer) Lend(list []pacer.Incarnation, now time.Time) (at int, ok bool, next time.Time) {
 	if p.slots == 0 {
-		return lent, false, now.Add(time.Second)
+		return 0, false, now.Add(time.Second)
 	}
 	p.slots--
-	return list[len(list)-1], true, next
+	return len(list) - 1, true, next
 }
 
 // lender counts the calls of a daemon, which fail if err is set.
--- a/internal/route/pacer/lending.go
+++ b/internal/route/pacer/lending.go
@@ -14,34 +14,26 @@
 const borrowTTL = 200 * time.Millisecond
 
 // Lend uses this daemon's send slot at one of some incarnations, for a request that another daemon
-// sends. If none is due, next is when the first one will be, zero if this daemon sends to none.
-func (p *Pacer) Lend(list []Incarnation, now time.Time) (lent Incarnation, ok bool, next time.Time) {
+// sends. at is the position of that incarnation. If no slot is due, next is when the first one will be,
+// zero if this daemon sends to none.
+func (p *Pacer) Lend(list []Incarnation, now time.Time) (at int, ok bool, next time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(list) == 0 {
-		return Incarnation{}, false, next
-	}
-	first := rand.IntN(len(list))
-	for n := range list {
-		i := list[(first+n)%len(list)]
-		e := p.entries[i]
+	for _, at := range rand.Perm(len(list)) {
+		e := p.entries[list[at]]
 		if e == nil || !e.Limited {
 			continue
 		}
 		p.refresh(e, now)
-		if e.rate == 0 {
-			continue
-		}
-		due := e.lastSend.Add(e.interval())
-		if !due.After(now) {
+		switch {
+		case e.slotDue(now):
 			e.lastSend = now
-			return i, true, next
-		}
-		if next.IsZero() || due.Before(next) {
-			next = due
+			return at, true, next
+		case e.rate > 0 && (next.IsZero() || e.nextSlot().Before(next)):
+			next = e.nextSlot()
 		}
 	}
-	return Incarnation{}, false, next
+	return 0, false, next
 }
 
 // Borrow adds a send slot that another daemon has lent in a call that began at a given time.
--- a/internal/route/pacer/lending_test.go
+++ b/internal/route/pacer/lending_test.go
@@ -37,8 +37,8 @@
 				p = list[anyPacer.Draw(t, "daemon")]
 			}
 			if !p.Ready(i, now) {
-				if lent, ok, _ := list[anyPacer.Draw(t, "lender")].Lend([]Incarnation{i}, now); ok {
-					p.Borrow(lent, now)
+				if _, ok, _ := list[anyPacer.Draw(t, "lender")].Lend([]Incarnation{i}, now); ok {
+					p.Borrow(i, now)
 				}
 			}
 			if rapid.IntRange(0, 5).Draw(t, "idle") > 0 && p.Take(i, now) {
@@ -72,18 +72,18 @@
 	if !borrower.Take(i, now) || borrower.Ready(i, now) {
 		t.Fatal("the own slot is not used first")
 	}
-	lent, ok, _ := lender.Lend([]Incarnation{i}, now)
-	if _, again, next := lender.Lend([]Incarnation{i}, now); !ok || again || !next.After(now) || lender.Take(i, now) {
-		t.Fatalf("lent %v, again %v, next slot %v, used as well", ok, again, next)
+	at, ok, _ := lender.Lend([]Incarnation{{Endpoint: "without a limit"}, i}, now)
+	if _, again, next := lender.Lend([]Incarnation{i}, now); !ok || at != 1 || again || !next.After(now) || lender.Take(i, now) {
+		t.Fatalf("lent %v at %d, again %v, next slot %v, or used as well", ok, at, again, next)
 	}
-	borrower.Borrow(lent, now)
+	borrower.Borrow(i, now)
 	if !borrower.Take(i, now) || borrower.Take(i, now) {
 		t.Error("a borrowed slot is not used once")
 	}
 	now = now.Add(time.Second)
-	lent, _, _ = lender.Lend([]Incarnation{i}, now)
+	lender.Lend([]Incarnation{i}, now)
 	borrower.Take(i, now)
-	borrower.Borrow(lent, now)
+	borrower.Borrow(i, now)
 	if borrower.Take(i, now.Add(borrowTTL)) {
 		t.Error("a borrowed slot is used late")
 	}
--- a/internal/route/pacer/pacer.go
+++ b/internal/route/pacer/pacer.go
@@ -238,9 +238,10 @@
 }
 
 // slotDue reports whether this daemon's own slot is due.
-func (e *entry) slotDue(now time.Time) bool {
-	return e.rate > 0 && now.Sub(e.lastSend) >= e.interval()
-}
+func (e *entry) slotDue(now time.Time) bool { return e.rate > 0 && !now.Before(e.nextSlot()) }
+
+// nextSlot returns when this daemon's own slot is due. The rate must not be 0.
+func (e *entry) nextSlot() time.Time { return e.lastSend.Add(e.interval()) }
 
 // Take uses the send slot for a request that is sent now, and reports whether it may be sent.
 func (p *Pacer) Take(i Incarnation, now time.Time) bool {
@@ -273,7 +274,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if e := p.entries[i]; e != nil && e.Limited && e.rate > 0 {
-		return e.lastSend.Add(e.interval())
+		return e.nextSlot()
 	}
 	return time.Time{}
 }
