selector: one rule says what keeps an endpoint from serving

The endpoints for which a permit is borrowed were found by a second list of conditions beside the selector's, which a new condition would have missed. They are those that only their limit excludes, by the selector's own rule. One more case is left out, where borrowing was of no use: an endpoint on probation that has its one request.

--- a/internal/route/registry/limit.go
+++ b/internal/route/registry/limit.go
@@ -1,8 +1,8 @@
 package registry
 
 import (
+	"math"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"brasschute/internal/core/identifier"
@@ -96,8 +96,8 @@
 // pass over all daemons.
 const maxWanted = 16
 
-// Limited returns up to maxWanted incarnations of a pool's endpoints that would take a request of one
-// of some versions but for their rate limit, without those tried already.
+// Limited returns up to maxWanted incarnations of a pool's endpoints that only their rate limit keeps
+// from taking a request of one of some versions, without those tried already.
 func (r *Registry) Limited(name identifier.Pool, tried []identifier.Endpoint, v *selector.VersionFilter) (out []pacer.Incarnation) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -105,14 +105,10 @@
 	if p == nil || !p.limited {
 		return nil
 	}
-	first := rand.IntN(max(len(p.candidates), 1))
-	for n := range p.candidates {
-		if len(out) == maxWanted {
-			break
-		}
-		c := &p.candidates[(first+n)%len(p.candidates)]
-		usable := !c.Leaving && !c.Unavailable && !c.Silent && !c.BackingOff && v.Allow(c) && !slices.Contains(tried, c.Endpoint)
-		if usable && c.Limited {
+	q := &selector.Query{Tried: tried, Versions: *v, MaxInFlight: math.MaxInt}
+	first := rand.IntN(len(p.candidates))
+	for n := 0; n < len(p.candidates) && len(out) < maxWanted; n++ {
+		if c := &p.candidates[(first+n)%len(p.candidates)]; selector.OnlyLimited(q, c) {
 			out = append(out, incarnationOf(c))
 		}
 	}
--- a/internal/route/selector/selector.go
+++ b/internal/route/selector/selector.go
@@ -238,6 +238,16 @@
 	}
 }
 
+// OnlyLimited reports whether only its rate limit keeps c from serving the request.
+func OnlyLimited(q *Query, c *candidate.Candidate) bool {
+	if !c.Limited {
+		return false
+	}
+	unlimited := *c
+	unlimited.Limited = false
+	return usable(q, &unlimited, new(Excluded))
+}
+
 // usable reports whether c can serve the request. If not, it counts the reason in x.
 func usable(q *Query, c *candidate.Candidate, x *Excluded) bool {
 	switch {
