gateway: the list of endpoints is confirmed where it is read, not beside the gauges

Whether the list is current was recorded twice for a daemon that watches the store: by the watcher of endpoints, and by the update of the gauges, on an answer of the store about anything, up to three seconds old. So a list could count as current for up to six seconds, or while only the configuration was still answered. The watcher's own answers confirm it now, or a peer that watches the store, once a second with the copying of records. The peers that may compete for the lease are the same ones; one function finds both. Found by reading.

--- a/internal/role/gateway/duties.go
+++ b/internal/role/gateway/duties.go
@@ -153,7 +153,7 @@
 	}
 	if held {
 		// The candidates need not wait for what they have heard to expire.
-		g.syncer.SendNotes(ctx, g.candidates(time.Now()))
+		g.syncer.SendNotes(ctx, g.observers(time.Now()))
 	}
 }
 
@@ -290,11 +290,12 @@
 		return
 	}
 	u.holderNotedAt, u.notedRevision = now, revision
-	u.g.syncer.SendNotes(ctx, u.g.candidates(now))
+	u.g.syncer.SendNotes(ctx, u.g.observers(now))
 }
 
-// candidates returns the addresses of the peers that may compete for the lease.
-func (g *Gateway) candidates(now time.Time) []string {
+// observers returns the addresses of the live peers that watch the store and reach it. They may compete
+// for the lease.
+func (g *Gateway) observers(now time.Time) []string {
 	var addresses []string
 	for _, d := range g.roster.LiveDaemons(now) {
 		if d.Observing {
--- a/internal/role/gateway/streams.go
+++ b/internal/role/gateway/streams.go
@@ -21,8 +21,8 @@
 	// versions, proofTime for how long: by then the others live that will, or none has any.
 	proofInterval = 500 * time.Millisecond
 	proofTime     = 15 * time.Second
-	// copyInterval is how often records are copied whose service has lost its proof.
-	copyInterval = time.Second
+	// keepInterval is how often the list is confirmed, and records are copied whose service has lost its proof.
+	keepInterval = time.Second
 )
 
 // buildStreams builds what knows at which version each stream began.
@@ -35,12 +35,16 @@
 		},
 	})
 	g.tree.Add(serviceFunc(g.askProofs))
-	g.tree.Add(serviceFunc(g.copyRecords))
+	g.tree.Add(serviceFunc(g.keepStreams))
 }
 
-// copyRecords copies the records of streams once they are needed elsewhere.
-func (g *Gateway) copyRecords(ctx context.Context) error {
-	return waiter.Every(ctx, copyInterval, g.origins.CopyUnproven)
+// keepStreams confirms the list of endpoints as others report it, and copies the records of streams once
+// they are needed elsewhere.
+func (g *Gateway) keepStreams(ctx context.Context) error {
+	return waiter.Every(ctx, keepInterval, func(ctx context.Context) {
+		g.confirmByPeers()
+		g.origins.CopyUnproven(ctx)
+	})
 }
 
 // askProofs asks other daemons for proofs of sole versions for a time after the start.
@@ -73,17 +77,10 @@
 	}
 }
 
-// confirmVersions records that the list of endpoints is current, if this daemon watches the store
-// and reaches it, or hears of changes from a daemon that does.
-func (g *Gateway) confirmVersions() {
-	if g.reachesStore() {
+// confirmByPeers records that the list of endpoints is current if this daemon hears of changes from one
+// that watches the store and reaches it. The watcher of endpoints confirms what the store itself answers.
+func (g *Gateway) confirmByPeers() {
+	if len(g.observers(time.Now())) > 0 {
 		g.versions.Confirm()
-		return
-	}
-	for _, d := range g.roster.LiveDaemons(time.Now()) {
-		if d.Observing {
-			g.versions.Confirm()
-			return
-		}
 	}
 }
--- a/internal/role/gateway/view.go
+++ b/internal/role/gateway/view.go
@@ -193,7 +193,6 @@
 }
 
 func (g *Gateway) updateGauges() {
-	g.confirmVersions()
 	in, out := g.peerBytes.Bytes()
 	g.scope.Gauge("peer_bytes_in").Update(float64(in))
 	g.scope.Gauge("peer_bytes_out").Update(float64(out))
