--- a/internal/peer/aggregator/aggregator.go
+++ b/internal/peer/aggregator/aggregator.go
@@ -216,21 +216,17 @@
 
 // TakeRejected returns how many items of messages were rejected since the last call: those that
 // are not a number, negative, or higher than a fleet can reach.
-func (a *Aggregator) TakeRejected() int {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	n := a.rejected
-	a.rejected = 0
-	return n
-}
+func (a *Aggregator) TakeRejected() int { return a.take(&a.rejected) }
 
 // TakeSkipped returns how many digests and sums came since the last call whose charges were not counted:
 // this daemon had been isolated or no relay, and others had counted them.
-func (a *Aggregator) TakeSkipped() int {
+func (a *Aggregator) TakeSkipped() int { return a.take(&a.skipped) }
+
+// take returns a count and sets it to zero.
+func (a *Aggregator) take(count *int) (n int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	n := a.skipped
-	a.skipped = 0
+	n, *count = *count, 0
 	return n
 }
 
