--- a/internal/route/scheduler/order.go
+++ b/internal/route/scheduler/order.go
@@ -207,10 +207,7 @@
 	p := s.positionOf(e, now)
 	o := Offer{
 		StartIn: s.speed.duration(p.tokens), TokensAhead: p.tokens, Streams: len(s.engine.runs), Scarce: s.scarcity.scarce,
-		Cached: max(e.request.PromptTokens-identifier.Tokens(math.Round(e.uncached)), 0),
-	}
-	if n, limited := s.rejections.limit(now); limited {
-		o.SurvivedRejections = float64(n)
+		Cached: max(e.request.PromptTokens-identifier.Tokens(math.Round(e.uncached)), 0), SurvivedRejections: s.rejections.stated(now),
 	}
 	fits := s.fits(e, &p, now)
 	if !fits {
--- a/internal/route/scheduler/rejectionbudget.go
+++ b/internal/route/scheduler/rejectionbudget.go
@@ -46,6 +46,12 @@
 	return int(min(max(b.survived, 1), maxStarted)), true
 }
 
+// stated returns the limit as offers state it, 0 if the endpoint survives all rejections.
+func (b *rejectionBudget) stated(now time.Time) float64 {
+	n, _ := b.limit(now)
+	return float64(n)
+}
+
 // record records a rejection.
 func (b *rejectionBudget) record(now time.Time) {
 	b.rejections = slices.DeleteFunc(b.rejections, func(at time.Time) bool { return now.Sub(at) >= rejectionWindow })
@@ -90,9 +96,9 @@
 // rejection.
 func (s *Scheduler) admit(e *entry, now time.Time) Offer {
 	p := s.positionOf(e, now)
-	o := Offer{Streams: len(s.engine.runs), Scarce: s.scarcity.scarce, StartIn: max(s.roomIn(&e.request, &p, now), s.admissionIn(p.entries, now))}
-	if n, limited := s.rejections.limit(now); limited {
-		o.SurvivedRejections = float64(n)
+	o := Offer{
+		Streams: len(s.engine.runs), Scarce: s.scarcity.scarce, StartIn: max(s.roomIn(&e.request, &p, now), s.admissionIn(p.entries, now)),
+		SurvivedRejections: s.rejections.stated(now),
 	}
 	patience := min(e.objective.Sub(now), e.silence.Sub(now), e.deadline.Sub(now))
 	switch {
