quarantiner: what speaks for a part is applied where endings are added

An ending counts less against a part that was answered lately; that stood where a daemon records its own endings and again where it merges those of others. No behaviour changes.

--- a/internal/route/quarantiner/gossip.go
+++ b/internal/route/quarantiner/gossip.go
@@ -68,9 +68,6 @@
 	for _, e := range update.Endings {
 		// Endings that have lapsed here are not added again.
 		if age := now.Sub(e.At); e.Endpoint != "" && age < heldTime {
-			if e.Depth > 0 && z.answered.has(update.Fingerprint, now) {
-				e.Weak = true
-			}
 			endings = append(endings, e)
 		}
 	}
--- a/internal/route/quarantiner/quarantiner.go
+++ b/internal/route/quarantiner/quarantiner.go
@@ -229,7 +229,7 @@
 	// Later parts come first, as they explain what the earlier ones were near.
 	for i := min(len(parts), MaxDepth) - 1; i >= 0 && !e.Weak; i-- {
 		p := e
-		p.Request, p.Depth, p.Weak = f, i+1, z.answered.has(parts[i], now)
+		p.Request, p.Depth = f, i+1
 		isNew = z.add(parts[i], []Ending{p}, now, &changes) || isNew
 	}
 	e.Weak = e.Weak || z.answered.has(f, now)
@@ -338,7 +338,10 @@
 		s.endings = slices.DeleteFunc(s.endings, func(e Ending) bool { return now.Sub(e.At) > suspectTime })
 	}
 	for i := range endings {
-		isNew = s.merge(&endings[i]) || isNew
+		e := &endings[i]
+		// Whoever saw the ending may not know of an answer to a request with the part.
+		e.Weak = e.Weak || e.Depth > 0 && z.answered.has(f, now)
+		isNew = s.merge(e) || isNew
 	}
 	if isNew {
 		s.changed = now
