--- a/internal/role/gateway/gossip.go
+++ b/internal/role/gateway/gossip.go
@@ -85,6 +85,11 @@
 	g.tree.Add(serviceFunc(g.runLoads))
 }
 
+// dialPeer returns the daemon at an address, for calls that a request may wait for.
+func (g *Gateway) dialPeer(address string) rpc.Fleet {
+	return rpc.NewFleetProtobufClient("http://"+address, g.peerClient)
+}
+
 // fleetServer serves peers' calls.
 type fleetServer struct {
 	*syncer.Syncer
--- a/internal/role/gateway/limits.go
+++ b/internal/role/gateway/limits.go
@@ -31,9 +31,7 @@
 func (g *Gateway) buildPermits() {
 	g.permits = permitborrower.New(permitborrower.Config{
 		Pacer: g.pacer, Address: g.peerAddress, Metrics: g.scope,
-		Dial: func(address string) permitborrower.Lender {
-			return rpc.NewFleetProtobufClient("http://"+address, g.peerClient)
-		},
+		Dial: func(address string) permitborrower.Lender { return g.dialPeer(address) },
 	})
 }
 
--- a/internal/role/gateway/scheduling.go
+++ b/internal/role/gateway/scheduling.go
@@ -9,7 +9,6 @@
 	"brasschute/internal/peer/assigner"
 	"brasschute/internal/peer/coordinator"
 	"brasschute/internal/peer/reserver"
-	"brasschute/internal/peer/rpc"
 	"brasschute/internal/platform/inventory"
 	"brasschute/internal/route/scheduler"
 
@@ -41,9 +40,7 @@
 	})
 	g.reserver = reserver.New(reserver.Config{
 		Host: d.Host, Incarnation: uint64(g.started.UnixNano()), Local: g.coordinator, Assign: g.assigner.Coordinator, Metrics: g.scope,
-		Dial: func(address string) reserver.Coordinator {
-			return rpc.NewFleetProtobufClient("http://"+address, g.peerClient)
-		},
+		Dial: func(address string) reserver.Coordinator { return g.dialPeer(address) },
 	})
 	g.tree.Add(g.reserver)
 	g.tree.Add(serviceFunc(g.runCoordinator))
--- a/internal/role/gateway/streams.go
+++ b/internal/role/gateway/streams.go
@@ -8,7 +8,6 @@
 	"brasschute/internal/core/identifier"
 	"brasschute/internal/core/waiter"
 	"brasschute/internal/peer/origintracker"
-	"brasschute/internal/peer/rpc"
 	"brasschute/internal/platform/inventory"
 	"brasschute/internal/route/versiontracker"
 )
@@ -30,9 +29,7 @@
 	g.versions = versiontracker.New(versiontracker.Config{Retention: streamRetention, FirstStart: g.c.Deployment.FirstStart, Now: g.uptime})
 	g.origins = origintracker.New(origintracker.Config{
 		Host: g.c.Deployment.Host, Versions: g.versions, Select: g.assigner.Select, Retention: streamRetention, Metrics: g.scope,
-		Dial: func(address string) origintracker.Peer {
-			return rpc.NewFleetProtobufClient("http://"+address, g.peerClient)
-		},
+		Dial: func(address string) origintracker.Peer { return g.dialPeer(address) },
 	})
 	g.tree.Add(serviceFunc(g.askProofs))
 	g.tree.Add(serviceFunc(g.keepStreams))
--- a/internal/role/gateway/versions_test.go
+++ b/internal/role/gateway/versions_test.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -99,7 +98,7 @@
 }
 
 // countEvents counts the whole events of a stream.
-func countEvents(text string) int { return bytes.Count([]byte(text), []byte("\n\n")) }
+func countEvents(text string) int { return strings.Count(text, "\n\n") }
 
 // ofTwoVersions counts the streams that went on at another version than the one that began them.
 func (v *versionedFleet) ofTwoVersions() (n int) {
