splitter: a repeated choice of a continued stream has no effect

Choose changes budgets for the first choice of a request only; the watch on silent attempts relies on that and asks again and again. The choice for continued streams charged the share of a new version at each call, so that looking at a silent attempt took canary requests away (under a roll-out only). It is charged once now, as the request is. The test asks with a first choice where it asked with a repeated one, and checks as well that a repeated one charges nothing; that fails before.

--- a/internal/route/splitter/splitter.go
+++ b/internal/route/splitter/splitter.go
@@ -193,7 +193,7 @@
 	if s.isBlocked(v, q.Version) {
 		return selector.VersionFilter{None: true}
 	}
-	if q.Version == v.order.Target && !v.phase().IsFinal() {
+	if !q.Repeated && q.Version == v.order.Target && !v.phase().IsFinal() {
 		// It counts towards the share of the version; later requests make up for it.
 		v.canaryBudget--
 	}
--- a/internal/route/splitter/splitter_test.go
+++ b/internal/route/splitter/splitter_test.go
@@ -209,7 +209,7 @@
 				s.ApplyGrant(&Grant{Service: lm, Target: "v2", Order: d.r.OrderID(), Phase: c.phase, Fencing: 1, Sequence: 1, IssuedAt: d.now}, "holder")
 			}
 			before := s.services[lm].canaryBudget
-			f := s.Choose(&Query{Service: lm, Route: "letters", Continues: true, Version: c.version, Repeated: true})
+			f := s.Choose(&Query{Service: lm, Route: "letters", Continues: true, Version: c.version})
 			for _, v := range []identifier.Version{"v1", "v2", ""} {
 				if got, want := f.Allow(&candidate.Candidate{Version: v}), c.want && v == c.version; got != want {
 					t.Errorf("%q allowed: %v, want %v", v, got, want)
@@ -218,6 +218,11 @@
 			if charged := s.services[lm].canaryBudget < before; charged != (c.want && c.version == "v2" && c.phase != rollout.Complete) {
 				t.Errorf("charged to the share: %v", charged)
 			}
+			before = s.services[lm].canaryBudget
+			s.Choose(&Query{Service: lm, Route: "letters", Continues: true, Version: c.version, Repeated: true})
+			if s.services[lm].canaryBudget != before {
+				t.Error("a repeated choice is charged to the share")
+			}
 		})
 	}
 }
