--- a/internal/engine/prober/prober_test.go
+++ b/internal/engine/prober/prober_test.go
@@ -113,3 +113,19 @@
 		}
 	}
 }
+
+// Guards against a process that ended right after it had been found to listen, and counts as listening.
+func TestListeningProcessMayEndAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := &dialer{after: time.Millisecond}
+		p := New(Config{Dialer: d})
+		if got := p.Probe(t.Context(), "10.0.0.1:80"); got != Listening {
+			t.Fatalf("at first: %v", got)
+		}
+		time.Sleep(resultTTL / 10)
+		d.err = syscall.ECONNREFUSED
+		if got := p.Probe(t.Context(), "10.0.0.1:80"); got != Refused {
+			t.Errorf("after its end: %v", got)
+		}
+	})
+}
--- a/internal/fault/shaper/shaper.go
+++ b/internal/fault/shaper/shaper.go
@@ -49,10 +49,23 @@
 
 	mu        sync.Mutex
 	listeners map[string]*listener
+	// silent holds the addresses that do not respond at all.
+	silent map[string]bool
 }
 
 // New returns a network without hosts.
-func New(c Config) *Shaper { return &Shaper{c: c, listeners: make(map[string]*listener)} }
+func New(c Config) *Shaper {
+	return &Shaper{c: c, listeners: make(map[string]*listener), silent: make(map[string]bool)}
+}
+
+// Silence removes the listener at an address without a trace, as a loss of power does: connection attempts
+// there get no response until something listens again.
+func (s *Shaper) Silence(a netip.AddrPort) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.listeners, a.String())
+	s.silent[a.String()] = true
+}
 
 // Host is a host of the network with its link.
 type Host struct {
@@ -94,15 +107,20 @@
 	}
 	l := &listener{host: h, address: a, accepted: make(chan net.Conn, backlog), closed: make(chan struct{})}
 	h.network.listeners[a.String()] = l
+	delete(h.network.silent, a.String())
 	return l, nil
 }
 
 // DialContext connects to a listener's address, as IP:port. It fails with ECONNREFUSED if
-// nothing listens there. If the backlog is full, it waits until ctx ends.
+// nothing listens there. If the backlog is full, or the address is silent, it waits until ctx ends.
 func (h *Host) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
 	h.network.mu.Lock()
-	l := h.network.listeners[address]
+	l, silent := h.network.listeners[address], h.network.silent[address]
 	h.network.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return nil, &net.OpError{Op: "dial", Net: network, Err: ctx.Err()}
+	}
 	if l == nil {
 		return nil, &net.OpError{Op: "dial", Net: network, Err: fmt.Errorf("%s: %w", address, syscall.ECONNREFUSED)}
 	}
@@ -139,7 +157,9 @@
 func (l *listener) Close() error {
 	l.once.Do(func() {
 		l.host.network.mu.Lock()
-		delete(l.host.network.listeners, l.address.String())
+		if l.host.network.listeners[l.address.String()] == l {
+			delete(l.host.network.listeners, l.address.String())
+		}
 		l.host.network.mu.Unlock()
 		close(l.closed)
 		for {
--- a/internal/role/gateway/engines_test.go
+++ b/internal/role/gateway/engines_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -64,6 +65,9 @@
 	fatal func(body string) bool
 	// fatalPart is a part of a prompt that crashes the engine that runs a request with it; empty for none.
 	fatalPart string
+	// silentExits makes engines end without a trace, as with a loss of power: connections stay open and
+	// the address does not respond.
+	silentExits bool
 	// answerHeaders returns the headers that an engine adds to an answer; nil adds none.
 	answerHeaders func(place int, id string, r *http.Request) http.Header
 	// hostSlowdown returns the slowdown of their hosts that the engines state; nil means that they
@@ -168,7 +172,18 @@
 	})
 	server := &http.Server{}
 	var once sync.Once
-	endIt := func(body string) { once.Do(func() { e.exit(place, id, body, server) }) }
+	var silent atomic.Bool
+	endIt := func(body string) {
+		once.Do(func() {
+			e.recordExit(place, id, body)
+			if e.silentExits {
+				silent.Store(true)
+				e.f.network.Silence(address)
+				return
+			}
+			_ = server.Close()
+		})
+	}
 	e.running[place] = endIt
 	engine.SetBehaviour(func(r *http.Request) hosting.Behaviour {
 		e.mu.Lock()
@@ -214,18 +229,54 @@
 		}
 		engine.ServeHTTP(w, r)
 	})
-	go func() { _ = server.Serve(l) }()
+	go func() { _ = server.Serve(silenceableListener{l, &silent}) }()
 	e.stop = append(e.stop, func() { _ = server.Close() })
 	e.f.store.Write(platform.EndpointKind, id, engine.Record("ready"))
 }
 
-// exit ends an engine and everything that it runs. Its record expires, and another engine
-// starts at its address later.
-func (e *engineFleet) exit(place int, id, body string, server *http.Server) {
+// silenceableListener is the listener of an engine that may end without a trace.
+type silenceableListener struct {
+	net.Listener
+	silent *atomic.Bool
+}
+
+// Accept waits for the next connection.
+func (l silenceableListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return silenceableConn{c, l.silent}, nil
+}
+
+// silenceableConn is a connection of such an engine.
+type silenceableConn struct {
+	net.Conn
+	silent *atomic.Bool
+}
+
+// Write sends nothing once the engine is silent.
+func (c silenceableConn) Write(p []byte) (int, error) {
+	if c.silent.Load() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+// Close leaves the peer's end open once the engine is silent.
+func (c silenceableConn) Close() error {
+	if c.silent.Load() {
+		return nil
+	}
+	return c.Conn.Close()
+}
+
+// recordExit records that an engine ends with everything that it runs. Its record expires, and another
+// engine starts at its address later.
+func (e *engineFleet) recordExit(place int, id, body string) {
 	e.mu.Lock()
 	e.exits = append(e.exits, engineExit{time.Now(), id, body})
 	e.mu.Unlock()
-	_ = server.Close()
 	if e.sameIDs {
 		time.AfterFunc(restartDelay, func() { e.start(place) })
 		return
@@ -243,11 +294,14 @@
 }
 
 // exitHalf ends every second engine at once.
-func (e *engineFleet) exitHalf() {
+func (e *engineFleet) exitHalf() { e.exitSome(func(place int) bool { return place%2 == 0 }) }
+
+// exitSome ends the engines at some places at once.
+func (e *engineFleet) exitSome(which func(place int) bool) {
 	e.mu.Lock()
 	var list []func(string)
 	for place, endIt := range e.running {
-		if place%2 == 0 {
+		if which(place) {
 			list = append(list, endIt)
 		}
 	}
@@ -322,9 +376,14 @@
 
 // askWith is like ask, with further headers.
 func (f *testFleet) askWith(daemon int, path, body string, headers map[string]string) clientReply {
+	return f.askFor(20*time.Second, daemon, path, body, headers)
+}
+
+// askFor is like askWith, and gives the request up after a time.
+func (f *testFleet) askFor(patience time.Duration, daemon int, path, body string, headers map[string]string) clientReply {
 	host := f.network.Host(storeLink)
 	client := &http.Client{Transport: &http.Transport{DialContext: host.DialContext, DisableKeepAlives: true}}
-	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.daemons[daemon].c.Deployment.Callers.String()+path, strings.NewReader(body))
 	if err != nil {
