crashreporter, relayer: lines and a counter of attempts that are given up before their first event

The endpoint of such an attempt may go on running it, and crash. Nothing said so: the line of the request states that its client left, not that the engine had delivered nothing, and an attempt that was given up as silent is one of several in it. The type of an attempt that was broken off serves both and is called Attempt now. No decision changes.

--- a/internal/peer/crashreporter/crashreporter.go
+++ b/internal/peer/crashreporter/crashreporter.go
@@ -13,7 +13,7 @@
 // # Usage
 //
 //	r := crashreporter.New(crashreporter.Config{Host: name, Dialer: d, OnChange: trigger, ...})
-//	r.ReportBreak(ctx, &crashreporter.BrokenRequest{Fingerprint: f, Request: id, Pick: pick})
+//	r.ReportBreak(ctx, &crashreporter.Attempt{Fingerprint: f, Request: id, Pick: pick})
 package crashreporter
 
 import (
@@ -60,17 +60,31 @@
 	Metrics  tally.Scope
 }
 
-// BrokenRequest is a request that an endpoint broke off.
-type BrokenRequest struct {
+// Attempt is an attempt of a request at an endpoint.
+type Attempt struct {
 	Fingerprint identifier.Fingerprint
 	Request     identifier.Request
 	// Parts are the parts of its prompt that other requests may have as well.
 	Parts []identifier.Fingerprint
 	Pick  *registry.Pick
-	// Events is the number of events that the endpoint had sent.
+	// Events is the number of events that the endpoint has sent.
 	Events int
 }
 
+// Reason says why this daemon gave an attempt up.
+type Reason string
+
+// The reasons.
+const (
+	// ClientGone: the client left. TimedOut: the request's time was up. Silent: the endpoint stayed silent.
+	ClientGone Reason = "client-gone"
+	TimedOut   Reason = "timeout"
+	Silent     Reason = "silent"
+	// Quarantined: the request became held. PeerLost: the peer that sent it gave no response.
+	Quarantined Reason = "quarantined"
+	PeerLost    Reason = "peer-lost"
+)
+
 // Reporter is a daemon's quarantine, fed by its own probes and by messages of peers. It is safe for
 // concurrent use.
 type Reporter struct {
@@ -93,14 +107,14 @@
 
 // ReportBreak probes an endpoint that broke off a request. It returns when the result is known,
 // or after [maxProbeWait]; a later result counts, too.
-func (r *Reporter) ReportBreak(ctx context.Context, b *BrokenRequest) {
-	if _, leaving := r.c.Leaving(b.Pick); leaving {
+func (r *Reporter) ReportBreak(ctx context.Context, a *Attempt) {
+	if _, leaving := r.c.Leaving(a.Pick); leaving {
 		return
 	}
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		r.probe(context.WithoutCancel(ctx), b)
+		r.probe(context.WithoutCancel(ctx), a)
 	}()
 	timer := time.NewTimer(maxProbeWait)
 	defer timer.Stop()
@@ -111,27 +125,37 @@
 }
 
 // probe probes the endpoint that broke off a request and records its end.
-func (r *Reporter) probe(ctx context.Context, b *BrokenRequest) {
-	found := r.prober.Probe(ctx, b.Pick.Address)
+func (r *Reporter) probe(ctx context.Context, a *Attempt) {
+	found := r.prober.Probe(ctx, a.Pick.Address)
 	r.c.Metrics.Tagged(map[string]string{"probe": found.String()}).Counter("requests_broken_off").Inc(1)
 	if found == prober.Listening {
 		return
 	}
-	incarnation := r.c.Incarnation(b.Pick)
+	incarnation := r.c.Incarnation(a.Pick)
 	message := "endpoint crashed while running a request"
 	if found == prober.Partitioned {
 		message = "endpoint out of this daemon's reach while running a request"
 	}
 	if r.logLimiter.Allow() {
-		r.c.Logger.Info(message, "request", b.Request, "fingerprint", b.Fingerprint, "endpoint", b.Pick.Endpoint,
-			"born", incarnation, "events", b.Events, "parts", fmt.Sprint(b.Parts), "probe", found)
+		r.c.Logger.Info(message, "request", a.Request, "fingerprint", a.Fingerprint, "endpoint", a.Pick.Endpoint,
+			"born", incarnation, "events", a.Events, "parts", fmt.Sprint(a.Parts), "probe", found)
 	}
-	e := quarantiner.Ending{Endpoint: b.Pick.Endpoint, Born: incarnation, Weak: b.Events > 0}
-	if found == prober.Refused && r.RecordEnding(b.Fingerprint, e, b.Parts...) {
+	e := quarantiner.Ending{Endpoint: a.Pick.Endpoint, Born: incarnation, Weak: a.Events > 0}
+	if found == prober.Refused && r.RecordEnding(a.Fingerprint, e, a.Parts...) {
 		r.c.OnChange(true)
 	}
 }
 
+// ReportGivenUp is called for each attempt that this daemon gave up before the endpoint had delivered
+// anything. The endpoint may go on running it.
+func (r *Reporter) ReportGivenUp(a *Attempt, reason Reason) {
+	r.c.Metrics.Tagged(map[string]string{"reason": string(reason)}).Counter("attempts_given_up").Inc(1)
+	if r.logLimiter.Allow() {
+		r.c.Logger.Info("attempt given up before its first event", "request", a.Request, "fingerprint", a.Fingerprint, "endpoint", a.Pick.Endpoint,
+			"born", r.c.Incarnation(a.Pick), "parts", fmt.Sprint(a.Parts), "reason", reason)
+	}
+}
+
 // Answered clears a request that an endpoint has run to completion.
 func (r *Reporter) Answered(f identifier.Fingerprint) {
 	if r.RecordAnswer(f) {
--- a/internal/serve/proxier/proxier.go
+++ b/internal/serve/proxier/proxier.go
@@ -60,7 +60,7 @@
 // Quarantine holds back requests that bring endpoints down; see package relayer.
 type Quarantine interface {
 	Admit(f identifier.Fingerprint, id identifier.Request, parts ...identifier.Fingerprint) quarantiner.Decision
-	ReportBreak(ctx context.Context, b *crashreporter.BrokenRequest)
+	ReportBreak(ctx context.Context, a *crashreporter.Attempt)
 }
 
 // Config holds the dependencies of a proxier.
@@ -297,7 +297,7 @@
 		return
 	}
 	j.p.c.Registry.Report(j.pick, registry.Failed)
-	j.p.c.Quarantine.ReportBreak(ctx, &crashreporter.BrokenRequest{Fingerprint: j.wrapped.Fingerprint, Request: j.wrapped.ID, Parts: j.wrapped.Parts, Pick: j.pick, Events: j.events})
+	j.p.c.Quarantine.ReportBreak(ctx, &crashreporter.Attempt{Fingerprint: j.wrapped.Fingerprint, Request: j.wrapped.ID, Parts: j.wrapped.Parts, Pick: j.pick, Events: j.events})
 }
 
 // observe passes on what the endpoint's reply says about it.
--- a/internal/serve/proxier/proxier_test.go
+++ b/internal/serve/proxier/proxier_test.go
@@ -51,7 +51,7 @@
 	return quarantiner.Decision{Held: r.held}
 }
 
-func (r *recorder) ReportBreak(context.Context, *crashreporter.BrokenRequest) {
+func (r *recorder) ReportBreak(context.Context, *crashreporter.Attempt) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.broken++
--- a/internal/serve/relayer/quarantine.go
+++ b/internal/serve/relayer/quarantine.go
@@ -8,7 +8,9 @@
 	"strings"
 	"time"
 
+	"brasschute/internal/peer/crashreporter"
 	"brasschute/internal/route/quarantiner"
+	"brasschute/internal/serve/dispatcher"
 )
 
 // errQuarantined means that the request was quarantined during the attempt.
@@ -27,6 +29,34 @@
 	return j.r.c.Quarantine.Track(j.q.Fingerprint(), func() { cancel(errQuarantined) }, j.q.SharedParts()...)
 }
 
+// reportEnd tells the quarantine how an attempt ended. ctx is the request's context.
+func (j *job) reportEnd(ctx context.Context, a *crashreporter.Attempt, err error) {
+	switch {
+	case err == nil, errors.Is(err, errFailed):
+		j.r.c.Quarantine.Answered(a.Fingerprint)
+	case brokenOff(ctx, err):
+		j.res.Fingerprint = a.Fingerprint
+		j.r.c.Quarantine.ReportBreak(ctx, a)
+	case a.Events == 0 && !isUnsent(err) && !errors.Is(err, errRefused) && !errors.Is(err, errMissingEvent):
+		j.r.c.Quarantine.ReportGivenUp(a, reasonOf(ctx, err))
+	}
+}
+
+// reasonOf returns why an attempt was given up. ctx is the request's context.
+func reasonOf(ctx context.Context, err error) crashreporter.Reason {
+	switch {
+	case errors.Is(err, errQuarantined):
+		return crashreporter.Quarantined
+	case errors.Is(err, errSilence):
+		return crashreporter.Silent
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return crashreporter.TimedOut
+	case errors.Is(err, dispatcher.ErrThroughPeer) && ctx.Err() == nil:
+		return crashreporter.PeerLost
+	}
+	return crashreporter.ClientGone
+}
+
 // QuarantineRefusal returns the refusal of a request that is quarantined and was not sent.
 func QuarantineRefusal(d *quarantiner.Decision) *Refusal {
 	return &Refusal{Status: http.StatusServiceUnavailable, Reason: "not run: " + quarantineReason(d), RetryAfter: d.RetryAfter}
--- a/internal/serve/relayer/relayer.go
+++ b/internal/serve/relayer/relayer.go
@@ -30,7 +30,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net/http"
 	"sync/atomic"
@@ -155,7 +154,10 @@
 	// RecordEvent is called when an endpoint begins to write an answer to a request with some parts.
 	RecordEvent(parts ...identifier.Fingerprint)
 	// ReportBreak is called for each attempt that an endpoint broke off.
-	ReportBreak(ctx context.Context, b *crashreporter.BrokenRequest)
+	ReportBreak(ctx context.Context, a *crashreporter.Attempt)
+	// ReportGivenUp is called for each attempt that this daemon gave up although its endpoint may go on
+	// running it, and before it has delivered anything.
+	ReportGivenUp(a *crashreporter.Attempt, reason crashreporter.Reason)
 	// Answered is called for each request that an endpoint ran to its end.
 	Answered(f identifier.Fingerprint)
 }
@@ -325,16 +327,10 @@
 		err := j.attempt(ctx, pick)
 		r.c.Placer.End(q, pick)
 		j.recordAttempt(pick, begun, err)
-		if err == nil || errors.Is(err, errFailed) {
-			r.c.Quarantine.Answered(q.Fingerprint())
-		}
+		j.reportEnd(ctx, &crashreporter.Attempt{Fingerprint: q.Fingerprint(), Request: q.ID, Parts: q.SharedParts(), Pick: pick, Events: j.res.Events - events}, err)
 		if err == nil {
 			return j.res
 		}
-		if brokenOff(ctx, err) {
-			j.res.Fingerprint = q.Fingerprint()
-			r.c.Quarantine.ReportBreak(ctx, &crashreporter.BrokenRequest{Fingerprint: q.Fingerprint(), Request: q.ID, Parts: q.SharedParts(), Pick: pick, Events: j.res.Events - events})
-		}
 		if j.endsRequest(ctx, err) {
 			return j.res
 		}
