crashreporter: an endpoint's end counts against the attempts that were given up there

Callers saw requests with one prompt part crash engine after engine when the clients of these requests left before the engine crashed: the daemon stops waiting with its client, and only an attempt that breaks while somebody waits was reported. Class: what is learned only while somebody waits.

Each daemon keeps the attempts that were sent and have delivered nothing, those that were given up for 5 s. Whoever learns of an incarnation's end (a break of another request, a peer's ending, a probe of its own) joins it with them. Endpoints without a sign of life after an attempt was given up there are probed three times within 2.1 s.

Data of an attempt no longer change once it has begun, as several goroutines read them.

--- /dev/null
+++ b/internal/peer/crashreporter/attempts.go
@@ -0,0 +1,155 @@
+package crashreporter
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"brasschute/internal/core/identifier"
+	"brasschute/internal/route/registry"
+)
+
+const (
+	// retention is how long an attempt that was given up is kept: the endpoint may have it in its queue, or
+	// not notice at once that the connection is closed.
+	retention = 5 * time.Second
+	// maxGivenUp bounds the attempts kept after they were given up, to about 500 KB.
+	maxGivenUp = 2048
+	// firstCheck is the time from which on an endpoint without a sign of life is probed after an attempt was
+	// given up there. Each further probe takes twice as long to come, up to maxCheck.
+	firstCheck = 300 * time.Millisecond
+	maxCheck   = 1200 * time.Millisecond
+)
+
+// incarnation identifies a start of an endpoint.
+type incarnation struct {
+	endpoint identifier.Endpoint
+	born     identifier.StartTime
+}
+
+// attempts holds the attempts of this daemon that were sent to endpoints and have delivered nothing. It is
+// safe for concurrent use.
+type attempts struct {
+	mu     sync.Mutex
+	places map[incarnation]*place
+	// givenUp counts those that were given up.
+	givenUp int
+}
+
+// place holds the attempts at one incarnation of an endpoint.
+type place struct {
+	pick    *registry.Pick
+	open    map[*Attempt]bool
+	givenUp []givenUp
+	// checkAfter is the time from the last check, or from the newest attempt that was given up, to the next one.
+	checkAfter time.Duration
+	checkedAt  time.Time
+}
+
+// givenUp is an attempt that was given up.
+type givenUp struct {
+	*Attempt
+	at time.Time
+}
+
+// place returns the attempts at an incarnation. The caller holds the lock.
+func (t *attempts) place(key incarnation, pick *registry.Pick) *place {
+	if t.places == nil {
+		t.places = make(map[incarnation]*place)
+	}
+	p := t.places[key]
+	if p == nil {
+		p = &place{pick: pick, open: make(map[*Attempt]bool)}
+		t.places[key] = p
+	}
+	return p
+}
+
+// begin adds an attempt that is being sent.
+func (t *attempts) begin(key incarnation, a *Attempt) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.place(key, a.Pick).open[a] = true
+}
+
+// conclude removes an attempt.
+func (t *attempts) conclude(key incarnation, a *Attempt) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if p := t.places[key]; p != nil {
+		delete(p.open, a)
+		t.drop(key, p)
+	}
+}
+
+// giveUp keeps an attempt for a while, though nobody waits for it.
+func (t *attempts) giveUp(key incarnation, a *Attempt) {
+	now := time.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.place(key, a.Pick)
+	delete(p.open, a)
+	if t.givenUp < maxGivenUp {
+		p.givenUp = append(p.givenUp, givenUp{a, now})
+		t.givenUp++
+	}
+	p.checkAfter, p.checkedAt = firstCheck, now
+	t.drop(key, p)
+}
+
+// drop forgets an incarnation without attempts. The caller holds the lock.
+func (t *attempts) drop(key incarnation, p *place) {
+	if len(p.open)+len(p.givenUp) == 0 {
+		delete(t.places, key)
+	}
+}
+
+// take removes and returns the attempts that were given up at an incarnation, and returns those in progress.
+func (t *attempts) take(key incarnation) (list []*Attempt) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.places[key]
+	if p == nil {
+		return nil
+	}
+	for a := range p.open {
+		list = append(list, a)
+	}
+	for _, g := range p.givenUp {
+		list = append(list, g.Attempt)
+	}
+	t.givenUp -= len(p.givenUp)
+	p.givenUp = nil
+	t.drop(key, p)
+	return list
+}
+
+// due forgets attempts that were given up long ago, and returns the endpoints to check now: those at which others
+// were given up and which have shown no sign of life since.
+func (t *attempts) due(now time.Time) (out []*registry.Pick) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for key, p := range t.places {
+		kept := slices.DeleteFunc(p.givenUp, func(g givenUp) bool { return now.Sub(g.at) > retention })
+		t.givenUp -= len(p.givenUp) - len(kept)
+		p.givenUp = kept
+		if len(kept) > 0 && p.quiet(now) >= p.checkAfter {
+			p.checkedAt, p.checkAfter = now, min(2*p.checkAfter, maxCheck)
+			out = append(out, p.pick)
+		}
+		t.drop(key, p)
+	}
+	return out
+}
+
+// quiet returns the time since the last check or sign of life.
+func (p *place) quiet(now time.Time) time.Duration {
+	last := p.checkedAt
+	signs := p.pick.Activity.Signs()
+	for _, at := range []time.Time{signs.Own, signs.Peers} {
+		if at.After(last) {
+			last = at
+		}
+	}
+	return now.Sub(last)
+}
--- /dev/null
+++ b/internal/peer/crashreporter/attempts_test.go
@@ -0,0 +1,170 @@
+package crashreporter
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"brasschute/internal/core/identifier"
+	"brasschute/internal/peer/rpc"
+	"brasschute/internal/route/candidate"
+	"brasschute/internal/route/registry"
+)
+
+// mortalHost is the host of a process that ends.
+type mortalHost struct {
+	ended atomic.Bool
+	dials atomic.Int32
+}
+
+// DialContext connects until the process has ended.
+func (h *mortalHost) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	h.dials.Add(1)
+	if h.ended.Load() {
+		return host{time.Millisecond, syscall.ECONNREFUSED}.DialContext(ctx, network, address)
+	}
+	return host{after: time.Millisecond}.DialContext(ctx, network, address)
+}
+
+// newAttempt returns an attempt at the endpoint i-1.
+func newAttempt(f identifier.Fingerprint, parts ...identifier.Fingerprint) *Attempt {
+	return &Attempt{
+		Fingerprint: f, Request: identifier.Request(f), Parts: parts,
+		Pick: &registry.Pick{Endpoint: "i-1", StartTime: 7, Address: "10.0.0.1:80", Activity: new(candidate.Activity)},
+	}
+}
+
+// withReporter runs a check with a reporter that serves before a process that may end.
+func withReporter(t *testing.T, check func(t *testing.T, r *Reporter, h *mortalHost)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		h := new(mortalHost)
+		c := newReporter(host{}, false, new(atomic.Int32)).c
+		c.Dialer = h
+		r := New(c)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_ = r.Serve(ctx)
+		}()
+		check(t, r, h)
+		cancel()
+		<-done
+	})
+}
+
+// endings returns the number of endings known under a request or part.
+func endings(r *Reporter, f identifier.Fingerprint) int {
+	for _, s := range r.List() {
+		if s.Fingerprint == f {
+			return len(s.Endings)
+		}
+	}
+	return 0
+}
+
+// kept returns the number of attempts that were given up and are kept, and that of endpoints with attempts.
+func kept(r *Reporter) (givenUp, places int) {
+	r.attempts.mu.Lock()
+	defer r.attempts.mu.Unlock()
+	return r.attempts.givenUp, len(r.attempts.places)
+}
+
+// Guards against an endpoint's end that counts against none of the requests that it was running, because the
+// client of the one that caused it had left.
+func TestEndCountsAgainstAttemptsGivenUp(t *testing.T) {
+	part := identifier.NewPartFingerprint("lm", "p")
+	for _, c := range []struct {
+		name string
+		// learn lets the reporter learn of the end.
+		learn func(r *Reporter, h *mortalHost)
+		want  int
+	}{
+		{"seen by a check", func(_ *Reporter, h *mortalHost) { h.ended.Store(true); time.Sleep(2 * firstCheck) }, 1},
+		{"long after the attempt", func(_ *Reporter, h *mortalHost) {
+			time.Sleep(2 * retention)
+			h.ended.Store(true)
+			time.Sleep(retention)
+		}, 0},
+		{"the endpoint lives on", func(*Reporter, *mortalHost) { time.Sleep(retention) }, 0},
+		{"seen by a peer", func(r *Reporter, _ *mortalHost) {
+			r.MergeSuspects([]*rpc.Suspect{{Fingerprint: "near", Endings: []*rpc.Ending{{Endpoint: "i-1", Born: 7, Host: "b"}}}})
+		}, 1},
+		{"of another start of the endpoint, seen by a peer", func(r *Reporter, _ *mortalHost) {
+			r.MergeSuspects([]*rpc.Suspect{{Fingerprint: "near", Endings: []*rpc.Ending{{Endpoint: "i-1", Born: 8, Host: "b"}}}})
+		}, 0},
+		{"another request was broken off", func(r *Reporter, h *mortalHost) {
+			h.ended.Store(true)
+			r.ReportBreak(context.Background(), newAttempt("near"), 3)
+		}, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			withReporter(t, func(t *testing.T, r *Reporter, h *mortalHost) {
+				a := newAttempt("f", part)
+				r.Begin(a)
+				r.ReportGivenUp(a, ClientGone)
+				c.learn(r, h)
+				if n := endings(r, "f"); n != c.want {
+					t.Errorf("%d endings under the request, want %d", n, c.want)
+				}
+				if n := endings(r, part); n != c.want {
+					t.Errorf("%d endings under the part, want %d", n, c.want)
+				}
+			})
+		})
+	}
+}
+
+// Guards against requests that are blamed for an end though they had been answered, or had not run.
+func TestEndDoesNotCountAgainstConcludedAttempts(t *testing.T) {
+	withReporter(t, func(t *testing.T, r *Reporter, h *mortalHost) {
+		a := newAttempt("f")
+		r.Begin(a)
+		r.Conclude(a)
+		h.ended.Store(true)
+		r.ReportBreak(context.Background(), newAttempt("near"), 0)
+		if n := endings(r, "f"); n != 0 {
+			t.Errorf("%d endings", n)
+		}
+		if n, places := kept(r); n != 0 || places != 0 {
+			t.Errorf("attempts at %d endpoints are kept", places)
+		}
+	})
+}
+
+// Guards against probes of each endpoint at which attempts are given up, while it visibly serves others.
+func TestEndpointsWithSignsOfLifeAreNotChecked(t *testing.T) {
+	withReporter(t, func(t *testing.T, r *Reporter, h *mortalHost) {
+		a := newAttempt("f")
+		r.ReportGivenUp(a, ClientGone)
+		for range 100 {
+			a.Pick.Activity.RecordEvent(time.Now())
+			time.Sleep(retention / 100)
+		}
+		if n := h.dials.Load(); n != 0 {
+			t.Errorf("%d connections", n)
+		}
+	})
+}
+
+// Guards against unbounded memory when many clients leave.
+func TestAttemptsGivenUpAreBounded(t *testing.T) {
+	withReporter(t, func(t *testing.T, r *Reporter, _ *mortalHost) {
+		for n := range 2 * maxGivenUp {
+			r.ReportGivenUp(newAttempt(identifier.Fingerprint(fmt.Sprint(n))), ClientGone)
+		}
+		if n, _ := kept(r); n != maxGivenUp {
+			t.Errorf("%d are kept", n)
+		}
+		time.Sleep(2 * retention)
+		if n, places := kept(r); n != 0 || places != 0 {
+			t.Errorf("%d are kept later, at %d endpoints", n, places)
+		}
+	})
+}
--- a/internal/peer/crashreporter/crashreporter.go
+++ b/internal/peer/crashreporter/crashreporter.go
@@ -6,6 +6,12 @@
 // is expected. Endings found go to the quarantine (package quarantiner), which decides whether the
 // request may go to further endpoints.
 //
+// Whoever learns of the end need not be the one whose request caused it: its client may have left, or this
+// daemon may have given the attempt up, and the endpoint goes on running it. The attempts of this daemon that
+// have delivered nothing are therefore kept, those that were given up for [retention]. An end of their endpoint counts
+// against all of them, whichever request showed it, here or at a peer. Endpoints that show no sign of life after an attempt
+// was given up are probed.
+//
 // [Reporter.RPCSuspects] returns the suspects that a daemon sends to others,
 // [Reporter.MergeSuspects] merges those of others. New ones are sent at once: the callback
 // Config.OnChange triggers it.
@@ -13,7 +19,10 @@
 // # Usage
 //
 //	r := crashreporter.New(crashreporter.Config{Host: name, Dialer: d, OnChange: trigger, ...})
-//	r.ReportBreak(ctx, &crashreporter.Attempt{Fingerprint: f, Request: id, Pick: pick})
+//	a := &crashreporter.Attempt{Fingerprint: f, Request: id, Pick: pick}
+//	r.Begin(a) // right before it is sent
+//	r.Conclude(a), r.ReportBreak(ctx, a, events) or r.ReportGivenUp(a, reason)
+//	supervise r.Serve
 package crashreporter
 
 import (
@@ -23,6 +32,7 @@
 	"time"
 
 	"brasschute/internal/core/identifier"
+	"brasschute/internal/core/waiter"
 	"brasschute/internal/engine/prober"
 	"brasschute/internal/peer/rpc"
 	"brasschute/internal/route/quarantiner"
@@ -39,6 +49,8 @@
 	// maxProbeWait is how long a request waits for the result of the probe, which decides
 	// whether it may go to another endpoint: some round trips between availability zones.
 	maxProbeWait = 25 * time.Millisecond
+	// checkInterval is how often this daemon looks for endpoints to check.
+	checkInterval = 100 * time.Millisecond
 )
 
 // Config holds the reporter's settings and the components that it works with.
@@ -60,15 +72,13 @@
 	Metrics  tally.Scope
 }
 
-// Attempt is an attempt of a request at an endpoint.
+// Attempt is an attempt of a request at an endpoint. It must not be changed once it has begun.
 type Attempt struct {
 	Fingerprint identifier.Fingerprint
 	Request     identifier.Request
 	// Parts are the parts of its prompt that other requests may have as well.
 	Parts []identifier.Fingerprint
 	Pick  *registry.Pick
-	// Events is the number of events that the endpoint has sent.
-	Events int
 }
 
 // Reason says why this daemon gave an attempt up.
@@ -93,6 +103,7 @@
 	c          Config
 	prober     *prober.Prober
 	logLimiter *rate.Limiter
+	attempts   attempts
 }
 
 // New returns a reporter without suspects.
@@ -107,14 +118,15 @@
 
 // ReportBreak probes an endpoint that broke off a request. It returns when the result is known,
 // or after [maxProbeWait]; a later result counts, too.
-func (r *Reporter) ReportBreak(ctx context.Context, a *Attempt) {
+func (r *Reporter) ReportBreak(ctx context.Context, a *Attempt, events int) {
+	r.Conclude(a)
 	if _, leaving := r.c.Leaving(a.Pick); leaving {
 		return
 	}
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		r.probe(context.WithoutCancel(ctx), a)
+		r.probe(context.WithoutCancel(ctx), a, events)
 	}()
 	timer := time.NewTimer(maxProbeWait)
 	defer timer.Stop()
@@ -125,30 +137,90 @@
 }
 
 // probe probes the endpoint that broke off a request and records its end.
-func (r *Reporter) probe(ctx context.Context, a *Attempt) {
+func (r *Reporter) probe(ctx context.Context, a *Attempt, events int) {
 	found := r.prober.Probe(ctx, a.Pick.Address)
 	r.c.Metrics.Tagged(map[string]string{"probe": found.String()}).Counter("requests_broken_off").Inc(1)
 	if found == prober.Listening {
 		return
 	}
-	incarnation := r.c.Incarnation(a.Pick)
+	r.logEnd(a, events, found)
+	if found != prober.Refused {
+		return
+	}
+	r.recordEnd(events > 0, a)
+	r.joinEnd(r.incarnationOf(a.Pick), found)
+}
+
+// logEnd logs that an attempt ended with its endpoint, or seems to.
+func (r *Reporter) logEnd(a *Attempt, events int, found prober.Result) {
 	message := "endpoint crashed while running a request"
 	if found == prober.Partitioned {
 		message = "endpoint out of this daemon's reach while running a request"
 	}
 	if r.logLimiter.Allow() {
 		r.c.Logger.Info(message, "request", a.Request, "fingerprint", a.Fingerprint, "endpoint", a.Pick.Endpoint,
-			"born", incarnation, "events", a.Events, "parts", fmt.Sprint(a.Parts), "probe", found)
+			"born", r.c.Incarnation(a.Pick), "events", events, "parts", fmt.Sprint(a.Parts), "probe", found)
+	}
+}
+
+// incarnationOf returns the incarnation of a pick.
+func (r *Reporter) incarnationOf(k *registry.Pick) incarnation {
+	return incarnation{k.Endpoint, r.c.Incarnation(k)}
+}
+
+// recordEnd records that the endpoint of some attempts ended while it ran them. weak is set if it had sent
+// events of them.
+func (r *Reporter) recordEnd(weak bool, list ...*Attempt) {
+	anyNew := false
+	for _, a := range list {
+		e := quarantiner.Ending{Endpoint: a.Pick.Endpoint, Born: r.c.Incarnation(a.Pick), Weak: weak}
+		anyNew = r.RecordEnding(a.Fingerprint, e, a.Parts...) || anyNew
 	}
-	e := quarantiner.Ending{Endpoint: a.Pick.Endpoint, Born: incarnation, Weak: a.Events > 0}
-	if found == prober.Refused && r.RecordEnding(a.Fingerprint, e, a.Parts...) {
+	if anyNew {
 		r.c.OnChange(true)
 	}
 }
 
+// Serve checks the endpoints of attempts that were given up until ctx ends.
+func (r *Reporter) Serve(ctx context.Context) error {
+	return waiter.Every(ctx, checkInterval, func(ctx context.Context) {
+		for _, pick := range r.attempts.due(time.Now()) {
+			go r.check(ctx, pick)
+		}
+	})
+}
+
+// check probes an endpoint at which attempts were given up.
+func (r *Reporter) check(ctx context.Context, pick *registry.Pick) {
+	if _, leaving := r.c.Leaving(pick); leaving {
+		return
+	}
+	found := r.prober.Probe(ctx, pick.Address)
+	r.c.Metrics.Tagged(map[string]string{"probe": found.String()}).Counter("given_up_checks").Inc(1)
+	if found == prober.Refused {
+		r.joinEnd(r.incarnationOf(pick), found)
+	}
+}
+
+// joinEnd records the end of an incarnation against the attempts there that have delivered nothing.
+func (r *Reporter) joinEnd(key incarnation, found prober.Result) {
+	list := r.attempts.take(key)
+	for _, a := range list {
+		r.logEnd(a, 0, found)
+	}
+	r.recordEnd(false, list...)
+}
+
+// Begin is called right before an attempt is sent, Conclude when it has delivered something or has not run.
+func (r *Reporter) Begin(a *Attempt) { r.attempts.begin(r.incarnationOf(a.Pick), a) }
+
+// Conclude ends an attempt that tells nothing about its endpoint's end; see [Reporter.Begin].
+func (r *Reporter) Conclude(a *Attempt) { r.attempts.conclude(r.incarnationOf(a.Pick), a) }
+
 // ReportGivenUp is called for each attempt that this daemon gave up before the endpoint had delivered
-// anything. The endpoint may go on running it.
+// anything. The endpoint may go on running it, and crash.
 func (r *Reporter) ReportGivenUp(a *Attempt, reason Reason) {
+	r.attempts.giveUp(r.incarnationOf(a.Pick), a)
 	r.c.Metrics.Tagged(map[string]string{"reason": string(reason)}).Counter("attempts_given_up").Inc(1)
 	if r.logLimiter.Allow() {
 		r.c.Logger.Info("attempt given up before its first event", "request", a.Request, "fingerprint", a.Fingerprint, "endpoint", a.Pick.Endpoint,
@@ -250,6 +322,17 @@
 	if r.Merge(list) {
 		r.c.OnChange(false)
 	}
+	r.joinEndings(list)
+}
+
+// joinEndings joins the endings that peers saw with what this daemon sent to the endpoints.
+func (r *Reporter) joinEndings(list []quarantiner.Suspect) {
+	for i := range list {
+		for k := range list[i].Endings {
+			e := &list[i].Endings[k]
+			r.joinEnd(incarnation{e.Endpoint, e.Born}, prober.Refused)
+		}
+	}
 }
 
 // endingAge returns the age of an ending, between zero and a day.
--- a/internal/peer/crashreporter/crashreporter_test.go
+++ b/internal/peer/crashreporter/crashreporter_test.go
@@ -72,7 +72,7 @@
 				var ownChanges atomic.Int32
 				r := newReporter(c.h, c.leaving, &ownChanges)
 				begun := time.Now()
-				r.ReportBreak(t.Context(), &Attempt{Fingerprint: "f", Request: "r", Pick: &registry.Pick{Endpoint: "i-1"}})
+				r.ReportBreak(t.Context(), &Attempt{Fingerprint: "f", Request: "r", Pick: &registry.Pick{Endpoint: "i-1"}}, 0)
 				if took := time.Since(begun); took > maxProbeWait {
 					t.Errorf("the request was held up for %v", took)
 				}
@@ -92,7 +92,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			var ownChanges atomic.Int32
 			r := newReporter(host{time.Millisecond, syscall.ECONNREFUSED}, false, &ownChanges)
-			r.ReportBreak(t.Context(), &Attempt{Fingerprint: "f", Request: "r", Pick: &registry.Pick{Endpoint: "i-1"}, Events: events})
+			r.ReportBreak(t.Context(), &Attempt{Fingerprint: "f", Request: "r", Pick: &registry.Pick{Endpoint: "i-1"}}, events)
 			if got := r.List()[0].Endings[0].Weak; got != weak {
 				t.Errorf("after %d events: weak %v", events, got)
 			}
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -346,6 +346,7 @@
 	g.quarantine = crashreporter.New(crashreporter.Config{
 		Host: d.Host, Dialer: g.c.Network, Confirm: g.refusesPeers, Leaving: g.registry.Leaving, OnChange: g.gossipEndings, Logger: g.c.Logger, Metrics: g.scope,
 	})
+	g.tree.Add(g.quarantine)
 	g.buildProxier()
 	g.buildScheduling()
 	relay := relayer.New(relayer.Config{
--- a/internal/role/gateway/promptparts_test.go
+++ b/internal/role/gateway/promptparts_test.go
@@ -197,18 +197,20 @@
 		daemons int
 		path    string
 		staying int
+		sound   time.Duration
 	}{
-		{"8 daemons", 8, streamPath, 0},
-		{"8 daemons, one in four stays", 8, streamPath, 4},
-		{"8 daemons, resumable", 8, resumePath, 0},
-		{"8 daemons, resumable, one in four stays", 8, resumePath, 4},
-		{"60 daemons", 60, streamPath, 0},
-		{"60 daemons, resumable", 60, resumePath, 0},
+		{"8 daemons", 8, streamPath, 0, 70 * time.Millisecond},
+		{"8 daemons, few sound requests", 8, streamPath, 0, 500 * time.Millisecond},
+		{"8 daemons, one in four stays", 8, streamPath, 4, 70 * time.Millisecond},
+		{"8 daemons, resumable", 8, resumePath, 0, 70 * time.Millisecond},
+		{"8 daemons, resumable, one in four stays", 8, resumePath, 4, 70 * time.Millisecond},
+		{"60 daemons", 60, streamPath, 0, 70 * time.Millisecond},
+		{"60 daemons, resumable", 60, resumePath, 0, 70 * time.Millisecond},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			inEngineFleet(t, c.daemons, func(string) bool { return false }, func(f *testFleet, e *engineFleet) {
 				l := promptLoad{
-					guiltyInterval: 400 * time.Millisecond, soundInterval: 70 * time.Millisecond, guilty: second, sound: subject, path: c.path,
+					guiltyInterval: 400 * time.Millisecond, soundInterval: c.sound, guilty: second, sound: subject, path: c.path,
 					patience: runTime / 2, staying: c.staying,
 				}
 				l.check(f, e)
--- a/internal/serve/proxier/proxier.go
+++ b/internal/serve/proxier/proxier.go
@@ -60,7 +60,10 @@
 // Quarantine holds back requests that bring endpoints down; see package relayer.
 type Quarantine interface {
 	Admit(f identifier.Fingerprint, id identifier.Request, parts ...identifier.Fingerprint) quarantiner.Decision
-	ReportBreak(ctx context.Context, a *crashreporter.Attempt)
+	Begin(a *crashreporter.Attempt)
+	Conclude(a *crashreporter.Attempt)
+	ReportBreak(ctx context.Context, a *crashreporter.Attempt, events int)
+	ReportGivenUp(a *crashreporter.Attempt, reason crashreporter.Reason)
 }
 
 // Config holds the dependencies of a proxier.
@@ -166,7 +169,8 @@
 	}
 	_ = control.SetReadDeadline(time.Time{})
 	to := pathtracker.Destination{Service: wrapped.Service, Endpoint: pick.Endpoint, StartTime: pick.StartTime, Address: pick.Address}
-	job := &job{p: p, wrapped: wrapped, pick: pick, to: to}
+	attempt := &crashreporter.Attempt{Fingerprint: wrapped.Fingerprint, Request: wrapped.ID, Parts: wrapped.Parts, Pick: pick}
+	job := &job{p: p, wrapped: wrapped, pick: pick, to: to, attempt: attempt}
 	if wrapped.Probe {
 		job.probe(r.Context(), w)
 		return
@@ -187,8 +191,10 @@
 	wrapped *wrapper.Request
 	pick    *registry.Pick
 	to      pathtracker.Destination
-	// events counts the reads of the body that have brought some of it.
-	events int
+	// attempt is what the quarantine learns of the request. events counts the reads of the body that have
+	// brought some of it.
+	attempt *crashreporter.Attempt
+	events  int
 }
 
 // probe connects to the endpoint.
@@ -247,6 +253,7 @@
 		j.broken(ctx, err)
 		panic(http.ErrAbortHandler)
 	}
+	j.p.c.Quarantine.Conclude(j.attempt)
 	j.p.c.OnOutcome(wrapper.Answered)
 	j.p.c.Registry.Report(j.pick, registry.Succeeded)
 }
@@ -258,7 +265,11 @@
 		Address: j.pick.Address, Method: j.wrapped.Method, Target: j.wrapped.Target, Host: j.wrapped.Host, Header: j.wrapped.Header, Body: body,
 		// Connecting takes time. Meanwhile the endpoint may have begun to leave.
 		Ready: func() bool {
-			return j.p.c.Registry.Usable(j.pick) && !j.p.c.Quarantine.Admit(j.wrapped.Fingerprint, j.wrapped.ID, j.wrapped.Parts...).Held && j.p.c.Registry.AcquirePermit(j.pick)
+			ready := j.p.c.Registry.Usable(j.pick) && !j.p.c.Quarantine.Admit(j.wrapped.Fingerprint, j.wrapped.ID, j.wrapped.Parts...).Held && j.p.c.Registry.AcquirePermit(j.pick)
+			if ready {
+				j.p.c.Quarantine.Begin(j.attempt)
+			}
+			return ready
 		},
 		Matches: replyreader.Matches(codec, j.wrapped.ID), KeepAlive: replyreader.KeepAlive(codec),
 	}
@@ -279,8 +290,10 @@
 func (j *job) failed(ctx context.Context, err error) wrapper.Outcome {
 	switch {
 	case errors.Is(err, sender.ErrCanceled):
+		j.p.c.Quarantine.Conclude(j.attempt)
 		return wrapper.Withheld
 	case errors.Is(err, sender.ErrUnsent):
+		j.p.c.Quarantine.Conclude(j.attempt)
 		j.p.c.Registry.ReturnPermit(j.pick)
 		return j.notConnected(ctx)
 	}
@@ -291,13 +304,17 @@
 	return wrapper.BadResponse
 }
 
-// broken records that the endpoint broke the request off, unless the peer did.
+// broken records that the endpoint broke the request off, or that the peer gave it up.
 func (j *job) broken(ctx context.Context, err error) {
-	if ctx.Err() != nil || errors.Is(err, errPeer) {
-		return
+	switch {
+	case ctx.Err() == nil && !errors.Is(err, errPeer):
+		j.p.c.Registry.Report(j.pick, registry.Failed)
+		j.p.c.Quarantine.ReportBreak(ctx, j.attempt, j.events)
+	case j.events == 0:
+		j.p.c.Quarantine.ReportGivenUp(j.attempt, crashreporter.ClientGone)
+	default:
+		j.p.c.Quarantine.Conclude(j.attempt)
 	}
-	j.p.c.Registry.Report(j.pick, registry.Failed)
-	j.p.c.Quarantine.ReportBreak(ctx, &crashreporter.Attempt{Fingerprint: j.wrapped.Fingerprint, Request: j.wrapped.ID, Parts: j.wrapped.Parts, Pick: j.pick, Events: j.events})
 }
 
 // observe passes on what the endpoint's reply says about it.
@@ -317,7 +334,9 @@
 	for {
 		n, err := body.Read(chunk)
 		if n > 0 {
-			j.events++
+			if j.events++; j.events == 1 {
+				j.p.c.Quarantine.Conclude(j.attempt)
+			}
 			j.pick.Activity.RecordEvent(time.Now())
 			if _, err := w.Write(chunk[:n]); err != nil {
 				return errPeer
--- a/internal/serve/proxier/proxier_test.go
+++ b/internal/serve/proxier/proxier_test.go
@@ -40,6 +40,7 @@
 	mu       sync.Mutex
 	outcomes []wrapper.Outcome
 	broken   int
+	givenUp  int
 	held     bool
 }
 
@@ -51,7 +52,17 @@
 	return quarantiner.Decision{Held: r.held}
 }
 
-func (r *recorder) ReportBreak(context.Context, *crashreporter.Attempt) {
+func (r *recorder) Begin(*crashreporter.Attempt) {}
+
+func (r *recorder) Conclude(*crashreporter.Attempt) {}
+
+func (r *recorder) ReportGivenUp(*crashreporter.Attempt, crashreporter.Reason) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.givenUp++
+}
+
+func (r *recorder) ReportBreak(context.Context, *crashreporter.Attempt, int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.broken++
@@ -198,8 +209,8 @@
 	for f.engine.HeldCount() > 0 {
 		time.Sleep(time.Millisecond)
 	}
-	if f.broken > 0 {
-		t.Errorf("%d breaks reported", f.broken)
+	if f.broken > 0 || f.givenUp != 1 {
+		t.Errorf("%d breaks reported, %d attempts given up", f.broken, f.givenUp)
 	}
 }
 
--- a/internal/serve/relayer/attempt.go
+++ b/internal/serve/relayer/attempt.go
@@ -11,6 +11,7 @@
 	"brasschute/internal/config/catalog"
 	"brasschute/internal/core/identifier"
 	"brasschute/internal/engine/sender"
+	"brasschute/internal/peer/crashreporter"
 	"brasschute/internal/route/pathtracker"
 	"brasschute/internal/route/registry"
 	"brasschute/internal/serve/dispatcher"
@@ -50,7 +51,8 @@
 )
 
 // attempt sends the request to one endpoint and relays the answer.
-func (j *job) attempt(ctx context.Context, pick *registry.Pick) (err error) {
+func (j *job) attempt(ctx context.Context, a *crashreporter.Attempt) (err error) {
+	pick := a.Pick
 	result := registry.Neutral
 	uncached := j.q.PromptTokens - j.res.Attempts[len(j.res.Attempts)-1].Cached
 	j.r.c.Demand.CountPlaced(j.q.Service, uncached, j.counted)
@@ -71,7 +73,8 @@
 	stopWatch := j.watchSilence(cancel, pick, begun)
 	responded := func() { stopWatch(); untrack() }
 	defer responded()
-	x, err := j.r.c.Dispatcher.Send(ctx, j.newRequest(pick))
+	delivered := func() { responded(); j.r.c.Quarantine.Conclude(a) }
+	x, err := j.r.c.Dispatcher.Send(ctx, j.newRequest(a))
 	if err != nil {
 		result = j.healthResult(ctx, requestCtx, err, pick, begun)
 		err = withCause(ctx, err)
@@ -106,7 +109,7 @@
 	if j.q.Route.Kind != catalog.Streaming {
 		responded()
 	}
-	err = fromPeer(x.Peer, j.relayReply(ctx, x.Response, &reply, pick, begun, responded))
+	err = fromPeer(x.Peer, j.relayReply(ctx, x.Response, &reply, pick, begun, delivered))
 	result = j.healthResult(ctx, requestCtx, err, pick, begun)
 	return withCause(ctx, err)
 }
@@ -161,38 +164,43 @@
 	return registry.Failed
 }
 
-// newRequest returns the request to the endpoint of a pick.
-func (j *job) newRequest(pick *registry.Pick) *dispatcher.Request {
+// newRequest returns the request to the endpoint of an attempt.
+func (j *job) newRequest(a *crashreporter.Attempt) *dispatcher.Request {
+	pick := a.Pick
 	return &dispatcher.Request{
 		To: pathtracker.Destination{Service: j.q.Service, Endpoint: pick.Endpoint, StartTime: pick.StartTime, Address: pick.Address},
-		ID: j.q.ID, Fingerprint: j.q.Fingerprint(), Parts: j.q.SharedParts(), Message: j.newMessage(pick),
+		ID: j.q.ID, Fingerprint: a.Fingerprint, Parts: a.Parts, Message: j.newMessage(a),
 	}
 }
 
 // newMessage builds the message that is sent to an endpoint.
-func (j *job) newMessage(pick *registry.Pick) *sender.Request {
-	codec := j.r.c.Codec
+func (j *job) newMessage(a *crashreporter.Attempt) *sender.Request {
+	codec, pick := j.r.c.Codec, a.Pick
 	return &sender.Request{
 		Address: pick.Address, Method: j.q.Method, Target: j.q.Target, Host: j.q.Host, Body: j.q.Body,
 		Header: codec.EncodeRequest(j.q, pick.Endpoint, time.Until(j.q.Deadline()), j.lastEvent),
 		// Connecting takes time. Meanwhile the endpoint may have begun to leave, or
 		// the request may have been quarantined; then it must not be sent.
 		Ready: func() bool {
-			return j.r.c.Registry.Usable(pick) && !j.admit().Held && !j.r.c.Versions.Blocked(j.q.Service, pick.Version) && j.r.c.Registry.AcquirePermit(pick)
+			ready := j.r.c.Registry.Usable(pick) && !j.admit().Held && !j.r.c.Versions.Blocked(j.q.Service, pick.Version) && j.r.c.Registry.AcquirePermit(pick)
+			if ready {
+				j.r.c.Quarantine.Begin(a)
+			}
+			return ready
 		},
 		Matches: replyreader.Matches(codec, j.q.ID), KeepAlive: replyreader.KeepAlive(codec),
 	}
 }
 
-// relayReply relays an endpoint's reply to the client. responded is called when the
+// relayReply relays an endpoint's reply to the client. delivered is called when the
 // first whole event of a stream has arrived.
-func (j *job) relayReply(ctx context.Context, x *sender.Response, reply *request.Reply, pick *registry.Pick, begun time.Time, responded func()) error {
+func (j *job) relayReply(ctx context.Context, x *sender.Response, reply *request.Reply, pick *registry.Pick, begun time.Time, delivered func()) error {
 	success := reply.Status >= http.StatusOK && reply.Status < http.StatusMultipleChoices
 	if success && (!reply.Signed || reply.Encoded || reply.ID != j.q.ID) {
 		return fmt.Errorf("%w: not signed, encoded or of another request", sender.ErrBadResponse)
 	}
 	if success && j.q.Route.Kind == catalog.Streaming {
-		return j.relayStream(ctx, x, pick, begun, responded)
+		return j.relayStream(ctx, x, pick, begun, delivered)
 	}
 	body, err := io.ReadAll(io.LimitReader(x.Body, maxAnswerBytes+1))
 	if err != nil || len(body) > maxAnswerBytes {
--- a/internal/serve/relayer/attempt_test.go
+++ b/internal/serve/relayer/attempt_test.go
@@ -14,6 +14,7 @@
 	"brasschute/internal/config/catalog"
 	"brasschute/internal/core/identifier"
 	"brasschute/internal/engine/sender"
+	"brasschute/internal/peer/crashreporter"
 	"brasschute/internal/route/candidate"
 	"brasschute/internal/route/estimator"
 	"brasschute/internal/route/pathtracker"
@@ -108,7 +109,7 @@
 		res: Result{Attempts: make([]Attempt, 1)},
 	}
 	ctx := &parentContext{Context: context.Background(), done: make(chan struct{})}
-	err := j.attempt(ctx, &registry.Pick{Activity: new(candidate.Activity)})
+	err := j.attempt(ctx, &crashreporter.Attempt{Pick: &registry.Pick{Activity: new(candidate.Activity)}})
 	if !errors.Is(err, sender.ErrUnsent) || ctx.children != 0 {
 		t.Errorf("%v, %d contexts left", err, ctx.children)
 	}
--- a/internal/serve/relayer/quarantine.go
+++ b/internal/serve/relayer/quarantine.go
@@ -29,16 +29,20 @@
 	return j.r.c.Quarantine.Track(j.q.Fingerprint(), func() { cancel(errQuarantined) }, j.q.SharedParts()...)
 }
 
-// reportEnd tells the quarantine how an attempt ended. ctx is the request's context.
-func (j *job) reportEnd(ctx context.Context, a *crashreporter.Attempt, err error) {
+// reportEnd tells the quarantine how an attempt ended that had brought so many events. ctx is the request's
+// context.
+func (j *job) reportEnd(ctx context.Context, a *crashreporter.Attempt, events int, err error) {
 	switch {
 	case err == nil, errors.Is(err, errFailed):
+		j.r.c.Quarantine.Conclude(a)
 		j.r.c.Quarantine.Answered(a.Fingerprint)
 	case brokenOff(ctx, err):
 		j.res.Fingerprint = a.Fingerprint
-		j.r.c.Quarantine.ReportBreak(ctx, a)
-	case a.Events == 0 && !isUnsent(err) && !errors.Is(err, errRefused) && !errors.Is(err, errMissingEvent):
+		j.r.c.Quarantine.ReportBreak(ctx, a, events)
+	case events == 0 && !isUnsent(err) && !errors.Is(err, errRefused) && !errors.Is(err, errMissingEvent):
 		j.r.c.Quarantine.ReportGivenUp(a, reasonOf(ctx, err))
+	default:
+		j.r.c.Quarantine.Conclude(a)
 	}
 }
 
--- a/internal/serve/relayer/relayer.go
+++ b/internal/serve/relayer/relayer.go
@@ -153,8 +153,12 @@
 	Track(f identifier.Fingerprint, withdraw func(), parts ...identifier.Fingerprint) (leave func())
 	// RecordEvent is called when an endpoint begins to write an answer to a request with some parts.
 	RecordEvent(parts ...identifier.Fingerprint)
-	// ReportBreak is called for each attempt that an endpoint broke off.
-	ReportBreak(ctx context.Context, a *crashreporter.Attempt)
+	// Begin is called right before an attempt is sent, Conclude when it has delivered something or ended
+	// without having run.
+	Begin(a *crashreporter.Attempt)
+	Conclude(a *crashreporter.Attempt)
+	// ReportBreak is called for each attempt that an endpoint broke off after so many events.
+	ReportBreak(ctx context.Context, a *crashreporter.Attempt, events int)
 	// ReportGivenUp is called for each attempt that this daemon gave up although its endpoint may go on
 	// running it, and before it has delivered anything.
 	ReportGivenUp(a *crashreporter.Attempt, reason crashreporter.Reason)
@@ -324,10 +328,11 @@
 			return j.res
 		}
 		begun, events := time.Now(), j.res.Events
-		err := j.attempt(ctx, pick)
+		a := &crashreporter.Attempt{Fingerprint: q.Fingerprint(), Request: q.ID, Parts: q.SharedParts(), Pick: pick}
+		err := j.attempt(ctx, a)
 		r.c.Placer.End(q, pick)
 		j.recordAttempt(pick, begun, err)
-		j.reportEnd(ctx, &crashreporter.Attempt{Fingerprint: q.Fingerprint(), Request: q.ID, Parts: q.SharedParts(), Pick: pick, Events: j.res.Events - events}, err)
+		j.reportEnd(ctx, a, j.res.Events-events, err)
 		if err == nil {
 			return j.res
 		}
--- a/internal/serve/relayer/stream.go
+++ b/internal/serve/relayer/stream.go
@@ -23,7 +23,7 @@
 // relayStream relays events as they arrive. Only whole events are passed on: a partial
 // event from an engine that broke off must not precede the same event from another
 // engine.
-func (j *job) relayStream(ctx context.Context, x *sender.Response, pick *registry.Pick, begun time.Time, responded func()) error {
+func (j *job) relayStream(ctx context.Context, x *sender.Response, pick *registry.Pick, begun time.Time, delivered func()) error {
 	buffer := make([]byte, 0, readBytes)
 	chunk := make([]byte, readBytes)
 	var first time.Time
@@ -46,7 +46,7 @@
 		buffer = append(buffer, chunk[:n]...)
 		whole, rest := splitEvents(buffer)
 		if len(whole) > 0 {
-			responded()
+			delivered()
 			// Each attempt has a run at its coordinator, also one that continues a stream.
 			if !reported {
 				reported = true
--- a/internal/serve/streamer/quarantine.go
+++ b/internal/serve/streamer/quarantine.go
@@ -15,8 +15,8 @@
 type Quarantine interface {
 	// Admit decides whether a request may be sent. It is called right before each send.
 	Admit(f identifier.Fingerprint, id identifier.Request, parts ...identifier.Fingerprint) quarantiner.Decision
-	// ReportBreak is called for each attempt that an endpoint broke off.
-	ReportBreak(ctx context.Context, a *crashreporter.Attempt)
+	// ReportBreak is called for each attempt that an endpoint broke off after so many events.
+	ReportBreak(ctx context.Context, a *crashreporter.Attempt, events int)
 	// Answered is called for each request that an endpoint ran to its end.
 	Answered(f identifier.Fingerprint)
 }
@@ -30,7 +30,7 @@
 	return refusal.New(refusal.Quarantined, "endpoints ended while they ran the same request").WithRetryAfter(v.RetryAfter)
 }
 
-// NewAttempt describes an attempt of a call, whose endpoint has returned so many events.
-func NewAttempt(c *call.Call, pick *registry.Pick, events int) *crashreporter.Attempt {
-	return &crashreporter.Attempt{Fingerprint: c.Fingerprint(), Request: c.Request, Pick: pick, Events: events}
+// NewAttempt describes an attempt of a call.
+func NewAttempt(c *call.Call, pick *registry.Pick) *crashreporter.Attempt {
+	return &crashreporter.Attempt{Fingerprint: c.Fingerprint(), Request: c.Request, Pick: pick}
 }
--- a/internal/serve/streamer/streamer.go
+++ b/internal/serve/streamer/streamer.go
@@ -203,7 +203,7 @@
 		}
 		note.Outcome = err.Error()
 		if state.State() == caller.MaybeSent && ctx.Err() == nil {
-			s.c.Quarantine.ReportBreak(ctx, NewAttempt(j.Call, pick, 0))
+			s.c.Quarantine.ReportBreak(ctx, NewAttempt(j.Call, pick), 0)
 		}
 		return causeOf(ctx, err)
 	}
@@ -223,7 +223,7 @@
 	}
 	result = registry.Failed
 	if ctx.Err() == nil {
-		s.c.Quarantine.ReportBreak(ctx, NewAttempt(j.Call, pick, j.Offset-offset))
+		s.c.Quarantine.ReportBreak(ctx, NewAttempt(j.Call, pick), j.Offset-offset)
 	}
 	s.afterBreak(j, pick, err)
 	return err
