prober: a process that was found to listen may end right after

Such a result is used only for requests that were broken off before its probe began; all that break off together still share a connection. Class: evidence that is older than what it is to judge.

--- a/internal/engine/prober/prober.go
+++ b/internal/engine/prober/prober.go
@@ -89,28 +89,35 @@
 func New(c Config) *Prober { return &Prober{c: c, probes: make(map[string]*probe)} }
 
 // Probe reports whether a process listens at an address, IP:port. Concurrent calls for
-// one address share a connection, and the result is reused for a short time.
+// one address share a connection, and the result is reused for a short time. A process
+// that listened before the call may have ended since.
 func (p *Prober) Probe(ctx context.Context, address string) Result {
-	pr, first := p.joinProbe(address)
-	if pr == nil {
-		return Unknown
-	}
-	if first {
-		// Other callers wait for the probe, so it must outlive the first caller's request.
-		pr.result = p.dial(context.WithoutCancel(ctx), address)
-		close(pr.done)
-	}
-	select {
-	case <-pr.done:
-		return pr.result
-	case <-ctx.Done():
-		return Unknown
+	called := time.Now()
+	for {
+		pr, first := p.joinProbe(address, called)
+		if pr == nil {
+			return Unknown
+		}
+		if first {
+			// Other callers wait for the probe, so it must outlive the first caller's request.
+			pr.result = p.dial(context.WithoutCancel(ctx), address)
+			close(pr.done)
+		}
+		select {
+		case <-pr.done:
+		case <-ctx.Done():
+			return Unknown
+		}
+		if pr.result != Listening || !pr.started.Before(called) {
+			return pr.result
+		}
 	}
 }
 
-// joinProbe returns the probe of an address, and whether the caller has to perform it. It
-// returns nil if too many probes are kept.
-func (p *Prober) joinProbe(address string) (pr *probe, first bool) {
+// joinProbe returns the probe of an address, and whether the caller has to perform it: if there is none, or
+// one that found a process before the caller's request was broken off. It returns nil if too many probes are
+// kept.
+func (p *Prober) joinProbe(address string, called time.Time) (pr *probe, first bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
@@ -119,10 +126,10 @@
 			delete(p.probes, a)
 		}
 	}
-	if pr = p.probes[address]; pr != nil && now.Sub(pr.started) <= resultTTL {
+	if pr = p.probes[address]; pr != nil && now.Sub(pr.started) <= resultTTL && !pr.outdated(called) {
 		return pr, false
 	}
-	if len(p.probes) >= maxProbes {
+	if pr == nil && len(p.probes) >= maxProbes {
 		return nil, false
 	}
 	pr = &probe{started: now, done: make(chan struct{})}
@@ -130,6 +137,16 @@
 	return pr, true
 }
 
+// outdated reports whether a probe found a process that may have ended between its start and a later time.
+func (pr *probe) outdated(called time.Time) bool {
+	select {
+	case <-pr.done:
+		return pr.result == Listening && pr.started.Before(called)
+	default:
+		return false
+	}
+}
+
 func (p *Prober) dial(ctx context.Context, address string) Result {
 	dialing, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
