crashreporter: an endpoint that vanished from the list and does not respond has ended

Callers saw requests with one prompt part take engine after engine down whose hosts fell silent with them: no connection is reset and none is refused, so no attempt breaks and each probe goes unanswered, which counted as nothing (a partition looks the same). Class: what is learned only from a sign that the failure itself may take away.

One that is gone without having said that it leaves is probed: refused, no response, or another one listed at the address mean that it has ended. Without a response the ending is marked as silent and weighs half against whole requests, as an endpoint may be cut off from the store and from here.

--- a/internal/peer/crashreporter/attempts.go
+++ b/internal/peer/crashreporter/attempts.go
@@ -124,17 +124,17 @@
 	return list
 }
 
-// due forgets attempts that were given up long ago, and returns the endpoints to check now: those at which others
-// were given up and which have shown no sign of life since.
-func (t *attempts) due(now time.Time) (out []*registry.Pick) {
+// due forgets attempts that were given up long ago, and returns the endpoints to check now: those that are gone
+// from the list, and those at which attempts were given up and which have shown no sign of life since.
+func (t *attempts) due(now time.Time, presence func(*registry.Pick) registry.Presence) (out []*registry.Pick) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for key, p := range t.places {
 		kept := slices.DeleteFunc(p.givenUp, func(g givenUp) bool { return now.Sub(g.at) > retention })
 		t.givenUp -= len(p.givenUp) - len(kept)
 		p.givenUp = kept
-		if len(kept) > 0 && p.quiet(now) >= p.checkAfter {
-			p.checkedAt, p.checkAfter = now, min(2*p.checkAfter, maxCheck)
+		if p.isDue(now, presence(p.pick)) {
+			p.checkedAt, p.checkAfter = now, min(max(2*p.checkAfter, firstCheck), maxCheck)
 			out = append(out, p.pick)
 		}
 		t.drop(key, p)
@@ -142,6 +142,19 @@
 	return out
 }
 
+// isDue reports whether the endpoint is to be checked now.
+func (p *place) isDue(now time.Time, presence registry.Presence) bool {
+	switch presence {
+	case registry.Listed:
+		return len(p.givenUp) > 0 && p.quiet(now) >= p.checkAfter
+	case registry.Lapsed:
+		return p.quiet(now) >= p.checkAfter
+	case registry.Replaced:
+		return true
+	}
+	return false
+}
+
 // quiet returns the time since the last check or sign of life.
 func (p *place) quiet(now time.Time) time.Duration {
 	last := p.checkedAt
--- a/internal/peer/crashreporter/attempts_test.go
+++ b/internal/peer/crashreporter/attempts_test.go
@@ -16,15 +16,20 @@
 	"brasschute/internal/route/registry"
 )
 
-// mortalHost is the host of a process that ends.
+// mortalHost is the host of a process that ends, or of one that does not respond.
 type mortalHost struct {
-	ended atomic.Bool
-	dials atomic.Int32
+	ended, silent atomic.Bool
+	dials         atomic.Int32
+	// presence is what the list says of the endpoint.
+	presence atomic.Int32
 }
 
 // DialContext connects until the process has ended.
 func (h *mortalHost) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
 	h.dials.Add(1)
+	if h.silent.Load() {
+		return host{time.Hour, nil}.DialContext(ctx, network, address)
+	}
 	if h.ended.Load() {
 		return host{time.Millisecond, syscall.ECONNREFUSED}.DialContext(ctx, network, address)
 	}
@@ -46,6 +51,7 @@
 		h := new(mortalHost)
 		c := newReporter(host{}, false, new(atomic.Int32)).c
 		c.Dialer = h
+		c.Presence = func(*registry.Pick) registry.Presence { return registry.Presence(h.presence.Load()) }
 		r := New(c)
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
@@ -121,6 +127,39 @@
 	}
 }
 
+// Guards against an endpoint that ended without a reset or a refusal, which counts against none of the requests that wait
+// for it, and against endpoints that count as ended because they are cut off, slow or unlisted.
+func TestEndOfASilentEndpoint(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		presence      registry.Presence
+		ended, silent bool
+		want          int
+	}{
+		{"gone from the list, no response", registry.Lapsed, false, true, 1},
+		{"gone from the list, refuses", registry.Lapsed, true, false, 1},
+		{"gone from the list, serves on", registry.Lapsed, false, false, 0},
+		{"another one listed at its address", registry.Replaced, false, false, 1},
+		{"listed, no response", registry.Listed, false, true, 0},
+		{"leaving, no response", registry.Leaving, false, true, 0},
+		{"leaving, refuses", registry.Leaving, true, false, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			withReporter(t, func(t *testing.T, r *Reporter, h *mortalHost) {
+				part := identifier.NewPartFingerprint("lm", "p")
+				r.Begin(newAttempt("f", part))
+				h.presence.Store(int32(c.presence))
+				h.ended.Store(c.ended)
+				h.silent.Store(c.silent)
+				time.Sleep(time.Second)
+				if n := endings(r, part); n != c.want {
+					t.Errorf("%d endings, want %d", n, c.want)
+				}
+			})
+		})
+	}
+}
+
 // Guards against requests that are blamed for an end though they had been answered, or had not run.
 func TestEndDoesNotCountAgainstConcludedAttempts(t *testing.T) {
 	withReporter(t, func(t *testing.T, r *Reporter, h *mortalHost) {
--- a/internal/peer/crashreporter/crashreporter.go
+++ b/internal/peer/crashreporter/crashreporter.go
@@ -10,7 +10,8 @@
 // daemon may have given the attempt up, and the endpoint goes on running it. The attempts of this daemon that
 // have delivered nothing are therefore kept, those that were given up for [retention]. An end of their endpoint counts
 // against all of them, whichever request showed it, here or at a peer. Endpoints that show no sign of life after an attempt
-// was given up are probed.
+// was given up are probed, and so are those that vanish from the list: a host without power sends nothing that would
+// end an attempt.
 //
 // [Reporter.RPCSuspects] returns the suspects that a daemon sends to others,
 // [Reporter.MergeSuspects] merges those of others. New ones are sent at once: the callback
@@ -29,6 +30,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync"
 	"time"
 
 	"brasschute/internal/core/identifier"
@@ -62,6 +64,8 @@
 	Confirm func(ctx context.Context, address string) bool
 	// Leaving reports whether an endpoint is known to be leaving.
 	Leaving func(*registry.Pick) (deadline time.Time, leaving bool)
+	// Presence returns what the list says of an endpoint. If nil, all are listed.
+	Presence func(*registry.Pick) registry.Presence
 	// Incarnation returns the incarnation of an endpoint, the same at all daemons. If nil, it is
 	// the endpoint's start time.
 	Incarnation func(*registry.Pick) identifier.StartTime
@@ -111,6 +115,9 @@
 	if c.Incarnation == nil {
 		c.Incarnation = func(k *registry.Pick) identifier.StartTime { return k.StartTime }
 	}
+	if c.Presence == nil {
+		c.Presence = func(*registry.Pick) registry.Presence { return registry.Listed }
+	}
 	r := &Reporter{c: c, prober: prober.New(prober.Config{Dialer: c.Dialer, Confirm: c.Confirm}), logLimiter: rate.NewLimiter(logLinesPerSecond, logLinesPerSecond)}
 	r.Quarantiner = quarantiner.New(quarantiner.Config{Host: c.Host, OnChange: r.logChange})
 	return r
@@ -147,7 +154,7 @@
 	if found != prober.Refused {
 		return
 	}
-	r.recordEnd(events > 0, a)
+	r.recordEnd(quarantiner.Ending{Weak: events > 0}, a)
 	r.joinEnd(r.incarnationOf(a.Pick), found)
 }
 
@@ -168,12 +175,11 @@
 	return incarnation{k.Endpoint, r.c.Incarnation(k)}
 }
 
-// recordEnd records that the endpoint of some attempts ended while it ran them. weak is set if it had sent
-// events of them.
-func (r *Reporter) recordEnd(weak bool, list ...*Attempt) {
+// recordEnd records that the endpoint of some attempts ended while it ran them. e says how.
+func (r *Reporter) recordEnd(e quarantiner.Ending, list ...*Attempt) {
 	anyNew := false
 	for _, a := range list {
-		e := quarantiner.Ending{Endpoint: a.Pick.Endpoint, Born: r.c.Incarnation(a.Pick), Weak: weak}
+		e.Endpoint, e.Born = a.Pick.Endpoint, r.c.Incarnation(a.Pick)
 		anyNew = r.RecordEnding(a.Fingerprint, e, a.Parts...) || anyNew
 	}
 	if anyNew {
@@ -181,23 +187,27 @@
 	}
 }
 
-// Serve checks the endpoints of attempts that were given up until ctx ends.
+// Serve checks the endpoints of attempts that have delivered nothing until ctx ends.
 func (r *Reporter) Serve(ctx context.Context) error {
+	var running sync.WaitGroup
+	defer running.Wait()
 	return waiter.Every(ctx, checkInterval, func(ctx context.Context) {
-		for _, pick := range r.attempts.due(time.Now()) {
-			go r.check(ctx, pick)
+		for _, pick := range r.attempts.due(time.Now(), r.c.Presence) {
+			running.Go(func() { r.check(ctx, pick) })
 		}
 	})
 }
 
-// check probes an endpoint at which attempts were given up.
+// check finds out whether an endpoint has ended that runs attempts, or may run some that were given up.
 func (r *Reporter) check(ctx context.Context, pick *registry.Pick) {
-	if _, leaving := r.c.Leaving(pick); leaving {
+	if r.c.Presence(pick) == registry.Replaced {
+		r.joinEnd(r.incarnationOf(pick), prober.Refused)
 		return
 	}
 	found := r.prober.Probe(ctx, pick.Address)
-	r.c.Metrics.Tagged(map[string]string{"probe": found.String()}).Counter("given_up_checks").Inc(1)
-	if found == prober.Refused {
+	r.c.Metrics.Tagged(map[string]string{"probe": found.String()}).Counter("endpoint_checks").Inc(1)
+	// The host of an endpoint that has lost its power neither resets nor refuses connections.
+	if found == prober.Refused || found == prober.Unknown && r.c.Presence(pick) == registry.Lapsed {
 		r.joinEnd(r.incarnationOf(pick), found)
 	}
 }
@@ -208,7 +218,7 @@
 	for _, a := range list {
 		r.logEnd(a, 0, found)
 	}
-	r.recordEnd(false, list...)
+	r.recordEnd(quarantiner.Ending{Silent: found != prober.Refused}, list...)
 }
 
 // Begin is called right before an attempt is sent, Conclude when it has delivered something or has not run.
@@ -295,7 +305,7 @@
 		for _, e := range s.Endings {
 			out[i].Endings = append(out[i].Endings, &rpc.Ending{
 				Endpoint: string(e.Endpoint), Born: int64(e.Born), Host: string(e.Seen), AgeMilli: now.Sub(e.At).Milliseconds(),
-				Weak: e.Weak, Void: e.Void, Request: string(e.Request), Depth: uint32(e.Depth),
+				Weak: e.Weak, Void: e.Void, Silent: e.Silent, Request: string(e.Request), Depth: uint32(e.Depth),
 			})
 		}
 	}
@@ -314,7 +324,7 @@
 		for _, e := range s.GetEndings() {
 			list[i].Endings = append(list[i].Endings, quarantiner.Ending{
 				Endpoint: identifier.Endpoint(e.GetEndpoint()), Born: identifier.StartTime(e.GetBorn()), Seen: identifier.Host(e.GetHost()),
-				At: now.Add(-endingAge(e)), Weak: e.GetWeak(), Void: e.GetVoid(),
+				At: now.Add(-endingAge(e)), Weak: e.GetWeak(), Void: e.GetVoid(), Silent: e.GetSilent(),
 				Request: identifier.Fingerprint(e.GetRequest()), Depth: int(min(e.GetDepth(), quarantiner.MaxDepth)),
 			})
 		}
--- a/internal/route/quarantiner/quarantiner.go
+++ b/internal/route/quarantiner/quarantiner.go
@@ -10,8 +10,8 @@
 //
 // An [Ending] is one incarnation of an endpoint that ended while it ran the request. It counts
 // [strong] points by default. It counts [weak] points if the endpoint had delivered events of the
-// request before, or if the request was answered recently: many requests run at an endpoint when it
-// ends, and only one of them has caused its end. An answer from any endpoint clears a request: its
+// request before, if the request was answered recently, or if the endpoint only fell silent: many requests run at an
+// endpoint when it ends, and only one of them has caused its end. An answer from any endpoint clears a request: its
 // endings no longer count. While a request is held, the endings that it explains do not count
 // against other requests.
 //
@@ -108,6 +108,8 @@
 	Weak bool
 	// Void: the request has been answered since, or an operator lifted it.
 	Void bool
+	// Silent: the endpoint vanished from the list and does not respond, which may be a partition.
+	Silent bool `json:",omitempty"`
 	// Of a part of prompts, Request is the request under which the endpoint ended and Depth the
 	// position of the part in its prompt, counted from 1.
 	Request identifier.Fingerprint `json:",omitempty"`
@@ -119,7 +121,7 @@
 	switch {
 	case e.Void:
 		return 0
-	case e.Weak:
+	case e.Weak, e.Silent && e.Request == "":
 		return weak
 	}
 	return strong
--- a/internal/route/registry/pick.go
+++ b/internal/route/registry/pick.go
@@ -96,6 +96,44 @@
 	return c.Deadline, c.Leaving
 }
 
+// Presence is what the list of hosts says of an incarnation of an endpoint.
+type Presence int
+
+// The presences.
+const (
+	// Listed: it is listed and not known to leave.
+	Listed Presence = iota
+	// Leaving: it is leaving, or has left.
+	Leaving
+	// Lapsed: it is no longer listed and has not said that it leaves. It may serve on.
+	Lapsed
+	// Replaced: so it is, and another incarnation is listed at its address.
+	Replaced
+)
+
+// Presence returns what is known of the incarnation of a pick.
+func (r *Registry) Presence(k *Pick) Presence {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, leaving := r.c.LeavingHosts.Leaving(k.Host, k.Incarnation)
+	if c := r.find(k); c != nil {
+		leaving = leaving || c.Leaving
+		if !leaving {
+			return Listed
+		}
+	}
+	if leaving {
+		return Leaving
+	}
+	presence := Lapsed
+	r.forEach(func(c *candidate.Candidate) {
+		if c.Address == k.Address {
+			presence = Replaced
+		}
+	})
+	return presence
+}
+
 // ObserveFirstToken records the measured time to first token of a pick.
 func (r *Registry) ObserveFirstToken(k *Pick, took time.Duration) {
 	r.mu.Lock()
