crashreporter: an end that could not be proved at once is looked at again

The more engines were down, the fewer crashes counted. A probe without a response, or one that came before the process had closed its socket, ended the matter, too. Class: a verdict that takes a proof away where it could only put it off.

An attempt whose break proves nothing is kept like one that was given up, and its endpoint checked again; one that vanishes from the list and refuses connections has ended, whatever peers can tell.

TestUnprovenEndIsLookedAtAgain: four of six cases fail before.

--- a/internal/peer/crashreporter/attempts_test.go
+++ b/internal/peer/crashreporter/attempts_test.go
@@ -22,6 +22,8 @@
 	dials         atomic.Int32
 	// presence is what the list says of the endpoint.
 	presence atomic.Int32
+	// unconfirmed: peers can't tell whether the process has ended.
+	unconfirmed atomic.Bool
 }
 
 // DialContext connects until the process has ended.
@@ -52,6 +54,7 @@
 		c := newReporter(host{}, false, new(atomic.Int32)).c
 		c.Dialer = h
 		c.Presence = func(*registry.Pick) registry.Presence { return registry.Presence(h.presence.Load()) }
+		c.Confirm = func(context.Context, string) bool { return !h.unconfirmed.Load() }
 		r := New(c)
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
@@ -160,6 +163,45 @@
 	}
 }
 
+// Guards against an end that is never counted because a single look at the time of the break could not prove it:
+// peers could not tell, no response came, or the process had not closed its socket yet.
+func TestUnprovenEndIsLookedAtAgain(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		before, after func(h *mortalHost)
+		want          int
+	}{
+		{
+			"peers can tell later", func(h *mortalHost) { h.ended.Store(true); h.unconfirmed.Store(true) },
+			func(h *mortalHost) { h.unconfirmed.Store(false) }, 1,
+		},
+		{
+			"peers can't tell, it vanishes from the list", func(h *mortalHost) { h.ended.Store(true); h.unconfirmed.Store(true) },
+			func(h *mortalHost) { h.presence.Store(int32(registry.Lapsed)) }, 1,
+		},
+		{"peers never can tell", func(h *mortalHost) { h.ended.Store(true); h.unconfirmed.Store(true) }, func(*mortalHost) {}, 0},
+		{"no response at first", func(h *mortalHost) { h.silent.Store(true) }, func(h *mortalHost) { h.silent.Store(false); h.ended.Store(true) }, 1},
+		{"it listens at first", func(*mortalHost) {}, func(h *mortalHost) { h.ended.Store(true) }, 1},
+		{"it listens", func(*mortalHost) {}, func(*mortalHost) {}, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			withReporter(t, func(t *testing.T, r *Reporter, h *mortalHost) {
+				part := identifier.NewPartFingerprint("lm", "p")
+				a := newAttempt("f", part)
+				c.before(h)
+				r.Begin(a)
+				r.ReportBreak(context.Background(), a, 0)
+				time.Sleep(200 * time.Millisecond)
+				c.after(h)
+				time.Sleep(retention / 2)
+				if n := endings(r, part); n != c.want {
+					t.Errorf("%d endings, want %d", n, c.want)
+				}
+			})
+		})
+	}
+}
+
 // Guards against requests that are blamed for an end though they had been answered, or had not run.
 func TestEndDoesNotCountAgainstConcludedAttempts(t *testing.T) {
 	withReporter(t, func(t *testing.T, r *Reporter, h *mortalHost) {
--- a/internal/peer/crashreporter/crashreporter.go
+++ b/internal/peer/crashreporter/crashreporter.go
@@ -143,15 +143,18 @@
 	}
 }
 
-// probe probes the endpoint that broke off a request and records its end.
+// probe probes the endpoint that broke off a request and records its end, or leaves it to a later check whether it has
+// ended.
 func (r *Reporter) probe(ctx context.Context, a *Attempt, events int) {
 	found := r.prober.Probe(ctx, a.Pick.Address)
 	r.c.Metrics.Tagged(map[string]string{"probe": found.String()}).Counter("requests_broken_off").Inc(1)
-	if found == prober.Listening {
-		return
+	if found != prober.Listening {
+		r.logEnd(a, events, found)
 	}
-	r.logEnd(a, events, found)
 	if found != prober.Refused {
+		if events == 0 {
+			r.attempts.giveUp(r.incarnationOf(a.Pick), a)
+		}
 		return
 	}
 	r.recordEnd(quarantiner.Ending{Weak: events > 0}, a)
@@ -206,8 +209,9 @@
 	}
 	found := r.prober.Probe(ctx, pick.Address)
 	r.c.Metrics.Tagged(map[string]string{"probe": found.String()}).Counter("endpoint_checks").Inc(1)
-	// The host of an endpoint that has lost its power neither resets nor refuses connections.
-	if found == prober.Refused || found == prober.Unknown && r.c.Presence(pick) == registry.Lapsed {
+	// The host of an endpoint that has lost its power neither resets nor refuses connections, and peers can't tell
+	// while they reach no other endpoint either.
+	if found == prober.Refused || found != prober.Listening && r.c.Presence(pick) == registry.Lapsed {
 		r.joinEnd(r.incarnationOf(pick), found)
 	}
 }
@@ -218,7 +222,7 @@
 	for _, a := range list {
 		r.logEnd(a, 0, found)
 	}
-	r.recordEnd(quarantiner.Ending{Silent: found != prober.Refused}, list...)
+	r.recordEnd(quarantiner.Ending{Silent: found == prober.Unknown}, list...)
 }
 
 // Begin is called right before an attempt is sent, Conclude when it has delivered something or has not run.
