quarantiner: endings of one cause count once, and an event clears what was sent before it

A caller saw all of its requests refused for a minute (585 of 585) after half of the engines had ended at once, of themselves: each was beginning some request with the caller's first part, so six endings spoke against it, and holding it withdrew all attempts whose event would have cleared it.

Endings state when their request was sent. Endings of a part within half a second of one that counts, of requests that were sent before that one, may have one cause and count once; under a guilty part others follow, sent later. An event voids the endings of requests that were sent before it, also those that are seen or told later. The time of an end that is found by a check is that of the endpoint's last sign of life.

TestEndingsOfOneCauseCountOnce is new.

--- a/internal/peer/crashreporter/crashreporter.go
+++ b/internal/peer/crashreporter/crashreporter.go
@@ -53,6 +53,8 @@
 	maxProbeWait = 25 * time.Millisecond
 	// checkInterval is how often this daemon looks for endpoints to check.
 	checkInterval = 100 * time.Millisecond
+	// maxAge bounds the ages that peers state.
+	maxAge = 24 * time.Hour
 )
 
 // Config holds the reporter's settings and the components that it works with.
@@ -83,6 +85,8 @@
 	// Parts are the parts of its prompt that other requests may have as well.
 	Parts []identifier.Fingerprint
 	Pick  *registry.Pick
+	// Sent is when it was sent, or is about to be.
+	Sent time.Time
 }
 
 // Reason says why this daemon gave an attempt up.
@@ -127,13 +131,14 @@
 // or after [maxProbeWait]; a later result counts, too.
 func (r *Reporter) ReportBreak(ctx context.Context, a *Attempt, events int) {
 	r.Conclude(a)
+	at := time.Now()
 	if _, leaving := r.c.Leaving(a.Pick); leaving {
 		return
 	}
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		r.probe(context.WithoutCancel(ctx), a, events)
+		r.probe(context.WithoutCancel(ctx), a, events, at)
 	}()
 	timer := time.NewTimer(maxProbeWait)
 	defer timer.Stop()
@@ -143,9 +148,9 @@
 	}
 }
 
-// probe probes the endpoint that broke off a request and records its end, or leaves it to a later check whether it has
+// probe probes the endpoint that broke off a request at a time and records its end, or leaves it to a later check whether it has
 // ended.
-func (r *Reporter) probe(ctx context.Context, a *Attempt, events int) {
+func (r *Reporter) probe(ctx context.Context, a *Attempt, events int, at time.Time) {
 	found := r.prober.Probe(ctx, a.Pick.Address)
 	r.c.Metrics.Tagged(map[string]string{"probe": found.String()}).Counter("requests_broken_off").Inc(1)
 	if found != prober.Listening {
@@ -157,8 +162,8 @@
 		}
 		return
 	}
-	r.recordEnd(quarantiner.Ending{Weak: events > 0}, a)
-	r.joinEnd(r.incarnationOf(a.Pick), found)
+	r.recordEnd(quarantiner.Ending{Weak: events > 0, At: at}, a)
+	r.joinEnd(r.incarnationOf(a.Pick), found, at)
 }
 
 // logEnd logs that an attempt ended with its endpoint, or seems to.
@@ -182,7 +187,7 @@
 func (r *Reporter) recordEnd(e quarantiner.Ending, list ...*Attempt) {
 	anyNew := false
 	for _, a := range list {
-		e.Endpoint, e.Born = a.Pick.Endpoint, r.c.Incarnation(a.Pick)
+		e.Endpoint, e.Born, e.Sent = a.Pick.Endpoint, r.c.Incarnation(a.Pick), a.Sent
 		anyNew = r.RecordEnding(a.Fingerprint, e, a.Parts...) || anyNew
 	}
 	if anyNew {
@@ -204,7 +209,7 @@
 // check finds out whether an endpoint has ended that runs attempts, or may run some that were given up.
 func (r *Reporter) check(ctx context.Context, pick *registry.Pick) {
 	if r.c.Presence(pick) == registry.Replaced {
-		r.joinEnd(r.incarnationOf(pick), prober.Refused)
+		r.joinEnd(r.incarnationOf(pick), prober.Refused, time.Time{})
 		return
 	}
 	found := r.prober.Probe(ctx, pick.Address)
@@ -212,17 +217,35 @@
 	// The host of an endpoint that has lost its power neither resets nor refuses connections, and peers can't tell
 	// while they reach no other endpoint either.
 	if found == prober.Refused || found != prober.Listening && r.c.Presence(pick) == registry.Lapsed {
-		r.joinEnd(r.incarnationOf(pick), found)
+		r.joinEnd(r.incarnationOf(pick), found, time.Time{})
 	}
 }
 
-// joinEnd records the end of an incarnation against the attempts there that have delivered nothing.
-func (r *Reporter) joinEnd(key incarnation, found prober.Result) {
+// joinEnd records the end of an incarnation against the attempts there that have delivered nothing. at is the time of
+// the end; if it is not known, that of the last sign of life is taken.
+func (r *Reporter) joinEnd(key incarnation, found prober.Result, at time.Time) {
 	list := r.attempts.take(key)
 	for _, a := range list {
 		r.logEnd(a, 0, found)
+		e := quarantiner.Ending{Silent: found == prober.Unknown, At: at}
+		if at.IsZero() {
+			e.At = a.lastSign()
+		}
+		r.recordEnd(e, a)
+	}
+}
+
+// lastSign returns when the endpoint of an attempt last showed a sign of life, at least the time at which the attempt
+// was sent; zero if neither is known.
+func (a *Attempt) lastSign() time.Time {
+	signs := a.Pick.Activity.Signs()
+	last := a.Sent
+	for _, at := range []time.Time{signs.Own, signs.Peers} {
+		if at.After(last) {
+			last = at
+		}
 	}
-	r.recordEnd(quarantiner.Ending{Silent: found == prober.Unknown}, list...)
+	return last
 }
 
 // Begin is called right before an attempt is sent, Conclude when it has delivered something or has not run.
@@ -310,6 +333,7 @@
 			out[i].Endings = append(out[i].Endings, &rpc.Ending{
 				Endpoint: string(e.Endpoint), Born: int64(e.Born), Host: string(e.Seen), AgeMilli: now.Sub(e.At).Milliseconds(),
 				Weak: e.Weak, Void: e.Void, Silent: e.Silent, Request: string(e.Request), Depth: uint32(e.Depth),
+				SentAgeMilli: sentAge(&e, now),
 			})
 		}
 	}
@@ -329,7 +353,7 @@
 			list[i].Endings = append(list[i].Endings, quarantiner.Ending{
 				Endpoint: identifier.Endpoint(e.GetEndpoint()), Born: identifier.StartTime(e.GetBorn()), Seen: identifier.Host(e.GetHost()),
 				At: now.Add(-endingAge(e)), Weak: e.GetWeak(), Void: e.GetVoid(), Silent: e.GetSilent(),
-				Request: identifier.Fingerprint(e.GetRequest()), Depth: int(min(e.GetDepth(), quarantiner.MaxDepth)),
+				Sent: sentTime(e, now), Request: identifier.Fingerprint(e.GetRequest()), Depth: int(min(e.GetDepth(), quarantiner.MaxDepth)),
 			})
 		}
 	}
@@ -344,12 +368,28 @@
 	for i := range list {
 		for k := range list[i].Endings {
 			e := &list[i].Endings[k]
-			r.joinEnd(incarnation{e.Endpoint, e.Born}, prober.Refused)
+			r.joinEnd(incarnation{e.Endpoint, e.Born}, prober.Refused, e.At)
 		}
 	}
 }
 
+// sentAge returns the time since the request of an ending was sent, in milliseconds; 0 if that is not known.
+func sentAge(e *quarantiner.Ending, now time.Time) int64 {
+	if e.Sent.IsZero() {
+		return 0
+	}
+	return max(now.Sub(e.Sent).Milliseconds(), 1)
+}
+
+// sentTime returns when the request of an ending was sent; zero if that is not known.
+func sentTime(e *rpc.Ending, now time.Time) time.Time {
+	if e.GetSentAgeMilli() <= 0 {
+		return time.Time{}
+	}
+	return now.Add(-time.Duration(min(e.GetSentAgeMilli(), maxAge.Milliseconds())) * time.Millisecond)
+}
+
 // endingAge returns the age of an ending, between zero and a day.
 func endingAge(e *rpc.Ending) time.Duration {
-	return time.Duration(min(max(e.GetAgeMilli(), 0), (24*time.Hour).Milliseconds())) * time.Millisecond
+	return time.Duration(min(max(e.GetAgeMilli(), 0), maxAge.Milliseconds())) * time.Millisecond
 }
--- a/internal/role/gateway/quarantine.go
+++ b/internal/role/gateway/quarantine.go
@@ -100,6 +100,9 @@
 		for k := range list[i].Endings {
 			e := &list[i].Endings[k]
 			e.At = e.At.Add(offset)
+			if !e.Sent.IsZero() {
+				e.Sent = e.Sent.Add(offset)
+			}
 		}
 	}
 	return list
--- a/internal/route/quarantiner/answered.go
+++ b/internal/route/quarantiner/answered.go
@@ -16,8 +16,9 @@
 
 // answeredSet remembers the requests that were answered recently. The zero value is empty.
 type answeredSet struct {
-	// current is the generation that grows, since started; previous is the one before.
-	current, previous map[identifier.Fingerprint]struct{}
+	// current is the generation that grows, since started; previous is the one before. They hold the time of the
+	// last answer.
+	current, previous map[identifier.Fingerprint]time.Time
 	started           time.Time
 }
 
@@ -25,17 +26,18 @@
 func (a *answeredSet) add(f identifier.Fingerprint, now time.Time) {
 	a.expire(now)
 	if a.current == nil || len(a.current) >= maxGeneration {
-		a.previous, a.current, a.started = a.current, make(map[identifier.Fingerprint]struct{}), now
+		a.previous, a.current, a.started = a.current, make(map[identifier.Fingerprint]time.Time), now
 	}
-	a.current[f] = struct{}{}
+	a.current[f] = now
 }
 
-// has reports whether a request was answered recently.
-func (a *answeredSet) has(f identifier.Fingerprint, now time.Time) bool {
+// last returns when a request was last answered; ok is false if that was not recently.
+func (a *answeredSet) last(f identifier.Fingerprint, now time.Time) (at time.Time, ok bool) {
 	a.expire(now)
-	_, inCurrent := a.current[f]
-	_, inPrevious := a.previous[f]
-	return inCurrent || inPrevious
+	if at, ok = a.current[f]; !ok {
+		at, ok = a.previous[f]
+	}
+	return at, ok
 }
 
 // expire drops generations that are too old.
--- a/internal/route/quarantiner/parts_test.go
+++ b/internal/route/quarantiner/parts_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"pgregory.net/rapid"
 
@@ -232,3 +233,42 @@
 		}
 	})
 }
+
+// Guards against a caller's part that is held because many endpoints ended at once, of themselves, while they were beginning
+// requests with it, and against a guilty part that is not held because its requests overlap.
+func TestEndingsOfOneCauseCountOnce(t *testing.T) {
+	const ms = time.Millisecond
+	for _, c := range []struct {
+		name string
+		// sent and ended are the times of each request.
+		sent, ended []time.Duration
+		// event is when an event of another request arrived, before the endings are known; 0 for none.
+		event time.Duration
+		held  bool
+	}{
+		{"at once", []time.Duration{1 * ms, 2 * ms, 3 * ms, 4 * ms, 5 * ms, 6 * ms}, []time.Duration{10 * ms, 11 * ms, 12 * ms, 13 * ms, 14 * ms, 15 * ms}, 0, false},
+		{"one after the other", []time.Duration{1 * ms, 60 * ms, 120 * ms}, []time.Duration{50 * ms, 110 * ms, 170 * ms}, 0, true},
+		{"sent together, far apart", []time.Duration{1 * ms, 1 * ms, 1 * ms}, []time.Duration{50 * ms, 600 * ms, 1200 * ms}, 0, true},
+		{"an event after they were sent", []time.Duration{1 * ms, 60 * ms, 120 * ms}, []time.Duration{50 * ms, 110 * ms, 170 * ms}, 130 * ms, false},
+		{"an event before two were sent", []time.Duration{1 * ms, 60 * ms, 120 * ms}, []time.Duration{50 * ms, 110 * ms, 170 * ms}, 55 * ms, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			withFakeTime(t, func(t *testing.T, z *Quarantiner) {
+				begun := time.Now()
+				time.Sleep(c.event)
+				if c.event > 0 {
+					z.RecordEvent(callerPart)
+				}
+				time.Sleep(time.Until(begun.Add(2 * time.Second)))
+				for n := range c.sent {
+					e := ending(n)
+					e.Sent, e.At = begun.Add(c.sent[n]), begun.Add(c.ended[n])
+					z.RecordEnding(identifier.Fingerprint(fmt.Sprint("request-", n)), e, callerPart)
+				}
+				if got := held(z, callerPart); got != c.held {
+					t.Errorf("held %v, want %v: %+v", got, c.held, z.List())
+				}
+			})
+		})
+	}
+}
--- a/internal/route/quarantiner/quarantiner.go
+++ b/internal/route/quarantiner/quarantiner.go
@@ -18,7 +18,9 @@
 // An ending of a request of which the endpoint had delivered nothing counts against each part of its
 // prompt but the last as well. A part that crashes endpoints crashes all of them before the first
 // event, so an event of any request clears all parts of its prompt ([Quarantiner.RecordEvent]), on
-// all daemons. Endings under the same request count once against a part: a request that is only
+// all daemons: endings of requests that were sent before it do not count. Endings that may have a common cause, the loss of
+// a zone or of a host, count once: those within [commonCauseTime] of one that counts, of requests that
+// were sent before that one. Endings under the same request count once against a part: a request that is only
 // nearby may come back and meet the next ending.
 //
 // # Decision
@@ -74,6 +76,8 @@
 	// partLimit is that of parts of prompts: three endpoints, or six if the part was answered shortly
 	// before. Each ending leaves several requests without an event, whose parts are new to it.
 	partLimit = 6
+	// commonCauseTime is the time within which endings may have a common cause.
+	commonCauseTime = 500 * time.Millisecond
 	// MaxDepth bounds the positions of parts in prompts that are told apart.
 	MaxDepth = 64
 )
@@ -104,6 +108,8 @@
 	// Seen is the daemon that saw the ending. At is the time by this daemon's clock.
 	Seen identifier.Host
 	At   time.Time
+	// Sent is when the request was sent to the endpoint; zero if that is not known.
+	Sent time.Time `json:",omitzero"`
 	// Weak: there was evidence in favour of the request.
 	Weak bool
 	// Void: the request has been answered since, or an operator lifted it.
@@ -221,18 +227,23 @@
 }
 
 // RecordEnding adds an ending of a request whose prompt has some shared parts, and reports whether it
-// is new and must reach the other daemons.
+// is new and must reach the other daemons. Without a time it ended now.
 func (z *Quarantiner) RecordEnding(f identifier.Fingerprint, e Ending, parts ...identifier.Fingerprint) bool {
 	z.mu.Lock()
 	now := time.Now()
-	e.Seen, e.At = z.c.Host, now
+	e.Seen = z.c.Host
+	if e.At.IsZero() {
+		e.At = now
+	}
 	isNew := false
 	for i := 0; i < min(len(parts), MaxDepth) && !e.Weak; i++ {
 		p := e
 		p.Request, p.Depth = f, i+1
 		isNew = z.add(parts[i], []Ending{p}, now) || isNew
 	}
-	e.Weak = e.Weak || z.answered.has(f, now)
+	if _, answered := z.answered.last(f, now); answered {
+		e.Weak = true
+	}
 	isNew = z.add(f, []Ending{e}, now) || isNew
 	var changes changes
 	if isNew {
@@ -348,8 +359,9 @@
 	}
 	for i := range endings {
 		e := &endings[i]
-		// Whoever saw the ending may not know of an answer to a request with the part.
-		e.Weak = e.Weak || e.Depth > 0 && z.answered.has(f, now)
+		if e.Depth > 0 {
+			z.weigh(f, e, now)
+		}
 		isNew = s.merge(e) || isNew
 	}
 	if isNew {
@@ -358,6 +370,16 @@
 	return isNew
 }
 
+// weigh applies what this daemon knows in favour of a part: whoever saw the ending may not know of an event.
+func (z *Quarantiner) weigh(f identifier.Fingerprint, e *Ending, now time.Time) {
+	last, answered := z.answered.last(f, now)
+	if !answered {
+		return
+	}
+	e.Weak = true
+	e.Void = e.Void || !e.Sent.IsZero() && !last.Before(e.Sent)
+}
+
 // evict makes room for one more suspect. The caller holds the lock.
 func (z *Quarantiner) evict(now time.Time) {
 	var oldest identifier.Fingerprint
--- a/internal/route/quarantiner/verdict.go
+++ b/internal/route/quarantiner/verdict.go
@@ -156,10 +156,20 @@
 
 // sum returns the sum of the points of some endings.
 func (s *suspect) sum(counts func(i int) bool) (sum int) {
+	last := -1
 	for i := range s.endings {
-		if counts(i) && !s.repeats(i) {
-			sum += s.endings[i].points()
+		e := &s.endings[i]
+		if e.Void || !counts(i) || s.repeats(i) || last >= 0 && s.endings[last].sharesCause(e) {
+			continue
 		}
+		last = i
+		sum += e.points()
 	}
 	return sum
 }
+
+// sharesCause reports whether a later ending of a part may have the same cause: its request was running at
+// the same time. If the part is guilty, others follow that were sent later.
+func (e *Ending) sharesCause(o *Ending) bool {
+	return o.Request != "" && !o.Sent.IsZero() && o.Sent.Before(e.At) && o.At.Sub(e.At) < commonCauseTime
+}
