--- a/internal/role/gateway/engines_test.go
+++ b/internal/role/gateway/engines_test.go
@@ -44,7 +44,9 @@
 	// replacementDelay is the time from an engine's exit until another engine listens at its
 	// address, recordLifetime the time until its record expires.
 	replacementDelay = 5 * time.Second
-	recordLifetime   = 3200 * time.Millisecond
+	// leaveTime is the time from an engine's word that it leaves to its exit.
+	leaveTime      = 3 * time.Second
+	recordLifetime = 3200 * time.Millisecond
 )
 
 // engineExit is the exit of an engine, or the arrival of a fatal request at one.
@@ -65,6 +67,8 @@
 	fatal func(body string) bool
 	// fatalPart is a part of a prompt that crashes the engine that runs a request with it; empty for none.
 	fatalPart string
+	// fatalTime is the time from which on a fatal request has crashed its engine.
+	fatalTime time.Duration
 	// silentExits makes engines end without a trace, as with a loss of power: connections stay open and
 	// the address does not respond.
 	silentExits bool
@@ -95,6 +99,8 @@
 	sends []engineExit
 	// running holds the function that ends each engine, by place.
 	running map[int]func(body string)
+	// leaving holds the function that lets each engine say that it leaves, by place.
+	leaving map[int]func()
 	stop    []func()
 	closed  bool
 }
@@ -110,7 +116,7 @@
 // prepareEngines writes a configuration with routes to engines that are still to be started.
 func (f *testFleet) prepareEngines(fatal func(string) bool) *engineFleet {
 	f.t.Helper()
-	e := &engineFleet{f: f, host: f.network.Host(storeLink), fatal: fatal, running: make(map[int]func(string))}
+	e := &engineFleet{fatalTime: runTime, f: f, host: f.network.Host(storeLink), fatal: fatal, running: make(map[int]func(string)), leaving: make(map[int]func())}
 	f.stop = append(f.stop, e.close)
 	f.writeModelConfiguration()
 	return e
@@ -185,6 +191,10 @@
 		})
 	}
 	e.running[place] = endIt
+	e.leaving[place] = func() {
+		e.f.store.Write(platform.EndpointKind, id, engine.Record("draining"))
+		time.AfterFunc(leaveTime, func() { endIt("no request") })
+	}
 	engine.SetBehaviour(func(r *http.Request) hosting.Behaviour {
 		e.mu.Lock()
 		e.arrived++
@@ -209,7 +219,7 @@
 		e.mu.Lock()
 		e.sends = append(e.sends, engineExit{time.Now(), id, body})
 		e.mu.Unlock()
-		time.Sleep(runTime)
+		time.Sleep(e.fatalTime)
 		endIt(body)
 		return hosting.CloseUnanswered
 	})
@@ -285,6 +295,14 @@
 	time.AfterFunc(replacementDelay, func() { e.start(place) })
 }
 
+// leave lets the engine at a place say that it leaves, and end later.
+func (e *engineFleet) leave(place int) {
+	e.mu.Lock()
+	leave := e.leaving[place]
+	e.mu.Unlock()
+	leave()
+}
+
 // exitPlace ends the engine at a place.
 func (e *engineFleet) exitPlace(place int) {
 	e.mu.Lock()
