--- a/internal/serve/relayer/attempt.go
+++ b/internal/serve/relayer/attempt.go
@@ -78,20 +78,7 @@
 	if err != nil {
 		result = j.healthResult(ctx, requestCtx, err, pick, begun)
 		err = withCause(ctx, err)
-		if isUnsent(err) {
-			j.r.c.Registry.ReturnPermit(pick)
-			if !errors.Is(err, sender.ErrRefusedConnection) {
-				j.unsent++
-			}
-		} else {
-			j.sends++
-			j.mayHaveRun = true
-			// Most requests whose answer is lost did run, so they count as begun.
-			// Without them the usage of a window with lost answers was off by 14 in 100.
-			if requestCtx.Err() == nil {
-				j.markBegun()
-			}
-		}
+		j.recordUnanswered(requestCtx, pick, err)
 		return err
 	}
 	defer x.Close()
@@ -114,6 +101,24 @@
 	return withCause(ctx, err)
 }
 
+// recordUnanswered records that an attempt got no response. ctx is the request's context.
+func (j *job) recordUnanswered(ctx context.Context, pick *registry.Pick, err error) {
+	if isUnsent(err) {
+		j.r.c.Registry.ReturnPermit(pick)
+		if !errors.Is(err, sender.ErrRefusedConnection) {
+			j.unsent++
+		}
+		return
+	}
+	j.sends++
+	j.mayHaveRun = true
+	// Most requests whose answer is lost did run, so they count as begun.
+	// Without them the usage of a window with lost answers was off by 14 in 100.
+	if ctx.Err() == nil {
+		j.markBegun()
+	}
+}
+
 // recordResponse records that an endpoint responded, and which daemon sent the request.
 func (j *job) recordResponse(x *dispatcher.Response) {
 	j.sends++
