relayer: a comment before an answer is no event

Found by asking what speaks for a part: an engine that writes a comment or a setting of the stream (as servers do to keep connections open while a prompt is read) and then crashes cleared the part each time, on all daemons. Only events with data or a number clear a part, end the watch over the attempt and count as its first event.

Half an event did not clear one before either.

--- a/internal/role/gateway/engines_test.go
+++ b/internal/role/gateway/engines_test.go
@@ -67,6 +67,8 @@
 	fatal func(body string) bool
 	// fatalPart is a part of a prompt that crashes the engine that runs a request with it; empty for none.
 	fatalPart string
+	// fatalStart is what an engine writes of its answer to a request with fatalPart before it crashes.
+	fatalStart string
 	// fatalTime is the time from which on a fatal request has crashed its engine.
 	fatalTime time.Duration
 	// silentExits makes engines end without a trace, as with a loss of power: connections stay open and
@@ -219,6 +221,7 @@
 		e.mu.Lock()
 		e.sends = append(e.sends, engineExit{time.Now(), id, body})
 		e.mu.Unlock()
+		e.writeStart(r)
 		time.Sleep(e.fatalTime)
 		endIt(body)
 		return hosting.CloseUnanswered
@@ -234,6 +237,7 @@
 		text, _ := io.ReadAll(r.Body)
 		r.Body = io.NopCloser(strings.NewReader(string(text)))
 		r.Header.Set("Body-Text", string(text))
+		r = r.WithContext(context.WithValue(r.Context(), writerKey{}, w))
 		if e.admit != nil {
 			defer e.admit(place, id)()
 		}
@@ -244,6 +248,22 @@
 	e.f.store.Write(platform.EndpointKind, id, engine.Record("ready"))
 }
 
+// writerKey is the key of a request's response writer.
+type writerKey struct{}
+
+// writeStart writes the start of an answer.
+func (e *engineFleet) writeStart(r *http.Request) {
+	w, _ := r.Context().Value(writerKey{}).(http.ResponseWriter)
+	if e.fatalStart == "" || w == nil {
+		return
+	}
+	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+	w.Header().Set("Response-Stamp", "stamp")
+	w.Header().Set("Content-Type", "text/event-stream")
+	_, _ = io.WriteString(w, e.fatalStart)
+	_ = http.NewResponseController(w).Flush()
+}
+
 // silenceableListener is the listener of an engine that may end without a trace.
 type silenceableListener struct {
 	net.Listener
--- a/internal/role/gateway/promptparts_test.go
+++ b/internal/role/gateway/promptparts_test.go
@@ -87,6 +87,19 @@
 	return before, after
 }
 
+// Guards against a part that is cleared by what an engine writes before it crashes, though that is no event.
+func TestStartOfAnAnswerClearsNoPart(t *testing.T) {
+	for name, start := range map[string]string{"a comment": ": working\n\n", "a field without a number": "retry: 500\n\n", "half an event": "id: 1\ndata: x"} {
+		t.Run(name, func(t *testing.T) {
+			inEngineFleet(t, 8, func(string) bool { return false }, func(f *testFleet, e *engineFleet) {
+				e.fatalStart = start
+				l := promptLoad{guiltyInterval: 300 * time.Millisecond, soundInterval: 70 * time.Millisecond, guilty: second, sound: subject}
+				l.check(f, e)
+			})
+		})
+	}
+}
+
 // sendSound sends the sound requests of a load for a time, and counts the replies to those that were sent
 // later than a given time.
 func (l *promptLoad) sendSound(f *testFleet, from, d time.Duration) (served, failed int) {
--- a/internal/serve/relayer/stream.go
+++ b/internal/serve/relayer/stream.go
@@ -45,7 +45,7 @@
 		}
 		buffer = append(buffer, chunk[:n]...)
 		whole, rest := splitEvents(buffer)
-		if len(whole) > 0 {
+		if hasEvent(whole) {
 			delivered()
 			// Each attempt has a run at its coordinator, also one that continues a stream.
 			if !reported {
@@ -56,6 +56,8 @@
 			if j.res.Events == 0 {
 				j.r.c.Placer.ObserveFirstEvent(j.q, pick, time.Since(begun))
 			}
+		}
+		if len(whole) > 0 {
 			if problem := j.writeEvents(ctx, x, whole, pick); problem != nil {
 				return problem
 			}
@@ -149,7 +151,23 @@
 	return buffer[:at], buffer[at:]
 }
 
-var idField = []byte("id:")
+// hasEvent reports whether some whole events are more than comments and settings, which an endpoint may
+// write before it begins an answer.
+func hasEvent(whole []byte) bool {
+	for len(whole) > 0 {
+		line, rest, _ := bytes.Cut(whole, []byte("\n"))
+		whole = rest
+		if bytes.HasPrefix(line, dataField) || bytes.HasPrefix(line, idField) {
+			return true
+		}
+	}
+	return false
+}
+
+var (
+	idField   = []byte("id:")
+	dataField = []byte("data:")
+)
 
 // eventNumber returns the number in an event's id field.
 func eventNumber(event []byte) (int, bool) {
