proxier: half an event is none

Found beside the relayer's: a daemon that sends for a peer took each read of a stream for an event. A crash in the middle of the first event, or after a comment, counted as one after events: as weak, and not against the parts of the prompt.

The splitting of streams is a package of its own (engine/eventsplitter) that both use. TestHalfAnEventIsNone: two of three cases failed before.

--- a/internal/serve/proxier/proxier.go
+++ b/internal/serve/proxier/proxier.go
@@ -25,11 +25,13 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"brasschute/internal/core/identifier"
+	"brasschute/internal/engine/eventsplitter"
 	"brasschute/internal/engine/sender"
 	"brasschute/internal/peer/crashreporter"
 	"brasschute/internal/peer/wrapper"
@@ -55,6 +57,10 @@
 	recentTime = time.Second
 	// readBytes is the size of one read from an endpoint: several events of a stream.
 	readBytes = 4 << 10
+	// maxPending bounds the part of a first event that is kept until it is whole.
+	maxPending = 64 << 10
+	// streamType is the media type of a stream of events.
+	streamType = "text/event-stream"
 )
 
 // Quarantine holds back requests that bring endpoints down; see package relayer.
@@ -192,9 +198,10 @@
 	pick    *registry.Pick
 	to      pathtracker.Destination
 	// attempt is what the quarantine learns of the request. events counts the reads of the body that have
-	// brought some of it.
-	attempt *crashreporter.Attempt
-	events  int
+	// brought some of it, from the first whole event of a stream on.
+	attempt  *crashreporter.Attempt
+	events   int
+	splitter eventsplitter.Splitter
 }
 
 // probe connects to the endpoint.
@@ -249,7 +256,8 @@
 	}
 	w.Header().Set(wrapper.OutcomeHeader, string(wrapper.Answered))
 	w.WriteHeader(x.Status)
-	if err := j.copyBody(w, x.Body); err != nil {
+	streams := strings.HasPrefix(x.Header.Get("Content-Type"), streamType)
+	if err := j.copyBody(w, x.Body, streams); err != nil {
 		j.broken(ctx, err)
 		panic(http.ErrAbortHandler)
 	}
@@ -328,16 +336,25 @@
 // errPeer means that the peer's connection failed.
 var errPeer = errors.New("proxier: the peer's connection failed")
 
-// copyBody passes a body on as it arrives.
-func (j *job) copyBody(w http.ResponseWriter, body io.Reader) error {
+// countEvents counts a read of the body. An endpoint that crashes may have written half an event, or what comes before
+// the first one.
+func (j *job) countEvents(chunk []byte, streams bool) {
+	if streams && j.events == 0 && j.splitter.Pending() < maxPending && !eventsplitter.HasEvent(j.splitter.Add(chunk)) {
+		return
+	}
+	if j.events++; j.events == 1 {
+		j.p.c.Quarantine.Conclude(j.attempt)
+	}
+}
+
+// copyBody passes a body on as it arrives. streams is set if it is a stream of events.
+func (j *job) copyBody(w http.ResponseWriter, body io.Reader, streams bool) error {
 	flush := http.NewResponseController(w).Flush
 	chunk := make([]byte, readBytes)
 	for {
 		n, err := body.Read(chunk)
 		if n > 0 {
-			if j.events++; j.events == 1 {
-				j.p.c.Quarantine.Conclude(j.attempt)
-			}
+			j.countEvents(chunk[:n], streams)
 			j.pick.Activity.RecordEvent(time.Now())
 			if _, err := w.Write(chunk[:n]); err != nil {
 				return errPeer
--- a/internal/serve/proxier/proxier_test.go
+++ b/internal/serve/proxier/proxier_test.go
@@ -41,7 +41,9 @@
 	outcomes []wrapper.Outcome
 	broken   int
 	givenUp  int
-	held     bool
+	// events is the number of events before the last break.
+	events int
+	held   bool
 }
 
 func (r *recorder) ObserveReply(*request.Request, *registry.Pick, *request.Reply, time.Time) {}
@@ -62,9 +64,10 @@
 	r.givenUp++
 }
 
-func (r *recorder) ReportBreak(context.Context, *crashreporter.Attempt, int) {
+func (r *recorder) ReportBreak(_ context.Context, _ *crashreporter.Attempt, events int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.events = events
 	r.broken++
 }
 
@@ -180,6 +183,32 @@
 	}
 }
 
+// Guards against half of an event that speaks for a request that crashed its endpoint.
+func TestHalfAnEventIsNone(t *testing.T) {
+	for _, c := range []struct {
+		text string
+		want bool
+	}{{"id: 1\ndata: x", false}, {": working\n\n", false}, {"id: 1\ndata: x\n\nid: 2", true}} {
+		f := newFixture(t)
+		engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "text/event-stream")
+			w.Header().Set("Request-Id", "r-1")
+			_, _ = io.WriteString(w, c.text)
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}))
+		f.registry.UpdateHosts(map[string]*inventory.Host{"i-1": {
+			Host: "i-1", State: inventory.StateLive, Endpoints: []inventory.Endpoint{{Endpoint: "i-1", Pool: "app", Address: engine.Listener.Addr().String()}},
+		}})
+		_, _, _ = f.send(t.Context(), "i-1")
+		f.Wait(t.Context())
+		engine.Close()
+		if hasEvents := f.events > 0; f.broken != 1 || hasEvents != c.want {
+			t.Errorf("%q: %d breaks, after %d events", c.text, f.broken, f.events)
+		}
+	}
+}
+
 // Guards against an endpoint that works on for a client that has left the peer, and against a daemon
 // that stops while it still serves a peer.
 func TestRequestEndsWithThePeersConnection(t *testing.T) {
--- a/internal/serve/relayer/stream.go
+++ b/internal/serve/relayer/stream.go
@@ -1,14 +1,13 @@
 package relayer
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
-	"strconv"
 	"time"
 
+	"brasschute/internal/engine/eventsplitter"
 	"brasschute/internal/engine/sender"
 	"brasschute/internal/route/registry"
 )
@@ -24,7 +23,7 @@
 // event from an engine that broke off must not precede the same event from another
 // engine.
 func (j *job) relayStream(ctx context.Context, x *sender.Response, pick *registry.Pick, begun time.Time, delivered func()) error {
-	buffer := make([]byte, 0, readBytes)
+	var splitter eventsplitter.Splitter
 	chunk := make([]byte, readBytes)
 	var first time.Time
 	reported := false
@@ -43,9 +42,8 @@
 				pick.Activity.BeginStream()
 			}
 		}
-		buffer = append(buffer, chunk[:n]...)
-		whole, rest := splitEvents(buffer)
-		if hasEvent(whole) {
+		whole := splitter.Add(chunk[:n])
+		if eventsplitter.HasEvent(whole) {
 			delivered()
 			// Each attempt has a run at its coordinator, also one that continues a stream.
 			if !reported {
@@ -61,16 +59,15 @@
 			if problem := j.writeEvents(ctx, x, whole, pick); problem != nil {
 				return problem
 			}
-			buffer = append(buffer[:0], rest...)
 		}
 		switch {
-		case errors.Is(err, io.EOF) && len(buffer) == 0 && j.headSent:
+		case errors.Is(err, io.EOF) && splitter.Pending() == 0 && j.headSent:
 			j.res.Outcome = Answered
 			j.r.c.Placer.ObserveStream(j.q, j.service, j.res.Events, time.Since(first))
 			return nil
 		case err != nil:
 			return fmt.Errorf("%w: after event %d: %w", sender.ErrBadResponse, j.lastEvent, err)
-		case len(buffer) > maxEventBytes:
+		case splitter.Pending() > maxEventBytes:
 			return fmt.Errorf("%w: an event of over %d bytes", sender.ErrBadResponse, maxEventBytes)
 		case ctx.Err() != nil:
 			return ctx.Err()
@@ -83,9 +80,9 @@
 func (j *job) writeEvents(ctx context.Context, x *sender.Response, whole []byte, pick *registry.Pick) error {
 	out := whole[:0:0]
 	for len(whole) > 0 {
-		event, rest := cutEvent(whole)
+		event, rest := eventsplitter.Cut(whole)
 		whole = rest
-		n, ok := eventNumber(event)
+		n, ok := eventsplitter.Number(event)
 		switch {
 		case !ok:
 			out = append(out, event...)
@@ -128,58 +125,3 @@
 	j.countFirstEvent()
 	j.w.WriteHeader(x.Status)
 }
-
-var eventEnd = []byte("\n\n")
-
-// splitEvents splits a buffer after its last whole event.
-func splitEvents(buffer []byte) (whole, rest []byte) {
-	at := bytes.LastIndex(buffer, eventEnd)
-	if at < 0 {
-		return nil, buffer
-	}
-	at += len(eventEnd)
-	return buffer[:at], buffer[at:]
-}
-
-// cutEvent splits off the first event.
-func cutEvent(buffer []byte) (event, rest []byte) {
-	at := bytes.Index(buffer, eventEnd)
-	if at < 0 {
-		return buffer, nil
-	}
-	at += len(eventEnd)
-	return buffer[:at], buffer[at:]
-}
-
-// hasEvent reports whether some whole events are more than comments and settings, which an endpoint may
-// write before it begins an answer.
-func hasEvent(whole []byte) bool {
-	for len(whole) > 0 {
-		line, rest, _ := bytes.Cut(whole, []byte("\n"))
-		whole = rest
-		if bytes.HasPrefix(line, dataField) || bytes.HasPrefix(line, idField) {
-			return true
-		}
-	}
-	return false
-}
-
-var (
-	idField   = []byte("id:")
-	dataField = []byte("data:")
-)
-
-// eventNumber returns the number in an event's id field.
-func eventNumber(event []byte) (int, bool) {
-	for len(event) > 0 {
-		line, rest, _ := bytes.Cut(event, []byte("\n"))
-		event = rest
-		value, ok := bytes.CutPrefix(line, idField)
-		if !ok {
-			continue
-		}
-		n, err := strconv.Atoi(string(bytes.TrimSpace(value)))
-		return n, err == nil
-	}
-	return 0, false
-}
