streamer, forwarder: an endpoint's end counts against calls whose clients have left, too

TestRequestsOfClientsThatLeaveAreHeld: no ending was found within 10 s before, two hold the request now, for a lookup and a letter. One function says how an attempt that failed is reported.

--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -161,7 +161,7 @@
 	signing := signer.New(signer.Config{Key: key, Host: s.Host})
 	dial := net.Dialer{Timeout: dialTimeout, LocalAddr: s.Source()}
 	e.quarantine = crashreporter.New(crashreporter.Config{
-		Host: s.Host, Dialer: &net.Dialer{LocalAddr: s.Source()}, Leaving: e.registry.Leaving,
+		Host: s.Host, Dialer: &net.Dialer{LocalAddr: s.Source()}, Leaving: e.registry.Leaving, Presence: e.registry.Presence,
 		// The host list numbers the incarnations of hosts.
 		Incarnation: func(k *registry.Pick) identifier.StartTime { return identifier.StartTime(k.Incarnation) },
 		OnChange:    func(bool) { e.gossiper.Trigger() }, Logger: e.c.Logger, Metrics: e.scope,
@@ -212,6 +212,7 @@
 		Prefixes: []string{inventory.ConfigurationPrefix, inventory.HostPrefix, inventory.NoticePrefix, inventory.MemberPrefix},
 	}))
 	e.tree.Add(e.gossiper)
+	e.tree.Add(e.quarantine)
 	e.tree.Add(e.migrator)
 	e.tree.Add(poller.New(poller.Config{
 		Registry: e.registry, Members: e.members, Caller: endpoints, OnReport: e.gossiper.ShareReport,
--- a/internal/serve/forwarder/forwarder.go
+++ b/internal/serve/forwarder/forwarder.go
@@ -104,8 +104,8 @@
 		}
 		sent := state.State() != caller.Unsent && !errors.Is(err, caller.ErrNotRun)
 		maybeRan = maybeRan || sent
-		if sent && ctx.Err() == nil {
-			f.c.Quarantine.ReportBreak(ctx, streamer.NewAttempt(c, pick), 0)
+		if sent {
+			streamer.ReportEnd(ctx, f.c.Quarantine, c, pick, 0)
 		}
 		tried = append(tried, pick.Endpoint)
 		if problem := f.finalError(ctx, c, err, attempts, maybeRan); problem != nil {
--- a/internal/serve/forwarder/forwarder_test.go
+++ b/internal/serve/forwarder/forwarder_test.go
@@ -42,6 +42,8 @@
 	// listeners are the endpoints' listeners. An endpoint refuses connections once its listener
 	// is closed.
 	listeners []net.Listener
+	// arrived and left, if not nil, let the client of a request leave before it crashes its endpoint.
+	arrived, left chan struct{}
 }
 
 func newCrashingPool(t *testing.T, endpoints int) *crashingPool {
@@ -49,8 +51,15 @@
 	m := &crashingPool{registry: registry.New(registry.Config{LeavingHosts: membertracker.New(membertracker.Config{Self: &rpc.Member{Host: "entry-1"}})})}
 	for i := range endpoints {
 		var server *httptest.Server
-		server = httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		server = httptest.NewUnstartedServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			if r.Method == http.MethodDelete {
+				return
+			}
 			m.crashed.Add(1)
+			if m.arrived != nil {
+				m.arrived <- struct{}{}
+				<-m.left
+			}
 			_ = server.Listener.Close()
 			panic(http.ErrAbortHandler)
 		}))
@@ -125,9 +134,60 @@
 	}
 }
 
+// Guards against a request that crashes one endpoint after another, each time after its client has left.
+func TestRequestsOfClientsThatLeaveAreHeld(t *testing.T) {
+	const endpoints, arrivals = 6, 4
+	for name, send := range map[string]func(ctx context.Context, m *crashingPool, c *call.Call) error{"lookup": forwardUntil, "letter": streamUntil} {
+		t.Run(name, func(t *testing.T) {
+			m := newCrashingPool(t, endpoints)
+			m.arrived, m.left = make(chan struct{}), make(chan struct{})
+			serving, stop := context.WithCancel(t.Context())
+			served := make(chan struct{})
+			go func() {
+				defer close(served)
+				_ = m.reporter.Serve(serving)
+			}()
+			for i := range arrivals {
+				ctx, leave := context.WithCancel(t.Context())
+				ended := make(chan error, 1)
+				go func() { ended <- send(ctx, m, newCall(i)) }()
+				select {
+				case <-m.arrived:
+					leave()
+					_ = <-ended
+					m.left <- struct{}{}
+					m.awaitEndings(t, i+1)
+				case err := <-ended:
+					var problem *refusal.Problem
+					if i < 2 || !errors.As(err, &problem) || problem.Kind() != refusal.Quarantined {
+						t.Errorf("arrival %d: %v", i, err)
+					}
+				}
+				leave()
+			}
+			if n := m.crashed.Load(); n != 2 {
+				t.Errorf("%d endpoints crashed, want 2", n)
+			}
+			stop()
+			<-served
+		})
+	}
+}
+
+// awaitEndings waits until the reporter knows of so many endings.
+func (m *crashingPool) awaitEndings(t *testing.T, n int) {
+	t.Helper()
+	for begun := time.Now(); time.Since(begun) < 10*time.Second; time.Sleep(time.Millisecond) {
+		if list := m.reporter.List(); len(list) > 0 && len(list[0].Endings) >= n {
+			return
+		}
+	}
+	t.Fatalf("%d endings were not found: %+v", n, m.reporter.List())
+}
+
 func forward(t *testing.T, m *crashingPool, c *call.Call) error {
 	t.Helper()
-	f := New(Config{Registry: m.registry, Caller: caller.New(caller.Config{}), Budgeter: budgeter.New(budgeter.Config{}), Quarantine: m.reporter})
+	f := newForwarder(m)
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	a, err := f.Forward(ctx, c, &recorder.Record{})
@@ -137,10 +197,23 @@
 	return err
 }
 
+func newForwarder(m *crashingPool) *Forwarder {
+	return New(Config{Registry: m.registry, Caller: caller.New(caller.Config{}), Budgeter: budgeter.New(budgeter.Config{}), Quarantine: m.reporter})
+}
+
+func forwardUntil(ctx context.Context, m *crashingPool, c *call.Call) error {
+	_, err := newForwarder(m).Forward(ctx, c, &recorder.Record{})
+	return err
+}
+
 func stream(_ *testing.T, m *crashingPool, c *call.Call) error {
-	s := streamer.New(streamer.Config{Registry: m.registry, Caller: caller.New(caller.Config{}), Budgeter: budgeter.New(budgeter.Config{}), Quarantine: m.reporter})
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
+	return streamUntil(ctx, m, c)
+}
+
+func streamUntil(ctx context.Context, m *crashingPool, c *call.Call) error {
+	s := streamer.New(streamer.Config{Registry: m.registry, Caller: caller.New(caller.Config{}), Budgeter: budgeter.New(budgeter.Config{}), Quarantine: m.reporter})
 	return s.Run(ctx, &streamer.Job{Call: c, Record: &recorder.Record{}}, discardSink{})
 }
 
--- a/internal/serve/streamer/streamer.go
+++ b/internal/serve/streamer/streamer.go
@@ -202,8 +202,8 @@
 			j.attempts--
 		}
 		note.Outcome = err.Error()
-		if state.State() == caller.MaybeSent && ctx.Err() == nil {
-			s.c.Quarantine.ReportBreak(ctx, NewAttempt(j.Call, pick), 0)
+		if state.State() == caller.MaybeSent {
+			ReportEnd(ctx, s.c.Quarantine, j.Call, pick, 0)
 		}
 		return causeOf(ctx, err)
 	}
@@ -218,13 +218,11 @@
 	err = causeOf(ctx, err)
 	note.Outcome = err.Error()
 	j.moving = errors.Is(err, errHostLeaving)
+	ReportEnd(ctx, s.c.Quarantine, j.Call, pick, j.Offset-offset)
 	if j.moving || ctx.Err() != nil && !errors.Is(err, errStalled) {
 		return err
 	}
 	result = registry.Failed
-	if ctx.Err() == nil {
-		s.c.Quarantine.ReportBreak(ctx, NewAttempt(j.Call, pick), j.Offset-offset)
-	}
 	s.afterBreak(j, pick, err)
 	return err
 }
