quarantiner: suspects of several endings are told and kept first

Each crash leaves suspects that were only near it, up to some dozens under load, all newer than the part that caused it: more than the 32 of a message, so that a part's endings might reach no other daemon, and more than the 512 kept after some crashes. Those with most points come first in both.

TestSuspectsOfSeveralEndingsComeFirst failed before.

--- a/internal/route/quarantiner/gossip.go
+++ b/internal/route/quarantiner/gossip.go
@@ -1,28 +1,35 @@
 package quarantiner
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 const (
-	// maxUpdates limits the suspects in one message, to about 5 KB: those that are held, then those
+	// maxUpdates limits the suspects in one message, to about 10 KB: those that are held, then those
 	// that changed within updateTime.
 	maxUpdates = 32
 	updateTime = time.Minute
 )
 
-// Updates returns the suspects to gossip to other daemons, held requests first. Normally there are
-// none.
+// Updates returns the suspects to gossip to other daemons: those that are held first, then those with most
+// points, as each crash leaves many that were only near it. Normally there are none.
 func (z *Quarantiner) Updates() []Suspect {
 	now := time.Now()
-	var out []Suspect
-	for _, s := range z.List() {
-		if len(out) == maxUpdates {
-			break
-		}
-		if s.Held || now.Sub(s.changed) < updateTime && !s.negligible() {
-			out = append(out, s)
+	out := slices.DeleteFunc(z.List(), func(s Suspect) bool {
+		return !s.Held && (now.Sub(s.changed) >= updateTime || s.negligible())
+	})
+	slices.SortStableFunc(out, func(a, b Suspect) int {
+		switch {
+		case a.Held != b.Held && a.Held:
+			return -1
+		case a.Held != b.Held:
+			return 1
 		}
-	}
-	return out
+		return cmp.Compare(b.points, a.points)
+	})
+	return out[:min(len(out), maxUpdates)]
 }
 
 // negligible reports whether a single weak ending is all that is known: this holds for most of the
--- a/internal/route/quarantiner/parts_test.go
+++ b/internal/route/quarantiner/parts_test.go
@@ -272,3 +272,38 @@
 		})
 	}
 }
+
+// Guards against a part whose endings are neither told nor kept because each crash leaves many suspects that are
+// only near it.
+func TestSuspectsOfSeveralEndingsComeFirst(t *testing.T) {
+	for _, near := range [][2]int{{2 * maxUpdates, 2 * maxUpdates}, {0, 2 * maxSuspects}} {
+		withFakeTime(t, func(t *testing.T, z *Quarantiner) {
+			for n := range 2 {
+				crash(z, n, callerPart, guilty)
+				time.Sleep(time.Second)
+				for k := range near[n] {
+					z.RecordEnding(identifier.Fingerprint(fmt.Sprintf("near-%d-%d", n, k)), ending(n), part(fmt.Sprint("conversation-", n, k)))
+				}
+				time.Sleep(time.Second)
+			}
+			other := New(Config{Host: "other"})
+			other.Merge(z.Updates())
+			for _, s := range other.List() {
+				if s.Fingerprint == guilty && len(s.Endings) == 2 {
+					return
+				}
+			}
+			t.Errorf("%d near: the part is not told", near)
+		})
+	}
+}
+
+// BenchmarkRecordEnding measures an ending at a daemon that knows of as many suspects as it keeps.
+func BenchmarkRecordEnding(b *testing.B) {
+	z := New(Config{Host: "a"})
+	n := 0
+	for b.Loop() {
+		n++
+		crash(z, n%(4*maxSuspects), callerPart, part(fmt.Sprint("conversation-", n%maxSuspects)))
+	}
+}
--- a/internal/route/quarantiner/quarantiner.go
+++ b/internal/route/quarantiner/quarantiner.go
@@ -47,7 +47,7 @@
 // # Limits
 //
 // At most [maxSuspects] requests with [maxEndings] endings each, or parts with [maxPartEndings], are kept. Beyond that, requests
-// that are not held are evicted first, those with the oldest last ending before others.
+// that are not held are evicted first, those with fewest points before others.
 //
 // # Usage
 //
@@ -146,6 +146,7 @@
 
 	// changed is when this daemon last learned something new about the request.
 	changed time.Time
+	points  int
 }
 
 // Decision is the decision whether a request may be sent to an endpoint.
@@ -301,7 +302,7 @@
 // lift voids all endings of a suspect. The caller holds the lock and calls decide.
 func (z *Quarantiner) lift(f identifier.Fingerprint, now time.Time) bool {
 	s := z.suspects[f]
-	if s == nil || s.points() == 0 {
+	if s == nil || s.points == 0 {
 		return false
 	}
 	s.void()
@@ -315,7 +316,7 @@
 	defer z.mu.Unlock()
 	out := make([]Suspect, 0, len(z.suspects))
 	for f, s := range z.suspects {
-		out = append(out, Suspect{Fingerprint: f, Endings: slices.Clone(s.endings), Held: s.held, changed: s.changed})
+		out = append(out, Suspect{Fingerprint: f, Endings: slices.Clone(s.endings), Held: s.held, changed: s.changed, points: s.points})
 	}
 	slices.SortFunc(out, func(a, b Suspect) int {
 		if a.Held != b.Held {
--- a/internal/route/quarantiner/suspect.go
+++ b/internal/route/quarantiner/suspect.go
@@ -16,9 +16,11 @@
 	endings []Ending
 	// explained marks the endings that a held suspect explains, and held is set if this one is held. Both
 	// follow from the endings of all suspects, see verdict.go.
-	explained []bool
-	held      bool
-	changed   time.Time
+	explained     []bool
+	held, wasHeld bool
+	// points is the sum of the points of all endings.
+	points  int
+	changed time.Time
 	// trial is the arrival that was last admitted as a trial, trialAt the time of its admission.
 	trial   identifier.Request
 	trialAt time.Time
@@ -35,6 +37,9 @@
 	if s.held != o.held {
 		return o.held
 	}
+	if s.points != o.points {
+		return s.points < o.points
+	}
 	return s.endings[len(s.endings)-1].At.Before(o.endings[len(o.endings)-1].At)
 }
 
@@ -76,7 +81,7 @@
 // pause returns the time between the last ending and the next trial.
 func (s *suspect) pause() time.Duration {
 	pause := firstPause
-	for points := s.points() - s.limit(); points >= strong && pause < heldTime; points -= strong {
+	for points := s.points - s.limit(); points >= strong && pause < heldTime; points -= strong {
 		pause *= pauseFactor
 	}
 	return pause
--- a/internal/route/quarantiner/verdict.go
+++ b/internal/route/quarantiner/verdict.go
@@ -11,7 +11,6 @@
 type candidate struct {
 	fingerprint identifier.Fingerprint
 	*suspect
-	points int
 	// level is the number of times that the points of a part suffice to hold it.
 	level int
 	// reached is the ending with which the points sufficed.
@@ -46,10 +45,10 @@
 		return true
 	case !c.part:
 		return false
-	case c.level > s.points()/partLimit:
+	case c.level > s.points/partLimit:
 		return true
 	}
-	return c.depth() > s.depth() || c.depth() == s.depth() && c.points > s.points() && c.hasAll(s)
+	return c.depth() > s.depth() || c.depth() == s.depth() && c.points > s.points && c.hasAll(s)
 }
 
 // hasAll reports whether all endings that count for o count for s as well.
@@ -66,22 +65,18 @@
 // candidate is held first and explains its endings: these count against no other suspect, for as long as it is held.
 // The caller holds the lock.
 func (z *Quarantiner) decide(changes *changes) {
-	before := make(map[*suspect]bool)
 	var candidates []candidate
 	for f, s := range z.suspects {
-		if s.held {
-			before[s] = true
-		}
-		s.held = false
+		s.wasHeld, s.held = s.held, false
 		s.explained = slices.Grow(s.explained[:0], len(s.endings))[:len(s.endings)]
 		clear(s.explained)
-		if points := s.points(); points >= s.limit() {
-			candidates = append(candidates, candidate{f, s, points, points / partLimit, s.reached()})
+		if s.points = s.sum(everyEnding); s.points >= s.limit() {
+			candidates = append(candidates, candidate{f, s, s.points / partLimit, s.reached()})
 		}
 	}
 	z.hold(candidates)
 	for f, s := range z.suspects {
-		if s.held == before[s] {
+		if s.held == s.wasHeld {
 			continue
 		}
 		*changes = append(*changes, &Suspect{Fingerprint: f, Endings: slices.Clone(s.endings), Held: s.held})
@@ -97,7 +92,7 @@
 		return
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int { return a.compare(&b) })
-	near := z.nearby()
+	near := z.nearby(candidates)
 	for i := range candidates {
 		c := &candidates[i]
 		if c.unexplainedPoints() < c.limit() {
@@ -126,13 +121,20 @@
 	index int
 }
 
-// nearby returns the endings of all suspects by the crash that they belong to.
-func (z *Quarantiner) nearby() map[crashKey][]nearbyEnding {
+// nearby returns the endings of all suspects by the crash that they belong to, for the crashes of the candidates.
+func (z *Quarantiner) nearby(candidates []candidate) map[crashKey][]nearbyEnding {
 	out := make(map[crashKey][]nearbyEnding)
+	for i := range candidates {
+		for k := range candidates[i].endings {
+			out[candidates[i].endings[k].key()] = nil
+		}
+	}
 	for _, s := range z.suspects {
 		for i := range s.endings {
 			key := s.endings[i].key()
-			out[key] = append(out[key], nearbyEnding{s, i})
+			if list, ok := out[key]; ok {
+				out[key] = append(list, nearbyEnding{s, i})
+			}
 		}
 	}
 	return out
@@ -148,13 +150,14 @@
 	return &s.endings[len(s.endings)-1]
 }
 
-// points returns the sum of the points of all endings. Of a part, those under one request count once.
-func (s *suspect) points() int { return s.sum(func(int) bool { return true }) }
+// everyEnding selects all endings for sum.
+func everyEnding(int) bool { return true }
 
 // unexplainedPoints returns the sum of the points of the endings that no held suspect explains.
 func (s *suspect) unexplainedPoints() int { return s.sum(func(i int) bool { return !s.explained[i] }) }
 
-// sum returns the sum of the points of some endings.
+// sum returns the sum of the points of some endings. Of a part, those under one request count once, and so do those
+// that may have one cause.
 func (s *suspect) sum(counts func(i int) bool) (sum int) {
 	last := -1
 	for i := range s.endings {
--- a/internal/serve/forwarder/forwarder_test.go
+++ b/internal/serve/forwarder/forwarder_test.go
@@ -154,7 +154,9 @@
 				select {
 				case <-m.arrived:
 					leave()
-					_ = <-ended
+					if err := <-ended; err == nil {
+						t.Error("answered after the client had left")
+					}
 					m.left <- struct{}{}
 					m.awaitEndings(t, i+1)
 				case err := <-ended:
