crashreporter: an endpoint that lets attempts wait is asked after at a peer

The record of an endpoint whose host fell silent lapses some seconds after its end. An endpoint that has shown no sign of life for a second while attempts wait there is probed; if it does not respond, a peer is asked that reaches others of the service. One of both must be in the endpoint's zone: a zone that is cut off looks the same from outside.

--- a/internal/peer/crashreporter/attempts.go
+++ b/internal/peer/crashreporter/attempts.go
@@ -19,6 +19,8 @@
 	// given up there. Each further probe takes twice as long to come, up to maxCheck.
 	firstCheck = 300 * time.Millisecond
 	maxCheck   = 1200 * time.Millisecond
+	// silentTime is how long attempts wait for an endpoint without a sign of life until it is checked.
+	silentTime = time.Second
 )
 
 // incarnation identifies a start of an endpoint.
@@ -38,9 +40,11 @@
 
 // place holds the attempts at one incarnation of an endpoint.
 type place struct {
-	pick    *registry.Pick
-	open    map[*Attempt]bool
-	givenUp []givenUp
+	pick *registry.Pick
+	open map[*Attempt]bool
+	// waitingSince is when the first one of the open attempts began.
+	waitingSince time.Time
+	givenUp      []givenUp
 	// checkAfter is the time from the last check, or from the newest attempt that was given up, to the next one.
 	checkAfter time.Duration
 	checkedAt  time.Time
@@ -69,7 +73,11 @@
 func (t *attempts) begin(key incarnation, a *Attempt) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.place(key, a.Pick).open[a] = true
+	p := t.place(key, a.Pick)
+	if len(p.open) == 0 {
+		p.waitingSince = time.Now()
+	}
+	p.open[a] = true
 }
 
 // conclude removes an attempt.
@@ -125,7 +133,8 @@
 }
 
 // due forgets attempts that were given up long ago, and returns the endpoints to check now: those that are gone
-// from the list, and those at which attempts were given up and which have shown no sign of life since.
+// from the list, those at which attempts were given up and which have shown no sign of life since, and those that
+// let attempts wait without one.
 func (t *attempts) due(now time.Time, presence func(*registry.Pick) registry.Presence) (out []*registry.Pick) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -146,7 +155,8 @@
 func (p *place) isDue(now time.Time, presence registry.Presence) bool {
 	switch presence {
 	case registry.Listed:
-		return len(p.givenUp) > 0 && p.quiet(now) >= p.checkAfter
+		silent := len(p.open) > 0 && now.Sub(p.waitingSince) >= silentTime && p.quiet(now) >= silentTime
+		return silent || len(p.givenUp) > 0 && p.quiet(now) >= p.checkAfter
 	case registry.Lapsed:
 		return p.quiet(now) >= p.checkAfter
 	case registry.Replaced:
--- a/internal/peer/crashreporter/attempts_test.go
+++ b/internal/peer/crashreporter/attempts_test.go
@@ -22,6 +22,8 @@
 	dials         atomic.Int32
 	// presence is what the list says of the endpoint.
 	presence atomic.Int32
+	// unreachable: peers get no response from it either.
+	unreachable atomic.Bool
 	// unconfirmed: peers can't tell whether the process has ended.
 	unconfirmed atomic.Bool
 }
@@ -54,6 +56,7 @@
 		c := newReporter(host{}, false, new(atomic.Int32)).c
 		c.Dialer = h
 		c.Presence = func(*registry.Pick) registry.Presence { return registry.Presence(h.presence.Load()) }
+		c.Unreachable = func(context.Context, *registry.Pick) bool { return h.unreachable.Load() }
 		c.Confirm = func(context.Context, string) bool { return !h.unconfirmed.Load() }
 		r := New(c)
 		ctx, cancel := context.WithCancel(t.Context())
@@ -137,15 +140,18 @@
 		name          string
 		presence      registry.Presence
 		ended, silent bool
+		unreachable   bool
 		want          int
 	}{
-		{"gone from the list, no response", registry.Lapsed, false, true, 1},
-		{"gone from the list, refuses", registry.Lapsed, true, false, 1},
-		{"gone from the list, serves on", registry.Lapsed, false, false, 0},
-		{"another one listed at its address", registry.Replaced, false, false, 1},
-		{"listed, no response", registry.Listed, false, true, 0},
-		{"leaving, no response", registry.Leaving, false, true, 0},
-		{"leaving, refuses", registry.Leaving, true, false, 0},
+		{"gone from the list, no response", registry.Lapsed, false, true, false, 1},
+		{"gone from the list, refuses", registry.Lapsed, true, false, false, 1},
+		{"gone from the list, serves on", registry.Lapsed, false, false, false, 0},
+		{"another one listed at its address", registry.Replaced, false, false, false, 1},
+		{"listed, no response", registry.Listed, false, true, false, 0},
+		{"listed, no response to peers either", registry.Listed, false, true, true, 1},
+		{"listed, slow", registry.Listed, false, false, true, 0},
+		{"leaving, no response", registry.Leaving, false, true, true, 0},
+		{"leaving, refuses", registry.Leaving, true, false, false, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			withReporter(t, func(t *testing.T, r *Reporter, h *mortalHost) {
@@ -154,7 +160,8 @@
 				h.presence.Store(int32(c.presence))
 				h.ended.Store(c.ended)
 				h.silent.Store(c.silent)
-				time.Sleep(time.Second)
+				h.unreachable.Store(c.unreachable)
+				time.Sleep(2 * time.Second)
 				if n := endings(r, part); n != c.want {
 					t.Errorf("%d endings, want %d", n, c.want)
 				}
--- a/internal/peer/crashreporter/crashreporter.go
+++ b/internal/peer/crashreporter/crashreporter.go
@@ -10,8 +10,8 @@
 // daemon may have given the attempt up, and the endpoint goes on running it. The attempts of this daemon that
 // have delivered nothing are therefore kept, those that were given up for [retention]. An end of their endpoint counts
 // against all of them, whichever request showed it, here or at a peer. Endpoints that show no sign of life after an attempt
-// was given up are probed, and so are those that vanish from the list: a host without power sends nothing that would
-// end an attempt.
+// was given up are probed, and so are those that vanish from the list or let attempts wait without a sign: a host
+// without power sends nothing that would end an attempt.
 //
 // [Reporter.RPCSuspects] returns the suspects that a daemon sends to others,
 // [Reporter.MergeSuspects] merges those of others. New ones are sent at once: the callback
@@ -64,6 +64,9 @@
 	// Confirm reports whether an address that refuses this daemon's connections refuses those of
 	// others; see [prober.Config]. May be nil.
 	Confirm func(ctx context.Context, address string) bool
+	// Unreachable reports whether peers that reach other endpoints of its service get no response from an endpoint
+	// that does not respond to this daemon. If nil, peers can't tell.
+	Unreachable func(context.Context, *registry.Pick) bool
 	// Leaving reports whether an endpoint is known to be leaving.
 	Leaving func(*registry.Pick) (deadline time.Time, leaving bool)
 	// Presence returns what the list says of an endpoint. If nil, all are listed.
@@ -122,6 +125,9 @@
 	if c.Presence == nil {
 		c.Presence = func(*registry.Pick) registry.Presence { return registry.Listed }
 	}
+	if c.Unreachable == nil {
+		c.Unreachable = func(context.Context, *registry.Pick) bool { return false }
+	}
 	r := &Reporter{c: c, prober: prober.New(prober.Config{Dialer: c.Dialer, Confirm: c.Confirm}), logLimiter: rate.NewLimiter(logLinesPerSecond, logLinesPerSecond)}
 	r.Quarantiner = quarantiner.New(quarantiner.Config{Host: c.Host, OnChange: r.logChange})
 	return r
@@ -214,13 +220,24 @@
 	}
 	found := r.prober.Probe(ctx, pick.Address)
 	r.c.Metrics.Tagged(map[string]string{"probe": found.String()}).Counter("endpoint_checks").Inc(1)
-	// The host of an endpoint that has lost its power neither resets nor refuses connections, and peers can't tell
-	// while they reach no other endpoint either.
-	if found == prober.Refused || found != prober.Listening && r.c.Presence(pick) == registry.Lapsed {
+	if r.hasEnded(ctx, pick, found) {
 		r.joinEnd(r.incarnationOf(pick), found, time.Time{})
 	}
 }
 
+// hasEnded reports whether an endpoint has ended, by the result of a probe. The host of one that has lost its power neither
+// resets nor refuses connections, and peers can't tell while they reach no other endpoint either.
+func (r *Reporter) hasEnded(ctx context.Context, pick *registry.Pick, found prober.Result) bool {
+	switch found {
+	case prober.Refused:
+		return true
+	case prober.Listening:
+		return false
+	}
+	presence := r.c.Presence(pick)
+	return presence == registry.Lapsed || presence == registry.Listed && found == prober.Unknown && r.c.Unreachable(ctx, pick)
+}
+
 // joinEnd records the end of an incarnation against the attempts there that have delivered nothing. at is the time of
 // the end; if it is not known, that of the last sign of life is taken.
 func (r *Reporter) joinEnd(key incarnation, found prober.Result, at time.Time) {
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -344,7 +344,7 @@
 	g.sender = sender.New(sender.Config{Dialer: g.c.Network, OnConnect: func() { opened.Inc(1) }})
 	g.buildPaths()
 	g.quarantine = crashreporter.New(crashreporter.Config{
-		Host: d.Host, Dialer: g.c.Network, Confirm: g.refusesPeers, Leaving: g.registry.Leaving, Presence: g.registry.Presence, OnChange: g.gossipEndings, Logger: g.c.Logger, Metrics: g.scope,
+		Host: d.Host, Dialer: g.c.Network, Confirm: g.refusesPeers, Unreachable: g.unreachableToPeers, Leaving: g.registry.Leaving, Presence: g.registry.Presence, OnChange: g.gossipEndings, Logger: g.c.Logger, Metrics: g.scope,
 	})
 	g.tree.Add(g.quarantine)
 	g.buildProxier()
--- a/internal/role/gateway/paths.go
+++ b/internal/role/gateway/paths.go
@@ -12,6 +12,7 @@
 	"brasschute/internal/peer/wrapper"
 	"brasschute/internal/platform/inventory"
 	"brasschute/internal/route/pathtracker"
+	"brasschute/internal/route/registry"
 	"brasschute/internal/serve/dispatcher"
 	"brasschute/internal/serve/proxier"
 	"brasschute/platform"
@@ -61,6 +62,12 @@
 	return to.Endpoint == "" || g.dispatcher.Refuses(ctx, to)
 }
 
+// unreachableToPeers reports whether an endpoint that does not respond to this daemon does not respond to its peers.
+func (g *Gateway) unreachableToPeers(ctx context.Context, k *registry.Pick) bool {
+	to := pathtracker.Destination{Service: identifier.Service(k.Pool), Endpoint: k.Endpoint, StartTime: k.StartTime, Address: k.Address}
+	return g.dispatcher.Unreachable(ctx, to, k.AvailabilityZone)
+}
+
 // destinationOf returns the endpoint of a host as a destination.
 func destinationOf(h *inventory.Host) pathtracker.Destination {
 	e := &h.Endpoints[0]
--- a/internal/serve/dispatcher/peers.go
+++ b/internal/serve/dispatcher/peers.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,6 +24,9 @@
 	// probeTimeout bounds a probe through one peer, which takes a few milliseconds, so that a peer that
 	// has ended leaves time for the others.
 	probeTimeout = 150 * time.Millisecond
+	// silentProbeTimeout bounds a probe of an endpoint that may not respond: the peer's connection times out
+	// before it compares the endpoint with others.
+	silentProbeTimeout = 700 * time.Millisecond
 	// minUnreachable is the number of peers that must fail to connect to an endpoint until it counts
 	// as unreachable.
 	minUnreachable = 2
@@ -115,7 +119,7 @@
 			break
 		}
 		tried[p.Host] = true
-		switch d.probeThrough(ctx, p, to) {
+		switch d.probeThrough(ctx, p, to, probeTimeout) {
 		case wrapper.Answered:
 			d.c.Tracker.RecordReachedByPeer(to)
 			return false
@@ -131,9 +135,33 @@
 	return refuses
 }
 
+// Unreachable reports whether an endpoint that does not respond to this daemon does not respond to a peer either that
+// reaches others of the service. One of both must be in the endpoint's zone, as a zone may be cut off.
+func (d *Dispatcher) Unreachable(ctx context.Context, to pathtracker.Destination, zone identifier.AvailabilityZone) bool {
+	peers := d.c.Peers()
+	if zone != d.c.Zone {
+		peers = slices.DeleteFunc(peers, func(p Peer) bool { return p.Zone != zone })
+	}
+	tried := make(map[identifier.Host]bool)
+	for range maxPeers {
+		p, ok := d.choosePeer(peers, to.Service, tried)
+		if !ok || ctx.Err() != nil {
+			return false
+		}
+		tried[p.Host] = true
+		switch d.probeThrough(ctx, p, to, silentProbeTimeout) {
+		case wrapper.Answered:
+			return false
+		case wrapper.Unreachable:
+			return true
+		}
+	}
+	return false
+}
+
 // probeThrough lets a peer connect to an endpoint.
-func (d *Dispatcher) probeThrough(ctx context.Context, p Peer, to pathtracker.Destination) wrapper.Outcome {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+func (d *Dispatcher) probeThrough(ctx context.Context, p Peer, to pathtracker.Destination, timeout time.Duration) wrapper.Outcome {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	w := wrapper.Request{Service: to.Service, Endpoint: to.Endpoint, StartTime: to.StartTime, Probe: true}
 	x, err := d.c.PeerSender.Send(ctx, &sender.Request{
