quarantiner: four endings hold a part that was answered lately, not six

Six were to protect the parts of many callers when engines end together; endings of one cause count once by now, and those of requests that were sent before an event not at all.

The drawn loads may be harmless at first.

--- a/internal/role/gateway/engines_test.go
+++ b/internal/role/gateway/engines_test.go
@@ -69,6 +69,8 @@
 	fatalPart string
 	// fatalStart is what an engine writes of its answer to a request with fatalPart before it crashes.
 	fatalStart string
+	// harmlessUntil is when fatalPart begins to crash engines.
+	harmlessUntil time.Time
 	// fatalTime is the time from which on a fatal request has crashed its engine.
 	fatalTime time.Duration
 	// silentExits makes engines end without a trace, as with a loss of power: connections stay open and
@@ -205,7 +207,7 @@
 			return hosting.Refuse
 		}
 		body := r.Header.Get("Body-Text")
-		if e.fatalPart != "" && strings.Contains(r.Header.Get("Prompt-Prefix"), e.fatalPart+":") {
+		if e.fatalPart != "" && !time.Now().Before(e.harmlessUntil) && strings.Contains(r.Header.Get("Prompt-Prefix"), e.fatalPart+":") {
 			body = e.fatalPart
 		}
 		if body != e.fatalPart && !e.fatal(body) {
--- a/internal/role/gateway/promptparts_soak_test.go
+++ b/internal/role/gateway/promptparts_soak_test.go
@@ -26,6 +26,8 @@
 	isolated int
 	// leaving is the number of engines that leave, one a second.
 	leaving int
+	// harmless is how long requests with the guilty part are served at first.
+	harmless time.Duration
 	// silent makes engines end without a trace.
 	silent bool
 	// ends are the times at which engines end of themselves, and how many do so at once.
@@ -70,6 +72,9 @@
 	default:
 		l.guilty = func(int) string { return guiltyPart + ":400" }
 	}
+	if r.IntN(4) == 0 {
+		l.harmless = between(time.Second, 8*time.Second)
+	}
 	for range r.IntN(4) {
 		l.ends = append(l.ends, drawnEnd{between(time.Second, 20*time.Second), 1 + r.IntN(6)})
 	}
@@ -78,8 +83,8 @@
 
 // String describes a load.
 func (l *drawnLoad) String() string {
-	return fmt.Sprintf("%d daemons (%d isolated), %s, silent %v, %d leave, crash in %v, guilty each %v (%s), sound each %v (%s), patience %v, one in %d stays, ends %v",
-		l.daemons, l.isolated, l.path, l.silent, l.leaving, l.crashTime, l.guiltyInterval, l.guilty(0), l.soundInterval, l.sound(0), l.patience, l.staying, l.ends)
+	return fmt.Sprintf("%d daemons (%d isolated), %s, harmless for %v, silent %v, %d leave, crash in %v, guilty each %v (%s), sound each %v (%s), patience %v, one in %d stays, ends %v",
+		l.daemons, l.isolated, l.path, l.harmless, l.silent, l.leaving, l.crashTime, l.guiltyInterval, l.guilty(0), l.soundInterval, l.sound(0), l.patience, l.staying, l.ends)
 }
 
 // disturb starts what happens beside the requests.
@@ -109,6 +114,7 @@
 			inEngineFleet(t, l.daemons, func(string) bool { return false }, func(f *testFleet, e *engineFleet) {
 				f.random = rand.New(rand.NewPCG(seed, 1))
 				e.silentExits, e.fatalTime = l.silent, l.crashTime
+				e.harmlessUntil = time.Now().Add(quietTime + l.harmless)
 				l.disturb(f, e)
 				l.check(f, e)
 			})
--- a/internal/role/gateway/promptparts_test.go
+++ b/internal/role/gateway/promptparts_test.go
@@ -11,6 +11,8 @@
 const (
 	// guiltyPart is the part of prompts that crashes engines.
 	guiltyPart = "bad0"
+	// quietTime is the time before the first request with it.
+	quietTime = 5 * time.Second
 	// exitsBeforeHold is the number of crashes after which requests with the part may reach engines for
 	// propagationTime more, and then allowedSends times.
 	exitsBeforeHold = 5
@@ -35,7 +37,6 @@
 // twice propagationTime after an engine crashed for the fifth time, and to those before the first
 // request with the guilty part.
 func (l *promptLoad) send(f *testFleet, e *engineFleet, d time.Duration) (before, after []clientReply) {
-	const quietTime = 5 * time.Second
 	const stay = 20 * time.Second
 	var mu sync.Mutex
 	var group sync.WaitGroup
--- a/internal/route/quarantiner/gossip.go
+++ b/internal/route/quarantiner/gossip.go
@@ -27,7 +27,7 @@
 		case a.Held != b.Held:
 			return 1
 		}
-		return cmp.Compare(b.points, a.points)
+		return cmp.Compare(b.weight, a.weight)
 	})
 	return out[:min(len(out), maxUpdates)]
 }
--- a/internal/route/quarantiner/quarantiner.go
+++ b/internal/route/quarantiner/quarantiner.go
@@ -73,9 +73,11 @@
 	strong = 2
 	weak   = 1
 	limit  = 4
-	// partLimit is that of parts of prompts: three endpoints, or six if the part was answered shortly
+	// Those of parts of prompts: three endpoints, or four if the part was answered shortly
 	// before. Each ending leaves several requests without an event, whose parts are new to it.
-	partLimit = 6
+	partStrong = 4
+	partWeak   = 3
+	partLimit  = 12
 	// commonCauseTime is the time within which endings may have a common cause.
 	commonCauseTime = 500 * time.Millisecond
 	// MaxDepth bounds the positions of parts in prompts that are told apart.
@@ -124,10 +126,15 @@
 
 // points returns how much the ending counts.
 func (e *Ending) points() int {
+	part := e.Request != ""
 	switch {
 	case e.Void:
 		return 0
-	case e.Weak, e.Silent && e.Request == "":
+	case part && e.Weak:
+		return partWeak
+	case part:
+		return partStrong
+	case e.Weak, e.Silent:
 		return weak
 	}
 	return strong
@@ -146,7 +153,8 @@
 
 	// changed is when this daemon last learned something new about the request.
 	changed time.Time
-	points  int
+	// weight is how near it is to being held.
+	weight int
 }
 
 // Decision is the decision whether a request may be sent to an endpoint.
@@ -316,7 +324,7 @@
 	defer z.mu.Unlock()
 	out := make([]Suspect, 0, len(z.suspects))
 	for f, s := range z.suspects {
-		out = append(out, Suspect{Fingerprint: f, Endings: slices.Clone(s.endings), Held: s.held, changed: s.changed, points: s.points})
+		out = append(out, Suspect{Fingerprint: f, Endings: slices.Clone(s.endings), Held: s.held, changed: s.changed, weight: s.weight()})
 	}
 	slices.SortFunc(out, func(a, b Suspect) int {
 		if a.Held != b.Held {
--- a/internal/route/quarantiner/suspect.go
+++ b/internal/route/quarantiner/suspect.go
@@ -37,8 +37,8 @@
 	if s.held != o.held {
 		return o.held
 	}
-	if s.points != o.points {
-		return s.points < o.points
+	if s.weight() != o.weight() {
+		return s.weight() < o.weight()
 	}
 	return s.endings[len(s.endings)-1].At.Before(o.endings[len(o.endings)-1].At)
 }
@@ -81,12 +81,19 @@
 // pause returns the time between the last ending and the next trial.
 func (s *suspect) pause() time.Duration {
 	pause := firstPause
-	for points := s.points - s.limit(); points >= strong && pause < heldTime; points -= strong {
+	step := strong
+	if s.part {
+		step = partStrong
+	}
+	for points := s.points - s.limit(); points >= step && pause < heldTime; points -= step {
 		pause *= pauseFactor
 	}
 	return pause
 }
 
+// weight compares the points of requests with those of parts.
+func (s *suspect) weight() int { return s.points * partLimit / s.limit() }
+
 // void marks all endings as void.
 func (s *suspect) void() {
 	for i := range s.endings {
