--- a/internal/peer/crashreporter/attempts.go
+++ b/internal/peer/crashreporter/attempts.go
@@ -112,8 +112,9 @@
 	}
 }
 
-// take removes and returns the attempts that were given up at an incarnation, and returns those in progress.
-func (t *attempts) take(key incarnation) (list []*Attempt) {
+// take removes the attempts at an incarnation, which ended at a time, and returns those that it may have been running:
+// those that were sent before. All are returned if the time is zero.
+func (t *attempts) take(key incarnation, ended time.Time) (list []*Attempt) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.places[key]
@@ -127,9 +128,8 @@
 		list = append(list, g.Attempt)
 	}
 	t.givenUp -= len(p.givenUp)
-	p.givenUp = nil
-	t.drop(key, p)
-	return list
+	delete(t.places, key)
+	return slices.DeleteFunc(list, func(a *Attempt) bool { return !ended.IsZero() && a.Sent.After(ended) })
 }
 
 // due forgets attempts that were given up long ago, and returns the endpoints to check now: those that are gone
--- a/internal/peer/crashreporter/attempts_test.go
+++ b/internal/peer/crashreporter/attempts_test.go
@@ -226,6 +226,26 @@
 	})
 }
 
+// Guards against requests that are blamed for an end that came before they were sent, as they wait at a host that
+// does not respond, and against attempts that are joined with one end again and again.
+func TestEndDoesNotCountAgainstLaterAttempts(t *testing.T) {
+	withReporter(t, func(t *testing.T, r *Reporter, _ *mortalHost) {
+		before, after := newAttempt("before"), newAttempt("after")
+		before.Sent = time.Now()
+		time.Sleep(time.Second)
+		after.Sent = time.Now()
+		r.Begin(before)
+		r.Begin(after)
+		r.MergeSuspects([]*rpc.Suspect{{Fingerprint: "near", Endings: []*rpc.Ending{{Endpoint: "i-1", Born: 7, Host: "b", AgeMilli: 500}}}})
+		if endings(r, "before") != 1 || endings(r, "after") != 0 {
+			t.Errorf("%d endings under the request sent before, %d under the one sent after", endings(r, "before"), endings(r, "after"))
+		}
+		if _, places := kept(r); places != 0 {
+			t.Errorf("attempts at %d endpoints are kept", places)
+		}
+	})
+}
+
 // Guards against probes of each endpoint at which attempts are given up, while it visibly serves others.
 func TestEndpointsWithSignsOfLifeAreNotChecked(t *testing.T) {
 	withReporter(t, func(t *testing.T, r *Reporter, h *mortalHost) {
--- a/internal/peer/crashreporter/crashreporter.go
+++ b/internal/peer/crashreporter/crashreporter.go
@@ -241,7 +241,7 @@
 // joinEnd records the end of an incarnation against the attempts there that have delivered nothing. at is the time of
 // the end; if it is not known, that of the last sign of life is taken.
 func (r *Reporter) joinEnd(key incarnation, found prober.Result, at time.Time) {
-	list := r.attempts.take(key)
+	list := r.attempts.take(key, at)
 	for _, a := range list {
 		r.logEnd(a, 0, found)
 		e := quarantiner.Ending{Silent: found == prober.Unknown, At: at}
