dispatcher: a peer that reaches no engine confirms a silent one, too

The same loop as with refused connections: the more are down, the less counts. One that lapses is checked at once.

--- a/internal/peer/crashreporter/attempts.go
+++ b/internal/peer/crashreporter/attempts.go
@@ -48,6 +48,8 @@
 	// checkAfter is the time from the last check, or from the newest attempt that was given up, to the next one.
 	checkAfter time.Duration
 	checkedAt  time.Time
+	// lapsed is set once the endpoint was gone from the list.
+	lapsed bool
 }
 
 // givenUp is an attempt that was given up.
@@ -158,7 +160,9 @@
 		silent := len(p.open) > 0 && now.Sub(p.waitingSince) >= silentTime && p.quiet(now) >= silentTime
 		return silent || len(p.givenUp) > 0 && p.quiet(now) >= p.checkAfter
 	case registry.Lapsed:
-		return p.quiet(now) >= p.checkAfter
+		first := !p.lapsed
+		p.lapsed = true
+		return first || p.quiet(now) >= p.checkAfter
 	case registry.Replaced:
 		return true
 	}
--- a/internal/peer/crashreporter/crashreporter.go
+++ b/internal/peer/crashreporter/crashreporter.go
@@ -64,8 +64,8 @@
 	// Confirm reports whether an address that refuses this daemon's connections refuses those of
 	// others; see [prober.Config]. May be nil.
 	Confirm func(ctx context.Context, address string) bool
-	// Unreachable reports whether peers that reach other endpoints of its service get no response from an endpoint
-	// that does not respond to this daemon. If nil, peers can't tell.
+	// Unreachable reports whether peers get no response from an endpoint that does not respond to this daemon and
+	// has shown no sign of life for a while. If nil, peers can't tell.
 	Unreachable func(context.Context, *registry.Pick) bool
 	// Leaving reports whether an endpoint is known to be leaving.
 	Leaving func(*registry.Pick) (deadline time.Time, leaving bool)
--- a/internal/serve/dispatcher/peers.go
+++ b/internal/serve/dispatcher/peers.go
@@ -135,8 +135,9 @@
 	return refuses
 }
 
-// Unreachable reports whether an endpoint that does not respond to this daemon does not respond to a peer either that
-// reaches others of the service. One of both must be in the endpoint's zone, as a zone may be cut off.
+// Unreachable reports whether an endpoint that has shown nobody a sign of life, and does not respond to this daemon, does
+// not respond to a peer either. One of both must be in the endpoint's zone, as a zone may be cut off. That the peer
+// reaches no other endpoint of the service says nothing: all may have ended.
 func (d *Dispatcher) Unreachable(ctx context.Context, to pathtracker.Destination, zone identifier.AvailabilityZone) bool {
 	peers := d.c.Peers()
 	if zone != d.c.Zone {
@@ -152,7 +153,7 @@
 		switch d.probeThrough(ctx, p, to, silentProbeTimeout) {
 		case wrapper.Answered:
 			return false
-		case wrapper.Unreachable:
+		case wrapper.Unreachable, wrapper.Partitioned:
 			return true
 		}
 	}
