--- a/internal/peer/crashreporter/crashreporter.go
+++ b/internal/peer/crashreporter/crashreporter.go
@@ -275,7 +275,7 @@
 // anything. The endpoint may go on running it, and crash.
 func (r *Reporter) ReportGivenUp(a *Attempt, reason Reason) {
 	r.attempts.giveUp(r.incarnationOf(a.Pick), a)
-	r.c.Metrics.Tagged(map[string]string{"reason": string(reason)}).Counter("attempts_given_up").Inc(1)
+	r.c.Metrics.Tagged(map[string]string{"reason": string(reason)}).Counter("attempts_abandoned").Inc(1)
 	if r.logLimiter.Allow() {
 		r.c.Logger.Info("attempt given up before its first event", "request", a.Request, "fingerprint", a.Fingerprint, "endpoint", a.Pick.Endpoint,
 			"born", r.c.Incarnation(a.Pick), "parts", fmt.Sprint(a.Parts), "reason", reason)
