--- a/internal/peer/crashreporter/crashreporter.go
+++ b/internal/peer/crashreporter/crashreporter.go
@@ -30,11 +30,9 @@
 	"context"
 	"fmt"
 	"strings"
-	"sync"
 	"time"
 
 	"brasschute/internal/core/identifier"
-	"brasschute/internal/core/waiter"
 	"brasschute/internal/engine/prober"
 	"brasschute/internal/peer/rpc"
 	"brasschute/internal/route/quarantiner"
@@ -51,8 +49,6 @@
 	// maxProbeWait is how long a request waits for the result of the probe, which decides
 	// whether it may go to another endpoint: some round trips between availability zones.
 	maxProbeWait = 25 * time.Millisecond
-	// checkInterval is how often this daemon looks for endpoints to check.
-	checkInterval = 100 * time.Millisecond
 	// maxAge bounds the ages that peers state.
 	maxAge = 24 * time.Hour
 )
@@ -189,82 +185,14 @@
 	return incarnation{k.Endpoint, r.c.Incarnation(k)}
 }
 
-// recordEnd records that the endpoint of some attempts ended while it ran them. e says how.
-func (r *Reporter) recordEnd(e quarantiner.Ending, list ...*Attempt) {
-	anyNew := false
-	for _, a := range list {
-		e.Endpoint, e.Born, e.Sent = a.Pick.Endpoint, r.c.Incarnation(a.Pick), a.Sent
-		anyNew = r.RecordEnding(a.Fingerprint, e, a.Parts...) || anyNew
-	}
-	if anyNew {
+// recordEnd records that the endpoint of an attempt ended while it ran it. e says how.
+func (r *Reporter) recordEnd(e quarantiner.Ending, a *Attempt) {
+	e.Endpoint, e.Born, e.Sent = a.Pick.Endpoint, r.c.Incarnation(a.Pick), a.Sent
+	if r.RecordEnding(a.Fingerprint, e, a.Parts...) {
 		r.c.OnChange(true)
 	}
 }
 
-// Serve checks the endpoints of attempts that have delivered nothing until ctx ends.
-func (r *Reporter) Serve(ctx context.Context) error {
-	var running sync.WaitGroup
-	defer running.Wait()
-	return waiter.Every(ctx, checkInterval, func(ctx context.Context) {
-		for _, pick := range r.attempts.due(time.Now(), r.c.Presence) {
-			running.Go(func() { r.check(ctx, pick) })
-		}
-	})
-}
-
-// check finds out whether an endpoint has ended that runs attempts, or may run some that were given up.
-func (r *Reporter) check(ctx context.Context, pick *registry.Pick) {
-	if r.c.Presence(pick) == registry.Replaced {
-		r.joinEnd(r.incarnationOf(pick), prober.Refused, time.Time{})
-		return
-	}
-	found := r.prober.Probe(ctx, pick.Address)
-	r.c.Metrics.Tagged(map[string]string{"probe": found.String()}).Counter("endpoint_checks").Inc(1)
-	if r.hasEnded(ctx, pick, found) {
-		r.joinEnd(r.incarnationOf(pick), found, time.Time{})
-	}
-}
-
-// hasEnded reports whether an endpoint has ended, by the result of a probe. The host of one that has lost its power neither
-// resets nor refuses connections, and peers can't tell while they reach no other endpoint either.
-func (r *Reporter) hasEnded(ctx context.Context, pick *registry.Pick, found prober.Result) bool {
-	switch found {
-	case prober.Refused:
-		return true
-	case prober.Listening:
-		return false
-	}
-	presence := r.c.Presence(pick)
-	return presence == registry.Lapsed || presence == registry.Listed && found == prober.Unknown && r.c.Unreachable(ctx, pick)
-}
-
-// joinEnd records the end of an incarnation against the attempts there that have delivered nothing. at is the time of
-// the end; if it is not known, that of the last sign of life is taken.
-func (r *Reporter) joinEnd(key incarnation, found prober.Result, at time.Time) {
-	list := r.attempts.take(key, at)
-	for _, a := range list {
-		r.logEnd(a, 0, found)
-		e := quarantiner.Ending{Silent: found == prober.Unknown, At: at}
-		if at.IsZero() {
-			e.At = a.lastSign()
-		}
-		r.recordEnd(e, a)
-	}
-}
-
-// lastSign returns when the endpoint of an attempt last showed a sign of life, at least the time at which the attempt
-// was sent; zero if neither is known.
-func (a *Attempt) lastSign() time.Time {
-	signs := a.Pick.Activity.Signs()
-	last := a.Sent
-	for _, at := range []time.Time{signs.Own, signs.Peers} {
-		if at.After(last) {
-			last = at
-		}
-	}
-	return last
-}
-
 // Begin is called right before an attempt is sent, Conclude when it has delivered something or has not run.
 func (r *Reporter) Begin(a *Attempt) { r.attempts.begin(r.incarnationOf(a.Pick), a) }
 
@@ -380,16 +308,6 @@
 	r.joinEndings(list)
 }
 
-// joinEndings joins the endings that peers saw with what this daemon sent to the endpoints.
-func (r *Reporter) joinEndings(list []quarantiner.Suspect) {
-	for i := range list {
-		for k := range list[i].Endings {
-			e := &list[i].Endings[k]
-			r.joinEnd(incarnation{e.Endpoint, e.Born}, prober.Refused, e.At)
-		}
-	}
-}
-
 // sentAge returns the time since the request of an ending was sent, in milliseconds; 0 if that is not known.
 func sentAge(e *quarantiner.Ending, now time.Time) int64 {
 	if e.Sent.IsZero() {
--- a/internal/route/quarantiner/quarantiner.go
+++ b/internal/route/quarantiner/quarantiner.go
@@ -31,11 +31,12 @@
 // a caller may have the first part in common, so the later one of two parts explains what both have been near,
 // unless the other one accounts for several times as many endings.
 //
-// The decision follows from the endings of all suspects alone. Nothing that is inferred from them is stored or told, so an
-// inference that later endings contradict leaves no trace, daemons that have the same endings decide the
-// same, and each part that [partLimit] points count against is held or has all but a few of them explained by parts
-// that are. After a
-// pause, which becomes ten times as long with each further ending, the daemon that saw the last
+// The decision follows from the endings of all suspects alone. Nothing that is inferred from them is stored or told, so
+// that an inference leaves no trace once later endings contradict it. Daemons that have the same endings
+// decide the same. A part against which [partLimit] points count is held, unless parts that are held explain so
+// many of its endings that fewer are left.
+//
+// After a pause, which becomes ten times as long with each further ending, the daemon that saw the last
 // ending admits one arrival as a trial. An answer clears the request, another ending prolongs the
 // pause.
 //
