quarantiner: one way to change endings and decide anew

Five callers locked, changed endings, decided, unlocked and notified, each in lines of its own, and two sorts compared who is held in the same words. No behaviour changes; an answer takes the lock once, not twice.

--- a/internal/route/quarantiner/gossip.go
+++ b/internal/route/quarantiner/gossip.go
@@ -20,15 +20,7 @@
 	out := slices.DeleteFunc(z.List(), func(s Suspect) bool {
 		return !s.Held && (now.Sub(s.changed) >= updateTime || s.negligible())
 	})
-	slices.SortStableFunc(out, func(a, b Suspect) int {
-		switch {
-		case a.Held != b.Held && a.Held:
-			return -1
-		case a.Held != b.Held:
-			return 1
-		}
-		return cmp.Compare(b.weight, a.weight)
-	})
+	slices.SortStableFunc(out, func(a, b Suspect) int { return cmp.Or(heldFirst(&a, &b), cmp.Compare(b.weight, a.weight)) })
 	return out[:min(len(out), maxUpdates)]
 }
 
@@ -42,22 +34,15 @@
 // Merge merges the updates of another daemon and reports whether any of them changed the suspects
 // of this one.
 func (z *Quarantiner) Merge(updates []Suspect) bool {
-	now := time.Now()
-	anyNew := false
-	z.mu.Lock()
-	for i := range updates {
-		anyNew = z.mergeSuspect(&updates[i], now) || anyNew
-	}
-	var changes changes
-	if anyNew {
-		z.decide(&changes)
-	}
-	z.mu.Unlock()
-	z.notify(changes)
-	return anyNew
+	return z.change(func(now time.Time) (anyNew bool) {
+		for i := range updates {
+			anyNew = z.mergeSuspect(&updates[i], now) || anyNew
+		}
+		return anyNew
+	})
 }
 
-// mergeSuspect merges one suspect. The caller holds the lock.
+// mergeSuspect merges one suspect; see change.
 func (z *Quarantiner) mergeSuspect(update *Suspect, now time.Time) (isNew bool) {
 	endings := make([]Ending, 0, len(update.Endings))
 	for _, e := range update.Endings {
--- a/internal/route/quarantiner/quarantiner.go
+++ b/internal/route/quarantiner/quarantiner.go
@@ -239,76 +239,70 @@
 // RecordEnding adds an ending of a request whose prompt has some shared parts, and reports whether it
 // is new and must reach the other daemons. Without a time it ended now.
 func (z *Quarantiner) RecordEnding(f identifier.Fingerprint, e Ending, parts ...identifier.Fingerprint) bool {
-	z.mu.Lock()
-	now := time.Now()
-	e.Seen = z.c.Host
-	if e.At.IsZero() {
-		e.At = now
-	}
-	isNew := false
-	for i := 0; i < min(len(parts), MaxDepth) && !e.Weak; i++ {
-		p := e
-		p.Request, p.Depth = f, i+1
-		isNew = z.add(parts[i], []Ending{p}, now) || isNew
-	}
-	if _, answered := z.answered.last(f, now); answered {
-		e.Weak = true
-	}
-	isNew = z.add(f, []Ending{e}, now) || isNew
-	var changes changes
-	if isNew {
-		z.decide(&changes)
-	}
-	z.mu.Unlock()
-	z.notify(changes)
-	return isNew
+	return z.change(func(now time.Time) (isNew bool) {
+		e.Seen = z.c.Host
+		if e.At.IsZero() {
+			e.At = now
+		}
+		for i := 0; i < min(len(parts), MaxDepth) && !e.Weak; i++ {
+			p := e
+			p.Request, p.Depth = f, i+1
+			isNew = z.add(parts[i], []Ending{p}, now) || isNew
+		}
+		if _, answered := z.answered.last(f, now); answered {
+			e.Weak = true
+		}
+		return z.add(f, []Ending{e}, now) || isNew
+	})
 }
 
 // RecordEvent clears parts of prompts, as an endpoint has begun to write an answer to a request with
 // them. It reports whether anything counted against one of them, so that the event must reach the
 // other daemons.
-func (z *Quarantiner) RecordEvent(parts ...identifier.Fingerprint) (cleared bool) {
+func (z *Quarantiner) RecordEvent(parts ...identifier.Fingerprint) bool {
 	if len(parts) == 0 {
 		return false
 	}
-	z.mu.Lock()
-	now := time.Now()
-	for _, part := range parts {
-		z.answered.add(part, now)
-		cleared = z.lift(part, now) || cleared
-	}
-	var changes changes
-	if cleared {
-		z.decide(&changes)
-	}
-	z.mu.Unlock()
-	z.notify(changes)
-	return cleared
+	return z.change(func(now time.Time) (cleared bool) {
+		for _, part := range parts {
+			z.answered.add(part, now)
+			cleared = z.lift(part, now) || cleared
+		}
+		return cleared
+	})
 }
 
 // RecordAnswer clears a request that an endpoint has run to its end. It reports whether anything
 // counted against the request, so that the answer must reach the other daemons.
 func (z *Quarantiner) RecordAnswer(f identifier.Fingerprint) bool {
-	z.mu.Lock()
-	z.answered.add(f, time.Now())
-	z.mu.Unlock()
-	return z.Lift(f)
+	return z.change(func(now time.Time) bool {
+		z.answered.add(f, now)
+		return z.lift(f, now)
+	})
 }
 
 // Lift clears a request or a part and reports whether anything counted against it.
 func (z *Quarantiner) Lift(f identifier.Fingerprint) bool {
+	return z.change(func(now time.Time) bool { return z.lift(f, now) })
+}
+
+// change changes endings and decides anew if apply reports that it has changed any. apply is called with the lock
+// held.
+func (z *Quarantiner) change(apply func(now time.Time) bool) bool {
+	var turned []*Suspect
 	z.mu.Lock()
-	var changes changes
-	lifted := z.lift(f, time.Now())
-	if lifted {
-		z.decide(&changes)
+	changed := apply(time.Now())
+	if changed {
+		turned = z.decide()
 	}
 	z.mu.Unlock()
-	z.notify(changes)
-	return lifted
+	for _, s := range turned {
+		z.c.OnChange(s)
+	}
+	return changed
 }
 
-// lift voids all endings of a suspect. The caller holds the lock and calls decide.
+// lift voids all endings of a suspect; see change.
 func (z *Quarantiner) lift(f identifier.Fingerprint, now time.Time) bool {
 	s := z.suspects[f]
 	if s == nil || s.points == 0 {
@@ -328,17 +322,22 @@
 		out = append(out, Suspect{Fingerprint: f, Endings: slices.Clone(s.endings), Held: s.held, changed: s.changed, weight: s.weight()})
 	}
 	slices.SortFunc(out, func(a, b Suspect) int {
-		if a.Held != b.Held {
-			if a.Held {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Or(b.changed.Compare(a.changed), cmp.Compare(a.Fingerprint, b.Fingerprint))
+		return cmp.Or(heldFirst(&a, &b), b.changed.Compare(a.changed), cmp.Compare(a.Fingerprint, b.Fingerprint))
 	})
 	return out
 }
 
+// heldFirst orders suspects that are held before others.
+func heldFirst(a, b *Suspect) int {
+	switch {
+	case a.Held == b.Held:
+		return 0
+	case a.Held:
+		return -1
+	}
+	return 1
+}
+
 // EvictedCount returns the number of suspects that were dropped for lack of space.
 func (z *Quarantiner) EvictedCount() int {
 	z.mu.Lock()
@@ -346,17 +345,7 @@
 	return z.evicted
 }
 
-// changes are the suspects that became held or free in one step.
-type changes []*Suspect
-
-// notify calls OnChange for changes. The caller must not hold the lock.
-func (z *Quarantiner) notify(list changes) {
-	for _, s := range list {
-		z.c.OnChange(s)
-	}
-}
-
-// add merges endings into a suspect. The caller holds the lock and calls decide.
+// add merges endings into a suspect; see change.
 func (z *Quarantiner) add(f identifier.Fingerprint, endings []Ending, now time.Time) (isNew bool) {
 	s := z.suspects[f]
 	if s == nil {
--- a/internal/route/quarantiner/verdict.go
+++ b/internal/route/quarantiner/verdict.go
@@ -61,10 +61,10 @@
 	return true
 }
 
-// decide recomputes which suspects are held, and adds those whose state has changed to changes. The best
+// decide recomputes which suspects are held, and returns those that became held or free. The best
 // candidate is held first and explains its endings: these count against no other suspect, for as long as it is held.
 // The caller holds the lock.
-func (z *Quarantiner) decide(changes *changes) {
+func (z *Quarantiner) decide() (turned []*Suspect) {
 	var candidates []candidate
 	for f, s := range z.suspects {
 		s.wasHeld, s.held = s.held, false
@@ -79,11 +79,12 @@
 		if s.held == s.wasHeld {
 			continue
 		}
-		*changes = append(*changes, &Suspect{Fingerprint: f, Endings: slices.Clone(s.endings), Held: s.held})
+		turned = append(turned, &Suspect{Fingerprint: f, Endings: slices.Clone(s.endings), Held: s.held})
 		if s.held {
 			z.withdraw(f)
 		}
 	}
+	return turned
 }
 
 // hold sets which candidates are held.
