crashreporter: the time of sending, signs of life and lines about attempts, each in one place

The relayer and the proxier both set the time of sending right before Begin; Begin sets it. Two loops looked for the last sign of life (candidate.Signs.LatestSince), and two lines listed an attempt's fields. isDue only asks; what was seen of the list is kept by its caller. No behaviour changes, but the order of fields in one line; the test that states times of sending waits between its two Begins, its checks as they were.

--- a/internal/peer/crashreporter/attempts.go
+++ b/internal/peer/crashreporter/attempts.go
@@ -144,10 +144,12 @@
 		kept := slices.DeleteFunc(p.givenUp, func(g givenUp) bool { return now.Sub(g.at) > retention })
 		t.givenUp -= len(p.givenUp) - len(kept)
 		p.givenUp = kept
-		if p.isDue(now, presence(p.pick)) {
+		listed := presence(p.pick)
+		if p.isDue(now, listed) {
 			p.checkedAt, p.checkAfter = now, min(max(2*p.checkAfter, firstCheck), maxCheck)
 			out = append(out, p.pick)
 		}
+		p.lapsed = p.lapsed || listed == registry.Lapsed
 		t.drop(key, p)
 	}
 	return out
@@ -160,9 +162,7 @@
 		silent := len(p.open) > 0 && now.Sub(p.waitingSince) >= silentTime && p.quiet(now) >= silentTime
 		return silent || len(p.givenUp) > 0 && p.quiet(now) >= p.checkAfter
 	case registry.Lapsed:
-		first := !p.lapsed
-		p.lapsed = true
-		return first || p.quiet(now) >= p.checkAfter
+		return !p.lapsed || p.quiet(now) >= p.checkAfter
 	case registry.Replaced:
 		return true
 	}
@@ -171,12 +171,6 @@
 
 // quiet returns the time since the last check or sign of life.
 func (p *place) quiet(now time.Time) time.Duration {
-	last := p.checkedAt
 	signs := p.pick.Activity.Signs()
-	for _, at := range []time.Time{signs.Own, signs.Peers} {
-		if at.After(last) {
-			last = at
-		}
-	}
-	return now.Sub(last)
+	return now.Sub(signs.LatestSince(p.checkedAt))
 }
--- a/internal/peer/crashreporter/attempts_test.go
+++ b/internal/peer/crashreporter/attempts_test.go
@@ -231,10 +231,8 @@
 func TestEndDoesNotCountAgainstLaterAttempts(t *testing.T) {
 	withReporter(t, func(t *testing.T, r *Reporter, _ *mortalHost) {
 		before, after := newAttempt("before"), newAttempt("after")
-		before.Sent = time.Now()
-		time.Sleep(time.Second)
-		after.Sent = time.Now()
 		r.Begin(before)
+		time.Sleep(time.Second)
 		r.Begin(after)
 		r.MergeSuspects([]*rpc.Suspect{{Fingerprint: "near", Endings: []*rpc.Ending{{Endpoint: "i-1", Born: 7, Host: "b", AgeMilli: 500}}}})
 		if endings(r, "before") != 1 || endings(r, "after") != 0 {
--- a/internal/peer/crashreporter/crashreporter.go
+++ b/internal/peer/crashreporter/crashreporter.go
@@ -77,14 +77,14 @@
 	Metrics  tally.Scope
 }
 
-// Attempt is an attempt of a request at an endpoint. It must not be changed once it has begun.
+// Attempt is an attempt of a request at an endpoint. The caller must not change it once it has begun.
 type Attempt struct {
 	Fingerprint identifier.Fingerprint
 	Request     identifier.Request
 	// Parts are the parts of its prompt that other requests may have as well.
 	Parts []identifier.Fingerprint
 	Pick  *registry.Pick
-	// Sent is when it was sent, or is about to be.
+	// Sent is when it began; zero if that is not known. Begin sets it.
 	Sent time.Time
 }
 
@@ -174,9 +174,15 @@
 	if found == prober.Partitioned {
 		message = "endpoint out of this daemon's reach while running a request"
 	}
+	r.logAttempt(message, a, "events", events, "probe", found)
+}
+
+// logAttempt logs a line about an attempt.
+func (r *Reporter) logAttempt(message string, a *Attempt, fields ...any) {
 	if r.logLimiter.Allow() {
-		r.c.Logger.Info(message, "request", a.Request, "fingerprint", a.Fingerprint, "endpoint", a.Pick.Endpoint,
-			"born", r.c.Incarnation(a.Pick), "events", events, "parts", fmt.Sprint(a.Parts), "probe", found)
+		r.c.Logger.Info(message, append([]any{
+			"request", a.Request, "fingerprint", a.Fingerprint, "endpoint", a.Pick.Endpoint, "born", r.c.Incarnation(a.Pick), "parts", fmt.Sprint(a.Parts),
+		}, fields...)...)
 	}
 }
 
@@ -194,7 +200,10 @@
 }
 
 // Begin is called right before an attempt is sent, Conclude when it has delivered something or has not run.
-func (r *Reporter) Begin(a *Attempt) { r.attempts.begin(r.incarnationOf(a.Pick), a) }
+func (r *Reporter) Begin(a *Attempt) {
+	a.Sent = time.Now()
+	r.attempts.begin(r.incarnationOf(a.Pick), a)
+}
 
 // Conclude ends an attempt that tells nothing about its endpoint's end; see [Reporter.Begin].
 func (r *Reporter) Conclude(a *Attempt) { r.attempts.conclude(r.incarnationOf(a.Pick), a) }
@@ -204,10 +213,7 @@
 func (r *Reporter) ReportGivenUp(a *Attempt, reason Reason) {
 	r.attempts.giveUp(r.incarnationOf(a.Pick), a)
 	r.c.Metrics.Tagged(map[string]string{"reason": string(reason)}).Counter("attempts_abandoned").Inc(1)
-	if r.logLimiter.Allow() {
-		r.c.Logger.Info("attempt given up before its first event", "request", a.Request, "fingerprint", a.Fingerprint, "endpoint", a.Pick.Endpoint,
-			"born", r.c.Incarnation(a.Pick), "parts", fmt.Sprint(a.Parts), "reason", reason)
-	}
+	r.logAttempt("attempt given up before its first event", a, "reason", reason)
 }
 
 // Answered clears a request that an endpoint has run to completion.
--- a/internal/peer/crashreporter/ends.go
+++ b/internal/peer/crashreporter/ends.go
@@ -69,13 +69,7 @@
 // was sent; zero if neither is known.
 func (a *Attempt) lastSign() time.Time {
 	signs := a.Pick.Activity.Signs()
-	last := a.Sent
-	for _, at := range []time.Time{signs.Own, signs.Peers} {
-		if at.After(last) {
-			last = at
-		}
-	}
-	return last
+	return signs.LatestSince(a.Sent)
 }
 
 // joinEndings joins the endings that peers saw with what this daemon sent to the endpoints.
--- a/internal/route/candidate/activity.go
+++ b/internal/route/candidate/activity.go
@@ -1,6 +1,7 @@
 package candidate
 
 import (
+	"slices"
 	"sync/atomic"
 	"time"
 )
@@ -46,6 +47,11 @@
 	return s.Own
 }
 
+// LatestSince returns the endpoint's last sign of life, to whichever daemon, or from if there was none since.
+func (s *Signs) LatestSince(from time.Time) time.Time {
+	return slices.MaxFunc([]time.Time{from, s.Own, s.Peers}, time.Time.Compare)
+}
+
 // ZoneReached reports whether this daemon has received anything from the zone within window.
 func (s *Signs) ZoneReached(now time.Time, window time.Duration) bool {
 	return !s.Zone.IsZero() && now.Sub(s.Zone) <= window
--- a/internal/serve/proxier/proxier.go
+++ b/internal/serve/proxier/proxier.go
@@ -275,7 +275,6 @@
 		Ready: func() bool {
 			ready := j.p.c.Registry.Usable(j.pick) && !j.p.c.Quarantine.Admit(j.wrapped.Fingerprint, j.wrapped.ID, j.wrapped.Parts...).Held && j.p.c.Registry.AcquirePermit(j.pick)
 			if ready {
-				j.attempt.Sent = time.Now()
 				j.p.c.Quarantine.Begin(j.attempt)
 			}
 			return ready
--- a/internal/serve/relayer/attempt.go
+++ b/internal/serve/relayer/attempt.go
@@ -189,7 +189,6 @@
 		Ready: func() bool {
 			ready := j.r.c.Registry.Usable(pick) && !j.admit().Held && !j.r.c.Versions.Blocked(j.q.Service, pick.Version) && j.r.c.Registry.AcquirePermit(pick)
 			if ready {
-				a.Sent = time.Now()
 				j.r.c.Quarantine.Begin(a)
 			}
 			return ready
