dispatcher: one way to ask peers one after the other

The prober asks in one place whether a result is outdated, and the registry's Presence is a switch. No behaviour changes.

--- a/internal/engine/prober/prober.go
+++ b/internal/engine/prober/prober.go
@@ -108,7 +108,7 @@
 		case <-ctx.Done():
 			return Unknown
 		}
-		if pr.result != Listening || !pr.started.Before(called) {
+		if !pr.outdated(called) {
 			return pr.result
 		}
 	}
--- a/internal/route/registry/pick.go
+++ b/internal/route/registry/pick.go
@@ -116,14 +116,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	_, leaving := r.c.LeavingHosts.Leaving(k.Host, k.Incarnation)
-	if c := r.find(k); c != nil {
-		leaving = leaving || c.Leaving
-		if !leaving {
-			return Listed
-		}
-	}
-	if leaving {
+	c := r.find(k)
+	switch {
+	case leaving || c != nil && c.Leaving:
 		return Leaving
+	case c != nil:
+		return Listed
 	}
 	presence := Lapsed
 	r.forEach(func(c *candidate.Candidate) {
--- a/internal/serve/dispatcher/peers.go
+++ b/internal/serve/dispatcher/peers.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"iter"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -72,14 +73,12 @@
 // sendThroughPeers hands a request to peers until one of them sends it. direct is the error of the
 // last attempt over this daemon's own links; nil if there was none.
 func (d *Dispatcher) sendThroughPeers(ctx context.Context, r *Request, direct error) (*Response, error) {
-	unreachable := 0
-	peers, tried := d.c.Peers(), make(map[identifier.Host]bool)
-	for range maxPeers {
-		p, ok := d.choosePeer(peers, r.To.Service, tried)
-		if !ok || unreachable >= minUnreachable || ctx.Err() != nil {
+	unreachable, asked := 0, 0
+	for p := range d.chosenPeers(ctx, d.c.Peers(), r.To.Service) {
+		if unreachable >= minUnreachable {
 			break
 		}
-		tried[p.Host] = true
+		asked++
 		x, outcome, err := d.sendThrough(ctx, r, p)
 		d.c.OnRelayed(outcome)
 		switch outcome {
@@ -104,7 +103,7 @@
 	if direct != nil {
 		return nil, direct
 	}
-	return nil, fmt.Errorf("%w: no peer reaches the endpoint, %d asked", sender.ErrUnsent, len(tried))
+	return nil, fmt.Errorf("%w: no peer reaches the endpoint, %d asked", sender.ErrUnsent, asked)
 }
 
 // Refuses reports whether an endpoint that this daemon can't connect to refuses its peers, too. It is
@@ -112,13 +111,7 @@
 // peers that can tell it is true.
 func (d *Dispatcher) Refuses(ctx context.Context, to pathtracker.Destination) bool {
 	refuses := true
-	peers, tried := d.c.Peers(), make(map[identifier.Host]bool)
-	for range maxPeers {
-		p, ok := d.choosePeer(peers, to.Service, tried)
-		if !ok || ctx.Err() != nil {
-			break
-		}
-		tried[p.Host] = true
+	for p := range d.chosenPeers(ctx, d.c.Peers(), to.Service) {
 		switch d.probeThrough(ctx, p, to, probeTimeout) {
 		case wrapper.Answered:
 			d.c.Tracker.RecordReachedByPeer(to)
@@ -143,13 +136,7 @@
 	if zone != d.c.Zone {
 		peers = slices.DeleteFunc(peers, func(p Peer) bool { return p.Zone != zone })
 	}
-	tried := make(map[identifier.Host]bool)
-	for range maxPeers {
-		p, ok := d.choosePeer(peers, to.Service, tried)
-		if !ok || ctx.Err() != nil {
-			return false
-		}
-		tried[p.Host] = true
+	for p := range d.chosenPeers(ctx, peers, to.Service) {
 		switch d.probeThrough(ctx, p, to, silentProbeTimeout) {
 		case wrapper.Answered:
 			return false
@@ -229,6 +216,23 @@
 	return fmt.Errorf("%w: %w: %s", ErrThroughPeer, sender.ErrBadResponse, peer)
 }
 
+// chosenPeers yields peers to be asked about a service, one after the other: [maxPeers] at most, until ctx ends.
+func (d *Dispatcher) chosenPeers(ctx context.Context, peers []Peer, service identifier.Service) iter.Seq[Peer] {
+	return func(yield func(Peer) bool) {
+		tried := make(map[identifier.Host]bool)
+		for range maxPeers {
+			p, ok := d.choosePeer(peers, service, tried)
+			if !ok || ctx.Err() != nil {
+				return
+			}
+			tried[p.Host] = true
+			if !yield(p) {
+				return
+			}
+		}
+	}
+}
+
 // choosePeer chooses a peer at random, by the capacity of its link, and prefers the own zone. ok is
 // false if there is none left.
 func (d *Dispatcher) choosePeer(peers []Peer, service identifier.Service, tried map[identifier.Host]bool) (p Peer, ok bool) {
