relayer: the first event ends the watch over an attempt once

It was ended anew with each read of a stream that holds an event: two locks and two look-ups an event on the way of all streams. The tests of prompt parts ask in one place. No behaviour changes.

--- a/internal/role/gateway/engines_test.go
+++ b/internal/role/gateway/engines_test.go
@@ -416,7 +416,7 @@
 
 // askWith is like ask, with further headers.
 func (f *testFleet) askWith(daemon int, path, body string, headers map[string]string) clientReply {
-	return f.askFor(20*time.Second, daemon, path, body, headers)
+	return f.askFor(stay, daemon, path, body, headers)
 }
 
 // askFor is like askWith, and gives the request up after a time.
--- a/internal/role/gateway/promptparts_test.go
+++ b/internal/role/gateway/promptparts_test.go
@@ -13,6 +13,8 @@
 	guiltyPart = "bad0"
 	// quietTime is the time before the first request with it.
 	quietTime = 5 * time.Second
+	// stay is the patience of clients that don't leave.
+	stay = 20 * time.Second
 	// exitsBeforeHold is the number of crashes after which requests with the part may reach engines for
 	// propagationTime more, and then allowedSends times.
 	exitsBeforeHold = 5
@@ -35,20 +37,24 @@
 	minReplies int
 }
 
+// ask sends the nth request, with some parts of its prompt before its own.
+func (l *promptLoad) ask(f *testFleet, patience time.Duration, daemon int, parts string, n int) clientReply {
+	return f.askFor(patience, daemon, cmp.Or(l.path, streamPath), fmt.Sprintf("letter %d", n), map[string]string{
+		"Request-Id": f.nextID(), "Prompt-Prefix": fmt.Sprintf("%s,%x:250", parts, n),
+	})
+}
+
 // send sends a load for a time. It returns the replies to sound requests that were sent later than
 // twice propagationTime after an engine crashed for the fifth time, and to those before the first
 // request with the guilty part.
 func (l *promptLoad) send(f *testFleet, e *engineFleet, d time.Duration) (before, after []clientReply) {
-	const stay = 20 * time.Second
 	var mu sync.Mutex
 	var group sync.WaitGroup
 	begun := time.Now()
 	send := func(patience time.Duration, parts string, n int, done func(clientReply)) {
 		daemon := f.random.IntN(len(f.daemons))
 		group.Go(func() {
-			r := f.askFor(patience, daemon, cmp.Or(l.path, streamPath), fmt.Sprintf("letter %d", n), map[string]string{
-				"Request-Id": f.nextID(), "Prompt-Prefix": fmt.Sprintf("%s,%x:250", parts, n),
-			})
+			r := l.ask(f, patience, daemon, parts, n)
 			mu.Lock()
 			defer mu.Unlock()
 			done(r)
@@ -112,9 +118,7 @@
 	for n := 0; time.Since(begun) < d; n++ {
 		counts, daemon := time.Since(begun) >= from, f.random.IntN(len(f.daemons))
 		group.Go(func() {
-			r := f.askWith(daemon, streamPath, fmt.Sprintf("letter %d", n), map[string]string{
-				"Request-Id": f.nextID(), "Prompt-Prefix": fmt.Sprintf("%s,%x:250", l.sound(n), n),
-			})
+			r := l.ask(f, stay, daemon, l.sound(n), n)
 			mu.Lock()
 			defer mu.Unlock()
 			switch {
--- a/internal/serve/relayer/stream.go
+++ b/internal/serve/relayer/stream.go
@@ -44,10 +44,10 @@
 		}
 		whole := splitter.Add(chunk[:n])
 		if eventsplitter.HasEvent(whole) {
-			delivered()
 			// Each attempt has a run at its coordinator, also one that continues a stream.
 			if !reported {
 				reported = true
+				delivered()
 				j.r.c.Quarantine.RecordEvent(j.q.SharedParts()...)
 				j.r.c.Placer.ReportFirstEvent(j.q, pick)
 			}
