crashreporter: the time of an attempt is set once

The time is set the first time, under the lock; whoever has taken the attempt reads what no longer changes.

--- a/internal/peer/crashreporter/attempts.go
+++ b/internal/peer/crashreporter/attempts.go
@@ -71,13 +71,17 @@
 	return p
 }
 
-// begin adds an attempt that is being sent.
+// begin adds an attempt that is being sent. Its time is set once: those that have taken the attempt read it.
 func (t *attempts) begin(key incarnation, a *Attempt) {
+	now := time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if a.Sent.IsZero() {
+		a.Sent = now
+	}
 	p := t.place(key, a.Pick)
 	if len(p.open) == 0 {
-		p.waitingSince = time.Now()
+		p.waitingSince = now
 	}
 	p.open[a] = true
 }
--- a/internal/peer/crashreporter/attempts_test.go
+++ b/internal/peer/crashreporter/attempts_test.go
@@ -244,6 +244,27 @@
 	})
 }
 
+// Guards against an attempt that changes while others read it, as it begins anew at each peer that may send it.
+func TestAttemptBeginsOnce(t *testing.T) {
+	withReporter(t, func(t *testing.T, r *Reporter, _ *mortalHost) {
+		a := newAttempt("f")
+		r.Begin(a)
+		sent := a.Sent
+		time.Sleep(time.Second)
+		joined := make(chan struct{})
+		go func() {
+			defer close(joined)
+			r.MergeSuspects([]*rpc.Suspect{{Fingerprint: "near", Endings: []*rpc.Ending{{Endpoint: "i-1", Born: 7, Host: "b"}}}})
+		}()
+		r.Begin(a)
+		<-joined
+		if !a.Sent.Equal(sent) {
+			t.Errorf("sent at %v, then at %v", sent, a.Sent)
+		}
+		r.Conclude(a)
+	})
+}
+
 // Guards against probes of each endpoint at which attempts are given up, while it visibly serves others.
 func TestEndpointsWithSignsOfLifeAreNotChecked(t *testing.T) {
 	withReporter(t, func(t *testing.T, r *Reporter, h *mortalHost) {
--- a/internal/peer/crashreporter/crashreporter.go
+++ b/internal/peer/crashreporter/crashreporter.go
@@ -84,7 +84,7 @@
 	// Parts are the parts of its prompt that other requests may have as well.
 	Parts []identifier.Fingerprint
 	Pick  *registry.Pick
-	// Sent is when it began; zero if that is not known. Begin sets it.
+	// Sent is when it first began; zero if that is not known. Begin sets it.
 	Sent time.Time
 }
 
@@ -199,11 +199,9 @@
 	}
 }
 
-// Begin is called right before an attempt is sent, Conclude when it has delivered something or has not run.
-func (r *Reporter) Begin(a *Attempt) {
-	a.Sent = time.Now()
-	r.attempts.begin(r.incarnationOf(a.Pick), a)
-}
+// Begin is called right before an attempt is sent, Conclude when it has delivered something or has not run. An attempt
+// that is handed to one peer after the other begins once for each.
+func (r *Reporter) Begin(a *Attempt) { r.attempts.begin(r.incarnationOf(a.Pick), a) }
 
 // Conclude ends an attempt that tells nothing about its endpoint's end; see [Reporter.Begin].
 func (r *Reporter) Conclude(a *Attempt) { r.attempts.conclude(r.incarnationOf(a.Pick), a) }
