--- a/review/standin/flood_test.go
+++ b/review/standin/flood_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
 	"os"
 	"strconv"
 	"strings"
@@ -60,7 +61,8 @@
 	}
 }
 
-// flood lets one server in four spoil 2 in 100 of its answers: it sends bytes that are no response, without an end.
+// flood lets one server in four spoil 2 in 100 of its answers, those to non-idempotent requests: it sends bytes that are
+// no response, without an end.
 func flood(ctx context.Context, w *world) (broken []string, err error) {
 	var engines []*rawEngine
 	for i := range 4 {
@@ -83,15 +85,25 @@
 		watching.Go(func() { d.limitMemory(watch, func() { mu.Lock(); kills++; mu.Unlock() }) })
 	}
 	end := time.Now().Add(20 * time.Second)
+	spoiltAt := 0
 	if w.trouble {
 		from := time.Now().Add(4 * time.Second)
-		faulty.spoil = func(c net.Conn, n int, id string) bool {
+		faulty.spoil = func(c net.Conn, n int, id, method string) bool {
 			// Two times of 5.5 s, with 2 s between them.
 			since := time.Since(from)
 			if since > 7500*time.Millisecond {
 				since -= 7500 * time.Millisecond
 			}
-			if since < 0 || since > 5500*time.Millisecond || n%50 != 0 {
+			if since < 0 || since > 5500*time.Millisecond || method != http.MethodPost {
+				return false
+			}
+			mu.Lock()
+			due := n-spoiltAt >= 50
+			if due {
+				spoiltAt = n
+			}
+			mu.Unlock()
+			if !due {
 				return false
 			}
 			w.record.printf("server %s spoils its answer to %s: bytes that are no response, at %d Mbit/s at most", faulty.id, id, linkBytes*8/1000000)
--- a/review/standin/plain_test.go
+++ b/review/standin/plain_test.go
@@ -29,7 +29,7 @@
 	// garble returns bytes that precede the n-th answer; may be nil.
 	garble func(n int, id string) string
 	// spoil writes something else than the n-th answer and reports whether it did; may be nil.
-	spoil func(c net.Conn, n int, id string) bool
+	spoil func(c net.Conn, n int, id, method string) bool
 	work  time.Duration
 }
 
@@ -82,7 +82,7 @@
 		e.mu.Unlock()
 		e.w.record.printf("server %s runs %s: %s %s, Host %s, %d bytes, Tenant %s", e.id, id, q.Method, q.RequestURI, q.Host, len(body), q.Header.Get("Tenant"))
 		time.Sleep(e.work)
-		if e.spoil != nil && e.spoil(c, n, id) {
+		if e.spoil != nil && e.spoil(c, n, id, q.Method) {
 			return
 		}
 		text := e.bodyOf(id)
