review: scripts end their daemons also if nobody reads their output

Cause: a closed output pipe ended a script before it had ended its daemons. Change: the signal is ignored, and the daemons end before the result is printed.

--- a/review/standin/main_test.go
+++ b/review/standin/main_test.go
@@ -50,6 +50,8 @@
 		fmt.Fprintln(os.Stderr, "usage: review-standin NAME RECORD-FILE")
 		return 2
 	}
+	// A reader that is gone must not end this process before it has ended the daemons.
+	signal.Ignore(syscall.SIGPIPE)
 	record, err := newRecorder(os.Args[2])
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -68,6 +70,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), maxTime)
 	defer cancel()
 	broken, err := cases[os.Args[1]](ctx, w)
+	w.close()
 	if err != nil {
 		record.printf("could not run: %v", err)
 		fmt.Fprintln(os.Stderr, err)
