sender: the head of a response is bounded

Cause: http.ReadResponse collects a line until it ends, and headers until an empty line, and the sender gave it the connection itself. Requests' bodies, answers' bodies and peers' messages were ruled out for this case: the same daemons hold 24 to 30 MB in it when the head alone is bounded. The error went on, quoted, into a log line and the reason of the client's 502.

Change: the connection is read through a limiter that ends a head at 64 KB, whatever it consists of; errors no longer quote the endpoint's bytes; the body of an answer to another request is skipped up to 1 MB, then its connection is closed.

--- a/internal/engine/caller/caller.go
+++ b/internal/engine/caller/caller.go
@@ -86,6 +86,8 @@
 	// CacheEvents and Order.
 	controlTimeout = 2 * time.Second
 	maxFrameBytes  = 1 << 20
+	// maxHeadBytes bounds the status line and headers of a response.
+	maxHeadBytes = 64 << 10
 )
 
 // Caller calls endpoints. It is safe for concurrent use.
@@ -112,7 +114,7 @@
 		}
 		return &http.Transport{
 			DialContext: trackWrites(d.DialContext), DisableKeepAlives: fresh,
-			MaxIdleConnsPerHost: 16, IdleConnTimeout: idleTimeout, DisableCompression: true,
+			MaxIdleConnsPerHost: 16, IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes,
 		}
 	}
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
--- a/internal/engine/sender/sender.go
+++ b/internal/engine/sender/sender.go
@@ -13,6 +13,9 @@
 // half of the keep-alive time that the endpoint grants, and only if nothing has
 // arrived on it since: neither a close nor bytes that belong to no request.
 //
+// An endpoint may send bytes without an end. A connection holds at most [maxHeadBytes]
+// of a response's head, and of its body only what the caller reads.
+//
 // # Usage
 //
 //	x, err := s.Send(ctx, &sender.Request{Address: "10.1.0.3:8080", ...})
@@ -67,6 +70,10 @@
 	defaultKeepAlive = 2 * time.Second
 	// readBufferBytes holds the header of a response and several events.
 	readBufferBytes = 4 << 10
+	// maxHeadBytes bounds the status line and headers of a response.
+	maxHeadBytes = 64 << 10
+	// maxSkippedBytes bounds the body of a response to another request.
+	maxSkippedBytes = 1 << 20
 	// maxMismatched is the number of responses to other requests that are skipped
 	// before the connection is closed.
 	maxMismatched = 2
@@ -112,8 +119,10 @@
 // keepAlive while it is idle.
 type connection struct {
 	net.Conn
-	address   string
+	address string
+	// reader reads from limiter, limiter from the connection.
 	reader    *bufio.Reader
+	limiter   *headLimiter
 	idleSince time.Time
 	keepAlive time.Duration
 }
@@ -195,12 +204,9 @@
 
 func (s *Sender) readResponse(l *connection, r *http.Request, req *Request) (*Response, error) {
 	for range maxMismatched + 1 {
-		if _, err := l.reader.Peek(1); err != nil {
-			return nil, fmt.Errorf("%w: %w", ErrNoResponse, err)
-		}
-		resp, err := http.ReadResponse(l.reader, r) //nolint:bodyclose // Response.Close ends it
+		resp, err := l.readHead(r) //nolint:bodyclose // Response.Close ends it
 		if err != nil {
-			return nil, fmt.Errorf("%w: %w", ErrBadResponse, err)
+			return nil, err
 		}
 		if req.Matches == nil || req.Matches(resp.Header) {
 			x := &Response{Status: resp.StatusCode, Header: resp.Header, sender: s, conn: l, reusable: !resp.Close}
@@ -214,13 +220,43 @@
 			return x, nil
 		}
 		// A second response to an earlier request arrived in place of this one's.
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.Close {
+		if !skip(resp.Body) || resp.Close {
 			break
 		}
 	}
 	return nil, fmt.Errorf("%w: an answer to another request", ErrBadResponse)
 }
 
+// readHead reads the status line and headers of the next response on a connection.
+func (l *connection) readHead(r *http.Request) (*http.Response, error) {
+	l.limiter.begin()
+	defer l.limiter.end()
+	if _, err := l.reader.Peek(1); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrNoResponse, err)
+	}
+	resp, err := http.ReadResponse(l.reader, r)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrBadResponse, headError(err))
+	}
+	return resp, nil
+}
+
+// headError returns the error of a head that can't be read. That of net/http quotes the endpoint's bytes, which
+// belong in no log line and in no answer.
+func headError(err error) error {
+	var network *net.OpError
+	if errors.Is(err, errHeadTooLong) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &network) {
+		return err
+	}
+	return errMalformedHead
+}
+
+// skip reads a body and reports whether it ended within [maxSkippedBytes].
+func skip(body io.Reader) bool {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxSkippedBytes+1))
+	return err == nil && n <= maxSkippedBytes
+}
+
 func newRequest(req *Request) (*http.Request, error) {
 	if _, err := url.ParseRequestURI(req.Target); err != nil {
 		return nil, fmt.Errorf("target: %w", err)
@@ -284,7 +320,8 @@
 		return nil, fmt.Errorf("%w: %w", ErrUnsent, err)
 	}
 	s.c.OnConnect()
-	return &connection{Conn: conn, address: address, reader: bufio.NewReaderSize(conn, readBufferBytes)}, nil
+	limiter := &headLimiter{r: conn}
+	return &connection{Conn: conn, address: address, reader: bufio.NewReaderSize(limiter, readBufferBytes), limiter: limiter}, nil
 }
 
 func (s *Sender) takeIdle(address string) *connection {
--- a/internal/role/gateway/gossip.go
+++ b/internal/role/gateway/gossip.go
@@ -52,6 +52,7 @@
 	d := g.c.Deployment
 	transport := &http.Transport{
 		DialContext: g.peerBytes.Dial(g.c.Network.DialContext), IdleConnTimeout: peerIdleTimeout, DisableCompression: true,
+		MaxResponseHeaderBytes: maxPeerHeaderBytes,
 	}
 	g.syncer = syncer.New(syncer.Config{
 		Host: d.Host, Zone: d.AvailabilityZone, Address: d.Peers.String(), Gatherer: &g.gatherer, Logger: g.c.Logger,
