answerreader: answers that are held whole share a part of the host's memory

Cause: relayer read each answer by io.ReadAll; nothing counted what all of them hold. An event that never ends was held up to 1 MB for each stream in the same way.

Change: package answerreader. An answer of more than 64 KB is read on only once its length, or 8 MB if none is stated, has been reserved in an eighth of MemoryMb; until then it waits in its connection, as long as the deadline allows. A reader reserves once and waits for nothing while it holds memory, so none waits for ever. A stated length above the bound ends the attempt at once. Events of more than 64 KB take from the same share. A client that does not read its answer gives the memory back after its deadline, 10 s at least. A refusal's body is read up to 64 KB, not 8 MB.

--- /dev/null
+++ b/integration/endless_test.go
@@ -0,0 +1,209 @@
+package integration
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"brasschute/internal/standin/hosting"
+	"brasschute/platform"
+)
+
+const (
+	// endlessRequests is the number of requests that wait for an endless response at the same time.
+	endlessRequests = 48
+	// endlessEndpoints is the number of endpoints that send them.
+	endlessEndpoints = 6
+	// maxSentBytes bounds what all endpoints of a form send: far more than a daemon may hold, and far
+	// less than the test's host has.
+	maxSentBytes = 1 << 30
+	// hostedMemoryBytes is MemoryMb of the settings.
+	hostedMemoryBytes = 284 << 20
+)
+
+// endlessForm is a response without an end: it begins with head, in which %s stands for the request's
+// id, and goes on with repeated.
+type endlessForm struct {
+	name           string
+	head, repeated string
+	streams        bool
+}
+
+const signedHead = "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Stamp: stamp\r\n"
+
+// endlessForms are the forms of responses without an end.
+func endlessForms() []endlessForm {
+	const chunkBytes = 16 << 10
+	text := strings.Repeat("#", chunkBytes)
+	return []endlessForm{
+		{name: "status-line", repeated: text},
+		{name: "header-line", head: signedHead + "Long: ", repeated: text},
+		{name: "header-lines", head: signedHead, repeated: strings.Repeat("Repeated: value\r\n", chunkBytes/17)},
+		{name: "unframed-body", head: signedHead + "\r\n", repeated: text},
+		{name: "chunked-body", head: signedHead + "Transfer-Encoding: chunked\r\n\r\n", repeated: fmt.Sprintf("%x\r\n%s\r\n", chunkBytes, text)},
+		{name: "chunk-extension", head: signedHead + "Transfer-Encoding: chunked\r\n\r\n1;", repeated: text},
+		{name: "trailer", head: signedHead + "Transfer-Encoding: chunked\r\n\r\n0\r\n", repeated: strings.Repeat("Repeated: value\r\n", chunkBytes/17)},
+		{name: "stated-length", head: signedHead + "Content-Length: 1099511627776\r\n\r\n", repeated: text},
+		{name: "failure", head: "HTTP/1.1 500 Failed\r\nRequest-Id: %s\r\nResponse-Stamp: stamp\r\n\r\n", repeated: text},
+		{name: "refusal", head: "HTTP/1.1 503 Full\r\nRequest-Id: %s\r\nNot-Executed: 1\r\n\r\n", repeated: text},
+		{name: "other-answer", head: "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nResponse-Stamp: stamp\r\n\r\n", repeated: text},
+		{name: "event", head: signedHead + "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: ", repeated: text, streams: true},
+	}
+}
+
+// endlessServer sends a response without an end to each request.
+type endlessServer struct {
+	form *endlessForm
+	// sent counts the bytes that all servers of the form have sent.
+	sent *atomic.Int64
+}
+
+// serve answers the requests of one connection.
+func (e *endlessServer) serve(c net.Conn) {
+	defer c.Close()
+	r, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return
+	}
+	if strings.Contains(e.form.head, "%s") {
+		_, err = fmt.Fprintf(c, e.form.head, r.Header.Get("Request-Id"))
+	} else {
+		_, err = io.WriteString(c, e.form.head)
+	}
+	for err == nil {
+		if e.sent.Add(int64(len(e.form.repeated))) > maxSentBytes {
+			// The rest is silence, until the daemon closes the connection.
+			_, _ = io.Copy(io.Discard, c)
+			return
+		}
+		_, err = io.WriteString(c, e.form.repeated)
+	}
+}
+
+// addEndlessEndpoints adds endpoints of a service that send a form.
+func (s *site) addEndlessEndpoints(form *endlessForm) {
+	s.t.Helper()
+	sent := new(atomic.Int64)
+	for i := range endlessEndpoints {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		s.t.Cleanup(func() { _ = l.Close() })
+		e := &endlessServer{form, sent}
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				go e.serve(c)
+			}
+		}()
+		s.store.Write(platform.EndpointKind, fmt.Sprintf("%s-%d", form.name, i), map[string]any{
+			"Service": form.name, "Address": l.Addr().String(), "Zone": "hall-a", "State": "ready", "Slots": endlessRequests,
+		})
+	}
+}
+
+// buildDaemon builds the program without the race detector, which needs several times as much memory.
+var buildDaemon = sync.OnceValues(func() (path string, err error) {
+	folder, err := os.MkdirTemp("", "brasschute-integration-")
+	if err != nil {
+		return "", err
+	}
+	path = filepath.Join(folder, "brasschute")
+	out, err := exec.Command("go", "build", "-o", path, "../cmd/brasschute").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("%w: %s", err, out)
+	}
+	return path, nil
+})
+
+// peakResidentBytes returns the largest resident memory of a process so far.
+func peakResidentBytes(t *testing.T, pid int) int64 {
+	t.Helper()
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for line := range strings.Lines(string(status)) {
+		if fields := strings.Fields(line); len(fields) > 1 && fields[0] == "VmHWM:" {
+			kilobytes, err := strconv.ParseInt(fields[1], 10, 64)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return kilobytes << 10
+		}
+	}
+	t.Fatal("no VmHWM")
+	return 0
+}
+
+// Guards against endless responses of endpoints that make a daemon exceed its memory, which ends all its
+// requests, and against ones that are passed on as whole.
+func TestEndlessResponsesStayWithinMemory(t *testing.T) {
+	path, err := buildDaemon()
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := newSite(t)
+	forms := endlessForms()
+	s.addEngine(hosting.Config{ID: "sound", Service: plainService})
+	s.configure(func(c *hostedConfig) {
+		for i := range forms {
+			c.Routes = append(c.Routes, forms[i].route())
+			c.Services = append(c.Services, hostedService{Name: forms[i].name})
+		}
+	})
+	for i := range forms {
+		s.addEndlessEndpoints(&forms[i])
+		// A daemon for each form, so that none starts from the memory that another one has taken.
+		h := s.prepareHost()
+		h.process = startProgram(t, []string{platform.SettingsFileVariable + "=" + h.file}, path, h.name, "gateway")
+		h.awaitReady()
+		h.checkEndless(t, &forms[i])
+		h.kill()
+	}
+}
+
+// route returns the route to the endpoints that send a form.
+func (f *endlessForm) route() hostedRoute {
+	r := hostedRoute{Name: f.name, Host: hostedDomain, PathPrefix: "/" + f.name + "/", Kind: "non_idempotent", Service: f.name, TimeoutMs: 2000, SloMs: 1000, MaxAttempts: 1}
+	if f.streams {
+		r.Kind = "streaming"
+	}
+	return r
+}
+
+// checkEndless sends requests to the endpoints that send a form, and then one to a sound endpoint.
+func (h *gatewayHost) checkEndless(t *testing.T, f *endlessForm) {
+	t.Helper()
+	var group sync.WaitGroup
+	for range endlessRequests {
+		group.Go(func() {
+			if a := h.send(hostedRequest{Target: "/" + f.name + "/x", Key: deskKey}); a.err == nil && a.status < http.StatusBadRequest {
+				t.Errorf("%s: status %d, %d bytes", f.name, a.status, len(a.body))
+			}
+		})
+	}
+	group.Wait()
+	peak := peakResidentBytes(t, h.cmd.Process.Pid)
+	t.Logf("%s: peak of %d MB", f.name, peak>>20)
+	if peak > hostedMemoryBytes {
+		t.Errorf("%s: resident memory of %d MB, the limit is %d MB", f.name, peak>>20, hostedMemoryBytes>>20)
+	}
+	if a := h.send(hostedRequest{Target: nonIdempotentPath + "x", Key: deskKey}); a.err != nil || a.status != http.StatusOK {
+		t.Errorf("a sound endpoint after %s: status %d, %v", f.name, a.status, a.err)
+	}
+}
--- a/integration/fleet_test.go
+++ b/integration/fleet_test.go
@@ -57,14 +57,20 @@
 
 // startWithEnv is like start, with additional environment variables.
 func startWithEnv(t testing.TB, env []string, role, name string, args ...string) *process {
+	t.Helper()
+	return startProgram(t, append([]string{roleEnv + "=" + role}, env...), os.Args[0], name, args...)
+}
+
+// startProgram runs a program with additional environment variables and command line arguments.
+func startProgram(t testing.TB, env []string, path, name string, args ...string) *process {
 	t.Helper()
 	log, err := os.Create(filepath.Join(t.TempDir(), name+".log"))
 	if err != nil {
 		t.Fatal(err)
 	}
 	p := &process{t: t, name: name, log: log, exited: make(chan struct{})}
-	p.cmd = exec.Command(os.Args[0], args...)
-	p.cmd.Env = append(append(os.Environ(), roleEnv+"="+role), env...)
+	p.cmd = exec.Command(path, args...)
+	p.cmd.Env = append(os.Environ(), env...)
 	p.cmd.Stdout, p.cmd.Stderr = log, log
 	// In a session of its own: otherwise a process that a test has stopped gets SIGHUP and SIGCONT
 	// when the shell of the job in which the tests run ends, and it ends, or goes on under nohup.
--- a/internal/engine/sender/sender.go
+++ b/internal/engine/sender/sender.go
@@ -148,6 +148,8 @@
 type Response struct {
 	Status int
 	Header http.Header
+	// Length is the stated length of the body in bytes, negative if none is stated.
+	Length int64
 	// Body returns io.EOF only after the whole body: if the endpoint marked its
 	// end, or closed the connection of a response without a stated length.
 	Body io.ReadCloser
@@ -209,7 +211,7 @@
 			return nil, err
 		}
 		if req.Matches == nil || req.Matches(resp.Header) {
-			x := &Response{Status: resp.StatusCode, Header: resp.Header, sender: s, conn: l, reusable: !resp.Close}
+			x := &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, sender: s, conn: l, reusable: !resp.Close}
 			x.Body = &body{ReadCloser: resp.Body, x: x}
 			l.keepAlive = defaultKeepAlive
 			if req.KeepAlive != nil {
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -79,6 +79,7 @@
 	"brasschute/internal/route/scheduler"
 	"brasschute/internal/route/splitter"
 	"brasschute/internal/route/versiontracker"
+	"brasschute/internal/serve/answerreader"
 	"brasschute/internal/serve/dispatcher"
 	"brasschute/internal/serve/placer"
 	"brasschute/internal/serve/proxier"
@@ -121,6 +122,12 @@
 	maxHeaderBytes = 16 << 10
 	headerTimeout  = 5 * time.Second
 	idleTimeout    = 2 * time.Minute
+	// maxAnswerBytes bounds the answer of an endpoint that is no stream, which is buffered until it is complete.
+	maxAnswerBytes = 8 << 20
+	// answerFraction is the fraction of the host's memory for answers that are not small. Without a known
+	// limit they may take unlimitedAnswerMemory.
+	answerFraction        = 8
+	unlimitedAnswerMemory = 256 << 20
 	// maxPeerHeaderBytes leaves room for the headers that wrap a client's request.
 	maxPeerHeaderBytes = 2 * maxHeaderBytes
 )
@@ -349,16 +356,8 @@
 	g.tree.Add(g.quarantine)
 	g.buildProxier()
 	g.buildScheduling()
-	relay := relayer.New(relayer.Config{
-		Registry: g.registry, Placer: placer.New(placer.Config{
-			Registry: g.registry, Estimator: &g.estimator, Zone: d.AvailabilityZone, Host: d.Host, Reserver: g.reserver, OnFirstEvent: g.recordPrediction,
-			SurvivedRejections: g.survivedRejections,
-		}),
-		Dispatcher: g.dispatcher, Codec: platform.Codec{}, Budget: g, OnBegin: g.countRequest, Demand: &g.demandMeter, Quarantine: g.quarantine,
-		Versions: g.splitter, Origins: g.origins, Permits: g.permits, ReplyObserver: g, SilenceObserver: g,
-	})
 	g.receiver = receiver.New(receiver.Config{
-		Versioner: &g.versioner, Relayer: relay, Quota: g, Quarantine: g.quarantine, Decode: platform.DecodeRequest, Refuse: platform.Codec{}.EncodeRefusal,
+		Versioner: &g.versioner, Relayer: g.newRelayer(), Quota: g, Quarantine: g.quarantine, Decode: platform.DecodeRequest, Refuse: platform.Codec{}.EncodeRefusal,
 		Observer: accesslogger.New(accesslogger.Config{Logger: g.c.Logger, Metrics: g.scope}),
 	})
 	wait := time.Duration(watchFraction * float64(min(d.Bounds.ApplyTime, d.Bounds.DrainTime)))
@@ -378,6 +377,28 @@
 	g.buildDuties()
 }
 
+// newRelayer returns the relayer of clients' requests.
+func (g *Gateway) newRelayer() *relayer.Relayer {
+	d := g.c.Deployment
+	return relayer.New(relayer.Config{
+		Registry: g.registry, Placer: placer.New(placer.Config{
+			Registry: g.registry, Estimator: &g.estimator, Zone: d.AvailabilityZone, Host: d.Host, Reserver: g.reserver, OnFirstEvent: g.recordPrediction,
+			SurvivedRejections: g.survivedRejections,
+		}),
+		Dispatcher: g.dispatcher, Codec: platform.Codec{}, Budget: g, OnBegin: g.countRequest, Demand: &g.demandMeter, Quarantine: g.quarantine,
+		Versions: g.splitter, Origins: g.origins, Permits: g.permits, ReplyObserver: g, SilenceObserver: g,
+		Answers: answerreader.New(answerreader.Config{MaxBytes: maxAnswerBytes, TotalBytes: g.answerMemory(), Metrics: g.scope}),
+	})
+}
+
+// answerMemory returns the bytes that answers of endpoints may take together.
+func (g *Gateway) answerMemory() int64 {
+	if memory := g.c.Deployment.MemoryBytes; memory > 0 {
+		return memory / answerFraction
+	}
+	return unlimitedAnswerMemory
+}
+
 // uptime returns the time of a clock that continues while the host is suspended.
 func (g *Gateway) uptime() time.Time { return g.c.Uptime() }
 
--- a/internal/serve/relayer/attempt.go
+++ b/internal/serve/relayer/attempt.go
@@ -14,6 +14,7 @@
 	"brasschute/internal/peer/crashreporter"
 	"brasschute/internal/route/pathtracker"
 	"brasschute/internal/route/registry"
+	"brasschute/internal/serve/answerreader"
 	"brasschute/internal/serve/dispatcher"
 	"brasschute/internal/serve/replyreader"
 	"brasschute/internal/serve/request"
@@ -89,7 +90,7 @@
 		if reply.Misdirected {
 			result = registry.Failed
 		}
-		_, _ = io.Copy(io.Discard, io.LimitReader(x.Body, maxAnswerBytes))
+		_, _ = io.Copy(io.Discard, io.LimitReader(x.Body, maxRefusalBytes))
 		return fmt.Errorf("%w (status %d)", errRefused, x.Status)
 	}
 	j.mayHaveRun = true
@@ -207,9 +208,9 @@
 	if success && j.q.Route.Kind == catalog.Streaming {
 		return j.relayStream(ctx, x, pick, begun, delivered)
 	}
-	body, err := io.ReadAll(io.LimitReader(x.Body, maxAnswerBytes+1))
-	if err != nil || len(body) > maxAnswerBytes {
-		return fmt.Errorf("%w: body cut after %d bytes", sender.ErrBadResponse, len(body))
+	body, err := j.readAnswer(ctx, x)
+	if err != nil {
+		return err
 	}
 	if reply.Signed {
 		j.markBegun()
@@ -224,6 +225,21 @@
 	return j.sendAnswer(a)
 }
 
+// readAnswer reads a whole body, which is held until the request ends. A large one of a failed attempt is dropped
+// first: requests that wait for memory while they hold some could wait for each other.
+func (j *job) readAnswer(ctx context.Context, x *sender.Response) ([]byte, error) {
+	if j.failedAnswer != nil && len(j.failedAnswer.body) > answerreader.SmallBytes {
+		j.failedAnswer = nil
+		j.releaseAnswer()
+	}
+	body, release, err := j.r.c.Answers.Read(ctx, x.Body, x.Length)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", sender.ErrBadResponse, err)
+	}
+	j.releaseAnswer = release
+	return body, nil
+}
+
 // markBegun reports, once, that the request began to run.
 func (j *job) markBegun() {
 	if j.began {
@@ -242,9 +258,13 @@
 	h.Set("Content-Length", fmt.Sprint(len(a.body)))
 	j.res.Status, j.res.Outcome, j.res.TimeToFirst = a.status, Answered, time.Since(j.q.Received)
 	j.countFirstEvent()
+	// A client that does not read must not hold the memory of its answer for ever.
+	control := http.NewResponseController(j.w)
+	_ = control.SetWriteDeadline(time.Now().Add(max(time.Until(j.q.Deadline()), writeTimeout)))
 	j.w.WriteHeader(a.status)
 	if _, err := j.w.Write(a.body); err != nil {
 		j.res.Outcome = ClientGone
 	}
+	_ = control.SetWriteDeadline(time.Time{})
 	return nil
 }
--- a/internal/serve/relayer/relayer.go
+++ b/internal/serve/relayer/relayer.go
@@ -45,6 +45,7 @@
 	"brasschute/internal/route/selector"
 	"brasschute/internal/route/shedder"
 	"brasschute/internal/route/splitter"
+	"brasschute/internal/serve/answerreader"
 	"brasschute/internal/serve/dispatcher"
 	"brasschute/internal/serve/placer"
 	"brasschute/internal/serve/replyreader"
@@ -53,8 +54,10 @@
 )
 
 const (
-	// maxAnswerBytes bounds a plain answer, which is buffered until it is complete.
-	maxAnswerBytes = 8 << 20
+	// maxRefusalBytes bounds what is read of a response that says that the request did not run.
+	maxRefusalBytes = 64 << 10
+	// writeTimeout is how long a client may take to read its answer, if its deadline is not later.
+	writeTimeout = 10 * time.Second
 	// maxUnsent is the number of unreachable endpoints that are tried. They do not
 	// count as attempts. An endpoint that refuses the connection does not count here
 	// either: that takes one round trip, and reaches no endpoint.
@@ -107,6 +110,8 @@
 	ReplyObserver replyreader.Observer
 	// SilenceObserver receives the decisions about silent attempts.
 	SilenceObserver SilenceObserver
+	// Answers reads answers and bounds the memory that they take.
+	Answers *answerreader.Reader
 }
 
 // SilenceObserver receives the decisions about silent attempts.
@@ -302,6 +307,8 @@
 	// failedAnswer is an endpoint's error answer, passed on if no later attempt does
 	// better.
 	failedAnswer *answer
+	// releaseAnswer gives the memory of the last answer back; nil if none was read.
+	releaseAnswer func()
 }
 
 // answer is the complete answer of an endpoint.
@@ -319,6 +326,11 @@
 	j.returnDelay = r.c.Demand.ReturnDelay(q.Service, q.Route.Name, q.ClientTimeout)
 	j.counted = j.returnDelay > 0 || q.LastEventNumber > 0
 	defer j.countEnd()
+	defer func() {
+		if j.releaseAnswer != nil {
+			j.releaseAnswer()
+		}
+	}()
 	if !j.findOrigin(ctx) {
 		return j.res
 	}
--- a/internal/serve/relayer/stream.go
+++ b/internal/serve/relayer/stream.go
@@ -10,6 +10,7 @@
 	"brasschute/internal/engine/eventsplitter"
 	"brasschute/internal/engine/sender"
 	"brasschute/internal/route/registry"
+	"brasschute/internal/serve/answerreader"
 )
 
 const (
@@ -17,6 +18,8 @@
 	readBytes = 4 << 10
 	// maxEventBytes bounds an event, which is buffered until it is complete.
 	maxEventBytes = 1 << 20
+	// eventMemory is what a buffer takes that grows to the size of an event.
+	eventMemory = 2 * maxEventBytes
 )
 
 // relayStream relays events as they arrive. Only whole events are passed on: a partial
@@ -27,7 +30,11 @@
 	chunk := make([]byte, readBytes)
 	var first time.Time
 	reported := false
+	var release func()
 	defer func() {
+		if release != nil {
+			release()
+		}
 		if !first.IsZero() {
 			pick.Activity.EndStream()
 		}
@@ -60,6 +67,11 @@
 				return problem
 			}
 		}
+		if err == nil && release == nil && splitter.Pending() > answerreader.SmallBytes {
+			if release, err = j.r.c.Answers.Reserve(ctx, eventMemory); err != nil {
+				return fmt.Errorf("%w: after event %d: %w", sender.ErrBadResponse, j.lastEvent, err)
+			}
+		}
 		switch {
 		case errors.Is(err, io.EOF) && splitter.Pending() == 0 && j.headSent:
 			j.res.Outcome = Answered
