drainer: a stopping daemon answers requests that can't end in time

Cause: the drain waits for the listener's requests until the end of the grace period and then ends the process. Nothing in a request's path knew that time: the waits of the placer, and attempts whose endpoint has not answered, end with the request's own deadline or client only.

Change: package drainer holds the end of the process and calls those who watch it some time before, also if the stop begins later. One that comes after the balancer has taken the daemon out, and could not end in time, is not sent. Streams that have begun go on until the end, as before. Attempts that end so count neither against their endpoint nor against its version (reason "stopping").

--- a/integration/gateway_test.go
+++ b/integration/gateway_test.go
@@ -496,3 +496,26 @@
 		return checkEqual("incarnations", len(incarnations), 2)
 	})
 }
+
+// Guards against requests that were sent to an endpoint and whose connections close without an answer when a stopping
+// daemon ends, and against a stream that is cut then and looks complete.
+func TestStopAnswersRequestsWithoutAnAnswer(t *testing.T) {
+	s := newSite(t)
+	e := s.addEngine(hosting.Config{ID: "i-app", Service: plainService})
+	e.SetBehaviour(func(*http.Request) hosting.Behaviour { return hosting.HoldUntilRelease })
+	defer e.Release()
+	h := s.addReadyHost()
+	answers := make(chan hostedAnswer, 2)
+	for _, path := range []string{nonIdempotentPath, idempotentPath} {
+		go func() { answers <- h.send(hostedRequest{Target: path + "x", Key: deskKey}) }()
+	}
+	eventually(t, "both requests run", func() error { return checkEqual("requests", e.Received(), 2) })
+	h.signal(syscall.SIGTERM)
+	for range cap(answers) {
+		a := <-answers
+		if a.err != nil || a.status != http.StatusBadGateway || !containsText(a.body, "stopping") {
+			t.Errorf("status %d, %s, %v", a.status, a.body, a.err)
+		}
+	}
+	h.awaitExit()
+}
--- a/internal/peer/crashreporter/crashreporter.go
+++ b/internal/peer/crashreporter/crashreporter.go
@@ -100,6 +100,8 @@
 	// Quarantined: the request became held. PeerLost: the peer that sent it gave no response.
 	Quarantined Reason = "quarantined"
 	PeerLost    Reason = "peer-lost"
+	// Stopping: this daemon stops.
+	Stopping Reason = "stopping"
 )
 
 // Reporter is a daemon's quarantine, fed by its own probes and by messages of peers. It is safe for
--- a/internal/role/gateway/fleet_test.go
+++ b/internal/role/gateway/fleet_test.go
@@ -50,6 +50,8 @@
 	routes  []map[string]any
 	number  identifier.ConfigurationNumber
 	daemons []*Gateway
+	// cancels begin to stop the daemons.
+	cancels []context.CancelFunc
 	// networks are the networks of the daemons' hosts.
 	networks []*isolatableNetwork
 	stop     []func()
@@ -182,7 +184,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- g.Run(ctx) }()
-	f.daemons = append(f.daemons, g)
+	f.daemons, f.cancels = append(f.daemons, g), append(f.cancels, cancel)
 	f.stop = append(f.stop, func() {
 		cancel()
 		if err := <-ended; err != nil {
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -81,6 +81,7 @@
 	"brasschute/internal/route/versiontracker"
 	"brasschute/internal/serve/answerreader"
 	"brasschute/internal/serve/dispatcher"
+	"brasschute/internal/serve/drainer"
 	"brasschute/internal/serve/placer"
 	"brasschute/internal/serve/proxier"
 	"brasschute/internal/serve/receiver"
@@ -185,9 +186,11 @@
 	quarantine *crashreporter.Reporter
 	receiver   *receiver.Receiver
 	callers    *server.Server
-	reporter   prometheus.Reporter
-	scope      tally.Scope
-	closer     func() error
+	// drainer tells requests when they have to end because the daemon stops.
+	drainer  *drainer.Drainer
+	reporter prometheus.Reporter
+	scope    tally.Scope
+	closer   func() error
 
 	// peerClient calls the coordinators among the peers.
 	peerClient *http.Client
@@ -327,6 +330,7 @@
 	g.tree = suture.New("gateway", suture.Spec{EventHook: g.logSupervisorEvent})
 	g.store = platform.NewStore(d.Store.String(), g.newPlatformClient())
 	g.store.OnEra(g.onStoreEra)
+	g.drainer = drainer.New(drainer.Config{BalancerLag: balancerLag})
 	g.clock = chronometer.New(chronometer.Config{Monotonic: g.c.Uptime})
 	g.roster = roster.New(roster.Config{
 		Host: d.Host, Zone: d.AvailabilityZone, Address: d.Peers.String(), Capacity: roster.CapacityOf(d.LinkBytesPerSecond),
@@ -383,11 +387,12 @@
 	return relayer.New(relayer.Config{
 		Registry: g.registry, Placer: placer.New(placer.Config{
 			Registry: g.registry, Estimator: &g.estimator, Zone: d.AvailabilityZone, Host: d.Host, Reserver: g.reserver, OnFirstEvent: g.recordPrediction,
-			SurvivedRejections: g.survivedRejections,
+			SurvivedRejections: g.survivedRejections, Drainer: g.drainer,
 		}),
 		Dispatcher: g.dispatcher, Codec: platform.Codec{}, Budget: g, OnBegin: g.countRequest, Demand: &g.demandMeter, Quarantine: g.quarantine,
 		Versions: g.splitter, Origins: g.origins, Permits: g.permits, ReplyObserver: g, SilenceObserver: g,
 		Answers: answerreader.New(answerreader.Config{MaxBytes: maxAnswerBytes, TotalBytes: g.answerMemory(), Metrics: g.scope}),
+		Drainer: g.drainer,
 	})
 }
 
@@ -550,6 +555,7 @@
 // flight.
 func (g *Gateway) drain(deadline time.Time) {
 	g.stopping.Store(true)
+	g.drainer.Begin(deadline)
 	g.receiver.Drain()
 	g.proxier.Drain()
 	g.c.Logger.Info("stopping", "deadline", deadline)
--- a/internal/serve/placer/placer.go
+++ b/internal/serve/placer/placer.go
@@ -33,6 +33,7 @@
 	"brasschute/internal/route/estimator"
 	"brasschute/internal/route/registry"
 	"brasschute/internal/route/selector"
+	"brasschute/internal/serve/drainer"
 	"brasschute/internal/serve/request"
 	"brasschute/internal/serve/streamer"
 
@@ -89,6 +90,8 @@
 	// SurvivedRejections returns the number of rejections a second that the endpoints of a service
 	// survive, 0 if it is not known. brittle reports whether there is such a bound. nil for none.
 	SurvivedRejections func(identifier.Service) (perSecond float64, brittle bool)
+	// Drainer says when requests have to end because the daemon stops; nil for none.
+	Drainer *drainer.Drainer
 }
 
 // New returns a placer.
@@ -185,7 +188,12 @@
 	if !q.HasTokenCounts {
 		return q.Route.FirstEventObjective
 	}
-	return q.Route.FirstEventObjective/2 + usualFactor*time.Duration(q.OutputTokens)*p.c.Estimator.TokenInterval(q.Service)/usualDivisor
+	return q.Route.FirstEventObjective/2 + p.maxUsualGeneration(q)
+}
+
+// maxUsualGeneration returns the longest usual time from the first event of a stream to its last.
+func (p *Placer) maxUsualGeneration(q *request.Request) time.Duration {
+	return usualFactor * time.Duration(q.OutputTokens) * p.c.Estimator.TokenInterval(q.Service) / usualDivisor
 }
 
 // lateCost is the cost of a late answer: nine tenths of the value of a request, which is
--- a/internal/serve/placer/schedule.go
+++ b/internal/serve/placer/schedule.go
@@ -14,6 +14,7 @@
 	"brasschute/internal/route/scheduler"
 	"brasschute/internal/route/selector"
 	"brasschute/internal/route/shedder"
+	"brasschute/internal/serve/drainer"
 	"brasschute/internal/serve/request"
 )
 
@@ -240,12 +241,25 @@
 	if q.Route.Kind == catalog.Streaming {
 		r.SilenceLeft = min(r.SilenceLeft, shedder.ClientTimeout(q.Route)-waited)
 	}
+	if left, stopping := p.timeToFirstEvent(q); stopping {
+		r.SilenceLeft = min(r.SilenceLeft, left)
+	}
 	if q.Organisation != nil {
 		r.Organisation, r.Weight = q.Organisation.Name, weight(q.Organisation, float64(query.Select.PrefillRate))
 	}
 	return r
 }
 
+// timeToFirstEvent returns the time until the first event of a stream must come to end before the process of a
+// stopping daemon does.
+func (p *Placer) timeToFirstEvent(q *request.Request) (left time.Duration, stopping bool) {
+	if p.c.Drainer == nil {
+		return 0, false
+	}
+	left, stopping = p.c.Drainer.TimeLeft()
+	return left - p.maxUsualGeneration(q), stopping
+}
+
 // weight returns the weight of an organisation: its quota relative to what one engine prefills, so
 // that quotas in tokens, quotas in requests and organisations without a quota compare.
 func weight(o *catalog.Organisation, tokensPerSecond float64) float64 {
@@ -401,10 +415,22 @@
 	if longest := shedder.MaxRetryAfter(time.Until(a.q.Deadline())); after <= 0 || after > longest {
 		after = longest
 	}
+	if a.outlastsDaemon() {
+		left, _ := a.p.timeToFirstEvent(a.q)
+		reason = fmt.Sprintf("%s, a first event must come within %d ms: %s", drainer.ErrStopping, max(left, 0).Milliseconds(), reason)
+		after = min(after, drainer.RetryAfter)
+	}
 	a.schedule.Decision = scheduler.Refuse.String()
 	return Placement{Decision: a.decision, Schedule: a.schedule, Refusal: &Refusal{Reason: reason, RetryAfter: after}}
 }
 
+// outlastsDaemon reports whether the daemon stops and the request is predicted not to end before its process does. At
+// another daemon it may be served.
+func (a *placing) outlastsDaemon() bool {
+	left, stopping := a.p.timeToFirstEvent(a.q)
+	return stopping && left < a.quote.FirstEventIn
+}
+
 // wait asks the coordinator until the request starts, is refused or ends.
 func (a *placing) wait(ctx context.Context) (out Placement, done bool) {
 	target := targetOf(a.proposal)
@@ -428,6 +454,9 @@
 		case a.quote.Decision == scheduler.Start:
 			a.update()
 			return a.take(true)
+		case a.outlastsDaemon():
+			a.p.c.Reserver.Withdraw(target, a.q.ID)
+			return a.refuse(fmt.Sprintf("its first event is predicted in %d ms", a.quote.FirstEventIn.Milliseconds())), true
 		}
 		pause := time.NewTimer(min(max(a.quote.AskAgain, minPause), maxPause))
 		select {
--- a/internal/serve/relayer/ending.go
+++ b/internal/serve/relayer/ending.go
@@ -16,6 +16,10 @@
 // endsRequest reports whether a failed attempt ends the request, and sets the result
 // if so.
 func (j *job) endsRequest(ctx context.Context, err error) bool {
+	if stoppedDaemon(ctx) {
+		j.endStopped()
+		return true
+	}
 	if errors.Is(err, errClient) || errors.Is(ctx.Err(), context.Canceled) {
 		j.res.Outcome, j.res.Reason, j.res.Abort = ClientGone, "the client left", true
 		return true
@@ -60,8 +64,12 @@
 	return j.r.c.Budget.Spend(j.q.Service)
 }
 
-// endTimedOut ends a request whose deadline passed, or whose client disconnected.
+// endTimedOut ends a request whose deadline passed, whose client disconnected or whose daemon stops.
 func (j *job) endTimedOut(ctx context.Context) {
+	if stoppedDaemon(ctx) {
+		j.endStopped()
+		return
+	}
 	if errors.Is(ctx.Err(), context.Canceled) {
 		j.res.Outcome, j.res.Reason, j.res.Abort = ClientGone, "the client left", true
 		return
--- a/internal/serve/relayer/quarantine.go
+++ b/internal/serve/relayer/quarantine.go
@@ -53,6 +53,8 @@
 		return crashreporter.Quarantined
 	case errors.Is(err, errSilence):
 		return crashreporter.Silent
+	case stoppedDaemon(ctx):
+		return crashreporter.Stopping
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return crashreporter.TimedOut
 	case errors.Is(err, dispatcher.ErrThroughPeer) && ctx.Err() == nil:
--- a/internal/serve/relayer/relayer.go
+++ b/internal/serve/relayer/relayer.go
@@ -47,6 +47,7 @@
 	"brasschute/internal/route/splitter"
 	"brasschute/internal/serve/answerreader"
 	"brasschute/internal/serve/dispatcher"
+	"brasschute/internal/serve/drainer"
 	"brasschute/internal/serve/placer"
 	"brasschute/internal/serve/replyreader"
 	"brasschute/internal/serve/request"
@@ -112,6 +113,8 @@
 	SilenceObserver SilenceObserver
 	// Answers reads answers and bounds the memory that they take.
 	Answers *answerreader.Reader
+	// Drainer says when requests have to end because the daemon stops.
+	Drainer *drainer.Drainer
 }
 
 // SilenceObserver receives the decisions about silent attempts.
@@ -266,7 +269,12 @@
 }
 
 // New returns a relayer.
-func New(c Config) *Relayer { return &Relayer{c} }
+func New(c Config) *Relayer {
+	if c.Drainer == nil {
+		c.Drainer = drainer.New(drainer.Config{})
+	}
+	return &Relayer{c}
+}
 
 // job is the state of one request.
 type job struct {
@@ -309,6 +317,8 @@
 	failedAnswer *answer
 	// releaseAnswer gives the memory of the last answer back; nil if none was read.
 	releaseAnswer func()
+	// answerBegins is called when an answer begins, which then goes on until the end of the process.
+	answerBegins func()
 }
 
 // answer is the complete answer of an endpoint.
@@ -331,6 +341,8 @@
 			j.releaseAnswer()
 		}
 	}()
+	ctx, cancel := j.endWithDaemon(ctx)
+	defer cancel()
 	if !j.findOrigin(ctx) {
 		return j.res
 	}
@@ -390,6 +402,12 @@
 		j.endFailed(quarantineReason(&v), v.RetryAfter)
 		return nil, true
 	}
+	if j.startsTooLate() {
+		j.endStopped()
+		return nil, true
+	}
+	ctx, cancel := j.waitWithDaemon(ctx)
+	defer cancel()
 	placed := j.place(ctx)
 	if placed.Schedule != nil {
 		j.res.Schedule = placed.Schedule
--- a/internal/serve/relayer/version.go
+++ b/internal/serve/relayer/version.go
@@ -99,6 +99,7 @@
 func (j *job) reportRun(requestCtx context.Context, r *splitter.Run, pick *registry.Pick, err error, begun time.Time, events int) {
 	r.Elapsed, r.Expected = time.Since(begun), j.r.c.Placer.ExpectedDuration(j.q, j.service, pick, events)
 	switch {
+	case err != nil && stoppedDaemon(requestCtx):
 	case err != nil && requestCtx.Err() != nil && events == 0 && j.explained(pick, begun):
 	case errors.Is(err, errSilence) && j.pausedLately(pick, begun):
 	case err == nil, errors.Is(requestCtx.Err(), context.Canceled) && !isUnsent(err):
