sender: interim responses are no answers

Cause: readResponse took the first status line for the final response, 1xx included. The relayer kept the 102 as the answer of a failure and wrote it to its client, for whom net/http then sends 200 and nothing else. Evidence: the test below, on the code before, gets an empty body without an error for "102 Processing" before a whole answer. The relayer's and the peers' way need nothing of their own: neither can see such a status any more.

Change: interim responses (RFC 9110, 15.2) are skipped; together with the final head they are bounded by its 64 KB. 101, which nobody asked for, and a status outside 200 to 599 after that end the attempt as a broken answer: net/http panics at a status below 100, which closed the client's connection.

--- a/integration/endless_test.go
+++ b/integration/endless_test.go
@@ -49,6 +49,7 @@
 		{name: "status-line", repeated: text},
 		{name: "header-line", head: signedHead + "Long: ", repeated: text},
 		{name: "header-lines", head: signedHead, repeated: strings.Repeat("Repeated: value\r\n", chunkBytes/17)},
+		{name: "interim-heads", repeated: strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", chunkBytes/27)},
 		{name: "unframed-body", head: signedHead + "\r\n", repeated: text},
 		{name: "chunked-body", head: signedHead + "Transfer-Encoding: chunked\r\n\r\n", repeated: fmt.Sprintf("%x\r\n%s\r\n", chunkBytes, text)},
 		{name: "chunk-extension", head: signedHead + "Transfer-Encoding: chunked\r\n\r\n1;", repeated: text},
--- a/internal/engine/sender/sender.go
+++ b/internal/engine/sender/sender.go
@@ -72,6 +72,8 @@
 	readBufferBytes = 4 << 10
 	// maxHeadBytes bounds the status line and headers of a response.
 	maxHeadBytes = 64 << 10
+	// maxStatus is the highest status (RFC 9110, 15).
+	maxStatus = 599
 	// maxSkippedBytes bounds the body of a response to another request.
 	maxSkippedBytes = 1 << 20
 	// maxMismatched is the number of responses to other requests that are skipped
@@ -229,18 +231,26 @@
 	return nil, fmt.Errorf("%w: an answer to another request", ErrBadResponse)
 }
 
-// readHead reads the status line and headers of the next response on a connection.
+// readHead reads the status line and headers of the next response on a connection. Interim responses may
+// precede it (RFC 9110, 15.2) and count towards its length.
 func (l *connection) readHead(r *http.Request) (*http.Response, error) {
 	l.limiter.begin()
 	defer l.limiter.end()
 	if _, err := l.reader.Peek(1); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNoResponse, err)
 	}
-	resp, err := http.ReadResponse(l.reader, r)
-	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrBadResponse, headError(err))
+	for {
+		resp, err := http.ReadResponse(l.reader, r)
+		if err != nil {
+			return nil, fmt.Errorf("%w: %w", ErrBadResponse, headError(err))
+		}
+		switch status := resp.StatusCode; {
+		case status >= http.StatusOK && status <= maxStatus:
+			return resp, nil
+		case status < http.StatusContinue || status > maxStatus || status == http.StatusSwitchingProtocols:
+			return nil, fmt.Errorf("%w: status %d", ErrBadResponse, status)
+		}
 	}
-	return resp, nil
 }
 
 // headError returns the error of a head that can't be read. That of net/http quotes the endpoint's bytes, which
--- a/internal/engine/sender/sender_test.go
+++ b/internal/engine/sender/sender_test.go
@@ -214,3 +214,43 @@
 		t.Errorf("%v with %d connections", err, opened.Load())
 	}
 }
+
+// Guards against an interim response, or one with a status that is none, that is taken for the answer.
+func TestOnlyFinalResponsesAreAnswers(t *testing.T) {
+	const final = "HTTP/1.1 200 OK\r\nRequest-Id: r\r\nContent-Length: 5\r\n\r\nwhole"
+	for _, c := range []struct {
+		name, response string
+		ok             bool
+	}{
+		{"processing", "HTTP/1.1 102 Processing\r\n\r\n" + final, true},
+		{"several", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\nContent-Length: 9\r\n\r\n" + final, true},
+		{"interim alone", "HTTP/1.1 102 Processing\r\n\r\n", false},
+		{"other protocol", "HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\n\r\n" + final, false},
+		{"no status", "HTTP/1.1 042 Odd\r\nContent-Length: 0\r\n\r\n" + final, false},
+		{"status zero", "HTTP/1.1 000 Odd\r\nContent-Length: 0\r\n\r\n", false},
+		{"too high a status", "HTTP/1.1 600 Odd\r\nContent-Length: 0\r\n\r\n", false},
+	} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		go func() {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = conn.Read(make([]byte, 4096))
+			_, _ = io.WriteString(conn, c.response)
+			_ = conn.Close()
+		}()
+		s, _ := newSender(t)
+		m := testRequest(l.Addr().String(), "r")
+		// A response need not name its request.
+		m.Matches = func(h http.Header) bool { return h.Get("Request-Id") != "other" }
+		body, err := sendAndRead(t, s, m)
+		if c.ok && (err != nil || body != "whole") || !c.ok && !errors.Is(err, ErrBadResponse) {
+			t.Errorf("%s: %q, %v", c.name, body, err)
+		}
+	}
+}
