sender: the target of a request goes out as it came in

Cause: the sender put the target into url.URL.Opaque and let http.Request.Write encode it; URL.RequestURI puts the scheme before an opaque part that begins with two slashes. Evidence: of seven odd targets that a raw client sends through a daemon, just the two that begin with two slashes arrive changed on the code before; the parser of clients' heads and the peers' wrapper keep all of them.

Change: the sender writes the request line, the host and the length itself, the headers by http.Header. A method, target or host with a space or a control character is not sent.

Measured: TestTargetReachesTheEndpointUnchanged failed before.

--- a/integration/gateway_test.go
+++ b/integration/gateway_test.go
@@ -519,3 +519,21 @@
 	}
 	h.awaitExit()
 }
+
+// Guards against a request whose target reaches the endpoint changed.
+func TestTargetReachesTheEndpointUnchanged(t *testing.T) {
+	s := newSite(t)
+	e := s.addEngine(hosting.Config{ID: "i-app", Service: plainService})
+	s.configure(func(c *hostedConfig) {
+		c.Routes = append(c.Routes, hostedRoute{Name: "rest", Host: hostedDomain, PathPrefix: "/", Kind: "idempotent", Service: plainService, TimeoutMs: 10000, SloMs: 500, MaxAttempts: 1})
+	})
+	h := s.addReadyHost()
+	for i, target := range []string{"//ledger/7?page=7", "///a", "/a%2Fb//c;d=e?x=%20&y", "/a/../b/./c", `/"quoted"/{a}|b`, "/a?b?c=//d", "/%7Euser/%c3%a9"} {
+		id := fmt.Sprintf("target-%d", i)
+		status, _ := exchange(t, dialHost(t, h), fmt.Sprintf("GET %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nAuthorization: Bearer %s\r\n\r\n", target, hostedDomain, id, deskKey))
+		runs := e.Executions()
+		if status != http.StatusOK || runs[len(runs)-1].Target != target {
+			t.Errorf("%s: status %d, the endpoint ran %v", target, status, runs[len(runs)-1].Target)
+		}
+	}
+}
--- a/internal/engine/sender/sender.go
+++ b/internal/engine/sender/sender.go
@@ -6,7 +6,8 @@
 // an exchange if the next response on the connection belongs to an earlier
 // request. The sender writes a request once: [ErrUnsent] and [ErrCanceled] mean
 // that the kernel accepted no byte of it, any other error means that the endpoint
-// may have received it. Messages are still encoded and parsed by net/http.
+// may have received it. Headers are encoded and responses parsed by net/http. The
+// request target goes out byte by byte as it came in: net/http's URL would change some.
 //
 // An endpoint may close an idle connection at any time, and a request sent on it
 // is then lost without a response. A connection is therefore reused only within
@@ -25,7 +26,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -33,7 +33,6 @@
 	"maps"
 	"net"
 	"net/http"
-	"net/url"
 	"slices"
 	"sync"
 	"syscall"
@@ -167,6 +166,10 @@
 // ctx ends, the connection is closed, which makes the endpoint abort the request.
 // The error wraps one of those declared in this package.
 func (s *Sender) Send(ctx context.Context, req *Request) (*Response, error) {
+	message, err := encode(req)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUnsent, err)
+	}
 	l, err := s.connect(ctx, req.Address, req.OnConnect)
 	if err != nil {
 		return nil, err
@@ -176,27 +179,15 @@
 		return nil, ErrCanceled
 	}
 	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
-	r, err := newRequest(req)
-	if err != nil {
+	if n, err := message.WriteTo(l); err != nil {
 		stop()
 		_ = l.Close()
-		return nil, fmt.Errorf("%w: %w", ErrUnsent, err)
-	}
-	w := &countingWriter{w: l}
-	buffered := bufio.NewWriterSize(w, len(req.Body)+readBufferBytes)
-	err = r.Write(buffered)
-	if err == nil {
-		err = buffered.Flush()
-	}
-	if err != nil {
-		stop()
-		_ = l.Close()
-		if w.n == 0 {
+		if n == 0 {
 			return nil, fmt.Errorf("%w: %w", ErrUnsent, err)
 		}
 		return nil, fmt.Errorf("%w: %w", ErrNoResponse, err)
 	}
-	x, err := s.readResponse(l, r, req)
+	x, err := s.readResponse(l, req)
 	if err != nil {
 		stop()
 		_ = l.Close()
@@ -206,7 +197,9 @@
 	return x, nil
 }
 
-func (s *Sender) readResponse(l *connection, r *http.Request, req *Request) (*Response, error) {
+func (s *Sender) readResponse(l *connection, req *Request) (*Response, error) {
+	// The method tells which responses have no body.
+	r := &http.Request{Method: req.Method}
 	for range maxMismatched + 1 {
 		resp, err := l.readHead(r) //nolint:bodyclose // Response.Close ends it
 		if err != nil {
@@ -269,25 +262,6 @@
 	return err == nil && n <= maxSkippedBytes
 }
 
-func newRequest(req *Request) (*http.Request, error) {
-	if _, err := url.ParseRequestURI(req.Target); err != nil {
-		return nil, fmt.Errorf("target: %w", err)
-	}
-	// Opaque keeps the target as the client wrote it.
-	u := &url.URL{Scheme: "http", Host: req.Host, Opaque: req.Target, RawQuery: ""}
-	r := &http.Request{
-		Method: req.Method, URL: u, Host: req.Host, Header: req.Header, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		ContentLength: int64(len(req.Body)),
-	}
-	if len(req.Body) > 0 {
-		r.Body = io.NopCloser(bytes.NewReader(req.Body))
-	}
-	if r.Header.Get("User-Agent") == "" {
-		r.Header["User-Agent"] = []string{""}
-	}
-	return r, nil
-}
-
 // Connect opens a connection to an address and keeps it for later requests. The error wraps
 // [ErrUnsent].
 func (s *Sender) Connect(ctx context.Context, address string) error {
@@ -447,15 +421,3 @@
 	}
 	return n, err
 }
-
-// countingWriter counts the bytes that the connection accepted.
-type countingWriter struct {
-	w io.Writer
-	n int
-}
-
-func (c *countingWriter) Write(p []byte) (int, error) {
-	n, err := c.w.Write(p)
-	c.n += n
-	return n, err
-}
