parser: the path of a plain request stays encoded

Callers of the own interface saw: a path with %2F, %3F, %25 or another encoded character reaches the service decoded, so that /a%3Fb arrives as /a with the query b, and /a%25b is refused with 503.

Cause: the parser took r.URL.Path, which is decoded, and the forwarder parses it as a URL once more.

Change: the parser passes the encoded path on.

Measured: TestPathOfPlainRequestIsUnchanged failed before in its four cases.

--- a/integration/path_test.go
+++ b/integration/path_test.go
@@ -50,6 +50,17 @@
 	check()
 }
 
+// Guards against a plain request whose path reaches the service changed.
+func TestPathOfPlainRequestIsUnchanged(t *testing.T) {
+	_, d := newSmallFleet(t)
+	for _, path := range []string{"/a%2Fb?c=%20", "/a%3Fb", "/a%25b;c", "/%7Euser"} {
+		r := d.do(http.MethodPost, "/services/ledger"+path, "lookup")
+		if want := fmt.Sprintf(`"Path":%q`, path); r.status != http.StatusOK || !containsText(r.body, want) {
+			t.Errorf("%s: status %d, %s", path, r.status, r.body)
+		}
+	}
+}
+
 // TestPathCarriesTraceAndRequestID sends a request with a trace context and an id. The engine
 // must get the trace context, and the caller must get both back.
 func TestPathCarriesTraceAndRequestID(t *testing.T) {
--- a/internal/serve/parser/parser.go
+++ b/internal/serve/parser/parser.go
@@ -108,7 +108,7 @@
 	}
 	c.Organisation = o
 	c.Priority = o.Priority
-	if strings.HasPrefix(r.URL.Path, ServicesPrefix) {
+	if strings.HasPrefix(r.URL.EscapedPath(), ServicesPrefix) {
 		return c, p.parsePlain(w, r, c)
 	}
 	return c, p.parseModel(w, r, c)
@@ -150,7 +150,8 @@
 }
 
 func (p *Parser) parsePlain(w http.ResponseWriter, r *http.Request, c *call.Call) *refusal.Problem {
-	name, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, ServicesPrefix), "/")
+	// The path is passed on as the caller encoded it: decoded, %2F would be a slash and %3F begin the query.
+	name, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), ServicesPrefix), "/")
 	if problem := resolveService(c, identifier.Service(name), document.KindPlain); problem != nil {
 		return problem
 	}
