messagelimiter: messages of peers are bounded

Cause: neither the server nor the client of the calls had a bound.

Change: requests and responses of peers end with an error beyond 16 MB, one with a longer stated length is answered 413 at once. The configuration and the list of thousands of endpoints take a few megabytes.

--- a/internal/role/gateway/gossip.go
+++ b/internal/role/gateway/gossip.go
@@ -10,6 +10,7 @@
 	"brasschute/internal/core/watchdog"
 	"brasschute/internal/peer/coordinator"
 	"brasschute/internal/peer/fetcher"
+	"brasschute/internal/peer/messagelimiter"
 	"brasschute/internal/peer/origintracker"
 	"brasschute/internal/peer/permitborrower"
 	"brasschute/internal/peer/roster"
@@ -44,16 +45,20 @@
 	// peerStallTimeout ends a call to a peer that receives no bytes: a paused process keeps its
 	// connections open.
 	peerStallTimeout = time.Second
+	// maxPeerMessageBytes bounds a message. The largest has the configuration or the list of endpoints, a few
+	// megabytes for thousands of them.
+	maxPeerMessageBytes = 16 << 20
 	// peerIdleTimeout keeps connections between peers open over several digest periods.
 	peerIdleTimeout = 30 * time.Second
 )
 
 func (g *Gateway) buildPeers() {
 	d := g.c.Deployment
-	transport := &http.Transport{
+	limiter := messagelimiter.New(messagelimiter.Config{MaxBytes: maxPeerMessageBytes})
+	transport := limiter.Transport(&http.Transport{
 		DialContext: g.peerBytes.Dial(g.c.Network.DialContext), IdleConnTimeout: peerIdleTimeout, DisableCompression: true,
 		MaxResponseHeaderBytes: maxPeerHeaderBytes,
-	}
+	})
 	g.syncer = syncer.New(syncer.Config{
 		Host: d.Host, Zone: d.AvailabilityZone, Address: d.Peers.String(), Gatherer: &g.gatherer, Logger: g.c.Logger,
 		Roster: g.roster, Relaying: g.isRelay, LargeFleet: g.isLarge,
@@ -66,7 +71,7 @@
 		Client: watchdog.New(watchdog.Config{Transport: transport, IdleTimeout: peerStallTimeout}), Logger: g.c.Logger,
 	})
 	peers := http.NewServeMux()
-	peers.Handle("/", throttle.Handler(rpc.NewFleetServer(fleetServer{g.syncer, g.supplier, g.coordinator, g.origins, g.permits})))
+	peers.Handle("/", throttle.Handler(limiter.Handler(rpc.NewFleetServer(fleetServer{g.syncer, g.supplier, g.coordinator, g.origins, g.permits}))))
 	peers.Handle("POST "+wrapper.Path, g.proxier)
 	g.peerHandler = peers
 	for _, seed := range d.Seeds {
