endtracker: an entry vouches for no version once its process has ended

Cause: the version of an attempt is that of the store's entry. A daemon whose streams break there proves the end of the process (refused connections, confirmed by a peer), but used that for the quarantine only; the choice of an endpoint went by the entry until a new one came, and the other daemons learned nothing, as the end of a stream in its middle is not told.

Change: package endtracker keeps the incarnations that are known to have ended, for 10 s; the daemon that finds one tells the others in a note (a new optional field). A stream goes on only at endpoints whose listed incarnation has not ended, checked at the choice and right before the send. A stream that began at an ended one has no known version: it is not recorded and does not go on. New streams still begin there: an engine that is back serves at once. What is left: engines that nobody knows to have ended, and a stream that began at one and is taken up at another daemon while the service counts as having one version.

--- a/internal/peer/crashreporter/crashreporter.go
+++ b/internal/peer/crashreporter/crashreporter.go
@@ -73,8 +73,10 @@
 	// OnChange is called when suspects have changed. own is true for suspects that this
 	// daemon found, false for those merged from others.
 	OnChange func(own bool)
-	Logger   *log.Logger
-	Metrics  tally.Scope
+	// OnEnd is called when the process of an endpoint is known to have ended at a time; may be nil.
+	OnEnd   func(e identifier.Endpoint, born identifier.StartTime, at time.Time)
+	Logger  *log.Logger
+	Metrics tally.Scope
 }
 
 // Attempt is an attempt of a request at an endpoint. The caller must not change it once it has begun.
@@ -126,6 +128,9 @@
 	if c.Unreachable == nil {
 		c.Unreachable = func(context.Context, *registry.Pick) bool { return false }
 	}
+	if c.OnEnd == nil {
+		c.OnEnd = func(identifier.Endpoint, identifier.StartTime, time.Time) {}
+	}
 	r := &Reporter{c: c, prober: prober.New(prober.Config{Dialer: c.Dialer, Confirm: c.Confirm}), logLimiter: rate.NewLimiter(logLinesPerSecond, logLinesPerSecond)}
 	r.Quarantiner = quarantiner.New(quarantiner.Config{Host: c.Host, OnChange: r.logChange})
 	return r
--- a/internal/role/gateway/engines_test.go
+++ b/internal/role/gateway/engines_test.go
@@ -63,6 +63,8 @@
 	host *shaper.Host
 	// sameIDs makes an engine restart at once under the id of its predecessor.
 	sameIDs bool
+	// recordDelay is how long after its start an engine is listed.
+	recordDelay time.Duration
 	// fatal reports whether a body crashes the engine that runs it.
 	fatal func(body string) bool
 	// fatalPart is a part of a prompt that crashes the engine that runs a request with it; empty for none.
@@ -247,7 +249,12 @@
 	})
 	go func() { _ = server.Serve(silenceableListener{l, &silent}) }()
 	e.stop = append(e.stop, func() { _ = server.Close() })
-	e.f.store.Write(platform.EndpointKind, id, engine.Record("ready"))
+	record := engine.Record("ready")
+	if e.recordDelay == 0 {
+		e.f.store.Write(platform.EndpointKind, id, record)
+		return
+	}
+	time.AfterFunc(e.recordDelay, func() { e.f.store.Write(platform.EndpointKind, id, record) })
 }
 
 // writerKey is the key of a request's response writer.
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -71,6 +71,7 @@
 	"brasschute/internal/platform/registrar"
 	"brasschute/internal/route/budgeter"
 	"brasschute/internal/route/demandmeter"
+	"brasschute/internal/route/endtracker"
 	"brasschute/internal/route/estimator"
 	"brasschute/internal/route/pacer"
 	"brasschute/internal/route/pathtracker"
@@ -184,8 +185,10 @@
 	peerSender *sender.Sender
 	proxier    *proxier.Proxier
 	quarantine *crashreporter.Reporter
-	receiver   *receiver.Receiver
-	callers    *server.Server
+	// ends are the incarnations of endpoints that are known to have ended.
+	ends     *endtracker.Tracker
+	receiver *receiver.Receiver
+	callers  *server.Server
 	// drainer tells requests when they have to end because the daemon stops.
 	drainer  *drainer.Drainer
 	reporter prometheus.Reporter
@@ -330,6 +333,7 @@
 	g.tree = suture.New("gateway", suture.Spec{EventHook: g.logSupervisorEvent})
 	g.store = platform.NewStore(d.Store.String(), g.newPlatformClient())
 	g.store.OnEra(g.onStoreEra)
+	g.buildEnds()
 	g.drainer = drainer.New(drainer.Config{BalancerLag: balancerLag})
 	g.clock = chronometer.New(chronometer.Config{Monotonic: g.c.Uptime})
 	g.roster = roster.New(roster.Config{
@@ -355,7 +359,7 @@
 	g.sender = sender.New(sender.Config{Dialer: g.c.Network, OnConnect: func() { opened.Inc(1) }})
 	g.buildPaths()
 	g.quarantine = crashreporter.New(crashreporter.Config{
-		Host: d.Host, Dialer: g.c.Network, Confirm: g.refusesPeers, Unreachable: g.unreachableToPeers, Leaving: g.registry.Leaving, Presence: g.registry.Presence, OnChange: g.gossipEndings, Logger: g.c.Logger, Metrics: g.scope,
+		Host: d.Host, Dialer: g.c.Network, Confirm: g.refusesPeers, Unreachable: g.unreachableToPeers, Leaving: g.registry.Leaving, Presence: g.registry.Presence, OnChange: g.gossipEndings, OnEnd: g.recordEnd, Logger: g.c.Logger, Metrics: g.scope,
 	})
 	g.tree.Add(g.quarantine)
 	g.buildProxier()
@@ -392,7 +396,7 @@
 		Dispatcher: g.dispatcher, Codec: platform.Codec{}, Budget: g, OnBegin: g.countRequest, Demand: &g.demandMeter, Quarantine: g.quarantine,
 		Versions: g.splitter, Origins: g.origins, Permits: g.permits, ReplyObserver: g, SilenceObserver: g,
 		Answers: answerreader.New(answerreader.Config{MaxBytes: maxAnswerBytes, TotalBytes: g.answerMemory(), Metrics: g.scope}),
-		Drainer: g.drainer,
+		Drainer: g.drainer, Ends: g.ends,
 	})
 }
 
--- a/internal/role/gateway/gossip.go
+++ b/internal/role/gateway/gossip.go
@@ -283,6 +283,7 @@
 	out.Rollouts = g.encodeRollouts()
 	out.Limits, out.Rests = g.encodeLimits(), g.encodeBackoffs()
 	out.Pools = g.encodePools()
+	out.Ends = g.encodeEnds()
 	return out
 }
 
@@ -300,6 +301,7 @@
 	g.heardLease.hear(n, g.uptime())
 	g.mergePools(n.GetPools())
 	g.quarantine.MergeSuspects(n.GetSuspects())
+	g.mergeEnds(n.GetEnds())
 	g.pacer.Merge(decodeLimits(n.GetLimits()))
 	g.mergeBackoffs(n.GetRests())
 	g.mergeRollouts(n.GetRollouts(), n.GetHost(), n.GetAddress())
--- a/internal/role/gateway/versions_test.go
+++ b/internal/role/gateway/versions_test.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -60,6 +61,7 @@
 		v.engines = f.prepareEngines(func(string) bool { return false })
 		v.engines.version = func(place int) string { return fmt.Sprintf("v%d", place%versions) }
 		v.engines.behave = v.behave
+		v.engines.sameIDs = true
 		v.engines.startAll()
 		f.start(daemons)
 		f.settle()
@@ -229,3 +231,47 @@
 		v.check(complete)
 	})
 }
+
+// Guards against a stream that goes on at an engine that has started again under its id with other software, before
+// its new entry is listed.
+func TestStreamsAvoidEnginesThatStartedAgain(t *testing.T) {
+	inFleetOfVersions(t, 8, 1, func(v *versionedFleet) {
+		const restarted, entryDelay = engineCount / 4, 3 * time.Second
+		var upgraded atomic.Bool
+		v.engines.version = func(place int) string {
+			if upgraded.Load() && place < restarted {
+				return "v1"
+			}
+			return "v0"
+		}
+		v.engines.recordDelay = entryDelay
+		// Requests that run when the engines end are how the daemons learn of it.
+		v.engines.slow.Store(true)
+		var running sync.WaitGroup
+		for n := range 2 * engineCount {
+			running.Go(func() { v.begin(n%len(v.daemons), "a letter") })
+		}
+		time.Sleep(slowRunTime / 2)
+		v.engines.slow.Store(false)
+		upgraded.Store(true)
+		for place := range restarted {
+			v.engines.exitPlace(place)
+		}
+		time.Sleep(2 * restartDelay)
+		var clients sync.WaitGroup
+		var complete atomic.Int32
+		for daemon := range v.daemons {
+			clients.Go(func() {
+				for n := daemon; n < versionedStreams; n += len(v.daemons) {
+					if _, r := v.begin(daemon, brokenStream); r.complete {
+						complete.Add(1)
+					}
+				}
+			})
+		}
+		clients.Wait()
+		v.check(int(complete.Load()))
+		running.Wait()
+		time.Sleep(entryDelay)
+	})
+}
--- /dev/null
+++ b/internal/route/endtracker/endtracker.go
@@ -0,0 +1,126 @@
+// Package endtracker knows which incarnations of endpoints have ended although the list still shows them.
+//
+// An endpoint may start again under its id and address before its new entry is listed, with other software.
+// Until then its entry says nothing of the process that listens there, its version included: a stream that
+// another one began must not go on there. A daemon learns of an end when connections break and new ones are
+// refused, and tells the others.
+//
+// # Invariant
+//
+// An end never changes: [Tracker.EndedBefore] is true for each moment from the earliest known end of an
+// incarnation on, for the retention time. A new incarnation has a start time of its own, and with it no end.
+//
+// # Usage
+//
+//	t := endtracker.New(endtracker.Config{Retention: 10 * time.Second, OnNew: gossip})
+//	t.Record(endtracker.Incarnation{Endpoint: e, Born: born}, at)
+//	if t.EndedBefore(i, sentAt) { ... } // what was sent then reached another process
+package endtracker
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"brasschute/internal/core/identifier"
+)
+
+// maxEnds bounds the incarnations that are kept, and maxRecent those that are told to others at once.
+const (
+	maxEnds   = 4096
+	maxRecent = 64
+)
+
+// Incarnation is one incarnation of an endpoint.
+type Incarnation struct {
+	Endpoint identifier.Endpoint
+	Born     identifier.StartTime
+}
+
+// End is the end of an incarnation.
+type End struct {
+	Incarnation
+	At time.Time
+}
+
+// Config sets how long ends are kept.
+type Config struct {
+	// Retention is how long an end is kept: longer than an entry outlives its endpoint.
+	Retention time.Duration
+	// OnNew is called when an end was not known before; may be nil.
+	OnNew func(End)
+}
+
+// Tracker keeps ends. It is safe for concurrent use.
+type Tracker struct {
+	c Config
+
+	mu   sync.Mutex
+	ends map[Incarnation]time.Time
+}
+
+// New returns a tracker without ends.
+func New(c Config) *Tracker {
+	if c.OnNew == nil {
+		c.OnNew = func(End) {}
+	}
+	return &Tracker{c: c, ends: make(map[Incarnation]time.Time)}
+}
+
+// Record records that an incarnation had ended at a time. One without a start time can't be told from the next
+// one under its id and is not kept.
+func (t *Tracker) Record(i Incarnation, at time.Time) {
+	if i.Born != 0 && t.add(i, at) {
+		t.c.OnNew(End{i, at})
+	}
+}
+
+// add adds an end and reports whether it was not known.
+func (t *Tracker) add(i Incarnation, at time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire(time.Now())
+	known, ok := t.ends[i]
+	if ok {
+		if at.Before(known) {
+			t.ends[i] = at
+		}
+		return false
+	}
+	if len(t.ends) >= maxEnds || time.Since(at) > t.c.Retention {
+		return false
+	}
+	t.ends[i] = at
+	return true
+}
+
+// expire drops old ends. The caller holds the lock.
+func (t *Tracker) expire(now time.Time) {
+	for i, at := range t.ends {
+		if now.Sub(at) > t.c.Retention {
+			delete(t.ends, i)
+		}
+	}
+}
+
+// EndedBefore reports whether an incarnation is known to have ended at a time or before.
+func (t *Tracker) EndedBefore(i Incarnation, at time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	end, ok := t.ends[i]
+	return ok && !end.After(at) && time.Since(end) <= t.c.Retention
+}
+
+// Recent returns the latest ends, the newest first.
+func (t *Tracker) Recent() []End {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire(time.Now())
+	out := make([]End, 0, len(t.ends))
+	for i, at := range t.ends {
+		out = append(out, End{i, at})
+	}
+	slices.SortFunc(out, func(a, b End) int { return cmp.Or(b.At.Compare(a.At), cmp.Compare(a.Endpoint, b.Endpoint)) })
+	return out[:min(len(out), maxRecent)]
+}
--- a/internal/route/selector/versions.go
+++ b/internal/route/selector/versions.go
@@ -24,12 +24,15 @@
 	// MajorityOnly allows only the version that most endpoints of the pool run; the registry sets
 	// Only accordingly.
 	MajorityOnly bool
+	// Vouched, if not nil, reports whether the version that an endpoint is listed with is that of the process that
+	// listens there. Others are not allowed.
+	Vouched func(*candidate.Candidate) bool
 }
 
 // Allow reports whether the request may go to c.
 func (v *VersionFilter) Allow(c *candidate.Candidate) bool {
 	switch {
-	case v.None:
+	case v.None, v.Vouched != nil && !v.Vouched(c):
 		return false
 	case v.Exact:
 		return c.Version == v.Only
--- a/internal/serve/relayer/relayer.go
+++ b/internal/serve/relayer/relayer.go
@@ -39,6 +39,7 @@
 	"brasschute/internal/core/identifier"
 	"brasschute/internal/peer/crashreporter"
 	"brasschute/internal/peer/origintracker"
+	"brasschute/internal/route/endtracker"
 	"brasschute/internal/route/pacer"
 	"brasschute/internal/route/quarantiner"
 	"brasschute/internal/route/registry"
@@ -113,6 +114,8 @@
 	SilenceObserver SilenceObserver
 	// Answers reads answers and bounds the memory that they take.
 	Answers *answerreader.Reader
+	// Ends knows which incarnations of endpoints have ended.
+	Ends Ends
 	// Drainer says when requests have to end because the daemon stops.
 	Drainer *drainer.Drainer
 }
@@ -152,6 +155,12 @@
 	Find(ctx context.Context, s identifier.Service, began identifier.Request) origintracker.Found
 }
 
+// Ends knows which incarnations of endpoints have ended.
+type Ends interface {
+	// EndedBefore reports whether an incarnation had ended at a time.
+	EndedBefore(i endtracker.Incarnation, at time.Time) bool
+}
+
 // Quarantine holds back requests that bring endpoints down.
 type Quarantine interface {
 	// Admit decides whether a request may be sent. It is called right before each send.
@@ -273,6 +282,9 @@
 	if c.Drainer == nil {
 		c.Drainer = drainer.New(drainer.Config{})
 	}
+	if c.Ends == nil {
+		c.Ends = endtracker.New(endtracker.Config{})
+	}
 	return &Relayer{c}
 }
 
@@ -291,6 +303,10 @@
 	// origin is the version that began the stream, if originKnown.
 	origin      identifier.Version
 	originKnown bool
+	// first is the pick of the attempt that brought the stream's first event, firstSent when it began; nil if the
+	// stream began elsewhere.
+	first     *registry.Pick
+	firstSent time.Time
 	// sends counts the endpoints that may have received the request, unsent those
 	// that did not receive it.
 	sends  int
@@ -402,6 +418,10 @@
 		j.endFailed(quarantineReason(&v), v.RetryAfter)
 		return nil, true
 	}
+	if j.originDoubtful() {
+		j.endFailed(reasonOriginUnknown, retryAfter)
+		return nil, true
+	}
 	if j.startsTooLate() {
 		j.endStopped()
 		return nil, true
--- a/internal/serve/relayer/silence.go
+++ b/internal/serve/relayer/silence.go
@@ -117,10 +117,10 @@
 // input returns what the decision depends on.
 func (w *silenceWatch) input() *silencejudge.Input {
 	j := w.j
-	v := j.r.c.Versions.Choose(j.versionQuery(true))
+	v := j.vouched(j.r.c.Versions.Choose(j.versionQuery(true)))
 	preview := j.r.c.Placer.Preview(w.pick, j.q, j.service, w.tried, v)
 	if preview.Alternative == "" && v.AllowFallback {
-		preview = j.r.c.Placer.Preview(w.pick, j.q, j.service, w.tried, j.r.c.Versions.Fallback(j.q.Service, &v))
+		preview = j.r.c.Placer.Preview(w.pick, j.q, j.service, w.tried, j.vouched(j.r.c.Versions.Fallback(j.q.Service, &v)))
 	}
 	return &silencejudge.Input{
 		Now: time.Now(), Begun: w.begun, Deadline: j.q.Deadline().Add(-minTimeLeft), Objective: j.q.Route.FirstEventObjective,
--- a/internal/serve/relayer/stream.go
+++ b/internal/serve/relayer/stream.go
@@ -63,7 +63,7 @@
 			}
 		}
 		if len(whole) > 0 {
-			if problem := j.writeEvents(ctx, x, whole, pick); problem != nil {
+			if problem := j.writeEvents(ctx, x, whole, pick, begun); problem != nil {
 				return problem
 			}
 		}
@@ -89,7 +89,7 @@
 
 // writeEvents checks the numbers of whole events and writes those that the client
 // does not have.
-func (j *job) writeEvents(ctx context.Context, x *sender.Response, whole []byte, pick *registry.Pick) error {
+func (j *job) writeEvents(ctx context.Context, x *sender.Response, whole []byte, pick *registry.Pick, begun time.Time) error {
 	out := whole[:0:0]
 	for len(whole) > 0 {
 		event, rest := eventsplitter.Cut(whole)
@@ -112,7 +112,7 @@
 		return nil
 	}
 	j.markBegun()
-	j.beginStream(ctx, pick)
+	j.beginStream(ctx, pick, begun)
 	if !j.headSent {
 		j.writeHead(x)
 	}
--- a/internal/serve/relayer/version.go
+++ b/internal/serve/relayer/version.go
@@ -9,6 +9,8 @@
 	"brasschute/internal/core/identifier"
 	"brasschute/internal/engine/sender"
 	"brasschute/internal/peer/origintracker"
+	"brasschute/internal/route/candidate"
+	"brasschute/internal/route/endtracker"
 	"brasschute/internal/route/registry"
 	"brasschute/internal/route/selector"
 	"brasschute/internal/route/splitter"
@@ -24,11 +26,40 @@
 	}
 	v := j.r.c.Versions.Choose(j.versionQuery(j.versionChosen))
 	j.versionChosen = true
-	placed := j.placeAmong(ctx, choose, v)
+	placed := j.placeAmong(ctx, choose, j.vouched(v))
 	if placed.Pick != nil || placed.Refusal != nil || ctx.Err() != nil || !v.AllowFallback {
 		return placed
 	}
-	return j.placeAmong(ctx, choose, j.r.c.Versions.Fallback(j.q.Service, &v))
+	return j.placeAmong(ctx, choose, j.vouched(j.r.c.Versions.Fallback(j.q.Service, &v)))
+}
+
+// vouched restricts a stream that goes on to endpoints whose processes run the version that they are listed with.
+func (j *job) vouched(v selector.VersionFilter) selector.VersionFilter {
+	if j.originKnown && j.origin != "" {
+		v.Vouched = func(c *candidate.Candidate) bool {
+			return !j.r.c.Ends.EndedBefore(endtracker.Incarnation{Endpoint: c.Endpoint, Born: c.StartTime}, time.Now())
+		}
+	}
+	return v
+}
+
+// mayGoOnAt reports whether a stream may go on at a pick's endpoint now.
+func (j *job) mayGoOnAt(pick *registry.Pick) bool {
+	return !j.originKnown || j.origin == "" || !j.r.c.Ends.EndedBefore(incarnationOf(pick), time.Now())
+}
+
+// incarnationOf returns the incarnation of a pick.
+func incarnationOf(pick *registry.Pick) endtracker.Incarnation {
+	return endtracker.Incarnation{Endpoint: pick.Endpoint, Born: pick.StartTime}
+}
+
+// reasonOriginUnknown is the reason if a stream can't go on, as its version is not known.
+const reasonOriginUnknown = "it is not known at which version the stream began"
+
+// originDoubtful reports whether the stream began at an incarnation that had ended before: another one listened
+// there, perhaps of another version.
+func (j *job) originDoubtful() bool {
+	return j.first != nil && j.first.Version != "" && j.r.c.Ends.EndedBefore(incarnationOf(j.first), j.firstSent)
 }
 
 // maxBorrowed is how often a request may borrow a permit: another request of this daemon may use it
@@ -69,19 +100,20 @@
 	j.res.Origin = &found
 	j.origin, j.originKnown = found.Version, found.Source != origintracker.Unknown
 	if !j.originKnown {
-		j.endFailed("it is not known at which version the stream began", retryAfter)
+		j.endFailed(reasonOriginUnknown, retryAfter)
 	}
 	return j.originKnown
 }
 
 // beginStream records the version of the endpoint that brings the first event of a stream. From
 // then on the stream goes on at that version only.
-func (j *job) beginStream(ctx context.Context, pick *registry.Pick) {
+func (j *job) beginStream(ctx context.Context, pick *registry.Pick, begun time.Time) {
 	if j.originKnown {
 		return
 	}
 	j.origin, j.originKnown = pick.Version, true
-	if j.q.Route.Resumable {
+	j.first, j.firstSent = pick, begun
+	if j.q.Route.Resumable && !j.originDoubtful() {
 		j.r.c.Origins.Begin(ctx, origintracker.Origin{Request: j.q.ID, Service: j.q.Service, Version: pick.Version})
 	}
 }
