sender: the number of interim responses is bounded, too

An endpoint that sends a small one now and then would hold a request until its deadline. The error of a head that is too long says the bound.

Measured: TestOnlyFinalResponsesAreAnswers has the case.

--- a/internal/engine/sender/headlimiter.go
+++ b/internal/engine/sender/headlimiter.go
@@ -2,13 +2,14 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 )
 
 // Errors of the head of a response.
 var (
 	// errHeadTooLong means that it exceeds [maxHeadBytes].
-	errHeadTooLong = errors.New("head too long")
+	errHeadTooLong = fmt.Errorf("head of over %d bytes", maxHeadBytes)
 	// errMalformedHead means that it is no head of a response.
 	errMalformedHead = errors.New("malformed head")
 )
--- a/internal/engine/sender/sender.go
+++ b/internal/engine/sender/sender.go
@@ -71,6 +71,8 @@
 	readBufferBytes = 4 << 10
 	// maxHeadBytes bounds the status line and headers of a response.
 	maxHeadBytes = 64 << 10
+	// maxInterim is the number of interim responses that may precede a response.
+	maxInterim = 100
 	// maxStatus is the highest status (RFC 9110, 15).
 	maxStatus = 599
 	// maxSkippedBytes bounds the body of a response to another request.
@@ -232,7 +234,7 @@
 	if _, err := l.reader.Peek(1); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNoResponse, err)
 	}
-	for {
+	for range maxInterim + 1 {
 		resp, err := http.ReadResponse(l.reader, r)
 		if err != nil {
 			return nil, fmt.Errorf("%w: %w", ErrBadResponse, headError(err))
@@ -244,6 +246,7 @@
 			return nil, fmt.Errorf("%w: status %d", ErrBadResponse, status)
 		}
 	}
+	return nil, fmt.Errorf("%w: over %d interim responses", ErrBadResponse, maxInterim)
 }
 
 // headError returns the error of a head that can't be read. That of net/http quotes the endpoint's bytes, which
--- a/internal/engine/sender/sender_test.go
+++ b/internal/engine/sender/sender_test.go
@@ -224,6 +224,7 @@
 	}{
 		{"processing", "HTTP/1.1 102 Processing\r\n\r\n" + final, true},
 		{"several", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\nContent-Length: 9\r\n\r\n" + final, true},
+		{"too many", strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", maxInterim+1) + final, false},
 		{"interim alone", "HTTP/1.1 102 Processing\r\n\r\n", false},
 		{"other protocol", "HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\n\r\n" + final, false},
 		{"no status", "HTTP/1.1 042 Odd\r\nContent-Length: 0\r\n\r\n" + final, false},
