relayer, crashreporter: only what this daemon finds ends an incarnation; waits for memory are not the endpoint's

An answer that found no memory in time counts neither for nor against its endpoint. The write deadline is set for large answers only.

--- a/internal/peer/crashreporter/crashreporter.go
+++ b/internal/peer/crashreporter/crashreporter.go
@@ -73,7 +73,8 @@
 	// OnChange is called when suspects have changed. own is true for suspects that this
 	// daemon found, false for those merged from others.
 	OnChange func(own bool)
-	// OnEnd is called when the process of an endpoint is known to have ended at a time; may be nil.
+	// OnEnd is called when this daemon finds that the process of an endpoint has ended, with a time by which it had;
+	// may be nil.
 	OnEnd   func(e identifier.Endpoint, born identifier.StartTime, at time.Time)
 	Logger  *log.Logger
 	Metrics tally.Scope
@@ -171,6 +172,7 @@
 		}
 		return
 	}
+	r.c.OnEnd(a.Pick.Endpoint, r.c.Incarnation(a.Pick), at)
 	r.recordEnd(quarantiner.Ending{Weak: events > 0, At: at}, a)
 	r.joinEnd(r.incarnationOf(a.Pick), found, at)
 }
--- a/internal/peer/crashreporter/ends.go
+++ b/internal/peer/crashreporter/ends.go
@@ -33,6 +33,9 @@
 	}
 	found := r.prober.Probe(ctx, pick.Address)
 	r.c.Metrics.Tagged(map[string]string{"probe": found.String()}).Counter("endpoint_checks").Inc(1)
+	if found == prober.Refused {
+		r.c.OnEnd(pick.Endpoint, r.c.Incarnation(pick), time.Now())
+	}
 	if r.hasEnded(ctx, pick, found) {
 		r.joinEnd(r.incarnationOf(pick), found, time.Time{})
 	}
@@ -54,9 +57,6 @@
 // joinEnd records the end of an incarnation against the attempts there that have delivered nothing. at is the time of
 // the end; if it is not known, that of the last sign of life is taken.
 func (r *Reporter) joinEnd(key incarnation, found prober.Result, at time.Time) {
-	if found == prober.Refused {
-		r.c.OnEnd(key.endpoint, key.born, orNow(at))
-	}
 	list := r.attempts.take(key, at)
 	for _, a := range list {
 		r.logEnd(a, 0, found)
@@ -68,14 +68,6 @@
 	}
 }
 
-// orNow returns a time, or the present one if it is zero.
-func orNow(at time.Time) time.Time {
-	if at.IsZero() {
-		return time.Now()
-	}
-	return at
-}
-
 // lastSign returns when the endpoint of an attempt last showed a sign of life, at least the time at which the attempt
 // was sent; zero if neither is known.
 func (a *Attempt) lastSign() time.Time {
--- a/internal/serve/drainer/drainer.go
+++ b/internal/serve/drainer/drainer.go
@@ -67,11 +67,10 @@
 	return time.Until(d.deadline), true
 }
 
-// Left returns the time left to the deadline. late reports whether the daemon stops and the balancer had taken it
-// out when a request was received: the request came on a connection that was open before.
-func (d *Drainer) Left(received time.Time) (left time.Duration, late bool) {
-	left, stopping := d.TimeLeft()
-	return left, stopping && received.Sub(d.began) > d.c.BalancerLag
+// CameLate reports whether the daemon stops and the balancer had taken it out when a request was received: the request
+// came on a connection that was open before.
+func (d *Drainer) CameLate(received time.Time) bool {
+	return d.begun.Err() != nil && received.Sub(d.began) > d.c.BalancerLag
 }
 
 // Watch calls f once the time left to the deadline is at most lead. f is called in a goroutine of its own. It is not
--- a/internal/serve/relayer/attempt.go
+++ b/internal/serve/relayer/attempt.go
@@ -156,7 +156,7 @@
 	switch {
 	case err == nil:
 		return registry.Succeeded
-	case errors.Is(context.Cause(ctx), errQuarantined):
+	case errors.Is(context.Cause(ctx), errQuarantined), errors.Is(err, answerreader.ErrNoMemory):
 		return registry.Neutral
 	case errors.Is(err, sender.ErrUnsent) && requestCtx.Err() == nil:
 		return registry.Unreachable
@@ -258,13 +258,15 @@
 	h.Set("Content-Length", fmt.Sprint(len(a.body)))
 	j.res.Status, j.res.Outcome, j.res.TimeToFirst = a.status, Answered, time.Since(j.q.Received)
 	j.countFirstEvent()
-	// A client that does not read must not hold the memory of its answer for ever.
-	control := http.NewResponseController(j.w)
-	_ = control.SetWriteDeadline(time.Now().Add(max(time.Until(j.q.Deadline()), writeTimeout)))
+	if len(a.body) > answerreader.SmallBytes {
+		// A client that does not read must not hold the memory of its answer for ever.
+		control := http.NewResponseController(j.w)
+		_ = control.SetWriteDeadline(time.Now().Add(max(time.Until(j.q.Deadline()), writeTimeout)))
+		defer func() { _ = control.SetWriteDeadline(time.Time{}) }()
+	}
 	j.w.WriteHeader(a.status)
 	if _, err := j.w.Write(a.body); err != nil {
 		j.res.Outcome = ClientGone
 	}
-	_ = control.SetWriteDeadline(time.Time{})
 	return nil
 }
--- a/internal/serve/relayer/relayer.go
+++ b/internal/serve/relayer/relayer.go
@@ -331,7 +331,7 @@
 	// failedAnswer is an endpoint's error answer, passed on if no later attempt does
 	// better.
 	failedAnswer *answer
-	// releaseAnswer gives the memory of the last answer back; nil if none was read.
+	// releaseAnswer gives the memory of the last answer back.
 	releaseAnswer func()
 	// answerBegins is called when an answer begins, which then goes on until the end of the process.
 	answerBegins func()
@@ -347,16 +347,12 @@
 // Relay serves one request. ctx must end when the client disconnects or the request's
 // deadline passes.
 func (r *Relayer) Relay(ctx context.Context, w http.ResponseWriter, q *request.Request, s *catalog.Service) Result {
-	j := &job{r: r, q: q, service: s, w: w, flush: http.NewResponseController(w).Flush, lastEvent: q.LastEventNumber}
+	j := &job{r: r, q: q, service: s, w: w, flush: http.NewResponseController(w).Flush, lastEvent: q.LastEventNumber, releaseAnswer: func() {}}
 	// The client of a stream that broke off asks for the rest of what it has asked before.
 	j.returnDelay = r.c.Demand.ReturnDelay(q.Service, q.Route.Name, q.ClientTimeout)
 	j.counted = j.returnDelay > 0 || q.LastEventNumber > 0
 	defer j.countEnd()
-	defer func() {
-		if j.releaseAnswer != nil {
-			j.releaseAnswer()
-		}
-	}()
+	defer func() { j.releaseAnswer() }()
 	ctx, cancel := j.endWithDaemon(ctx)
 	defer cancel()
 	if !j.findOrigin(ctx) {
--- a/internal/serve/relayer/stop.go
+++ b/internal/serve/relayer/stop.go
@@ -40,8 +40,8 @@
 // startsTooLate reports whether the daemon stops, the request came when the balancer had taken the daemon out,
 // and it could not end in time.
 func (j *job) startsTooLate() bool {
-	left, late := j.r.c.Drainer.Left(j.q.Received)
-	return late && left < answerMargin+j.runTime()
+	left, stopping := j.r.c.Drainer.TimeLeft()
+	return stopping && j.r.c.Drainer.CameLate(j.q.Received) && left < answerMargin+j.runTime()
 }
 
 // stoppedDaemon reports whether a context ended because the daemon stops.
