endtracker: Record says whether an end is new

The callback and a look-up before each record did the same twice, and a daemon whose endpoints state no start time sent a note at each probe that was refused, although nothing was kept.

--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -333,7 +333,7 @@
 	g.tree = suture.New("gateway", suture.Spec{EventHook: g.logSupervisorEvent})
 	g.store = platform.NewStore(d.Store.String(), g.newPlatformClient())
 	g.store.OnEra(g.onStoreEra)
-	g.buildEnds()
+	g.ends = endtracker.New(endtracker.Config{Retention: endRetention})
 	g.drainer = drainer.New(drainer.Config{BalancerLag: balancerLag})
 	g.clock = chronometer.New(chronometer.Config{Monotonic: g.c.Uptime})
 	g.roster = roster.New(roster.Config{
--- a/internal/route/endtracker/endtracker.go
+++ b/internal/route/endtracker/endtracker.go
@@ -12,8 +12,8 @@
 //
 // # Usage
 //
-//	t := endtracker.New(endtracker.Config{Retention: 10 * time.Second, OnNew: gossip})
-//	t.Record(endtracker.Incarnation{Endpoint: e, Born: born}, at)
+//	t := endtracker.New(endtracker.Config{Retention: 10 * time.Second})
+//	if t.Record(endtracker.Incarnation{Endpoint: e, Born: born}, at) { tell others }
 //	if t.EndedBefore(i, sentAt) { ... } // what was sent then reached another process
 package endtracker
 
@@ -48,8 +48,6 @@
 type Config struct {
 	// Retention is how long an end is kept: longer than an entry outlives its endpoint.
 	Retention time.Duration
-	// OnNew is called when an end was not known before; may be nil.
-	OnNew func(End)
 }
 
 // Tracker keeps ends. It is safe for concurrent use.
@@ -61,23 +59,14 @@
 }
 
 // New returns a tracker without ends.
-func New(c Config) *Tracker {
-	if c.OnNew == nil {
-		c.OnNew = func(End) {}
-	}
-	return &Tracker{c: c, ends: make(map[Incarnation]time.Time)}
-}
+func New(c Config) *Tracker { return &Tracker{c: c, ends: make(map[Incarnation]time.Time)} }
 
-// Record records that an incarnation had ended at a time. One without a start time can't be told from the next
-// one under its id and is not kept.
-func (t *Tracker) Record(i Incarnation, at time.Time) {
-	if i.Born != 0 && t.add(i, at) {
-		t.c.OnNew(End{i, at})
+// Record records that an incarnation had ended at a time, and reports whether its end is kept and was not known before. One
+// without a start time can't be told from the next one under its id and is not kept.
+func (t *Tracker) Record(i Incarnation, at time.Time) (isNew bool) {
+	if i.Born == 0 {
+		return false
 	}
-}
-
-// add adds an end and reports whether it was not known.
-func (t *Tracker) add(i Incarnation, at time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(time.Now())
--- a/internal/route/endtracker/endtracker_test.go
+++ b/internal/route/endtracker/endtracker_test.go
@@ -17,10 +17,12 @@
 		asked := time.Duration(rapid.IntRange(-12, 5).Draw(rt, "asked")) * time.Second
 		synctest.Test(t, func(*testing.T) {
 			news := 0
-			tr := New(Config{Retention: retention, OnNew: func(End) { news++ }})
+			tr := New(Config{Retention: retention})
 			now, i, earliest := time.Now(), Incarnation{"i-1", 7}, 0
 			for _, age := range reports {
-				tr.Record(i, now.Add(-time.Duration(age)*time.Second))
+				if tr.Record(i, now.Add(-time.Duration(age)*time.Second)) {
+					news++
+				}
 				earliest = max(earliest, age)
 			}
 			end := now.Add(-time.Duration(earliest) * time.Second)
