relayer, placer: one predicate for streams that go on, one default for the drainer

The filter and the check before the send had the same condition each; a placer without a drainer had a branch where a relayer has a default. Behaviour is the same.

--- a/internal/serve/placer/placer.go
+++ b/internal/serve/placer/placer.go
@@ -95,7 +95,12 @@
 }
 
 // New returns a placer.
-func New(c Config) *Placer { return &Placer{c: c} }
+func New(c Config) *Placer {
+	if c.Drainer == nil {
+		c.Drainer = drainer.New(drainer.Config{})
+	}
+	return &Placer{c: c}
+}
 
 // Place chooses an endpoint for a request and counts the request there. It may wait until the
 // request can start, but not after ctx has ended.
--- a/internal/serve/placer/schedule.go
+++ b/internal/serve/placer/schedule.go
@@ -253,9 +253,6 @@
 // timeToFirstEvent returns the time until the first event of a stream must come to end before the process of a
 // stopping daemon does.
 func (p *Placer) timeToFirstEvent(q *request.Request) (left time.Duration, stopping bool) {
-	if p.c.Drainer == nil {
-		return 0, false
-	}
 	left, stopping = p.c.Drainer.TimeLeft()
 	return left - p.maxUsualGeneration(q), stopping
 }
--- a/internal/serve/relayer/version.go
+++ b/internal/serve/relayer/version.go
@@ -35,17 +35,17 @@
 
 // vouched restricts a stream that goes on to endpoints whose processes run the version that they are listed with.
 func (j *job) vouched(v selector.VersionFilter) selector.VersionFilter {
-	if j.originKnown && j.origin != "" {
+	if j.originKnown {
 		v.Vouched = func(c *candidate.Candidate) bool {
-			return !j.r.c.Ends.EndedBefore(endtracker.Incarnation{Endpoint: c.Endpoint, Born: c.StartTime}, time.Now())
+			return j.mayGoOnAt(endtracker.Incarnation{Endpoint: c.Endpoint, Born: c.StartTime})
 		}
 	}
 	return v
 }
 
-// mayGoOnAt reports whether a stream may go on at a pick's endpoint now.
-func (j *job) mayGoOnAt(pick *registry.Pick) bool {
-	return !j.originKnown || j.origin == "" || !j.r.c.Ends.EndedBefore(incarnationOf(pick), time.Now())
+// mayGoOnAt reports whether the stream, if it goes on, may do so at an incarnation now.
+func (j *job) mayGoOnAt(i endtracker.Incarnation) bool {
+	return !j.originKnown || j.origin == "" || !j.r.c.Ends.EndedBefore(i, time.Now())
 }
 
 // incarnationOf returns the incarnation of a pick.
