tests: nothing skipped, nothing left behind

The program that the memory test builds goes into the test's folder, which is removed; 27 MB stayed behind in each run. One comment claimed more than its test checks.

--- a/integration/endless_test.go
+++ b/integration/endless_test.go
@@ -117,19 +117,16 @@
 	}
 }
 
-// buildDaemon builds the program without the race detector, which needs several times as much memory.
-var buildDaemon = sync.OnceValues(func() (path string, err error) {
-	folder, err := os.MkdirTemp("", "brasschute-integration-")
-	if err != nil {
-		return "", err
-	}
-	path = filepath.Join(folder, "brasschute")
-	out, err := exec.Command("go", "build", "-o", path, "../cmd/brasschute").CombinedOutput()
-	if err != nil {
-		return "", fmt.Errorf("%w: %s", err, out)
+// buildDaemon builds the program without the race detector, which needs several times as much memory, and returns
+// its path.
+func buildDaemon(t *testing.T) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "brasschute")
+	if out, err := exec.Command("go", "build", "-o", path, "../cmd/brasschute").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
 	}
-	return path, nil
-})
+	return path
+}
 
 // peakResidentBytes returns the largest resident memory of a process so far.
 func peakResidentBytes(t *testing.T, pid int) int64 {
@@ -154,10 +151,7 @@
 // Guards against endless responses of endpoints that make a daemon exceed its memory, which ends all its
 // requests, and against ones that are passed on as whole.
 func TestEndlessResponsesStayWithinMemory(t *testing.T) {
-	path, err := buildDaemon()
-	if err != nil {
-		t.Fatal(err)
-	}
+	path := buildDaemon(t)
 	s := newSite(t)
 	forms := endlessForms()
 	s.addEngine(hosting.Config{ID: "sound", Service: plainService})
--- a/integration/gateway_test.go
+++ b/integration/gateway_test.go
@@ -498,7 +498,7 @@
 }
 
 // Guards against requests that were sent to an endpoint and whose connections close without an answer when a stopping
-// daemon ends, and against a stream that is cut then and looks complete.
+// daemon ends.
 func TestStopAnswersRequestsWithoutAnAnswer(t *testing.T) {
 	s := newSite(t)
 	e := s.addEngine(hosting.Config{ID: "i-app", Service: plainService})
--- a/internal/engine/sender/message_test.go
+++ b/internal/engine/sender/message_test.go
@@ -17,7 +17,7 @@
 		value := rapid.StringMatching(`[!-~]([ -~]{0,20}[!-~])?`)
 		req := &Request{
 			Method: rapid.SampledFrom([]string{http.MethodGet, http.MethodPost, http.MethodPut, http.MethodDelete, "PURGE"}).Draw(t, "method"),
-			Target: rapid.StringMatching(`/(/|\.\./|%2[Ff]|%7E|[!-"$-~]){0,12}(\?[!-"$-~]{0,12})?`).Draw(t, "target"),
+			Target: rapid.StringMatching(`/(/|\.\./|%2[Ff]|%7E|[!-"$&-~]){0,12}(\?[!-"$-~]{0,12})?`).Draw(t, "target"),
 			Host:   rapid.StringMatching(`[a-z]{1,9}\.example(:[1-9][0-9]{1,3})?`).Draw(t, "host"),
 			Header: http.Header{"Value": rapid.SliceOfN(value, 1, 3).Draw(t, "values"), "User-Agent": {value.Draw(t, "agent")}},
 			Body:   []byte(rapid.String().Draw(t, "body")),
@@ -31,8 +31,7 @@
 		}
 		got, err := http.ReadRequest(bufio.NewReader(message))
 		if err != nil {
-			// net/http reads fewer targets than it passes on.
-			t.Skip(err)
+			t.Fatal(err)
 		}
 		body, err := io.ReadAll(got.Body)
 		if err != nil || string(body) != string(req.Body) {
