relayer: the end of a request's context is told apart in one place

endsRequest repeated what endTimedOut tells: a daemon that stops, a client that left. Behaviour is the same in each combination. Measured: the tests of serve.

--- a/internal/serve/relayer/ending.go
+++ b/internal/serve/relayer/ending.go
@@ -16,25 +16,24 @@
 // endsRequest reports whether a failed attempt ends the request, and sets the result
 // if so.
 func (j *job) endsRequest(ctx context.Context, err error) bool {
-	if stoppedDaemon(ctx) {
-		j.endStopped()
-		return true
-	}
-	if errors.Is(err, errClient) || errors.Is(ctx.Err(), context.Canceled) {
-		j.res.Outcome, j.res.Reason, j.res.Abort = ClientGone, "the client left", true
-		return true
-	}
-	if ctx.Err() != nil {
+	switch {
+	case errors.Is(err, errClient) && !stoppedDaemon(ctx):
+		j.endClientGone()
+	case ctx.Err() != nil:
 		j.endTimedOut(ctx)
-		return true
-	}
-	if j.mayRetry(err) {
+	case j.mayRetry(err):
 		return false
+	default:
+		j.endFailed(err.Error(), retryAfter)
 	}
-	j.endFailed(err.Error(), retryAfter)
 	return true
 }
 
+// endClientGone ends a request whose client disconnected.
+func (j *job) endClientGone() {
+	j.res.Outcome, j.res.Reason, j.res.Abort = ClientGone, "the client left", true
+}
+
 // brokenOff reports whether an attempt may have ended because its endpoint did: the
 // request was sent, and it was not this daemon that cancelled the attempt.
 func brokenOff(ctx context.Context, err error) bool {
@@ -71,7 +70,7 @@
 		return
 	}
 	if errors.Is(ctx.Err(), context.Canceled) {
-		j.res.Outcome, j.res.Reason, j.res.Abort = ClientGone, "the client left", true
+		j.endClientGone()
 		return
 	}
 	j.res.Outcome, j.res.Reason = TimedOut, "the time was up"
