--- a/internal/role/gateway/load_test.go
+++ b/internal/role/gateway/load_test.go
@@ -144,6 +144,11 @@
 			"TimeoutMs": 12000, "SloMs": k.objective.Milliseconds(), "GapSloMs": 500, "MaxAttempts": 2, "Priority": k.priority, "SessionAffinity": true, "Resumable": resumable,
 		})
 	}
+	m.writeRoutes(routes...)
+}
+
+// writeRoutes writes a configuration with some routes to the engines.
+func (m *batchFleet) writeRoutes(routes ...any) {
 	m.f.number++
 	m.f.store.Write(platform.CatalogKind, "main", map[string]any{
 		"Version": m.f.number, "Routes": routes,
@@ -198,18 +203,11 @@
 	defer cancel()
 	silent := time.AfterFunc(clientTimeoutFactor*o.class.objective, cancel)
 	defer silent.Stop()
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost,
-		"http://"+m.f.daemons[daemon].c.Deployment.Callers.String()+"/"+o.class.name+"/", strings.NewReader(body))
+	r, err := m.newRequest(ctx, daemon, o.class.name, body, parts, o.class.sharedTokens+o.class.ownTokens, o.class.outputTokens)
 	if err != nil {
 		m.f.t.Error(err)
 		return 0, false
 	}
-	r.Host = modelHost
-	r.Header.Set("Request-Id", m.f.nextID())
-	r.Header.Set("Deadline-Ms", "12000")
-	r.Header.Set("Authorization", "Bearer "+deskKey)
-	r.Header.Set("Token-Count", fmt.Sprintf("%d,%d", o.class.sharedTokens+o.class.ownTokens, o.class.outputTokens))
-	r.Header.Set("Prompt-Prefix", parts)
 	sent := time.Now()
 	resp, err := m.client.Do(r)
 	if err != nil {
@@ -227,6 +225,21 @@
 	return 0, false
 }
 
+// newRequest returns a request for a route at a daemon, with the parts of its prompt and its numbers of tokens.
+func (m *batchFleet) newRequest(ctx context.Context, daemon int, route, body, parts string, promptTokens, outputTokens int) (*http.Request, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+m.f.daemons[daemon].c.Deployment.Callers.String()+"/"+route+"/", strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	r.Host = modelHost
+	r.Header.Set("Request-Id", m.f.nextID())
+	r.Header.Set("Deadline-Ms", "12000")
+	r.Header.Set("Authorization", "Bearer "+deskKey)
+	r.Header.Set("Token-Count", fmt.Sprintf("%d,%d", promptTokens, outputTokens))
+	r.Header.Set("Prompt-Prefix", parts)
+	return r, nil
+}
+
 // read reads a stream. The timer silent aborts it when no event comes.
 func (o *outcome) read(resp *http.Response, silent *time.Timer) {
 	if resp.StatusCode != http.StatusOK {
--- a/internal/role/gateway/stop_test.go
+++ b/internal/role/gateway/stop_test.go
@@ -9,8 +9,6 @@
 	"sync"
 	"testing"
 	"time"
-
-	"brasschute/platform"
 )
 
 const (
@@ -35,17 +33,11 @@
 
 // send sends the request to a daemon.
 func (l *longRequest) send(m *batchFleet, daemon int, parts string, outputTokens int) {
-	r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+m.f.daemons[daemon].c.Deployment.Callers.String()+"/review/", strings.NewReader("prompt"))
+	r, err := m.newRequest(context.Background(), daemon, "review", "prompt", parts, longPrompt, outputTokens)
 	if err != nil {
 		l.err = err
 		return
 	}
-	r.Host = modelHost
-	r.Header.Set("Request-Id", m.f.nextID())
-	r.Header.Set("Deadline-Ms", "12000")
-	r.Header.Set("Authorization", "Bearer "+deskKey)
-	r.Header.Set("Token-Count", fmt.Sprintf("%d,%d", longPrompt, outputTokens))
-	r.Header.Set("Prompt-Prefix", parts)
 	began := time.Now()
 	defer func() { l.took = time.Since(began) }()
 	resp, err := m.client.Do(r)
@@ -90,18 +82,9 @@
 
 // configureObjective writes a configuration with one route, for streams that may not be resumed.
 func (m *batchFleet) configureObjective(objective time.Duration) {
-	m.f.number++
-	m.f.store.Write(platform.CatalogKind, "main", map[string]any{
-		"Version": m.f.number,
-		"Routes": []any{map[string]any{
-			"Name": "review", "Host": modelHost, "PathPrefix": "/review/", "Kind": "streaming", "Service": modelService,
-			"TimeoutMs": 12000, "SloMs": objective.Milliseconds(), "GapSloMs": 500, "MaxAttempts": 1, "SessionAffinity": true,
-		}},
-		"Services": []any{map[string]any{
-			"Name": modelService, "MaxConns": 1300,
-			"Engine": map[string]any{"Slots": smallEngine.Slots, "KvTokens": int(smallEngine.MemoryTokens)},
-		}},
-		"Tenants": []any{map[string]any{"Name": "desk", "ApiKeys": []string{deskKey}}},
+	m.writeRoutes(map[string]any{
+		"Name": "review", "Host": modelHost, "PathPrefix": "/review/", "Kind": "streaming", "Service": modelService,
+		"TimeoutMs": 12000, "SloMs": objective.Milliseconds(), "GapSloMs": 500, "MaxAttempts": 1, "SessionAffinity": true,
 	})
 	time.Sleep(applyTime)
 }
