identifier: one type for an incarnation of an endpoint

pacer and crashreporter each had one, endtracker had written a third, and the relayer rebuilt what Pick.EndpointIncarnation returns. Behaviour is the same; no name that leaves the process changes, as the fields of the embedded type keep theirs.

Measured: the tests of peer, route, serve, engine and platform, and of the gateway's limits, quarantine, streams and stops; lint clean.

--- a/internal/core/identifier/identifier.go
+++ b/internal/core/identifier/identifier.go
@@ -79,5 +79,11 @@
 // distinguishes incarnations of one endpoint but doesn't order them.
 type StartTime int64
 
+// EndpointIncarnation identifies one incarnation of an endpoint, by its start time.
+type EndpointIncarnation struct {
+	Endpoint Endpoint
+	Born     StartTime
+}
+
 // Tokens is a number of model tokens.
 type Tokens int
--- a/internal/peer/crashreporter/attempts.go
+++ b/internal/peer/crashreporter/attempts.go
@@ -23,17 +23,11 @@
 	silentTime = time.Second
 )
 
-// incarnation identifies a start of an endpoint.
-type incarnation struct {
-	endpoint identifier.Endpoint
-	born     identifier.StartTime
-}
-
 // attempts holds the attempts of this daemon that were sent to endpoints and have delivered nothing. It is
 // safe for concurrent use.
 type attempts struct {
 	mu     sync.Mutex
-	places map[incarnation]*place
+	places map[identifier.EndpointIncarnation]*place
 	// givenUp counts those that were given up.
 	givenUp int
 }
@@ -59,9 +53,9 @@
 }
 
 // place returns the attempts at an incarnation. The caller holds the lock.
-func (t *attempts) place(key incarnation, pick *registry.Pick) *place {
+func (t *attempts) place(key identifier.EndpointIncarnation, pick *registry.Pick) *place {
 	if t.places == nil {
-		t.places = make(map[incarnation]*place)
+		t.places = make(map[identifier.EndpointIncarnation]*place)
 	}
 	p := t.places[key]
 	if p == nil {
@@ -72,7 +66,7 @@
 }
 
 // begin adds an attempt that is being sent. Its time is set once: those that have taken the attempt read it.
-func (t *attempts) begin(key incarnation, a *Attempt) {
+func (t *attempts) begin(key identifier.EndpointIncarnation, a *Attempt) {
 	now := time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -87,7 +81,7 @@
 }
 
 // conclude removes an attempt.
-func (t *attempts) conclude(key incarnation, a *Attempt) {
+func (t *attempts) conclude(key identifier.EndpointIncarnation, a *Attempt) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if p := t.places[key]; p != nil {
@@ -97,7 +91,7 @@
 }
 
 // giveUp keeps an attempt for a while, though nobody waits for it.
-func (t *attempts) giveUp(key incarnation, a *Attempt) {
+func (t *attempts) giveUp(key identifier.EndpointIncarnation, a *Attempt) {
 	now := time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -112,7 +106,7 @@
 }
 
 // drop forgets an incarnation without attempts. The caller holds the lock.
-func (t *attempts) drop(key incarnation, p *place) {
+func (t *attempts) drop(key identifier.EndpointIncarnation, p *place) {
 	if len(p.open)+len(p.givenUp) == 0 {
 		delete(t.places, key)
 	}
@@ -120,7 +114,7 @@
 
 // take removes the attempts at an incarnation, which ended at a time, and returns those that it may have been running:
 // those that were sent before. All are returned if the time is zero.
-func (t *attempts) take(key incarnation, ended time.Time) (list []*Attempt) {
+func (t *attempts) take(key identifier.EndpointIncarnation, ended time.Time) (list []*Attempt) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.places[key]
--- a/internal/peer/crashreporter/crashreporter.go
+++ b/internal/peer/crashreporter/crashreporter.go
@@ -196,8 +196,8 @@
 }
 
 // incarnationOf returns the incarnation of a pick.
-func (r *Reporter) incarnationOf(k *registry.Pick) incarnation {
-	return incarnation{k.Endpoint, r.c.Incarnation(k)}
+func (r *Reporter) incarnationOf(k *registry.Pick) identifier.EndpointIncarnation {
+	return identifier.EndpointIncarnation{Endpoint: k.Endpoint, Born: r.c.Incarnation(k)}
 }
 
 // recordEnd records that the endpoint of an attempt ended while it ran it. e says how.
--- a/internal/peer/crashreporter/ends.go
+++ b/internal/peer/crashreporter/ends.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"brasschute/internal/core/identifier"
 	"brasschute/internal/core/waiter"
 	"brasschute/internal/engine/prober"
 	"brasschute/internal/route/quarantiner"
@@ -56,7 +57,7 @@
 
 // joinEnd records the end of an incarnation against the attempts there that have delivered nothing. at is the time of
 // the end; if it is not known, that of the last sign of life is taken.
-func (r *Reporter) joinEnd(key incarnation, found prober.Result, at time.Time) {
+func (r *Reporter) joinEnd(key identifier.EndpointIncarnation, found prober.Result, at time.Time) {
 	list := r.attempts.take(key, at)
 	for _, a := range list {
 		r.logEnd(a, 0, found)
@@ -80,7 +81,7 @@
 	for i := range list {
 		for k := range list[i].Endings {
 			e := &list[i].Endings[k]
-			r.joinEnd(incarnation{e.Endpoint, e.Born}, prober.Refused, e.At)
+			r.joinEnd(identifier.EndpointIncarnation{Endpoint: e.Endpoint, Born: e.Born}, prober.Refused, e.At)
 		}
 	}
 }
--- a/internal/peer/permitborrower/permitborrower.go
+++ b/internal/peer/permitborrower/permitborrower.go
@@ -22,7 +22,6 @@
 
 	"brasschute/internal/core/identifier"
 	"brasschute/internal/peer/rpc"
-	"brasschute/internal/route/pacer"
 
 	"github.com/uber-go/tally/v4"
 )
@@ -46,9 +45,9 @@
 
 // Pacer keeps the limits of endpoints; see [pacer.Pacer].
 type Pacer interface {
-	Senders(i pacer.Incarnation) []identifier.Host
-	Lend(list []pacer.Incarnation, now time.Time) (at int, ok bool, next time.Time)
-	Borrow(i pacer.Incarnation, called time.Time)
+	Senders(i identifier.EndpointIncarnation) []identifier.Host
+	Lend(list []identifier.EndpointIncarnation, now time.Time) (at int, ok bool, next time.Time)
+	Borrow(i identifier.EndpointIncarnation, called time.Time)
 }
 
 // Config holds the dependencies of a borrower.
@@ -74,7 +73,7 @@
 
 // Borrow borrows a send slot at one of some incarnations of endpoints, and reports whether it got
 // one.
-func (b *Borrower) Borrow(ctx context.Context, wanted []pacer.Incarnation) bool {
+func (b *Borrower) Borrow(ctx context.Context, wanted []identifier.EndpointIncarnation) bool {
 	lenders := b.lenders(wanted)
 	for range maxAsked {
 		host, list := pick(lenders)
@@ -91,8 +90,8 @@
 }
 
 // lenders returns the daemons that may be asked, each with the incarnations that it sends to.
-func (b *Borrower) lenders(wanted []pacer.Incarnation) map[identifier.Host][]pacer.Incarnation {
-	out := make(map[identifier.Host][]pacer.Incarnation)
+func (b *Borrower) lenders(wanted []identifier.EndpointIncarnation) map[identifier.Host][]identifier.EndpointIncarnation {
+	out := make(map[identifier.Host][]identifier.EndpointIncarnation)
 	for _, i := range wanted {
 		for _, host := range b.c.Pacer.Senders(i) {
 			if len(out[host]) < maxIncarnations {
@@ -114,7 +113,7 @@
 }
 
 // pick selects a random daemon.
-func pick(lenders map[identifier.Host][]pacer.Incarnation) (identifier.Host, []pacer.Incarnation) {
+func pick(lenders map[identifier.Host][]identifier.EndpointIncarnation) (identifier.Host, []identifier.EndpointIncarnation) {
 	if len(lenders) == 0 {
 		return "", nil
 	}
@@ -129,7 +128,7 @@
 }
 
 // ask asks one daemon, and reports whether it lent a slot.
-func (b *Borrower) ask(ctx context.Context, host identifier.Host, list []pacer.Incarnation) bool {
+func (b *Borrower) ask(ctx context.Context, host identifier.Host, list []identifier.EndpointIncarnation) bool {
 	address, ok := b.c.Address(host)
 	if !ok {
 		return false
@@ -167,9 +166,9 @@
 
 // BorrowPermit lends a send slot of this daemon.
 func (b *Borrower) BorrowPermit(_ context.Context, m *rpc.PermitRequest) (*rpc.PermitReply, error) {
-	list := make([]pacer.Incarnation, 0, min(len(m.GetEndpoints()), maxIncarnations))
+	list := make([]identifier.EndpointIncarnation, 0, min(len(m.GetEndpoints()), maxIncarnations))
 	for _, e := range m.GetEndpoints()[:min(len(m.GetEndpoints()), maxIncarnations)] {
-		list = append(list, pacer.Incarnation{Endpoint: identifier.Endpoint(e.GetEndpoint()), Born: identifier.StartTime(e.GetBorn())})
+		list = append(list, identifier.EndpointIncarnation{Endpoint: identifier.Endpoint(e.GetEndpoint()), Born: identifier.StartTime(e.GetBorn())})
 	}
 	now := time.Now()
 	at, ok, next := b.c.Pacer.Lend(list, now)
--- a/internal/peer/permitborrower/permitborrower_test.go
+++ b/internal/peer/permitborrower/permitborrower_test.go
@@ -8,24 +8,25 @@
 
 	"brasschute/internal/core/identifier"
 	"brasschute/internal/peer/rpc"
-	"brasschute/internal/route/pacer"
 
 	"github.com/uber-go/tally/v4"
 )
 
-var wanted = []pacer.Incarnation{{Endpoint: "i-1"}, {Endpoint: "i-2"}}
+var wanted = []identifier.EndpointIncarnation{{Endpoint: "i-1"}, {Endpoint: "i-2"}}
 
 // fakePacer has daemons that send to all endpoints, and slots that it may lend.
 type fakePacer struct {
 	senders  []identifier.Host
 	slots    int
-	borrowed []pacer.Incarnation
+	borrowed []identifier.EndpointIncarnation
 }
 
-func (p *fakePacer) Senders(pacer.Incarnation) []identifier.Host { return p.senders }
-func (p *fakePacer) Borrow(i pacer.Incarnation, _ time.Time)     { p.borrowed = append(p.borrowed, i) }
+func (p *fakePacer) Senders(identifier.EndpointIncarnation) []identifier.Host { return p.senders }
+func (p *fakePacer) Borrow(i identifier.EndpointIncarnation, _ time.Time) {
+	p.borrowed = append(p.borrowed, i)
+}
 
-func (p *fakePacer) Lend(list []pacer.Incarnation, now time.Time) (at int, ok bool, next time.Time) {
+func (p *fakePacer) Lend(list []identifier.EndpointIncarnation, now time.Time) (at int, ok bool, next time.Time) {
 	if p.slots == 0 {
 		return 0, false, now.Add(time.Second)
 	}
--- a/internal/role/gateway/ends.go
+++ b/internal/role/gateway/ends.go
@@ -5,7 +5,6 @@
 
 	"brasschute/internal/core/identifier"
 	"brasschute/internal/peer/rpc"
-	"brasschute/internal/route/endtracker"
 )
 
 // endRetention outlasts the entry of an endpoint that has ended: three heartbeats, and two seconds after a disruption of
@@ -14,13 +13,13 @@
 
 // recordEnd records that this daemon found an incarnation to have ended, and tells the others.
 func (g *Gateway) recordEnd(e identifier.Endpoint, born identifier.StartTime, at time.Time) {
-	if g.learnEnd(endtracker.Incarnation{Endpoint: e, Born: born}, at) {
+	if g.learnEnd(identifier.EndpointIncarnation{Endpoint: e, Born: born}, at) {
 		g.gossipEndings(true)
 	}
 }
 
 // learnEnd records the end of an incarnation and reports whether it was not known.
-func (g *Gateway) learnEnd(i endtracker.Incarnation, at time.Time) (isNew bool) {
+func (g *Gateway) learnEnd(i identifier.EndpointIncarnation, at time.Time) (isNew bool) {
 	if !g.ends.Record(i, at) {
 		return false
 	}
@@ -45,7 +44,7 @@
 // mergeEnds merges the ends that a peer tells.
 func (g *Gateway) mergeEnds(list []*rpc.EndpointEnd) {
 	for _, e := range list {
-		i := endtracker.Incarnation{Endpoint: identifier.Endpoint(e.GetEndpoint()), Born: identifier.StartTime(e.GetBorn())}
+		i := identifier.EndpointIncarnation{Endpoint: identifier.Endpoint(e.GetEndpoint()), Born: identifier.StartTime(e.GetBorn())}
 		g.learnEnd(i, time.Now().Add(-time.Duration(e.GetAgeMilli())*time.Millisecond))
 	}
 }
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -456,7 +456,7 @@
 		unlisted := g.unlisted()
 		g.sender.Prune(func(address string) bool { return !unlisted.addresses[address] })
 		g.peerSender.Prune(func(string) bool { return true })
-		g.pacer.Prune(func(l pacer.Incarnation) bool { return !unlisted.limits[l] })
+		g.pacer.Prune(func(l identifier.EndpointIncarnation) bool { return !unlisted.limits[l] })
 		g.scope.Gauge("endpoints_limited").Update(float64(len(g.pacer.Limits())))
 	})
 }
@@ -465,23 +465,23 @@
 type unlisted struct {
 	// addresses are those with idle connections, limits the incarnations with a rate limit.
 	addresses map[string]bool
-	limits    map[pacer.Incarnation]bool
+	limits    map[identifier.EndpointIncarnation]bool
 }
 
 // unlisted finds what is kept for endpoints that are no longer listed. It starts from what is kept,
 // which is little, as it runs twice a second and a list may have thousands of endpoints.
 func (g *Gateway) unlisted() unlisted {
-	out := unlisted{addresses: make(map[string]bool), limits: make(map[pacer.Incarnation]bool)}
+	out := unlisted{addresses: make(map[string]bool), limits: make(map[identifier.EndpointIncarnation]bool)}
 	for _, address := range g.sender.IdleAddresses() {
 		out.addresses[address] = true
 	}
 	for _, l := range g.pacer.Limits() {
-		out.limits[l.Incarnation] = true
+		out.limits[l.EndpointIncarnation] = true
 	}
 	g.registry.EachHost(func(h *inventory.Host) {
 		e := &h.Endpoints[0]
 		delete(out.addresses, e.Address)
-		delete(out.limits, pacer.Incarnation{Endpoint: e.Endpoint, Born: h.Born})
+		delete(out.limits, identifier.EndpointIncarnation{Endpoint: e.Endpoint, Born: h.Born})
 	})
 	return out
 }
--- a/internal/role/gateway/limits.go
+++ b/internal/role/gateway/limits.go
@@ -118,9 +118,9 @@
 			continue
 		}
 		out = append(out, pacer.Limit{
-			Incarnation: pacer.Incarnation{Endpoint: identifier.Endpoint(l.GetEndpoint()), Born: identifier.StartTime(l.GetBorn())},
-			RateLimit:   pacer.RateLimit{PerSecond: l.GetPerSecond(), Limited: l.GetLimited()},
-			At:          time.UnixMilli(l.GetUnixMilli()),
+			EndpointIncarnation: identifier.EndpointIncarnation{Endpoint: identifier.Endpoint(l.GetEndpoint()), Born: identifier.StartTime(l.GetBorn())},
+			RateLimit:           pacer.RateLimit{PerSecond: l.GetPerSecond(), Limited: l.GetLimited()},
+			At:                  time.UnixMilli(l.GetUnixMilli()),
 		})
 	}
 	return out
--- a/internal/route/endtracker/endtracker.go
+++ b/internal/route/endtracker/endtracker.go
@@ -13,7 +13,7 @@
 // # Usage
 //
 //	t := endtracker.New(endtracker.Config{Retention: 10 * time.Second})
-//	if t.Record(endtracker.Incarnation{Endpoint: e, Born: born}, at) { tell others }
+//	if t.Record(identifier.EndpointIncarnation{Endpoint: e, Born: born}, at) { tell others }
 //	if t.EndedBefore(i, sentAt) { ... } // what was sent then reached another process
 package endtracker
 
@@ -32,15 +32,9 @@
 	maxRecent = 64
 )
 
-// Incarnation is one incarnation of an endpoint.
-type Incarnation struct {
-	Endpoint identifier.Endpoint
-	Born     identifier.StartTime
-}
-
 // End is the end of an incarnation.
 type End struct {
-	Incarnation
+	identifier.EndpointIncarnation
 	At time.Time
 }
 
@@ -55,15 +49,17 @@
 	c Config
 
 	mu   sync.Mutex
-	ends map[Incarnation]time.Time
+	ends map[identifier.EndpointIncarnation]time.Time
 }
 
 // New returns a tracker without ends.
-func New(c Config) *Tracker { return &Tracker{c: c, ends: make(map[Incarnation]time.Time)} }
+func New(c Config) *Tracker {
+	return &Tracker{c: c, ends: make(map[identifier.EndpointIncarnation]time.Time)}
+}
 
 // Record records that an incarnation had ended at a time, and reports whether its end is kept and was not known before. One
 // without a start time can't be told from the next one under its id and is not kept.
-func (t *Tracker) Record(i Incarnation, at time.Time) (isNew bool) {
+func (t *Tracker) Record(i identifier.EndpointIncarnation, at time.Time) (isNew bool) {
 	if i.Born == 0 {
 		return false
 	}
@@ -94,7 +90,7 @@
 }
 
 // EndedBefore reports whether an incarnation is known to have ended at a time or before.
-func (t *Tracker) EndedBefore(i Incarnation, at time.Time) bool {
+func (t *Tracker) EndedBefore(i identifier.EndpointIncarnation, at time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	end, ok := t.ends[i]
--- a/internal/route/endtracker/endtracker_test.go
+++ b/internal/route/endtracker/endtracker_test.go
@@ -5,6 +5,8 @@
 	"testing/synctest"
 	"time"
 
+	"brasschute/internal/core/identifier"
+
 	"pgregory.net/rapid"
 )
 
@@ -18,7 +20,7 @@
 		synctest.Test(t, func(*testing.T) {
 			news := 0
 			tr := New(Config{Retention: retention})
-			now, i, earliest := time.Now(), Incarnation{"i-1", 7}, 0
+			now, i, earliest := time.Now(), identifier.EndpointIncarnation{Endpoint: "i-1", Born: 7}, 0
 			for _, age := range reports {
 				if tr.Record(i, now.Add(-time.Duration(age)*time.Second)) {
 					news++
@@ -29,7 +31,7 @@
 			if got, want := tr.EndedBefore(i, now.Add(asked)), !end.After(now.Add(asked)); got != want {
 				rt.Errorf("ended before %v: %v", asked, got)
 			}
-			if tr.EndedBefore(Incarnation{"i-1", 8}, now.Add(time.Hour)) || tr.EndedBefore(Incarnation{"i-2", 7}, now.Add(time.Hour)) {
+			if tr.EndedBefore(identifier.EndpointIncarnation{Endpoint: "i-1", Born: 8}, now.Add(time.Hour)) || tr.EndedBefore(identifier.EndpointIncarnation{Endpoint: "i-2", Born: 7}, now.Add(time.Hour)) {
 				rt.Error("another incarnation has ended")
 			}
 			if recent := tr.Recent(); news != 1 || len(recent) != 1 || !recent[0].At.Equal(end) {
@@ -46,8 +48,8 @@
 // Guards against an incarnation without a start time whose end would count for the next one.
 func TestEndWithoutAStartTimeIsNotKept(t *testing.T) {
 	tr := New(Config{Retention: time.Second})
-	tr.Record(Incarnation{"i-1", 0}, time.Now())
-	if tr.EndedBefore(Incarnation{"i-1", 0}, time.Now()) {
+	tr.Record(identifier.EndpointIncarnation{Endpoint: "i-1", Born: 0}, time.Now())
+	if tr.EndedBefore(identifier.EndpointIncarnation{Endpoint: "i-1", Born: 0}, time.Now()) {
 		t.Error("kept")
 	}
 }
--- a/internal/route/pacer/lending.go
+++ b/internal/route/pacer/lending.go
@@ -16,7 +16,7 @@
 // Lend uses this daemon's send slot at one of some incarnations, for a request that another daemon
 // sends. at is the position of that incarnation. If no slot is due, next is when the first one will be,
 // zero if this daemon sends to none.
-func (p *Pacer) Lend(list []Incarnation, now time.Time) (at int, ok bool, next time.Time) {
+func (p *Pacer) Lend(list []identifier.EndpointIncarnation, now time.Time) (at int, ok bool, next time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, at := range rand.Perm(len(list)) {
@@ -37,7 +37,7 @@
 }
 
 // Borrow adds a send slot that another daemon has lent in a call that began at a given time.
-func (p *Pacer) Borrow(i Incarnation, called time.Time) {
+func (p *Pacer) Borrow(i identifier.EndpointIncarnation, called time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if e := p.entries[i]; e != nil && e.Limited {
@@ -62,7 +62,7 @@
 }
 
 // Senders returns the other daemons that send to an incarnation with a limit; none if it has none.
-func (p *Pacer) Senders(i Incarnation) []identifier.Host {
+func (p *Pacer) Senders(i identifier.EndpointIncarnation) []identifier.Host {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	e := p.entries[i]
--- a/internal/route/pacer/lending_test.go
+++ b/internal/route/pacer/lending_test.go
@@ -19,7 +19,7 @@
 		perSecond := float64(rapid.IntRange(1, 8).Draw(t, "limit"))
 		hosts := []identifier.Host{"a", "b", "c", "d"}
 		now := time.Now()
-		i := Incarnation{Endpoint: "i-1"}
+		i := identifier.EndpointIncarnation{Endpoint: "i-1"}
 		var list []*Pacer
 		for n, host := range hosts {
 			peers := slices.Delete(slices.Clone(hosts), n, n+1)
@@ -37,7 +37,7 @@
 				p = list[anyPacer.Draw(t, "daemon")]
 			}
 			if !p.Ready(i, now) {
-				if _, ok, _ := list[anyPacer.Draw(t, "lender")].Lend([]Incarnation{i}, now); ok {
+				if _, ok, _ := list[anyPacer.Draw(t, "lender")].Lend([]identifier.EndpointIncarnation{i}, now); ok {
 					p.Borrow(i, now)
 				}
 			}
@@ -61,7 +61,7 @@
 // Guards against a slot that is lent and used here as well, and against one that is kept for later.
 func TestLentSlotIsUsedOnceAndSoon(t *testing.T) {
 	now := time.Now()
-	i := Incarnation{Endpoint: "i-1"}
+	i := identifier.EndpointIncarnation{Endpoint: "i-1"}
 	newPacer := func(host, peer identifier.Host) *Pacer {
 		p := New(Config{Host: host, Fleet: func() Fleet { return Fleet{Peers: []identifier.Host{peer}, Size: 2} }, Now: func() time.Time { return now }, OnChange: func(Change) {}})
 		p.ObserveResponse(i, NewRateLimit(2), now)
@@ -72,8 +72,8 @@
 	if !borrower.Take(i, now) || borrower.Ready(i, now) {
 		t.Fatal("the own slot is not used first")
 	}
-	at, ok, _ := lender.Lend([]Incarnation{{Endpoint: "without a limit"}, i}, now)
-	if _, again, next := lender.Lend([]Incarnation{i}, now); !ok || at != 1 || again || !next.After(now) || lender.Take(i, now) {
+	at, ok, _ := lender.Lend([]identifier.EndpointIncarnation{{Endpoint: "without a limit"}, i}, now)
+	if _, again, next := lender.Lend([]identifier.EndpointIncarnation{i}, now); !ok || at != 1 || again || !next.After(now) || lender.Take(i, now) {
 		t.Fatalf("lent %v at %d, again %v, next slot %v, or used as well", ok, at, again, next)
 	}
 	borrower.Borrow(i, now)
@@ -81,7 +81,7 @@
 		t.Error("a borrowed slot is not used once")
 	}
 	now = now.Add(time.Second)
-	lender.Lend([]Incarnation{i}, now)
+	lender.Lend([]identifier.EndpointIncarnation{i}, now)
 	borrower.Take(i, now)
 	borrower.Borrow(i, now)
 	if borrower.Take(i, now.Add(borrowTTL)) {
--- a/internal/route/pacer/pacer.go
+++ b/internal/route/pacer/pacer.go
@@ -57,12 +57,6 @@
 	maxUpdates = 64
 )
 
-// Incarnation identifies one incarnation of an endpoint, by its start time.
-type Incarnation struct {
-	Endpoint identifier.Endpoint
-	Born     identifier.StartTime
-}
-
 // RateLimit is what an endpoint states about its limit.
 type RateLimit struct {
 	// PerSecond is the number of requests per second from all daemons together. Limited is false if
@@ -76,7 +70,7 @@
 
 // Limit is the latest limit, or the end of one, of an incarnation of an endpoint.
 type Limit struct {
-	Incarnation
+	identifier.EndpointIncarnation
 	RateLimit
 	// At is when it was stated, by the fleet's estimate of the true time.
 	At time.Time
@@ -125,21 +119,23 @@
 	limited atomic.Int64
 
 	mu      sync.Mutex
-	entries map[Incarnation]*entry
+	entries map[identifier.EndpointIncarnation]*entry
 	// fleet is the result of Config.Fleet as of fleetAt.
 	fleet   Fleet
 	fleetAt time.Time
 }
 
 // New returns a pacer without limits.
-func New(c Config) *Pacer { return &Pacer{c: c, entries: make(map[Incarnation]*entry)} }
+func New(c Config) *Pacer {
+	return &Pacer{c: c, entries: make(map[identifier.EndpointIncarnation]*entry)}
+}
 
 // HasLimits reports whether any endpoint has a limit.
 func (p *Pacer) HasLimits() bool { return p.limited.Load() > 0 }
 
 // ObserveResponse records the limit, or its absence, in the response to a request that was sent at
 // a given time.
-func (p *Pacer) ObserveResponse(i Incarnation, limit RateLimit, sent time.Time) {
+func (p *Pacer) ObserveResponse(i identifier.EndpointIncarnation, limit RateLimit, sent time.Time) {
 	if !limit.Limited && !p.HasLimits() {
 		return
 	}
@@ -156,7 +152,7 @@
 		// The clock that stamped the previous limit is ahead of this one.
 		at = e.At.Add(time.Millisecond)
 	}
-	change, changed := p.set(Limit{Incarnation: i, RateLimit: limit, At: at})
+	change, changed := p.set(Limit{EndpointIncarnation: i, RateLimit: limit, At: at})
 	if e = p.entries[i]; e != nil && limit.Limited {
 		e.statedAt = time.Now()
 	}
@@ -176,7 +172,7 @@
 		if l.At.After(latest) {
 			l.At = latest
 		}
-		if e := p.entries[l.Incarnation]; e != nil && !l.At.After(e.At) {
+		if e := p.entries[l.EndpointIncarnation]; e != nil && !l.At.After(e.At) {
 			continue
 		}
 		if change, changed := p.set(l); changed {
@@ -192,13 +188,13 @@
 // set stores the latest limit of an incarnation and reports whether it differs from the previous
 // one. The caller holds the lock.
 func (p *Pacer) set(l Limit) (c Change, changed bool) {
-	e := p.entries[l.Incarnation]
+	e := p.entries[l.EndpointIncarnation]
 	if e == nil {
 		if len(p.entries) >= maxLimits {
 			return Change{}, false
 		}
-		e = &entry{Limit: Limit{Incarnation: l.Incarnation}}
-		p.entries[l.Incarnation] = e
+		e = &entry{Limit: Limit{EndpointIncarnation: l.EndpointIncarnation}}
+		p.entries[l.EndpointIncarnation] = e
 	}
 	previous := e.RateLimit
 	e.Limit = l
@@ -222,7 +218,7 @@
 }
 
 // Ready reports whether a request to an incarnation of an endpoint may be sent now.
-func (p *Pacer) Ready(i Incarnation, now time.Time) bool {
+func (p *Pacer) Ready(i identifier.EndpointIncarnation, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	e := p.entries[i]
@@ -244,7 +240,7 @@
 func (e *entry) nextSlot() time.Time { return e.lastSend.Add(e.interval()) }
 
 // Take uses the send slot for a request that is sent now, and reports whether it may be sent.
-func (p *Pacer) Take(i Incarnation, now time.Time) bool {
+func (p *Pacer) Take(i identifier.EndpointIncarnation, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	e := p.entries[i]
@@ -260,7 +256,7 @@
 }
 
 // Return gives back the slot of a request that was not sent.
-func (p *Pacer) Return(i Incarnation) {
+func (p *Pacer) Return(i identifier.EndpointIncarnation) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if e := p.entries[i]; e != nil && e.rate > 0 {
@@ -270,7 +266,7 @@
 
 // NextSend returns when the next send slot at an incarnation of an endpoint is due; zero if this
 // daemon does not send to it, or it has no limit.
-func (p *Pacer) NextSend(i Incarnation) time.Time {
+func (p *Pacer) NextSend(i identifier.EndpointIncarnation) time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if e := p.entries[i]; e != nil && e.Limited && e.rate > 0 {
@@ -307,7 +303,7 @@
 
 // Prune removes the limits of incarnations that are no longer listed, and limits that ended long
 // ago.
-func (p *Pacer) Prune(listed func(Incarnation) bool) {
+func (p *Pacer) Prune(listed func(identifier.EndpointIncarnation) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	cutoff := p.c.Now().Add(-endedTTL)
--- a/internal/route/pacer/pacer_test.go
+++ b/internal/route/pacer/pacer_test.go
@@ -12,7 +12,7 @@
 	"pgregory.net/rapid"
 )
 
-var engine = Incarnation{Endpoint: "i-1", Born: 7}
+var engine = identifier.EndpointIncarnation{Endpoint: "i-1", Born: 7}
 
 // The number of requests allowed per window: factor times the limit, plus tolerance.
 const (
@@ -209,7 +209,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		p := daemons(9)[0]
 		p.ObserveResponse(engine, NewRateLimit(0.1), time.Now())
-		next := Incarnation{engine.Endpoint, engine.Born + 1}
+		next := identifier.EndpointIncarnation{Endpoint: engine.Endpoint, Born: engine.Born + 1}
 		for range 20 {
 			if !p.Take(next, time.Now()) {
 				t.Fatal("limit of the previous incarnation applied to a new one")
@@ -240,7 +240,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		p := daemons(1)[0]
 		for i := range maxLimits + 10 {
-			p.ObserveResponse(Incarnation{Endpoint: identifier.Endpoint(fmt.Sprint(i))}, NewRateLimit(1), time.Now())
+			p.ObserveResponse(identifier.EndpointIncarnation{Endpoint: identifier.Endpoint(fmt.Sprint(i))}, NewRateLimit(1), time.Now())
 		}
 		if n := len(p.Limits()); n != maxLimits {
 			t.Errorf("%d limits kept", n)
@@ -249,7 +249,7 @@
 			t.Errorf("%d limits in Updates()", n)
 		}
 		time.Sleep(2 * endedTTL)
-		p.Prune(func(i Incarnation) bool { return i.Endpoint == "3" })
+		p.Prune(func(i identifier.EndpointIncarnation) bool { return i.Endpoint == "3" })
 		if list := p.Limits(); len(list) != 1 || list[0].Endpoint != "3" {
 			t.Errorf("%d limits left: %+v", len(list), list[:min(len(list), 3)])
 		}
--- a/internal/route/registry/limit.go
+++ b/internal/route/registry/limit.go
@@ -7,20 +7,19 @@
 
 	"brasschute/internal/core/identifier"
 	"brasschute/internal/route/candidate"
-	"brasschute/internal/route/pacer"
 	"brasschute/internal/route/selector"
 )
 
 // incarnationOf identifies the current incarnation of an endpoint by its start time, as all daemons
 // do.
-func incarnationOf(c *candidate.Candidate) pacer.Incarnation {
-	return pacer.Incarnation{Endpoint: c.Endpoint, Born: c.StartTime}
+func incarnationOf(c *candidate.Candidate) identifier.EndpointIncarnation {
+	return identifier.EndpointIncarnation{Endpoint: c.Endpoint, Born: c.StartTime}
 }
 
 // EndpointIncarnation identifies the incarnation of the chosen endpoint by its start time, as all
 // daemons do.
-func (k *Pick) EndpointIncarnation() pacer.Incarnation {
-	return pacer.Incarnation{Endpoint: k.Endpoint, Born: k.StartTime}
+func (k *Pick) EndpointIncarnation() identifier.EndpointIncarnation {
+	return identifier.EndpointIncarnation{Endpoint: k.Endpoint, Born: k.StartTime}
 }
 
 // markLimited marks the candidates whose rate limit leaves nothing for this daemon now. The caller
@@ -98,7 +97,7 @@
 
 // Limited returns up to maxWanted incarnations of a pool's endpoints that only their rate limit keeps
 // from taking a request of one of some versions, without those tried already.
-func (r *Registry) Limited(name identifier.Pool, tried []identifier.Endpoint, v *selector.VersionFilter) (out []pacer.Incarnation) {
+func (r *Registry) Limited(name identifier.Pool, tried []identifier.Endpoint, v *selector.VersionFilter) (out []identifier.EndpointIncarnation) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	p := r.pools[name]
--- a/internal/route/registry/registry.go
+++ b/internal/route/registry/registry.go
@@ -35,7 +35,6 @@
 	"brasschute/internal/platform/inventory"
 	"brasschute/internal/route/candidate"
 	"brasschute/internal/route/indexer"
-	"brasschute/internal/route/pacer"
 	"brasschute/internal/route/selector"
 )
 
@@ -82,11 +81,11 @@
 	HasLimits() bool
 	// Ready reports whether a request may be sent to an endpoint now. Take takes a permit for it,
 	// and Return gives the permit back.
-	Ready(i pacer.Incarnation, now time.Time) bool
-	Take(i pacer.Incarnation, now time.Time) bool
-	Return(i pacer.Incarnation)
+	Ready(i identifier.EndpointIncarnation, now time.Time) bool
+	Take(i identifier.EndpointIncarnation, now time.Time) bool
+	Return(i identifier.EndpointIncarnation)
 	// NextSend returns when the next permit is available, zero if none will be.
-	NextSend(i pacer.Incarnation) time.Time
+	NextSend(i identifier.EndpointIncarnation) time.Time
 }
 
 // pool holds the endpoints of one pool.
--- a/internal/serve/relayer/attempt.go
+++ b/internal/serve/relayer/attempt.go
@@ -188,7 +188,7 @@
 		// Connecting takes time. Meanwhile the endpoint may have begun to leave, or
 		// the request may have been quarantined; then it must not be sent.
 		Ready: func() bool {
-			ready := j.r.c.Registry.Usable(pick) && j.mayGoOnAt(incarnationOf(pick)) && !j.admit().Held && !j.r.c.Versions.Blocked(j.q.Service, pick.Version) && j.r.c.Registry.AcquirePermit(pick)
+			ready := j.r.c.Registry.Usable(pick) && j.mayGoOnAt(pick.EndpointIncarnation()) && !j.admit().Held && !j.r.c.Versions.Blocked(j.q.Service, pick.Version) && j.r.c.Registry.AcquirePermit(pick)
 			if ready {
 				j.r.c.Quarantine.Begin(a)
 			}
--- a/internal/serve/relayer/relayer.go
+++ b/internal/serve/relayer/relayer.go
@@ -40,7 +40,6 @@
 	"brasschute/internal/peer/crashreporter"
 	"brasschute/internal/peer/origintracker"
 	"brasschute/internal/route/endtracker"
-	"brasschute/internal/route/pacer"
 	"brasschute/internal/route/quarantiner"
 	"brasschute/internal/route/registry"
 	"brasschute/internal/route/selector"
@@ -144,7 +143,7 @@
 // Permits borrows what other daemons may send to endpoints with rate limits.
 type Permits interface {
 	// Borrow reports whether a request may now be sent to one of some endpoints.
-	Borrow(ctx context.Context, wanted []pacer.Incarnation) bool
+	Borrow(ctx context.Context, wanted []identifier.EndpointIncarnation) bool
 }
 
 // Origins knows at which versions streams began.
@@ -158,7 +157,7 @@
 // Ends knows which incarnations of endpoints have ended.
 type Ends interface {
 	// EndedBefore reports whether an incarnation had ended at a time.
-	EndedBefore(i endtracker.Incarnation, at time.Time) bool
+	EndedBefore(i identifier.EndpointIncarnation, at time.Time) bool
 }
 
 // Quarantine holds back requests that bring endpoints down.
--- a/internal/serve/relayer/version.go
+++ b/internal/serve/relayer/version.go
@@ -10,7 +10,6 @@
 	"brasschute/internal/engine/sender"
 	"brasschute/internal/peer/origintracker"
 	"brasschute/internal/route/candidate"
-	"brasschute/internal/route/endtracker"
 	"brasschute/internal/route/registry"
 	"brasschute/internal/route/selector"
 	"brasschute/internal/route/splitter"
@@ -37,29 +36,24 @@
 func (j *job) vouched(v selector.VersionFilter) selector.VersionFilter {
 	if j.originKnown {
 		v.Vouched = func(c *candidate.Candidate) bool {
-			return j.mayGoOnAt(endtracker.Incarnation{Endpoint: c.Endpoint, Born: c.StartTime})
+			return j.mayGoOnAt(identifier.EndpointIncarnation{Endpoint: c.Endpoint, Born: c.StartTime})
 		}
 	}
 	return v
 }
 
 // mayGoOnAt reports whether the stream, if it goes on, may do so at an incarnation now.
-func (j *job) mayGoOnAt(i endtracker.Incarnation) bool {
+func (j *job) mayGoOnAt(i identifier.EndpointIncarnation) bool {
 	return !j.originKnown || j.origin == "" || !j.r.c.Ends.EndedBefore(i, time.Now())
 }
 
-// incarnationOf returns the incarnation of a pick.
-func incarnationOf(pick *registry.Pick) endtracker.Incarnation {
-	return endtracker.Incarnation{Endpoint: pick.Endpoint, Born: pick.StartTime}
-}
-
 // reasonOriginUnknown is the reason if a stream can't go on, as its version is not known.
 const reasonOriginUnknown = "it is not known at which version the stream began"
 
 // originDoubtful reports whether the stream began at an incarnation that had ended before: another one listened
 // there, perhaps of another version.
 func (j *job) originDoubtful() bool {
-	return j.first != nil && j.first.Version != "" && j.r.c.Ends.EndedBefore(incarnationOf(j.first), j.firstSent)
+	return j.first != nil && j.first.Version != "" && j.r.c.Ends.EndedBefore(j.first.EndpointIncarnation(), j.firstSent)
 }
 
 // maxBorrowed is how often a request may borrow a permit: another request of this daemon may use it
