bodyreader: the bodies of clients share a part of a gateway's memory

Callers saw: a daemon to which a crowd sent bodies of legal size was killed for its memory, with everybody's requests; none of them had an answer.

Cause: each body was bounded (MaxBodyBytes), their sum was not. io.ReadAll leaves several times a body's length behind as its buffer grows, and one that was announced as too long was read up to the limit all the same.

Change: package bodyreader reads bodies into room that is reserved before: a quarter of what MemoryMb leaves beside the process (of which an eighth is for those of up to 64 KB, so that ordinary requests go on beside large ones). A body takes its stated length, or steps that double. Without room it is refused at once, 503 not run with a Retry-After; before that, bodies that have stalled (a second without a byte, or behind the pace at which they would be whole in 5 s) give theirs up, answered 408. Who goes on sending is never cut off for another one. The semaphore of answerreader became package bufferlimiter, which both use. What answers share is now reckoned from what the process leaves.

A rapid test draws clients against the invariant: the sum is under the bound, nobody waits for ever, all is given back, nobody who sends steadily is cut off.

--- a/integration/crowd_test.go
+++ b/integration/crowd_test.go
@@ -406,4 +406,3 @@
 	}}
 	c.check(t, newCrowdEntry(t, "/v1/chat/completions"))
 }
-
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -81,6 +81,7 @@
 	"brasschute/internal/route/splitter"
 	"brasschute/internal/route/versiontracker"
 	"brasschute/internal/serve/answerreader"
+	"brasschute/internal/serve/bodyreader"
 	"brasschute/internal/serve/dispatcher"
 	"brasschute/internal/serve/drainer"
 	"brasschute/internal/serve/placer"
@@ -126,10 +127,8 @@
 	idleTimeout    = 2 * time.Minute
 	// maxAnswerBytes bounds the answer of an endpoint that is no stream, which is buffered until it is complete.
 	maxAnswerBytes = 8 << 20
-	// answerFraction is the fraction of the host's memory for answers that are not small. Without a known
-	// limit they may take unlimitedAnswerMemory.
-	answerFraction        = 8
-	unlimitedAnswerMemory = 256 << 20
+	// bodyTimeout is how long a client may take to send its body.
+	bodyTimeout = 5 * time.Second
 	// maxPeerHeaderBytes leaves room for the headers that wrap a client's request.
 	maxPeerHeaderBytes = 2 * maxHeaderBytes
 )
@@ -189,6 +188,8 @@
 	ends     *endtracker.Tracker
 	receiver *receiver.Receiver
 	callers  *server.Server
+	// memory is how the host's memory is shared.
+	memory memoryShares
 	// drainer tells requests when they have to end because the daemon stops.
 	drainer  *drainer.Drainer
 	reporter prometheus.Reporter
@@ -309,7 +310,7 @@
 	if c.Uptime == nil {
 		c.Uptime = bootclock.Now
 	}
-	g := &Gateway{c: c, started: time.Now(), unreadableLogs: rate.NewLimiter(maxUnreadableLogsPerSecond, maxUnreadableLogsPerSecond)}
+	g := &Gateway{c: c, started: time.Now(), memory: shareMemory(c.Deployment.MemoryBytes), unreadableLogs: rate.NewLimiter(maxUnreadableLogsPerSecond, maxUnreadableLogsPerSecond)}
 	g.reporter = prometheus.NewReporter(prometheus.Options{Registerer: newMetricsRegistry()})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "brasschute", CachedReporter: g.reporter, Separator: prometheus.DefaultSeparator,
@@ -367,6 +368,7 @@
 	g.receiver = receiver.New(receiver.Config{
 		Versioner: &g.versioner, Relayer: g.newRelayer(), Quota: g, Quarantine: g.quarantine, Decode: platform.DecodeRequest, Refuse: platform.Codec{}.EncodeRefusal,
 		Observer: accesslogger.New(accesslogger.Config{Logger: g.c.Logger, Metrics: g.scope}),
+		Bodies:   bodyreader.New(bodyreader.Config{TotalBytes: g.memory.bodies, Timeout: bodyTimeout, Metrics: g.scope}),
 	})
 	wait := time.Duration(watchFraction * float64(min(d.Bounds.ApplyTime, d.Bounds.DrainTime)))
 	g.tree.Add(g.newStoreWatcher("configuration", platform.CatalogKind, wait))
@@ -395,19 +397,11 @@
 		}),
 		Dispatcher: g.dispatcher, Codec: platform.Codec{}, Budget: g, OnBegin: g.countRequest, Demand: &g.demandMeter, Quarantine: g.quarantine,
 		Versions: g.splitter, Origins: g.origins, Permits: g.permits, ReplyObserver: g, SilenceObserver: g,
-		Answers: answerreader.New(answerreader.Config{MaxBytes: maxAnswerBytes, TotalBytes: g.answerMemory(), Metrics: g.scope}),
+		Answers: answerreader.New(answerreader.Config{MaxBytes: maxAnswerBytes, TotalBytes: g.memory.answers, Metrics: g.scope}),
 		Drainer: g.drainer, Ends: g.ends,
 	})
 }
 
-// answerMemory returns the bytes that answers of endpoints may take together.
-func (g *Gateway) answerMemory() int64 {
-	if memory := g.c.Deployment.MemoryBytes; memory > 0 {
-		return memory / answerFraction
-	}
-	return unlimitedAnswerMemory
-}
-
 // uptime returns the time of a clock that continues while the host is suspended.
 func (g *Gateway) uptime() time.Time { return g.c.Uptime() }
 
--- a/internal/serve/answerreader/answerreader.go
+++ b/internal/serve/answerreader/answerreader.go
@@ -3,7 +3,7 @@
 // An endpoint may send an answer of any length, or bytes without an end. An answer is therefore read up to
 // [Config.MaxBytes] only. The answers that a daemon holds at the same time are bounded together: one of more
 // than [SmallBytes] is read on only once its length, or MaxBytes if none is stated, has been reserved in a
-// share of the host's memory. Until then it waits in its connection, and its endpoint with it.
+// share of the host's memory (package bufferlimiter). Until then it waits in its connection, and its endpoint with it.
 //
 // A reader of an answer reserves once and waits for nothing while it holds a reservation. So each reservation
 // is given back in the end, and no two answers wait for each other.
@@ -22,11 +22,10 @@
 	"fmt"
 	"io"
 	"slices"
-	"sync"
-	"sync/atomic"
+
+	"brasschute/internal/serve/bufferlimiter"
 
 	"github.com/uber-go/tally/v4"
-	"golang.org/x/sync/semaphore"
 )
 
 // SmallBytes is the length up to which an answer, or a part of one, is held without a reservation.
@@ -53,22 +52,14 @@
 // Reader reads answers. It is safe for concurrent use.
 type Reader struct {
 	c        Config
-	reserved *semaphore.Weighted
-	waits    tally.Counter
-	gauge    tally.Gauge
-	bytes    atomic.Int64
+	reserved *bufferlimiter.Limiter
 }
 
 // New returns a reader.
 func New(c Config) *Reader {
-	c.TotalBytes = max(c.TotalBytes, c.MaxBytes)
-	if c.Metrics == nil {
-		c.Metrics = tally.NoopScope
-	}
-	return &Reader{
-		c: c, reserved: semaphore.NewWeighted(c.TotalBytes),
-		waits: c.Metrics.Counter("answers_waited_for_memory"), gauge: c.Metrics.Gauge("answer_bytes_reserved"),
-	}
+	return &Reader{c: c, reserved: bufferlimiter.New(bufferlimiter.Config{
+		Name: "answer", TotalBytes: max(c.TotalBytes, c.MaxBytes), Metrics: c.Metrics,
+	})}
 }
 
 // Read reads a body to its end. length is its stated length in bytes, or negative. release must be called once the
@@ -126,16 +117,9 @@
 // Reserve reserves bytes for a part of an answer, and waits for them until ctx ends. release must be called once the
 // bytes are no longer held. The caller may hold no other reservation.
 func (r *Reader) Reserve(ctx context.Context, bytes int64) (release func(), err error) {
-	bytes = min(bytes, r.c.TotalBytes)
-	if !r.reserved.TryAcquire(bytes) {
-		r.waits.Inc(1)
-		if err := r.reserved.Acquire(ctx, bytes); err != nil {
-			return nil, fmt.Errorf("%w: %d of %d bytes: %w", ErrNoMemory, bytes, r.c.TotalBytes, err)
-		}
+	release, err = r.reserved.Reserve(ctx, bytes)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrNoMemory, err)
 	}
-	r.gauge.Update(float64(r.bytes.Add(bytes)))
-	return sync.OnceFunc(func() {
-		r.gauge.Update(float64(r.bytes.Add(-bytes)))
-		r.reserved.Release(bytes)
-	}), nil
+	return release, nil
 }
--- a/internal/serve/answerreader/answerreader_test.go
+++ b/internal/serve/answerreader/answerreader_test.go
@@ -78,7 +78,7 @@
 						length = int64(b.left)
 					}
 					got, release, err := r.Read(ctx, b, length)
-					if held := r.bytes.Load(); held > totalBytes {
+					if held := r.reserved.ReservedBytes(); held > totalBytes {
 						rt.Errorf("%d bytes reserved", held)
 					}
 					if b.taken > maxBytes+1 {
@@ -99,7 +99,7 @@
 				})
 			}
 			group.Wait()
-			if held := r.bytes.Load(); held != 0 {
+			if held := r.reserved.ReservedBytes(); held != 0 {
 				rt.Errorf("%d bytes reserved at the end", held)
 			}
 		})
--- /dev/null
+++ b/internal/serve/bodyreader/bodyreader_test.go
@@ -0,0 +1,245 @@
+package bodyreader
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const (
+	maxBytes   = 1 << 20
+	totalBytes = 4 << 20
+	timeout    = 5 * time.Second
+)
+
+// client sends a body in pieces of some bytes with a pause before each, and none after stopAt bytes. It is the body
+// and the writer of its request.
+type client struct {
+	http.ResponseWriter
+	length, piece, stopAt int
+	pause                 time.Duration
+	stated                bool
+	read                  int
+	begun                 time.Time
+
+	mu       sync.Mutex
+	deadline time.Time
+	changed  chan struct{}
+}
+
+// SetReadDeadline ends reads at a time, as that of a connection does.
+func (c *client) SetReadDeadline(at time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = at
+	close(c.changed)
+	c.changed = make(chan struct{})
+	return nil
+}
+
+// wait waits for a time, and reports whether the deadline has not passed.
+func (c *client) wait(d time.Duration) bool {
+	until := time.Now().Add(d)
+	for {
+		c.mu.Lock()
+		deadline, changed := c.deadline, c.changed
+		c.mu.Unlock()
+		now := time.Now()
+		if !deadline.IsZero() && !now.Before(deadline) {
+			return false
+		}
+		if !now.Before(until) {
+			return true
+		}
+		next := until
+		if !deadline.IsZero() && deadline.Before(next) {
+			next = deadline
+		}
+		select {
+		case <-time.After(next.Sub(now)):
+		case <-changed:
+		}
+	}
+}
+
+// arrived returns how many bytes have arrived by now, and how long it takes until more do.
+func (c *client) arrived() (bytes int, next time.Duration) {
+	if c.begun.IsZero() {
+		c.begun = time.Now()
+	}
+	if c.pause == 0 {
+		return min(c.length, c.stopAt), time.Hour
+	}
+	elapsed := time.Since(c.begun)
+	pieces := int(elapsed / c.pause)
+	return min(c.length, c.stopAt, pieces*c.piece), c.pause - elapsed%c.pause
+}
+
+// Read reads what has arrived.
+func (c *client) Read(p []byte) (int, error) {
+	if c.read == c.length {
+		return 0, io.EOF
+	}
+	bytes, next := c.arrived()
+	for bytes == c.read {
+		if !c.wait(next) {
+			return 0, os.ErrDeadlineExceeded
+		}
+		bytes, next = c.arrived()
+	}
+	n := min(bytes-c.read, len(p))
+	for i := range n {
+		p[i] = byte(c.read + i)
+	}
+	c.read += n
+	return n, nil
+}
+
+// Close does nothing.
+func (c *client) Close() error { return nil }
+
+// request returns the client's request.
+func (c *client) request() *http.Request {
+	length := int64(-1)
+	if c.stated {
+		length = int64(c.length)
+	}
+	return &http.Request{Method: http.MethodPost, Header: make(http.Header), Body: c, ContentLength: length}
+}
+
+// duration returns how long the client sends.
+func (c *client) duration() time.Duration {
+	return time.Duration((c.length+c.piece-1)/c.piece) * c.pause
+}
+
+func drawClient(rt *rapid.T) *client {
+	c := &client{
+		length: rapid.SampledFrom([]int{1, 100, firstBytes, firstBytes + 1, SmallBytes, SmallBytes + 1, maxBytes / 2, maxBytes - 1, maxBytes, maxBytes + 1, 3 * maxBytes}).Draw(rt, "length"),
+		piece:  rapid.SampledFrom([]int{1 << 10, 1 << 14, 1 << 20}).Draw(rt, "piece"),
+		pause:  time.Duration(rapid.SampledFrom([]int{0, 1, 20, 400}).Draw(rt, "pause")) * time.Millisecond,
+		stated: rapid.Bool().Draw(rt, "stated"), changed: make(chan struct{}), ResponseWriter: httptest.NewRecorder(),
+	}
+	c.stopAt = c.length + 1
+	if rapid.Bool().Draw(rt, "stops") {
+		c.stopAt = rapid.IntRange(0, c.length-1).Draw(rt, "stopAt")
+	}
+	return c
+}
+
+// checkBody checks what Read returned for a client that began at a time.
+func checkBody(rt *rapid.T, c *client, begun time.Time, body []byte, err error) {
+	took := time.Since(begun)
+	if took > timeout+yieldTimeout {
+		rt.Errorf("a body was read for %v", took)
+	}
+	steady := c.stopAt > c.length && c.pause < silenceTimeout && c.duration() < timeout
+	switch {
+	case err == nil && (len(body) != c.length || c.length > maxBytes):
+		rt.Errorf("%d bytes read of %d", len(body), c.length)
+	case err == nil:
+		for i, b := range body {
+			if b != byte(i) {
+				rt.Fatalf("byte %d of %d is another one", i, c.length)
+			}
+		}
+	case errors.Is(err, ErrTooLong) && c.length <= maxBytes, errors.Is(err, ErrIncomplete) && steady && c.length <= maxBytes:
+		rt.Errorf("a client that sends %d bytes, %d each %v: %v", c.length, c.piece, c.pause, err)
+	case !errors.Is(err, ErrTooLong) && !errors.Is(err, ErrNoRoom) && !errors.Is(err, ErrIncomplete):
+		rt.Errorf("%v", err)
+	}
+}
+
+// Guards against bodies that together exceed their memory, against room that is not given back, against a body that is
+// read for longer than allowed, and against a client that sends steadily and is cut off for the sake of another one.
+func TestBodiesStayWithinTheirMemory(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		clients := rapid.SliceOfN(rapid.Custom(drawClient), 1, 24).Draw(rt, "clients")
+		arrivals := rapid.SliceOfN(rapid.IntRange(0, 3000), len(clients), len(clients)).Draw(rt, "arrivals")
+		served := rapid.SliceOfN(rapid.IntRange(0, 2000), len(clients), len(clients)).Draw(rt, "served")
+		synctest.Test(t, func(*testing.T) {
+			r := New(Config{TotalBytes: totalBytes, Timeout: timeout})
+			var group sync.WaitGroup
+			for i, c := range clients {
+				group.Go(func() {
+					time.Sleep(time.Duration(arrivals[i]) * time.Millisecond)
+					begun := time.Now()
+					body, release, err := r.Read(c, c.request(), maxBytes)
+					checkBody(rt, c, begun, body, err)
+					if held := r.small.ReservedBytes() + r.large.ReservedBytes(); held > totalBytes {
+						rt.Errorf("%d bytes held", held)
+					}
+					if err == nil {
+						time.Sleep(time.Duration(served[i]) * time.Millisecond)
+						release()
+					}
+				})
+			}
+			group.Wait()
+			if held := r.small.ReservedBytes() + r.large.ReservedBytes(); held != 0 || len(r.arriving) != 0 {
+				rt.Errorf("%d bytes held and %d bodies arriving at the end", held, len(r.arriving))
+			}
+		})
+	})
+}
+
+// newClient returns a client that sends a body at once and stops after some bytes.
+func newClient(length, stopAt int) *client {
+	return &client{length: length, piece: 1 << 20, stopAt: stopAt, stated: true, changed: make(chan struct{}), ResponseWriter: httptest.NewRecorder()}
+}
+
+// Guards against stalled bodies that keep a whole one out until they time out.
+func TestStalledBodiesGiveTheirRoomUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := New(Config{TotalBytes: totalBytes, Timeout: timeout})
+		var group sync.WaitGroup
+		const stalled = 3
+		for range stalled {
+			group.Go(func() {
+				c := newClient(maxBytes, maxBytes-1)
+				c.piece = maxBytes - 1
+				if _, _, err := r.Read(c, c.request(), maxBytes); !errors.Is(err, ErrIncomplete) {
+					t.Errorf("a stalled body: %v", err)
+				}
+			})
+		}
+		time.Sleep(silenceTimeout / 2)
+		c := newClient(maxBytes, maxBytes+1)
+		if _, _, err := r.Read(c, c.request(), maxBytes); !errors.Is(err, ErrNoRoom) {
+			t.Errorf("beside bodies that have just come: %v", err)
+		}
+		time.Sleep(silenceTimeout)
+		c = newClient(maxBytes, maxBytes+1)
+		if _, release, err := r.Read(c, c.request(), maxBytes); err != nil {
+			t.Errorf("beside stalled bodies: %v", err)
+		} else {
+			release()
+		}
+		group.Wait()
+	})
+}
+
+// Guards against small bodies that are kept out by large ones.
+func TestSmallBodiesHaveTheirShare(t *testing.T) {
+	r := New(Config{TotalBytes: totalBytes, Timeout: timeout})
+	release, err := r.large.Reserve(t.Context(), r.large.TotalBytes())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer release()
+	for range r.small.TotalBytes() / SmallBytes {
+		c := newClient(SmallBytes, SmallBytes+1)
+		_, release, err := r.Read(c, c.request(), maxBytes)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer release()
+	}
+}
--- a/internal/serve/receiver/receiver.go
+++ b/internal/serve/receiver/receiver.go
@@ -21,7 +21,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -31,6 +30,7 @@
 	"brasschute/internal/core/identifier"
 	"brasschute/internal/route/quarantiner"
 	"brasschute/internal/route/quotalimiter"
+	"brasschute/internal/serve/bodyreader"
 	"brasschute/internal/serve/refusal"
 	"brasschute/internal/serve/relayer"
 	"brasschute/internal/serve/request"
@@ -44,8 +44,8 @@
 	unknownRetryAfter = 500 * time.Millisecond
 	// defaultMaxBodyBytes bounds a body if the configuration does not.
 	defaultMaxBodyBytes = 4 << 20
-	// bodyTimeout is how long a client may take to send its body.
-	bodyTimeout = 5 * time.Second
+	// noRoomRetryAfter is sent when bodies take all of their memory: another daemon may have room.
+	noRoomRetryAfter = 500 * time.Millisecond
 )
 
 // Relayer serves an admitted request.
@@ -76,6 +76,8 @@
 	// Quarantine is consulted before a request is charged to a quota.
 	Quarantine Quarantine
 	Observer   Observer
+	// Bodies reads the bodies of requests and bounds the memory that they take.
+	Bodies *bodyreader.Reader
 	// Decode reads a client's headers. Its error is sent to the client as the reason of
 	// a 400.
 	Decode func(r *http.Request, received time.Time) (*request.Request, error)
@@ -121,10 +123,13 @@
 		v.refuse(w, q, &relayer.Result{Outcome: relayer.NotRun, Refusal: refused})
 		return
 	}
-	if refused := v.readBody(w, r, c, q); refused != nil {
+	release, refused := v.readBody(w, r, c, q)
+	if refused != nil {
+		w.Header().Set("Connection", "close")
 		v.refuse(w, q, &relayer.Result{Outcome: relayer.NotRun, Refusal: refused})
 		return
 	}
+	defer release()
 	v.serve(w, r, c, q)
 }
 
@@ -204,29 +209,23 @@
 }
 
 // readBody reads the whole body before anything is sent on, so that a client that is
-// slow or disconnects midway costs no endpoint anything.
-func (v *Receiver) readBody(w http.ResponseWriter, r *http.Request, c *catalog.Catalog, q *request.Request) *relayer.Refusal {
-	if r.Body == nil || r.Body == http.NoBody {
-		return nil
-	}
+// slow or disconnects midway costs no endpoint anything. release gives the body's memory back.
+func (v *Receiver) readBody(w http.ResponseWriter, r *http.Request, c *catalog.Catalog, q *request.Request) (release func(), refused *relayer.Refusal) {
 	limit := c.Limits().BodyBytes
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
-	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	_ = control.SetReadDeadline(time.Time{})
-	var tooLarge *http.MaxBytesError
+	body, release, err := v.c.Bodies.Read(w, r, limit)
 	switch {
 	case err == nil:
 		q.Body = body
-		return nil
-	case errors.As(err, &tooLarge):
-		return &relayer.Refusal{Status: http.StatusRequestEntityTooLarge, Reason: "the body is over the limit"}
+		return release, nil
+	case errors.Is(err, bodyreader.ErrTooLong):
+		return nil, &relayer.Refusal{Status: http.StatusRequestEntityTooLarge, Reason: err.Error()}
+	case errors.Is(err, bodyreader.ErrNoRoom):
+		return nil, &relayer.Refusal{Status: http.StatusServiceUnavailable, Reason: "not run: " + err.Error(), RetryAfter: noRoomRetryAfter}
 	}
-	w.Header().Set("Connection", "close")
-	return &relayer.Refusal{Status: http.StatusRequestTimeout, Reason: "not run: the body did not come whole"}
+	return nil, &relayer.Refusal{Status: http.StatusRequestTimeout, Reason: "not run: " + err.Error()}
 }
 
 // kindOfStatus maps the status of a refusal to its kind.
--- a/internal/serve/receiver/receiver_test.go
+++ b/internal/serve/receiver/receiver_test.go
@@ -9,6 +9,7 @@
 	"brasschute/internal/config/catalog"
 	"brasschute/internal/config/versioner"
 	"brasschute/internal/core/identifier"
+	"brasschute/internal/serve/bodyreader"
 	"brasschute/internal/serve/relayer"
 	"brasschute/internal/serve/request"
 )
@@ -42,7 +43,7 @@
 			v.ObserveNumber(c.observed)
 			retry := time.Duration(0)
 			receiver := New(Config{
-				Versioner: v, Observer: o,
+				Versioner: v, Observer: o, Bodies: bodyreader.New(bodyreader.Config{TotalBytes: 1 << 20, Timeout: time.Second}),
 				Decode: func(r *http.Request, at time.Time) (*request.Request, error) {
 					return &request.Request{ID: "r-1", Received: at, Host: r.Host, Path: r.URL.Path, APIKey: c.key}, nil
 				},
