bodyreader: a refusal is sent before the rest of a body, and what still comes is discarded for a while

Callers saw: a request that was refused before its body had come whole (400, 401, 404) got no answer until the body's last byte came, for ever if it never did; after a 408 its connection stayed open for as long as its client liked. Clients of too large a body got a reset in place of the 413. Each such connection held a goroutine and a descriptor, and up to megabytes in the kernel's receive buffer, which nobody read.

Cause: net/http reads up to 256 KB of what is left of a body before it sends the head of an answer, and once more when it closes the body, without a deadline; a larger rest it leaves unread and closes half a second later, which resets the connection.

Change: Reader.Refuse. A small body is discarded first, within a second, and its connection goes on. Otherwise the answer goes out at once with Connection: close, then what comes is discarded within a second, 8 MB and 64 connections, and reads end. Answers of the daemon's own state their length, so that they are whole when they come early.

--- a/internal/serve/bodyreader/bodyreader.go
+++ b/internal/serve/bodyreader/bodyreader.go
@@ -10,11 +10,17 @@
 // nothing has arrived for [silenceTimeout], and those that at their pace so far won't be whole in time. A client that
 // goes on sending is never cut off for the sake of another one.
 //
+// A refusal must reach a client that is still sending. [Reader.Refuse] answers first, and then discards what
+// arrives for a while, because closing a connection with unread bytes resets it.
+//
 // # Usage
 //
 //	r := bodyreader.New(bodyreader.Config{TotalBytes: memory / 4, Timeout: 5 * time.Second})
 //	body, release, err := r.Read(w, req, maxBytes)
-//	if err != nil { ... }
+//	if err != nil {
+//		r.Refuse(w, req, func() { ... })
+//		return
+//	}
 //	defer release() // once nothing refers to the body
 package bodyreader
 
@@ -32,6 +38,7 @@
 	"brasschute/internal/serve/bufferlimiter"
 
 	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/semaphore"
 )
 
 // SmallBytes is the length up to which bodies have a share of their own.
@@ -48,6 +55,11 @@
 	paceSlack = 64 << 10
 	// yieldTimeout is how long a body waits for the room of stalled ones.
 	yieldTimeout = 100 * time.Millisecond
+	// discardTimeout and discardBytes bound what is discarded after a refusal, discards the number of connections
+	// on which that happens at the same time.
+	discardTimeout = time.Second
+	discardBytes   = 8 << 20
+	discards       = 64
 )
 
 // Errors of a body that was not read.
@@ -76,6 +88,7 @@
 type Reader struct {
 	c            Config
 	small, large *bufferlimiter.Limiter
+	discards     *semaphore.Weighted
 	refused      tally.Counter
 	stalled      tally.Counter
 
@@ -91,10 +104,11 @@
 	}
 	small := c.TotalBytes / smallDivisor
 	return &Reader{
-		c:       c,
-		small:   bufferlimiter.New(bufferlimiter.Config{Name: "small_body", TotalBytes: max(small, SmallBytes), Metrics: c.Metrics}),
-		large:   bufferlimiter.New(bufferlimiter.Config{Name: "large_body", TotalBytes: max(c.TotalBytes-small, SmallBytes), Metrics: c.Metrics}),
-		refused: c.Metrics.Counter("bodies_refused_for_memory"), stalled: c.Metrics.Counter("bodies_ended_for_memory"),
+		c:        c,
+		small:    bufferlimiter.New(bufferlimiter.Config{Name: "small_body", TotalBytes: max(small, SmallBytes), Metrics: c.Metrics}),
+		large:    bufferlimiter.New(bufferlimiter.Config{Name: "large_body", TotalBytes: max(c.TotalBytes-small, SmallBytes), Metrics: c.Metrics}),
+		discards: semaphore.NewWeighted(discards),
+		refused:  c.Metrics.Counter("bodies_refused_for_memory"), stalled: c.Metrics.Counter("bodies_ended_for_memory"),
 		arriving: make(map[*arrival]struct{}),
 	}
 }
@@ -211,6 +225,49 @@
 	return len(found) > 0
 }
 
+// Refuse refuses a request whose body has not been read to its end. write writes the whole answer.
+func (r *Reader) Refuse(w http.ResponseWriter, req *http.Request, write func()) {
+	control := http.NewResponseController(w)
+	if r.discardSmall(control, req) {
+		write()
+		return
+	}
+	w.Header().Set("Connection", "close")
+	// Otherwise the server reads on before it sends the answer, and without a bound of time.
+	_ = control.EnableFullDuplex()
+	write()
+	_ = control.Flush()
+	r.discard(control, req)
+	// The server would wait for the rest of the body.
+	_ = control.SetReadDeadline(time.Now())
+}
+
+// discardSmall discards a small body, whose connection can then be used on, and reports whether it came whole.
+func (r *Reader) discardSmall(control *http.ResponseController, req *http.Request) bool {
+	if req.Body == nil || req.Body == http.NoBody {
+		return true
+	}
+	if req.ContentLength < 0 || req.ContentLength > SmallBytes || req.Header.Get("Expect") != "" {
+		return false
+	}
+	_ = control.SetReadDeadline(time.Now().Add(discardTimeout))
+	if _, err := io.Copy(io.Discard, req.Body); err != nil {
+		return false
+	}
+	_ = control.SetReadDeadline(time.Time{})
+	return true
+}
+
+// discard discards the rest of a body, within bounds.
+func (r *Reader) discard(control *http.ResponseController, req *http.Request) {
+	if req.Header.Get("Expect") != "" || !r.discards.TryAcquire(1) {
+		return
+	}
+	defer r.discards.Release(1)
+	_ = control.SetReadDeadline(time.Now().Add(discardTimeout))
+	_, _ = io.CopyN(io.Discard, req.Body, discardBytes)
+}
+
 // arrival is a body that arrives.
 type arrival struct {
 	r        *Reader
--- a/internal/serve/bodyreader/bodyreader_test.go
+++ b/internal/serve/bodyreader/bodyreader_test.go
@@ -1,11 +1,14 @@
 package bodyreader
 
 import (
+	"bufio"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -243,3 +246,67 @@
 		defer release()
 	}
 }
+
+// refusing is a server that refuses each request without reading it.
+func refusing(t *testing.T) string {
+	t.Helper()
+	r := New(Config{TotalBytes: totalBytes, Timeout: timeout})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		r.Refuse(w, req, func() {
+			w.Header().Set("Content-Length", "4")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			_, _ = io.WriteString(w, "full")
+		})
+	}))
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+// Guards against a refusal that does not arrive: because the server waits for the rest of a body that never comes, or
+// because it resets the connection of a client that sends its whole body first. Guards as well against a connection
+// that stays open after that, and against one that is closed although the body came whole.
+func TestRefusalArrives(t *testing.T) {
+	address := refusing(t)
+	const patience = 20 * time.Second
+	for _, k := range []struct {
+		name, head string
+		sent       int
+		kept       bool
+	}{
+		{"small body", "Content-Length: 10\r\n", 10, true},
+		{"small body that stalls", "Content-Length: 10\r\n", 9, false},
+		{"large body", "Content-Length: 4194304\r\n", 4 << 20, false},
+		{"large body that stalls", "Content-Length: 4194304\r\n", 4<<20 - 1, false},
+		{"announced only", "Content-Length: 1099511627776\r\n", 0, false},
+		{"announced and awaited", "Content-Length: 100\r\nExpect: 100-continue\r\n", 0, false},
+		{"chunks that stall", "Transfer-Encoding: chunked\r\n", 0, false},
+	} {
+		t.Run(k.name, func(t *testing.T) {
+			conn, err := net.Dial("tcp", address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			_ = conn.SetDeadline(time.Now().Add(patience))
+			if _, err := io.WriteString(conn, "POST / HTTP/1.1\r\nHost: x\r\n"+k.head+"\r\n"+strings.Repeat("x", k.sent)); err != nil {
+				t.Fatal(err)
+			}
+			buffered := bufio.NewReader(conn)
+			resp, err := http.ReadResponse(buffered, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer resp.Body.Close()
+			text, err := io.ReadAll(resp.Body)
+			if resp.StatusCode != http.StatusServiceUnavailable || string(text) != "full" || err != nil || resp.Close == k.kept {
+				t.Errorf("status %d, %q, %v, closing %v", resp.StatusCode, text, err, resp.Close)
+			}
+			if k.kept {
+				return
+			}
+			if n, err := buffered.Read(make([]byte, 1)); n > 0 || errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Errorf("%d bytes more, %v", n, err)
+			}
+		})
+	}
+}
--- a/internal/serve/receiver/receiver.go
+++ b/internal/serve/receiver/receiver.go
@@ -115,24 +115,30 @@
 	q, err := v.c.Decode(r, received)
 	if err != nil {
 		q = &request.Request{Received: received}
-		v.refuse(w, q, &relayer.Result{Outcome: relayer.NotRun, Refusal: &relayer.Refusal{Status: http.StatusBadRequest, Reason: err.Error()}})
+		v.refuseUnread(w, r, q, &relayer.Refusal{Status: http.StatusBadRequest, Reason: err.Error()})
 		return
 	}
 	c := v.c.Versioner.Current()
 	if refused := v.resolve(c, q); refused != nil {
-		v.refuse(w, q, &relayer.Result{Outcome: relayer.NotRun, Refusal: refused})
+		v.refuseUnread(w, r, q, refused)
 		return
 	}
 	release, refused := v.readBody(w, r, c, q)
 	if refused != nil {
-		w.Header().Set("Connection", "close")
-		v.refuse(w, q, &relayer.Result{Outcome: relayer.NotRun, Refusal: refused})
+		v.refuseUnread(w, r, q, refused)
 		return
 	}
 	defer release()
 	v.serve(w, r, c, q)
 }
 
+// refuseUnread refuses a request whose body has not been read to its end.
+func (v *Receiver) refuseUnread(w http.ResponseWriter, r *http.Request, q *request.Request, refused *relayer.Refusal) {
+	v.c.Bodies.Refuse(w, r, func() {
+		v.refuse(w, q, &relayer.Result{Outcome: relayer.NotRun, Refusal: refused})
+	})
+}
+
 // overQuotaReason describes why the quota refused a request, with the figures of the decision.
 func overQuotaReason(q *request.Request, d *quotalimiter.Decision) string {
 	reason := fmt.Sprintf("not run: over the organisation's quota (%s): charge %.0f, left %.0f, %.0f a second, %.2f set aside, "+
--- a/internal/serve/refusal/refusal.go
+++ b/internal/serve/refusal/refusal.go
@@ -132,6 +132,12 @@
 	if p.Status == http.StatusUnauthorized {
 		w.Header().Set("WWW-Authenticate", "Bearer")
 	}
+	text, err := json.Marshal(p)
+	if err != nil {
+		text = []byte("{}")
+	}
+	// The length shows that the answer is whole, also if it is sent before the request has been read.
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)+1))
 	w.WriteHeader(p.Status)
-	_ = json.NewEncoder(w).Encode(p)
+	_, _ = w.Write(append(text, '\n'))
 }
