connectionlimiter: connections of clients, and what they take before a request is served, are bounded

Callers saw: a daemon whose descriptors were all taken by connections that said nothing reaches no endpoint, peer or store. MaxFds was not read at all. Evidence: TestCrowdOfConnections on, 512 connections of which each sends half a head, 528 descriptors open of 456 (and of 512 clients more would have been served the same).

Cause: nothing counts what is accepted. The kernel's receive buffer of each connection grows by itself to megabytes, and a head is parsed while it comes, into ten and more times its length.

Change: package connectionlimiter, around the clients' listener. Connections: three quarters of MaxFds less the 200 reserved ones, and no more than fit into three eighths of the memory. A new connection takes the place of one without a whole head for half a second, of the one idle for longest, of any other without a whole head, or of one whose body has stalled; else it is closed unread, after which clients of the pages turn to another daemon. Heads over 4 KB are read some at a time; shorter ones never wait. Readiness and metrics end requests whose bodies never come.

--- a/integration/crowd_test.go
+++ b/integration/crowd_test.go
@@ -215,6 +215,7 @@
 	status, err := to.ordinary()
 	close(stop)
 	sampling.Wait()
+	most, unread = max(most, openDescriptors(pid)), max(unread, unreadBytes(to.address))
 	close(released)
 	defer ended.Wait()
 	select {
--- a/internal/config/deployment/deployment.go
+++ b/internal/config/deployment/deployment.go
@@ -82,6 +82,8 @@
 	Rollouts bool
 	// MemoryBytes is the memory limit at which the process is killed.
 	MemoryBytes int64
+	// Descriptors is the number of file descriptors that the process may have open; 0 if not known.
+	Descriptors int
 	// LinkBytesPerSecond is the bandwidth of the host's link in each direction; 0 if not
 	// known.
 	LinkBytesPerSecond float64
--- a/internal/ops/server/server.go
+++ b/internal/ops/server/server.go
@@ -37,6 +37,10 @@
 	HeaderBytes   int
 	// IdleTimeout limits the pause between two requests on a connection.
 	IdleTimeout time.Duration
+	// OnConnState is called when a connection changes its state; nil for none.
+	OnConnState func(net.Conn, http.ConnState)
+	// ReadTimeout limits the time until a whole request has been read; 0 for none, where the handler sets it.
+	ReadTimeout time.Duration
 }
 
 // Server is a supervised HTTP server.
@@ -52,7 +56,7 @@
 func New(c Config) *Server {
 	return &Server{name: c.Name, listener: c.Listener, http: http.Server{
 		Handler: c.Handler, ReadHeaderTimeout: c.HeaderTimeout, MaxHeaderBytes: c.HeaderBytes,
-		IdleTimeout: c.IdleTimeout, ErrorLog: stdlog.New(io.Discard, "", 0),
+		ReadTimeout: c.ReadTimeout, IdleTimeout: c.IdleTimeout, ConnState: c.OnConnState, ErrorLog: stdlog.New(io.Discard, "", 0),
 	}}
 }
 
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -49,6 +49,7 @@
 	"brasschute/internal/fleet/poolrecorder"
 	"brasschute/internal/fleet/usagecounter"
 	"brasschute/internal/ops/accesslogger"
+	"brasschute/internal/ops/connectionlimiter"
 	"brasschute/internal/ops/server"
 	"brasschute/internal/peer/aggregator"
 	"brasschute/internal/peer/announcer"
@@ -188,8 +189,10 @@
 	ends     *endtracker.Tracker
 	receiver *receiver.Receiver
 	callers  *server.Server
-	// memory is how the host's memory is shared.
-	memory memoryShares
+	// connections bounds the connections of clients.
+	connections *connectionlimiter.Limiter
+	// shares are the bounds of what others send.
+	shares hostShares
 	// drainer tells requests when they have to end because the daemon stops.
 	drainer  *drainer.Drainer
 	reporter prometheus.Reporter
@@ -310,7 +313,7 @@
 	if c.Uptime == nil {
 		c.Uptime = bootclock.Now
 	}
-	g := &Gateway{c: c, started: time.Now(), memory: shareMemory(c.Deployment.MemoryBytes), unreadableLogs: rate.NewLimiter(maxUnreadableLogsPerSecond, maxUnreadableLogsPerSecond)}
+	g := &Gateway{c: c, started: time.Now(), shares: shareHost(c.Deployment.MemoryBytes, c.Deployment.Descriptors), unreadableLogs: rate.NewLimiter(maxUnreadableLogsPerSecond, maxUnreadableLogsPerSecond)}
 	g.reporter = prometheus.NewReporter(prometheus.Options{Registerer: newMetricsRegistry()})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "brasschute", CachedReporter: g.reporter, Separator: prometheus.DefaultSeparator,
@@ -365,10 +368,16 @@
 	g.tree.Add(g.quarantine)
 	g.buildProxier()
 	g.buildScheduling()
+	shares := &g.shares
+	bodies := bodyreader.New(bodyreader.Config{TotalBytes: shares.bodies, Timeout: bodyTimeout, Metrics: g.scope})
 	g.receiver = receiver.New(receiver.Config{
 		Versioner: &g.versioner, Relayer: g.newRelayer(), Quota: g, Quarantine: g.quarantine, Decode: platform.DecodeRequest, Refuse: platform.Codec{}.EncodeRefusal,
 		Observer: accesslogger.New(accesslogger.Config{Logger: g.c.Logger, Metrics: g.scope}),
-		Bodies:   bodyreader.New(bodyreader.Config{TotalBytes: g.memory.bodies, Timeout: bodyTimeout, Metrics: g.scope}),
+		Bodies:   bodies,
+	})
+	g.connections = connectionlimiter.New(connectionlimiter.Config{
+		Connections: shares.connections, LongHeads: shares.longHeads, ReceiveBytes: shares.receiveBytes,
+		EndStalled: bodies.EndLongestStalled, Metrics: g.scope,
 	})
 	wait := time.Duration(watchFraction * float64(min(d.Bounds.ApplyTime, d.Bounds.DrainTime)))
 	g.tree.Add(g.newStoreWatcher("configuration", platform.CatalogKind, wait))
@@ -397,7 +406,7 @@
 		}),
 		Dispatcher: g.dispatcher, Codec: platform.Codec{}, Budget: g, OnBegin: g.countRequest, Demand: &g.demandMeter, Quarantine: g.quarantine,
 		Versions: g.splitter, Origins: g.origins, Permits: g.permits, ReplyObserver: g, SilenceObserver: g,
-		Answers: answerreader.New(answerreader.Config{MaxBytes: maxAnswerBytes, TotalBytes: g.memory.answers, Metrics: g.scope}),
+		Answers: answerreader.New(answerreader.Config{MaxBytes: maxAnswerBytes, TotalBytes: g.shares.answers, Metrics: g.scope}),
 		Drainer: g.drainer, Ends: g.ends,
 	})
 }
@@ -488,12 +497,13 @@
 		address     netip.AddrPort
 		handler     http.Handler
 		headerBytes int
+		readTimeout time.Duration
 		server      **server.Server
 	}{
-		{"callers", d.Callers, g.receiver, maxHeaderBytes, &g.callers},
-		{"readiness", d.Readiness, http.HandlerFunc(g.serveReadiness), maxHeaderBytes, nil},
-		{"peers", d.Peers, g.peerHandler, maxPeerHeaderBytes, nil},
-		{"metrics", d.Metrics, g.metricsHandler(), maxHeaderBytes, nil},
+		{"callers", d.Callers, g.receiver, maxHeaderBytes, 0, &g.callers},
+		{"readiness", d.Readiness, http.HandlerFunc(g.serveReadiness), maxHeaderBytes, bodyTimeout, nil},
+		{"peers", d.Peers, g.peerHandler, maxPeerHeaderBytes, 0, nil},
+		{"metrics", d.Metrics, g.metricsHandler(), maxHeaderBytes, bodyTimeout, nil},
 	} {
 		if !l.address.IsValid() {
 			continue
@@ -505,10 +515,14 @@
 		if l.address == d.Peers {
 			listener = g.peerBytes.Listen(listener)
 		}
-		s := server.New(server.Config{
+		config := server.Config{
 			Name: l.name, Listener: listener, Handler: l.handler, HeaderTimeout: headerTimeout,
-			HeaderBytes: l.headerBytes, IdleTimeout: idleTimeout,
-		})
+			HeaderBytes: l.headerBytes, IdleTimeout: idleTimeout, ReadTimeout: l.readTimeout,
+		}
+		if l.address == d.Callers {
+			config.Listener, config.OnConnState = g.connections.Listen(listener), g.connections.Observe
+		}
+		s := server.New(config)
 		g.tree.Add(s)
 		if l.server != nil {
 			*l.server = s
