receiver: the memory of long heads is reserved while their requests are served

Cause: a head of short headers takes some 370 KB once it is parsed and its headers to pass on are copied, and is held until its request ends; nothing bounded the sum.

Change: a head that takes over 32 KB by reckoning is reserved from a 32nd of the host's memory before it is decoded; without room it is refused as not run, and its connection is closed at once. Ordinary heads reserve nothing.

--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -83,6 +83,7 @@
 	"brasschute/internal/route/versiontracker"
 	"brasschute/internal/serve/answerreader"
 	"brasschute/internal/serve/bodyreader"
+	"brasschute/internal/serve/bufferlimiter"
 	"brasschute/internal/serve/dispatcher"
 	"brasschute/internal/serve/drainer"
 	"brasschute/internal/serve/placer"
@@ -374,6 +375,7 @@
 		Versioner: &g.versioner, Relayer: g.newRelayer(), Quota: g, Quarantine: g.quarantine, Decode: platform.DecodeRequest, Refuse: platform.Codec{}.EncodeRefusal,
 		Observer: accesslogger.New(accesslogger.Config{Logger: g.c.Logger, Metrics: g.scope}),
 		Bodies:   bodies,
+		Heads:    bufferlimiter.New(bufferlimiter.Config{Name: "head", TotalBytes: shares.heads, Metrics: g.scope}),
 	})
 	g.connections = connectionlimiter.New(connectionlimiter.Config{
 		Connections: shares.connections, LongHeads: shares.longHeads, ReceiveBytes: shares.receiveBytes,
--- a/internal/serve/bodyreader/bodyreader.go
+++ b/internal/serve/bodyreader/bodyreader.go
@@ -232,14 +232,26 @@
 		write()
 		return
 	}
+	writeUnread(w, control, write)
+	r.discard(control, req)
+	// The server would wait for the rest of the body.
+	_ = control.SetReadDeadline(time.Now())
+}
+
+// RefuseAtOnce refuses a request that must not be held any longer, not even until its client has sent its body.
+func (r *Reader) RefuseAtOnce(w http.ResponseWriter, write func()) {
+	control := http.NewResponseController(w)
+	writeUnread(w, control, write)
+	_ = control.SetReadDeadline(time.Now())
+}
+
+// writeUnread writes an answer to a request that has not been read to its end.
+func writeUnread(w http.ResponseWriter, control *http.ResponseController, write func()) {
 	w.Header().Set("Connection", "close")
 	// Otherwise the server reads on before it sends the answer, and without a bound of time.
 	_ = control.EnableFullDuplex()
 	write()
 	_ = control.Flush()
-	r.discard(control, req)
-	// The server would wait for the rest of the body.
-	_ = control.SetReadDeadline(time.Now())
 }
 
 // discardSmall discards a small body, whose connection can then be used on, and reports whether it came whole.
