--- a/internal/ops/connectionlimiter/connectionlimiter.go
+++ b/internal/ops/connectionlimiter/connectionlimiter.go
@@ -40,10 +40,10 @@
 const (
 	// headGrace is how long a client may take from connecting to the end of its head before others go first.
 	headGrace = 500 * time.Millisecond
-	// minReceiveBytes and maxReceiveBytes bound what the kernel receives for one connection. With less than 16 KB
-	// a connection over loopback, with its large segments, takes seconds for a megabyte; the most is enough for a
+	// minReceiveBytes and maxReceiveBytes bound what the kernel receives for one connection: the largest segment of a
+	// loopback connection, which is dropped and sent again after a while if it does not fit, and enough for a
 	// megabyte a second at the round-trip time of another continent.
-	minReceiveBytes = 32 << 10
+	minReceiveBytes = 64 << 10
 	maxReceiveBytes = 128 << 10
 	// endingDivisor is the part of the connections by which they may be more while stalled requests are ended.
 	endingDivisor = 8
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -48,8 +48,8 @@
 	"brasschute/internal/fleet/leaser"
 	"brasschute/internal/fleet/poolrecorder"
 	"brasschute/internal/fleet/usagecounter"
-	"brasschute/internal/ops/accesslogger"
 	"brasschute/internal/ops/connectionlimiter"
+	"brasschute/internal/ops/hostdivider"
 	"brasschute/internal/ops/server"
 	"brasschute/internal/peer/aggregator"
 	"brasschute/internal/peer/announcer"
@@ -82,10 +82,9 @@
 	"brasschute/internal/route/splitter"
 	"brasschute/internal/route/versiontracker"
 	"brasschute/internal/serve/answerreader"
-	"brasschute/internal/serve/bodyreader"
-	"brasschute/internal/serve/bufferlimiter"
 	"brasschute/internal/serve/dispatcher"
 	"brasschute/internal/serve/drainer"
+	"brasschute/internal/serve/headlimiter"
 	"brasschute/internal/serve/placer"
 	"brasschute/internal/serve/proxier"
 	"brasschute/internal/serve/receiver"
@@ -129,8 +128,6 @@
 	idleTimeout    = 2 * time.Minute
 	// maxAnswerBytes bounds the answer of an endpoint that is no stream, which is buffered until it is complete.
 	maxAnswerBytes = 8 << 20
-	// bodyTimeout is how long a client may take to send its body.
-	bodyTimeout = 5 * time.Second
 	// maxPeerHeaderBytes leaves room for the headers that wrap a client's request.
 	maxPeerHeaderBytes = 2 * maxHeaderBytes
 )
@@ -192,8 +189,10 @@
 	callers  *server.Server
 	// connections bounds the connections of clients.
 	connections *connectionlimiter.Limiter
+	// heads bounds the memory of long heads.
+	heads *headlimiter.Limiter
 	// shares are the bounds of what others send.
-	shares hostShares
+	shares *hostdivider.Shares
 	// drainer tells requests when they have to end because the daemon stops.
 	drainer  *drainer.Drainer
 	reporter prometheus.Reporter
@@ -314,7 +313,7 @@
 	if c.Uptime == nil {
 		c.Uptime = bootclock.Now
 	}
-	g := &Gateway{c: c, started: time.Now(), shares: shareHost(c.Deployment.MemoryBytes, c.Deployment.Descriptors), unreadableLogs: rate.NewLimiter(maxUnreadableLogsPerSecond, maxUnreadableLogsPerSecond)}
+	g := &Gateway{c: c, started: time.Now(), shares: hostdivider.New(hostdivider.Config{MemoryBytes: c.Deployment.MemoryBytes, Descriptors: c.Deployment.Descriptors}), unreadableLogs: rate.NewLimiter(maxUnreadableLogsPerSecond, maxUnreadableLogsPerSecond)}
 	g.reporter = prometheus.NewReporter(prometheus.Options{Registerer: newMetricsRegistry()})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "brasschute", CachedReporter: g.reporter, Separator: prometheus.DefaultSeparator,
@@ -369,18 +368,7 @@
 	g.tree.Add(g.quarantine)
 	g.buildProxier()
 	g.buildScheduling()
-	shares := &g.shares
-	bodies := bodyreader.New(bodyreader.Config{TotalBytes: shares.bodies, Timeout: bodyTimeout, Metrics: g.scope})
-	g.receiver = receiver.New(receiver.Config{
-		Versioner: &g.versioner, Relayer: g.newRelayer(), Quota: g, Quarantine: g.quarantine, Decode: platform.DecodeRequest, Refuse: platform.Codec{}.EncodeRefusal,
-		Observer: accesslogger.New(accesslogger.Config{Logger: g.c.Logger, Metrics: g.scope}),
-		Bodies:   bodies,
-		Heads:    bufferlimiter.New(bufferlimiter.Config{Name: "head", TotalBytes: shares.heads, Metrics: g.scope}),
-	})
-	g.connections = connectionlimiter.New(connectionlimiter.Config{
-		Connections: shares.connections, LongHeads: shares.longHeads, ReceiveBytes: shares.receiveBytes,
-		EndStalled: bodies.EndLongestStalled, Metrics: g.scope,
-	})
+	g.buildClients()
 	wait := time.Duration(watchFraction * float64(min(d.Bounds.ApplyTime, d.Bounds.DrainTime)))
 	g.tree.Add(g.newStoreWatcher("configuration", platform.CatalogKind, wait))
 	g.tree.Add(g.newStoreWatcher("endpoints", platform.EndpointKind, wait))
@@ -408,7 +396,7 @@
 		}),
 		Dispatcher: g.dispatcher, Codec: platform.Codec{}, Budget: g, OnBegin: g.countRequest, Demand: &g.demandMeter, Quarantine: g.quarantine,
 		Versions: g.splitter, Origins: g.origins, Permits: g.permits, ReplyObserver: g, SilenceObserver: g,
-		Answers: answerreader.New(answerreader.Config{MaxBytes: maxAnswerBytes, TotalBytes: g.shares.answers, Metrics: g.scope}),
+		Answers: answerreader.New(answerreader.Config{MaxBytes: maxAnswerBytes, TotalBytes: g.shares.Answers, Metrics: g.scope}),
 		Drainer: g.drainer, Ends: g.ends,
 	})
 }
@@ -502,7 +490,7 @@
 		readTimeout time.Duration
 		server      **server.Server
 	}{
-		{"callers", d.Callers, g.receiver, maxHeaderBytes, 0, &g.callers},
+		{"callers", d.Callers, g.heads.Handler(g.receiver), maxHeaderBytes, 0, &g.callers},
 		{"readiness", d.Readiness, http.HandlerFunc(g.serveReadiness), maxHeaderBytes, bodyTimeout, nil},
 		{"peers", d.Peers, g.peerHandler, maxPeerHeaderBytes, 0, nil},
 		{"metrics", d.Metrics, g.metricsHandler(), maxHeaderBytes, bodyTimeout, nil},
--- a/internal/serve/receiver/receiver.go
+++ b/internal/serve/receiver/receiver.go
@@ -31,7 +31,6 @@
 	"brasschute/internal/route/quarantiner"
 	"brasschute/internal/route/quotalimiter"
 	"brasschute/internal/serve/bodyreader"
-	"brasschute/internal/serve/bufferlimiter"
 	"brasschute/internal/serve/refusal"
 	"brasschute/internal/serve/relayer"
 	"brasschute/internal/serve/request"
@@ -47,10 +46,6 @@
 	defaultMaxBodyBytes = 4 << 20
 	// noRoomRetryAfter is sent when bodies take all of their memory: another daemon may have room.
 	noRoomRetryAfter = 500 * time.Millisecond
-	// headerMemory is what a header takes besides its text, which is held twice: as received and as passed on.
-	headerMemory = 160
-	// longHeadMemory is the memory from which a head is reserved.
-	longHeadMemory = 32 << 10
 )
 
 // Relayer serves an admitted request.
@@ -83,8 +78,6 @@
 	Observer   Observer
 	// Bodies reads the bodies of requests and bounds the memory that they take.
 	Bodies *bodyreader.Reader
-	// Heads bounds the memory that long heads of requests take; nil for no bound.
-	Heads *bufferlimiter.Limiter
 	// Decode reads a client's headers. Its error is sent to the client as the reason of
 	// a 400.
 	Decode func(r *http.Request, received time.Time) (*request.Request, error)
@@ -119,14 +112,6 @@
 		w.Header().Set("Connection", "close")
 	}
 	received := time.Now()
-	releaseHead, refused := v.reserveHead(r)
-	if refused != nil {
-		v.c.Bodies.RefuseAtOnce(w, func() {
-			v.refuse(w, &request.Request{Received: received}, &relayer.Result{Outcome: relayer.NotRun, Refusal: refused})
-		})
-		return
-	}
-	defer releaseHead()
 	q, err := v.c.Decode(r, received)
 	if err != nil {
 		q = &request.Request{Received: received}
@@ -147,25 +132,12 @@
 	v.serve(w, r, c, q)
 }
 
-// reserveHead reserves the memory that a long head takes while its request is served.
-func (v *Receiver) reserveHead(r *http.Request) (release func(), refused *relayer.Refusal) {
-	bytes := int64(0)
-	for name, values := range r.Header {
-		for _, value := range values {
-			bytes += int64(headerMemory + 2*(len(name)+len(value)))
-		}
-	}
-	if v.c.Heads == nil || bytes < longHeadMemory {
-		return func() {}, nil
-	}
-	release, ok := v.c.Heads.TryReserve(bytes)
-	if !ok {
-		return nil, &relayer.Refusal{
-			Status: http.StatusServiceUnavailable, RetryAfter: noRoomRetryAfter,
-			Reason: fmt.Sprintf("not run: no room for the head: %d bytes, others hold %d of %d", bytes, v.c.Heads.ReservedBytes(), v.c.Heads.TotalBytes()),
-		}
-	}
-	return release, nil
+// RefuseHead refuses a request for whose head there is no room.
+func (v *Receiver) RefuseHead(w http.ResponseWriter, _ *http.Request, reason string) {
+	refused := &relayer.Refusal{Status: http.StatusServiceUnavailable, RetryAfter: noRoomRetryAfter, Reason: "not run: " + reason}
+	v.c.Bodies.RefuseAtOnce(w, func() {
+		v.refuse(w, &request.Request{Received: time.Now()}, &relayer.Result{Outcome: relayer.NotRun, Refusal: refused})
+	})
 }
 
 // refuseUnread refuses a request whose body has not been read to its end.
