entry: bodies, heads and connections of callers are bounded as at a gateway

Callers saw: an entry daemon held every body that it was sent, up to BodyBytes each and without a bound on their sum. Evidence on, 160 callers with 1 MB each, 128 MB: 135 to 299 MB resident with bodies for a plain service, 798 MB with prompts.

Cause: parser read bodies as the gateway's receiver did. A prompt is held several times over (the body, its decoded messages, the prompt, what is sent to the engine); a body of empty messages takes some thirty times its length while it is decoded; prompts of many messages were joined in quadratic time. A refusal waited for the rest of its body, too.

Change: parser and handler use bodyreader, headlimiter and connectionlimiter. A body counts five times; what is decoded at the same time has a share of its own, for which it waits, as decoding waits for nothing. Limits.MemoryBytes in the settings, by default the machine's memory; the runtime's soft limit follows it. The tests of crowds set it: their crowds and bounds are as they were.

--- a/integration/crowd_test.go
+++ b/integration/crowd_test.go
@@ -350,14 +350,14 @@
 	c.checkGateway(t)
 }
 
-// newCrowdEntry starts an entry daemon with default limits before a model engine and a plain service.
+// newCrowdEntry starts an entry daemon on a host with little memory before a model engine and a plain service.
 func newCrowdEntry(t *testing.T, path string) *crowdTarget {
 	t.Helper()
 	program := buildDaemon(t)
 	f := newFleet(t)
 	f.addEngine(1)
 	f.addPlainService(1)
-	d := f.addEntry(1)
+	d := f.addEntry(1, fmt.Sprintf("Limits: {MemoryBytes: %d}", entryMemoryBytes))
 	d.mustApply(configuration(), 0)
 	d.awaitReady()
 	d.kill()
--- a/internal/config/settings/settings.go
+++ b/internal/config/settings/settings.go
@@ -39,6 +39,7 @@
 
 	minPeerKeyBytes = 32
 	maxBodyBytes    = 64 << 20
+	minMemoryBytes  = 64 << 20
 	sha256Bytes     = 32
 )
 
@@ -105,8 +106,10 @@
 
 // Limits bounds what a caller may send and how long it may take.
 type Limits struct {
-	BodyBytes     int
-	HeaderBytes   int
+	BodyBytes   int
+	HeaderBytes int
+	// MemoryBytes is the memory that the process may take; 0 for that of the machine.
+	MemoryBytes   int
 	BodyTimeout   quantity.Duration
 	HeaderTimeout quantity.Duration
 	IdleTimeout   quantity.Duration
@@ -223,6 +226,9 @@
 	if s.Limits.HeaderBytes < 1 || s.Limits.HeaderBytes > maxBodyBytes {
 		d.Report("Limits.HeaderBytes", fmt.Sprint(s.Limits.HeaderBytes), fmt.Sprintf("1 to %d", maxBodyBytes))
 	}
+	if s.Limits.MemoryBytes != 0 && s.Limits.MemoryBytes < minMemoryBytes {
+		d.Report("Limits.MemoryBytes", fmt.Sprint(s.Limits.MemoryBytes), fmt.Sprintf("%d or more, or 0 for that of the machine", minMemoryBytes))
+	}
 	for _, b := range []struct {
 		name  string
 		value quantity.Duration
--- a/internal/ops/commander/commander.go
+++ b/internal/ops/commander/commander.go
@@ -46,6 +46,10 @@
 	exitUnknown = 4
 )
 
+// collectorPercent is the growth of a gateway's heap over what is live before the collector runs. The live heap is a few
+// megabytes, so that a run takes a few milliseconds.
+const collectorPercent = 50
+
 // keyVariable is the environment variable that holds the default of --key.
 const keyVariable = "BRASSCHUTE_OPERATOR_KEY"
 
@@ -255,6 +259,8 @@
 	if err != nil {
 		return err
 	}
+	limiter := memorylimiter.New(memorylimiter.Config{HostBytes: e.MemoryBytes(), Shed: func(int64) {}})
+	go func() { _ = limiter.Serve(ctx) }()
 	return e.Run(ctx)
 }
 
@@ -290,7 +296,7 @@
 	if err != nil {
 		return err
 	}
-	limiter := memorylimiter.New(memorylimiter.Config{HostBytes: d.MemoryBytes, Shed: g.ShedCaches})
+	limiter := memorylimiter.New(memorylimiter.Config{HostBytes: d.MemoryBytes, CollectorPercent: collectorPercent, Shed: g.ShedCaches})
 	go func() { _ = limiter.Serve(ctx) }()
 	return g.Run(ctx)
 }
--- a/internal/ops/memorylimiter/memorylimiter.go
+++ b/internal/ops/memorylimiter/memorylimiter.go
@@ -26,9 +26,6 @@
 )
 
 const (
-	// collectorPercent is the growth of the heap over what is live before the collector runs. The
-	// live heap of a daemon is a few megabytes, so that a run takes a few milliseconds.
-	collectorPercent = 50
 	// softFraction of the host's memory is the runtime's soft limit. The rest is for memory that
 	// the runtime does not count: the program itself and what the kernel holds for connections.
 	softFraction = 0.7
@@ -43,6 +40,8 @@
 type Config struct {
 	// HostBytes is the memory of the host in bytes; 0 for no limit.
 	HostBytes int64
+	// CollectorPercent is the growth of the heap over what is live before the collector runs; 0 for the runtime's own.
+	CollectorPercent int
 	// Shed drops what the process can do without. It is called, with the bytes in use, once in each
 	// second in which the use is too high.
 	Shed func(used int64)
@@ -68,7 +67,9 @@
 
 // Serve sets the limits of the runtime, and checks the use until ctx ends.
 func (l *Limiter) Serve(ctx context.Context) error {
-	debug.SetGCPercent(collectorPercent)
+	if l.c.CollectorPercent > 0 {
+		debug.SetGCPercent(l.c.CollectorPercent)
+	}
 	if l.c.HostBytes > 0 {
 		debug.SetMemoryLimit(int64(softFraction * float64(l.c.HostBytes)))
 	}
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -46,6 +46,8 @@
 	"brasschute/internal/engine/caller"
 	"brasschute/internal/fleet/auditor"
 	"brasschute/internal/fleet/repairer"
+	"brasschute/internal/ops/connectionlimiter"
+	"brasschute/internal/ops/hostdivider"
 	"brasschute/internal/ops/operator"
 	"brasschute/internal/ops/server"
 	"brasschute/internal/peer/crashreporter"
@@ -64,9 +66,12 @@
 	"brasschute/internal/route/migrator"
 	"brasschute/internal/route/poller"
 	"brasschute/internal/route/registry"
+	"brasschute/internal/serve/bodyreader"
+	"brasschute/internal/serve/bufferlimiter"
 	"brasschute/internal/serve/claimer"
 	"brasschute/internal/serve/forwarder"
 	"brasschute/internal/serve/handler"
+	"brasschute/internal/serve/headlimiter"
 	"brasschute/internal/serve/parser"
 	"brasschute/internal/serve/recorder"
 	"brasschute/internal/serve/sealer"
@@ -86,6 +91,9 @@
 	// claimTimeout is the time after the last request for recording which requests ran.
 	claimTimeout    = 3 * time.Second
 	metricsInterval = time.Second
+	// bodyFactor is the memory of a request's body as a multiple of its length: the body, its prompt, and what is sent
+	// to an engine.
+	bodyFactor = 5
 )
 
 // Config holds the settings and the logger of a daemon.
@@ -115,6 +123,10 @@
 	scope      tally.Scope
 	closer     func() error
 
+	// shares are the bounds of what others send, connections bounds the connections of callers.
+	shares      *hostdivider.Shares
+	connections *connectionlimiter.Limiter
+
 	started   time.Time
 	reachable atomic.Bool
 	stop      chan time.Time
@@ -127,6 +139,7 @@
 // fails if the peer key is not hexadecimal or a listener cannot be opened.
 func New(c Config) (*Entry, error) {
 	e := &Entry{c: c, started: time.Now(), stop: make(chan time.Time, 1), zones: make(map[identifier.AvailabilityZone]bool)}
+	e.shares = hostdivider.New(hostdivider.Config{MemoryBytes: int64(c.Settings.Limits.MemoryBytes)})
 	key, err := hex.DecodeString(c.Settings.PeerKey)
 	if err != nil {
 		return nil, fmt.Errorf("entry: peer key: %w", err)
@@ -189,6 +202,13 @@
 	endpoints := caller.New(caller.Config{Source: s.Source()})
 	budget := budgeter.New(budgeter.Config{})
 	e.migrator = migrator.New(migrator.Config{Registry: e.registry, Caller: endpoints})
+	bodies := bodyreader.New(bodyreader.Config{
+		TotalBytes: e.shares.Bodies, Factor: bodyFactor, Timeout: s.Limits.BodyTimeout.Std(), Metrics: e.scope,
+	})
+	e.connections = connectionlimiter.New(connectionlimiter.Config{
+		Connections: e.shares.Connections, LongHeads: e.shares.LongHeads, ReceiveBytes: e.shares.Receive,
+		EndStalled: bodies.EndLongestStalled, Metrics: e.scope,
+	})
 	e.streamer = streamer.New(streamer.Config{
 		Registry: e.registry, Caller: endpoints, Budgeter: budget, Zone: s.AvailabilityZone,
 		Stall: s.Engine.Stall.Std(), FirstStall: s.Engine.FirstStall.Std(), Quarantine: e.quarantine,
@@ -196,7 +216,11 @@
 	e.claimer = claimer.New(claimer.Config{Store: e.platform})
 	e.handler = handler.New(handler.Config{
 		Host: s.Host, Zone: s.AvailabilityZone, Keeper: e.keeper, Limiter: limiter.New(), Registry: e.registry,
-		Parser:   parser.New(parser.Config{MaxBody: int64(s.Limits.BodyBytes), BodyTimeout: s.Limits.BodyTimeout.Std()}),
+		Bodies: bodies,
+		Parser: parser.New(parser.Config{
+			MaxBody: int64(s.Limits.BodyBytes), Bodies: bodies,
+			Decoding: bufferlimiter.New(bufferlimiter.Config{Name: "decoded_body", TotalBytes: e.shares.Decoding, Metrics: e.scope}),
+		}),
 		Claimer:  e.claimer,
 		Streamer: e.streamer,
 		Forwarder: forwarder.New(forwarder.Config{
@@ -228,12 +252,13 @@
 	peers.Handle(rpc.PeerPathPrefix, signer.New(signer.Config{
 		Key: key, Host: s.Host, Addresses: []string{s.Peers.String(), s.PeerAddress().String()},
 	}).Verify(rpc.NewPeerServer(e.gossiper)))
+	heads := headlimiter.New(headlimiter.Config{TotalBytes: e.shares.Heads, Refuse: e.handler.RefuseHead, Metrics: e.scope})
 	for _, l := range []struct {
 		name    string
 		address settings.Address
 		handler http.Handler
 	}{
-		{"callers", s.Callers, e.handler},
+		{"callers", s.Callers, heads.Handler(e.handler)},
 		{"operators", s.Operators, e.operatorHandler()},
 		{"peers", s.Peers, peers},
 	} {
@@ -244,10 +269,14 @@
 		if l.name == "peers" {
 			listener = e.meter.Listen(listener)
 		}
-		e.tree.Add(server.New(server.Config{
+		config := server.Config{
 			Name: l.name, Listener: listener, Handler: l.handler, HeaderTimeout: s.Limits.HeaderTimeout.Std(),
 			HeaderBytes: s.Limits.HeaderBytes, IdleTimeout: s.Limits.IdleTimeout.Std(),
-		}))
+		}
+		if l.name == "callers" {
+			config.Listener, config.OnConnState = e.connections.Listen(listener), e.connections.Observe
+		}
+		e.tree.Add(server.New(config))
 	}
 	return nil
 }
@@ -301,6 +330,9 @@
 	return &record, nil
 }
 
+// MemoryBytes returns the memory that the process may take.
+func (e *Entry) MemoryBytes() int64 { return e.shares.Memory }
+
 // Run serves until ctx ends, a reclaim notice arrives or an operator drains the daemon, and then
 // stops gracefully. It returns an error only if the supervisor tree ends early.
 func (e *Entry) Run(ctx context.Context) error {
--- a/internal/serve/bodyreader/bodyreader.go
+++ b/internal/serve/bodyreader/bodyreader.go
@@ -78,6 +78,8 @@
 type Config struct {
 	// TotalBytes bounds the bodies that are held together.
 	TotalBytes int64
+	// Factor is the memory that a body takes as a multiple of its length, if it is copied or decoded; at least 1.
+	Factor int64
 	// Timeout bounds the time until a whole body has arrived.
 	Timeout time.Duration
 	// Metrics may be nil for none.
@@ -102,6 +104,7 @@
 	if c.Metrics == nil {
 		c.Metrics = tally.NoopScope
 	}
+	c.Factor = max(c.Factor, 1)
 	small := c.TotalBytes / smallDivisor
 	return &Reader{
 		c:        c,
@@ -150,6 +153,7 @@
 	if bytes <= SmallBytes {
 		shares = []*bufferlimiter.Limiter{r.small, r.large}
 	}
+	bytes *= r.c.Factor
 	for _, share := range shares {
 		if release, ok := share.TryReserve(bytes); ok {
 			return share, release, nil
@@ -238,6 +242,17 @@
 	_ = control.SetReadDeadline(time.Now())
 }
 
+// Discard discards the body of a request that needs none. If it is large or does not come, the connection is closed
+// after the answer.
+func (r *Reader) Discard(w http.ResponseWriter, req *http.Request) {
+	control := http.NewResponseController(w)
+	if r.discardSmall(control, req) {
+		return
+	}
+	w.Header().Set("Connection", "close")
+	_ = control.SetReadDeadline(time.Now())
+}
+
 // RefuseAtOnce refuses a request that must not be held any longer, not even until its client has sent its body.
 func (r *Reader) RefuseAtOnce(w http.ResponseWriter, write func()) {
 	control := http.NewResponseController(w)
@@ -378,7 +393,7 @@
 		return err
 	}
 	a.share.Store(share)
-	a.held.Store(bytes)
+	a.held.Store(bytes * a.r.c.Factor)
 	a.buffer = append(make([]byte, 0, bytes), a.buffer...)
 	if a.release != nil {
 		a.release()
--- a/internal/serve/call/call.go
+++ b/internal/serve/call/call.go
@@ -35,8 +35,9 @@
 	Organisation        *document.Organisation
 	Service             *document.Service
 
-	// Body is what is sent to the endpoint.
-	Body []byte
+	// Body is what is sent to the endpoint. Release gives its memory back, once the request has ended.
+	Body    []byte
+	Release func()
 	// Digest is the hash of the target and body as received.
 	Digest string
 	// Header, Method and Path are set for plain services.
--- a/internal/serve/handler/handler.go
+++ b/internal/serve/handler/handler.go
@@ -35,6 +35,7 @@
 	"brasschute/internal/core/identifier"
 	"brasschute/internal/route/limiter"
 	"brasschute/internal/route/registry"
+	"brasschute/internal/serve/bodyreader"
 	"brasschute/internal/serve/call"
 	"brasschute/internal/serve/claimer"
 	"brasschute/internal/serve/forwarder"
@@ -62,10 +63,12 @@
 
 // Config holds the dependencies of a Handler.
 type Config struct {
-	Host        identifier.Host
-	Zone        identifier.AvailabilityZone
-	Keeper      *keeper.Keeper
-	Parser      *parser.Parser
+	Host   identifier.Host
+	Zone   identifier.AvailabilityZone
+	Keeper *keeper.Keeper
+	Parser *parser.Parser
+	// Bodies reads the bodies of requests, for the parser, and sends refusals of requests that were not read.
+	Bodies      *bodyreader.Reader
 	Limiter     *limiter.Limiter
 	Registry    *registry.Registry
 	Claimer     *claimer.Claimer
@@ -97,10 +100,10 @@
 // New returns a handler in phase Serving.
 func New(c Config) *Handler {
 	h := &Handler{c: c, idle: make(chan struct{})}
-	h.mux.HandleFunc("GET /livez", h.live)
-	h.mux.HandleFunc("GET /readyz", h.ready)
-	h.mux.HandleFunc("GET /v1/models", h.models)
-	h.mux.HandleFunc("GET /v1/answers/{token}", h.answers)
+	h.mux.HandleFunc("GET /livez", h.withoutBody(h.live))
+	h.mux.HandleFunc("GET /readyz", h.withoutBody(h.ready))
+	h.mux.HandleFunc("GET /v1/models", h.withoutBody(h.models))
+	h.mux.HandleFunc("GET /v1/answers/{token}", h.withoutBody(h.answers))
 	h.mux.HandleFunc(parser.ChatPath, h.request)
 	h.mux.HandleFunc(parser.CompletionsPath, h.request)
 	h.mux.HandleFunc(parser.ServicesPrefix, h.request)
@@ -137,7 +140,23 @@
 }
 
 func (h *Handler) unknown(w http.ResponseWriter, r *http.Request) {
-	refusal.New(refusal.UnknownService, "no such path").Write(w, parser.RequestID(r))
+	h.c.Bodies.Refuse(w, r, func() { refusal.New(refusal.UnknownService, "no such path").Write(w, parser.RequestID(r)) })
+}
+
+// RefuseHead refuses a request for whose head there is no room.
+func (h *Handler) RefuseHead(w http.ResponseWriter, r *http.Request, reason string) {
+	id := parser.RequestID(r)
+	problem := refusal.New(refusal.Full, reason).WithRetryAfter(retryAfter)
+	h.c.Bodies.RefuseAtOnce(w, func() { problem.Write(w, id) })
+	h.finish(&recorder.Record{Request: id, Host: h.c.Host, Received: time.Now()}, problem)
+}
+
+// withoutBody returns a handler of requests that need no body.
+func (h *Handler) withoutBody(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		h.c.Bodies.Discard(w, r)
+		next(w, r)
+	}
 }
 
 // request serves model and plain requests.
@@ -158,9 +177,10 @@
 	if c.Traceparent != "" {
 		w.Header().Set("Traceparent", c.Traceparent)
 	}
+	defer c.Release()
 	rec := h.record(c)
 	if problem != nil {
-		h.refuse(w, c, rec, problem)
+		h.c.Bodies.Refuse(w, r, func() { h.refuse(w, c, rec, problem) })
 		return
 	}
 	c.Pool, _ = c.Plan.Pool(c.Service.Pool)
@@ -178,7 +198,7 @@
 func (h *Handler) refuseEarly(w http.ResponseWriter, r *http.Request, problem *refusal.Problem) {
 	id := parser.RequestID(r)
 	w.Header().Set("Request-Id", string(id))
-	problem.Write(w, id)
+	h.c.Bodies.Refuse(w, r, func() { problem.Write(w, id) })
 	h.finish(&recorder.Record{Request: id, Host: h.c.Host, Received: time.Now()}, problem)
 }
 
--- a/internal/serve/parser/parser.go
+++ b/internal/serve/parser/parser.go
@@ -1,26 +1,27 @@
 // Package parser turns a caller's HTTP request into a checked call.
 //
 // The cheap checks come first: the key, repeated headers, and the stated length of the
-// body. Only then is the body read, within a limit of bytes and of time, so that an
-// unknown or slow sender costs next to nothing. A problem found here means that nothing
+// body. Only then is the body read, within limits of bytes and of time (package bodyreader),
+// so that an unknown or slow sender costs next to nothing. A problem found here means that nothing
 // was sent to any endpoint.
 //
 // # Usage
 //
-//	p := parser.New(parser.Config{MaxBody: 1 << 20, BodyTimeout: 10 * time.Second})
+//	p := parser.New(parser.Config{MaxBody: 1 << 20, Bodies: bodies, Decoding: limiter})
 //	c, problem := p.Parse(w, r, plan, number)
+//	defer c.Release()
 package parser
 
 import (
+	"context"
 	"crypto/rand"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
+	"os"
 	"regexp"
 	"strings"
 	"time"
@@ -29,6 +30,8 @@
 	"brasschute/internal/config/document"
 	"brasschute/internal/core/identifier"
 	"brasschute/internal/engine/prefix"
+	"brasschute/internal/serve/bodyreader"
+	"brasschute/internal/serve/bufferlimiter"
 	"brasschute/internal/serve/call"
 	"brasschute/internal/serve/refusal"
 
@@ -49,20 +52,23 @@
 	maxKeyBytes      = 255
 	instanceBytes    = 5
 	digestBytes      = 16
-	// Of a body that is too large, at most discardFactor times the allowed size is read and
-	// discarded.
-	discardFactor = 4
-	bearer        = "Bearer "
-	roleAssistant = "assistant"
-	roleUser      = "user"
+	bearer           = "Bearer "
+	roleAssistant    = "assistant"
+	roleUser         = "user"
+	// fullRetryAfter is sent when bodies take all of their memory: another daemon may have room.
+	fullRetryAfter = time.Second
+	// decodedFactor is the memory of a decoded body as a multiple of its length: an empty message has two characters.
+	decodedFactor = 32
 )
 
 // Config holds the limits of a Parser.
 type Config struct {
 	// MaxBody is the largest body, in bytes.
 	MaxBody int64
-	// BodyTimeout bounds the time until the whole body has arrived.
-	BodyTimeout time.Duration
+	// Bodies reads bodies and bounds the memory that they take.
+	Bodies *bodyreader.Reader
+	// Decoding bounds the memory of the bodies that are being decoded.
+	Decoding *bufferlimiter.Limiter
 }
 
 // Parser parses requests. It has no state and is safe for concurrent use.
@@ -92,10 +98,11 @@
 }
 
 // Parse reads and checks one request. The returned call is never nil and has an id even if
-// there is a problem.
+// there is a problem. Its Release must be called at the end of the request. A problem is to be sent by
+// bodyreader.Reader.Refuse, as the body may not have been read.
 func (p *Parser) Parse(w http.ResponseWriter, r *http.Request, plan *compiler.Plan, number identifier.ConfigurationNumber) (*call.Call, *refusal.Problem) {
 	c := &call.Call{
-		Request: RequestID(r), Received: time.Now(), Plan: plan, ConfigurationNumber: number, Rule: compiler.NoRule,
+		Request: RequestID(r), Received: time.Now(), Release: func() {}, Plan: plan, ConfigurationNumber: number, Rule: compiler.NoRule,
 		Traceparent: r.Header.Get("Traceparent"), LastEventID: r.Header.Get("Last-Event-ID"),
 	}
 	c.Instance = c.Request + "~" + randomSuffix()
@@ -161,11 +168,9 @@
 		c.Path += "?" + r.URL.RawQuery
 	}
 	c.Header = r.Header
-	body, problem := p.readBody(w, r)
-	if problem != nil {
+	if problem := p.readBody(w, r, c); problem != nil {
 		return problem
 	}
-	c.Body = body
 	return applyOptions(r, c)
 }
 
@@ -199,10 +204,11 @@
 	if err := json.Unmarshal(m.Content, &parts); err != nil {
 		return "", fmt.Errorf("messages: content: allowed is text or a list of text parts")
 	}
+	var b strings.Builder
 	for i := range parts {
-		s += parts[i].Text
+		b.WriteString(parts[i].Text)
 	}
-	return s, nil
+	return b.String(), nil
 }
 
 func (p *Parser) parseModel(w http.ResponseWriter, r *http.Request, c *call.Call) *refusal.Problem {
@@ -210,12 +216,24 @@
 		return refusal.New(refusal.MethodRefused, "allowed: POST")
 	}
 	c.Completions = r.URL.Path == CompletionsPath
-	body, problem := p.readBody(w, r)
-	if problem != nil {
+	if problem := p.readBody(w, r, c); problem != nil {
+		return problem
+	}
+	if problem := p.decode(r.Context(), c); problem != nil {
 		return problem
 	}
+	return applyOptions(r, c)
+}
+
+// decode decodes the body of a model request, beside no more others than there is memory for.
+func (p *Parser) decode(ctx context.Context, c *call.Call) *refusal.Problem {
+	release, err := p.c.Decoding.Reserve(ctx, decodedFactor*int64(len(c.Body)))
+	if err != nil {
+		return refusal.New(refusal.Full, err.Error()).WithRetryAfter(fullRetryAfter)
+	}
+	defer release()
 	var in input
-	if err := json.Unmarshal(body, &in); err != nil {
+	if err := json.Unmarshal(c.Body, &in); err != nil {
 		return refusal.New(refusal.BadRequest, "body: "+err.Error())
 	}
 	if problem := resolveService(c, identifier.Service(in.Model), document.KindModel); problem != nil {
@@ -224,14 +242,12 @@
 	if err := applyInput(c, &in); err != nil {
 		return refusal.New(refusal.BadRequest, err.Error())
 	}
-	c.Body = body
-	return applyOptions(r, c)
+	return nil
 }
 
 // applyInput checks the input and sets the fields of the call.
 func applyInput(c *call.Call, in *input) error {
 	c.Streaming = in.Stream
-	c.Prompt = in.Prompt
 	if c.Completions == (in.Prompt == "") {
 		return fmt.Errorf("body: allowed is 'messages' for %s, 'prompt' for %s", ChatPath, CompletionsPath)
 	}
@@ -241,6 +257,8 @@
 	if !c.Completions && len(in.Messages) == 0 {
 		return errors.New("messages: found none; allowed: one or more")
 	}
+	var prompt strings.Builder
+	prompt.WriteString(in.Prompt)
 	for i := range in.Messages {
 		text, err := in.Messages[i].text()
 		if err != nil {
@@ -248,15 +266,16 @@
 		}
 		if in.Messages[i].Role == roleAssistant {
 			// An engine has answered the text before this message, so it has processed that text.
-			c.PriorTokens = prefix.Tokens(len(c.Prompt))
+			c.PriorTokens = prefix.Tokens(prompt.Len())
 		}
 		if c.Conversation == 0 && in.Messages[i].Role == roleUser {
 			// The text before the first question is a preamble that many
 			// conversations share.
 			c.Conversation = xxhash.Sum64String(string(c.Organisation.Name) + text)
 		}
-		c.Prompt += text
+		prompt.WriteString(text)
 	}
+	c.Prompt = prompt.String()
 	c.PromptTokens = prefix.Tokens(len(c.Prompt))
 	c.Blocks = prefix.Blocks(nil, c.Prompt)
 	return applyMaxTokens(c, in.MaxTokens)
@@ -284,33 +303,21 @@
 	return nil
 }
 
-func (p *Parser) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *refusal.Problem) {
-	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(p.c.BodyTimeout))
-	if r.ContentLength > p.c.MaxBody {
-		return nil, p.refuseTooLarge(w, r)
-	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, p.c.MaxBody+1))
-	var timeout net.Error
+// readBody reads the body of a call, whose Release gives its memory back.
+func (p *Parser) readBody(w http.ResponseWriter, r *http.Request, c *call.Call) *refusal.Problem {
+	body, release, err := p.c.Bodies.Read(w, r, p.c.MaxBody)
 	switch {
-	case int64(len(body)) > p.c.MaxBody:
-		return nil, p.refuseTooLarge(w, r)
-	case errors.As(err, &timeout) && timeout.Timeout():
-		return nil, refusal.New(refusal.TooSlow, fmt.Sprintf("the body did not arrive within %s", p.c.BodyTimeout))
-	case err != nil:
-		return nil, refusal.New(refusal.BadRequest, "the body was cut")
-	}
-	_ = control.SetReadDeadline(time.Time{})
-	return body, nil
-}
-
-// refuseTooLarge refuses a body. It first discards the rest of the body, within bounds:
-// closing a connection on which data still arrives resets it, and the sender would see
-// the reset instead of the refusal.
-func (p *Parser) refuseTooLarge(w http.ResponseWriter, r *http.Request) *refusal.Problem {
-	_, _ = io.CopyN(io.Discard, r.Body, discardFactor*p.c.MaxBody)
-	w.Header().Set("Connection", "close")
-	return refusal.New(refusal.TooLarge, fmt.Sprintf("the body is too large; allowed: %d bytes", p.c.MaxBody))
+	case err == nil:
+		c.Body, c.Release = body, release
+		return nil
+	case errors.Is(err, bodyreader.ErrTooLong):
+		return refusal.New(refusal.TooLarge, fmt.Sprintf("the body is too large; allowed: %d bytes", p.c.MaxBody))
+	case errors.Is(err, bodyreader.ErrNoRoom):
+		return refusal.New(refusal.Full, err.Error()).WithRetryAfter(fullRetryAfter)
+	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, bodyreader.ErrStalled):
+		return refusal.New(refusal.TooSlow, err.Error())
+	}
+	return refusal.New(refusal.BadRequest, "the body was cut")
 }
 
 // applyOptions sets the fields that depend on caller and service together. If they differ on
--- a/internal/serve/refusal/refusal.go
+++ b/internal/serve/refusal/refusal.go
@@ -49,6 +49,7 @@
 	RefusedByRule   Kind = "refused-by-rule"
 	OverLimit       Kind = "over-limit"
 	NoEndpoint      Kind = "no-endpoint"
+	Full            Kind = "full"
 	Draining        Kind = "draining"
 	NoConfiguration Kind = "no-configuration"
 	ClaimImpossible Kind = "claim-impossible"
@@ -68,7 +69,7 @@
 	UnknownService: http.StatusNotFound, TooLarge: http.StatusRequestEntityTooLarge,
 	TooSlow: http.StatusRequestTimeout, MethodRefused: http.StatusMethodNotAllowed, Forbidden: http.StatusForbidden,
 	RefusedByRule: http.StatusForbidden, OverLimit: http.StatusTooManyRequests,
-	NoEndpoint: http.StatusServiceUnavailable, Draining: http.StatusServiceUnavailable,
+	NoEndpoint: http.StatusServiceUnavailable, Full: http.StatusServiceUnavailable, Draining: http.StatusServiceUnavailable,
 	NoConfiguration: http.StatusServiceUnavailable, ClaimImpossible: http.StatusServiceUnavailable,
 	KeyRequired: http.StatusBadRequest, KeyReused: http.StatusUnprocessableEntity,
 	InProgress: http.StatusConflict, AlreadyRan: http.StatusConflict,
