relayer: writes to a client that does not read end with its request

Callers saw: nothing, until descriptors or connections ran out. A client that asks for a stream, or for answers on one connection, and does not read holds its connection for ever: the write waits for it although the request's deadline has passed and the engine's connection is closed.

Cause: only answers over 64 KB had a deadline for writing. Change: streams, all answers and refusals have one, the request's deadline or 10 s if that is later; the connection lifts it between two requests. The kernel's buffers for what is unsent are bounded like those for what is unread, as an answer of megabytes would be held there otherwise.

--- a/integration/crowd_test.go
+++ b/integration/crowd_test.go
@@ -38,6 +38,8 @@
 	connectionCrowd = 2 * (crowdDescriptors - reservedDescriptors)
 	// headCrowd is the number of clients with long heads, fewer than the connections that a gateway may have.
 	headCrowd = 240
+	// unreadClients is the number of clients that do not read their streams.
+	unreadClients = 40
 	// oversizedBytes is what a client sends of a body that is over the limit.
 	oversizedBytes = 8 * crowdBodyBytes
 	// sendTimeout ends the sending of a client whose bytes are not read.
@@ -61,6 +63,8 @@
 
 // crowdTarget is the process that a crowd sends to.
 type crowdTarget struct {
+	// s is the deployment of a gateway.
+	s       *site
 	process *process
 	address string
 	// head begins the head of each request, without the headers about its body.
@@ -281,7 +285,7 @@
 	h.process = startProgram(t, []string{platform.SettingsFileVariable + "=" + h.file}, path, h.name, "gateway")
 	h.awaitReady()
 	return &crowdTarget{
-		process: h.process, address: h.ip + ":8101", memoryBytes: crowdMemoryBytes, descriptors: crowdDescriptors,
+		s: s, process: h.process, address: h.ip + ":8101", memoryBytes: crowdMemoryBytes, descriptors: crowdDescriptors,
 		head: "POST " + nonIdempotentPath + "x HTTP/1.1\r\nHost: " + hostedDomain + "\r\nRequest-Id: crowd-%d\r\nDeadline-Ms: 20000\r\nAuthorization: Bearer " + deskKey + "\r\n",
 		ordinary: func() (int, error) {
 			a := h.send(hostedRequest{Target: nonIdempotentPath + "x", Key: deskKey, Body: "ordinary"})
@@ -350,6 +354,54 @@
 	c.checkGateway(t)
 }
 
+// Guards against clients that don't read their streams and hold connections, and what waits for them, for ever.
+func TestCrowdOfClientsThatDoNotRead(t *testing.T) {
+	to := newCrowdGateway(t)
+	form := endlessForm{name: "unread", head: signedHead + "Content-Type: text/event-stream\r\n\r\n", repeated: "data: " + strings.Repeat("#", 16<<10) + "\n\n", streams: true}
+	to.s.configure(func(c *hostedConfig) {
+		c.Routes = append(c.Routes, form.route())
+		c.Services = append(c.Services, hostedService{Name: form.name})
+	})
+	to.s.addEndlessEndpoints(&form)
+	h := to.s.hosts[0]
+	eventually(t, "the route", func() error {
+		return checkEqual("configuration", h.configurationInForce(), to.s.config.Version)
+	})
+	pid := to.process.cmd.Process.Pid
+	const spare = 8
+	before := openDescriptors(pid)
+	released := make(chan struct{})
+	var sent, ended sync.WaitGroup
+	c := crowd{name: "clients that do not read", head: "Content-Length: 0\r\n\r\n"}
+	unread := *to
+	unread.head = strings.ReplaceAll(strings.ReplaceAll(to.head, nonIdempotentPath, "/unread/"), "Deadline-Ms: 20000", "Deadline-Ms: 1000")
+	for number := range unreadClients {
+		sent.Add(1)
+		ended.Go(func() { c.member(&unread, number, &sent, released) })
+	}
+	sent.Wait()
+	eventually(t, "streams begin", func() error {
+		if n := openDescriptors(pid); n < before+unreadClients {
+			return fmt.Errorf("%d descriptors, %d before", n, before)
+		}
+		return nil
+	})
+	eventually(t, "streams end", func() error {
+		if n := openDescriptors(pid); n > before+spare {
+			return fmt.Errorf("%d descriptors, %d before", n, before)
+		}
+		return nil
+	})
+	close(released)
+	ended.Wait()
+	if peak := peakResidentBytes(t, pid); peak > to.memoryBytes {
+		t.Errorf("%d MB resident, the limit is %d MB", peak>>20, to.memoryBytes>>20)
+	}
+	if status, err := to.ordinary(); err != nil || status != http.StatusOK {
+		t.Errorf("an ordinary request got status %d, %v", status, err)
+	}
+}
+
 // newCrowdEntry starts an entry daemon on a host with little memory before a model engine and a plain service.
 func newCrowdEntry(t *testing.T, path string) *crowdTarget {
 	t.Helper()
--- a/internal/ops/connectionlimiter/connectionlimiter.go
+++ b/internal/ops/connectionlimiter/connectionlimiter.go
@@ -9,12 +9,12 @@
 //     none, the new one is closed unread, after which a client may turn to another daemon.
 //   - the long heads that are read at the same time, as a parsed head takes many times its length. Heads of up to
 //     [ShortHeadBytes] are always read on; others wait until there is room, or until their time is up.
-//   - the bytes that the kernel receives for a connection before they are read. The more connections are open, the
-//     fewer a new one gets.
+//   - the bytes that the kernel holds for a connection before they are read, and before the client has taken them.
+//     The more connections are open, the fewer a new one gets.
 //
 // # Usage
 //
-//	l := connectionlimiter.New(connectionlimiter.Config{Connections: 1000, LongHeads: 16, ReceiveBytes: 8 << 20})
+//	l := connectionlimiter.New(connectionlimiter.Config{Connections: 1000, LongHeads: 16, BufferBytes: 8 << 20})
 //	s := http.Server{ConnState: l.Observe}
 //	err := s.Serve(l.Listen(listener))
 package connectionlimiter
@@ -40,11 +40,11 @@
 const (
 	// headGrace is how long a client may take from connecting to the end of its head before others go first.
 	headGrace = 500 * time.Millisecond
-	// minReceiveBytes and maxReceiveBytes bound what the kernel receives for one connection: the largest segment of a
-	// loopback connection, which is dropped and sent again after a while if it does not fit, and enough for a
-	// megabyte a second at the round-trip time of another continent.
-	minReceiveBytes = 64 << 10
-	maxReceiveBytes = 128 << 10
+	// minBufferBytes and maxBufferBytes bound what the kernel holds of one connection in each direction: the largest
+	// segment of a loopback connection, which is dropped and sent again after a while if it does not fit, and enough
+	// for a megabyte a second at the round-trip time of another continent.
+	minBufferBytes = 64 << 10
+	maxBufferBytes = 128 << 10
 	// endingDivisor is the part of the connections by which they may be more while stalled requests are ended.
 	endingDivisor = 8
 )
@@ -55,8 +55,8 @@
 	Connections int
 	// LongHeads is the number of heads over ShortHeadBytes that may be read at the same time.
 	LongHeads int
-	// ReceiveBytes is what the kernel may hold unread, by and large, for all connections together.
-	ReceiveBytes int64
+	// BufferBytes is what the kernel may hold unread for all connections together, and unsent, by and large.
+	BufferBytes int64
 	// EndStalled ends the request whose body has stalled for the longest time, and reports whether there was one.
 	// Nil for none.
 	EndStalled func() bool
@@ -110,9 +110,17 @@
 	case http.StateIdle:
 		l.move(conn, l.idle)
 		conn.beginHead()
+		// The bound on the time of an answer does not hold for the next one.
+		_ = conn.SetWriteDeadline(time.Time{})
 	}
 }
 
+// buffered is a connection whose buffers in the kernel can be set.
+type buffered interface {
+	SetReadBuffer(bytes int) error
+	SetWriteBuffer(bytes int) error
+}
+
 // listener accepts connections that are bounded.
 type listener struct {
 	net.Listener
@@ -156,8 +164,10 @@
 		l.replaced.Inc(1)
 		_ = replaced.Close()
 	}
-	if c, ok := c.(interface{ SetReadBuffer(bytes int) error }); ok {
-		_ = c.SetReadBuffer(int(min(max(l.c.ReceiveBytes/int64(open), minReceiveBytes), maxReceiveBytes)))
+	if c, ok := c.(buffered); ok {
+		bytes := int(min(max(l.c.BufferBytes/int64(open), minBufferBytes), maxBufferBytes))
+		_ = c.SetReadBuffer(bytes)
+		_ = c.SetWriteBuffer(bytes)
 	}
 	return conn
 }
--- a/internal/ops/connectionlimiter/connectionlimiter_test.go
+++ b/internal/ops/connectionlimiter/connectionlimiter_test.go
@@ -16,14 +16,16 @@
 // fakeConn is a connection on which bytes are always waiting. It is not of a network, so that it can't block.
 type fakeConn struct {
 	net.Conn
-	closed   bool
-	receives int
+	closed          bool
+	receives, sends int
 }
 
-func (c *fakeConn) Read(p []byte) (int, error)      { return len(p), nil }
-func (c *fakeConn) Close() error                    { c.closed = true; return nil }
-func (c *fakeConn) SetReadBuffer(bytes int) error   { c.receives = bytes; return nil }
-func (c *fakeConn) SetReadDeadline(time.Time) error { return nil }
+func (c *fakeConn) Read(p []byte) (int, error)       { return len(p), nil }
+func (c *fakeConn) Close() error                     { c.closed = true; return nil }
+func (c *fakeConn) SetReadBuffer(bytes int) error    { c.receives = bytes; return nil }
+func (c *fakeConn) SetWriteBuffer(bytes int) error   { c.sends = bytes; return nil }
+func (c *fakeConn) SetWriteDeadline(time.Time) error { return nil }
+func (c *fakeConn) SetReadDeadline(time.Time) error  { return nil }
 
 // queue is a listener whose connections are put into it.
 type queue struct {
@@ -200,19 +202,19 @@
 	})
 }
 
-// Guards against receive buffers that together take the memory of the host.
-func TestReceiveBuffersShrink(t *testing.T) {
-	const receiveBytes, connections = 1 << 20, 1000
-	l := New(Config{Connections: connections, LongHeads: 1, ReceiveBytes: receiveBytes})
+// Guards against buffers in the kernel that together take the memory of the host.
+func TestBuffersShrink(t *testing.T) {
+	const bufferBytes, connections = 1 << 20, 1000
+	l := New(Config{Connections: connections, LongHeads: 1, BufferBytes: bufferBytes})
 	sum := 0
 	for n := range connections {
 		_, inner := accept(t, l)
-		if n == 0 && inner.receives != maxReceiveBytes || inner.receives < minReceiveBytes {
+		if n == 0 && inner.receives != maxBufferBytes || inner.receives < minBufferBytes || inner.sends != inner.receives {
 			t.Errorf("connection %d receives %d bytes", n, inner.receives)
 		}
 		sum += inner.receives
 	}
-	if most := receiveBytes*5 + connections*minReceiveBytes; sum > most {
+	if most := bufferBytes*5 + connections*minBufferBytes; sum > most {
 		t.Errorf("%d bytes, at most %d are planned for", sum, most)
 	}
 }
--- a/internal/ops/hostdivider/hostdivider.go
+++ b/internal/ops/hostdivider/hostdivider.go
@@ -23,7 +23,7 @@
 	decodingDivisor = 16
 	headDivisor     = 32
 	longHeadDivisor = 32
-	receiveDivisor  = 32
+	bufferDivisor   = 32
 	// connectionNumerator and connectionDenominator are the fraction for connections. connectionMemory is what one
 	// takes at most before its request is served: by itself, for a short head, and unread.
 	connectionNumerator, connectionDenominator = 3, 8
@@ -57,8 +57,8 @@
 	// endpoints, the messages of peers, bodies that are being decoded and long heads may take together, each kind for
 	// itself.
 	Bodies, Answers, Messages, Decoding, Heads int64
-	// Receive is the bytes that the kernel may hold unread for clients' connections, by and large.
-	Receive int64
+	// Buffers is the bytes that the kernel may hold unread for clients' connections, by and large.
+	Buffers int64
 	// Connections is the number of clients' connections, LongHeads that of the long heads that are read at the same
 	// time.
 	Connections, LongHeads int
@@ -76,7 +76,7 @@
 	return &Shares{
 		Memory: memory,
 		Bodies: shared / bodyDivisor, Answers: shared / answerDivisor, Messages: shared / messageDivisor,
-		Decoding: shared / decodingDivisor, Heads: shared / headDivisor, Receive: shared / receiveDivisor,
+		Decoding: shared / decodingDivisor, Heads: shared / headDivisor, Buffers: shared / bufferDivisor,
 		Connections: max(min(byMemory, byDescriptors), minConnections),
 		LongHeads:   max(int(shared/longHeadDivisor/longHeadMemory), minLongHeads),
 	}
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -206,7 +206,7 @@
 		TotalBytes: e.shares.Bodies, Factor: bodyFactor, Timeout: s.Limits.BodyTimeout.Std(), Metrics: e.scope,
 	})
 	e.connections = connectionlimiter.New(connectionlimiter.Config{
-		Connections: e.shares.Connections, LongHeads: e.shares.LongHeads, ReceiveBytes: e.shares.Receive,
+		Connections: e.shares.Connections, LongHeads: e.shares.LongHeads, BufferBytes: e.shares.Buffers,
 		EndStalled: bodies.EndLongestStalled, Metrics: e.scope,
 	})
 	e.streamer = streamer.New(streamer.Config{
--- a/internal/role/gateway/clients.go
+++ b/internal/role/gateway/clients.go
@@ -25,7 +25,7 @@
 	})
 	g.heads = headlimiter.New(headlimiter.Config{TotalBytes: shares.Heads, Refuse: g.receiver.RefuseHead, Metrics: g.scope})
 	g.connections = connectionlimiter.New(connectionlimiter.Config{
-		Connections: shares.Connections, LongHeads: shares.LongHeads, ReceiveBytes: shares.Receive,
+		Connections: shares.Connections, LongHeads: shares.LongHeads, BufferBytes: shares.Buffers,
 		EndStalled: bodies.EndLongestStalled, Metrics: g.scope,
 	})
 }
--- a/internal/serve/receiver/receiver.go
+++ b/internal/serve/receiver/receiver.go
@@ -46,6 +46,8 @@
 	defaultMaxBodyBytes = 4 << 20
 	// noRoomRetryAfter is sent when bodies take all of their memory: another daemon may have room.
 	noRoomRetryAfter = 500 * time.Millisecond
+	// refusalTimeout is how long a client may take to read a refusal.
+	refusalTimeout = 10 * time.Second
 )
 
 // Relayer serves an admitted request.
@@ -254,6 +256,8 @@
 func (v *Receiver) refuse(w http.ResponseWriter, q *request.Request, res *relayer.Result) {
 	res.Status, res.Reason = res.Refusal.Status, res.Refusal.Reason
 	v.c.Refuse(w.Header(), q.ID, res.Refusal.RetryAfter)
+	// A client that does not read must not hold its connection for ever.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(refusalTimeout))
 	p := refusal.New(kindOfStatus[res.Status], res.Reason)
 	if res.Outcome == relayer.Unknown || res.Status == http.StatusGatewayTimeout {
 		p = p.WithOutcome(refusal.Unknown)
--- a/internal/serve/relayer/attempt.go
+++ b/internal/serve/relayer/attempt.go
@@ -249,6 +249,12 @@
 	j.r.c.OnBegin(j.q)
 }
 
+// boundWrites ends writes to a client that does not read its answer, which would hold its connection and the memory of its
+// answer for ever. The server's connections lift the bound between two requests.
+func (j *job) boundWrites() {
+	_ = http.NewResponseController(j.w).SetWriteDeadline(time.Now().Add(max(time.Until(j.q.Deadline()), writeTimeout)))
+}
+
 // sendAnswer sends a complete answer to the client.
 func (j *job) sendAnswer(a *answer) error {
 	h := j.w.Header()
@@ -258,12 +264,7 @@
 	h.Set("Content-Length", fmt.Sprint(len(a.body)))
 	j.res.Status, j.res.Outcome, j.res.TimeToFirst = a.status, Answered, time.Since(j.q.Received)
 	j.countFirstEvent()
-	if len(a.body) > answerreader.SmallBytes {
-		// A client that does not read must not hold the memory of its answer for ever.
-		control := http.NewResponseController(j.w)
-		_ = control.SetWriteDeadline(time.Now().Add(max(time.Until(j.q.Deadline()), writeTimeout)))
-		defer func() { _ = control.SetWriteDeadline(time.Time{}) }()
-	}
+	j.boundWrites()
 	j.w.WriteHeader(a.status)
 	if _, err := j.w.Write(a.body); err != nil {
 		j.res.Outcome = ClientGone
--- a/internal/serve/relayer/stream.go
+++ b/internal/serve/relayer/stream.go
@@ -133,6 +133,7 @@
 		h[name] = values
 	}
 	j.headSent = true
+	j.boundWrites()
 	j.answerBegins()
 	j.res.Status, j.res.TimeToFirst = x.Status, time.Since(j.q.Received)
 	j.countFirstEvent()
