messagelimiter: messages share a part of the host's memory, and must come whole in time

Callers saw: a daemon that runs out of memory. Cause: each message to the listener for peers was bounded at 16 MB, not their sum, and one that stops before its end was held for ever; at an entry daemon the listener for operators as well. Clients of the platform don't reach these addresses by its pages; nothing but that kept a crowd out.

--- a/integration/crowd_test.go
+++ b/integration/crowd_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"brasschute/internal/peer/rpc"
 	"brasschute/internal/standin/hosting"
 	"brasschute/platform"
 )
@@ -354,6 +355,16 @@
 	c.checkGateway(t)
 }
 
+// Guards against messages at the listener for peers that stop before their end and together exceed a gateway's memory.
+func TestCrowdOfStalledMessages(t *testing.T) {
+	to := newCrowdGateway(t)
+	to.address = to.s.hosts[0].ip + ":8109"
+	to.head = "POST " + rpc.FleetPathPrefix + "Swap HTTP/1.1\r\nHost: x\r\nContent-Type: application/protobuf\r\nRequest-Id: crowd-%d\r\n"
+	c := stalledCrowd()
+	c.clients = crowdClients
+	c.check(t, to)
+}
+
 // Guards against clients that don't read their streams and hold connections, and what waits for them, for ever.
 func TestCrowdOfClientsThatDoNotRead(t *testing.T) {
 	to := newCrowdGateway(t)
--- a/internal/peer/messagelimiter/messagelimiter.go
+++ b/internal/peer/messagelimiter/messagelimiter.go
@@ -1,19 +1,23 @@
-// Package messagelimiter bounds the messages that daemons exchange.
+// Package messagelimiter bounds the messages that daemons and operators exchange.
 //
-// The generated code of calls reads a message to its end, and an address may have become that of another
-// program. Without a bound, bytes without an end would take the memory of the daemon that reads them.
+// The generated code of calls reads a message to its end, for as long as that takes, and an address may have become
+// that of another program. Without bounds, bytes without an end, many large messages, or ones that stop before their
+// end would take the memory and the connections of the daemon that reads them.
 //
 // # Usage
 //
-//	l := messagelimiter.New(messagelimiter.Config{MaxBytes: 16 << 20})
+//	l := messagelimiter.New(messagelimiter.Config{MaxBytes: 16 << 20, Bodies: bodies})
 //	client := http.Client{Transport: l.Transport(transport)}
 //	mux.Handle("/", l.Handler(server))
 package messagelimiter
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net/http"
+
+	"brasschute/internal/serve/bodyreader"
 )
 
 // ErrTooLong is returned by the body of a response that is longer than the bound.
@@ -23,6 +27,8 @@
 type Config struct {
 	// MaxBytes bounds one message.
 	MaxBytes int64
+	// Bodies reads the messages of requests and bounds the memory that they take together.
+	Bodies *bodyreader.Reader
 }
 
 // Limiter bounds messages.
@@ -33,19 +39,34 @@
 // New returns a limiter.
 func New(c Config) *Limiter { return &Limiter{c} }
 
-// Handler returns a handler whose requests' bodies fail beyond the bound. One with a longer stated length is
-// answered 413.
+// Handler returns a handler that gets requests whose bodies have been read. One that is too long is answered 413, one
+// without room 503, and one that does not come whole 408.
 func (l *Limiter) Handler(next http.Handler) http.Handler {
-	bounded := http.MaxBytesHandler(next, l.c.MaxBytes)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.ContentLength > l.c.MaxBytes {
-			http.Error(w, ErrTooLong.Error(), http.StatusRequestEntityTooLarge)
+		message, release, err := l.c.Bodies.Read(w, r, l.c.MaxBytes)
+		if err != nil {
+			l.c.Bodies.Refuse(w, r, func() { http.Error(w, err.Error(), statusOf(err)) })
 			return
 		}
-		bounded.ServeHTTP(w, r)
+		defer release()
+		if message != nil {
+			r.Body = io.NopCloser(bytes.NewReader(message))
+		}
+		next.ServeHTTP(w, r)
 	})
 }
 
+// statusOf returns the status for a message that was not read.
+func statusOf(err error) int {
+	switch {
+	case errors.Is(err, bodyreader.ErrTooLong):
+		return http.StatusRequestEntityTooLarge
+	case errors.Is(err, bodyreader.ErrNoRoom):
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusRequestTimeout
+}
+
 // Transport returns a transport whose responses' bodies fail beyond the bound.
 func (l *Limiter) Transport(next http.RoundTripper) http.RoundTripper {
 	return &transport{next: next, maxBytes: l.c.MaxBytes}
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -53,6 +53,7 @@
 	"brasschute/internal/peer/crashreporter"
 	"brasschute/internal/peer/gossiper"
 	"brasschute/internal/peer/membertracker"
+	"brasschute/internal/peer/messagelimiter"
 	"brasschute/internal/peer/meter"
 	"brasschute/internal/peer/retainer"
 	"brasschute/internal/peer/rpc"
@@ -94,6 +95,10 @@
 	// bodyFactor is the memory of a request's body as a multiple of its length: the body, its prompt, and what is sent
 	// to an engine.
 	bodyFactor = 5
+	// discardFactor is what is discarded of the body of a refused request, as a multiple of the largest body.
+	discardFactor = 4
+	// maxMessageBytes bounds a message of a peer or an operator.
+	maxMessageBytes = 8 << 20
 )
 
 // Config holds the settings and the logger of a daemon.
@@ -203,7 +208,8 @@
 	budget := budgeter.New(budgeter.Config{})
 	e.migrator = migrator.New(migrator.Config{Registry: e.registry, Caller: endpoints})
 	bodies := bodyreader.New(bodyreader.Config{
-		TotalBytes: e.shares.Bodies, Factor: bodyFactor, Timeout: s.Limits.BodyTimeout.Std(), Metrics: e.scope,
+		TotalBytes: e.shares.Bodies, Factor: bodyFactor, Timeout: s.Limits.BodyTimeout.Std(),
+		DiscardBytes: discardFactor * int64(s.Limits.BodyBytes), Metrics: e.scope,
 	})
 	e.connections = connectionlimiter.New(connectionlimiter.Config{
 		Connections: e.shares.Connections, LongHeads: e.shares.LongHeads, BufferBytes: e.shares.Buffers,
@@ -248,6 +254,9 @@
 // listen opens the listeners and adds their servers to the supervisor tree.
 func (e *Entry) listen(key []byte) error {
 	s := e.c.Settings
+	messages := messagelimiter.New(messagelimiter.Config{MaxBytes: maxMessageBytes, Bodies: bodyreader.New(bodyreader.Config{
+		TotalBytes: e.shares.Messages, Timeout: s.Limits.BodyTimeout.Std(), Metrics: e.scope.SubScope("messages"),
+	})})
 	peers := http.NewServeMux()
 	peers.Handle(rpc.PeerPathPrefix, signer.New(signer.Config{
 		Key: key, Host: s.Host, Addresses: []string{s.Peers.String(), s.PeerAddress().String()},
@@ -259,8 +268,8 @@
 		handler http.Handler
 	}{
 		{"callers", s.Callers, heads.Handler(e.handler)},
-		{"operators", s.Operators, e.operatorHandler()},
-		{"peers", s.Peers, peers},
+		{"operators", s.Operators, messages.Handler(e.operatorHandler())},
+		{"peers", s.Peers, messages.Handler(peers)},
 	} {
 		listener, err := net.Listen("tcp", l.address.String())
 		if err != nil {
--- a/internal/role/gateway/clients.go
+++ b/internal/role/gateway/clients.go
@@ -11,13 +11,17 @@
 	"brasschute/platform"
 )
 
-// bodyTimeout is how long a client may take to send its body.
-const bodyTimeout = 5 * time.Second
+const (
+	// bodyTimeout is how long a client may take to send its body.
+	bodyTimeout = 5 * time.Second
+	// discardBytes is what is discarded of the body of a refused request: a body of the usual limit, and more.
+	discardBytes = 8 << 20
+)
 
 // buildClients creates what serves the clients, and what bounds them.
 func (g *Gateway) buildClients() {
 	shares := g.shares
-	bodies := bodyreader.New(bodyreader.Config{TotalBytes: shares.Bodies, Timeout: bodyTimeout, Metrics: g.scope})
+	bodies := bodyreader.New(bodyreader.Config{TotalBytes: shares.Bodies, Timeout: bodyTimeout, DiscardBytes: discardBytes, Metrics: g.scope})
 	g.receiver = receiver.New(receiver.Config{
 		Versioner: &g.versioner, Relayer: g.newRelayer(), Quota: g, Quarantine: g.quarantine, Decode: platform.DecodeRequest, Refuse: platform.Codec{}.EncodeRefusal,
 		Observer: accesslogger.New(accesslogger.Config{Logger: g.c.Logger, Metrics: g.scope}),
--- a/internal/serve/bodyreader/bodyreader.go
+++ b/internal/serve/bodyreader/bodyreader.go
@@ -15,7 +15,7 @@
 //
 // # Usage
 //
-//	r := bodyreader.New(bodyreader.Config{TotalBytes: memory / 4, Timeout: 5 * time.Second})
+//	r := bodyreader.New(bodyreader.Config{TotalBytes: memory / 4, Timeout: 5 * time.Second, DiscardBytes: 8 << 20})
 //	body, release, err := r.Read(w, req, maxBytes)
 //	if err != nil {
 //		r.Refuse(w, req, func() { ... })
@@ -55,10 +55,9 @@
 	paceSlack = 64 << 10
 	// yieldTimeout is how long a body waits for the room of stalled ones.
 	yieldTimeout = 100 * time.Millisecond
-	// discardTimeout and discardBytes bound what is discarded after a refusal, discards the number of connections
-	// on which that happens at the same time.
+	// discardTimeout bounds the time for which is discarded after a refusal, discards the number of connections on
+	// which that happens at the same time.
 	discardTimeout = time.Second
-	discardBytes   = 8 << 20
 	discards       = 64
 )
 
@@ -82,6 +81,9 @@
 	Factor int64
 	// Timeout bounds the time until a whole body has arrived.
 	Timeout time.Duration
+	// DiscardBytes is how much of a large body is discarded after a refusal, for the sake of a client that reads its
+	// answer only once it has sent its body; 0 for nothing.
+	DiscardBytes int64
 	// Metrics may be nil for none.
 	Metrics tally.Scope
 }
@@ -287,12 +289,12 @@
 
 // discard discards the rest of a body, within bounds.
 func (r *Reader) discard(control *http.ResponseController, req *http.Request) {
-	if req.Header.Get("Expect") != "" || !r.discards.TryAcquire(1) {
+	if r.c.DiscardBytes == 0 || req.Header.Get("Expect") != "" || !r.discards.TryAcquire(1) {
 		return
 	}
 	defer r.discards.Release(1)
 	_ = control.SetReadDeadline(time.Now().Add(discardTimeout))
-	_, _ = io.CopyN(io.Discard, req.Body, discardBytes)
+	_, _ = io.CopyN(io.Discard, req.Body, r.c.DiscardBytes)
 }
 
 // arrival is a body that arrives.
