proxier: requests that peers hand over share the memory of messages

They are now read by package bodyreader from the messages' share. Found while the shares were added up; not seen to end a process. The tests of the proxier and of partitions pass.

--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -82,6 +82,7 @@
 	"brasschute/internal/route/splitter"
 	"brasschute/internal/route/versiontracker"
 	"brasschute/internal/serve/answerreader"
+	"brasschute/internal/serve/bodyreader"
 	"brasschute/internal/serve/dispatcher"
 	"brasschute/internal/serve/drainer"
 	"brasschute/internal/serve/headlimiter"
@@ -189,6 +190,8 @@
 	callers  *server.Server
 	// connections bounds the connections of clients.
 	connections *connectionlimiter.Limiter
+	// messages reads the messages of peers, and the requests that they hand over.
+	messages *bodyreader.Reader
 	// heads bounds the memory of long heads.
 	heads *headlimiter.Limiter
 	// shares are the bounds of what others send.
@@ -361,6 +364,7 @@
 	})
 	opened := g.scope.Counter("endpoint_connections_opened")
 	g.sender = sender.New(sender.Config{Dialer: g.c.Network, OnConnect: func() { opened.Inc(1) }})
+	g.messages = bodyreader.New(bodyreader.Config{TotalBytes: g.shares.Messages, Timeout: bodyTimeout, Metrics: g.scope.SubScope("messages")})
 	g.buildPaths()
 	g.quarantine = crashreporter.New(crashreporter.Config{
 		Host: d.Host, Dialer: g.c.Network, Confirm: g.refusesPeers, Unreachable: g.unreachableToPeers, Leaving: g.registry.Leaving, Presence: g.registry.Presence, OnChange: g.gossipEndings, OnEnd: g.recordEnd, Logger: g.c.Logger, Metrics: g.scope,
--- a/internal/role/gateway/gossip.go
+++ b/internal/role/gateway/gossip.go
@@ -22,7 +22,6 @@
 	"brasschute/internal/platform/object"
 	"brasschute/internal/route/candidate"
 	"brasschute/internal/route/estimator"
-	"brasschute/internal/serve/bodyreader"
 	"brasschute/platform"
 
 	"github.com/thejerf/suture/v4"
@@ -55,9 +54,7 @@
 
 func (g *Gateway) buildPeers() {
 	d := g.c.Deployment
-	limiter := messagelimiter.New(messagelimiter.Config{MaxBytes: maxPeerMessageBytes, Bodies: bodyreader.New(bodyreader.Config{
-		TotalBytes: g.shares.Messages, Timeout: bodyTimeout, Metrics: g.scope.SubScope("messages"),
-	})})
+	limiter := messagelimiter.New(messagelimiter.Config{MaxBytes: maxPeerMessageBytes, Bodies: g.messages})
 	transport := limiter.Transport(&http.Transport{
 		DialContext: g.peerBytes.Dial(g.c.Network.DialContext), IdleConnTimeout: peerIdleTimeout, DisableCompression: true,
 		MaxResponseHeaderBytes: maxPeerHeaderBytes,
--- a/internal/serve/proxier/proxier.go
+++ b/internal/serve/proxier/proxier.go
@@ -38,18 +38,17 @@
 	"brasschute/internal/route/pathtracker"
 	"brasschute/internal/route/quarantiner"
 	"brasschute/internal/route/registry"
+	"brasschute/internal/serve/bodyreader"
 	"brasschute/internal/serve/dispatcher"
 	"brasschute/internal/serve/replyreader"
 	"brasschute/internal/serve/request"
 )
 
 const (
-	// maxRequests bounds the requests of peers in progress, and maxBytes their bodies together: the
-	// daemon's own clients come first on a host with little memory.
-	maxRequests = 256
-	maxBytes    = 16 << 20
-	// bodyTimeout is how long a peer may take to send a request's body.
-	bodyTimeout = 5 * time.Second
+	// maxRequests bounds the requests of peers in progress: the daemon's own clients come first on a host with little
+	// memory. maxBodyBytes bounds the body of one.
+	maxRequests  = 256
+	maxBodyBytes = 16 << 20
 	// maxCompared is the number of other endpoints to which a connection is tried. While requests crash
 	// endpoints, half of them may be down: then one in sixteen comparisons is wrong.
 	maxCompared = 4
@@ -82,6 +81,8 @@
 	Codec         replyreader.Codec
 	ReplyObserver replyreader.Observer
 	Quarantine    Quarantine
+	// Bodies reads the bodies of requests and bounds the memory that they take together.
+	Bodies *bodyreader.Reader
 	// OnOutcome is called with the outcome of each request of a peer.
 	OnOutcome func(wrapper.Outcome)
 }
@@ -90,7 +91,6 @@
 type Proxier struct {
 	c        Config
 	stopping atomic.Bool
-	bytes    atomic.Int64
 
 	mu       sync.Mutex
 	requests int
@@ -121,25 +121,22 @@
 	}
 }
 
-// begin counts a request with a body, and reports whether it may be served. The body's length is -1 if
-// unknown.
-func (p *Proxier) begin(bodyBytes int64) bool {
-	if p.stopping.Load() || bodyBytes < 0 {
+// begin counts a request, and reports whether it may be served.
+func (p *Proxier) begin() bool {
+	if p.stopping.Load() {
 		return false
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.requests >= maxRequests || p.requests > 0 && p.bytes.Load()+bodyBytes > maxBytes {
+	if p.requests >= maxRequests {
 		return false
 	}
 	p.requests++
-	p.bytes.Add(bodyBytes)
 	return true
 }
 
 // end ends a request.
-func (p *Proxier) end(bodyBytes int64) {
-	p.bytes.Add(-bodyBytes)
+func (p *Proxier) end() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.requests--; p.requests == 0 {
@@ -155,25 +152,26 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	if !p.begin(r.ContentLength) {
-		p.reply(w, wrapper.Busy)
+	if !p.begin() {
+		p.c.Bodies.Refuse(w, r, func() { p.reply(w, wrapper.Busy) })
 		return
 	}
-	defer p.end(r.ContentLength)
+	defer p.end()
 	pick := p.c.Registry.Find(wrapped.Endpoint, wrapped.StartTime)
 	if pick == nil {
-		p.reply(w, wrapper.Unlisted)
+		p.c.Bodies.Refuse(w, r, func() { p.reply(w, wrapper.Unlisted) })
 		return
 	}
-	control := http.NewResponseController(w)
-	// Deadlines are not supported by the writers of tests.
-	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxBytes))
-	if err != nil {
+	body, release, err := p.c.Bodies.Read(w, r, maxBodyBytes)
+	switch {
+	case errors.Is(err, bodyreader.ErrNoRoom), errors.Is(err, bodyreader.ErrTooLong):
+		p.c.Bodies.Refuse(w, r, func() { p.reply(w, wrapper.Busy) })
+		return
+	case err != nil:
 		// The peer is gone, or its link is.
 		panic(http.ErrAbortHandler)
 	}
-	_ = control.SetReadDeadline(time.Time{})
+	defer release()
 	to := pathtracker.Destination{Service: wrapped.Service, Endpoint: pick.Endpoint, StartTime: pick.StartTime, Address: pick.Address}
 	attempt := &crashreporter.Attempt{Fingerprint: wrapped.Fingerprint, Request: wrapped.ID, Parts: wrapped.Parts, Pick: pick}
 	job := &job{p: p, wrapped: wrapped, pick: pick, to: to, attempt: attempt}
@@ -188,6 +186,7 @@
 func (p *Proxier) reply(w http.ResponseWriter, o wrapper.Outcome) {
 	p.c.OnOutcome(o)
 	w.Header().Set(wrapper.OutcomeHeader, string(o))
+	w.Header().Set("Content-Length", "0")
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
--- a/internal/serve/proxier/proxier_test.go
+++ b/internal/serve/proxier/proxier_test.go
@@ -22,6 +22,7 @@
 	"brasschute/internal/route/pathtracker"
 	"brasschute/internal/route/quarantiner"
 	"brasschute/internal/route/registry"
+	"brasschute/internal/serve/bodyreader"
 	"brasschute/internal/serve/dispatcher"
 	"brasschute/internal/serve/request"
 	"brasschute/internal/standin/hosting"
@@ -112,6 +113,7 @@
 	}
 	tracker := pathtracker.New(pathtracker.Config{Endpoints: endpoints, OnChange: func(pathtracker.Change) {}})
 	f.Proxier = New(Config{
+		Bodies:   bodyreader.New(bodyreader.Config{TotalBytes: 1 << 20, Timeout: time.Minute}),
 		Registry: f.registry, Dispatcher: dispatcher.New(dispatcher.Config{Sender: sender.New(sender.Config{Dialer: &net.Dialer{}}), Tracker: tracker}),
 		Tracker: tracker, Endpoints: endpoints, Codec: codec{}, ReplyObserver: f, Quarantine: f, OnOutcome: f.add,
 	})
