bodyreader: reads that bring little are limited in number

Callers would see: a daemon that misses leases, heartbeats and its balancer's probes while clients send bodies in tiny chunks. A chunk of one byte costs as much processor as a large one.

Change: reads of under 2 KB, but for the first 16 of a body, are taken from a rate of 2,000 a second for all bodies together, with a burst that lets one body of 4 MB in chunks of one byte come in time. Others wait, and are answered 408 if they can't be whole in time. What is discarded after a refusal takes from the same rate.

--- a/internal/serve/bodyreader/bodyreader.go
+++ b/internal/serve/bodyreader/bodyreader.go
@@ -10,6 +10,9 @@
 // nothing has arrived for [silenceTimeout], and those that at their pace so far won't be whole in time. A client that
 // goes on sending is never cut off for the sake of another one.
 //
+// Reads that bring little are limited in number for all bodies together, so that bodies in tiny chunks leave the
+// processor to others.
+//
 // A refusal must reach a client that is still sending. [Reader.Refuse] answers first, and then discards what
 // arrives for a while, because closing a connection with unread bytes resets it.
 //
@@ -30,6 +33,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -39,6 +43,7 @@
 
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/semaphore"
+	"golang.org/x/time/rate"
 )
 
 // SmallBytes is the length up to which bodies have a share of their own.
@@ -59,6 +64,20 @@
 	// which that happens at the same time.
 	discardTimeout = time.Second
 	discards       = 64
+	// discardedAtOnce is the size of one read of what is discarded.
+	discardedAtOnce = 16 << 10
+)
+
+// Reads that bring little cost as much as others. Bodies in tiny chunks could take the whole processor by them, so that
+// nothing else goes on in time.
+const (
+	// tinyRead is the number of bytes below which a read counts. freeReads of each body don't.
+	tinyRead  = 2 << 10
+	freeReads = 16
+	// readsPerSecond bounds such reads of all bodies together: a fifth of a small host's processor. readBurst lets
+	// one body of the usual limit, in chunks of one byte, come in time.
+	readsPerSecond = 2000
+	readBurst      = 4000
 )
 
 // Errors of a body that was not read.
@@ -93,6 +112,7 @@
 	c            Config
 	small, large *bufferlimiter.Limiter
 	discards     *semaphore.Weighted
+	tinyReads    *rate.Limiter
 	refused      tally.Counter
 	stalled      tally.Counter
 
@@ -112,8 +132,8 @@
 		c:        c,
 		small:    bufferlimiter.New(bufferlimiter.Config{Name: "small_body", TotalBytes: max(small, SmallBytes), Metrics: c.Metrics}),
 		large:    bufferlimiter.New(bufferlimiter.Config{Name: "large_body", TotalBytes: max(c.TotalBytes-small, SmallBytes), Metrics: c.Metrics}),
-		discards: semaphore.NewWeighted(discards),
-		refused:  c.Metrics.Counter("bodies_refused_for_memory"), stalled: c.Metrics.Counter("bodies_ended_for_memory"),
+		discards: semaphore.NewWeighted(discards), tinyReads: rate.NewLimiter(readsPerSecond, readBurst),
+		refused: c.Metrics.Counter("bodies_refused_for_memory"), stalled: c.Metrics.Counter("bodies_ended_for_memory"),
 		arriving: make(map[*arrival]struct{}),
 	}
 }
@@ -294,7 +314,14 @@
 	}
 	defer r.discards.Release(1)
 	_ = control.SetReadDeadline(time.Now().Add(discardTimeout))
-	_, _ = io.CopyN(io.Discard, req.Body, r.c.DiscardBytes)
+	buffer := make([]byte, discardedAtOnce)
+	for left := r.c.DiscardBytes; left > 0; {
+		n, err := req.Body.Read(buffer)
+		if err != nil || n < tinyRead && !r.tinyReads.Allow() {
+			return
+		}
+		left -= int64(n)
+	}
 }
 
 // arrival is a body that arrives.
@@ -310,6 +337,8 @@
 	release func()
 	// share is the one that has the room, nil before there is some.
 	share atomic.Pointer[bufferlimiter.Limiter]
+	// tinyReads counts the reads that brought little.
+	tinyReads int
 	// received and held are bytes, progressAt is when the last ones came, in Unix nanoseconds.
 	received, held atomic.Int64
 	progressAt     atomic.Int64
@@ -353,7 +382,26 @@
 		case err != nil:
 			return nil, a.incomplete(err)
 		}
+		if err := a.pace(n); err != nil {
+			return nil, a.incomplete(err)
+		}
+	}
+}
+
+// pace waits until a read that brought n bytes may be followed by another one.
+func (a *arrival) pace(n int) error {
+	if n >= tinyRead {
+		return nil
 	}
+	if a.tinyReads++; a.tinyReads <= freeReads || a.r.tinyReads.Allow() {
+		return nil
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), a.begun.Add(a.r.c.Timeout))
+	defer cancel()
+	if err := a.r.tinyReads.Wait(ctx); err != nil {
+		return fmt.Errorf("%w: in pieces that are too small: %w", os.ErrDeadlineExceeded, err)
+	}
+	return nil
 }
 
 // add adds bytes that arrived.
--- a/internal/serve/bodyreader/bodyreader_test.go
+++ b/internal/serve/bodyreader/bodyreader_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -229,6 +230,68 @@
 	})
 }
 
+// trickle is a body that comes a byte a read, at once. It counts the reads.
+type trickle struct {
+	*client
+	reads *atomic.Int64
+}
+
+func (c trickle) Read(p []byte) (int, error) {
+	c.reads.Add(1)
+	return c.client.Read(p[:1])
+}
+
+// Guards against bodies in tiny chunks that take the processor from everything else.
+func TestTinyReadsAreRateLimited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const clients, length = 40, 2 * SmallBytes
+		r := New(Config{TotalBytes: 1 << 30, Timeout: timeout})
+		var reads atomic.Int64
+		var group sync.WaitGroup
+		for range clients {
+			group.Go(func() {
+				c := newClient(length, length+1)
+				c.stated = false
+				req := c.request()
+				req.Body = trickle{c, &reads}
+				if _, release, err := r.Read(c, req, maxBytes); err == nil {
+					release()
+				} else if !errors.Is(err, ErrIncomplete) {
+					t.Error(err)
+				}
+			})
+		}
+		const seconds = 2
+		time.Sleep(seconds * time.Second)
+		if n, most := reads.Load(), int64(readBurst+seconds*readsPerSecond+2*clients*freeReads); n > most {
+			t.Errorf("%d reads in %d s, at most %d are planned for", n, seconds, most)
+		}
+		group.Wait()
+	})
+}
+
+// Guards against a body in tiny chunks that does not come through although nobody else sends one.
+func TestOneBodyOfTinyReadsIsRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		// A chunk of one byte takes six on the wire, so that a read of the connection's buffer brings some 700.
+		const length = 4 << 20
+		c := newClient(length, length+1)
+		c.stated = false
+		req := c.request()
+		req.Body = pieces{c}
+		if _, release, err := New(Config{TotalBytes: 1 << 30, Timeout: timeout}).Read(c, req, length); err != nil {
+			t.Error(err)
+		} else {
+			release()
+		}
+	})
+}
+
+// pieces is a body that comes in reads of some hundred bytes.
+type pieces struct{ *client }
+
+func (c pieces) Read(p []byte) (int, error) { return c.client.Read(p[:min(len(p), 700)]) }
+
 // Guards against small bodies that are kept out by large ones.
 func TestSmallBodiesHaveTheirShare(t *testing.T) {
 	r := New(Config{TotalBytes: totalBytes, Timeout: timeout})
