forwarder, handler: an entry daemon's answers share a part of its memory, and its writes end

Answers are read by answerreader, of an eighth of what Limits.MemoryBytes leaves; answers and refusals have 20 s to be read. No test of whole programs shows this; those of the packages pass.

--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -67,6 +67,7 @@
 	"brasschute/internal/route/migrator"
 	"brasschute/internal/route/poller"
 	"brasschute/internal/route/registry"
+	"brasschute/internal/serve/answerreader"
 	"brasschute/internal/serve/bodyreader"
 	"brasschute/internal/serve/bufferlimiter"
 	"brasschute/internal/serve/claimer"
@@ -231,6 +232,7 @@
 		Streamer: e.streamer,
 		Forwarder: forwarder.New(forwarder.Config{
 			Registry: e.registry, Caller: endpoints, Budgeter: budget, Zone: s.AvailabilityZone, Quarantine: e.quarantine,
+			Answers: answerreader.New(answerreader.Config{MaxBytes: forwarder.MaxAnswerBytes, TotalBytes: e.shares.Answers, Metrics: e.scope}),
 		}),
 		Transferrer: transferrer.New(transferrer.Config{Members: e.members, Retainer: retained, Peer: e.gossiper.Peer, Store: e.platform}),
 		Sealer:      sealer.New(sealer.Config{Key: key}),
--- a/internal/serve/bodyreader/bodyreader_test.go
+++ b/internal/serve/bodyreader/bodyreader_test.go
@@ -373,3 +373,32 @@
 		})
 	}
 }
+
+// BenchmarkSmallBody reads a body of the usual size. /plain reads it as before this package, into a growing buffer.
+func BenchmarkSmallBody(b *testing.B) {
+	text := strings.Repeat("x", 300)
+	newRequest := func(body *strings.Reader) *http.Request {
+		return &http.Request{Method: http.MethodPost, Header: make(http.Header), Body: io.NopCloser(body), ContentLength: int64(len(text))}
+	}
+	w := httptest.NewRecorder()
+	b.Run("bounded", func(b *testing.B) {
+		r := New(Config{TotalBytes: totalBytes, Timeout: timeout})
+		b.ReportAllocs()
+		for b.Loop() {
+			_, release, err := r.Read(w, newRequest(strings.NewReader(text)), maxBytes)
+			if err != nil {
+				b.Fatal(err)
+			}
+			release()
+		}
+	})
+	b.Run("plain", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			req := newRequest(strings.NewReader(text))
+			if _, err := io.ReadAll(http.MaxBytesReader(w, req.Body, maxBytes)); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
--- a/internal/serve/forwarder/forwarder.go
+++ b/internal/serve/forwarder/forwarder.go
@@ -3,7 +3,7 @@
 // An answer is read to its end before its first byte goes to the caller, so that a
 // truncated answer is detected while a retry is still possible. An answer with
 // neither a length nor chunked encoding cannot prove its end and counts as
-// truncated.
+// truncated. Answers share a part of the host's memory, see package answerreader.
 //
 // An attempt that was never sent, or that the endpoint explicitly refused, is retried
 // at another endpoint. One that may have been sent is retried only if the request is
@@ -12,6 +12,8 @@
 // # Usage
 //
 //	a, err := f.Forward(ctx, c, record)
+//	if err != nil { ... }
+//	defer a.Release()
 package forwarder
 
 import (
@@ -19,7 +21,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
@@ -27,6 +28,7 @@
 	"brasschute/internal/engine/caller"
 	"brasschute/internal/route/budgeter"
 	"brasschute/internal/route/registry"
+	"brasschute/internal/serve/answerreader"
 	"brasschute/internal/serve/call"
 	"brasschute/internal/serve/recorder"
 	"brasschute/internal/serve/refusal"
@@ -34,15 +36,17 @@
 )
 
 const (
-	maxAnswerBytes = 8 << 20
-	maxAttempts    = 4
-	retryAfter     = 2 * time.Second
+	// MaxAnswerBytes bounds an answer.
+	MaxAnswerBytes = 8 << 20
+
+	maxAttempts = 4
+	retryAfter  = 2 * time.Second
 )
 
 var (
 	errLeaving   = errors.New("the endpoint began to leave")
 	errTruncated = errors.New("the answer was truncated")
-	errTooLarge  = fmt.Errorf("the answer is larger than %d bytes", maxAnswerBytes)
+	errTooLarge  = fmt.Errorf("the answer is larger than %d bytes", MaxAnswerBytes)
 )
 
 // hopByHop lists the headers that belong to a single connection (RFC 9110, 7.6.1).
@@ -58,6 +62,8 @@
 	Budgeter   *budgeter.Budgeter
 	Zone       identifier.AvailabilityZone
 	Quarantine streamer.Quarantine
+	// Answers reads answers and bounds the memory that they take; nil for one large answer at a time.
+	Answers *answerreader.Reader
 }
 
 // Answer is the complete answer of an endpoint. Header has no hop-by-hop headers.
@@ -65,6 +71,8 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// Release gives the memory of the body back, once nothing refers to it.
+	Release func()
 }
 
 // Forwarder forwards plain requests. It is safe for concurrent use.
@@ -73,7 +81,12 @@
 }
 
 // New returns a forwarder.
-func New(c Config) *Forwarder { return &Forwarder{c} }
+func New(c Config) *Forwarder {
+	if c.Answers == nil {
+		c.Answers = answerreader.New(answerreader.Config{MaxBytes: MaxAnswerBytes})
+	}
+	return &Forwarder{c}
+}
 
 // Forward returns the complete answer, the context's error if the caller disconnected,
 // or a *refusal.Problem. It adds each attempt to rec.
@@ -183,12 +196,16 @@
 	if resp.Header.Get("Not-Run") == "true" {
 		return nil, fmt.Errorf("%w (status %d)", caller.ErrNotRun, resp.StatusCode)
 	}
-	body, err := readWhole(resp)
-	if err != nil {
+	body, release, err := f.readWhole(ctx, resp)
+	switch {
+	case errors.Is(err, answerreader.ErrNoMemory):
+		result = registry.Neutral
+		return nil, err
+	case err != nil:
 		return nil, err
 	}
 	result = registry.Succeeded
-	return &Answer{Status: resp.StatusCode, Header: endToEndHeaders(resp.Header), Body: body}, nil
+	return &Answer{Status: resp.StatusCode, Header: endToEndHeaders(resp.Header), Body: body, Release: release}, nil
 }
 
 func newRequest(ctx context.Context, c *call.Call, address string) (*http.Request, error) {
@@ -220,17 +237,23 @@
 }
 
 // readWhole reads an answer and fails unless the answer proves its own end.
-func readWhole(resp *http.Response) ([]byte, error) {
+func (f *Forwarder) readWhole(ctx context.Context, resp *http.Response) (body []byte, release func(), err error) {
 	bodyless := resp.Request.Method == http.MethodHead || resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified
 	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !bodyless {
-		return nil, errTruncated
+		return nil, nil, errTruncated
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
-	if err != nil {
-		return nil, fmt.Errorf("%w: %w", errTruncated, err)
+	length := resp.ContentLength
+	if bodyless {
+		length = 0
 	}
-	if len(body) > maxAnswerBytes {
-		return nil, errTooLarge
+	body, release, err = f.c.Answers.Read(ctx, resp.Body, length)
+	switch {
+	case errors.Is(err, answerreader.ErrTooLong):
+		return nil, nil, errTooLarge
+	case errors.Is(err, answerreader.ErrNoMemory):
+		return nil, nil, err
+	case err != nil:
+		return nil, nil, fmt.Errorf("%w: %w", errTruncated, err)
 	}
-	return body, nil
+	return body, release, nil
 }
--- a/internal/serve/handler/handler.go
+++ b/internal/serve/handler/handler.go
@@ -198,6 +198,7 @@
 func (h *Handler) refuseEarly(w http.ResponseWriter, r *http.Request, problem *refusal.Problem) {
 	id := parser.RequestID(r)
 	w.Header().Set("Request-Id", string(id))
+	boundWrites(w)
 	h.c.Bodies.Refuse(w, r, func() { problem.Write(w, id) })
 	h.finish(&recorder.Record{Request: id, Host: h.c.Host, Received: time.Now()}, problem)
 }
@@ -209,20 +210,29 @@
 		h.fail(w, c, rec, err)
 		return
 	}
+	defer a.Release()
 	h.release(ctx, w, &finishedAnswer{c: c, rec: rec, claim: claim, answer: a})
 	h.finish(rec, nil)
 }
 
 func (h *Handler) refuse(w http.ResponseWriter, c *call.Call, rec *recorder.Record, problem *refusal.Problem) {
+	boundWrites(w)
 	problem.Write(w, c.Request)
 	h.finish(rec, problem)
 }
 
+// boundWrites ends writes to a caller that does not read, which would hold its connection and its answer for ever. The
+// server's connections lift the bound between two requests.
+func boundWrites(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
+}
+
 // fail answers with the refusal of a request. If err is not a refusal, the caller
 // disconnected and nothing is sent.
 func (h *Handler) fail(w http.ResponseWriter, c *call.Call, rec *recorder.Record, err error) {
 	var problem *refusal.Problem
 	if errors.As(err, &problem) {
+		boundWrites(w)
 		problem.Write(w, c.Request)
 	}
 	h.finish(rec, err)
--- a/internal/serve/handler/witness.go
+++ b/internal/serve/handler/witness.go
@@ -109,6 +109,7 @@
 		}
 	}
 	w.Header().Set("Content-Length", strconv.Itoa(len(a.Body)))
+	boundWrites(w)
 	w.WriteHeader(a.Status)
 	_, _ = w.Write(a.Body)
 }
@@ -141,6 +142,7 @@
 	if err != nil {
 		return err
 	}
+	defer a.Release()
 	if a.Status != http.StatusOK && a.Status != http.StatusNoContent {
 		return errNotWitnessed
 	}
