--- a/internal/serve/bodyreader/bodyreader.go
+++ b/internal/serve/bodyreader/bodyreader.go
@@ -31,12 +31,9 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
-	"os"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"brasschute/internal/serve/bufferlimiter"
@@ -52,32 +49,8 @@
 const (
 	// smallDivisor is the part of the memory for bodies that is kept for small ones.
 	smallDivisor = 8
-	// firstBytes is the first step of a body without a stated length.
-	firstBytes = 4 << 10
-	// silenceTimeout is the time without a byte after which a body has stalled. A lost packet is sent again before.
-	silenceTimeout = time.Second
-	// paceSlack is what a body may be behind its pace: a connection starts slowly.
-	paceSlack = 64 << 10
 	// yieldTimeout is how long a body waits for the room of stalled ones.
 	yieldTimeout = 100 * time.Millisecond
-	// discardTimeout bounds the time for which is discarded after a refusal, discards the number of connections on
-	// which that happens at the same time.
-	discardTimeout = time.Second
-	discards       = 64
-	// discardedAtOnce is the size of one read of what is discarded.
-	discardedAtOnce = 16 << 10
-)
-
-// Reads that bring little cost as much as others. Bodies in tiny chunks could take the whole processor by them, so that
-// nothing else goes on in time.
-const (
-	// tinyRead is the number of bytes below which a read counts. freeReads of each body don't.
-	tinyRead  = 2 << 10
-	freeReads = 16
-	// readsPerSecond bounds such reads of all bodies together: a fifth of a small host's processor. readBurst lets
-	// one body of the usual limit, in chunks of one byte, come in time.
-	readsPerSecond = 2000
-	readBurst      = 4000
 )
 
 // Errors of a body that was not read.
@@ -132,7 +105,7 @@
 		c:        c,
 		small:    bufferlimiter.New(bufferlimiter.Config{Name: "small_body", TotalBytes: max(small, SmallBytes), Metrics: c.Metrics}),
 		large:    bufferlimiter.New(bufferlimiter.Config{Name: "large_body", TotalBytes: max(c.TotalBytes-small, SmallBytes), Metrics: c.Metrics}),
-		discards: semaphore.NewWeighted(discards), tinyReads: rate.NewLimiter(readsPerSecond, readBurst),
+		discards: semaphore.NewWeighted(maxDiscards), tinyReads: rate.NewLimiter(readsPerSecond, readBurst),
 		refused: c.Metrics.Counter("bodies_refused_for_memory"), stalled: c.Metrics.Counter("bodies_ended_for_memory"),
 		arriving: make(map[*arrival]struct{}),
 	}
@@ -250,209 +223,3 @@
 	}
 	return len(found) > 0
 }
-
-// Refuse refuses a request whose body has not been read to its end. write writes the whole answer.
-func (r *Reader) Refuse(w http.ResponseWriter, req *http.Request, write func()) {
-	control := http.NewResponseController(w)
-	if r.discardSmall(control, req) {
-		write()
-		return
-	}
-	writeUnread(w, control, write)
-	r.discard(control, req)
-	// The server would wait for the rest of the body.
-	_ = control.SetReadDeadline(time.Now())
-}
-
-// Discard discards the body of a request that needs none. If it is large or does not come, the connection is closed
-// after the answer.
-func (r *Reader) Discard(w http.ResponseWriter, req *http.Request) {
-	control := http.NewResponseController(w)
-	if r.discardSmall(control, req) {
-		return
-	}
-	w.Header().Set("Connection", "close")
-	_ = control.SetReadDeadline(time.Now())
-}
-
-// RefuseAtOnce refuses a request that must not be held any longer, not even until its client has sent its body.
-func (r *Reader) RefuseAtOnce(w http.ResponseWriter, write func()) {
-	control := http.NewResponseController(w)
-	writeUnread(w, control, write)
-	_ = control.SetReadDeadline(time.Now())
-}
-
-// writeUnread writes an answer to a request that has not been read to its end.
-func writeUnread(w http.ResponseWriter, control *http.ResponseController, write func()) {
-	w.Header().Set("Connection", "close")
-	// Otherwise the server reads on before it sends the answer, and without a bound of time.
-	_ = control.EnableFullDuplex()
-	write()
-	_ = control.Flush()
-}
-
-// discardSmall discards a small body, whose connection can then be used on, and reports whether it came whole.
-func (r *Reader) discardSmall(control *http.ResponseController, req *http.Request) bool {
-	if req.Body == nil || req.Body == http.NoBody {
-		return true
-	}
-	if req.ContentLength < 0 || req.ContentLength > SmallBytes || req.Header.Get("Expect") != "" {
-		return false
-	}
-	_ = control.SetReadDeadline(time.Now().Add(discardTimeout))
-	if _, err := io.Copy(io.Discard, req.Body); err != nil {
-		return false
-	}
-	_ = control.SetReadDeadline(time.Time{})
-	return true
-}
-
-// discard discards the rest of a body, within bounds.
-func (r *Reader) discard(control *http.ResponseController, req *http.Request) {
-	if r.c.DiscardBytes == 0 || req.Header.Get("Expect") != "" || !r.discards.TryAcquire(1) {
-		return
-	}
-	defer r.discards.Release(1)
-	_ = control.SetReadDeadline(time.Now().Add(discardTimeout))
-	buffer := make([]byte, discardedAtOnce)
-	for left := r.c.DiscardBytes; left > 0; {
-		n, err := req.Body.Read(buffer)
-		if err != nil || n < tinyRead && !r.tinyReads.Allow() {
-			return
-		}
-		left -= int64(n)
-	}
-}
-
-// arrival is a body that arrives.
-type arrival struct {
-	r        *Reader
-	body     io.Reader
-	begun    time.Time
-	stated   int64
-	maxBytes int64
-	control  *http.ResponseController
-	// buffer is what has arrived, release gives its room back.
-	buffer  []byte
-	release func()
-	// share is the one that has the room, nil before there is some.
-	share atomic.Pointer[bufferlimiter.Limiter]
-	// tinyReads counts the reads that brought little.
-	tinyReads int
-	// received and held are bytes, progressAt is when the last ones came, in Unix nanoseconds.
-	received, held atomic.Int64
-	progressAt     atomic.Int64
-	// stalled is set under the reader's lock once the body has been ended.
-	stalled bool
-}
-
-// hasStalled reports whether the body has stalled.
-func (a *arrival) hasStalled(now time.Time, timeout time.Duration) bool {
-	if now.Sub(time.Unix(0, a.progressAt.Load())) >= silenceTimeout {
-		return true
-	}
-	if a.stated < 0 {
-		return false
-	}
-	due := float64(a.stated) * float64(now.Sub(a.begun)) / float64(timeout)
-	return float64(a.received.Load()+paceSlack) < due
-}
-
-// read reads the body to its end.
-func (a *arrival) read() ([]byte, error) {
-	first := a.stated
-	if first < 0 {
-		first = min(firstBytes, a.maxBytes)
-	}
-	if err := a.grow(first); err != nil {
-		return nil, err
-	}
-	for {
-		if len(a.buffer) == cap(a.buffer) {
-			ended, err := a.atEnd()
-			if ended || err != nil {
-				return a.buffer, err
-			}
-		}
-		n, err := a.body.Read(a.buffer[len(a.buffer):cap(a.buffer)])
-		a.add(a.buffer[:len(a.buffer)+n], n)
-		switch {
-		case errors.Is(err, io.EOF):
-			return a.buffer, nil
-		case err != nil:
-			return nil, a.incomplete(err)
-		}
-		if err := a.pace(n); err != nil {
-			return nil, a.incomplete(err)
-		}
-	}
-}
-
-// pace waits until a read that brought n bytes may be followed by another one.
-func (a *arrival) pace(n int) error {
-	if n >= tinyRead {
-		return nil
-	}
-	if a.tinyReads++; a.tinyReads <= freeReads || a.r.tinyReads.Allow() {
-		return nil
-	}
-	ctx, cancel := context.WithDeadline(context.Background(), a.begun.Add(a.r.c.Timeout))
-	defer cancel()
-	if err := a.r.tinyReads.Wait(ctx); err != nil {
-		return fmt.Errorf("%w: in pieces that are too small: %w", os.ErrDeadlineExceeded, err)
-	}
-	return nil
-}
-
-// add adds bytes that arrived.
-func (a *arrival) add(buffer []byte, n int) {
-	a.buffer = buffer
-	if n > 0 {
-		a.received.Add(int64(n))
-		a.progressAt.Store(time.Now().UnixNano())
-	}
-}
-
-// atEnd reports whether the body ends where the buffer is full. If it goes on, it makes the buffer larger.
-func (a *arrival) atEnd() (ended bool, err error) {
-	var next [1]byte
-	for {
-		n, err := a.body.Read(next[:])
-		switch {
-		case n > 0:
-			if err := a.grow(min(2*int64(cap(a.buffer)), a.maxBytes)); err != nil {
-				return false, err
-			}
-			a.add(append(a.buffer, next[0]), n)
-			return false, nil
-		case errors.Is(err, io.EOF):
-			return true, nil
-		case err != nil:
-			return false, a.incomplete(err)
-		}
-	}
-}
-
-// grow makes the buffer as large as a number of bytes.
-func (a *arrival) grow(bytes int64) error {
-	if a.buffer != nil && bytes <= int64(len(a.buffer)) {
-		return fmt.Errorf("%w: over %d bytes came", ErrTooLong, a.maxBytes)
-	}
-	share, release, err := a.r.reserve(bytes)
-	if err != nil {
-		return err
-	}
-	a.share.Store(share)
-	a.held.Store(bytes * a.r.c.Factor)
-	a.buffer = append(make([]byte, 0, bytes), a.buffer...)
-	if a.release != nil {
-		a.release()
-	}
-	a.release = release
-	return nil
-}
-
-// incomplete returns the error of a body that could not be read on.
-func (a *arrival) incomplete(err error) error {
-	return fmt.Errorf("%w: %d bytes in %d ms: %w", ErrIncomplete, a.received.Load(), time.Since(a.begun).Milliseconds(), err)
-}
