bufferlimiter: its metrics are named where it is used

They were composed of a word for the kind, so that two names could not be found in the code any more, and others had a wrong plural.

--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -226,7 +226,9 @@
 		Bodies: bodies,
 		Parser: parser.New(parser.Config{
 			MaxBody: int64(s.Limits.BodyBytes), Bodies: bodies,
-			Decoding: bufferlimiter.New(bufferlimiter.Config{Name: "decoded_body", TotalBytes: e.shares.Decoding, Metrics: e.scope}),
+			Decoding: bufferlimiter.New(bufferlimiter.Config{
+				TotalBytes: e.shares.Decoding, Gauge: "decoding_bytes_reserved", Counter: "decodings_waited_for_memory", Metrics: e.scope,
+			}),
 		}),
 		Claimer:  e.claimer,
 		Streamer: e.streamer,
--- a/internal/serve/answerreader/answerreader.go
+++ b/internal/serve/answerreader/answerreader.go
@@ -58,7 +58,7 @@
 // New returns a reader.
 func New(c Config) *Reader {
 	return &Reader{c: c, reserved: bufferlimiter.New(bufferlimiter.Config{
-		Name: "answer", TotalBytes: max(c.TotalBytes, c.MaxBytes), Metrics: c.Metrics,
+		TotalBytes: max(c.TotalBytes, c.MaxBytes), Gauge: "answer_bytes_reserved", Counter: "answers_waited_for_memory", Metrics: c.Metrics,
 	})}
 }
 
--- a/internal/serve/bodyreader/bodyreader.go
+++ b/internal/serve/bodyreader/bodyreader.go
@@ -102,9 +102,13 @@
 	c.Factor = max(c.Factor, 1)
 	small := c.TotalBytes / smallDivisor
 	return &Reader{
-		c:        c,
-		small:    bufferlimiter.New(bufferlimiter.Config{Name: "small_body", TotalBytes: max(small, SmallBytes), Metrics: c.Metrics}),
-		large:    bufferlimiter.New(bufferlimiter.Config{Name: "large_body", TotalBytes: max(c.TotalBytes-small, SmallBytes), Metrics: c.Metrics}),
+		c: c,
+		small: bufferlimiter.New(bufferlimiter.Config{
+			TotalBytes: max(small, SmallBytes), Gauge: "small_body_bytes_reserved", Counter: "small_bodies_waited_for_memory", Metrics: c.Metrics,
+		}),
+		large: bufferlimiter.New(bufferlimiter.Config{
+			TotalBytes: max(c.TotalBytes-small, SmallBytes), Gauge: "large_body_bytes_reserved", Counter: "large_bodies_waited_for_memory", Metrics: c.Metrics,
+		}),
 		discards: semaphore.NewWeighted(maxDiscards), tinyReads: rate.NewLimiter(readsPerSecond, readBurst),
 		refused: c.Metrics.Counter("bodies_refused_for_memory"), stalled: c.Metrics.Counter("bodies_ended_for_memory"),
 		arriving: make(map[*arrival]struct{}),
--- a/internal/serve/bufferlimiter/bufferlimiter.go
+++ b/internal/serve/bufferlimiter/bufferlimiter.go
@@ -7,7 +7,7 @@
 //
 // # Usage
 //
-//	l := bufferlimiter.New(bufferlimiter.Config{Name: "body", TotalBytes: 32 << 20, Metrics: scope})
+//	l := bufferlimiter.New(bufferlimiter.Config{TotalBytes: 32 << 20, Gauge: "body_bytes", Counter: "bodies_waited", Metrics: scope})
 //	release, ok := l.TryReserve(length)
 //	if !ok { refuse }
 //	defer release()
@@ -29,11 +29,10 @@
 
 // Config sets the bound.
 type Config struct {
-	// Name is the kind of thing in the names of metrics: the gauge NAME_bytes_reserved and the counter
-	// NAMEs_waited_for_memory.
-	Name string
 	// TotalBytes bounds the reservations together.
 	TotalBytes int64
+	// Gauge and Counter are the names of two metrics: the bytes that are reserved, and the things that had to wait.
+	Gauge, Counter string
 	// Metrics may be nil for none.
 	Metrics tally.Scope
 }
@@ -54,7 +53,7 @@
 	}
 	return &Limiter{
 		totalBytes: c.TotalBytes, reserved: semaphore.NewWeighted(c.TotalBytes),
-		gauge: c.Metrics.Gauge(c.Name + "_bytes_reserved"), waits: c.Metrics.Counter(c.Name + "s_waited_for_memory"),
+		gauge: c.Metrics.Gauge(c.Gauge), waits: c.Metrics.Counter(c.Counter),
 	}
 }
 
--- a/internal/serve/headlimiter/headlimiter.go
+++ b/internal/serve/headlimiter/headlimiter.go
@@ -49,7 +49,10 @@
 		c.Metrics = tally.NoopScope
 	}
 	return &Limiter{
-		c: c, heads: bufferlimiter.New(bufferlimiter.Config{Name: "head", TotalBytes: c.TotalBytes, Metrics: c.Metrics}),
+		c: c,
+		heads: bufferlimiter.New(bufferlimiter.Config{
+			TotalBytes: c.TotalBytes, Gauge: "head_bytes_reserved", Counter: "heads_waited_for_memory", Metrics: c.Metrics,
+		}),
 		refused: c.Metrics.Counter("heads_refused_for_memory"),
 	}
 }
--- a/internal/serve/parser/fuzz_test.go
+++ b/internal/serve/parser/fuzz_test.go
@@ -41,7 +41,7 @@
 		if err != nil {
 			return
 		}
-		decoding := bufferlimiter.New(bufferlimiter.Config{Name: "decoded", TotalBytes: decodedFactor * maxBody})
+		decoding := bufferlimiter.New(bufferlimiter.Config{TotalBytes: decodedFactor * maxBody})
 		p := New(Config{MaxBody: maxBody, Decoding: decoding, Bodies: bodyreader.New(bodyreader.Config{TotalBytes: 1 << 20, Timeout: time.Minute})})
 		c, problem := p.Parse(httptest.NewRecorder(), r, plan, 1)
 		c.Release()
