placer: a stopping daemon starts nothing that is predicted to outlast it

Callers saw: a request read in the second in which its daemon stops coordinating an engine was sent to that engine, which was full, and got 502 "may have run" at the end of the process in place of 503 at once.

Only a complete coordinator refuses what comes too late, so the request was started.

Change: an incomplete quote to start is refused at a stopping daemon if its own figure is beyond the time left and nothing was sent yet. Other daemons are there; a daemon that does not stop decides as before.

--- a/internal/serve/placer/schedule.go
+++ b/internal/serve/placer/schedule.go
@@ -347,6 +347,10 @@
 		return a.take(false)
 	}
 	a.schedule.Decision = a.quote.Decision.String()
+	// A coordinator that has not heard of what all daemons have started refuses nothing.
+	if !a.quote.Complete && a.quote.Decision == scheduler.Start && a.outlastsDaemon() && len(a.query.Select.Tried) == 0 {
+		return a.refuse(fmt.Sprintf("its first event is predicted in %d ms", a.quote.FirstEventIn.Milliseconds())), true
+	}
 	// A quote holds no place. Several daemons may have one for the same place, and endpoints that crash under
 	// rejections would reject all requests but one.
 	if a.quote.Decision == scheduler.Start && !a.brittle || a.quote.Decision == scheduler.Refuse && a.mustStart() {
