injector: the test of closed proxies uses an address of its own

The test was wrong, not the proxy: it listens on 127.0.0.1, where other tests and programs listen, too, and one of them may get the port between the close and the dial.

--- a/internal/fault/injector/injector_test.go
+++ b/internal/fault/injector/injector_test.go
@@ -9,6 +9,9 @@
 	"testing"
 )
 
+// ownIP is an address at which no other test listens: one that does may get the port of a proxy that was closed.
+const ownIP = "127.98.0.1"
+
 // closings is the number of proxies that are closed while processes are started.
 const closings = 2000
 
@@ -36,7 +39,7 @@
 	defer close(done)
 	taken := 0
 	for range closings {
-		p, err := New(Config{Listen: "127.0.0.1:0", Target: "127.0.0.1:1"})
+		p, err := New(Config{Listen: ownIP + ":0", Target: "127.0.0.1:1"})
 		if err != nil {
 			t.Fatal(err)
 		}
