sender: the test of messages reads what is written

message.String was used by tests alone, and could say something else than what goes out. It is gone; the tests look at the bytes that WriteTo writes, with the same assertions.

--- a/internal/engine/sender/fuzz_test.go
+++ b/internal/engine/sender/fuzz_test.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"testing"
-	"time"
 )
 
 // scriptedConn is a connection to an endpoint that sends some bytes, so many at a time, and then closes.
@@ -65,6 +64,3 @@
 		}
 	})
 }
-
-// SetDeadline does nothing.
-func (c *scriptedConn) SetDeadline(time.Time) error { return nil }
--- a/internal/engine/sender/message.go
+++ b/internal/engine/sender/message.go
@@ -34,9 +34,6 @@
 	return n + int64(more), err
 }
 
-// String returns the bytes of the message that have not been written.
-func (m *message) String() string { return m.head.String() + string(m.body) }
-
 // encode returns the bytes of a request.
 func encode(req *Request) (*message, error) {
 	for _, part := range []string{req.Method, req.Target, req.Host} {
--- a/internal/engine/sender/message_test.go
+++ b/internal/engine/sender/message_test.go
@@ -28,13 +28,13 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if line, _, _ := strings.Cut(message.String(), "\r\n"); line != req.Method+" "+req.Target+" HTTP/1.1" {
-			t.Fatalf("request line %q", line)
-		}
 		var wire bytes.Buffer
 		if n, err := message.WriteTo(&wire); err != nil || n != int64(wire.Len()) {
 			t.Fatalf("%d of %d bytes, %v", n, wire.Len(), err)
 		}
+		if line, _, _ := strings.Cut(wire.String(), "\r\n"); line != req.Method+" "+req.Target+" HTTP/1.1" {
+			t.Fatalf("request line %q", line)
+		}
 		got, err := http.ReadRequest(bufio.NewReader(&wire))
 		if err != nil {
 			t.Fatal(err)
@@ -61,11 +61,24 @@
 		{Method: "GET", Target: "", Host: "h"},
 	} {
 		if message, err := encode(req); err == nil {
-			t.Errorf("%q", message)
+			t.Errorf("%q", wireText(t, message))
 		}
 	}
 	message, err := encode(&Request{Method: "GET", Target: "/a", Host: "h", Header: http.Header{"Name": {"a\r\nX: y"}, "Na\r\nme": {"b"}}})
-	if err != nil || strings.Count(message.String(), "\r\n") != 4 {
-		t.Errorf("%q, %v", message, err)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if text := wireText(t, message); strings.Count(text, "\r\n") != 4 {
+		t.Errorf("%q", text)
+	}
+}
+
+// wireText returns the bytes of a message.
+func wireText(t *testing.T, m *message) string {
+	t.Helper()
+	var wire bytes.Buffer
+	if _, err := m.WriteTo(&wire); err != nil {
+		t.Fatal(err)
 	}
+	return wire.String()
 }
