server: a limiter of connections is wired in one place

A gateway and an entry daemon each wrapped the listener of their clients and set the hook for its connections, behind a test for the listener's address or name. The server takes a limiter now, and the tables of listeners say which one has it. Behaviour is unchanged; four tests of crowds, at both roles, pass.

--- a/internal/ops/connectionlimiter/connection.go
+++ b/internal/ops/connectionlimiter/connection.go
@@ -50,7 +50,7 @@
 	if c.serving.Load() {
 		return c.Conn.Read(p)
 	}
-	if c.headBytes.Load() >= ShortHeadBytes && !c.long.Load() {
+	if c.headBytes.Load() >= shortHeadBytes && !c.long.Load() {
 		if err := c.awaitRoom(); err != nil {
 			return 0, err
 		}
--- a/internal/ops/connectionlimiter/connectionlimiter.go
+++ b/internal/ops/connectionlimiter/connectionlimiter.go
@@ -8,15 +8,14 @@
 //     time, any other without a whole head, or one whose request's body has stalled, in this order. If there is
 //     none, the new one is closed unread, after which a client may turn to another daemon.
 //   - the long heads that are read at the same time, as a parsed head takes many times its length. Heads of up to
-//     [ShortHeadBytes] are always read on; others wait until there is room, or until their time is up.
+//     [shortHeadBytes] are always read on; others wait until there is room, or until their time is up.
 //   - the bytes that the kernel holds for a connection before they are read, and before the client has taken them.
 //     The more connections are open, the fewer a new one gets.
 //
 // # Usage
 //
 //	l := connectionlimiter.New(connectionlimiter.Config{Connections: 1000, LongHeads: 16, BufferBytes: 8 << 20})
-//	s := http.Server{ConnState: l.Observe}
-//	err := s.Serve(l.Listen(listener))
+//	s := server.New(server.Config{Listener: listener, Limiter: l, ...})
 package connectionlimiter
 
 import (
@@ -30,8 +29,8 @@
 	"golang.org/x/sync/semaphore"
 )
 
-// ShortHeadBytes is the length up to which heads are read without a bound on their number.
-const ShortHeadBytes = 4 << 10
+// shortHeadBytes is the length up to which heads are read without a bound on their number.
+const shortHeadBytes = 4 << 10
 
 const (
 	// headGrace is how long a client may take from connecting to the end of its head before others go first.
@@ -49,7 +48,7 @@
 type Config struct {
 	// Connections is the number of connections that may be open; while stalled requests end, an eighth more.
 	Connections int
-	// LongHeads is the number of heads over ShortHeadBytes that may be read at the same time.
+	// LongHeads is the number of heads over shortHeadBytes that may be read at the same time.
 	LongHeads int
 	// BufferBytes is what the kernel may hold unread for all connections together, and unsent, by and large.
 	BufferBytes int64
--- a/internal/ops/connectionlimiter/connectionlimiter_test.go
+++ b/internal/ops/connectionlimiter/connectionlimiter_test.go
@@ -163,7 +163,7 @@
 func TestLongHeadsWait(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		l := New(Config{Connections: 3, LongHeads: 1})
-		long := make([]byte, ShortHeadBytes)
+		long := make([]byte, shortHeadBytes)
 		read := func(c *connection, n int) (took time.Duration, err error) {
 			begun := time.Now()
 			_, err = c.Read(long[:n])
--- a/internal/ops/server/server.go
+++ b/internal/ops/server/server.go
@@ -26,6 +26,14 @@
 // shutdownTimeout is how long Serve waits for active connections when its context ends.
 const shutdownTimeout = 2 * time.Second
 
+// ConnectionLimiter bounds the connections of a server.
+type ConnectionLimiter interface {
+	// Listen returns a listener whose connections are bounded.
+	Listen(inner net.Listener) net.Listener
+	// Observe is called when one of them changes its state.
+	Observe(c net.Conn, s http.ConnState)
+}
+
 // Config holds the listener, the handler and the limits of a server.
 type Config struct {
 	// Name identifies the server in errors and supervisor events.
@@ -37,8 +45,8 @@
 	HeaderBytes   int
 	// IdleTimeout limits the pause between two requests on a connection.
 	IdleTimeout time.Duration
-	// OnConnState is called when a connection changes its state; nil for none.
-	OnConnState func(net.Conn, http.ConnState)
+	// Limiter bounds the connections; nil for no bound.
+	Limiter ConnectionLimiter
 	// ReadTimeout limits the time until a whole request has been read; 0 for none, where the handler sets it.
 	ReadTimeout time.Duration
 }
@@ -54,10 +62,14 @@
 
 // New returns a server that isn't running yet.
 func New(c Config) *Server {
-	return &Server{name: c.Name, listener: c.Listener, http: http.Server{
+	s := &Server{name: c.Name, listener: c.Listener, http: http.Server{
 		Handler: c.Handler, ReadHeaderTimeout: c.HeaderTimeout, MaxHeaderBytes: c.HeaderBytes,
-		ReadTimeout: c.ReadTimeout, IdleTimeout: c.IdleTimeout, ConnState: c.OnConnState, ErrorLog: stdlog.New(io.Discard, "", 0),
+		ReadTimeout: c.ReadTimeout, IdleTimeout: c.IdleTimeout, ErrorLog: stdlog.New(io.Discard, "", 0),
 	}}
+	if c.Limiter != nil {
+		s.listener, s.http.ConnState = c.Limiter.Listen(c.Listener), c.Limiter.Observe
+	}
+	return s
 }
 
 // Serve accepts connections until ctx ends; then it closes idle connections and waits up to two
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -270,10 +270,11 @@
 		name    string
 		address settings.Address
 		handler http.Handler
+		limiter server.ConnectionLimiter
 	}{
-		{"callers", s.Callers, heads.Handler(e.handler)},
-		{"operators", s.Operators, messages.Handler(e.operatorHandler())},
-		{"peers", s.Peers, messages.Handler(peers)},
+		{"callers", s.Callers, heads.Handler(e.handler), e.connections},
+		{"operators", s.Operators, messages.Handler(e.operatorHandler()), nil},
+		{"peers", s.Peers, messages.Handler(peers), nil},
 	} {
 		listener, err := net.Listen("tcp", l.address.String())
 		if err != nil {
@@ -282,14 +283,10 @@
 		if l.name == "peers" {
 			listener = e.meter.Listen(listener)
 		}
-		config := server.Config{
+		e.tree.Add(server.New(server.Config{
 			Name: l.name, Listener: listener, Handler: l.handler, HeaderTimeout: s.Limits.HeaderTimeout.Std(),
-			HeaderBytes: s.Limits.HeaderBytes, IdleTimeout: s.Limits.IdleTimeout.Std(),
-		}
-		if l.name == "callers" {
-			config.Listener, config.OnConnState = e.connections.Listen(listener), e.connections.Observe
-		}
-		e.tree.Add(server.New(config))
+			HeaderBytes: s.Limits.HeaderBytes, IdleTimeout: s.Limits.IdleTimeout.Std(), Limiter: l.limiter,
+		}))
 	}
 	return nil
 }
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -316,7 +316,8 @@
 	if c.Uptime == nil {
 		c.Uptime = bootclock.Now
 	}
-	g := &Gateway{c: c, started: time.Now(), shares: hostdivider.New(hostdivider.Config{MemoryBytes: c.Deployment.MemoryBytes, Descriptors: c.Deployment.Descriptors}), unreadableLogs: rate.NewLimiter(maxUnreadableLogsPerSecond, maxUnreadableLogsPerSecond)}
+	g := &Gateway{c: c, started: time.Now(), unreadableLogs: rate.NewLimiter(maxUnreadableLogsPerSecond, maxUnreadableLogsPerSecond)}
+	g.shares = hostdivider.New(hostdivider.Config{MemoryBytes: c.Deployment.MemoryBytes, Descriptors: c.Deployment.Descriptors})
 	g.reporter = prometheus.NewReporter(prometheus.Options{Registerer: newMetricsRegistry()})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "brasschute", CachedReporter: g.reporter, Separator: prometheus.DefaultSeparator,
@@ -492,12 +493,13 @@
 		handler     http.Handler
 		headerBytes int
 		readTimeout time.Duration
+		limiter     server.ConnectionLimiter
 		server      **server.Server
 	}{
-		{"callers", d.Callers, g.heads.Handler(g.receiver), maxHeaderBytes, 0, &g.callers},
-		{"readiness", d.Readiness, http.HandlerFunc(g.serveReadiness), maxHeaderBytes, bodyTimeout, nil},
-		{"peers", d.Peers, g.peerHandler, maxPeerHeaderBytes, 0, nil},
-		{"metrics", d.Metrics, g.metricsHandler(), maxHeaderBytes, bodyTimeout, nil},
+		{"callers", d.Callers, g.heads.Handler(g.receiver), maxHeaderBytes, 0, g.connections, &g.callers},
+		{"readiness", d.Readiness, http.HandlerFunc(g.serveReadiness), maxHeaderBytes, bodyTimeout, nil, nil},
+		{"peers", d.Peers, g.peerHandler, maxPeerHeaderBytes, 0, nil, nil},
+		{"metrics", d.Metrics, g.metricsHandler(), maxHeaderBytes, bodyTimeout, nil, nil},
 	} {
 		if !l.address.IsValid() {
 			continue
@@ -509,14 +511,10 @@
 		if l.address == d.Peers {
 			listener = g.peerBytes.Listen(listener)
 		}
-		config := server.Config{
+		s := server.New(server.Config{
 			Name: l.name, Listener: listener, Handler: l.handler, HeaderTimeout: headerTimeout,
-			HeaderBytes: l.headerBytes, IdleTimeout: idleTimeout, ReadTimeout: l.readTimeout,
-		}
-		if l.address == d.Callers {
-			config.Listener, config.OnConnState = g.connections.Listen(listener), g.connections.Observe
-		}
-		s := server.New(config)
+			HeaderBytes: l.headerBytes, IdleTimeout: idleTimeout, ReadTimeout: l.readTimeout, Limiter: l.limiter,
+		})
 		g.tree.Add(s)
 		if l.server != nil {
 			*l.server = s
