bodyreader: reads of a refused request end in one place

The same line stood three times, with its reason at one of them. smallBytes is used in its package alone.

--- a/internal/serve/bodyreader/bodyreader.go
+++ b/internal/serve/bodyreader/bodyreader.go
@@ -2,7 +2,7 @@
 //
 // A client may send many large bodies at once, stop before their end, and keep its connections open. The bodies that
 // a daemon holds are therefore bounded together, by two shares of its memory (package bufferlimiter): one for bodies
-// of up to [SmallBytes], one for larger ones, so that small requests go on beside large ones. A body's room is
+// of up to [smallBytes], one for larger ones, so that small requests go on beside large ones. A body's room is
 // reserved before it is read: its stated length, or a step that doubles if none is stated. It is held until the
 // request ends.
 //
@@ -43,8 +43,8 @@
 	"golang.org/x/time/rate"
 )
 
-// SmallBytes is the length up to which bodies have a share of their own.
-const SmallBytes = 64 << 10
+// smallBytes is the length up to which bodies have a share of their own.
+const smallBytes = 64 << 10
 
 const (
 	// smallDivisor is the part of the memory for bodies that is kept for small ones.
@@ -104,10 +104,10 @@
 	return &Reader{
 		c: c,
 		small: bufferlimiter.New(bufferlimiter.Config{
-			TotalBytes: max(small, SmallBytes), Gauge: "small_body_bytes_reserved", Counter: "small_bodies_waited_for_memory", Metrics: c.Metrics,
+			TotalBytes: max(small, smallBytes), Gauge: "small_body_bytes_reserved", Counter: "small_bodies_waited_for_memory", Metrics: c.Metrics,
 		}),
 		large: bufferlimiter.New(bufferlimiter.Config{
-			TotalBytes: max(c.TotalBytes-small, SmallBytes), Gauge: "large_body_bytes_reserved", Counter: "large_bodies_waited_for_memory", Metrics: c.Metrics,
+			TotalBytes: max(c.TotalBytes-small, smallBytes), Gauge: "large_body_bytes_reserved", Counter: "large_bodies_waited_for_memory", Metrics: c.Metrics,
 		}),
 		discards: semaphore.NewWeighted(maxDiscards), tinyReads: rate.NewLimiter(readsPerSecond, readBurst),
 		refused: c.Metrics.Counter("bodies_refused_for_memory"), stalled: c.Metrics.Counter("bodies_ended_for_memory"),
@@ -149,7 +149,7 @@
 // the room is.
 func (r *Reader) reserve(bytes int64) (share *bufferlimiter.Limiter, release func(), err error) {
 	shares := []*bufferlimiter.Limiter{r.large}
-	if bytes <= SmallBytes {
+	if bytes <= smallBytes {
 		shares = []*bufferlimiter.Limiter{r.small, r.large}
 	}
 	bytes *= r.c.Factor
--- a/internal/serve/bodyreader/bodyreader_test.go
+++ b/internal/serve/bodyreader/bodyreader_test.go
@@ -126,7 +126,7 @@
 
 func drawClient(rt *rapid.T) *client {
 	c := &client{
-		length: rapid.SampledFrom([]int{1, 100, firstBytes, firstBytes + 1, SmallBytes, SmallBytes + 1, maxBytes / 2, maxBytes - 1, maxBytes, maxBytes + 1, 3 * maxBytes}).Draw(rt, "length"),
+		length: rapid.SampledFrom([]int{1, 100, firstBytes, firstBytes + 1, smallBytes, smallBytes + 1, maxBytes / 2, maxBytes - 1, maxBytes, maxBytes + 1, 3 * maxBytes}).Draw(rt, "length"),
 		piece:  rapid.SampledFrom([]int{1 << 10, 1 << 14, 1 << 20}).Draw(rt, "piece"),
 		pause:  time.Duration(rapid.SampledFrom([]int{0, 1, 20, 400}).Draw(rt, "pause")) * time.Millisecond,
 		stated: rapid.Bool().Draw(rt, "stated"), changed: make(chan struct{}), ResponseWriter: httptest.NewRecorder(),
@@ -244,7 +244,7 @@
 // Guards against bodies in tiny chunks that take the processor from everything else.
 func TestTinyReadsAreRateLimited(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		const clients, length = 40, 2 * SmallBytes
+		const clients, length = 40, 2 * smallBytes
 		r := New(Config{TotalBytes: 1 << 30, Timeout: timeout})
 		var reads atomic.Int64
 		var group sync.WaitGroup
@@ -300,8 +300,8 @@
 		t.Fatal(err)
 	}
 	defer release()
-	for range r.small.TotalBytes() / SmallBytes {
-		c := newClient(SmallBytes, SmallBytes+1)
+	for range r.small.TotalBytes() / smallBytes {
+		c := newClient(smallBytes, smallBytes+1)
 		_, release, err := r.Read(c, c.request(), maxBytes)
 		if err != nil {
 			t.Fatal(err)
--- a/internal/serve/bodyreader/refuse.go
+++ b/internal/serve/bodyreader/refuse.go
@@ -24,8 +24,7 @@
 	}
 	writeUnread(w, control, write)
 	r.discard(control, req)
-	// The server would wait for the rest of the body.
-	_ = control.SetReadDeadline(time.Now())
+	endReads(control)
 }
 
 // Discard discards the body of a request that needs none. If it is large or does not come, the connection is closed
@@ -36,16 +35,19 @@
 		return
 	}
 	w.Header().Set("Connection", "close")
-	_ = control.SetReadDeadline(time.Now())
+	endReads(control)
 }
 
 // RefuseAtOnce refuses a request that must not be held any longer, not even until its client has sent its body.
 func (r *Reader) RefuseAtOnce(w http.ResponseWriter, write func()) {
 	control := http.NewResponseController(w)
 	writeUnread(w, control, write)
-	_ = control.SetReadDeadline(time.Now())
+	endReads(control)
 }
 
+// endReads ends reads of the connection: the server would wait for the rest of the body.
+func endReads(control *http.ResponseController) { _ = control.SetReadDeadline(time.Now()) }
+
 // writeUnread writes an answer to a request that has not been read to its end.
 func writeUnread(w http.ResponseWriter, control *http.ResponseController, write func()) {
 	w.Header().Set("Connection", "close")
@@ -60,7 +62,7 @@
 	if req.Body == nil || req.Body == http.NoBody {
 		return true
 	}
-	if req.ContentLength < 0 || req.ContentLength > SmallBytes || req.Header.Get("Expect") != "" {
+	if req.ContentLength < 0 || req.ContentLength > smallBytes || req.Header.Get("Expect") != "" {
 		return false
 	}
 	_ = control.SetReadDeadline(time.Now().Add(discardTimeout))
