bodyreader: the pace of a body is judged when it last made progress

The package says that who goes on sending is never cut off for another one.

Cause: a body's pace was judged at the moment at which another one needs room. One that comes in bursts is behind a straight line before each burst, by more than the slack of 64 KB if its pieces are larger. Change: the pace is judged at the last bytes; a body that has sent nothing since is found by its silence, a second later at most.

--- a/internal/serve/bodyreader/arrival.go
+++ b/internal/serve/bodyreader/arrival.go
@@ -56,15 +56,16 @@
 	stalled bool
 }
 
-// hasStalled reports whether the body has stalled.
+// hasStalled reports whether the body has stalled. Its pace is judged at its last bytes, as a body may come in bursts.
 func (a *arrival) hasStalled(now time.Time, timeout time.Duration) bool {
-	if now.Sub(time.Unix(0, a.progressAt.Load())) >= silenceTimeout {
+	progressAt := time.Unix(0, a.progressAt.Load())
+	if now.Sub(progressAt) >= silenceTimeout {
 		return true
 	}
 	if a.stated < 0 {
 		return false
 	}
-	due := float64(a.stated) * float64(now.Sub(a.begun)) / float64(timeout)
+	due := float64(a.stated) * float64(progressAt.Sub(a.begun)) / float64(timeout)
 	return float64(a.received.Load()+paceSlack) < due
 }
 
--- a/internal/serve/bodyreader/bodyreader_test.go
+++ b/internal/serve/bodyreader/bodyreader_test.go
@@ -292,6 +292,39 @@
 
 func (c pieces) Read(p []byte) (int, error) { return c.client.Read(p[:min(len(p), 700)]) }
 
+// Guards against a body that comes in bursts, and is cut off for another one between two of them.
+func TestBurstsAreNoStall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const pause = 400 * time.Millisecond
+		r := New(Config{TotalBytes: totalBytes, Timeout: timeout})
+		taken, err := r.large.Reserve(t.Context(), r.large.TotalBytes()-maxBytes)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer taken()
+		var group sync.WaitGroup
+		group.Go(func() {
+			c := newClient(maxBytes, maxBytes+1)
+			c.piece, c.pause = maxBytes/4, pause
+			_, release, err := r.Read(c, c.request(), maxBytes)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			release()
+		})
+		for range 4 {
+			time.Sleep(pause - time.Millisecond)
+			c := newClient(maxBytes, maxBytes+1)
+			if _, _, err := r.Read(c, c.request(), maxBytes); !errors.Is(err, ErrNoRoom) {
+				t.Errorf("beside a body that comes in bursts: %v", err)
+			}
+			time.Sleep(time.Millisecond)
+		}
+		group.Wait()
+	})
+}
+
 // Guards against small bodies that are kept out by large ones.
 func TestSmallBodiesHaveTheirShare(t *testing.T) {
 	r := New(Config{TotalBytes: totalBytes, Timeout: timeout})
