bodyreader, connectionlimiter: times of clients are measured by the steady clock

Found by reading: when a body last made progress, and until when a head may be read, were kept as Unix times. Both are kept as durations from a time that has a monotonic reading.

--- a/internal/ops/connectionlimiter/connection.go
+++ b/internal/ops/connectionlimiter/connection.go
@@ -26,7 +26,7 @@
 	headBytes atomic.Int64
 	// long is set while the connection counts as one with a long head.
 	long atomic.Bool
-	// deadline is that of reads, in Unix nanoseconds; 0 for none.
+	// deadline is that of reads, as nanoseconds from since: the time of day may jump. 0 for none.
 	deadline atomic.Int64
 }
 
@@ -63,9 +63,9 @@
 // awaitRoom waits until the connection may have a long head.
 func (c *connection) awaitRoom() error {
 	ctx := context.Background()
-	if at := c.deadline.Load(); at != 0 {
+	if after := c.deadline.Load(); after != 0 {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(ctx, time.Unix(0, at))
+		ctx, cancel = context.WithDeadline(ctx, c.since.Add(time.Duration(after)))
 		defer cancel()
 	}
 	if err := c.l.longHeads.Acquire(ctx, 1); err != nil {
@@ -92,7 +92,7 @@
 		c.deadline.Store(0)
 		return
 	}
-	c.deadline.Store(at.UnixNano())
+	c.deadline.Store(int64(at.Sub(c.since)))
 }
 
 // CloseWrite ends what is sent to the client.
--- a/internal/serve/bodyreader/arrival.go
+++ b/internal/serve/bodyreader/arrival.go
@@ -49,23 +49,26 @@
 	share atomic.Pointer[bufferlimiter.Limiter]
 	// tinyReads counts the reads that brought little.
 	tinyReads int
-	// received and held are bytes, progressAt is when the last ones came, in Unix nanoseconds.
+	// received and held are bytes, progressAfter is the time from begun to the last bytes in nanoseconds: the time of day
+	// may jump.
 	received, held atomic.Int64
-	progressAt     atomic.Int64
+	progressAfter  atomic.Int64
 	// stalled is set under the reader's lock once the body has been ended.
 	stalled bool
 }
 
+// progressAt returns when the last bytes came.
+func (a *arrival) progressAt() time.Time { return a.begun.Add(time.Duration(a.progressAfter.Load())) }
+
 // hasStalled reports whether the body has stalled. Its pace is judged at its last bytes, as a body may come in bursts.
 func (a *arrival) hasStalled(now time.Time, timeout time.Duration) bool {
-	progressAt := time.Unix(0, a.progressAt.Load())
-	if now.Sub(progressAt) >= silenceTimeout {
+	if now.Sub(a.progressAt()) >= silenceTimeout {
 		return true
 	}
 	if a.stated < 0 {
 		return false
 	}
-	due := float64(a.stated) * float64(progressAt.Sub(a.begun)) / float64(timeout)
+	due := float64(a.stated) * float64(a.progressAfter.Load()) / float64(timeout)
 	return float64(a.received.Load()+paceSlack) < due
 }
 
@@ -120,7 +123,7 @@
 	a.buffer = buffer
 	if n > 0 {
 		a.received.Add(int64(n))
-		a.progressAt.Store(time.Now().UnixNano())
+		a.progressAfter.Store(int64(time.Since(a.begun)))
 	}
 }
 
--- a/internal/serve/bodyreader/bodyreader.go
+++ b/internal/serve/bodyreader/bodyreader.go
@@ -126,7 +126,6 @@
 	}
 	control := http.NewResponseController(w)
 	a := &arrival{r: r, body: req.Body, begun: time.Now(), stated: req.ContentLength, maxBytes: maxBytes, control: control}
-	a.progressAt.Store(a.begun.UnixNano())
 	// Deadlines are not supported by the writers of tests.
 	_ = control.SetReadDeadline(a.begun.Add(r.c.Timeout))
 	r.add(a)
@@ -212,7 +211,7 @@
 			found = append(found, a)
 		}
 	}
-	slices.SortFunc(found, func(a, b *arrival) int { return int(a.progressAt.Load() - b.progressAt.Load()) })
+	slices.SortFunc(found, func(a, b *arrival) int { return a.progressAt().Compare(b.progressAt()) })
 	ended := int64(0)
 	for i, a := range found {
 		if i > 0 && ended >= bytes {
