usagereporter: lines tell which windows are left out, and where the counts of a window come from

The record of the incident could not tell its hypotheses apart: 'the store lost settled usage windows' named no window, and 'usage reported' did not say whether the counts were summed now or found in the record. Now each settling and each finding has a line with window, fencing number, revision and era, and a loss names the last window left out, the record's era and the store's. No change of logic; package tests pass.

--- a/internal/fleet/usagereporter/usagereporter.go
+++ b/internal/fleet/usagereporter/usagereporter.go
@@ -203,6 +203,7 @@
 		}
 	}
 	if w := r.record.find(number); w != nil {
+		r.c.Logger.Info("usage window found settled", "window", number, "fencing", r.fencing, "revision", object.LogValue(r.version), "record_era", r.record.Era)
 		return w, nil
 	}
 	next := append(slices.Clone(r.record.Windows), window{number, r.sum(number, r.c.DaemonCounts())})
@@ -212,17 +213,19 @@
 	if err := r.write(ctx, next); err != nil {
 		return nil, fmt.Errorf("settle: %w", err)
 	}
+	r.c.Logger.Info("usage window settled", "window", number, "fencing", r.fencing, "revision", object.LogValue(r.version), "era", r.c.Era())
 	return r.record.find(number), nil
 }
 
-// skipEnded marks the windows that have ended as sent, after the stored record was found corrupt or
+// skipEnded marks the windows that have ended as sent, and returns the last one, after the stored record was found corrupt or
 // lost. Their settled counts are lost and may have been reported, and a second report with other counts
 // is worse than none. Without skipping them no later window would ever be reported.
-func (r *Reporter) skipEnded() {
+func (r *Reporter) skipEnded() (last int64) {
 	newest := r.c.Now().UnixNano() / int64(r.c.Window)
 	for number := newest - int64(r.maxOpen()); number < newest; number++ {
 		r.sent[number] = true
 	}
+	return newest - 1
 }
 
 // maxOpen is how many windows before the current one may still be open.
@@ -292,8 +295,9 @@
 	var stored record
 	if !missing {
 		if err := json.Unmarshal(o.Value, &stored); err != nil {
-			r.c.Logger.Error("settled usage windows are corrupt; windows that have ended will not be reported", "revision", object.LogValue(o.Version), "error", err)
-			r.skipEnded()
+			last := r.skipEnded()
+			r.c.Logger.Error("settled usage windows are corrupt; windows that have ended will not be reported",
+				"last_window", last, "fencing", r.fencing, "revision", object.LogValue(o.Version), "error", err)
 			stored = record{Era: r.c.Era()}
 		}
 	}
@@ -312,8 +316,9 @@
 // settled since. If another holder may have settled some, those that have ended are not reported.
 func (r *Reporter) recoverSettled(stored *record, version uint64) {
 	if r.recordFencing != r.fencing {
-		r.c.Logger.Warn("the store lost settled usage windows; windows that have ended will not be reported", "revision", object.LogValue(version))
-		r.skipEnded()
+		last := r.skipEnded()
+		r.c.Logger.Warn("the store lost settled usage windows; windows that have ended will not be reported",
+			"last_window", last, "fencing", r.fencing, "revision", object.LogValue(version), "record_era", stored.Era, "era", r.c.Era())
 		return
 	}
 	added := 0
