tests: a usage window that is reported twice after the store was restored (failing)

What users saw: two hosts reported one window with different counts, around a store that came back from an older copy while the first host fell silent.

- a process of the first start takes the lost record for one that was never written;

--- a/internal/fleet/usagereporter/usagereporter_test.go
+++ b/internal/fleet/usagereporter/usagereporter_test.go
@@ -86,7 +86,9 @@
 // restore sets the store back to a copy, in the next era.
 func (p *fakePlatform) restore(copied object.Object) {
 	p.era++
-	copied.Version = object.Join(p.era, object.Revision(copied.Version))
+	if copied.Version != object.Absent {
+		copied.Version = object.Join(p.era, object.Revision(copied.Version))
+	}
 	p.o = copied
 }
 
@@ -278,3 +280,74 @@
 		}
 	}
 }
+
+// Guards against a second report of the oldest window that is due: a successor that finds the store restored
+// to before that window was settled reports it with its own counts.
+func TestOldestWindowIsNotReportedAgainAfterRestore(t *testing.T) {
+	p := newFakePlatform()
+	p.era = 1
+	first := p.window()
+	count := 3
+	counted := func() []DaemonCounts { return []DaemonCounts{daemonCounts(1, first, count)} }
+	holder := p.newReporter(counted)
+	holder.Step(t.Context(), 1)
+	copied := p.o
+	p.now = p.now.Add(windowLength + 2500*time.Millisecond)
+	holder.Step(t.Context(), 1)
+	if p.reports[first] == "" {
+		t.Fatal("the window was not reported")
+	}
+	p.restore(copied)
+	count++
+	p.now = p.now.Add(4 * time.Second)
+	p.newReporter(counted).Step(t.Context(), 2)
+	if p.differed {
+		t.Error("the window was reported twice with different counts")
+	}
+}
+
+// Guards against the same by the holder after that successor, to which the record shows no loss.
+func TestLaterHolderKnowsOfLostWindows(t *testing.T) {
+	p := newFakePlatform()
+	p.era = 1
+	first := p.window()
+	count := 3
+	counted := func() []DaemonCounts { return []DaemonCounts{daemonCounts(1, first, count)} }
+	holder := p.newReporter(counted)
+	holder.Step(t.Context(), 1)
+	copied := p.o
+	p.now = p.now.Add(windowLength + 2500*time.Millisecond)
+	holder.Step(t.Context(), 1)
+	p.restore(copied)
+	// The successor has nothing to report yet that was not sent, and only saves the open windows.
+	successor := p.newReporter(counted)
+	successor.save(t.Context())
+	count++
+	p.now = p.now.Add(500 * time.Millisecond)
+	p.newReporter(counted).Step(t.Context(), 3)
+	if p.differed {
+		t.Error("the window was reported twice with different counts")
+	}
+}
+
+// Guards against the same by a process of the first start, which takes the record that the store lost for one that
+// was never written.
+func TestLostRecordIsNoFirstStart(t *testing.T) {
+	p := newFakePlatform()
+	p.era = 1
+	first := p.window()
+	count := 3
+	counted := func() []DaemonCounts { return []DaemonCounts{daemonCounts(1, first, count)} }
+	copied := p.o
+	p.now = p.now.Add(windowLength + 2500*time.Millisecond)
+	p.newReporter(counted).Step(t.Context(), 1)
+	if p.reports[first] == "" {
+		t.Fatal("the window was not reported")
+	}
+	p.restore(copied)
+	count++
+	p.newReporter(counted).Step(t.Context(), 2)
+	if p.differed {
+		t.Error("the window was reported twice with different counts")
+	}
+}
