usagereporter: the record itself says which windows must not be settled any more

Cause: that windows may have been reported with counts which the store has lost was noted beside the record, in a map of the process that read it. It was asked before the record was read, not after: the window whose report led to the reading was settled anew and sent. And it ended with the process: the record written next had the present era and no trace of the loss, so that the holder after it settled the windows again. The class: a decision on state that is kept beside the state, and is not asked again after it was read again.

Mend: the record has WithheldThrough, written with the same conditional write as everything else; a window is summed only if the record, read in the store's present era, neither has nor withholds it. A rise of the era makes the holder read again. The holder that settled the windows puts its own in place of those of the copy; any other one takes none of these, as a write that was given up may be carried out late. The same for a record that can't be read, where the living holder now keeps its windows. New line 'usage window withheld', counter usage_windows_withheld.

--- /dev/null
+++ b/internal/fleet/usagereporter/record.go
@@ -0,0 +1,59 @@
+package usagereporter
+
+import (
+	"encoding/json"
+	"slices"
+
+	"brasschute/internal/platform/object"
+)
+
+// spareWindows is how many settled windows the record holds beyond those that may still be reported.
+const spareWindows = 3
+
+// window holds the counts of one window: final ones if it is settled, otherwise those so far.
+type window struct {
+	Window int64
+	Counts Counts
+}
+
+// record is the stored object.
+type record struct {
+	Windows []window
+	// Open holds the counts so far of windows that are not settled, counted by Sources.
+	Open    []window
+	Sources []Source
+	// Era is the store's era in which the record was written.
+	Era uint64 `json:",omitempty"`
+	// WithheldThrough is the last window that may have been reported with counts that the store has lost.
+	// Neither it nor any before it is settled; 0 means none.
+	WithheldThrough int64 `json:",omitempty"`
+}
+
+// decode parses a stored object; an absent one is an empty record.
+func (r *record) decode(o object.Object) error {
+	if o.Version == object.Absent {
+		return nil
+	}
+	return json.Unmarshal(o.Value, r)
+}
+
+// find returns a settled window, or nil.
+func (r *record) find(number int64) *window {
+	for i := range r.Windows {
+		if r.Windows[i].Window == number {
+			return &r.Windows[i]
+		}
+	}
+	return nil
+}
+
+// withholds reports whether a window must not be reported, as counts of it that the store has lost may have been.
+func (r *record) withholds(number int64) bool {
+	return number <= r.WithheldThrough && r.find(number) == nil
+}
+
+// settled returns the settled windows with one more, of which the last ones are kept.
+func (r *record) settled(w window, kept int) []window {
+	out := append(slices.Clone(r.Windows), w)
+	return out[max(0, len(out)-kept):]
+}
--- a/internal/fleet/usagereporter/usagereporter.go
+++ b/internal/fleet/usagereporter/usagereporter.go
@@ -11,8 +11,11 @@
 // the sources they include; a successor adds the counts that it has from other sources.
 //
 // A store that was restored from an older copy of itself has lost windows that were settled and may have
-// been reported. The holder that settled them writes them again; any other one does not report
-// the windows that have ended.
+// been reported, and so has a record that another writer corrupted. The holder that settled them writes them
+// again. Any other one withholds the windows that have ended: it raises WithheldThrough in the record, so that
+// the knowledge does not end with the process that has it. The invariant is that of each window that may have been
+// reported, a record of the store's present era has those counts, or withholds it. So the counts of a window
+// are summed only if the record, read in the present era, neither has nor withholds it, and sent only once it has them.
 //
 // # Usage
 //
@@ -21,9 +24,7 @@
 package usagereporter
 
 import (
-	"cmp"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"slices"
@@ -38,14 +39,9 @@
 // Key is the key of the store's object with the settled windows.
 const Key = "reports/usage"
 
-const (
-	// spareWindows is how many settled windows the object holds beyond those that may still be
-	// reported.
-	spareWindows = 3
-	// saveInterval is how old the saved counts may be: a fifth of a window. The tolerance of a
-	// report allows a quarter to be missing.
-	saveInterval = time.Second
-)
+// saveInterval is how old the saved counts may be: a fifth of a window. The tolerance of a
+// report allows a quarter to be missing.
+const saveInterval = time.Second
 
 // Store holds the settled counts.
 type Store interface {
@@ -75,6 +71,8 @@
 	// FirstStart is set while the whole system starts for the first time, so that no window has been
 	// settled.
 	FirstStart bool
+	// OnWithheld is called for each window that is withheld; may be nil.
+	OnWithheld func()
 	Logger     *log.Logger
 }
 
@@ -90,31 +88,6 @@
 	Windows map[int64]Counts
 }
 
-// window holds the counts of one window: final ones if it is settled, otherwise those so far.
-type window struct {
-	Window int64
-	Counts Counts
-}
-
-// record is the stored object.
-type record struct {
-	Windows []window
-	// Open holds the counts so far of windows that are not settled, counted by Sources.
-	Open    []window
-	Sources []Source
-	// Era is the store's era in which the record was written.
-	Era uint64 `json:",omitempty"`
-}
-
-func (r *record) find(number int64) *window {
-	for i := range r.Windows {
-		if r.Windows[i].Window == number {
-			return &r.Windows[i]
-		}
-	}
-	return nil
-}
-
 // Reporter settles and sends usage reports. It must be used by one goroutine only.
 type Reporter struct {
 	c       Config
@@ -122,9 +95,12 @@
 	record  record
 	version uint64
 	loaded  bool
+	// era is the store's era when record was last read.
+	era uint64
 	// recordFencing is the fencing number under which record was last read or written.
 	recordFencing uint64
-	sent          map[int64]bool
+	// done are the windows that need nothing more: they have been sent, or are withheld.
+	done map[int64]bool
 	// inherited are the open windows that a predecessor stored, inheritedSources the daemons
 	// that counted them.
 	inherited        []window
@@ -137,7 +113,10 @@
 	if c.Era == nil {
 		c.Era = func() uint64 { return 0 }
 	}
-	return &Reporter{c: c, sent: make(map[int64]bool)}
+	if c.OnWithheld == nil {
+		c.OnWithheld = func() {}
+	}
+	return &Reporter{c: c, done: make(map[int64]bool)}
 }
 
 // Step settles and sends the windows that are due. A report that fails is sent again at the
@@ -151,16 +130,16 @@
 	newest := now.Add(-r.c.SettleDelay()).UnixNano()/int64(r.c.Window) - 1
 	oldest := now.Add(-r.c.ReportWithin).UnixNano() / int64(r.c.Window)
 	for window := oldest; window <= newest; window++ {
-		if r.sent[window] {
+		if r.done[window] {
 			continue
 		}
 		if err := r.report(ctx, window); err != nil {
 			r.c.Logger.Warn("usage report failed; retrying", "window", window, "fencing", fencing, "error", err)
 		}
 	}
-	for window := range r.sent {
+	for window := range r.done {
 		if window < oldest-1 {
-			delete(r.sent, window)
+			delete(r.done, window)
 		}
 	}
 	r.save(ctx)
@@ -171,18 +150,27 @@
 	if time.Since(r.savedAt) < saveInterval {
 		return
 	}
-	if !r.loaded {
-		if err := r.read(ctx); err != nil {
-			r.c.Logger.Warn("reading the settled usage windows failed", "error", err)
-			return
-		}
+	if err := r.load(ctx); err != nil {
+		r.c.Logger.Warn("reading the settled usage windows failed", "error", err)
+		return
 	}
 	if err := r.write(ctx, r.record.Windows); err != nil {
 		r.c.Logger.Warn("saving the open usage windows failed", "error", err)
 	}
 }
 
+// report sends the final counts of a window, unless the record withholds it.
 func (r *Reporter) report(ctx context.Context, number int64) error {
+	if err := r.load(ctx); err != nil {
+		return err
+	}
+	if r.record.withholds(number) {
+		r.done[number] = true
+		r.c.OnWithheld()
+		r.c.Logger.Warn("usage window withheld", "window", number, "fencing", r.fencing,
+			"revision", object.LogValue(r.version), "last_window", r.record.WithheldThrough)
+		return nil
+	}
 	w, err := r.settle(ctx, number)
 	if err != nil {
 		return err
@@ -190,51 +178,33 @@
 	if err := r.c.Send(ctx, r.fencing, number, w.Counts); err != nil {
 		return err
 	}
-	r.sent[number] = true
+	r.done[number] = true
 	r.c.Logger.Info("usage reported", "window", number, "fencing", r.fencing, "counts", fmt.Sprint(w.Counts))
 	return nil
 }
 
-// settle returns the final counts of a window, and stores them first if no lease holder has.
+// settle returns the final counts of a window, and stores them first if no lease holder has. The record has been
+// loaded and does not withhold the window.
 func (r *Reporter) settle(ctx context.Context, number int64) (*window, error) {
-	if !r.loaded {
-		if err := r.read(ctx); err != nil {
-			return nil, err
-		}
-	}
 	if w := r.record.find(number); w != nil {
 		r.c.Logger.Info("usage window found settled", "window", number, "fencing", r.fencing, "revision", object.LogValue(r.version), "record_era", r.record.Era)
 		return w, nil
 	}
-	next := append(slices.Clone(r.record.Windows), window{number, r.sum(number, r.c.DaemonCounts())})
-	if kept := r.maxOpen() + spareWindows; len(next) > kept {
-		next = next[len(next)-kept:]
-	}
-	if err := r.write(ctx, next); err != nil {
+	w := window{number, r.sum(number, r.c.DaemonCounts())}
+	if err := r.write(ctx, r.record.settled(w, r.maxOpen()+spareWindows)); err != nil {
 		return nil, fmt.Errorf("settle: %w", err)
 	}
-	r.c.Logger.Info("usage window settled", "window", number, "fencing", r.fencing, "revision", object.LogValue(r.version), "era", r.c.Era())
+	r.c.Logger.Info("usage window settled", "window", number, "fencing", r.fencing, "revision", object.LogValue(r.version), "era", r.era)
 	return r.record.find(number), nil
 }
 
-// skipEnded marks the windows that have ended as sent, and returns the last one, after the stored record was found corrupt or
-// lost. Their settled counts are lost and may have been reported, and a second report with other counts
-// is worse than none. Without skipping them no later window would ever be reported.
-func (r *Reporter) skipEnded() (last int64) {
-	newest := r.c.Now().UnixNano() / int64(r.c.Window)
-	for number := newest - int64(r.maxOpen()); number < newest; number++ {
-		r.sent[number] = true
-	}
-	return newest - 1
-}
-
 // maxOpen is how many windows before the current one may still be open.
 func (r *Reporter) maxOpen() int { return int(r.c.ReportWithin/r.c.Window) + 1 }
 
 // write stores the settled windows and the counts of the open ones.
 func (r *Reporter) write(ctx context.Context, windows []window) error {
 	counted := r.c.DaemonCounts()
-	next := record{Windows: windows, Sources: slices.Clone(r.inheritedSources), Era: r.c.Era()}
+	next := record{Windows: windows, Sources: slices.Clone(r.inheritedSources), Era: r.era, WithheldThrough: r.record.WithheldThrough}
 	newest := r.c.Now().UnixNano() / int64(r.c.Window)
 	for number := newest - int64(r.maxOpen()); number <= newest; number++ {
 		if (&record{Windows: windows}).find(number) == nil {
@@ -286,48 +256,55 @@
 	return out
 }
 
+// load reads the record unless that which this holder last read or wrote is still the stored one.
+func (r *Reporter) load(ctx context.Context) error {
+	if r.loaded && r.era == r.c.Era() {
+		return nil
+	}
+	return r.read(ctx)
+}
+
 func (r *Reporter) read(ctx context.Context) error {
 	o, err := r.c.Store.Get(ctx, Key)
 	missing := errors.Is(err, object.ErrMissing)
 	if err != nil && !missing {
 		return fmt.Errorf("read settled windows: %w", err)
 	}
+	era := r.c.Era()
 	var stored record
-	if !missing {
-		if err := json.Unmarshal(o.Value, &stored); err != nil {
-			last := r.skipEnded()
-			r.c.Logger.Error("settled usage windows are corrupt; windows that have ended will not be reported",
-				"last_window", last, "fencing", r.fencing, "revision", object.LogValue(o.Version), "error", err)
-			stored = record{Era: r.c.Era()}
-		}
-	}
-	if stored.Era < r.c.Era() && (!missing || !r.c.FirstStart || r.recordFencing > 0) {
-		r.recoverSettled(&stored, o.Version)
+	if err := stored.decode(o); err != nil {
+		r.c.Logger.Error("settled usage windows are corrupt", "fencing", r.fencing, "revision", object.LogValue(o.Version), "error", err)
+		stored = r.recovered(&record{}, o.Version)
+	} else if stored.Era < era && (!missing || !r.c.FirstStart || r.recordFencing > 0) {
+		stored = r.recovered(&stored, o.Version)
 	}
-	r.record, r.version, r.loaded, r.recordFencing = stored, o.Version, true, r.fencing
-	if missing {
-		return nil
+	r.record, r.version, r.era, r.loaded, r.recordFencing = stored, o.Version, era, true, r.fencing
+	if !missing {
+		r.inherited, r.inheritedSources = stored.Open, stored.Sources
 	}
-	r.inherited, r.inheritedSources = stored.Open, stored.Sources
 	return nil
 }
 
-// recoverSettled adds to a record of an earlier era, or to a lost one, the windows that this holder has
-// settled since. If another holder may have settled some, those that have ended are not reported.
-func (r *Reporter) recoverSettled(stored *record, version uint64) {
-	if r.recordFencing != r.fencing {
-		last := r.skipEnded()
-		r.c.Logger.Warn("the store lost settled usage windows; windows that have ended will not be reported",
-			"last_window", last, "fencing", r.fencing, "revision", object.LogValue(version), "record_era", stored.Era, "era", r.c.Era())
-		return
+// recovered returns what holds in place of a record of an earlier era, or a corrupt or lost one. The holder under
+// whose lease all has been settled since it read the record has the windows; any other one withholds those that
+// may have been settled. Whether the windows of the stored record were reported as they are there is not known
+// either: a write that was given up may have been carried out late.
+func (r *Reporter) recovered(stored *record, version uint64) record {
+	out := *stored
+	out.WithheldThrough = max(stored.WithheldThrough, r.record.WithheldThrough)
+	if r.recordFencing == r.fencing {
+		out.Windows = r.record.Windows
+		r.c.Logger.Info("settled usage windows added again after the store lost them", "windows", len(out.Windows),
+			"fencing", r.fencing, "revision", object.LogValue(version), "record_era", stored.Era, "era", r.c.Era())
+		return out
 	}
-	added := 0
-	for _, w := range r.record.Windows {
-		if stored.find(w.Window) == nil {
-			stored.Windows = append(stored.Windows, w)
-			added++
-		}
-	}
-	slices.SortFunc(stored.Windows, func(a, b window) int { return cmp.Compare(a.Window, b.Window) })
-	r.c.Logger.Info("settled usage windows added again after the store lost them", "windows", added, "revision", object.LogValue(version))
+	out.Windows = nil
+	out.WithheldThrough = max(out.WithheldThrough, r.lastEnded())
+	r.c.Logger.Warn("the store lost settled usage windows; windows that have ended will not be reported",
+		"last_window", out.WithheldThrough, "fencing", r.fencing, "revision", object.LogValue(version), "record_era", stored.Era, "era", r.c.Era())
+	return out
 }
+
+// lastEnded returns the last window that may have been settled: it has ended. Another host's clock may be ahead, but by less
+// than the time after which a window is settled.
+func (r *Reporter) lastEnded() int64 { return r.c.Now().UnixNano()/int64(r.c.Window) - 1 }
--- a/internal/fleet/usagereporter/usagereporter_test.go
+++ b/internal/fleet/usagereporter/usagereporter_test.go
@@ -24,10 +24,12 @@
 	loseAnswers bool
 	loseReports bool
 	down        bool
-	era         uint64
-	reports     map[int64]string
-	differed    bool
-	now         time.Time
+	// refuseWrites makes the store answer writes that nothing was done.
+	refuseWrites bool
+	era          uint64
+	reports      map[int64]string
+	differed     bool
+	now          time.Time
 }
 
 func newFakePlatform() *fakePlatform {
@@ -45,7 +47,7 @@
 }
 
 func (p *fakePlatform) Put(_ context.Context, _ string, ifVersion uint64, value any) (object.Object, error) {
-	if p.down {
+	if p.down || p.refuseWrites {
 		return object.Object{}, object.ErrUnavailable
 	}
 	if ifVersion != p.o.Version {
@@ -319,11 +321,12 @@
 	p.now = p.now.Add(windowLength + 2500*time.Millisecond)
 	holder.Step(t.Context(), 1)
 	p.restore(copied)
-	// The successor has nothing to report yet that was not sent, and only saves the open windows.
 	successor := p.newReporter(counted)
-	successor.save(t.Context())
+	p.refuseWrites = true
+	successor.Step(t.Context(), 2)
+	p.refuseWrites = false
+	successor.Step(t.Context(), 2)
 	count++
-	p.now = p.now.Add(500 * time.Millisecond)
 	p.newReporter(counted).Step(t.Context(), 3)
 	if p.differed {
 		t.Error("the window was reported twice with different counts")
--- a/internal/role/gateway/duties.go
+++ b/internal/role/gateway/duties.go
@@ -104,6 +104,7 @@
 	u.usageReporter = usagereporter.New(usagereporter.Config{
 		Store: g.store, Now: g.clock.Now, Window: d.Bounds.UsageWindow, ReportWithin: d.Bounds.UsageDue - reportMargin, SettleDelay: g.settleTime,
 		Era: g.store.Era, FirstStart: d.FirstStart, DaemonCounts: u.processCounts, Organisations: u.organisations, Send: u.reportUsage, Logger: g.c.Logger,
+		OnWithheld: func() { g.scope.Counter("usage_windows_withheld").Inc(1) },
 	})
 	u.autoscaler = autoscaler.New(autoscaler.Config{SetDesired: u.setDesired, Logger: g.c.Logger, FirstStart: d.FirstStart})
 	g.tree.Add(serviceFunc(g.keepLease))
