integration: runs of the tests on one machine at the same time use different addresses

Cause: a second run of the tests on the same machine (TestRestoreLeavesReportsAlone, by hand) had daemons at the same addresses and ports, and answered. Each run now claims networks of its own by a listener that lives as long as the process. Measured: both beside each other pass.

--- a/integration/hosted_test.go
+++ b/integration/hosted_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 
@@ -34,6 +35,38 @@
 // siteCount counts the hosted deployments started so far; it gives each one its network.
 var siteCount atomic.Int32
 
+const (
+	// siteNetworks is the number of networks 127.x.0.0/16 of one run of the tests, firstSiteNetwork the first x.
+	siteNetworks     = 4
+	firstSiteNetwork = 200
+	// maxRuns is the number of runs at the same time on one machine.
+	maxRuns = 12
+)
+
+// claimSiteNetworks returns the first network of this run of the tests. Hosted daemons listen on fixed ports, so that
+// another run on the same machine would otherwise get their requests. siteClaim claims the networks as long as the
+// process lives.
+var claimSiteNetworks = sync.OnceValues(func() (first int, err error) {
+	for run := range maxRuns {
+		if siteClaim, err = net.Listen("tcp", fmt.Sprintf("127.199.0.%d:8199", 1+run)); err == nil {
+			return firstSiteNetwork + siteNetworks*run, nil
+		}
+	}
+	return 0, fmt.Errorf("%d runs of the tests on this machine: %w", maxRuns, err)
+})
+
+var siteClaim net.Listener
+
+// siteIP returns the address of a host of a hosted deployment.
+func siteIP(t testing.TB, site, host int) string {
+	t.Helper()
+	first, err := claimSiteNetworks()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return fmt.Sprintf("127.%d.%d.%d", first+site>>8, site&0xff, host)
+}
+
 // site is a deployment on the hosting platform: stand-ins for store, cloud and engines in this
 // process, daemons in processes of their own.
 type site struct {
@@ -177,7 +210,7 @@
 func (s *site) prepareHost() *gatewayHost {
 	s.t.Helper()
 	s.lastHost++
-	h := &gatewayHost{s: s, name: fmt.Sprintf("front-%d", s.lastHost), ip: fmt.Sprintf("127.%d.%d.%d", 200+s.number>>8, s.number&0xff, s.lastHost)}
+	h := &gatewayHost{s: s, name: fmt.Sprintf("front-%d", s.lastHost), ip: siteIP(s.t, s.number, s.lastHost)}
 	h.storeAddress = s.serve(s.store.HandlerFor(h.name))
 	h.file = filepath.Join(s.t.TempDir(), "boot.toml")
 	h.writeSettings("")
