usagereporter, leaser: a lost record is not taken for the first start

What users would see: the same two reports of one window. Cause: a process that took part in the first start of the system keeps FirstStart for life, and took a missing record for one that nobody had written, also after the store came back from a copy that is older than the record. The lease asks more: it has seen or heard of the lease before. Now the leaser says whether this holder was the first one, and only that one, and only before its first record, takes a missing record for none.

--- a/internal/fleet/leaser/leaser.go
+++ b/internal/fleet/leaser/leaser.go
@@ -131,6 +131,8 @@
 	heldVersion uint64
 	// confirmed is set if seenVersion is the version of this candidate's last write.
 	confirmed bool
+	// first is set if no candidate had the lease before this one took it.
+	first bool
 }
 
 // New returns a candidate that does not hold the lease.
@@ -197,6 +199,14 @@
 	return l.heldVersion
 }
 
+// FirstHolder reports whether no candidate had held the lease before this one last took it, so that no duty
+// had been performed.
+func (l *Leaser) FirstHolder() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.first
+}
+
 // Serve renews the lease or tries to take it until ctx ends.
 func (l *Leaser) Serve(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -288,11 +298,13 @@
 
 // isRestored reports whether the store shows an older copy of the lease, or lost it.
 func (l *Leaser) isRestored(r *record, version uint64) bool {
+	return !l.isFirst(version) && r.Era < l.c.Era()
+}
+
+// isFirst reports whether the lease is missing because no candidate has taken it yet.
+func (l *Leaser) isFirst(version uint64) bool {
 	heard, _ := l.c.Heard()
-	if version == object.Absent && l.c.FirstStart && !l.existed && heard == object.Absent {
-		return false
-	}
-	return r.Era < l.c.Era()
+	return version == object.Absent && l.c.FirstStart && !l.existed && heard == object.Absent
 }
 
 // reacquire writes the lease again if this candidate still counts on it. Otherwise it takes it over
@@ -333,8 +345,9 @@
 
 // take takes the lease over. Orders of the former holder may be in flight until exclusiveFrom.
 func (l *Leaser) take(ctx context.Context, r record, version uint64, start, exclusiveFrom time.Time) {
+	first := l.isFirst(version)
 	l.mu.Lock()
-	l.exclusiveFrom = exclusiveFrom
+	l.exclusiveFrom, l.first = exclusiveFrom, first
 	l.mu.Unlock()
 	r.FencingNumber = max(r.FencingNumber, l.current.FencingNumber, l.c.Era()*eraNumbers) + 1
 	l.write(ctx, r, version, start, true)
--- a/internal/fleet/leaser/leaser_test.go
+++ b/internal/fleet/leaser/leaser_test.go
@@ -343,6 +343,9 @@
 				}
 				start("a")
 				time.Sleep(2 * duration)
+				if !all["a"].FirstHolder() {
+					t.Error("a does not know that it is the first holder")
+				}
 				keep := s.copy()
 				if copied == "missing" {
 					keep = object.Object{}
@@ -382,6 +385,11 @@
 					cancels["b"]()
 				}
 				watch(5 * duration)
+				for _, host := range []string{"b", "c"} {
+					if all[host].FirstHolder() {
+						t.Errorf("%s takes itself for the first holder", host)
+					}
+				}
 				checkOrders(t, fmt.Sprintf("lease %s, holder killed: %t", copied, killed), orders)
 				for _, cancel := range cancels {
 					cancel()
--- a/internal/fleet/usagereporter/restore_test.go
+++ b/internal/fleet/usagereporter/restore_test.go
@@ -124,18 +124,17 @@
 
 // drawnFleet is the processes, the store and the platform that keeps reports.
 type drawnFleet struct {
-	t                *rapid.T
-	store            *drawnStore
-	processes        []*drawnProcess
-	holder           int
-	fencing          uint64
-	now              time.Time
-	started          int
-	requests         map[int64]int
-	reports          map[int64]string
-	loseReports      bool
-	differed         string
-	firstStartClosed bool
+	t           *rapid.T
+	store       *drawnStore
+	processes   []*drawnProcess
+	holder      int
+	fencing     uint64
+	now         time.Time
+	started     int
+	requests    map[int64]int
+	reports     map[int64]string
+	loseReports bool
+	differed    string
 }
 
 func newDrawnFleet(t *rapid.T) *drawnFleet {
@@ -146,7 +145,6 @@
 	for i := range f.processes {
 		f.start(i)
 	}
-	f.firstStartClosed = true
 	return f
 }
 
@@ -159,7 +157,7 @@
 		Store: p, Now: func() time.Time { return f.now.Add(p.offset) }, Window: windowLength, ReportWithin: 9500 * time.Millisecond,
 		SettleDelay: func() time.Duration { return 1700 * time.Millisecond }, DaemonCounts: p.daemonCounts,
 		Organisations: func() []identifier.Organisation { return []identifier.Organisation{"desk"} },
-		Send:          f.report, Logger: log.New(io.Discard), Era: func() uint64 { return p.era }, FirstStart: !f.firstStartClosed,
+		Send:          f.report, Logger: log.New(io.Discard), Era: func() uint64 { return p.era }, FirstHolder: func() bool { return f.fencing == 1 },
 	})
 	f.processes[i] = p
 }
--- a/internal/fleet/usagereporter/usagereporter.go
+++ b/internal/fleet/usagereporter/usagereporter.go
@@ -68,9 +68,9 @@
 	Send func(ctx context.Context, fencing uint64, window int64, counts Counts) error
 	// Era returns the highest era that the store has stated; nil for a store that states none.
 	Era func() uint64
-	// FirstStart is set while the whole system starts for the first time, so that no window has been
-	// settled.
-	FirstStart bool
+	// FirstHolder reports whether nobody held the lease before this holder, so that no window can have been settled
+	// when it finds no record; nil if that is never known.
+	FirstHolder func() bool
 	// OnWithheld is called for each window that is withheld; may be nil.
 	OnWithheld func()
 	Logger     *log.Logger
@@ -95,8 +95,6 @@
 	record  record
 	version uint64
 	loaded  bool
-	// era is the store's era when record was last read.
-	era uint64
 	// recordFencing is the fencing number under which record was last read or written.
 	recordFencing uint64
 	// done are the windows that need nothing more: they have been sent, or are withheld.
@@ -113,6 +111,9 @@
 	if c.Era == nil {
 		c.Era = func() uint64 { return 0 }
 	}
+	if c.FirstHolder == nil {
+		c.FirstHolder = func() bool { return false }
+	}
 	if c.OnWithheld == nil {
 		c.OnWithheld = func() {}
 	}
@@ -194,7 +195,7 @@
 	if err := r.write(ctx, r.record.settled(w, r.maxOpen()+spareWindows)); err != nil {
 		return nil, fmt.Errorf("settle: %w", err)
 	}
-	r.c.Logger.Info("usage window settled", "window", number, "fencing", r.fencing, "revision", object.LogValue(r.version), "era", r.era)
+	r.c.Logger.Info("usage window settled", "window", number, "fencing", r.fencing, "revision", object.LogValue(r.version), "era", r.c.Era())
 	return r.record.find(number), nil
 }
 
@@ -204,7 +205,7 @@
 // write stores the settled windows and the counts of the open ones.
 func (r *Reporter) write(ctx context.Context, windows []window) error {
 	counted := r.c.DaemonCounts()
-	next := record{Windows: windows, Sources: slices.Clone(r.inheritedSources), Era: r.era, WithheldThrough: r.record.WithheldThrough}
+	next := record{Windows: windows, Sources: slices.Clone(r.inheritedSources), Era: r.c.Era(), WithheldThrough: r.record.WithheldThrough}
 	newest := r.c.Now().UnixNano() / int64(r.c.Window)
 	for number := newest - int64(r.maxOpen()); number <= newest; number++ {
 		if (&record{Windows: windows}).find(number) == nil {
@@ -256,9 +257,9 @@
 	return out
 }
 
-// load reads the record unless that which this holder last read or wrote is still the stored one.
+// load reads the record unless this holder has read or written it before and no call has failed since.
 func (r *Reporter) load(ctx context.Context) error {
-	if r.loaded && r.era == r.c.Era() {
+	if r.loaded {
 		return nil
 	}
 	return r.read(ctx)
@@ -270,21 +271,23 @@
 	if err != nil && !missing {
 		return fmt.Errorf("read settled windows: %w", err)
 	}
-	era := r.c.Era()
 	var stored record
 	if err := stored.decode(o); err != nil {
 		r.c.Logger.Error("settled usage windows are corrupt", "fencing", r.fencing, "revision", object.LogValue(o.Version), "error", err)
 		stored = r.recovered(&record{}, o.Version)
-	} else if stored.Era < era && (!missing || !r.c.FirstStart || r.recordFencing > 0) {
+	} else if missing && !r.isFirstRecord() || !missing && stored.Era < r.c.Era() {
 		stored = r.recovered(&stored, o.Version)
 	}
-	r.record, r.version, r.era, r.loaded, r.recordFencing = stored, o.Version, era, true, r.fencing
+	r.record, r.version, r.loaded, r.recordFencing = stored, o.Version, true, r.fencing
 	if !missing {
 		r.inherited, r.inheritedSources = stored.Open, stored.Sources
 	}
 	return nil
 }
 
+// isFirstRecord reports whether the record is missing because nobody has written one yet.
+func (r *Reporter) isFirstRecord() bool { return r.recordFencing == 0 && r.c.FirstHolder() }
+
 // recovered returns what holds in place of a record of an earlier era, or a corrupt or lost one. The holder under
 // whose lease all has been settled since it read the record has the windows; any other one withholds those that
 // may have been settled. Whether the windows of the stored record were reported as they are there is not known
--- a/internal/fleet/usagereporter/usagereporter_test.go
+++ b/internal/fleet/usagereporter/usagereporter_test.go
@@ -30,6 +30,8 @@
 	reports      map[int64]string
 	differed     bool
 	now          time.Time
+	// holders counts the reporters, each of which holds the lease after the one before.
+	holders int
 }
 
 func newFakePlatform() *fakePlatform {
@@ -77,11 +79,13 @@
 }
 
 func (p *fakePlatform) newReporter(counted func() []DaemonCounts) *Reporter {
+	p.holders++
+	first := p.holders == 1
 	return New(Config{
 		Store: p, Now: func() time.Time { return p.now }, Window: windowLength, ReportWithin: 9 * time.Second,
 		SettleDelay: func() time.Duration { return 2 * time.Second }, DaemonCounts: counted,
 		Organisations: func() []identifier.Organisation { return []identifier.Organisation{"desk"} },
-		Send:          p.report, Logger: log.New(io.Discard), Era: func() uint64 { return p.era }, FirstStart: true,
+		Send:          p.report, Logger: log.New(io.Discard), Era: func() uint64 { return p.era }, FirstHolder: func() bool { return first },
 	})
 }
 
--- a/internal/role/gateway/duties.go
+++ b/internal/role/gateway/duties.go
@@ -103,7 +103,7 @@
 	u := &duties{g: g, gained: gained, cloud: platform.NewCloud(d.Cloud.String(), g.newPlatformClient()), promoter: promoter.New(promoter.Config{MaxShare: d.Bounds.CanaryShare})}
 	u.usageReporter = usagereporter.New(usagereporter.Config{
 		Store: g.store, Now: g.clock.Now, Window: d.Bounds.UsageWindow, ReportWithin: d.Bounds.UsageDue - reportMargin, SettleDelay: g.settleTime,
-		Era: g.store.Era, FirstStart: d.FirstStart, DaemonCounts: u.processCounts, Organisations: u.organisations, Send: u.reportUsage, Logger: g.c.Logger,
+		Era: g.store.Era, FirstHolder: g.lease.FirstHolder, DaemonCounts: u.processCounts, Organisations: u.organisations, Send: u.reportUsage, Logger: g.c.Logger,
 		OnWithheld: func() { g.scope.Counter("usage_windows_withheld").Inc(1) },
 	})
 	u.autoscaler = autoscaler.New(autoscaler.Config{SetDesired: u.setDesired, Logger: g.c.Logger, FirstStart: d.FirstStart})
