soak: the store comes back from copies, and daemons are silent for longer than a lease

Nothing restored the store among real processes but TestRestoreLeavesReportsAlone. Copies of any age, overlapping with kills, pauses (now also beyond the lease), store faults and changed configurations; windows of one and of five seconds; restarted daemons no longer state a first start. The ledger of reports is checked at the end as before.

--- a/integration/hosted_test.go
+++ b/integration/hosted_test.go
@@ -14,6 +14,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"brasschute/internal/role/gateway"
 	"brasschute/internal/standin/hosting"
@@ -276,6 +277,12 @@
 	h.replaceSetting("FirstStart = true", "FirstStart = false")
 }
 
+// setUsageWindow changes the length of usage windows in the settings.
+func (h *gatewayHost) setUsageWindow(d time.Duration) {
+	h.s.t.Helper()
+	h.replaceSetting("UsageWindowS = 1", fmt.Sprintf("UsageWindowS = %d", int(d.Seconds())))
+}
+
 // memorySetting is the line with the memory of a host.
 const memorySetting = "MemoryMb = 284"
 
--- a/integration/restore_test.go
+++ b/integration/restore_test.go
@@ -46,7 +46,7 @@
 	s.addEngine(hosting.Config{ID: "i-app", Service: plainService})
 	for range 3 {
 		h := s.prepareHost()
-		h.replaceSetting("UsageWindowS = 1", fmt.Sprintf("UsageWindowS = %d", int(restoreWindow.Seconds())))
+		h.setUsageWindow(restoreWindow)
 		h.start()
 		h.awaitReady()
 	}
@@ -69,6 +69,7 @@
 		}
 		// What these hosts have counted is known to the holder alone from now on.
 		h.kill()
+		h.clearFirstStart()
 		h.start()
 		h.awaitReady()
 	}
--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -51,6 +51,9 @@
 	r      *rand.Rand
 	errorf func(format string, args ...any)
 
+	// operators is held while operators or engines write to the store.
+	operators sync.Mutex
+
 	mu      sync.Mutex
 	answers map[string]soakAnswer
 	// began holds the engine whose event came first, by the id of the request that began the stream.
@@ -104,15 +107,26 @@
 	} {
 		s.addProxiedEngine(c, seed*10+uint64(n))
 	}
+	s.store.SetEra(firstEra)
 	for range *soakHosts {
-		s.addReadyHost()
+		h := s.prepareHost()
+		if seed%2 == 0 {
+			h.setUsageWindow(restoreWindow)
+		}
+		h.start()
+		h.awaitReady()
 	}
+	for _, h := range s.hosts {
+		h.clearFirstStart()
+	}
+	copies := []hosting.Copy{s.store.Copy()}
 	stop := make(chan struct{})
 	var clients, faults sync.WaitGroup
 	for n := range 2 * *soakHosts {
 		clients.Go(func() { s.runClient(rand.New(rand.NewPCG(seed, uint64(n+1))), n, stop) })
 	}
-	for n, f := range []func(*rand.Rand){s.injectHostFault, s.injectStoreFault, s.injectLinkFault, s.changeConfiguration, s.injectEngineFault} {
+	restore := func(r *rand.Rand) { copies = s.restoreStore(r, copies) }
+	for n, f := range []func(*rand.Rand){s.injectHostFault, s.injectStoreFault, s.injectLinkFault, s.changeConfiguration, s.injectEngineFault, restore} {
 		faults.Go(func() {
 			r := rand.New(rand.NewPCG(seed, uint64(100+n)))
 			for end := time.Now().Add(*soakLength); time.Now().Before(end); {
@@ -159,6 +173,27 @@
 	s.store.Write("servers", id, record)
 }
 
+// restoreStore copies the store, and now and then brings it back from a copy of any age. Operators and engines
+// write again what it lost. It returns the copies, with the new one.
+func (s *soak) restoreStore(r *rand.Rand, copies []hosting.Copy) []hosting.Copy {
+	time.Sleep(time.Duration(r.IntN(1500)) * time.Millisecond)
+	copies = append(copies, s.store.Copy())
+	if r.IntN(3) > 0 {
+		return copies
+	}
+	s.operators.Lock()
+	defer s.operators.Unlock()
+	s.store.SetFault(func(hosting.Call) hosting.Fault { return hosting.Unavailable })
+	time.Sleep(time.Duration(r.IntN(500)) * time.Millisecond)
+	s.store.Restore(copies[r.IntN(len(copies))])
+	s.configure(func(*hostedConfig) {})
+	for id := range s.engines {
+		s.writeRecord(id, "ready")
+	}
+	s.store.SetFault(nil)
+	return copies
+}
+
 // invalidRecords are records that no engine writes.
 var invalidRecords = []any{
 	nil, "gone", 7,
@@ -308,10 +343,16 @@
 	}
 }
 
+// soakLease is how long a holder of the lease may be silent before another one takes it.
+const soakLease = 3 * time.Second
+
 // injectHostFault kills, stops, pauses or hangs up one daemon.
 func (s *soak) injectHostFault(r *rand.Rand) {
 	h := s.hosts[r.IntN(len(s.hosts))]
 	pause := time.Duration(r.IntN(400)) * time.Millisecond
+	if r.IntN(8) == 0 {
+		pause += soakLease
+	}
 	switch r.IntN(5) {
 	case 0:
 		h.kill()
@@ -363,7 +404,9 @@
 
 // changeConfiguration writes a new version of the configuration.
 func (s *soak) changeConfiguration(r *rand.Rand) {
+	s.operators.Lock()
 	s.configure(func(c *hostedConfig) { c.Routes[2].MaxAttempts = 1 + r.IntN(2) })
+	s.operators.Unlock()
 	time.Sleep(time.Duration(r.IntN(600)) * time.Millisecond)
 }
 
