--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -32,7 +32,9 @@
 )
 
 // failedSeeds are seeds that have failed, each with its cause. They always run first.
-var failedSeeds = []uint64{}
+var failedSeeds = []uint64{
+	113, // a window reported twice after a restore (50 s)
+}
 
 // TestSoak runs the soak test once for each seed.
 func TestSoak(t *testing.T) {
