usagereporter: a holder whose lease ended while it read does not vouch for the record

What users would see: two reports of one window again, in a rarer order. A step of a holder was under way while its lease ended, its successor reported, and the store came back from a copy; its read, or the read after its refused write, was answered in the new era under the fencing number it had, so that it took its own windows for all there are and wrote a record of the present era without those of its successor.

Mend: what was read counts only if the lease is still held under that number when the answer has come; then nobody else can have settled a window since. A write is safe after that: its condition fails once a successor has written, and in a later era it bears the era of its reading.

--- a/internal/fleet/usagereporter/review_test.go
+++ b/internal/fleet/usagereporter/handover_test.go
@@ -55,6 +55,7 @@
 	r := s.newReporter(func() []DaemonCounts {
 		return []DaemonCounts{{Source: 1, Windows: map[int64]Counts{s.first: {"desk": n}, s.first + 1: {"desk": n}}}}
 	})
+	r.c.Held = func(fencing uint64) bool { return fencing == s.holder }
 	r.c.Send = func(ctx context.Context, fencing uint64, window int64, counts Counts) error {
 		if fencing != s.holder {
 			return errLeaseLost
@@ -193,6 +194,7 @@
 			continue
 		}
 		p.reporter.c.Store = &interrupted{p, under}
+		p.reporter.c.Held = func(fencing uint64) bool { return fencing == f.fencing }
 		p.reporter.c.Send = func(ctx context.Context, fencing uint64, window int64, counts Counts) error {
 			if fencing != f.fencing {
 				return errLeaseLost
--- a/internal/fleet/usagereporter/usagereporter.go
+++ b/internal/fleet/usagereporter/usagereporter.go
@@ -68,6 +68,8 @@
 	Send func(ctx context.Context, fencing uint64, window int64, counts Counts) error
 	// Era returns the highest era that the store has stated; nil for a store that states none.
 	Era func() uint64
+	// Held reports whether the lease is still held under a fencing number; nil if it always is.
+	Held func(fencing uint64) bool
 	// FirstHolder reports whether nobody held the lease before this holder, so that no window can have been settled
 	// when it finds no record; nil if that is never known.
 	FirstHolder func() bool
@@ -76,6 +78,9 @@
 	Logger     *log.Logger
 }
 
+// errNotHeld is returned when the lease ended while a call was under way.
+var errNotHeld = errors.New("lease no longer held")
+
 // Source identifies one incarnation of a daemon.
 type Source uint64
 
@@ -111,6 +116,9 @@
 	if c.Era == nil {
 		c.Era = func() uint64 { return 0 }
 	}
+	if c.Held == nil {
+		c.Held = func(uint64) bool { return true }
+	}
 	if c.FirstHolder == nil {
 		c.FirstHolder = func() bool { return false }
 	}
@@ -271,6 +279,10 @@
 	if err != nil && !missing {
 		return fmt.Errorf("read settled windows: %w", err)
 	}
+	if !r.c.Held(r.fencing) {
+		// A successor may have settled windows since, and the store may have lost them again.
+		return fmt.Errorf("read settled windows: %w", errNotHeld)
+	}
 	var stored record
 	if err := stored.decode(o); err != nil {
 		r.c.Logger.Error("settled usage windows are corrupt", "fencing", r.fencing, "revision", object.LogValue(o.Version), "error", err)
--- a/internal/role/gateway/duties.go
+++ b/internal/role/gateway/duties.go
@@ -104,6 +104,7 @@
 	u.usageReporter = usagereporter.New(usagereporter.Config{
 		Store: g.store, Now: g.clock.Now, Window: d.Bounds.UsageWindow, ReportWithin: d.Bounds.UsageDue - reportMargin, SettleDelay: g.settleTime,
 		Era: g.store.Era, FirstHolder: g.lease.FirstHolder, DaemonCounts: u.processCounts, Organisations: u.organisations, Send: u.reportUsage, Logger: g.c.Logger,
+		Held:       u.holds,
 		OnWithheld: func() { g.scope.Counter("usage_windows_withheld").Inc(1) },
 	})
 	u.autoscaler = autoscaler.New(autoscaler.Config{SetDesired: u.setDesired, Logger: g.c.Logger, FirstStart: d.FirstStart})
@@ -202,11 +203,16 @@
 	}
 }
 
+// holds reports whether the lease is held exclusively under a fencing number.
+func (u *duties) holds(fencing uint64) bool {
+	now, held := u.g.lease.HeldExclusively()
+	return held && now == fencing
+}
+
 // leaseHolder returns the credentials of the lease holder for a call. It fails if the lease is no
 // longer held under the fencing number that the caller decided with.
 func (u *duties) leaseHolder(fencing uint64) (platform.LeaseHolder, error) {
-	now, held := u.g.lease.HeldExclusively()
-	if !held || now != fencing {
+	if !u.holds(fencing) {
 		return platform.LeaseHolder{}, errNotHeld
 	}
 	return platform.LeaseHolder{Host: u.g.c.Deployment.Host, Fencing: fencing}, nil
