usagereporter: a record bears the era in which the one before it was read

What users would see: two reports of one window. A record was found missing in one era and created in the next, while a successor had settled windows that the store lost again; it bore the next era, so that nobody saw the loss. Now the era of the reading is written, and a rise of the era leads to a reading.

--- a/internal/fleet/usagereporter/record.go
+++ b/internal/fleet/usagereporter/record.go
@@ -22,7 +22,7 @@
 	// Open holds the counts so far of windows that are not settled, counted by Sources.
 	Open    []window
 	Sources []Source
-	// Era is the store's era in which the record was written.
+	// Era is the store's era in which the record that this one replaces was read.
 	Era uint64 `json:",omitempty"`
 	// WithheldThrough is the last window that may have been reported with counts that the store has lost.
 	// Neither it nor any before it is settled; 0 means none.
--- a/internal/fleet/usagereporter/usagereporter.go
+++ b/internal/fleet/usagereporter/usagereporter.go
@@ -100,6 +100,8 @@
 	record  record
 	version uint64
 	loaded  bool
+	// era is the store's era in which record was last read.
+	era uint64
 	// recordFencing is the fencing number under which record was last read or written.
 	recordFencing uint64
 	// done are the windows that need nothing more: they have been sent, or are withheld.
@@ -203,7 +205,7 @@
 	if err := r.write(ctx, r.record.settled(w, r.maxOpen()+spareWindows)); err != nil {
 		return nil, fmt.Errorf("settle: %w", err)
 	}
-	r.c.Logger.Info("usage window settled", "window", number, "fencing", r.fencing, "revision", object.LogValue(r.version), "era", r.c.Era())
+	r.c.Logger.Info("usage window settled", "window", number, "fencing", r.fencing, "revision", object.LogValue(r.version), "era", r.era)
 	return r.record.find(number), nil
 }
 
@@ -213,7 +215,7 @@
 // write stores the settled windows and the counts of the open ones.
 func (r *Reporter) write(ctx context.Context, windows []window) error {
 	counted := r.c.DaemonCounts()
-	next := record{Windows: windows, Sources: slices.Clone(r.inheritedSources), Era: r.c.Era(), WithheldThrough: r.record.WithheldThrough}
+	next := record{Windows: windows, Sources: slices.Clone(r.inheritedSources), Era: r.era, WithheldThrough: r.record.WithheldThrough}
 	newest := r.c.Now().UnixNano() / int64(r.c.Window)
 	for number := newest - int64(r.maxOpen()); number <= newest; number++ {
 		if (&record{Windows: windows}).find(number) == nil {
@@ -265,9 +267,9 @@
 	return out
 }
 
-// load reads the record unless this holder has read or written it before and no call has failed since.
+// load reads the record unless this holder has read or written it in the present era and no call has failed since.
 func (r *Reporter) load(ctx context.Context) error {
-	if r.loaded {
+	if r.loaded && r.era == r.c.Era() {
 		return nil
 	}
 	return r.read(ctx)
@@ -283,14 +285,15 @@
 		// A successor may have settled windows since, and the store may have lost them again.
 		return fmt.Errorf("read settled windows: %w", errNotHeld)
 	}
+	era := r.c.Era()
 	var stored record
 	if err := stored.decode(o); err != nil {
 		r.c.Logger.Error("settled usage windows are corrupt", "fencing", r.fencing, "revision", object.LogValue(o.Version), "error", err)
 		stored = r.recovered(&record{}, o.Version)
-	} else if missing && !r.isFirstRecord() || !missing && stored.Era < r.c.Era() {
+	} else if missing && !r.isFirstRecord() || !missing && stored.Era < era {
 		stored = r.recovered(&stored, o.Version)
 	}
-	r.record, r.version, r.loaded, r.recordFencing = stored, o.Version, true, r.fencing
+	r.record, r.version, r.era, r.loaded, r.recordFencing = stored, o.Version, era, true, r.fencing
 	if !missing {
 		r.inherited, r.inheritedSources = stored.Open, stored.Sources
 	}
