usagereporter: a record without an open window is none of ours

What users would see: two reports of one window, after another writer replaced the record by {} or null at a store that states no era: it decoded to an empty record, and all windows were settled again. The current window is always open in a record that a holder wrote; one without counts as unreadable. Found by the review; TestForeignRecordDoesNotRepeatReports failed before.

--- a/internal/fleet/usagereporter/record.go
+++ b/internal/fleet/usagereporter/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"slices"
 
 	"brasschute/internal/platform/object"
@@ -29,12 +30,21 @@
 	WithheldThrough int64 `json:",omitempty"`
 }
 
+// errNoOpenWindows is the error of a record that no holder has written: the current window is always open.
+var errNoOpenWindows = errors.New("no open windows")
+
 // decode parses a stored object; an absent one is an empty record.
 func (r *record) decode(o object.Object) error {
 	if o.Version == object.Absent {
 		return nil
 	}
-	return json.Unmarshal(o.Value, r)
+	if err := json.Unmarshal(o.Value, r); err != nil {
+		return err
+	}
+	if len(r.Open) == 0 {
+		return errNoOpenWindows
+	}
+	return nil
 }
 
 // find returns a settled window, or nil.
