usagereporter: a holder of the version before between two of this one takes no withheld window back

What users would see during a roll-out of daemons: two reports of one window. A host of the version before drops WithheldThrough when it writes the record, and states the present era. Now the field is always written, and a record without it withholds what has ended and is not settled in it. It costs a window at each such change of holder during the roll-out.

--- a/internal/fleet/usagereporter/record.go
+++ b/internal/fleet/usagereporter/record.go
@@ -26,10 +26,13 @@
 	// Era is the store's era in which the record that this one replaces was read.
 	Era uint64 `json:",omitempty"`
 	// WithheldThrough is the last window that may have been reported with counts that the store has lost.
-	// Neither it nor any before it is settled; 0 means none.
-	WithheldThrough int64 `json:",omitempty"`
+	// Neither it nor any before it is settled; 0 means none. Holders of the previous version drop it.
+	WithheldThrough int64
 }
 
+// notStated is WithheldThrough of a record that a holder of the previous version has written.
+const notStated = -1
+
 // errNoOpenWindows is the error of a record that no holder has written: the current window is always open.
 var errNoOpenWindows = errors.New("no open windows")
 
@@ -38,6 +41,7 @@
 	if o.Version == object.Absent {
 		return nil
 	}
+	r.WithheldThrough = notStated
 	if err := json.Unmarshal(o.Value, r); err != nil {
 		return err
 	}
--- a/internal/fleet/usagereporter/usagereporter.go
+++ b/internal/fleet/usagereporter/usagereporter.go
@@ -292,6 +292,10 @@
 		stored = r.recovered(&record{}, o.Version)
 	} else if missing && !r.isFirstRecord() || !missing && stored.Era < era {
 		stored = r.recovered(&stored, o.Version)
+	} else if stored.WithheldThrough == notStated {
+		stored.WithheldThrough = r.lastEnded()
+		r.c.Logger.Warn("settled usage windows of the previous version; others that have ended will not be reported",
+			"last_window", stored.WithheldThrough, "fencing", r.fencing, "revision", object.LogValue(o.Version))
 	}
 	r.record, r.version, r.era, r.loaded, r.recordFencing = stored, o.Version, era, true, r.fencing
 	if !missing {
