leaser: a candidate that has heard of no lease takes a lost one

What users would see: nobody performs the duties any more, after the store lost the lease and no candidate is left that had seen or heard of it. 'Heard of nothing' is revision 0, as is 'absent', so that the time from which the candidate waits was set back to zero at each look, and began anew. Found by the review; TestLostLeaseIsTakenByANewCandidate failed before.

--- a/internal/fleet/leaser/leaser.go
+++ b/internal/fleet/leaser/leaser.go
@@ -335,7 +335,7 @@
 	if version != l.seenVersion {
 		l.seenVersion, l.seenSince = version, l.c.Now()
 	}
-	if revision, since := l.c.Heard(); revision == version && since.Before(l.seenSince) {
+	if revision, since := l.c.Heard(); revision != object.Absent && revision == version && since.Before(l.seenSince) {
 		l.seenSince = since
 	}
 }
