leaser: a lease that the store loses twice is waited for twice

What users would see: two holders at once. An absent lease bears no era: a candidate that last looked when the lease was lost for the first time took the second loss for the same state and its whole duration for over. The era in which it looked counts now. Found by the review; TestLeaseThatIsLostTwiceIsNotTakenEarly failed before.

--- a/internal/fleet/leaser/leaser.go
+++ b/internal/fleet/leaser/leaser.go
@@ -122,9 +122,10 @@
 	exclusiveFrom time.Time
 	current       record
 
-	// seenVersion is the version last observed, seenSince a time at which it had been written.
-	seenVersion uint64
-	seenSince   time.Time
+	// seenVersion is the version last observed, seenSince a time at which it had been written. seenEra is the
+	// store's era then, which the version of an absent lease does not tell.
+	seenVersion, seenEra uint64
+	seenSince            time.Time
 	// existed is set once the lease has been seen or written.
 	existed bool
 	// heldVersion is the version of this candidate's last acknowledged write.
@@ -332,8 +333,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.existed = l.existed || version != object.Absent
-	if version != l.seenVersion {
-		l.seenVersion, l.seenSince = version, l.c.Now()
+	if era := l.c.Era(); version != l.seenVersion || era != l.seenEra {
+		l.seenVersion, l.seenEra, l.seenSince = version, era, l.c.Now()
 	}
 	if revision, since := l.c.Heard(); revision != object.Absent && revision == version && since.Before(l.seenSince) {
 		l.seenSince = since
@@ -410,7 +411,8 @@
 	if err != nil {
 		return
 	}
-	l.seenVersion, l.seenSince, l.heldVersion, l.existed = o.Version, start, o.Version, true
+	l.seenVersion, l.seenEra, l.seenSince = o.Version, object.Era(o.Version), start
+	l.heldVersion, l.existed = o.Version, true
 	l.heldUntil = start.Add(validity(l.c.Duration))
 	l.current = r
 }
