--- a/internal/fleet/leaser/lostlease_test.go
+++ b/internal/fleet/leaser/lostlease_test.go
@@ -36,8 +36,10 @@
 		go func() { _ = a.Serve(ctx) }()
 		time.Sleep(duration)
 		other := false
-		b := New(Config{Store: s, Zone: "z", Host: "b", Duration: duration, Era: s.Era, HeldByOther: func() bool { return other },
-			Heard: func() (uint64, time.Time) { return 1, time.Time{} }})
+		b := New(Config{
+			Store: s, Zone: "z", Host: "b", Duration: duration, Era: s.Era, HeldByOther: func() bool { return other },
+			Heard: func() (uint64, time.Time) { return 1, time.Time{} },
+		})
 		s.restore(object.Object{})
 		b.step(ctx)
 		other = true
--- a/internal/fleet/usagereporter/handover_test.go
+++ b/internal/fleet/usagereporter/handover_test.go
@@ -77,9 +77,9 @@
 }
 
 // check lets the last holder report and compares.
-func (s *successions) check(t *testing.T, n int) {
+func (s *successions) check(t *testing.T) {
 	s.holder = 3
-	s.reporter(n).Step(t.Context(), 3)
+	s.reporter(5).Step(t.Context(), 3)
 	if s.differed {
 		t.Errorf("a window was reported twice with different counts: %v", s.reports)
 	}
@@ -98,7 +98,7 @@
 	s.refuseWrites = false
 	a.c.Store = &pausedStore{fakePlatform: s.fakePlatform, onGet: func() { s.succeed(t, 4, copied) }}
 	a.Step(t.Context(), 1)
-	s.check(t, 5)
+	s.check(t)
 }
 
 // Guards against the same by a holder whose write is refused after the restore, and which goes on with its step.
@@ -111,7 +111,7 @@
 	a.savedAt = time.Time{}
 	a.c.Store = &pausedStore{fakePlatform: s.fakePlatform, onPut: func() { s.succeed(t, 4, copied) }}
 	a.Step(t.Context(), 1)
-	s.check(t, 5)
+	s.check(t)
 }
 
 // Guards against a record that is created in a later era than the one in which it was found missing, and bears the later one.
@@ -136,7 +136,7 @@
 		return counted()
 	}
 	a.Step(t.Context(), 1)
-	s.check(t, 5)
+	s.check(t)
 }
 
 // Guards against a record of another writer that decodes to nothing and is taken for one of ours, at a store that states no era.
@@ -150,7 +150,7 @@
 			t.Fatal("the window was not reported")
 		}
 		s.o = object.Object{Version: s.o.Version + 1, Value: []byte(value)}
-		s.check(t, 5)
+		s.check(t)
 	}
 }
 
@@ -246,5 +246,5 @@
 		t.Fatal(err)
 	}
 	s.o = object.Object{Version: s.o.Version + 1, Value: raw}
-	s.check(t, 5)
+	s.check(t)
 }
