usagereporter: windows that the record no longer holds are withheld

What users would see: two reports of one window, after a holder's clock had jumped back further than the record reaches (five windows and three): the windows were due again and not found. Suspected by the review. A window that leaves the record is at most WithheldThrough now.

--- a/internal/fleet/usagereporter/handover_test.go
+++ b/internal/fleet/usagereporter/handover_test.go
@@ -248,3 +248,15 @@
 	s.o = object.Object{Version: s.o.Version + 1, Value: raw}
 	s.check(t)
 }
+
+// Guards against windows that are settled again after a holder's clock has jumped back further than the record reaches.
+func TestClockThatJumpsBackSettlesNothingAgain(t *testing.T) {
+	s := newSuccessions()
+	reporter := s.reporter(3)
+	for range 200 {
+		reporter.Step(t.Context(), 1)
+		s.now = s.now.Add(time.Second / 2)
+	}
+	s.now = time.Unix(1_000_000, 0).Add(windowLength + 2500*time.Millisecond)
+	s.check(t)
+}
--- a/internal/fleet/usagereporter/record.go
+++ b/internal/fleet/usagereporter/record.go
@@ -66,8 +66,12 @@
 	return number <= r.WithheldThrough && r.find(number) == nil
 }
 
-// settled returns the settled windows with one more, of which the last ones are kept.
-func (r *record) settled(w window, kept int) []window {
-	out := append(slices.Clone(r.Windows), w)
-	return out[max(0, len(out)-kept):]
+// settle adds a settled window, of which the last ones are kept. Those that are not kept are withheld: a clock that
+// jumps back would settle them again.
+func (r *record) settle(w window, kept int) {
+	r.Windows = append(slices.Clone(r.Windows), w)
+	for len(r.Windows) > kept {
+		r.WithheldThrough = max(r.WithheldThrough, r.Windows[0].Window)
+		r.Windows = r.Windows[1:]
+	}
 }
--- a/internal/fleet/usagereporter/usagereporter.go
+++ b/internal/fleet/usagereporter/usagereporter.go
@@ -165,7 +165,7 @@
 		r.c.Logger.Warn("reading the settled usage windows failed", "error", err)
 		return
 	}
-	if err := r.write(ctx, r.record.Windows); err != nil {
+	if err := r.write(ctx, r.record); err != nil {
 		r.c.Logger.Warn("saving the open usage windows failed", "error", err)
 	}
 }
@@ -201,8 +201,9 @@
 		r.c.Logger.Info("usage window found settled", "window", number, "fencing", r.fencing, "revision", object.LogValue(r.version), "record_era", r.record.Era)
 		return w, nil
 	}
-	w := window{number, r.sum(number, r.c.DaemonCounts())}
-	if err := r.write(ctx, r.record.settled(w, r.maxOpen()+spareWindows)); err != nil {
+	next := r.record
+	next.settle(window{number, r.sum(number, r.c.DaemonCounts())}, r.maxOpen()+spareWindows)
+	if err := r.write(ctx, next); err != nil {
 		return nil, fmt.Errorf("settle: %w", err)
 	}
 	r.c.Logger.Info("usage window settled", "window", number, "fencing", r.fencing, "revision", object.LogValue(r.version), "era", r.era)
@@ -212,13 +213,13 @@
 // maxOpen is how many windows before the current one may still be open.
 func (r *Reporter) maxOpen() int { return int(r.c.ReportWithin/r.c.Window) + 1 }
 
-// write stores the settled windows and the counts of the open ones.
-func (r *Reporter) write(ctx context.Context, windows []window) error {
+// write stores the settled and the withheld windows of a record, and the counts of the open ones.
+func (r *Reporter) write(ctx context.Context, next record) error {
 	counted := r.c.DaemonCounts()
-	next := record{Windows: windows, Sources: slices.Clone(r.inheritedSources), Era: r.era, WithheldThrough: r.record.WithheldThrough}
+	next.Era, next.Open, next.Sources = r.era, nil, slices.Clone(r.inheritedSources)
 	newest := r.c.Now().UnixNano() / int64(r.c.Window)
 	for number := newest - int64(r.maxOpen()); number <= newest; number++ {
-		if (&record{Windows: windows}).find(number) == nil {
+		if next.find(number) == nil {
 			next.Open = append(next.Open, window{number, r.sum(number, counted)})
 		}
 	}
