--- a/integration/duties_test.go
+++ b/integration/duties_test.go
@@ -13,9 +13,9 @@
 	"brasschute/internal/standin/hosting"
 )
 
-// reportedRequests sums the reported requests of an organisation, counting each window once. It
+// reportedRequests sums the reported requests of the organisation deskName, counting each window once. It
 // returns an error if two reports of a window differ, or if a fencing number decreases.
-func (s *site) reportedRequests(organisation string) (int, error) {
+func (s *site) reportedRequests() (int, error) {
 	windows := make(map[int64]string)
 	sum, fencing := 0, uint64(0)
 	for _, r := range s.cloud.Reports() {
@@ -23,7 +23,7 @@
 		if old, ok := windows[r.Window]; ok && old != text {
 			return 0, fmt.Errorf("window %d was reported as %s and %s", r.Window, old, text)
 		} else if !ok {
-			sum += r.Counts[organisation]
+			sum += r.Counts[deskName]
 		}
 		windows[r.Window] = text
 		if r.Fencing < fencing {
@@ -53,7 +53,7 @@
 	awaitReported := func(n int) {
 		t.Helper()
 		eventually(t, "usage", func() error {
-			sum, err := s.reportedRequests(deskName)
+			sum, err := s.reportedRequests()
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -98,7 +98,7 @@
 		h.send(hostedRequest{Target: nonIdempotentPath, Key: deskKey})
 	}
 	eventually(t, "usage", func() error {
-		sum, err := s.reportedRequests(deskName)
+		sum, err := s.reportedRequests()
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/integration/restore_test.go
+++ b/integration/restore_test.go
@@ -81,7 +81,7 @@
 	if r := s.awaitReport(time.Now().UnixNano()/int64(restoreWindow) + 2); r.Holder == holder {
 		t.Errorf("the last report came from %s, which has ended", holder)
 	}
-	if _, err := s.reportedRequests(deskName); err != nil {
+	if _, err := s.reportedRequests(); err != nil {
 		t.Error(err)
 	}
 }
--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -455,7 +455,7 @@
 		}
 	}
 	s.checkVersions()
-	if _, err := s.reportedRequests(deskName); err != nil {
+	if _, err := s.reportedRequests(); err != nil {
 		s.errorf("%v", err)
 	}
 	if s.served == 0 {
