caller: a response whose status is none is no answer

Cause: net/http takes any three digits as a status, +20 too, and returns 101. The forwarder passed such a response on as the endpoint's answer: a status below 100 made the server panic, and the caller's connection closed without an answer; 101, 600 and 999 reached the caller. Orders, imports and cancellations took a status below 400 as done. Change: one function makes all calls and returns an error for a status outside 200 to 599.

--- a/internal/engine/caller/caller.go
+++ b/internal/engine/caller/caller.go
@@ -77,6 +77,8 @@
 	ErrStreamNotFound = errors.New("endpoint: stream not held")
 	// ErrStatus means that the endpoint responded with an unexpected status.
 	ErrStatus = errors.New("endpoint: unexpected status")
+	// ErrNoAnswer means that the endpoint sent a status that is none of an answer. The call may have run.
+	ErrNoAnswer = errors.New("endpoint: not the status of an answer:")
 )
 
 const (
@@ -88,6 +90,9 @@
 	maxFrameBytes  = 1 << 20
 	// maxHeadBytes bounds the status line and headers of a response.
 	maxHeadBytes = 64 << 10
+	// minStatus and maxStatus bound the status of an answer (RFC 9110, 15).
+	minStatus = 200
+	maxStatus = 599
 )
 
 // Caller calls endpoints. It is safe for concurrent use.
@@ -157,18 +162,31 @@
 	if atMostOnce {
 		client = &c.singleUseClient
 	}
-	resp, err := client.Do(r)
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		return nil, fmt.Errorf("%w: %w", ErrRefusedConnection, err)
-	}
+	resp, err := exchange(client, r)
 	if err != nil {
-		return nil, fmt.Errorf("endpoint: %w", err)
+		return nil, err
 	}
 	a.state.Store(int32(Answered))
 	a.backoff.Store(int64(retryparser.Parse(resp.StatusCode, resp.Header)))
 	return resp, nil
 }
 
+// exchange makes a call and returns its answer. A response whose status is none of an answer is an error: net/http takes
+// any three digits, and upgrades the connection by itself.
+func exchange(client *http.Client, r *http.Request) (*http.Response, error) {
+	resp, err := client.Do(r)
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return nil, fmt.Errorf("%w: %w", ErrRefusedConnection, err)
+	case err != nil:
+		return nil, fmt.Errorf("endpoint: %w", err)
+	case resp.StatusCode < minStatus || resp.StatusCode > maxStatus:
+		_ = resp.Body.Close()
+		return nil, fmt.Errorf("%w %d", ErrNoAnswer, resp.StatusCode)
+	}
+	return resp, nil
+}
+
 type attemptKey struct{}
 
 // withStateTracking returns a context in which the transport updates the state of the
@@ -336,9 +354,9 @@
 	if err != nil {
 		return fmt.Errorf("endpoint: %w", err)
 	}
-	resp, err := c.pooledClient.Do(r)
+	resp, err := exchange(&c.pooledClient, r)
 	if err != nil {
-		return fmt.Errorf("endpoint: %w", err)
+		return err
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode >= http.StatusBadRequest {
--- a/internal/engine/caller/caller_test.go
+++ b/internal/engine/caller/caller_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -131,3 +132,21 @@
 		t.Errorf("%d calls reached the endpoint, want 2", n)
 	}
 }
+
+// Guards against an order or an import that counts as done because of an answer whose status is none.
+func TestCallsWithoutAStatusHaveFailed(t *testing.T) {
+	for _, line := range []string{"000 OK", "099 OK", "+20 OK", "101 Switching Protocols", "600 OK", "999 OK"} {
+		address := serveConnections(t, func(c net.Conn) {
+			_, _ = c.Read(make([]byte, 4096))
+			_, _ = io.WriteString(c, "HTTP/1.1 "+line+"\r\nContent-Length: 2\r\n\r\n{}")
+			_ = c.Close()
+		})
+		if err := New(Config{}).Import(t.Context(), address, &ImportRequest{Source: address}); !errors.Is(err, ErrNoAnswer) {
+			t.Errorf("%s: error %v", line, err)
+		}
+		var a Attempt
+		if s, err := New(Config{}).Complete(t.Context(), address, "r", nil, true, &a); !errors.Is(err, ErrNoAnswer) || a.State() != MaybeSent {
+			t.Errorf("%s: %v, error %v, %v", line, s, err, a.State())
+		}
+	}
+}
