cloud: an answer whose status is none leaves a call's outcome unknown

Cause: any status below 300 counted as done, and net/http takes 000, 099, +20 and 101 for a status. Change: only 200 to 299 count as done.

--- a/internal/platform/cloud/cloud.go
+++ b/internal/platform/cloud/cloud.go
@@ -112,7 +112,7 @@
 	switch {
 	case resp.StatusCode == http.StatusConflict:
 		return ErrRefused
-	case resp.StatusCode >= http.StatusMultipleChoices:
+	case resp.StatusCode < http.StatusOK || resp.StatusCode >= http.StatusMultipleChoices:
 		return fmt.Errorf("%w: status %d", ErrUnknown, resp.StatusCode)
 	case out == nil:
 		return nil
