--- a/integration/mixed_test.go
+++ b/integration/mixed_test.go
@@ -48,8 +48,9 @@
 	// endUnread ends its side and closes the connection with the rest of the upload unread, which resets it. An
 	// answer without a length may have ended in order before that.
 	endUnread ending = "unread-rest"
-	// endKept keeps the connection open for more requests.
-	endKept ending = "kept"
+	// endKept keeps the connection open for more requests, endNever keeps it open until the daemon closes it.
+	endKept  ending = "kept"
+	endNever ending = "never"
 )
 
 // rawForm is how an endpoint treats a request: in the text %s stands for the request's id.
@@ -230,6 +231,9 @@
 			_ = c.CloseWrite()
 			_, _ = io.Copy(io.Discard, in)
 			return
+		case endNever:
+			_, _ = io.Copy(io.Discard, in)
+			return
 		}
 	}
 }
