relayer: a stream that is read late in a stop begins only if its deadline is before the end

Cause: whether a request came late in a stop was judged by the arrival of its head. One whose body took until the listener had closed passed for early. And a stream whose size is not stated was taken to last as long as the objective for its first event. It was passed on, began, and was cut at the end of the grace period. Change: the time at which the request had been read whole counts. A stream that is late is passed on only if its deadline is before the end, as it can't be answered any more once it has begun; else it is refused as not run, and its client is served by another daemon. Other requests still get an answer before the end.

--- a/internal/serve/drainer/drainer.go
+++ b/internal/serve/drainer/drainer.go
@@ -67,10 +67,10 @@
 	return time.Until(d.deadline), true
 }
 
-// CameLate reports whether the daemon stops and the balancer had taken it out when a request was received: the request
-// came on a connection that was open before.
-func (d *Drainer) CameLate(received time.Time) bool {
-	return d.begun.Err() != nil && received.Sub(d.began) > d.c.BalancerLag
+// CameLate reports whether the daemon stops and the balancer had taken it out when a request had been read whole: the
+// request came on a connection that was open before.
+func (d *Drainer) CameLate(read time.Time) bool {
+	return d.begun.Err() != nil && read.Sub(d.began) > d.c.BalancerLag
 }
 
 // Watch calls f once the time left to the deadline is at most lead. f is called in a goroutine of its own. It is not
--- a/internal/serve/relayer/ending.go
+++ b/internal/serve/relayer/ending.go
@@ -66,7 +66,7 @@
 // endTimedOut ends a request whose deadline passed, whose client disconnected or whose daemon stops.
 func (j *job) endTimedOut(ctx context.Context) {
 	if stoppedDaemon(ctx) {
-		j.endStopped()
+		j.endStopped(j.runTime())
 		return
 	}
 	if errors.Is(ctx.Err(), context.Canceled) {
--- a/internal/serve/relayer/relayer.go
+++ b/internal/serve/relayer/relayer.go
@@ -295,6 +295,8 @@
 	w       http.ResponseWriter
 	flush   func() error
 	res     Result
+	// read is when the request had been read whole.
+	read time.Time
 
 	tried []identifier.Endpoint
 	// versionChosen is set once the version for the request has been chosen.
@@ -346,7 +348,7 @@
 // Relay serves one request. ctx must end when the client disconnects or the request's
 // deadline passes.
 func (r *Relayer) Relay(ctx context.Context, w http.ResponseWriter, q *request.Request, s *catalog.Service) Result {
-	j := &job{r: r, q: q, service: s, w: w, flush: http.NewResponseController(w).Flush, lastEvent: q.LastEventNumber, releaseAnswer: func() {}}
+	j := &job{r: r, q: q, read: time.Now(), service: s, w: w, flush: http.NewResponseController(w).Flush, lastEvent: q.LastEventNumber, releaseAnswer: func() {}}
 	// The client of a stream that broke off asks for the rest of what it has asked before.
 	j.returnDelay = r.c.Demand.ReturnDelay(q.Service, q.Route.Name, q.ClientTimeout)
 	j.counted = j.returnDelay > 0 || q.LastEventNumber > 0
@@ -418,7 +420,7 @@
 		return nil, true
 	}
 	if j.startsTooLate() {
-		j.endStopped()
+		j.endStopped(j.maxRunTime())
 		return nil, true
 	}
 	ctx, cancel := j.waitWithDaemon(ctx)
