tests: endless responses of many forms at once, beside other clients' requests, directly and through a peer

TestEndlessResponsesStayWithinMemory sends one form at a time, most of them with status 200, and asks a sound endpoint only after it. Now each status (200, 500, 503 and 421 as not run) comes with each framing, all at once, while other clients' requests are served, also through a peer.

--- a/integration/endless_test.go
+++ b/integration/endless_test.go
@@ -202,3 +202,121 @@
 		t.Errorf("a sound endpoint after %s: status %d, %v", f.name, a.status, a.err)
 	}
 }
+
+// endlessMix returns forms of responses without an end: each status with each way in which a body may be framed, for
+// streams and other requests.
+func endlessMix() []endlessForm {
+	var out []endlessForm
+	for _, form := range endlessForms() {
+		if !strings.Contains(form.head, signedHead) || form.streams {
+			out = append(out, form)
+			continue
+		}
+		for name, head := range map[string]string{
+			"":        signedHead,
+			"-500":    "HTTP/1.1 500 Failed\r\nRequest-Id: %s\r\nResponse-Stamp: stamp\r\n",
+			"-refuse": "HTTP/1.1 503 Full\r\nRequest-Id: %s\r\nNot-Executed: 1\r\n",
+			"-421":    "HTTP/1.1 421 Misdirected Request\r\nRequest-Id: %s\r\n",
+		} {
+			for _, streams := range []bool{false, true} {
+				mixed := form
+				mixed.head, mixed.streams = strings.Replace(form.head, signedHead, head, 1), streams
+				mixed.name = fmt.Sprintf("%s%s-%v", form.name, name, streams)
+				out = append(out, mixed)
+			}
+		}
+	}
+	return out
+}
+
+// soundSenders is the number of clients that send requests to the sound endpoint at the same time.
+const soundSenders = 2
+
+// checkEndlessMix sends requests to the endpoints of all forms, and meanwhile others to a sound endpoint.
+func (h *gatewayHost) checkEndlessMix(t *testing.T, forms []endlessForm) {
+	t.Helper()
+	next := make(chan *endlessForm)
+	var endless, sound sync.WaitGroup
+	for range endlessRequests {
+		endless.Go(func() {
+			for f := range next {
+				if a := h.send(hostedRequest{Target: "/" + f.name + "/x", Key: deskKey}); a.err == nil && a.status < http.StatusBadRequest {
+					t.Errorf("%s: status %d, %d bytes", f.name, a.status, len(a.body))
+				}
+			}
+		})
+	}
+	var stopped atomic.Bool
+	served := new(atomic.Int64)
+	for range soundSenders {
+		sound.Go(func() {
+			for !stopped.Load() {
+				if a := h.send(hostedRequest{Target: nonIdempotentPath + "x", Key: deskKey}); a.err != nil || a.status != http.StatusOK {
+					t.Errorf("a sound endpoint: status %d, %s, %v", a.status, a.body, a.err)
+				}
+				served.Add(1)
+			}
+		})
+	}
+	const rounds = 2
+	for range rounds {
+		for i := range forms {
+			next <- &forms[i]
+		}
+	}
+	close(next)
+	endless.Wait()
+	stopped.Store(true)
+	sound.Wait()
+	t.Logf("%d requests to a sound endpoint meanwhile", served.Load())
+}
+
+// checkPeak checks the daemon's largest resident memory so far.
+func (h *gatewayHost) checkPeak(t *testing.T) {
+	t.Helper()
+	peak := peakResidentBytes(t, h.cmd.Process.Pid)
+	t.Logf("%s: peak of %d MB", h.name, peak>>20)
+	if peak > hostedMemoryBytes {
+		t.Errorf("%s: resident memory of %d MB, the limit is %d MB", h.name, peak>>20, hostedMemoryBytes>>20)
+	}
+}
+
+// Guards against endless responses of many forms at the same time that take a daemon's memory, or that of the peer through
+// which they come, and against other clients' requests that fail meanwhile.
+func TestEndlessResponsesBesideOtherRequests(t *testing.T) {
+	path := buildDaemon(t)
+	for name, partitioned := range map[string]bool{"direct": false, "through a peer": true} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t)
+			forms := endlessMix()
+			s.addEngine(hosting.Config{ID: "sound", Service: plainService})
+			s.configure(func(c *hostedConfig) {
+				for i := range forms {
+					c.Routes = append(c.Routes, forms[i].route())
+					c.Services = append(c.Services, hostedService{Name: forms[i].name})
+				}
+			})
+			for i := range forms {
+				s.addEndlessEndpoints(&forms[i])
+			}
+			var hosts []*gatewayHost
+			for _, endpoints := range []bool{true, !partitioned} {
+				h := s.prepareHost()
+				if !endpoints {
+					h.storeAddress = s.serve(withoutEndpoints(s.store.HandlerFor(h.name)))
+					h.writeSettings("")
+				}
+				h.process = startProgram(t, []string{platform.SettingsFileVariable + "=" + h.file}, path, h.name, "gateway")
+				h.awaitReady()
+				hosts = append(hosts, h)
+			}
+			hosts[1].checkEndlessMix(t, forms)
+			for _, h := range hosts {
+				h.checkPeak(t)
+			}
+			if partitioned {
+				hosts[1].checkHandedOver(t, len(forms))
+			}
+		})
+	}
+}
