tests: a conversation's part that is held in the place of the guilty one (failing)

Parts are inserted before a caller's other parts: a conversation's part is third in prompts with the guilty part and second in sound ones. Once it was near four crashes it comes first, as the later one, explains the guilty part's endings there, and that one is released with five crashes of its own.

--- a/internal/route/quarantiner/parts_test.go
+++ b/internal/route/quarantiner/parts_test.go
@@ -199,6 +199,24 @@
 	})
 }
 
+// Guards against a guilty part whose endings a conversation's part takes away, which comes after it in its prompts and in its
+// place in sound ones.
+func TestPartOfSoundPromptsTakesNothingFromAnEarlierOne(t *testing.T) {
+	withFakeTime(t, func(t *testing.T, z *Quarantiner) {
+		conversation := part("conversation-0")
+		for n := range 5 {
+			crash(z, n, callerPart, guilty, part(fmt.Sprint("conversation-", n)))
+			if n > 0 && n < 4 {
+				z.RecordEnding(identifier.Fingerprint(fmt.Sprint("near-", n)), ending(n), callerPart, conversation)
+			}
+			z.RecordEvent(callerPart)
+		}
+		if !held(z, guilty) || held(z, conversation) {
+			t.Errorf("guilty part held: %v, conversation's part held: %v", held(z, guilty), held(z, conversation))
+		}
+	})
+}
+
 // Guards against a guilty part whose endings are lost to requests or other parts that were held meanwhile:
 // six requests with it are sent at most, whatever came with it, if each of them crashes two endpoints or one.
 func TestHeldSuspectsTakeNothingFromAPart(t *testing.T) {
