quarantiner: the place of a part is that in the prompts that crashed endpoints

Cause: the later one of two parts explains what both were near, and a part's place was the largest position that it was ever seen in. A part before it moves it back in some prompts, so a conversation's part in a sound caller's second place counted as later than the guilty part in the same place, and took endings of other requests from it.

Change: two parts are compared by their positions at the ending itself, and ordered by the smallest position.

--- a/internal/route/quarantiner/suspect.go
+++ b/internal/route/quarantiner/suspect.go
@@ -51,10 +51,12 @@
 	return limit
 }
 
-// depth returns the largest position of a part in prompts.
-func (s *suspect) depth() (depth int) {
+// depth returns the smallest position of a part in prompts. A part comes later in those that have one more before it, which
+// says nothing about its place in others.
+func (s *suspect) depth() int {
+	depth := MaxDepth
 	for i := range s.endings {
-		depth = max(depth, s.endings[i].Depth)
+		depth = min(depth, s.endings[i].Depth)
 	}
 	return depth
 }
--- a/internal/route/quarantiner/verdict.go
+++ b/internal/route/quarantiner/verdict.go
@@ -36,10 +36,11 @@
 }
 
 // explains reports whether c, which is held, explains an ending that counts against s as well. Two parts in
-// the same position may both be guilty, unless one accounts for all endings of the other and for more.
+// the same position there may both be guilty, unless one accounts for all endings of the other and for more.
 func (c *candidate) explains(s *suspect, e *Ending) bool {
+	i := c.find(e)
 	switch {
-	case !c.has(e):
+	case i < 0 || c.endings[i].Void:
 		return false
 	case !s.part:
 		return true
@@ -48,7 +49,8 @@
 	case c.level > s.points/partLimit:
 		return true
 	}
-	return c.depth() > s.depth() || c.depth() == s.depth() && c.points > s.points && c.hasAll(s)
+	depth := c.endings[i].Depth
+	return depth > e.Depth || depth == e.Depth && c.points > s.points && c.hasAll(s)
 }
 
 // hasAll reports whether all endings that count for o count for s as well.
