--- a/integration/cutanswers_test.go
+++ b/integration/cutanswers_test.go
@@ -72,7 +72,7 @@
 		}
 	}
 	eventually(t, "usage", func() error {
-		sum, err := s.reportedRequests(deskName)
+		sum, err := s.reportedRequests()
 		if err != nil {
 			t.Fatal(err)
 		}
