versiontracker: a restarted process does not take its list for all that ever served

What users would see: streams that broke off when all daemons were killed go on, 200 and whole, at another version than they began with. Cause: a process whose settings say that the system starts for the first time took the first list of endpoints for all versions that ever served. The settings file of a process that is started again may still say so; with the old engines gone it then proves the new version to be the sole one, and passes the proof on. A setting states an intention, no fact. Now the proof needs the store: only the daemon that finds that nobody has ever held the lease, and takes it, has it, and the others ask it for it, as restarted ones do. A system without duties has no lease and no such proof; it copies records for its first minute.

Changed test: the rows of TestSoleVersion that set FirstStart call ConfirmFirst, the only way left; two rows are new.

--- a/internal/peer/origintracker/origintracker_test.go
+++ b/internal/peer/origintracker/origintracker_test.go
@@ -76,7 +76,10 @@
 
 // start starts a daemon that knows nothing.
 func (f *fleet) start(i int, first bool) {
-	d := &daemon{versions: versiontracker.New(versiontracker.Config{Retention: retention, FirstStart: first, Now: f.clock})}
+	d := &daemon{versions: versiontracker.New(versiontracker.Config{Retention: retention, Now: f.clock})}
+	if first {
+		d.versions.ConfirmFirst()
+	}
 	d.Tracker = New(Config{
 		Host: host(i), Versions: d.versions, Select: f.assigner.Select, Retention: time.Hour, Metrics: tally.NoopScope,
 		Dial: func(address string) Peer { return link{f, d, address} },
--- a/internal/role/gateway/duties.go
+++ b/internal/role/gateway/duties.go
@@ -93,6 +93,9 @@
 		OnChange: func(fencing uint64, held bool) {
 			g.c.Logger.Info("duties", "held", held, "fencing", fencing)
 			if held {
+				if g.lease.FirstHolder() {
+					g.versions.ConfirmFirst()
+				}
 				select {
 				case gained <- struct{}{}:
 				default:
--- a/internal/role/gateway/rejoined_test.go
+++ b/internal/role/gateway/rejoined_test.go
@@ -179,7 +179,7 @@
 		defer f.end()
 		f.rate = wideLink
 		f.prepare = func(c *Config) {
-			c.Deployment.FirstStart = true
+			c.Deployment.FirstStart, c.Deployment.UsageReports = true, true
 			c.Network = newKillableNetwork(c.Network.(*isolatableNetwork))
 		}
 		r := &rejoinedFleet{versionedFleet: &versionedFleet{testFleet: f, runs: make(map[string][]streamRun)}}
@@ -329,3 +329,18 @@
 		}
 	}
 }
+
+// Guards against streams that are refused in the first minute of a system, as no daemon knows that no other version
+// has served.
+func TestFirstStartProvesTheSoleVersion(t *testing.T) {
+	inRejoinedFleet(t, 8, 1, func(r *rejoinedFleet) {
+		for _, g := range r.daemons {
+			if v := g.versions.Version(modelService); v.Several || !v.Proven {
+				t.Errorf("%s: %+v", g.c.Deployment.Host, v)
+			}
+		}
+		if _, reply := r.begin(0, brokenStream); !reply.complete {
+			t.Errorf("a stream: %+v", reply)
+		}
+	})
+}
--- a/internal/role/gateway/streams.go
+++ b/internal/role/gateway/streams.go
@@ -26,7 +26,7 @@
 
 // buildStreams builds what knows at which version each stream began.
 func (g *Gateway) buildStreams() {
-	g.versions = versiontracker.New(versiontracker.Config{Retention: streamRetention, FirstStart: g.c.Deployment.FirstStart, Now: g.uptime})
+	g.versions = versiontracker.New(versiontracker.Config{Retention: streamRetention, Now: g.uptime})
 	g.origins = origintracker.New(origintracker.Config{
 		Host: g.c.Deployment.Host, Versions: g.versions, Select: g.assigner.Select, Retention: streamRetention, Metrics: g.scope,
 		Dial: func(address string) origintracker.Peer { return g.dialPeer(address) },
--- a/internal/route/versiontracker/versiontracker.go
+++ b/internal/route/versiontracker/versiontracker.go
@@ -4,8 +4,8 @@
 // A service has a sole version if all endpoints that were listed within the retention time have the
 // same one. Then each stream of the service that a client may still take up began at that version.
 // This holds only if the tracker has seen all versions of that time: it has observed the list for so
-// long without a gap, or from the first start of the system on, or another daemon has proved it (see
-// [Tracker.Adopt]). The list counts as current for [confirmTimeout] after [Tracker.Confirm].
+// long without a gap, or from the first start of the system on (see [Tracker.ConfirmFirst]), or another
+// daemon has proved it (see [Tracker.Adopt]). The list counts as current for [confirmTimeout] after [Tracker.Confirm].
 //
 // # Usage
 //
@@ -32,8 +32,6 @@
 	// Retention is how long a version counts after its last endpoint has left the list: longer than
 	// clients wait for a stream.
 	Retention time.Duration
-	// FirstStart is set if nothing was served before this daemon started.
-	FirstStart bool
 	// Now returns the current time of a clock that continues while the host is suspended.
 	Now func() time.Time
 }
@@ -58,7 +56,10 @@
 	// list.
 	completeFrom time.Time
 	confirmedAt  time.Time
-	services     map[identifier.Service]*service
+	// first is set if no version served before this daemon started, gap once the list has not been current for a
+	// time since.
+	first, gap bool
+	services   map[identifier.Service]*service
 }
 
 // service is what was seen of one service.
@@ -82,7 +83,7 @@
 	now := t.c.Now()
 	if t.completeFrom.IsZero() {
 		t.completeFrom = now
-		if !t.c.FirstStart {
+		if !t.first || t.gap {
 			t.completeFrom = now.Add(t.c.Retention)
 		}
 	}
@@ -183,6 +184,17 @@
 	}
 }
 
+// ConfirmFirst records that no version served before this daemon started. A setting can't prove that: a process that
+// is started again may have the settings of its predecessor.
+func (t *Tracker) ConfirmFirst() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.first = true
+	if now := t.c.Now(); !t.gap && now.Before(t.completeFrom) {
+		t.completeFrom = now
+	}
+}
+
 // Confirm records that the list of endpoints is current. After a gap, versions may have come and left
 // unseen.
 func (t *Tracker) Confirm() {
@@ -190,7 +202,7 @@
 	defer t.mu.Unlock()
 	now := t.c.Now()
 	if !t.confirmedAt.IsZero() && now.Sub(t.confirmedAt) > confirmTimeout {
-		t.completeFrom = now.Add(t.c.Retention)
+		t.completeFrom, t.gap = now.Add(t.c.Retention), true
 		for _, s := range t.services {
 			s.proven = false
 		}
--- a/internal/route/versiontracker/versiontracker_test.go
+++ b/internal/route/versiontracker/versiontracker_test.go
@@ -29,7 +29,10 @@
 
 func newClock(firstStart bool) *clock {
 	c := &clock{now: time.Unix(1000, 0)}
-	c.Tracker = New(Config{Retention: retention, FirstStart: firstStart, Now: func() time.Time { return c.now }})
+	c.Tracker = New(Config{Retention: retention, Now: func() time.Time { return c.now }})
+	if firstStart {
+		c.ConfirmFirst()
+	}
 	return c
 }
 
@@ -52,6 +55,22 @@
 	}{
 		{"nothing listed", true, func(*clock) {}, Sole{Several: true}, "nothing is known"},
 		{"first start", true, func(k *clock) { k.Observe(list("v1", "v1")) }, Sole{Version: "v1", Proven: true}, "nothing served before"},
+		{
+			"first start confirmed later", false, func(k *clock) { k.Observe(list("v1")); k.pass(3 * time.Second); k.ConfirmFirst() },
+			Sole{Version: "v1", Proven: true},
+			"nothing served before",
+		},
+		{
+			"first start confirmed after a gap", false,
+			func(k *clock) {
+				k.Observe(list("v1"))
+				k.now = k.now.Add(confirmTimeout + time.Second)
+				k.Confirm()
+				k.ConfirmFirst()
+			},
+			Sole{Version: "v1"},
+			"another version may have come and left unseen",
+		},
 		{"restarted", false, func(k *clock) { k.Observe(list("v1")) }, Sole{Version: "v1"}, "another version may have served before the start"},
 		{"restarted long ago", false, func(k *clock) { k.Observe(list("v1")); k.pass(retention) }, Sole{Version: "v1", Proven: true}, "all of the time was seen"},
 		{"two versions", true, func(k *clock) { k.Observe(list("v1", "v2")) }, Sole{Several: true}, "two serve"},
