splitter, promoter: a status of a roll-out that the store lost is stored again

Cause: daemons keep the furthest stored phase of an order, and the holder stored nothing once that was final. A store that came back from a copy had the order as serving for good; daemons knew the verdict only from memory and grants. Now each record of the order is compared with the furthest stored phase, and the holder, also the next one, stores the phase again if the record has less.

Tests of splitter and promoter pass.

--- a/internal/fleet/promoter/promoter.go
+++ b/internal/fleet/promoter/promoter.go
@@ -16,8 +16,9 @@
 // whatever the deadline.
 //
 // A step is sent to all daemons before it is stored, and a stored phase takes precedence over
-// what a new lease holder would decide. A new lease holder takes the phase from the grants that
-// it has received, and the tallies, which only rise, from the daemons.
+// what a new lease holder would decide. A phase that the store has lost is stored again. A new
+// lease holder takes the phase from the grants that it has received, and the tallies, which only
+// rise, from the daemons.
 //
 // # Usage
 //
@@ -159,7 +160,7 @@
 // step advances one order. It returns false if there is nothing to announce.
 func (t *trial) step(o *splitter.Order, in *Input) (Step, bool) {
 	t.phase = max(t.phase, o.Phase)
-	if o.Stored.IsFinal() {
+	if o.Stored.IsFinal() && !o.Lost {
 		return Step{}, false
 	}
 	t.merge(o.OrderID(), in.Tallies)
@@ -167,7 +168,7 @@
 	reason := t.advance(o, in)
 	return Step{
 		Order: o.Rollout, Phase: t.phase, Ends: t.oldEnd, Changed: t.phase != before, Reason: reason, Evidence: t.evidence,
-		Store: t.phase == rollout.Ordered || t.phase.IsFinal(),
+		Store: t.phase == rollout.Ordered || t.phase.IsFinal() || o.Lost,
 	}, true
 }
 
--- a/internal/route/splitter/order.go
+++ b/internal/route/splitter/order.go
@@ -28,7 +28,9 @@
 	// phase is stored, the store has none of this order.
 	abandoned      map[identifier.Version]bool
 	previousStored rollout.Phase
-	grant          Grant
+	// lost: the store came back from a copy that has less than the stored phase.
+	lost  bool
+	grant Grant
 	// canaryBudget is the number of canary requests that may still be sent. moveBudget is the
 	// number of requests that may still move to the version because they would outlast the old
 	// endpoints. requests counts requests since the order, routes counts them by route.
@@ -100,6 +102,7 @@
 		if r.Stored != v.previousStored {
 			v.previousStored, v.order.Stored = rollout.Ordered, max(v.order.Stored, r.Stored)
 		}
+		v.lost = r.Stored < v.order.Stored
 		return v.change(before, source, now, 0)
 	}
 	return PhaseChange{Service: r.Service, Target: r.Target, Order: r.OrderID(), After: v.phase(), Source: source}, true
@@ -147,6 +150,8 @@
 type Order struct {
 	// Rollout has the furthest known phase.
 	rollout.Rollout
+	// Lost is set if the store had the phase Stored and, restored from a copy, has it no more.
+	Lost bool
 	// LearnedAt is when this daemon learned of the order. GrantedAt is when the holder issued the
 	// last grant.
 	LearnedAt, GrantedAt time.Time
@@ -166,7 +171,7 @@
 	var out []Order
 	for _, name := range slices.Sorted(maps.Keys(s.services)) {
 		v := s.services[name]
-		o := Order{Rollout: v.order, LearnedAt: v.orderedAt, Requests: v.requests, CanaryBudget: v.canaryBudget}
+		o := Order{Rollout: v.order, Lost: v.lost, LearnedAt: v.orderedAt, Requests: v.requests, CanaryBudget: v.canaryBudget}
 		o.Phase = v.phase()
 		if v.grant.Order == o.OrderID() {
 			o.GrantedAt, o.OldEndAt = v.grant.IssuedAt, v.grant.OldEndAt
