gateway: the requests in quarantine are stored again after a restore of the store

Cause: the holder compared the requests in quarantine with what it had stored itself, not with the store; a restored store kept an older record, or none, until a request was added or removed.

--- a/internal/role/gateway/duties.go
+++ b/internal/role/gateway/duties.go
@@ -76,8 +76,10 @@
 	storedQuotasVersion uint64
 	// inheritedFencing is the fencing number under which the pools' record was last inherited.
 	inheritedFencing uint64
-	// storedQuarantine is the state of the stored quarantine, as heldRequests returns it.
-	storedQuarantine string
+	// storedQuarantine is the state of the stored quarantine, as heldRequests returns it, stored in the
+	// store's era storedQuarantineEra.
+	storedQuarantine    string
+	storedQuarantineEra uint64
 }
 
 func (g *Gateway) buildDuties() {
--- a/internal/role/gateway/quarantine.go
+++ b/internal/role/gateway/quarantine.go
@@ -51,6 +51,10 @@
 // storeQuarantine stores the requests in quarantine when they have changed, in one or two calls
 // a change.
 func (u *duties) storeQuarantine(ctx context.Context) {
+	if era := u.g.store.Era(); era != u.storedQuarantineEra {
+		// The store may have lost the record, or have an older one.
+		u.storedQuarantineEra, u.storedQuarantine = era, ""
+	}
 	if _, state := u.g.heldRequests(); state == u.storedQuarantine {
 		return
 	}
