--- a/internal/role/gateway/rejoined_test.go
+++ b/internal/role/gateway/rejoined_test.go
@@ -19,6 +19,8 @@
 	// killedTime is how long all daemons are away, rejoinTime how long they take to serve after that.
 	killedTime = 2 * time.Second
 	rejoinTime = 2 * time.Second
+	// saveTime is how long the daemons have to save what outlives them.
+	saveTime = 3 * time.Second
 )
 
 // killableNetwork is the network of a process that can be killed: its connections break, and its addresses
@@ -344,3 +346,24 @@
 		}
 	})
 }
+
+// Guards against streams that are refused after all daemons have ended at once, although engines of their version serve.
+func TestStreamsGoOnAfterALossOfAllDaemons(t *testing.T) {
+	for _, c := range []struct{ daemons, versions int }{{8, 2}, {8, 3}, {24, 2}} {
+		t.Run(fmt.Sprintf("%d daemons, %d versions", c.daemons, c.versions), func(t *testing.T) {
+			inRejoinedFleet(t, c.daemons, c.versions, func(r *rejoinedFleet) {
+				r.beginAll()
+				time.Sleep(saveTime)
+				r.killAll()
+				time.Sleep(killedTime)
+				r.restartAll(false)
+				time.Sleep(rejoinTime)
+				complete := r.takeUpAll()
+				r.checkOrder(complete)
+				if complete < versionedStreams/2 {
+					t.Errorf("%d of %d streams went on", complete, versionedStreams)
+				}
+			})
+		})
+	}
+}
