originsaver: at which version a stream began is known after all daemons have ended

Cause: records of where streams began live in daemons only.

Change: each daemon saves the records of its streams in the store, in bulk and late, while records are copied to other daemons too. A record never changes, so one that is late, left out or lost with an older copy of the store can only make a stream end. Daemons read them once after their start; in a large fleet those that watch the store do, and are asked. For 1.5 s after its first list a daemon continues no stream that began before: an engine may have started again, with other software, under its id.

Partial: a large fleet saves every two (195 daemons) or ten seconds (986), as all daemons share the store's calls; streams that run for less are refused there.

--- a/internal/peer/origintracker/origintracker.go
+++ b/internal/peer/origintracker/origintracker.go
@@ -19,7 +19,8 @@
 // id selects, and Begin waits for the first of them, at most for [recordTimeout]. When a second
 // version appears, or the proof is lost, the records that were not copied are copied then.
 //
-// All state is soft. A record is kept for the retention time, and at most [maxRecords] are.
+// All state is soft. A record is kept for the retention time, and at most [maxRecords] are. The daemon that has
+// copied a record also hands it to the [Saver], which knows records after all daemons have ended at once.
 //
 // # Usage
 //
@@ -82,6 +83,14 @@
 	Adopt(identifier.Service, identifier.Version)
 }
 
+// Saver saves records where they outlive all daemons.
+type Saver interface {
+	// Add saves the record of a stream that began here.
+	Add(Origin)
+	// Find returns the version of a stream that began before this process, if it is known.
+	Find(identifier.Service, identifier.Request) (identifier.Version, bool)
+}
+
 // Config holds the dependencies of a tracker.
 type Config struct {
 	Host     identifier.Host
@@ -90,6 +99,14 @@
 	// included. Dial returns the daemon at an address.
 	Select func(id string, n int, now time.Time) []assigner.Daemon
 	Dial   func(address string) Peer
+	// Saver saves records; nil saves none. Readers returns the addresses of other daemons that have read what all
+	// have saved; may be nil if Saver is.
+	Saver   Saver
+	Readers func() []string
+	// ListWait returns the time until the list shows the endpoints that run; nil if it always does. Until then a stream that
+	// began before this process does not go on: an endpoint may have started again, with other software, under the
+	// same id.
+	ListWait func() time.Duration
 	// Retention is how long records are kept: longer than clients wait for a stream.
 	Retention time.Duration
 	Metrics   tally.Scope
@@ -112,18 +129,24 @@
 	Recorded Source = "recorded"
 	// SoleVersion: the service had no other version lately.
 	SoleVersion Source = "sole version"
+	// Saved: a process that has ended has saved a record of the stream.
+	Saved Source = "saved"
+	// Unconfirmed: there is a record, but it is not known yet which endpoints run. The stream must not go on now.
+	Unconfirmed Source = "unconfirmed"
 	// Unknown: the stream must not go on.
 	Unknown Source = "unknown"
 )
 
 // Found is what is known of the version at which a stream began. Version is meaningless if the
-// source is Unknown.
+// source is Unknown or Unconfirmed.
 type Found struct {
 	Version identifier.Version
 	Source  Source
 	// Asked is the number of other daemons that were asked, Answered the number of them that
 	// answered.
 	Asked, Answered int
+	// RetryAfter is when the stream can go on, if that is known and not now.
+	RetryAfter time.Duration
 }
 
 // Tracker keeps records of streams. It is safe for concurrent use.
@@ -162,6 +185,9 @@
 		t.counter("stream_records", "not needed").Inc(1)
 		return
 	}
+	if t.c.Saver != nil {
+		t.c.Saver.Add(o)
+	}
 	result := "unconfirmed"
 	if t.copy(ctx, o) {
 		result = "copied"
@@ -260,6 +286,9 @@
 func (t *Tracker) CopyPending(ctx context.Context, services []identifier.Service) {
 	byKeeper := make(map[assigner.Daemon][]Origin)
 	for _, o := range t.takePending(services) {
+		if t.c.Saver != nil {
+			t.c.Saver.Add(o)
+		}
 		for _, d := range t.keepers(o.Request) {
 			byKeeper[d] = append(byKeeper[d], o)
 		}
@@ -346,7 +375,7 @@
 // Find returns the version at which a stream of a service began, by the client attempt that brought
 // its first event; empty if the client did not state it.
 func (t *Tracker) Find(ctx context.Context, s identifier.Service, id identifier.Request) Found {
-	f := t.find(ctx, s, id)
+	f := t.hold(t.find(ctx, s, id))
 	t.counter("streams_taken_up", string(f.Source)).Inc(1)
 	return f
 }
@@ -357,6 +386,10 @@
 	}
 	asked := t.others(id, maxAsked)
 	f := Found{Source: Unknown, Asked: len(asked)}
+	if version, ok := t.saved(s, id); ok {
+		f.Version, f.Source = version, Saved
+		return f
+	}
 	own := t.c.Versions.Version(s)
 	proven, several := own.Proven, own.Several
 	for reply := range t.ask(ctx, asked, s, id) {
@@ -374,9 +407,52 @@
 	if !several && proven && (f.Answered > 0 || f.Asked == 0) {
 		f.Version, f.Source = own.Version, SoleVersion
 	}
+	if f.Source == Unknown {
+		t.askReaders(ctx, &f, s, id)
+	}
+	return f
+}
+
+// hold lets a stream that began before this daemon started wait until the list shows what runs.
+func (t *Tracker) hold(f Found) Found {
+	if t.c.ListWait == nil || f.Source != Saved && (f.Source != Recorded || f.Asked == 0) {
+		return f
+	}
+	if wait := t.c.ListWait(); wait > 0 {
+		return Found{Source: Unconfirmed, Asked: f.Asked, Answered: f.Answered, RetryAfter: wait}
+	}
 	return f
 }
 
+// saved returns the version of a stream that an earlier process has saved, as far as this daemon has read.
+func (t *Tracker) saved(s identifier.Service, id identifier.Request) (identifier.Version, bool) {
+	if t.c.Saver == nil {
+		return "", false
+	}
+	return t.c.Saver.Find(s, id)
+}
+
+// askReaders asks daemons that have read what all have saved.
+func (t *Tracker) askReaders(ctx context.Context, f *Found, s identifier.Service, id identifier.Request) {
+	if t.c.Readers == nil {
+		return
+	}
+	var readers []assigner.Daemon
+	for _, address := range t.c.Readers() {
+		if len(readers) < copies {
+			readers = append(readers, assigner.Daemon{Address: address})
+		}
+	}
+	f.Asked += len(readers)
+	for reply := range t.ask(ctx, readers, s, id) {
+		f.Answered++
+		if reply.GetKnown() {
+			f.Version, f.Source = identifier.Version(reply.GetVersion()), Saved
+			return
+		}
+	}
+}
+
 // recorded returns the version of a recorded stream.
 func (t *Tracker) recorded(s identifier.Service, id identifier.Request) (identifier.Version, bool) {
 	t.mu.Lock()
@@ -444,6 +520,9 @@
 // FindOrigin returns what this daemon itself knows of a stream.
 func (t *Tracker) FindOrigin(_ context.Context, m *rpc.OriginRequest) (*rpc.OriginReply, error) {
 	version, ok := t.recorded(identifier.Service(m.GetService()), identifier.Request(m.GetRequest()))
+	if !ok {
+		version, ok = t.saved(identifier.Service(m.GetService()), identifier.Request(m.GetRequest()))
+	}
 	return &rpc.OriginReply{Known: ok, Version: string(version), Service: t.serviceVersion(m.GetService())}, nil
 }
 
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -290,6 +290,8 @@
 
 	stopping        atomic.Bool
 	endpointsListed atomic.Bool
+	// endpointsListedAt is when the first endpoint was listed.
+	endpointsListedAt atomic.Pointer[time.Time]
 	// catalogFetcher, endpointFetcher and rolloutFetcher fetch newer objects from peers.
 	catalogFetcher  *fetcher.Fetcher
 	peerHandler     http.Handler
--- a/internal/role/gateway/objects.go
+++ b/internal/role/gateway/objects.go
@@ -150,7 +150,10 @@
 	lines.end()
 	g.registry.UpdateHosts(listed)
 	g.observeVersions()
-	g.endpointsListed.Store(g.endpointsListed.Load() || g.registry.HostCount() > 0)
+	if g.registry.HostCount() > 0 && !g.endpointsListed.Swap(true) {
+		now := time.Now()
+		g.endpointsListedAt.Store(&now)
+	}
 	return added
 }
 
--- a/internal/role/gateway/rejoined_test.go
+++ b/internal/role/gateway/rejoined_test.go
@@ -19,6 +19,8 @@
 	// killedTime is how long all daemons are away, rejoinTime how long they take to serve after that.
 	killedTime = 2 * time.Second
 	rejoinTime = 2 * time.Second
+	// settledTime is how long they take to know which engines serve.
+	settledTime = 5 * time.Second
 	// saveTime is how long the daemons have to save what outlives them.
 	saveTime = 3 * time.Second
 )
@@ -290,6 +292,8 @@
 						time.Sleep(killedTime)
 						r.restartAll(firstStart)
 						time.Sleep(rejoinTime)
+						r.takeUpAll()
+						time.Sleep(settledTime - rejoinTime)
 						r.checkOrder(r.takeUpAll())
 					})
 				})
@@ -357,7 +361,7 @@
 				r.killAll()
 				time.Sleep(killedTime)
 				r.restartAll(false)
-				time.Sleep(rejoinTime)
+				time.Sleep(settledTime)
 				complete := r.takeUpAll()
 				r.checkOrder(complete)
 				if complete < versionedStreams/2 {
@@ -367,3 +371,41 @@
 		})
 	}
 }
+
+// Guards against streams that go on at an engine that has started again under its id, with other software, while all
+// daemons were away, and is still listed as the one before.
+func TestStreamsAvoidEnginesThatStartedAgainWhileAllDaemonsWereAway(t *testing.T) {
+	inRejoinedFleet(t, 8, 2, func(r *rejoinedFleet) {
+		// Endpoints are listed up to a heartbeat after their start.
+		const heartbeat = 1200 * time.Millisecond
+		r.engines.recordDelay = heartbeat
+		r.beginAll()
+		time.Sleep(saveTime)
+		r.killAll()
+		time.Sleep(killedTime)
+		r.swap()
+		r.restartAll(false)
+		time.Sleep(rejoinTime / 4)
+		r.takeUpAll()
+		time.Sleep(settledTime)
+		complete := r.takeUpAll()
+		r.checkOrder(complete)
+		if complete < versionedStreams/2 {
+			t.Errorf("%d of %d streams went on", complete, versionedStreams)
+		}
+	})
+}
+
+// swap starts half of the engines again, each with the version of another one.
+func (r *rejoinedFleet) swap() {
+	const restarted = engineCount / 2
+	r.mu.Lock()
+	for place := range restarted {
+		r.version[place] = versionName(1 - place%2)
+	}
+	r.mu.Unlock()
+	for place := range restarted {
+		r.engines.exitPlace(place)
+	}
+	time.Sleep(2 * restartDelay)
+}
--- a/internal/role/gateway/streams.go
+++ b/internal/role/gateway/streams.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"iter"
+	"math/rand/v2"
 	"time"
 
 	"brasschute/internal/core/identifier"
 	"brasschute/internal/core/waiter"
+	"brasschute/internal/peer/originsaver"
 	"brasschute/internal/peer/origintracker"
 	"brasschute/internal/platform/inventory"
 	"brasschute/internal/route/versiontracker"
@@ -22,12 +24,22 @@
 	proofTime     = 15 * time.Second
 	// keepInterval is how often the list is confirmed, and records are copied whose service has lost its proof.
 	keepInterval = time.Second
+	// entryDelay is how long after its start an endpoint is listed at most: a heartbeat, and the way to the daemons.
+	entryDelay = 1500 * time.Millisecond
+	// fleetReadTime is how long a daemon that starts waits to learn the size of the fleet.
+	fleetReadTime = time.Second
 )
 
 // buildStreams builds what knows at which version each stream began.
 func (g *Gateway) buildStreams() {
 	g.versions = versiontracker.New(versiontracker.Config{Retention: streamRetention, Now: g.uptime})
+	saver := originsaver.New(originsaver.Config{
+		Store: g.store, Host: g.c.Deployment.Host, Reads: g.readsOrigins, FleetSize: g.fleetSize, Retention: streamRetention,
+		OnUnreadable: func(err error) { g.logUnreadable([]error{err}) }, Logger: g.c.Logger, Metrics: g.scope,
+	})
+	g.tree.Add(saver)
 	g.origins = origintracker.New(origintracker.Config{
+		Saver: saver, Readers: g.originReaders, ListWait: g.listWait,
 		Host: g.c.Deployment.Host, Versions: g.versions, Select: g.assigner.Select, Retention: streamRetention, Metrics: g.scope,
 		Dial: func(address string) origintracker.Peer { return g.dialPeer(address) },
 	})
@@ -44,6 +56,33 @@
 	})
 }
 
+// readsOrigins reports whether this daemon reads what all have saved about streams: all daemons of a small fleet do, and
+// those of a large one that watch the store. That is decided once the size of the fleet is known, or can't be read.
+func (g *Gateway) readsOrigins() (reads, known bool) {
+	known = g.storedFleetSize.Load() > 0 || time.Since(g.started) > fleetReadTime
+	return g.watchesStore(), known
+}
+
+// listWait returns the time until the list shows the new entries of the endpoints that started again before it was first
+// read.
+func (g *Gateway) listWait() time.Duration {
+	at := g.endpointsListedAt.Load()
+	if at == nil {
+		return entryDelay
+	}
+	return max(0, entryDelay-time.Since(*at))
+}
+
+// originReaders returns the addresses of the daemons that have read what all have saved, where not all have.
+func (g *Gateway) originReaders() []string {
+	if !g.isLarge() {
+		return nil
+	}
+	readers := g.observers(time.Now())
+	rand.Shuffle(len(readers), func(i, k int) { readers[i], readers[k] = readers[k], readers[i] })
+	return readers
+}
+
 // askProofs asks other daemons for proofs of sole versions for a time after the start.
 func (g *Gateway) askProofs(ctx context.Context) error {
 	limited, cancel := context.WithTimeout(ctx, proofTime)
--- a/internal/serve/relayer/version.go
+++ b/internal/serve/relayer/version.go
@@ -92,9 +92,9 @@
 	}
 	found := j.r.c.Origins.Find(ctx, j.q.Service, j.q.Resumes)
 	j.res.Origin = &found
-	j.origin, j.originKnown = found.Version, found.Source != origintracker.Unknown
+	j.origin, j.originKnown = found.Version, found.Source != origintracker.Unknown && found.Source != origintracker.Unconfirmed
 	if !j.originKnown {
-		j.endFailed(reasonOriginUnknown, retryAfter)
+		j.endFailed(reasonOriginUnknown, max(retryAfter, found.RetryAfter))
 	}
 	return j.originKnown
 }
