gateway: streams that begin at an engine that started again while no daemon ran (failing test)

Half of the engines start again with the version of another one while all daemons are away, and are listed a heartbeat later.

--- a/internal/role/gateway/rejoined_test.go
+++ b/internal/role/gateway/rejoined_test.go
@@ -409,3 +409,35 @@
 	}
 	time.Sleep(2 * restartDelay)
 }
+
+// Guards against a stream that begins at such an engine and goes on at the version listed, in the same response or at
+// another daemon.
+func TestStreamsThatBeginAtAnEngineThatStartedAgainKeepTheirVersion(t *testing.T) {
+	for _, body := range []string{brokenStream, retriedStream} {
+		t.Run(body, func(t *testing.T) {
+			inRejoinedFleet(t, 8, 2, func(r *rejoinedFleet) {
+				const heartbeat = 1200 * time.Millisecond
+				r.engines.recordDelay = heartbeat
+				r.killAll()
+				time.Sleep(killedTime)
+				r.swap()
+				r.restartAll(false)
+				time.Sleep(rejoinTime / 4)
+				var begun sync.WaitGroup
+				var replies [versionedStreams]clientReply
+				var ids [versionedStreams]string
+				for n := range versionedStreams {
+					begun.Go(func() { ids[n], replies[n] = r.begin(n%len(r.daemons), body) })
+				}
+				begun.Wait()
+				time.Sleep(settledTime)
+				for n, id := range ids {
+					if events := countEvents(replies[n].text); events > 0 && !replies[n].complete {
+						r.takeUp((n+1)%len(r.daemons), id, replies[n])
+					}
+				}
+				r.checkOrder(0)
+			})
+		})
+	}
+}
