gateway: a stream that begins before the list is known to be current has no known version

What users would see: shortly after all daemons came back, streams that break go on at another version, also within one response. Cause: an engine may have started again, with other software and under its id, while no daemon ran that could notice; its new entry comes up to a heartbeat later. A daemon that has just started took the old entry for what runs.

--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -404,7 +404,7 @@
 		Dispatcher: g.dispatcher, Codec: platform.Codec{}, Budget: g, OnBegin: g.countRequest, Demand: &g.demandMeter, Quarantine: g.quarantine,
 		Versions: g.splitter, Origins: g.origins, Permits: g.permits, ReplyObserver: g, SilenceObserver: g,
 		Answers: answerreader.New(answerreader.Config{MaxBytes: maxAnswerBytes, TotalBytes: g.shares.Answers, Metrics: g.scope}),
-		Drainer: g.drainer, Ends: g.ends,
+		Drainer: g.drainer, Ends: listEnds{g},
 	})
 }
 
--- a/internal/role/gateway/streams.go
+++ b/internal/role/gateway/streams.go
@@ -73,6 +73,18 @@
 	return max(0, entryDelay-time.Since(*at))
 }
 
+// listEnds knows the endings of endpoints, and that any may have ended before the list was first read.
+type listEnds struct{ g *Gateway }
+
+// EndedBefore reports whether an incarnation had ended, or may have, when something was sent.
+func (e listEnds) EndedBefore(i identifier.EndpointIncarnation, at time.Time) bool {
+	if e.g.ends.EndedBefore(i, at) {
+		return true
+	}
+	listed := e.g.endpointsListedAt.Load()
+	return listed == nil || at.Before(listed.Add(entryDelay))
+}
+
 // originReaders returns the addresses of the daemons that have read what all have saved, where not all have.
 func (g *Gateway) originReaders() []string {
 	if !g.isLarge() {
