relayer: a stream that is held until the list is current has a reason of its own

Operators read that it is not known at which version the stream began, though it is. Also a test of what is held, and for how long (origintracker).

--- a/internal/peer/origintracker/origintracker_test.go
+++ b/internal/peer/origintracker/origintracker_test.go
@@ -387,3 +387,41 @@
 		}
 	}
 }
+
+// savedOrigins are records of processes that have ended.
+type savedOrigins map[identifier.Request]identifier.Version
+
+func (s savedOrigins) Add(o Origin) { s[o.Request] = o.Version }
+
+func (s savedOrigins) Find(_ identifier.Service, id identifier.Request) (identifier.Version, bool) {
+	v, ok := s[id]
+	return v, ok
+}
+
+// Guards against a stream of an earlier process that goes on while the list may show endpoints that have ended, or does not
+// go on after that.
+func TestStreamsOfEarlierProcessesWaitForTheList(t *testing.T) {
+	f := newFleet(2, "v1", "v2")
+	wait := time.Second
+	saved := savedOrigins{"earlier": "v1"}
+	f.daemons[0].c.Saver, f.daemons[0].c.ListWait = saved, func() time.Duration { return wait }
+	own := f.begin(0, "v2")
+	if saved[own.Request] != "v2" {
+		t.Errorf("saved %v, want the stream that began here", saved)
+	}
+	other := f.begin(1, "v2")
+	delete(f.daemons[0].records, other.Request)
+	for _, c := range []struct {
+		id     identifier.Request
+		source Source
+		held   bool
+	}{{"earlier", Saved, true}, {own.Request, Recorded, false}, {other.Request, Recorded, true}, {"nobody's", Unknown, false}} {
+		wait = time.Second
+		before := f.daemons[0].Find(context.Background(), service, c.id)
+		wait = 0
+		after := f.daemons[0].Find(context.Background(), service, c.id)
+		if held := before.Source == Unconfirmed && before.RetryAfter == time.Second; held != c.held || after.Source != c.source {
+			t.Errorf("%s: %+v, then %+v, want %s, held before %t", c.id, before, after, c.source, c.held)
+		}
+	}
+}
--- a/internal/serve/relayer/version.go
+++ b/internal/serve/relayer/version.go
@@ -50,6 +50,9 @@
 // reasonOriginUnknown is the reason if a stream can't go on, as its version is not known.
 const reasonOriginUnknown = "it is not known at which version the stream began"
 
+// reasonOriginUnconfirmed is the reason if a stream can't go on yet.
+const reasonOriginUnconfirmed = "it is not known yet which endpoints have the version at which the stream began"
+
 // originDoubtful reports whether the stream began at an incarnation that had ended before: another one listened
 // there, perhaps of another version.
 func (j *job) originDoubtful() bool {
@@ -92,9 +95,13 @@
 	}
 	found := j.r.c.Origins.Find(ctx, j.q.Service, j.q.Resumes)
 	j.res.Origin = &found
-	j.origin, j.originKnown = found.Version, found.Source != origintracker.Unknown && found.Source != origintracker.Unconfirmed
-	if !j.originKnown {
-		j.endFailed(reasonOriginUnknown, max(retryAfter, found.RetryAfter))
+	switch found.Source {
+	case origintracker.Unknown:
+		j.endFailed(reasonOriginUnknown, retryAfter)
+	case origintracker.Unconfirmed:
+		j.endFailed(reasonOriginUnconfirmed, max(retryAfter, found.RetryAfter))
+	default:
+		j.origin, j.originKnown = found.Version, true
 	}
 	return j.originKnown
 }
