--- a/internal/role/gateway/rejoined_test.go
+++ b/internal/role/gateway/rejoined_test.go
@@ -19,6 +19,10 @@
 	// killedTime is how long all daemons are away, rejoinTime how long they take to serve after that.
 	killedTime = 2 * time.Second
 	rejoinTime = 2 * time.Second
+	// settledTime is how long they take to know which engines serve.
+	settledTime = 5 * time.Second
+	// saveTime is how long the daemons have to save what outlives them.
+	saveTime = 3 * time.Second
 )
 
 // killableNetwork is the network of a process that can be killed: its connections break, and its addresses
@@ -288,6 +292,8 @@
 						time.Sleep(killedTime)
 						r.restartAll(firstStart)
 						time.Sleep(rejoinTime)
+						r.takeUpAll()
+						time.Sleep(settledTime - rejoinTime)
 						r.checkOrder(r.takeUpAll())
 					})
 				})
@@ -344,3 +350,94 @@
 		}
 	})
 }
+
+// Guards against streams that are refused after all daemons have ended at once, although engines of their version serve.
+func TestStreamsGoOnAfterALossOfAllDaemons(t *testing.T) {
+	for _, c := range []struct{ daemons, versions int }{{8, 2}, {8, 3}, {24, 2}} {
+		t.Run(fmt.Sprintf("%d daemons, %d versions", c.daemons, c.versions), func(t *testing.T) {
+			inRejoinedFleet(t, c.daemons, c.versions, func(r *rejoinedFleet) {
+				r.beginAll()
+				time.Sleep(saveTime)
+				r.killAll()
+				time.Sleep(killedTime)
+				r.restartAll(false)
+				time.Sleep(settledTime)
+				complete := r.takeUpAll()
+				r.checkOrder(complete)
+				if complete < versionedStreams/2 {
+					t.Errorf("%d of %d streams went on", complete, versionedStreams)
+				}
+			})
+		})
+	}
+}
+
+// Guards against streams that go on at an engine that has started again under its id, with other software, while all
+// daemons were away, and is still listed as the one before.
+func TestStreamsAvoidEnginesThatStartedAgainWhileAllDaemonsWereAway(t *testing.T) {
+	inRejoinedFleet(t, 8, 2, func(r *rejoinedFleet) {
+		// Endpoints are listed up to a heartbeat after their start.
+		const heartbeat = 1200 * time.Millisecond
+		r.engines.recordDelay = heartbeat
+		r.beginAll()
+		time.Sleep(saveTime)
+		r.killAll()
+		time.Sleep(killedTime)
+		r.swap()
+		r.restartAll(false)
+		time.Sleep(rejoinTime / 4)
+		r.takeUpAll()
+		time.Sleep(settledTime)
+		complete := r.takeUpAll()
+		r.checkOrder(complete)
+		if complete < versionedStreams/2 {
+			t.Errorf("%d of %d streams went on", complete, versionedStreams)
+		}
+	})
+}
+
+// swap starts half of the engines again, each with the version of another one.
+func (r *rejoinedFleet) swap() {
+	const restarted = engineCount / 2
+	r.mu.Lock()
+	for place := range restarted {
+		r.version[place] = versionName(1 - place%2)
+	}
+	r.mu.Unlock()
+	for place := range restarted {
+		r.engines.exitPlace(place)
+	}
+	time.Sleep(2 * restartDelay)
+}
+
+// Guards against a stream that begins at such an engine and goes on at the version listed, in the same response or at
+// another daemon.
+func TestStreamsThatBeginAtAnEngineThatStartedAgainKeepTheirVersion(t *testing.T) {
+	for _, body := range []string{brokenStream, retriedStream} {
+		t.Run(body, func(t *testing.T) {
+			inRejoinedFleet(t, 8, 2, func(r *rejoinedFleet) {
+				const heartbeat = 1200 * time.Millisecond
+				r.engines.recordDelay = heartbeat
+				r.killAll()
+				time.Sleep(killedTime)
+				r.swap()
+				r.restartAll(false)
+				time.Sleep(rejoinTime / 4)
+				var begun sync.WaitGroup
+				var replies [versionedStreams]clientReply
+				var ids [versionedStreams]string
+				for n := range versionedStreams {
+					begun.Go(func() { ids[n], replies[n] = r.begin(n%len(r.daemons), body) })
+				}
+				begun.Wait()
+				time.Sleep(settledTime)
+				for n, id := range ids {
+					if events := countEvents(replies[n].text); events > 0 && !replies[n].complete {
+						r.takeUp((n+1)%len(r.daemons), id, replies[n])
+					}
+				}
+				r.checkOrder(0)
+			})
+		})
+	}
+}
