tests: a later part of some prompts that is held in the place of the guilty one (failing)

All engines had ended within 2.3 s under overlapping requests, so that nine endings of the guilty part counted as of five causes (15 points). A conversation's part of four of the prompts had 12, came first as the later one and explained four of the nine, and 9 of 12 points were left: the guilty part was released on all 14 daemons from 22.5 s on, and the engines that started at 23.4 s got the requests that had waited.

--- a/internal/route/quarantiner/parts_test.go
+++ b/internal/route/quarantiner/parts_test.go
@@ -217,6 +217,46 @@
 	})
 }
 
+// Guards against a guilty part whose endings a later part of some of its prompts takes away, while those of many endpoints
+// count as of few causes.
+func TestPartOfSomePromptsTakesNothingFromAnEarlierOne(t *testing.T) {
+	const ms = time.Millisecond
+	withFakeTime(t, func(t *testing.T, z *Quarantiner) {
+		begun := time.Now()
+		later := part("later")
+		z.RecordEvent(callerPart, guilty, later)
+		time.Sleep(5 * time.Second)
+		for n, c := range []struct {
+			endpoint    int
+			sent, ended time.Duration
+			later       bool
+		}{
+			{1, 304 * ms, 878 * ms, false},
+			{2, 1469 * ms, 1469 * ms, false},
+			{3, 1312 * ms, 1540 * ms, true},
+			{4, 1808 * ms, 1808 * ms, true},
+			{2, 2023 * ms, 2023 * ms, true},
+			{5, 1788 * ms, 2163 * ms, false},
+			{6, 1761 * ms, 2389 * ms, false},
+			{7, 2456 * ms, 2770 * ms, false},
+			{8, 2746 * ms, 2950 * ms, true},
+			{9, 2595 * ms, 3087 * ms, false},
+		} {
+			e := ending(c.endpoint)
+			e.Sent, e.At = begun.Add(c.sent), begun.Add(c.ended)
+			parts := []identifier.Fingerprint{callerPart, guilty, part(fmt.Sprint("conversation-", n))}
+			if c.later {
+				parts[2] = later
+			}
+			z.RecordEnding(identifier.Fingerprint(fmt.Sprint("request-", n)), e, parts...)
+		}
+		z.RecordEvent(callerPart)
+		if !held(z, guilty) || held(z, later) {
+			t.Errorf("guilty part held: %v, later part held: %v", held(z, guilty), held(z, later))
+		}
+	})
+}
+
 // Guards against a guilty part whose endings are lost to requests or other parts that were held meanwhile:
 // six requests with it are sent at most, whatever came with it, if each of them crashes two endpoints or one.
 func TestHeldSuspectsTakeNothingFromAPart(t *testing.T) {
