quarantiner: a part that accounts for another one's endings and three more is settled first

Cause: the later one of two parts came first whenever both had the points to be held once, and took the common endings from the earlier one. While all engines end under overlapping requests, nine endings count as of five causes; a conversation's part of four of the prompts then left 9 of the 12 points.

Change: a part with all endings of another one, and with three more of causes of their own, is decided on first and explains all of the other one's. For parts that were not answered lately this held already (24 points before 12); a part that was answered lately needed four more.

--- a/internal/route/quarantiner/parts_test.go
+++ b/internal/route/quarantiner/parts_test.go
@@ -95,6 +95,14 @@
 				crash(z, n, both...)
 			}
 		}, true, false},
+		{"three endings, and two with other parts of the caller", func(z *Quarantiner) {
+			for n := range 3 {
+				crash(z, n, both...)
+			}
+			for n := range 2 {
+				crash(z, n+3, callerPart, part(fmt.Sprint("conversation-", n)))
+			}
+		}, true, false},
 		{"the caller's part crashes by itself", func(z *Quarantiner) {
 			for n := range 3 {
 				crash(z, n, callerPart, part(fmt.Sprint("conversation-", n)))
--- a/internal/route/quarantiner/quarantiner.go
+++ b/internal/route/quarantiner/quarantiner.go
@@ -29,7 +29,7 @@
 // [partLimit] points on, and requests with it are refused. Parts are decided on before requests, on all
 // of their endings: each of several requests with a guilty part may be held by itself. All requests of
 // a caller may have the first part in common, so the later one of two parts explains what both have been near,
-// unless the other one accounts for several times as many endings.
+// unless the other one accounts for several times as many endings, or for all of them and three more.
 //
 // The decision follows from the endings of all suspects alone. Nothing that is inferred from them is stored or told, so
 // that an inference leaves no trace once later endings contradict it. Daemons that have the same endings
--- a/internal/route/quarantiner/verdict.go
+++ b/internal/route/quarantiner/verdict.go
@@ -15,6 +15,8 @@
 	level int
 	// reached is the ending with which the points sufficed.
 	reached *Ending
+	// settled is set once it is known whether it is held.
+	settled bool
 }
 
 // compare orders candidates by how well they explain endings. Parts come before requests, as many requests
@@ -46,13 +48,22 @@
 		return true
 	case !c.part:
 		return false
-	case c.level > s.points/partLimit:
+	case c.level > s.points/partLimit || c.outweighs(s):
 		return true
 	}
 	depth := c.endings[i].Depth
 	return depth > e.Depth || depth == e.Depth && c.points > s.points && c.hasAll(s)
 }
 
+// outweighs reports whether a part accounts for all endings of another one and for three more, which may not be of one cause.
+// The other one is in some of its prompts then, wherever it stands there and however its points were counted.
+func (s *suspect) outweighs(o *suspect) bool {
+	if !s.part || !o.part || !s.hasAll(o) {
+		return false
+	}
+	return s.sum(func(i int) bool { return !o.has(&s.endings[i]) }) >= 3*partWeak
+}
+
 // hasAll reports whether all endings that count for o count for s as well.
 func (s *suspect) hasAll(o *suspect) bool {
 	for i := range o.endings {
@@ -73,7 +84,7 @@
 		s.explained = slices.Grow(s.explained[:0], len(s.endings))[:len(s.endings)]
 		clear(s.explained)
 		if s.points = s.sum(everyEnding); s.points >= s.limit() {
-			candidates = append(candidates, candidate{f, s, s.points / partLimit, s.reached()})
+			candidates = append(candidates, candidate{fingerprint: f, suspect: s, level: s.points / partLimit, reached: s.reached()})
 		}
 	}
 	z.hold(candidates)
@@ -96,20 +107,53 @@
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int { return a.compare(&b) })
 	near := z.nearby(candidates)
+	places := make(map[*suspect]int, len(candidates))
 	for i := range candidates {
-		c := &candidates[i]
-		if c.unexplainedPoints() < c.limit() {
-			continue
+		places[candidates[i].suspect] = i
+	}
+	for i := range candidates {
+		settle(candidates, i, places, near)
+	}
+}
+
+// settle sets whether a candidate is held, after those that outweigh it. places holds the places of candidates.
+func settle(candidates []candidate, i int, places map[*suspect]int, near map[crashKey][]nearbyEnding) {
+	c := &candidates[i]
+	if c.settled {
+		return
+	}
+	c.settled = true
+	for _, k := range c.rivals(places, near) {
+		if candidates[k].outweighs(c.suspect) {
+			settle(candidates, k, places, near)
 		}
-		c.held = true
-		for k := range c.endings {
-			for _, n := range near[c.endings[k].key()] {
-				n.explained[n.index] = n.explained[n.index] || !n.held && c.explains(n.suspect, &n.endings[n.index])
-			}
+	}
+	if c.unexplainedPoints() < c.limit() {
+		return
+	}
+	c.held = true
+	for k := range c.endings {
+		for _, n := range near[c.endings[k].key()] {
+			n.explained[n.index] = n.explained[n.index] || !n.held && c.explains(n.suspect, &n.endings[n.index])
 		}
 	}
 }
 
+// rivals returns the places of the candidates that were near the last ending that counts for a part, in their order.
+func (c *candidate) rivals(places map[*suspect]int, near map[crashKey][]nearbyEnding) (out []int) {
+	if !c.part {
+		return nil
+	}
+	last := c.last()
+	for _, n := range near[last.key()] {
+		if place, ok := places[n.suspect]; ok && n.suspect != c.suspect {
+			out = append(out, place)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // crashKey identifies the end of an incarnation of an endpoint.
 type crashKey struct {
 	endpoint identifier.Endpoint
