--- a/internal/fleet/autoscaler/autoscaler_test.go
+++ b/internal/fleet/autoscaler/autoscaler_test.go
@@ -127,6 +127,22 @@
 	})
 }
 
+// Guards against a scale-down by a holder whose process started again under load with the settings of the first start.
+func TestRestartedHolderIsNoFirstStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCloud()
+		former := newAutoscaler(c, true)
+		run(former, c, 1, 200_000, 40*time.Second)
+		before := c.engines()
+		next := newAutoscaler(c, true)
+		next.Inherit(2, former.Record())
+		run(next, c, 2, 0, 5*time.Second)
+		if got := c.engines(); got < before {
+			t.Errorf("%d engines five seconds after the change of the lease holder, %d before", got, before)
+		}
+	})
+}
+
 // Guards against orders before a new fleet is listed. Its engines list themselves over some
 // seconds; an earlier decision would take two engines for the whole fleet and give back the
 // rest.
