autoscaler: a fleet whose need a former holder knew is not new

Cause: the settings' FirstStart was asked as long as the process lived, and it stays set if the process is started again with an unchanged settings file. The holder then took the fleet for new: the need that it inherited was not asked during the warm-up, and engines were given back at once as no request had been seen. A record is written only after the warm-up, so whoever inherits one is not in the first start.

--- a/internal/fleet/autoscaler/record.go
+++ b/internal/fleet/autoscaler/record.go
@@ -13,6 +13,10 @@
 func (a *Autoscaler) Inherit(fencing uint64, r *poolrecorder.Record) {
 	a.reset(fencing)
 	a.inheritedAt = r.At
+	if len(r.Pools) > 0 {
+		// A former holder knew the load, so the fleet is not new any more, whatever the settings say.
+		a.c.FirstStart = false
+	}
 	for i := range r.Pools {
 		p := &r.Pools[i]
 		a.demands[p.Service] = &peak{engines: p.Needed, at: p.NeededAge.Time(r.At)}
