--- a/integration/cutanswers_test.go
+++ b/integration/cutanswers_test.go
@@ -20,7 +20,7 @@
 		next.ServeHTTP(recorded, r)
 		body := recorded.Body.Bytes()
 		half := body[:len(body)/2]
-		text := ""
+		var text string
 		n, kind := calls.Add(1), int64(-1)
 		if n%period == 0 {
 			kind = n / period % kinds
--- a/internal/engine/caller/caller.go
+++ b/internal/engine/caller/caller.go
@@ -78,7 +78,7 @@
 	// ErrStatus means that the endpoint responded with an unexpected status.
 	ErrStatus = errors.New("endpoint: unexpected status")
 	// ErrNoAnswer means that the endpoint sent a status that is none of an answer. The call may have run.
-	ErrNoAnswer = errors.New("endpoint: not the status of an answer:")
+	ErrNoAnswer = errors.New("endpoint: not the status of an answer")
 )
 
 const (
@@ -182,7 +182,7 @@
 		return nil, fmt.Errorf("endpoint: %w", err)
 	case resp.StatusCode < minStatus || resp.StatusCode > maxStatus:
 		_ = resp.Body.Close()
-		return nil, fmt.Errorf("%w %d", ErrNoAnswer, resp.StatusCode)
+		return nil, fmt.Errorf("%w: %d", ErrNoAnswer, resp.StatusCode)
 	}
 	return resp, nil
 }
