--- a/integration/cutanswers_test.go
+++ b/integration/cutanswers_test.go
@@ -20,7 +20,7 @@
 		next.ServeHTTP(recorded, r)
 		body := recorded.Body.Bytes()
 		half := body[:len(body)/2]
-		text := ""
+		var text string
 		n, kind := calls.Add(1), int64(-1)
 		if n%period == 0 {
 			kind = n / period % kinds
@@ -64,10 +64,12 @@
 	h.writeSettings("")
 	h.start()
 	h.awaitReady()
-	const each, versions = 4, 4
+	const each, versions, branch = 4, 4, "branch"
 	for n := range versions {
 		key := fmt.Sprintf("key-%d", n)
-		s.configure(func(c *hostedConfig) { c.Tenants[0].ApiKeys = []string{key} })
+		s.configure(func(c *hostedConfig) {
+			c.Tenants = []hostedOrganisation{{Name: branch, ApiKeys: []string{key}, PlainTokens: 100}}
+		})
 		eventually(t, "configuration", func() error { return checkEqual("number", h.configurationInForce(), s.config.Version) })
 		for range each {
 			if a := h.send(hostedRequest{Target: nonIdempotentPath, Key: key}); a.status != http.StatusOK {
@@ -76,7 +78,7 @@
 		}
 	}
 	eventually(t, "usage", func() error {
-		sum, err := s.reportedRequests(deskName)
+		sum, err := s.reportedRequests(branch)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/integration/mixed_test.go
+++ b/integration/mixed_test.go
@@ -205,7 +205,7 @@
 
 // serve answers the requests of one connection.
 func (e *rawEndpoints) serve(c *net.TCPConn) {
-	defer c.Close()
+	defer func() { _ = c.Close() }()
 	in := bufio.NewReader(c)
 	for {
 		r, err := http.ReadRequest(in)
--- a/internal/engine/caller/caller.go
+++ b/internal/engine/caller/caller.go
@@ -78,7 +78,7 @@
 	// ErrStatus means that the endpoint responded with an unexpected status.
 	ErrStatus = errors.New("endpoint: unexpected status")
 	// ErrNoAnswer means that the endpoint sent a status that is none of an answer. The call may have run.
-	ErrNoAnswer = errors.New("endpoint: not the status of an answer:")
+	ErrNoAnswer = errors.New("endpoint: not the status of an answer")
 )
 
 const (
--- a/internal/engine/sender/early_test.go
+++ b/internal/engine/sender/early_test.go
@@ -24,7 +24,7 @@
 
 // serve answers one request.
 func (e *earlyAnswer) serve(c *net.TCPConn) {
-	defer c.Close()
+	defer func() { _ = c.Close() }()
 	in := bufio.NewReader(c)
 	r, err := http.ReadRequest(in)
 	if err != nil {
