--- a/internal/route/quarantiner/parts_test.go
+++ b/internal/route/quarantiner/parts_test.go
@@ -265,6 +265,33 @@
 	})
 }
 
+// Guards against a guilty part that is released when one more of its requests at a known crash is told, which was sent earlier.
+func TestEarlierRequestAtACrashTakesNothingAway(t *testing.T) {
+	const ms = time.Millisecond
+	withFakeTime(t, func(t *testing.T, z *Quarantiner) {
+		begun := time.Now()
+		time.Sleep(time.Second)
+		for _, c := range []struct {
+			request     identifier.Fingerprint
+			endpoint    int
+			sent, ended time.Duration
+		}{
+			{"request-1", 1, 0, 100 * ms},
+			{"request-2", 2, 200 * ms, 300 * ms},
+			{"request-4", 3, 400 * ms, 450 * ms},
+			{"request-3", 3, 250 * ms, 450 * ms},
+			{"request-0", 3, 250 * ms, 400 * ms},
+		} {
+			e := ending(c.endpoint)
+			e.Sent, e.At = begun.Add(c.sent), begun.Add(c.ended)
+			z.RecordEnding(c.request, e, guilty)
+			if c.endpoint == 3 && !held(z, guilty) {
+				t.Errorf("%s: the part is not held", c.request)
+			}
+		}
+	})
+}
+
 // Guards against a guilty part whose endings are lost to requests or other parts that were held meanwhile:
 // six requests with it are sent at most, whatever came with it, if each of them crashes two endpoints or one.
 func TestHeldSuspectsTakeNothingFromAPart(t *testing.T) {
