quarantiner: of the requests with a part at one ending, the one sent last counts

Cause: of several requests with a part at one ending the first was kept, by its time and its fingerprint. Whether an ending shares a cause with an earlier one follows from when its request was sent, so that one more request, sent earlier, withdrew points that had counted: evidence against the part lowered them.

Change: the request that was sent last is kept, if its time differs by more than messages take; else the first, as before. Which requests are void and weak is unchanged.

--- a/internal/route/quarantiner/quarantiner.go
+++ b/internal/route/quarantiner/quarantiner.go
@@ -20,8 +20,8 @@
 // event, so an event of any request clears all parts of its prompt ([Quarantiner.RecordEvent]), on
 // all daemons: endings of requests that were sent before it do not count. Endings that may have a common cause, the loss of
 // a zone or of a host, count once: those within [commonCauseTime] of one that counts, of requests that
-// were sent before that one. Endings under the same request count once against a part: a request that is only
-// nearby may come back and meet the next ending.
+// were sent before that one. Of several requests with a part at one ending, the one that was sent last counts. Endings under the
+// same request count once against a part: a request that is only nearby may come back and meet the next ending.
 //
 // # Decision
 //
@@ -81,6 +81,8 @@
 	partLimit  = 12
 	// commonCauseTime is the time within which endings may have a common cause.
 	commonCauseTime = 500 * time.Millisecond
+	// maxMessageTime is how much later the times that peers tell may be than they were.
+	maxMessageTime = 50 * time.Millisecond
 	// MaxDepth bounds the positions of parts in prompts that are told apart.
 	MaxDepth = 64
 )
--- a/internal/route/quarantiner/suspect.go
+++ b/internal/route/quarantiner/suspect.go
@@ -122,11 +122,12 @@
 	return s.insert(e)
 }
 
-// update updates a known ending with what another daemon knows of it. Of those that saw it, the first one is kept,
-// so that all daemons keep the same.
+// update updates a known ending with what another daemon knows of it. Of the requests with a part, that which was sent last is
+// kept: the part came to the endpoint even after others had ended. Of those that saw it, the first one is kept, so that all
+// daemons keep the same.
 func (s *suspect) update(i int, e *Ending) bool {
 	known, first := s.endings[i], s.endings[i]
-	if cmp.Or(e.compare(&known), cmp.Compare(e.Request, known.Request)) < 0 {
+	if later := e.sentAfter(&known); later || !known.sentAfter(e) && cmp.Or(e.compare(&known), cmp.Compare(e.Request, known.Request)) < 0 {
 		first = *e
 	}
 	first.Void, first.Weak = known.Void || e.Void, known.Weak && e.Weak
@@ -139,6 +140,12 @@
 	return first.Void != known.Void || first.Weak != known.Weak
 }
 
+// sentAfter reports whether the request of an ending with a part was sent later than another one. Times that peers tell
+// become later by the time of their messages.
+func (e *Ending) sentAfter(o *Ending) bool {
+	return e.Request != o.Request && !o.Sent.IsZero() && e.Sent.Sub(o.Sent) > maxMessageTime
+}
+
 // insert adds an ending in its place.
 func (s *suspect) insert(e *Ending) bool {
 	at, _ := slices.BinarySearchFunc(s.endings, e, func(o Ending, e *Ending) int { return o.compare(e) })
