--- a/internal/fleet/usagereporter/usagereporter_test.go
+++ b/internal/fleet/usagereporter/usagereporter_test.go
@@ -287,26 +287,34 @@
 	}
 }
 
-// Guards against a second report of the oldest window that is due: a successor that finds the store restored
-// to before that window was settled reports it with its own counts.
-func TestOldestWindowIsNotReportedAgainAfterRestore(t *testing.T) {
-	p := newFakePlatform()
+// newRestoredPlatform returns a platform that has the report of a window with three requests, and whose store came
+// back from a copy from before. counted returns counts of n requests in that window.
+func newRestoredPlatform(t *testing.T) (p *fakePlatform, counted func(n int) func() []DaemonCounts) {
+	t.Helper()
+	p = newFakePlatform()
 	p.era = 1
 	first := p.window()
-	count := 3
-	counted := func() []DaemonCounts { return []DaemonCounts{daemonCounts(1, first, count)} }
-	holder := p.newReporter(counted)
+	counted = func(n int) func() []DaemonCounts {
+		return func() []DaemonCounts { return []DaemonCounts{daemonCounts(1, first, n)} }
+	}
+	holder := p.newReporter(counted(3))
 	holder.Step(t.Context(), 1)
 	copied := p.o
 	p.now = p.now.Add(windowLength + 2500*time.Millisecond)
 	holder.Step(t.Context(), 1)
-	if p.reports[first] == "" {
-		t.Fatal("the window was not reported")
+	if p.reports[first] != "map[desk:3]" {
+		t.Fatalf("reports %v", p.reports)
 	}
 	p.restore(copied)
-	count++
+	return p, counted
+}
+
+// Guards against a second report of the oldest window that is due: a successor that finds the store restored
+// to before that window was settled reports it with its own counts.
+func TestOldestWindowIsNotReportedAgainAfterRestore(t *testing.T) {
+	p, counted := newRestoredPlatform(t)
 	p.now = p.now.Add(4 * time.Second)
-	p.newReporter(counted).Step(t.Context(), 2)
+	p.newReporter(counted(4)).Step(t.Context(), 2)
 	if p.differed {
 		t.Error("the window was reported twice with different counts")
 	}
@@ -314,24 +322,13 @@
 
 // Guards against the same by the holder after that successor, to which the record shows no loss.
 func TestLaterHolderKnowsOfLostWindows(t *testing.T) {
-	p := newFakePlatform()
-	p.era = 1
-	first := p.window()
-	count := 3
-	counted := func() []DaemonCounts { return []DaemonCounts{daemonCounts(1, first, count)} }
-	holder := p.newReporter(counted)
-	holder.Step(t.Context(), 1)
-	copied := p.o
-	p.now = p.now.Add(windowLength + 2500*time.Millisecond)
-	holder.Step(t.Context(), 1)
-	p.restore(copied)
-	successor := p.newReporter(counted)
+	p, counted := newRestoredPlatform(t)
+	successor := p.newReporter(counted(3))
 	p.refuseWrites = true
 	successor.Step(t.Context(), 2)
 	p.refuseWrites = false
 	successor.Step(t.Context(), 2)
-	count++
-	p.newReporter(counted).Step(t.Context(), 3)
+	p.newReporter(counted(4)).Step(t.Context(), 3)
 	if p.differed {
 		t.Error("the window was reported twice with different counts")
 	}
