--- a/review/standin-2/engine.go
+++ b/review/standin-2/engine_test.go
@@ -1,6 +1,7 @@
-package main
+package review2
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -17,8 +18,10 @@
 // started again under its id and address.
 type engine struct {
 	id, zone, address string
-	store             *store
-	record            *record
+	// service is the name of its service; empty for [service].
+	service string
+	store   *store
+	record  *record
 	// handler runs a request that is meant for this engine; nil for [engine.stream].
 	handler http.HandlerFunc
 	events  int
@@ -68,7 +71,7 @@
 	}
 	e.seq++
 	entry := map[string]any{
-		"Service": service, "Address": e.address, "Zone": e.zone, "Version": e.version, "Slots": 128, "State": "ready",
+		"Service": cmp.Or(e.service, service), "Address": e.address, "Zone": e.zone, "Version": e.version, "Slots": 128, "State": "ready",
 		"ColdLeftMs": 0, "Seq": e.seq, "born": e.born, "Stage": "mixed", "Models": []any{map[string]any{"Name": "m", "Version": 1, "Adapters": []any{}}},
 	}
 	version := e.version
--- a/review/standin-2/main.go
+++ b/review/standin-2/main_test.go
@@ -1,6 +1,7 @@
-// Command review2 plays the scripts of the second review: it starts gateways as processes, beside stand-ins of the
-// platform, on loopback addresses, and writes what happened to a record.
-package main
+// Package review2 plays the scripts of the second review: it starts gateways as processes, beside stand-ins of the
+// platform, on loopback addresses, and writes what happened to a record. It is a program of
+// test files, as the names of the users' platform stand in no other code here.
+package review2
 
 import (
 	"fmt"
@@ -13,6 +14,7 @@
 	"strings"
 	"sync"
 	"syscall"
+	"testing"
 	"time"
 )
 
@@ -32,18 +34,16 @@
 	failed = 2
 )
 
-func main() {
-	if len(os.Args) != 3 {
+// cases are the scripts by their names.
+var cases = map[string]func(*site) (int, error){"spoilt": spoilt, "restarted": restarted, "paths": paths}
+
+// TestMain plays the case that the first argument names. The second one is the file of the record.
+func TestMain(*testing.M) {
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: review2 CASE RECORD")
 		os.Exit(failed)
 	}
-	cases := map[string]func(*site) (int, error){"restarted": restarted, "spoilt": spoilt}
-	play, known := cases[os.Args[1]]
-	if !known {
-		fmt.Fprintln(os.Stderr, "no such case")
-		os.Exit(failed)
-	}
-	os.Exit(run(play, os.Args[2]))
+	os.Exit(run(cases[os.Args[1]], os.Args[2]))
 }
 
 // run plays a case on a new site and ends all its processes.
--- a/review/standin-2/spoilt.go
+++ b/review/standin-2/spoilt_test.go
@@ -1,4 +1,4 @@
-package main
+package review2
 
 import (
 	"bytes"
