--- a/review/standin-2/spoilt_test.go
+++ b/review/standin-2/spoilt_test.go
@@ -15,7 +15,7 @@
 
 // The load and the dose of the case "spoilt".
 const (
-	spoiltStreams = 400
+	spoiltStreams = 800
 	spoiltEvents  = 20
 	// inOneWrite is the number of events that an engine has ready when it writes, writePause the time between two writes.
 	inOneWrite = 4
@@ -46,7 +46,7 @@
 	var clients sync.WaitGroup
 	for i := range answers {
 		clients.Go(func() { answers[i] = s.readNumbers(s.gateways[i%len(s.gateways)], fmt.Sprintf("stream-%d", i+1)) })
-		time.Sleep(50 * time.Millisecond)
+		time.Sleep(30 * time.Millisecond)
 	}
 	clients.Wait()
 	return s.judgeNumbers(answers), nil
