--- a/review/standin-2/main_test.go
+++ b/review/standin-2/main_test.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Package review2 plays the scripts of the second review: it starts gateways as processes, beside stand-ins of the
 // platform, on loopback addresses, and writes what happened to a record. It is a program of
 // test files, as the names of the users' platform stand in no other code here.
--- a/review/standin-2/paths_test.go
+++ b/review/standin-2/paths_test.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package review2
 
 import (
