relayer: a stream's position moves only past events that were written

Cause: writeEvents moved the position event by event and wrote all events of a read at the end, or none if one of them showed a gap. The next attempt went on after events that the client never got.

The access log did not say how many events the client got of each attempt; it does now.

Change: package eventsequencer holds the position and moves it only past events whose write has succeeded; what precedes the first fault of a read is written.

--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -89,6 +89,7 @@
 var engineFaults = []hosting.Behaviour{
 	hosting.Refuse, hosting.Misdirect, hosting.Fail, hosting.CloseUnanswered, hosting.TruncateAnswer, hosting.AnswerTwice, hosting.OmitSignature,
 	hosting.EncodeUnasked, hosting.OmitLength, hosting.OmitLengthAndTruncate, hosting.AnswerWrongRequest, hosting.HoldUntilRelease,
+	hosting.SpoilEvent,
 }
 
 // soakEvents is the number of events in a stream.
--- a/internal/ops/accesslogger/accesslogger.go
+++ b/internal/ops/accesslogger/accesslogger.go
@@ -161,15 +161,18 @@
 		if a.Peer != "" {
 			peer = " through " + string(a.Peer)
 		}
-		version, after := "", ""
+		version, after, events := "", "", ""
 		if a.Version != "" {
 			version = " version " + string(a.Version)
 		}
 		if a.AfterEvent > 0 {
 			after = fmt.Sprintf(" after event %d", a.AfterEvent)
 		}
-		fmt.Fprintf(&b, "%s%s%s%s at %dms predicted %dms cached %d%s took %dms: %s", a.Endpoint, version, after, peer, a.At.Milliseconds(),
-			a.Predicted.Milliseconds(), a.Cached, exact, a.Took.Milliseconds(), a.Outcome)
+		if a.Events > 0 {
+			events = fmt.Sprintf(" events %d", a.Events)
+		}
+		fmt.Fprintf(&b, "%s%s%s%s at %dms predicted %dms cached %d%s%s took %dms: %s", a.Endpoint, version, after, peer, a.At.Milliseconds(),
+			a.Predicted.Milliseconds(), a.Cached, exact, events, a.Took.Milliseconds(), a.Outcome)
 	}
 	return b.String()
 }
--- a/internal/serve/relayer/attempt.go
+++ b/internal/serve/relayer/attempt.go
@@ -22,10 +22,10 @@
 
 // recordAttempt completes the record of the last attempt, or drops it if it is one more
 // refused connection.
-func (j *job) recordAttempt(pick *registry.Pick, begun time.Time, err error) {
+func (j *job) recordAttempt(pick *registry.Pick, begun time.Time, events int, err error) {
 	last := len(j.res.Attempts) - 1
 	a := &j.res.Attempts[last]
-	a.Took = time.Since(begun)
+	a.Took, a.Events = time.Since(begun), events
 	a.Outcome = "ok"
 	if err == nil {
 		return
@@ -43,10 +43,11 @@
 
 // Failures of an attempt, besides those of package sender.
 var (
-	errRefused      = errors.New("the endpoint refused, not run")
-	errSilence      = errors.New("the endpoint stays silent")
-	errFailed       = errors.New("the endpoint ran the request and failed")
-	errMissingEvent = errors.New("an event of the stream is missing")
+	errRefused = errors.New("the endpoint refused, not run")
+	errSilence = errors.New("the endpoint stays silent")
+	errFailed  = errors.New("the endpoint ran the request and failed")
+	// errWrongEvents means that the endpoint's events don't continue the stream, or are none.
+	errWrongEvents = errors.New("the endpoint's events are wrong")
 	// errClient means that writing to the client failed.
 	errClient = errors.New("the client's connection failed")
 )
@@ -184,7 +185,7 @@
 	codec, pick := j.r.c.Codec, a.Pick
 	return &sender.Request{
 		Address: pick.Address, Method: j.q.Method, Target: j.q.Target, Host: j.q.Host, Body: j.q.Body,
-		Header: codec.EncodeRequest(j.q, pick.Endpoint, time.Until(j.q.Deadline()), j.lastEvent),
+		Header: codec.EncodeRequest(j.q, pick.Endpoint, time.Until(j.q.Deadline()), j.events.Position()),
 		// Connecting takes time. Meanwhile the endpoint may have begun to leave, or
 		// the request may have been quarantined; then it must not be sent.
 		Ready: func() bool {
--- a/internal/serve/relayer/attempt_test.go
+++ b/internal/serve/relayer/attempt_test.go
@@ -21,6 +21,7 @@
 	"brasschute/internal/route/registry"
 	"brasschute/internal/route/splitter"
 	"brasschute/internal/serve/dispatcher"
+	"brasschute/internal/serve/eventsequencer"
 	"brasschute/internal/serve/placer"
 	"brasschute/internal/serve/request"
 )
@@ -42,7 +43,7 @@
 	j := &job{
 		r: New(Config{Registry: r, Placer: placer.New(placer.Config{Registry: r, Estimator: new(estimator.Estimator), Reserver: rec}), Quarantine: fakes{}}),
 		q: &request.Request{Route: &catalog.Route{Kind: catalog.Streaming}}, w: httptest.NewRecorder(), flush: func() error { return nil },
-		headSent: true, began: true, lastEvent: 1, res: Result{Events: 1},
+		headSent: true, began: true, events: eventsequencer.New(eventsequencer.Config{Position: 1}), res: Result{Events: 1},
 	}
 	pick := &registry.Pick{Endpoint: "second", Activity: new(candidate.Activity)}
 	x := &sender.Response{Body: io.NopCloser(io.MultiReader(strings.NewReader("id: 2\ndata: x\n\n"), strings.NewReader("id: 3\ndata: x\n\n")))}
@@ -104,9 +105,10 @@
 func TestContextOfAnAttemptIsCanceledAtItsEnd(t *testing.T) {
 	r := registry.New(registry.Config{})
 	j := &job{
-		r:   New(Config{Registry: r, Demand: fakes{}, Versions: fakes{}, Quarantine: fakes{}, Codec: fakes{}, Dispatcher: newDispatcher()}),
-		q:   &request.Request{Route: &catalog.Route{Kind: catalog.Streaming, MaxAttempts: 3, Resumable: true}},
-		res: Result{Attempts: make([]Attempt, 1)},
+		events: eventsequencer.New(eventsequencer.Config{}),
+		r:      New(Config{Registry: r, Demand: fakes{}, Versions: fakes{}, Quarantine: fakes{}, Codec: fakes{}, Dispatcher: newDispatcher()}),
+		q:      &request.Request{Route: &catalog.Route{Kind: catalog.Streaming, MaxAttempts: 3, Resumable: true}},
+		res:    Result{Attempts: make([]Attempt, 1)},
 	}
 	ctx := &parentContext{Context: context.Background(), done: make(chan struct{})}
 	err := j.attempt(ctx, &crashreporter.Attempt{Pick: &registry.Pick{Activity: new(candidate.Activity)}})
--- a/internal/serve/relayer/quarantine.go
+++ b/internal/serve/relayer/quarantine.go
@@ -39,7 +39,7 @@
 	case brokenOff(ctx, err):
 		j.res.Fingerprint = a.Fingerprint
 		j.r.c.Quarantine.ReportBreak(ctx, a, events)
-	case events == 0 && !isUnsent(err) && !errors.Is(err, errRefused) && !errors.Is(err, errMissingEvent):
+	case events == 0 && !isUnsent(err) && !errors.Is(err, errRefused) && !errors.Is(err, errWrongEvents):
 		j.r.c.Quarantine.ReportGivenUp(a, reasonOf(ctx, err))
 	default:
 		j.r.c.Quarantine.Conclude(a)
--- a/internal/serve/relayer/relayer.go
+++ b/internal/serve/relayer/relayer.go
@@ -48,6 +48,7 @@
 	"brasschute/internal/serve/answerreader"
 	"brasschute/internal/serve/dispatcher"
 	"brasschute/internal/serve/drainer"
+	"brasschute/internal/serve/eventsequencer"
 	"brasschute/internal/serve/placer"
 	"brasschute/internal/serve/replyreader"
 	"brasschute/internal/serve/request"
@@ -222,8 +223,10 @@
 	// AfterEvent is the number of the event after which the attempt continues the stream; 0 for a
 	// new one.
 	AfterEvent int
-	Predicted  time.Duration
-	Cached     identifier.Tokens
+	// Events is the number of events that the client was sent of it.
+	Events    int
+	Predicted time.Duration
+	Cached    identifier.Tokens
 	// Exact: these figures are those of the endpoint's coordinator.
 	Exact bool
 	// At is the time from the arrival of the request to the start of the attempt, Took
@@ -316,10 +319,9 @@
 	// counted as begun.
 	mayHaveRun bool
 	began      bool
-	// headSent is set once the answer's header was sent. lastEvent is the number of the
-	// last event.
-	headSent  bool
-	lastEvent int
+	// headSent is set once the answer's header was sent. events holds how far the stream has come.
+	headSent bool
+	events   *eventsequencer.Sequencer
 	// retryGranted is set if the silence watch gave the last attempt up and has taken the
 	// next one from the retry budget. soonest is set once that has happened: the request then
 	// goes where it is answered soonest.
@@ -348,7 +350,7 @@
 // Relay serves one request. ctx must end when the client disconnects or the request's
 // deadline passes.
 func (r *Relayer) Relay(ctx context.Context, w http.ResponseWriter, q *request.Request, s *catalog.Service) Result {
-	j := &job{r: r, q: q, read: time.Now(), service: s, w: w, flush: http.NewResponseController(w).Flush, lastEvent: q.LastEventNumber, releaseAnswer: func() {}}
+	j := &job{r: r, q: q, read: time.Now(), service: s, w: w, flush: http.NewResponseController(w).Flush, events: eventsequencer.New(eventsequencer.Config{Position: q.LastEventNumber}), releaseAnswer: func() {}}
 	// The client of a stream that broke off asks for the rest of what it has asked before.
 	j.returnDelay = r.c.Demand.ReturnDelay(q.Service, q.Route.Name, q.ClientTimeout)
 	j.counted = j.returnDelay > 0 || q.LastEventNumber > 0
@@ -368,7 +370,7 @@
 		a := &crashreporter.Attempt{Fingerprint: q.Fingerprint(), Request: q.ID, Parts: q.SharedParts(), Pick: pick}
 		err := j.attempt(ctx, a)
 		r.c.Placer.End(q, pick)
-		j.recordAttempt(pick, begun, err)
+		j.recordAttempt(pick, begun, j.res.Events-events, err)
 		j.reportEnd(ctx, a, j.res.Events-events, err)
 		if err == nil {
 			return j.res
@@ -441,7 +443,7 @@
 	}
 	chosen := &placed.Decision.Chosen
 	j.res.Attempts = append(j.res.Attempts, Attempt{
-		Endpoint: pick.Endpoint, Version: pick.Version, AfterEvent: j.lastEvent, Predicted: chosen.FirstToken, Cached: chosen.Cached, Exact: pick.Exact, At: time.Since(j.q.Received),
+		Endpoint: pick.Endpoint, Version: pick.Version, AfterEvent: j.events.Position(), Predicted: chosen.FirstToken, Cached: chosen.Cached, Exact: pick.Exact, At: time.Since(j.q.Received),
 	})
 	return pick, false
 }
--- a/internal/serve/relayer/stream.go
+++ b/internal/serve/relayer/stream.go
@@ -11,6 +11,7 @@
 	"brasschute/internal/engine/sender"
 	"brasschute/internal/route/registry"
 	"brasschute/internal/serve/answerreader"
+	"brasschute/internal/serve/eventsequencer"
 )
 
 const (
@@ -69,7 +70,7 @@
 		}
 		if err == nil && release == nil && splitter.Pending() > answerreader.SmallBytes {
 			if release, err = j.r.c.Answers.Reserve(ctx, eventMemory); err != nil {
-				return fmt.Errorf("%w: after event %d: %w", sender.ErrBadResponse, j.lastEvent, err)
+				return fmt.Errorf("%w: after event %d: %w", sender.ErrBadResponse, j.events.Position(), err)
 			}
 		}
 		switch {
@@ -78,7 +79,7 @@
 			j.r.c.Placer.ObserveStream(j.q, j.service, j.res.Events, time.Since(first))
 			return nil
 		case err != nil:
-			return fmt.Errorf("%w: after event %d: %w", sender.ErrBadResponse, j.lastEvent, err)
+			return fmt.Errorf("%w: after event %d: %w", sender.ErrBadResponse, j.events.Position(), err)
 		case splitter.Pending() > maxEventBytes:
 			return fmt.Errorf("%w: an event of over %d bytes", sender.ErrBadResponse, maxEventBytes)
 		case ctx.Err() != nil:
@@ -87,42 +88,27 @@
 	}
 }
 
-// writeEvents checks the numbers of whole events and writes those that the client
-// does not have.
+// writeEvents writes those of some whole events that the client does not have.
 func (j *job) writeEvents(ctx context.Context, x *sender.Response, whole []byte, pick *registry.Pick, begun time.Time) error {
-	out := whole[:0:0]
-	for len(whole) > 0 {
-		event, rest := eventsplitter.Cut(whole)
-		whole = rest
-		n, ok := eventsplitter.Number(event)
-		switch {
-		case !ok:
-			out = append(out, event...)
-			continue
-		case n <= j.lastEvent:
-			continue
-		case n > j.lastEvent+1:
-			return fmt.Errorf("%w: %d after %d", errMissingEvent, n, j.lastEvent)
+	written, err := j.events.Pass(whole, func(events []byte) error {
+		j.markBegun()
+		j.beginStream(ctx, pick, begun)
+		if !j.headSent {
+			j.writeHead(x)
+		}
+		if _, err := j.w.Write(events); err != nil {
+			return fmt.Errorf("%w: %w", errClient, err)
+		}
+		if err := j.flush(); err != nil {
+			return fmt.Errorf("%w: %w", errClient, err)
 		}
-		j.lastEvent = n
-		j.res.Events++
-		out = append(out, event...)
-	}
-	if len(out) == 0 {
 		return nil
+	})
+	j.res.Events += written
+	if errors.Is(err, eventsequencer.ErrMissing) {
+		return fmt.Errorf("%w: %w", errWrongEvents, err)
 	}
-	j.markBegun()
-	j.beginStream(ctx, pick, begun)
-	if !j.headSent {
-		j.writeHead(x)
-	}
-	if _, err := j.w.Write(out); err != nil {
-		return fmt.Errorf("%w: %w", errClient, err)
-	}
-	if err := j.flush(); err != nil {
-		return fmt.Errorf("%w: %w", errClient, err)
-	}
-	return nil
+	return err
 }
 
 // writeHead sends the header of the first engine's answer. It stays the same when
--- a/internal/serve/relayer/version.go
+++ b/internal/serve/relayer/version.go
@@ -139,7 +139,7 @@
 		r.Outcome = splitter.Answered
 		r.Abandoned = err != nil
 	case isUnsent(err), errors.Is(err, errRefused), errors.Is(err, errClient), errors.Is(err, errQuarantined):
-	case errors.Is(err, errFailed), errors.Is(err, errSilence), errors.Is(err, errMissingEvent), requestCtx.Err() != nil,
+	case errors.Is(err, errFailed), errors.Is(err, errSilence), errors.Is(err, errWrongEvents), requestCtx.Err() != nil,
 		errors.Is(err, sender.ErrNoResponse), errors.Is(err, sender.ErrBadResponse):
 		r.Outcome = splitter.Failed
 	}
--- a/internal/standin/hosting/hosting.go
+++ b/internal/standin/hosting/hosting.go
@@ -64,6 +64,9 @@
 	OmitLengthAndTruncate
 	// AnswerWrongRequest sends an answer with the id of another request before the right one.
 	AnswerWrongRequest
+	// SpoilEvent sends the events of a stream at once, with bytes that are no event in place of the one in its
+	// middle.
+	SpoilEvent
 )
 
 // Execution is a request that an engine began to run.
@@ -326,6 +329,10 @@
 // writeStream writes the events of a stream after a number of them.
 func (e *Engine) writeStream(w http.ResponseWriter, behaviour Behaviour, after int, restarted <-chan struct{}) {
 	w.Header().Set("Content-Type", "text/event-stream")
+	if behaviour == SpoilEvent {
+		_, _ = io.WriteString(w, e.spoiltStream(after, e.c.StreamLength/2))
+		return
+	}
 	flush := http.NewResponseController(w).Flush
 	for n := after + 1; n <= e.c.StreamLength; n++ {
 		select {
@@ -343,6 +350,19 @@
 	}
 }
 
+// spoiltStream returns the events of a stream after a number of them, with other bytes in place of one event.
+func (e *Engine) spoiltStream(after, spoilt int) string {
+	var b strings.Builder
+	for n := after + 1; n <= e.c.StreamLength; n++ {
+		text := EventText(n)
+		if n == spoilt {
+			text = strings.Repeat("#", len(text)-len("\n\n")) + "\n\n"
+		}
+		b.WriteString(text)
+	}
+	return b.String()
+}
+
 // writeRaw writes answers that net/http does not let a handler write.
 func (e *Engine) writeRaw(w http.ResponseWriter, r *http.Request, behaviour Behaviour, after int) {
 	conn, buffer, err := http.NewResponseController(w).Hijack()
