eventsplitter: bytes that are no event end the attempt

Cause: what had no number was taken for a comment and passed on.

Change: Number tells events, comments and malformed bytes apart. Malformed bytes end the attempt like a gap: a resumable stream goes on elsewhere after the last sound event, any other one is cut.

--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -89,7 +89,7 @@
 var engineFaults = []hosting.Behaviour{
 	hosting.Refuse, hosting.Misdirect, hosting.Fail, hosting.CloseUnanswered, hosting.TruncateAnswer, hosting.AnswerTwice, hosting.OmitSignature,
 	hosting.EncodeUnasked, hosting.OmitLength, hosting.OmitLengthAndTruncate, hosting.AnswerWrongRequest, hosting.HoldUntilRelease,
-	hosting.SpoilEvent,
+	hosting.SpoilEvent, hosting.SpoilLastEvent,
 }
 
 // soakEvents is the number of events in a stream.
--- a/internal/engine/eventsplitter/eventsplitter.go
+++ b/internal/engine/eventsplitter/eventsplitter.go
@@ -10,20 +10,28 @@
 //	if eventsplitter.HasEvent(whole) { ... }
 //	for len(whole) > 0 {
 //		event, rest := eventsplitter.Cut(whole)
-//		n, ok := eventsplitter.Number(event)
+//		n, numbered, err := eventsplitter.Number(event)
 //		...
 //	}
 package eventsplitter
 
 import (
 	"bytes"
+	"errors"
+	"fmt"
 	"strconv"
 )
 
+// Names of fields.
+const (
+	idName   = "id"
+	dataName = "data"
+)
+
 var (
 	eventEnd  = []byte("\n\n")
-	idField   = []byte("id:")
-	dataField = []byte("data:")
+	idField   = []byte(idName + ":")
+	dataField = []byte(dataName + ":")
 )
 
 // Splitter collects the bytes of one stream. The zero value is ready for use. It is not safe for concurrent use.
@@ -69,17 +77,41 @@
 	return false
 }
 
-// Number returns the number in an event's id field.
-func Number(event []byte) (n int, ok bool) {
+// ErrMalformed means that bytes in a stream are no event.
+var ErrMalformed = errors.New("malformed event")
+
+// Number returns the number of a whole event. numbered is false for comments and settings, which have none. The error
+// wraps [ErrMalformed] if a line is neither a comment nor a field, if there is data without a number, or if the number is
+// none or comes twice.
+func Number(event []byte) (n int, numbered bool, err error) {
+	hasData := false
 	for len(event) > 0 {
 		line, rest, _ := bytes.Cut(event, []byte("\n"))
 		event = rest
-		value, ok := bytes.CutPrefix(line, idField)
-		if !ok {
-			continue
+		name, value, isField := bytes.Cut(bytes.TrimSuffix(line, []byte("\r")), []byte(":"))
+		switch {
+		case len(name) == 0:
+			continue // a comment, or the end of the event
+		case !isField || bytes.ContainsFunc(name, isNoNameRune):
+			return 0, false, fmt.Errorf("%w: a line is no field", ErrMalformed)
+		case string(name) == dataName:
+			hasData = true
+		case string(name) == idName && numbered:
+			return 0, false, fmt.Errorf("%w: two numbers", ErrMalformed)
+		case string(name) == idName:
+			if n, err = strconv.Atoi(string(bytes.TrimSpace(value))); err != nil || n <= 0 {
+				return 0, false, fmt.Errorf("%w: the number is none", ErrMalformed)
+			}
+			numbered = true
 		}
-		n, err := strconv.Atoi(string(bytes.TrimSpace(value)))
-		return n, err == nil
 	}
-	return 0, false
+	if hasData && !numbered {
+		return 0, false, fmt.Errorf("%w: data without a number", ErrMalformed)
+	}
+	return n, numbered, nil
+}
+
+// isNoNameRune reports whether a rune can't be part of a field's name.
+func isNoNameRune(r rune) bool {
+	return r != '-' && r != '_' && (r < '0' || r > '9') && (r < 'A' || r > 'Z') && (r < 'a' || r > 'z')
 }
--- a/internal/engine/eventsplitter/eventsplitter_test.go
+++ b/internal/engine/eventsplitter/eventsplitter_test.go
@@ -1,6 +1,7 @@
 package eventsplitter
 
 import (
+	"errors"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -34,3 +35,23 @@
 		}
 	}
 }
+
+// Guards against bytes that are no event and are taken for one, and against sound events that are refused.
+func TestNumber(t *testing.T) {
+	for text, want := range map[string]int{
+		"id: 7\ndata: x\n\n": 7, "id:7\n\n": 7, "weight-versions: 3\nid: 7\r\ndata: x\r\n\n": 7, ": note\nid: 7\ndata: a: b\n\n": 7, "id: 7\ndata:\ndata: x\n\n": 7,
+		": working\n\n": 0, "retry: 500\n\n": 0, "\n\n": 0,
+	} {
+		if n, numbered, err := Number([]byte(text)); n != want || numbered != (want > 0) || err != nil {
+			t.Errorf("%q: %d %v %v", text, n, numbered, err)
+		}
+	}
+	for _, text := range []string{
+		"####\n\n", "##id: 7\ndata: x\n\n", "id: x\n\n", "id: -1\n\n", "id:\n\n", "id: 99999999999999999999\n\n", "data: x\n\n", "id: 7\ndata: x\nid: 8\n\n",
+		"id 7\n\n", "id: 7\n\x00\x01\n\n", "HTTP/1.1 200 OK\n\n",
+	} {
+		if n, _, err := Number([]byte(text)); !errors.Is(err, ErrMalformed) {
+			t.Errorf("%q: %d %v", text, n, err)
+		}
+	}
+}
--- a/internal/engine/eventsplitter/fuzz_test.go
+++ b/internal/engine/eventsplitter/fuzz_test.go
@@ -32,7 +32,7 @@
 			if len(event)+len(rest) != len(whole) || !blank && bytes.Index(event, eventEnd) != len(event)-len(eventEnd) {
 				t.Fatalf("event %q of %q", event, whole)
 			}
-			if _, ok := Number(event); ok && !HasEvent(event) {
+			if _, numbered, err := Number(event); numbered && err == nil && !HasEvent(event) {
 				t.Fatalf("%q has a number and is no event", event)
 			}
 			whole = rest
--- a/internal/role/gateway/spoilt_test.go
+++ b/internal/role/gateway/spoilt_test.go
@@ -1,52 +1,63 @@
 package gateway
 
 import (
-	"fmt"
 	"net/http"
-	"regexp"
 	"strings"
 	"testing"
 
 	"brasschute/internal/standin/hosting"
 )
 
-// spoiltStream is a request in whose streams engines send bytes that are no event in place of one event.
-const spoiltStream = "spoilt in its middle"
+// Requests whose streams engines spoil: with bytes that are no event in place of one event.
+const (
+	spoiltStream    = "spoilt in its middle"
+	spoiltEndStream = "spoilt at its end"
+)
 
 // spoiling is the behaviour of an engine that spoils the streams that begin at it.
 func spoiling(_ int, r *http.Request) hosting.Behaviour {
-	if r.Header.Get("Body-Text") == spoiltStream && r.Header.Get("Last-Event-Id") == "" {
+	switch body := r.Header.Get("Body-Text"); {
+	case r.Header.Get("Last-Event-Id") != "":
+		return hosting.Serve
+	case body == spoiltStream:
 		return hosting.SpoilEvent
+	case body == spoiltEndStream:
+		return hosting.SpoilLastEvent
 	}
 	return hosting.Serve
 }
 
-// eventID matches the line with the number of an event.
-var eventID = regexp.MustCompile(`(?m)^id: \d+$`)
-
-// firstIDs returns the lines with the numbers of the first events.
-func firstIDs(n int) string {
-	var ids []string
+// eventTexts returns the first events of a stream.
+func eventTexts(n int) string {
+	var b strings.Builder
 	for i := range n {
-		ids = append(ids, fmt.Sprintf("id: %d", i+1))
+		b.WriteString(hosting.EventText(i + 1))
 	}
-	return strings.Join(ids, "\n")
+	return b.String()
 }
 
 // checkSpoilt checks the streams that clients of one daemon get.
 func (f *testFleet) checkSpoilt(daemon int) {
 	f.t.Helper()
 	for range 10 {
-		for path, events := range map[string]int{streamPath: engineEvents/2 - 1, resumePath: engineEvents} {
-			r := f.ask(daemon, path, spoiltStream)
-			if got := strings.Join(eventID.FindAllString(r.text, -1), "\n"); r.complete != (events == engineEvents) || got != firstIDs(events) {
-				f.t.Errorf("%s: %+v, %d events are wanted", path, r, events)
+		for _, c := range []struct {
+			path, body string
+			events     int
+		}{
+			{streamPath, spoiltStream, engineEvents/2 - 1},
+			{resumePath, spoiltStream, engineEvents},
+			{streamPath, spoiltEndStream, engineEvents - 1},
+			{resumePath, spoiltEndStream, engineEvents},
+		} {
+			if r := f.ask(daemon, c.path, c.body); r.complete != (c.events == engineEvents) || r.text != eventTexts(c.events) {
+				f.t.Errorf("%s, %s: %+v, %d events are wanted", c.path, c.body, r, c.events)
 			}
 		}
 	}
 }
 
-// Guards against events that are lost where an engine sends wrong bytes in place of an event together with other events.
+// Guards against events that are lost, and bytes that are none and reach the client, where an engine sends wrong bytes in
+// place of an event together with other events.
 func TestSpoiltEventLosesNoOther(t *testing.T) {
 	inEngineFleet(t, 4, func(string) bool { return false }, func(f *testFleet, e *engineFleet) {
 		e.behave = spoiling
--- a/internal/serve/eventsequencer/eventsequencer.go
+++ b/internal/serve/eventsequencer/eventsequencer.go
@@ -43,8 +43,8 @@
 func (s *Sequencer) Position() int { return s.position }
 
 // Pass writes those of some whole events that the client does not have, in one call of write, which is not called without
-// any. events is the number of events that were written. The error is that of write, or wraps [ErrMissing]: the event
-// behind the gap and all later ones are not written.
+// any. events is the number of events that were written. The error is that of write, or wraps [ErrMissing] or
+// [eventsplitter.ErrMalformed]: the event at which the stream is faulty and all later ones are not written.
 func (s *Sequencer) Pass(whole []byte, write func(events []byte) error) (events int, err error) {
 	var out []byte
 	next := s.position
@@ -70,8 +70,10 @@
 // advance moves a position past an event. fresh reports whether the event belongs behind the position; one without a number
 // does.
 func advance(position *int, event []byte) (fresh bool, err error) {
-	n, numbered := eventsplitter.Number(event)
+	n, numbered, err := eventsplitter.Number(event)
 	switch {
+	case err != nil:
+		return false, fmt.Errorf("%w after event %d", err, *position)
 	case !numbered:
 		return true, nil
 	case n <= *position:
--- a/internal/serve/eventsequencer/eventsequencer_test.go
+++ b/internal/serve/eventsequencer/eventsequencer_test.go
@@ -19,7 +19,7 @@
 	for n := position + 1; n <= length; n++ {
 		switch rapid.IntRange(0, 9).Draw(t, "event") {
 		case 0:
-			read.WriteString("####\n\n")
+			read.WriteString(rapid.SampledFrom([]string{"####\n\n", "id: x\ndata: y\n\n", "data: y\n\n", "##" + text(n), "id: 0\n\n", "id 4\n\n", text(n)[:len(text(n))-1] + text(n)}).Draw(t, "wrong"))
 		case 1:
 			read.WriteString(text(rapid.IntRange(1, length).Draw(t, "other")))
 		case 2:
@@ -62,7 +62,7 @@
 		for n := first + 1; n <= s.Position(); n++ {
 			want += text(n)
 		}
-		for _, setting := range []string{"####\n\n", ": working\n\n", "retry: 500\n\n"} {
+		for _, setting := range []string{": working\n\n", "retry: 500\n\n"} {
 			written = strings.ReplaceAll(written, setting, "")
 		}
 		if written = strings.ReplaceAll(written, "\n\n\n\n", "\n\n"); strings.TrimLeft(written, "\n") != want || events != s.Position()-first {
--- a/internal/serve/relayer/stream.go
+++ b/internal/serve/relayer/stream.go
@@ -105,7 +105,7 @@
 		return nil
 	})
 	j.res.Events += written
-	if errors.Is(err, eventsequencer.ErrMissing) {
+	if errors.Is(err, eventsequencer.ErrMissing) || errors.Is(err, eventsplitter.ErrMalformed) {
 		return fmt.Errorf("%w: %w", errWrongEvents, err)
 	}
 	return err
--- a/internal/standin/hosting/hosting.go
+++ b/internal/standin/hosting/hosting.go
@@ -65,8 +65,9 @@
 	// AnswerWrongRequest sends an answer with the id of another request before the right one.
 	AnswerWrongRequest
 	// SpoilEvent sends the events of a stream at once, with bytes that are no event in place of the one in its
-	// middle.
+	// middle. SpoilLastEvent does so in place of the last one.
 	SpoilEvent
+	SpoilLastEvent
 )
 
 // Execution is a request that an engine began to run.
@@ -329,9 +330,13 @@
 // writeStream writes the events of a stream after a number of them.
 func (e *Engine) writeStream(w http.ResponseWriter, behaviour Behaviour, after int, restarted <-chan struct{}) {
 	w.Header().Set("Content-Type", "text/event-stream")
-	if behaviour == SpoilEvent {
+	switch behaviour {
+	case SpoilEvent:
 		_, _ = io.WriteString(w, e.spoiltStream(after, e.c.StreamLength/2))
 		return
+	case SpoilLastEvent:
+		_, _ = io.WriteString(w, e.spoiltStream(after, e.c.StreamLength))
+		return
 	}
 	flush := http.NewResponseController(w).Flush
 	for n := after + 1; n <= e.c.StreamLength; n++ {
