origintracker: a sole version needs a list that is as new as the request

Cause: silence was taken for confirmation. After 3 s all others count as dead, and a daemon that has nobody to ask believed its list; and that list counted as confirmed for 3 s after the last moment at which a peer counted as live, which is 3 s after it was heard. So between 3 and 6 s after a cut the list was believed and nobody could object.

Change: a sole version is believed if all daemons asked have answered and the store has confirmed the list of one of them within 2 s, or after the list was brought up to date with the store (package refresher). What peers confirm is dated by when they were heard. The field Current of the messages is optional: without it the store is asked.

--- a/internal/peer/origintracker/origintracker.go
+++ b/internal/peer/origintracker/origintracker.go
@@ -8,10 +8,14 @@
 //
 // [Tracker.Find] returns a version only if it is recorded as the one of the endpoint whose event
 // came first, or if no other version can have served while clients still wait for streams (package
-// versiontracker) and this daemon is not partitioned from the others. A record states what has
+// versiontracker) by a list of endpoints that is as new as the request. A record states what has
 // happened: it never changes, so copies can't contradict each other, and a lost one can only make a
 // stream end.
 //
+// That a list is new is never concluded from silence: a daemon that hears nothing of the others, or that has stood still, is in
+// the same state as one that is alone. Either a daemon that the store has just confirmed knows of no other version, and no
+// daemon that was asked was silent, or the list is brought up to date with the store first.
+//
 // # Records
 //
 // [Tracker.Begin] is called before the first event of a stream goes to its client. Unless the
@@ -103,6 +107,11 @@
 	// have saved; may be nil if Saver is.
 	Saver   Saver
 	Readers func() []string
+	// Current reports whether the store itself has confirmed this daemon's list of endpoints within a time that is shorter
+	// than daemons count as live without a sign of life; nil if it never does. Refresh brings the list up to date with
+	// the store, and returns an error if it can't; nil if nothing can.
+	Current func() bool
+	Refresh func(context.Context) error
 	// ListWait returns the time until the list shows the endpoints that run; nil if it always does. Until then a stream that
 	// began before this process does not go on: an endpoint may have started again, with other software, under the
 	// same id.
@@ -391,7 +400,7 @@
 		return f
 	}
 	own := t.c.Versions.Version(s)
-	proven, several := own.Proven, own.Several
+	proven, several, current := own.Proven, own.Several, false
 	for reply := range t.ask(ctx, asked, s, id) {
 		f.Answered++
 		if reply.GetKnown() {
@@ -401,10 +410,11 @@
 		theirs := reply.GetService()
 		several = several || theirs.GetSeveral() || theirs.GetProven() && identifier.Version(theirs.GetVersion()) != own.Version
 		proven = proven || theirs.GetProven()
+		current = current || theirs.GetCurrent()
 		t.adopt(theirs)
 	}
-	// A daemon that none of the others answers is partitioned, and may have missed a version.
-	if !several && proven && (f.Answered > 0 || f.Asked == 0) {
+	current = current && f.Answered == f.Asked
+	if !several && proven && (current || t.isSoleAtStore(ctx, s, own.Version)) {
 		f.Version, f.Source = own.Version, SoleVersion
 	}
 	if f.Source == Unknown {
@@ -413,6 +423,20 @@
 	return f
 }
 
+// isSoleAtStore reports whether a version is still the sole one of a service by a list that is as new as this call.
+func (t *Tracker) isSoleAtStore(ctx context.Context, s identifier.Service, version identifier.Version) bool {
+	if t.c.Refresh == nil {
+		return false
+	}
+	if err := t.c.Refresh(ctx); err != nil {
+		t.counter("stream_list_refreshes", "failed").Inc(1)
+		return false
+	}
+	t.counter("stream_list_refreshes", "ok").Inc(1)
+	now := t.c.Versions.Version(s)
+	return !now.Several && now.Proven && now.Version == version
+}
+
 // hold lets a stream that began before this daemon started wait until the list shows what runs.
 func (t *Tracker) hold(f Found) Found {
 	if t.c.ListWait == nil || f.Source != Saved && (f.Source != Recorded || f.Asked == 0) {
@@ -528,5 +552,6 @@
 
 func (t *Tracker) serviceVersion(name string) *rpc.ServiceVersion {
 	v := t.c.Versions.Version(identifier.Service(name))
-	return &rpc.ServiceVersion{Service: name, Version: string(v.Version), Several: v.Several, Proven: v.Proven}
+	current := t.c.Current != nil && t.c.Current()
+	return &rpc.ServiceVersion{Service: name, Version: string(v.Version), Several: v.Several, Proven: v.Proven, Current: current}
 }
--- a/internal/peer/origintracker/origintracker_test.go
+++ b/internal/peer/origintracker/origintracker_test.go
@@ -25,14 +25,19 @@
 	// knows that its list may be old.
 	retention       = time.Minute
 	unconfirmedTime = 4 * time.Second
+	// livenessTimeout is how long daemons count as live that are not heard, currentTime how long a list counts as confirmed
+	// by the store.
+	livenessTimeout = 3 * time.Second
+	currentTime     = 2 * time.Second
+	// maxPartitionTime outlasts all that a partitioned daemon takes for true.
+	maxPartitionTime = 8
 )
 
 // fleet is a fleet of daemons that exchange records without a network, and a list of versions that
 // those that are not partitioned see at once.
 type fleet struct {
-	listed   []identifier.Version
-	assigner *assigner.Assigner
-	streams  []stream
+	listed  []identifier.Version
+	streams []stream
 
 	// mu protects what calls of other daemons read, as some end after the call that started them.
 	mu      sync.Mutex
@@ -46,6 +51,8 @@
 	*Tracker
 	versions    *versiontracker.Tracker
 	partitioned bool
+	// changedAt is when the daemon was partitioned or healed, confirmedAt when the store last confirmed its list.
+	changedAt, confirmedAt time.Time
 }
 
 // stream is a stream that began at a daemon.
@@ -56,7 +63,6 @@
 
 func newFleet(n int, listed ...identifier.Version) *fleet {
 	f := &fleet{now: time.Unix(1000, 0), listed: listed, older: make(map[int]bool), daemons: make([]*daemon, n)}
-	f.assigner = assigner.New(assigner.Config{Daemons: f.live})
 	for i := range n {
 		f.start(i, true)
 	}
@@ -64,10 +70,15 @@
 	return f
 }
 
-// live returns all daemons: those that have been partitioned lately still count as live.
-func (f *fleet) live(time.Time) (out []assigner.Daemon) {
-	for i := range f.daemons {
-		out = append(out, assigner.Daemon{Host: host(i), Address: fmt.Sprint(i)})
+// live returns the daemons that count as live at one of them: those that have been partitioned lately still do.
+func (f *fleet) live(at int) (out []assigner.Daemon) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	silent := func(d *daemon) bool { return d.partitioned && f.now.Sub(d.changedAt) >= livenessTimeout }
+	for i, d := range f.daemons {
+		if i == at || !silent(d) && !silent(f.daemons[at]) {
+			out = append(out, assigner.Daemon{Host: host(i), Address: fmt.Sprint(i)})
+		}
 	}
 	return out
 }
@@ -81,8 +92,13 @@
 		d.versions.ConfirmFirst()
 	}
 	d.Tracker = New(Config{
-		Host: host(i), Versions: d.versions, Select: f.assigner.Select, Retention: time.Hour, Metrics: tally.NoopScope,
-		Dial: func(address string) Peer { return link{f, d, address} },
+		Host: host(i), Versions: d.versions, Retention: time.Hour, Metrics: tally.NoopScope,
+		Select: func(id string, n int, now time.Time) []assigner.Daemon {
+			return assigner.New(assigner.Config{Daemons: func(time.Time) []assigner.Daemon { return f.live(i) }}).Select(id, n, now)
+		},
+		Current: func() bool { return f.clock().Sub(d.confirmedAt) < currentTime },
+		Refresh: func(context.Context) error { return f.refresh(d) },
+		Dial:    func(address string) Peer { return link{f, d, address} },
 	})
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -106,7 +122,7 @@
 func (f *fleet) setPartitioned(i int, partitioned bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.daemons[i].partitioned = partitioned
+	f.daemons[i].partitioned, f.daemons[i].changedAt = partitioned, f.now
 }
 
 // setOlder makes a daemon one that does not know the calls.
@@ -161,26 +177,38 @@
 // sync shows the list of versions to all daemons that are not partitioned.
 func (f *fleet) sync() {
 	for _, d := range f.daemons {
-		if d.partitioned {
-			continue
-		}
-		changed := d.versions.Observe(func(yield func(identifier.Service, identifier.Version) bool) {
-			for _, v := range f.listed {
-				if !yield(service, v) {
-					return
-				}
-			}
-		})
-		d.versions.Confirm()
-		d.CopyPending(context.Background(), changed)
+		_ = f.refresh(d)
 	}
 }
 
-// pass lets time pass, while daemons that are not partitioned confirm their lists.
+// refresh shows the list of versions to a daemon unless it is partitioned.
+func (f *fleet) refresh(d *daemon) error {
+	if d.partitioned {
+		return errPartitioned
+	}
+	changed := d.versions.Observe(func(yield func(identifier.Service, identifier.Version) bool) {
+		for _, v := range f.listed {
+			if !yield(service, v) {
+				return
+			}
+		}
+	})
+	d.confirmedAt = f.clock()
+	d.versions.Confirm(d.confirmedAt)
+	d.CopyPending(context.Background(), changed)
+	return nil
+}
+
+// pass lets time pass. Daemons that are not partitioned confirm their lists, and the others what they heard last.
 func (f *fleet) pass(d time.Duration) {
 	for ; d > 0; d -= time.Second {
 		f.advance(time.Second)
 		f.sync()
+		for i, d := range f.daemons {
+			if d.partitioned && len(f.live(i)) > 1 {
+				d.versions.Confirm(d.changedAt)
+			}
+		}
 	}
 }
 
@@ -226,13 +254,13 @@
 				i := anyDaemon.Draw(t, "daemon")
 				partitioned := f.daemons[i].partitioned
 				f.start(i, false)
-				f.setPartitioned(i, partitioned)
+				f.daemons[i].partitioned = partitioned
 				f.sync()
 			},
 			"partition or heal": func(t *rapid.T) {
 				i := anyDaemon.Draw(t, "daemon")
 				f.setPartitioned(i, !f.daemons[i].partitioned)
-				f.pass(unconfirmedTime)
+				f.pass(time.Duration(rapid.IntRange(0, maxPartitionTime).Draw(t, "seconds")) * time.Second)
 			},
 			"ask proofs": func(t *rapid.T) { f.daemons[anyDaemon.Draw(t, "daemon")].AskProofs(context.Background()) },
 			"take up": func(t *rapid.T) {
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -290,6 +290,10 @@
 
 	stopping        atomic.Bool
 	endpointsListed atomic.Bool
+	// applying is held while objects are added to the mirror and put in force.
+	applying sync.Mutex
+	// endpointsAnsweredAt is when the store last answered a call about endpoints, as the time of uptime.
+	endpointsAnsweredAt atomic.Pointer[time.Time]
 	// endpointsListedAt is when the first endpoint was listed.
 	endpointsListedAt atomic.Pointer[time.Time]
 	// catalogFetcher, endpointFetcher and rolloutFetcher fetch newer objects from peers.
--- a/internal/role/gateway/gossip.go
+++ b/internal/role/gateway/gossip.go
@@ -318,6 +318,8 @@
 		out = append(out, object.Object{Key: o.GetKey(), Version: object.Join(o.GetEra(), o.GetVersion()), Value: o.GetValue(), Deleted: o.GetDeleted()})
 	}
 	out = g.dropUnreadable(out)
+	g.applying.Lock()
+	defer g.applying.Unlock()
 	if r.GetFull() {
 		g.applyChanges(g.mirror.Replace(kind, out, object.Join(r.GetEra(), r.GetRevision())), address)
 		return
--- a/internal/role/gateway/objects.go
+++ b/internal/role/gateway/objects.go
@@ -17,9 +17,13 @@
 // corrupts one record may corrupt all. A counter counts all of them.
 const maxUnreadableLogsPerSecond = 5
 
-// applyFromStore applies objects that the store returned in one answer.
+// applyFromStore applies objects that the store returned in one answer. Once it returns, all objects of the mirror are in
+// force.
 func (g *Gateway) applyFromStore(objects []object.Object) {
-	g.applyChanges(g.mirror.Apply(g.dropUnreadable(objects)), sourceStore)
+	readable := g.dropUnreadable(objects)
+	g.applying.Lock()
+	defer g.applying.Unlock()
+	g.applyChanges(g.mirror.Apply(readable), sourceStore)
 }
 
 // sourceStore names the store as the source of a change; peers are named by address.
--- a/internal/role/gateway/partition_test.go
+++ b/internal/role/gateway/partition_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/netip"
 	"slices"
 	"strings"
 	"sync"
@@ -14,7 +15,7 @@
 	"time"
 )
 
-// linkFault is how a daemon's links to the engines fail.
+// linkFault is how links of a daemon fail.
 type linkFault int32
 
 // The faults of links.
@@ -37,21 +38,30 @@
 // errReset is the error of a connection that the network resets.
 var errReset = fmt.Errorf("link: %w", syscall.ECONNRESET)
 
-// faultyNetwork is the network of a host whose links to the engines can fail. The links to clients,
-// peers and the store stay sound.
+// toEngines selects the links to the engines.
+func toEngines(address string) bool { return strings.HasPrefix(address, engineAddresses) }
+
+// faultyNetwork is the network of a host some of whose links can fail, in both directions. The others stay sound.
 type faultyNetwork struct {
 	Network
-	fault atomic.Int32
+	// affects selects the links by the address of the side that listens.
+	affects func(address string) bool
+	fault   atomic.Int32
+	// ended is closed at the end of the test.
+	ended chan struct{}
 
 	mu sync.Mutex
 	// changed is closed, and replaced, when the fault changes.
 	changed chan struct{}
 }
 
-func newFaultyNetwork(n Network) *faultyNetwork {
-	return &faultyNetwork{Network: n, changed: make(chan struct{})}
+func newFaultyNetwork(n Network, affects func(address string) bool) *faultyNetwork {
+	return &faultyNetwork{Network: n, affects: affects, changed: make(chan struct{}), ended: make(chan struct{})}
 }
 
+// end ends what still runs for open connections.
+func (n *faultyNetwork) end() { close(n.ended) }
+
 // setFault changes the fault.
 func (n *faultyNetwork) setFault(l linkFault) {
 	n.mu.Lock()
@@ -70,13 +80,16 @@
 
 // DialContext opens a connection.
 func (n *faultyNetwork) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
-	if !strings.HasPrefix(address, engineAddresses) {
+	if !n.affects(address) {
 		return n.Network.DialContext(ctx, network, address)
 	}
 	switch fault, _ := n.state(); fault {
 	case linkReset, linkKeepsOld:
 		return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.ECONNREFUSED}
 	case linkHangs:
+		// The dialer of a daemon has a timeout of its own.
+		ctx, cancel := context.WithTimeout(ctx, time.Second)
+		defer cancel()
 		<-ctx.Done()
 		return nil, &net.OpError{Op: "dial", Net: network, Err: ctx.Err()}
 	}
@@ -84,12 +97,46 @@
 	if err != nil {
 		return nil, err
 	}
+	return n.wrap(c), nil
+}
+
+// wrap returns a connection over the links.
+func (n *faultyNetwork) wrap(c net.Conn) *faultyConn {
 	out := &faultyConn{Conn: c, n: n, closed: make(chan struct{})}
 	go out.watch()
-	return out, nil
+	return out
+}
+
+// Listen opens a listener.
+func (n *faultyNetwork) Listen(address netip.AddrPort) (net.Listener, error) {
+	l, err := n.Network.Listen(address)
+	if err != nil || !n.affects(address.String()) {
+		return l, err
+	}
+	return faultyListener{l, n}, nil
+}
+
+// faultyListener accepts connections over the links.
+type faultyListener struct {
+	net.Listener
+	n *faultyNetwork
 }
 
-// faultyConn is a connection to an engine.
+// Accept waits for the next connection that the links let through.
+func (l faultyListener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if fault, _ := l.n.state(); fault != linkReset && fault != linkKeepsOld {
+			return l.n.wrap(c), nil
+		}
+		_ = c.Close()
+	}
+}
+
+// faultyConn is a connection over a link that can fail.
 type faultyConn struct {
 	net.Conn
 	n      *faultyNetwork
@@ -109,6 +156,8 @@
 		case <-changed:
 		case <-c.closed:
 			return
+		case <-c.n.ended:
+			return
 		}
 	}
 }
@@ -130,6 +179,8 @@
 		case <-changed:
 		case <-c.closed:
 			return errReset
+		case <-c.n.ended:
+			return errReset
 		}
 	}
 }
@@ -168,8 +219,9 @@
 		defer p.end()
 		p.rate = wideLink
 		p.prepare = func(c *Config) {
-			n := newFaultyNetwork(c.Network)
+			n := newFaultyNetwork(c.Network, toEngines)
 			p.links = append(p.links, n)
+			p.stop = append(p.stop, n.end)
 			c.Network = n
 		}
 		e := p.startEngines(func(string) bool { return false })
--- a/internal/role/gateway/streams.go
+++ b/internal/role/gateway/streams.go
@@ -11,7 +11,10 @@
 	"brasschute/internal/peer/originsaver"
 	"brasschute/internal/peer/origintracker"
 	"brasschute/internal/platform/inventory"
+	"brasschute/internal/platform/object"
+	"brasschute/internal/platform/refresher"
 	"brasschute/internal/route/versiontracker"
+	"brasschute/platform"
 )
 
 // streamRetention is how long a stream may be taken up after it began: longer than any client waits.
@@ -26,6 +29,10 @@
 	keepInterval = time.Second
 	// entryDelay is how long after its start an endpoint is listed at most: a heartbeat, and the way to the daemons.
 	entryDelay = 1500 * time.Millisecond
+	// currentTime is how long after an answer of the store the list counts as confirmed by it: longer than a watch takes, and
+	// shorter than a daemon counts as live without a sign of life. So a daemon whose list is confirmed has not been cut off
+	// for so long that it no longer asks those that it can't reach.
+	currentTime = 2 * time.Second
 	// fleetReadTime is how long a daemon that starts waits to learn the size of the fleet.
 	fleetReadTime = time.Second
 )
@@ -39,7 +46,7 @@
 	})
 	g.tree.Add(saver)
 	g.origins = origintracker.New(origintracker.Config{
-		Saver: saver, Readers: g.originReaders, ListWait: g.listWait,
+		Saver: saver, Readers: g.originReaders, ListWait: g.listWait, Current: g.listIsCurrent, Refresh: g.newEndpointRefresher().Refresh,
 		Host: g.c.Deployment.Host, Versions: g.versions, Select: g.assigner.Select, Retention: streamRetention, Metrics: g.scope,
 		Dial: func(address string) origintracker.Peer { return g.dialPeer(address) },
 	})
@@ -63,6 +70,30 @@
 	return g.watchesStore(), known
 }
 
+// newEndpointRefresher returns what brings the list of endpoints up to date with the store.
+func (g *Gateway) newEndpointRefresher() *refresher.Refresher {
+	return refresher.New(refresher.Config{
+		Store: g.store, Kind: platform.EndpointKind, Revision: func() uint64 { return g.mirror.Revision(platform.EndpointKind) },
+		Apply: func(objects []object.Object) {
+			g.applyFromStore(objects)
+			g.confirmEndpoints()
+		},
+	})
+}
+
+// confirmEndpoints records that the store has answered a call about endpoints.
+func (g *Gateway) confirmEndpoints() {
+	now := g.uptime()
+	g.endpointsAnsweredAt.Store(&now)
+	g.versions.Confirm(now)
+}
+
+// listIsCurrent reports whether the store has confirmed the list of endpoints lately.
+func (g *Gateway) listIsCurrent() bool {
+	at := g.endpointsAnsweredAt.Load()
+	return at != nil && g.uptime().Sub(*at) < currentTime
+}
+
 // listWait returns the time until the list shows the new entries of the endpoints that started again before it was first
 // read.
 func (g *Gateway) listWait() time.Duration {
@@ -125,10 +156,17 @@
 	}
 }
 
-// confirmByPeers records that the list of endpoints is current if this daemon hears of changes from one
-// that watches the store and reaches it. The watcher of endpoints confirms what the store itself answers.
+// confirmByPeers records that the list of endpoints was current when this daemon last heard of one that watches the store and
+// reaches it, as it hears of changes from those. The watcher of endpoints confirms what the store itself answers.
 func (g *Gateway) confirmByPeers() {
-	if len(g.observers(time.Now())) > 0 {
-		g.versions.Confirm()
+	now := time.Now()
+	var heard time.Time
+	for _, d := range g.roster.LiveDaemons(now) {
+		if at := d.LastHeard(); d.Observing && at.After(heard) {
+			heard = at
+		}
+	}
+	if !heard.IsZero() {
+		g.versions.Confirm(g.uptime().Add(heard.Sub(now)))
 	}
 }
--- a/internal/role/gateway/watchers.go
+++ b/internal/role/gateway/watchers.go
@@ -63,7 +63,7 @@
 				g.storeAnsweredAt.Store(time.Now().UnixNano())
 			}
 			if err == nil && kind == platform.EndpointKind {
-				g.versions.Confirm()
+				g.confirmEndpoints()
 			}
 			if err == nil && kind == platform.RolloutKind {
 				// An empty list applies no objects, so record that the orders are known.
--- a/internal/route/versiontracker/versiontracker.go
+++ b/internal/route/versiontracker/versiontracker.go
@@ -5,13 +5,14 @@
 // same one. Then each stream of the service that a client may still take up began at that version.
 // This holds only if the tracker has seen all versions of that time: it has observed the list for so
 // long without a gap, or from the first start of the system on (see [Tracker.ConfirmFirst]), or another
-// daemon has proved it (see [Tracker.Adopt]). The list counts as current for [confirmTimeout] after [Tracker.Confirm].
+// daemon has proved it (see [Tracker.Adopt]). The list counts as current for [confirmTimeout] after the time for
+// which [Tracker.Confirm] confirms it.
 //
 // # Usage
 //
 //	t := versiontracker.New(versiontracker.Config{Retention: time.Minute, Now: uptime})
 //	changed := t.Observe(listed) // after each change of the list of endpoints
-//	t.Confirm()                  // whenever the list is known to be current
+//	t.Confirm(at)                // whenever the list is known to have been current at a time
 //	version := t.Version(service)
 package versiontracker
 
@@ -195,17 +196,19 @@
 	}
 }
 
-// Confirm records that the list of endpoints is current. After a gap, versions may have come and left
-// unseen.
-func (t *Tracker) Confirm() {
+// Confirm records that the list of endpoints was current at a time, which is not after the present one. After a gap,
+// versions may have come and left unseen.
+func (t *Tracker) Confirm(at time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := t.c.Now()
-	if !t.confirmedAt.IsZero() && now.Sub(t.confirmedAt) > confirmTimeout {
-		t.completeFrom, t.gap = now.Add(t.c.Retention), true
+	if at.Before(t.confirmedAt) {
+		return
+	}
+	if !t.confirmedAt.IsZero() && at.Sub(t.confirmedAt) > confirmTimeout {
+		t.completeFrom, t.gap = at.Add(t.c.Retention), true
 		for _, s := range t.services {
 			s.proven = false
 		}
 	}
-	t.confirmedAt = now
+	t.confirmedAt = at
 }
--- a/internal/route/versiontracker/versiontracker_test.go
+++ b/internal/route/versiontracker/versiontracker_test.go
@@ -40,7 +40,7 @@
 func (c *clock) pass(d time.Duration) {
 	for ; d > 0; d -= time.Second {
 		c.now = c.now.Add(time.Second)
-		c.Confirm()
+		c.Confirm(c.now)
 	}
 }
 
@@ -65,7 +65,7 @@
 			func(k *clock) {
 				k.Observe(list("v1"))
 				k.now = k.now.Add(confirmTimeout + time.Second)
-				k.Confirm()
+				k.Confirm(k.now)
 				k.ConfirmFirst()
 			},
 			Sole{Version: "v1"},
@@ -95,7 +95,11 @@
 			"the list may be old",
 		},
 		{
-			"after a gap", true, func(k *clock) { k.Observe(list("v1")); k.now = k.now.Add(confirmTimeout + time.Second); k.Confirm() },
+			"after a gap", true, func(k *clock) {
+				k.Observe(list("v1"))
+				k.now = k.now.Add(confirmTimeout + time.Second)
+				k.Confirm(k.now)
+			},
 			Sole{Version: "v1"},
 			"another version may have come and left unseen",
 		},
@@ -111,7 +115,7 @@
 				k.Observe(list("v1"))
 				k.Adopt("lm", "v1")
 				k.now = k.now.Add(confirmTimeout + time.Second)
-				k.Confirm()
+				k.Confirm(k.now)
 			},
 			Sole{Version: "v1"},
 			"the proof ends with the gap",
@@ -119,7 +123,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			k := newClock(c.first)
-			k.Confirm()
+			k.Confirm(k.now)
 			c.run(k)
 			got := k.Version("lm")
 			if got.Several {
