pruner: an entry that is nested too deeply hides no other

What callers saw (report of other operators): machines stopped following the list of engines when another writer left a deeply nested entry there, and machines that started found no engine.

Cause: the items of a list are decoded one by one, but the list around them first, as a whole; encoding/json refuses a document that is nested 10,000 deep anywhere. A page with nothing but an entry whose revision can't be read ended the list, too ("no progress").

No process ended by itself; ports out of range were refused before.

Change: package pruner cuts what is nested deeper than 100 out of a response that can't be decoded otherwise; an object of which something was cut has no readable value and names no engine. A list goes on after an entry with a readable name. The own interface's client does the same.

--- a/integration/hosted_test.go
+++ b/integration/hosted_test.go
@@ -80,6 +80,8 @@
 	engines      map[string]*hosting.Engine
 	lastHost     int
 	config       hostedConfig
+	// wrapStore changes how hosts see the store; nil changes nothing.
+	wrapStore func(http.Handler) http.Handler
 	// duties is the list of duties in the daemons' settings, as TOML.
 	duties string
 	client *http.Client
@@ -212,7 +214,11 @@
 	s.t.Helper()
 	s.lastHost++
 	h := &gatewayHost{s: s, name: fmt.Sprintf("front-%d", s.lastHost), ip: siteIP(s.t, s.number, s.lastHost)}
-	h.storeAddress = s.serve(s.store.HandlerFor(h.name))
+	store := s.store.HandlerFor(h.name)
+	if s.wrapStore != nil {
+		store = s.wrapStore(store)
+	}
+	h.storeAddress = s.serve(store)
 	h.file = filepath.Join(s.t.TempDir(), "boot.toml")
 	h.writeSettings("")
 	s.hosts = append(s.hosts, h)
--- a/internal/platform/client/client.go
+++ b/internal/platform/client/client.go
@@ -28,6 +28,7 @@
 
 	"brasschute/internal/core/watchdog"
 	"brasschute/internal/platform/object"
+	"brasschute/internal/platform/pruner"
 )
 
 const (
@@ -116,9 +117,7 @@
 
 // List returns all objects under the prefixes.
 func (c *Client) List(ctx context.Context, prefixes ...string) (object.Page, error) {
-	var p object.Page
-	err := c.read(ctx, "objects?"+url.Values{"prefix": prefixes}.Encode(), 0, &p)
-	return p, err
+	return c.readPage(ctx, "objects?"+url.Values{"prefix": prefixes}.Encode(), 0)
 }
 
 // Watch waits until objects under the prefixes change after a revision, or for
@@ -128,9 +127,22 @@
 	q := url.Values{"prefix": prefixes}
 	q.Set("after", strconv.FormatUint(after, 10))
 	q.Set("wait", wait.String())
+	return c.readPage(ctx, "watch?"+q.Encode(), wait)
+}
+
+// responses reads responses in which another writer has nested something so deeply that no decoder reads what is around it.
+var responses = pruner.New(pruner.Config{})
+
+// readPage makes a call that returns objects.
+func (c *Client) readPage(ctx context.Context, path string, wait time.Duration) (object.Page, error) {
 	var p object.Page
-	err := c.read(ctx, "watch?"+q.Encode(), wait, &p)
-	return p, err
+	if err := c.read(ctx, path, wait, &p); err != nil {
+		return p, err
+	}
+	for i := range p.Objects {
+		p.Objects[i].Value = responses.Value(p.Objects[i].Value)
+	}
+	return p, nil
 }
 
 // read makes a GET call that the platform may answer only after wait.
@@ -175,7 +187,7 @@
 	if out == nil {
 		return nil
 	}
-	if err := json.Unmarshal(raw, out); err != nil {
+	if err := responses.Unmarshal(raw, out); err != nil {
 		return fmt.Errorf("%w: malformed response: %w", object.ErrUnknown, err)
 	}
 	return nil
--- a/internal/platform/client/client_test.go
+++ b/internal/platform/client/client_test.go
@@ -65,3 +65,23 @@
 		t.Errorf("error %v, but the write may have taken effect", err)
 	}
 }
+
+// Guards against an object of another writer that is nested so deeply that the others are not read.
+func TestDeepObjectHidesNoOther(t *testing.T) {
+	const depth = 100000
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		deep := `{"Zone":"a","Note":` + strings.Repeat("[", depth) + strings.Repeat("]", depth) + "}"
+		fmt.Fprintf(w, `{"Revision":3,"Objects":[{"Key":"hosts/a","Version":2,"Value":{"Zone":"a"}},{"Key":"hosts/b","Version":3,"Value":%s}]}`, deep)
+	}))
+	defer server.Close()
+	c := New(Config{Address: server.Listener.Addr().String(), Timeout: timeout})
+	for name, read := range map[string]func() (object.Page, error){
+		"list":  func() (object.Page, error) { return c.List(t.Context(), "hosts/") },
+		"watch": func() (object.Page, error) { return c.Watch(t.Context(), 2, 0, "hosts/") },
+	} {
+		p, err := read()
+		if err != nil || len(p.Objects) != 2 || string(p.Objects[0].Value) != `{"Zone":"a"}` || p.Objects[1].Value[0] != '"' {
+			t.Errorf("%s: %+v, %v", name, p, err)
+		}
+	}
+}
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -69,6 +69,7 @@
 	"brasschute/internal/peer/supplier"
 	"brasschute/internal/peer/syncer"
 	"brasschute/internal/platform/inventory"
+	"brasschute/internal/platform/pruner"
 	"brasschute/internal/platform/registrar"
 	"brasschute/internal/route/budgeter"
 	"brasschute/internal/route/demandmeter"
@@ -345,7 +346,7 @@
 func (g *Gateway) build() {
 	d := g.c.Deployment
 	g.tree = suture.New("gateway", suture.Spec{EventHook: g.logSupervisorEvent})
-	g.store = platform.NewStore(d.Store.String(), g.newPlatformClient())
+	g.store = platform.NewStore(d.Store.String(), g.newPlatformClient(), pruner.New(pruner.Config{}))
 	g.store.OnEra(g.onStoreEra)
 	g.ends = endtracker.New(endtracker.Config{Retention: endRetention})
 	g.drainer = drainer.New(drainer.Config{BalancerLag: balancerLag})
