tests: answers that an endpoint stops in its head

Cause: other operators reported a 200 with an empty or short body, framed as whole, after an engine had stopped in its answer's head; no test of ours cut heads.

Change: nine heads are cut at each byte at the sender; 72 forms of cut heads go through whole processes, direct, through a peer and at the own interface.

--- a/integration/mixed_test.go
+++ b/integration/mixed_test.go
@@ -149,6 +149,26 @@
 	)
 }
 
+// headForms are answers that an endpoint stops somewhere in their heads.
+func headForms() []rawForm {
+	var out []rawForm
+	for framing, header := range map[string]string{
+		"no-length": "", "length": fmt.Sprintf("Content-Length: %d\r\n", len(event)), "empty": "Content-Length: 0\r\n", "chunks": "Transfer-Encoding: chunked\r\n",
+	} {
+		head := signedHead + header + "\r\n"
+		for place, length := range map[string]int{
+			"version": len("HTTP/1."), "status": len("HTTP/1.1 20"), "status-line": strings.Index(head, "\n") + 1, "stamp": strings.Index(head, "stamp") + len("st"),
+			"stamp-line": strings.Index(head, "stamp") + len("stamp\r\n"), "last-value": len(head) - len("?\r\n\r\n"), "last-line": len(head) - len("\n\r\n"), "empty-line": len(head) - len("\r\n"),
+			"end": len(head) - len("\n"),
+		} {
+			for _, end := range []ending{endOrderly, endReset} {
+				out = append(out, rawForm{name: fmt.Sprintf("head-%s-%s-%s", framing, place, end), read: readEverything, ending: end, text: head[:length]})
+			}
+		}
+	}
+	return out
+}
+
 // rawEndpoints are endpoints that treat requests as their form says.
 type rawEndpoints struct {
 	form *rawForm
@@ -365,6 +385,13 @@
 	s.addReadyHost().checkRaw(t, 4, routes)
 }
 
+// Guards against an answer that an endpoint stops in its head, and that a client gets as an empty or short one.
+func TestAnswersCutInTheirHeadsAreNotPassedOn(t *testing.T) {
+	s := newSite(t)
+	routes := s.addRawRoutes(headForms())
+	s.addReadyHost().checkRaw(t, 4, routes)
+}
+
 const (
 	// rawIP is the address that the endpoints listen on, unusedIP one that nothing listens on.
 	rawIP    = "127.0.0.1"
@@ -454,7 +481,7 @@
 func TestBrokenAnswersThroughAPeer(t *testing.T) {
 	s := newSite(t)
 	forms := slices.DeleteFunc(statusForms(), func(f rawForm) bool { return strings.HasSuffix(f.name, "-unstamped") })
-	routes := s.addRawRoutes(append(brokenForms(), forms...))
+	routes := s.addRawRoutes(slices.Concat(brokenForms(), forms, headForms()))
 	s.addEngine(hosting.Config{ID: "sound", Service: plainService})
 	h, _ := s.addPartitionedHost(func(h *gatewayHost) {
 		h.replaceSetting(memorySetting, "MemoryMb = 2000")
--- a/integration/mixedcaller_test.go
+++ b/integration/mixedcaller_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -131,7 +132,7 @@
 // callerForms are the forms of answers for services of callers.
 func callerForms() []rawForm {
 	var out []rawForm
-	for _, f := range append(brokenForms(), statusForms()...) {
+	for _, f := range slices.Concat(brokenForms(), statusForms(), headForms()) {
 		if strings.Contains(f.name, "unsigned") || strings.HasSuffix(f.name, "-run") {
 			// These are whole answers here.
 			continue
