catalog: routes are found by the path as its client encoded it

Cause: the route was chosen by the path that net/http had decoded, while the target was passed on as it came.

Change: prefixes and paths are compared in the normal form of RFC 3986, 6.2.2 (package pathnormalizer): %2F stays %2F, and characters that need no encoding are decoded, so that they are no way around a route.

--- a/integration/gateway_test.go
+++ b/integration/gateway_test.go
@@ -537,3 +537,37 @@
 		}
 	}
 }
+
+// Guards against a request that runs at the service of another route, as its path begins with the prefix of that one only once
+// it is decoded.
+func TestRouteIsThatOfThePathAsEncoded(t *testing.T) {
+	s := newSite(t)
+	const openService, closedService = "ledger", "closed-ledger"
+	engines := map[string]*hosting.Engine{openService: s.addEngine(hosting.Config{ID: "i-open", Service: openService}), closedService: s.addEngine(hosting.Config{ID: "i-closed", Service: closedService})}
+	s.configure(func(c *hostedConfig) {
+		for prefix, service := range map[string]string{"/ledger/": openService, "/ledger/closed/": closedService, "/caf%c3%A9/": closedService} {
+			c.Routes = append(c.Routes, hostedRoute{Name: service + prefix, Host: hostedDomain, PathPrefix: prefix, Kind: "idempotent", Service: service, TimeoutMs: 10000, SloMs: 500, MaxAttempts: 1})
+		}
+	})
+	h := s.addReadyHost()
+	for target, service := range map[string]string{
+		"/ledger/17": openService, "/ledger/closed": openService, "/ledger/closed%2F17?page=2": openService, "/ledger/closed%2f17": openService,
+		"/ledger%2Fclosed/17": "", "/ledger/closed/17": closedService, "/ledger/closed/a%2Fb": closedService, "/ledger/%63losed/17": closedService,
+		"/l%65dger/closed%2F/17": openService, "/caf%C3%a9/1": closedService, "/ledger/?x=/ledger/closed/": openService,
+		"http://" + hostedDomain + "/ledger/closed%2F17": openService,
+	} {
+		before := make(map[string]int)
+		for name, e := range engines {
+			before[name] = e.Received()
+		}
+		status, _ := exchange(t, dialHost(t, h), fmt.Sprintf("GET %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: path-%d\r\nAuthorization: Bearer %s\r\n\r\n", target, hostedDomain, requestCount.Add(1), deskKey))
+		if service == "" && status != http.StatusNotFound || service != "" && status != http.StatusOK {
+			t.Errorf("%s: status %d", target, status)
+		}
+		for name, e := range engines {
+			if ran := e.Received() > before[name]; ran != (name == service) {
+				t.Errorf("%s: ran at %s: %v, want %q", target, name, ran, service)
+			}
+		}
+	}
+}
--- a/integration/mixed_test.go
+++ b/integration/mixed_test.go
@@ -29,6 +29,8 @@
 	endpointReadBuffer = 16 << 10
 	// endpointsPerForm allows an idempotent request a second attempt.
 	endpointsPerForm = 2
+	// rawSenders is the number of requests that are sent at the same time.
+	rawSenders = 4
 )
 
 // readPart is how much of an upload an endpoint reads before it answers.
@@ -301,12 +303,12 @@
 }
 
 // checkRaw sends a request on each route, some at the same time, and checks its answer.
-func (h *gatewayHost) checkRaw(t *testing.T, senders int, routes []rawRoute) {
+func (h *gatewayHost) checkRaw(t *testing.T, routes []rawRoute) {
 	t.Helper()
 	upload := strings.Repeat("u", uploadBytes)
 	next := make(chan *rawRoute)
 	var group sync.WaitGroup
-	for range senders {
+	for range rawSenders {
 		group.Go(func() {
 			for r := range next {
 				q := hostedRequest{ID: fmt.Sprintf("raw-%d", requestCount.Add(1)), Target: r.PathPrefix + "x", Key: deskKey, Body: "short"}
@@ -375,21 +377,21 @@
 func TestBrokenAnswersToUploadsAreNotWhole(t *testing.T) {
 	s := newSite(t)
 	routes := s.addRawRoutes(brokenForms())
-	s.addReadyHost().checkRaw(t, 4, routes)
+	s.addReadyHost().checkRaw(t, routes)
 }
 
 // Guards against an answer whose status is none.
 func TestAnswersWithoutAStatusAreNotPassedOn(t *testing.T) {
 	s := newSite(t)
 	routes := s.addRawRoutes(statusForms())
-	s.addReadyHost().checkRaw(t, 4, routes)
+	s.addReadyHost().checkRaw(t, routes)
 }
 
 // Guards against an answer that an endpoint stops in its head, and that a client gets as an empty or short one.
 func TestAnswersCutInTheirHeadsAreNotPassedOn(t *testing.T) {
 	s := newSite(t)
 	routes := s.addRawRoutes(headForms())
-	s.addReadyHost().checkRaw(t, 4, routes)
+	s.addReadyHost().checkRaw(t, routes)
 }
 
 const (
@@ -487,6 +489,6 @@
 		h.replaceSetting(memorySetting, "MemoryMb = 2000")
 		h.start()
 	})
-	h.checkRaw(t, 4, routes)
+	h.checkRaw(t, routes)
 	h.checkHandedOver(t, len(routes))
 }
--- a/internal/config/catalog/catalog.go
+++ b/internal/config/catalog/catalog.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"brasschute/internal/core/identifier"
+	"brasschute/internal/core/pathnormalizer"
 )
 
 // Kind says whether a route's requests may be repeated and how they are answered.
@@ -161,23 +162,29 @@
 // for concurrent use.
 type Catalog struct {
 	c        Config
-	byHost   map[string][]*Route
+	byHost   map[string][]prefixedRoute
 	services map[identifier.Service]*Service
 	byKey    map[string]*Organisation
 }
 
+// prefixedRoute is a route with the normal form of its prefix.
+type prefixedRoute struct {
+	prefix string
+	route  *Route
+}
+
 // New indexes a configuration, which must not be modified afterwards.
 func New(c Config) *Catalog {
 	out := &Catalog{
-		c: c, byHost: make(map[string][]*Route), services: make(map[identifier.Service]*Service, len(c.Services)),
+		c: c, byHost: make(map[string][]prefixedRoute), services: make(map[identifier.Service]*Service, len(c.Services)),
 		byKey: make(map[string]*Organisation),
 	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
-		out.byHost[r.Host] = append(out.byHost[r.Host], r)
+		out.byHost[r.Host] = append(out.byHost[r.Host], prefixedRoute{pathnormalizer.Normalize(r.Prefix), r})
 	}
 	for _, routes := range out.byHost {
-		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+		slices.SortStableFunc(routes, func(a, b prefixedRoute) int { return cmp.Compare(len(b.prefix), len(a.prefix)) })
 	}
 	for i := range c.Services {
 		out.services[c.Services[i].Name] = &c.Services[i]
@@ -206,11 +213,12 @@
 func (c *Catalog) Organisations() []Organisation { return c.c.Organisations }
 
 // Route returns the host's route with the longest prefix of the path, or nil if
-// none matches.
+// none matches. The path is as the client encoded it.
 func (c *Catalog) Route(host, path string) *Route {
+	path = pathnormalizer.Normalize(path)
 	for _, r := range c.byHost[host] {
-		if strings.HasPrefix(path, r.Prefix) {
-			return r
+		if strings.HasPrefix(path, r.prefix) {
+			return r.route
 		}
 	}
 	return nil
--- a/internal/serve/request/request.go
+++ b/internal/serve/request/request.go
@@ -41,6 +41,7 @@
 	Method string
 	// Target is the request target as received: path and query.
 	Target string
+	// Path is the path of the target as its client encoded it.
 	Path   string
 	Host   string
 	APIKey string
