gateway: the observer of a new order is not the daemon that is cut off

Cause: TestOrderThatBeginsAnewKeepsTheShare asked daemon 7 for the order that the operator gives again; if daemon 7 holds the lease, the test has cut it off before, and it can't hear of another order. Seen once in a run of the package (holder lost true), and in 1 of 16 plays on.

Change: the observer is the daemon after the holder. Nothing else is checked differently: any other daemon must know the new order.

--- a/internal/role/gateway/rolloutrestore_test.go
+++ b/internal/role/gateway/rolloutrestore_test.go
@@ -148,7 +148,9 @@
 		t.Run(fmt.Sprint("holder lost ", holderLost), func(t *testing.T) {
 			const d = 20 * time.Second
 			inRestoredRollout(t, d, true, true, "reverted", func(r *restoredRollout) {
-				before := r.f.daemons[7].splitter.Orders()
+				// A daemon that is cut off hears of no other order.
+				observer := r.f.daemons[(r.f.leaseHolder()+1)%len(r.f.daemons)].splitter
+				before := observer.Orders()
 				if holderLost {
 					r.loseHolder()
 				}
@@ -159,7 +161,7 @@
 				if got := r.status(); got != "reverted" {
 					t.Errorf("the stored status is %q, want reverted", got)
 				}
-				if after := r.f.daemons[7].splitter.Orders(); len(before) != 1 || len(after) != 1 || before[0].OrderID() == after[0].OrderID() {
+				if after := observer.Orders(); len(before) != 1 || len(after) != 1 || before[0].OrderID() == after[0].OrderID() {
 					t.Errorf("the order is not another one: %+v before, %+v after", before, after)
 				}
 			})
