verifier: streams go on over connections whose other end is verified

Cause: an entry was taken for what listens at its address. It vouches for a process that has ended until the next one's heartbeat, unless a request broke off there. Nobody sees the end of an idle engine.

Change: a stream goes on only over a connection that is older than the entry of a later process could be, or over which the engine has reported its start time, or that has waited for that; through peers, too (an optional header). The access log says how each endpoint was verified.

--- a/internal/engine/sender/sender.go
+++ b/internal/engine/sender/sender.go
@@ -109,6 +109,9 @@
 	Ready func() bool
 	// OnConnect is called when a new connection was established for the request. May be nil.
 	OnConnect func()
+	// Verify is called once the connection is established, before Ready. It may use the connection, and replace it. If it
+	// returns false, the request is canceled. May be nil.
+	Verify func(context.Context, *Conn) bool
 	// Matches reports whether a response with these headers belongs to this
 	// request. A response to another request is skipped. If nil, any response
 	// matches.
@@ -126,6 +129,7 @@
 	// reader reads from limiter, limiter from the connection.
 	reader    *bufio.Reader
 	limiter   *headLimiter
+	openedAt  time.Time
 	idleSince time.Time
 	keepAlive time.Duration
 }
@@ -176,6 +180,14 @@
 	if err != nil {
 		return nil, err
 	}
+	if req.Verify != nil {
+		c := &Conn{sender: s, connection: l, onConnect: req.OnConnect}
+		verified := req.Verify(ctx, c)
+		if l = c.connection; !verified {
+			_ = l.Close()
+			return nil, ErrCanceled
+		}
+	}
 	if req.Ready != nil && !req.Ready() {
 		_ = l.Close()
 		return nil, ErrCanceled
@@ -310,7 +322,7 @@
 	}
 	s.c.OnConnect()
 	limiter := &headLimiter{r: conn}
-	return &connection{Conn: conn, address: address, reader: bufio.NewReaderSize(limiter, readBufferBytes), limiter: limiter}, nil
+	return &connection{Conn: conn, address: address, reader: bufio.NewReaderSize(limiter, readBufferBytes), limiter: limiter, openedAt: time.Now()}, nil
 }
 
 func (s *Sender) takeIdle(address string) *connection {
@@ -329,25 +341,34 @@
 // not been idle for too long, the other side has not closed it, and no bytes are
 // waiting on it.
 func (l *connection) isReusable() bool {
-	if time.Since(l.idleSince) > l.keepAlive/2 || l.reader.Buffered() > 0 {
+	if time.Since(l.idleSince) > l.keepAlive/2 {
 		return false
 	}
+	quiet, known := l.isQuiet()
+	return quiet && known
+}
+
+// isQuiet reports whether the other side of a connection has neither closed it nor sent anything. known is false if that
+// can't be told of this kind of connection, without waiting.
+func (l *connection) isQuiet() (quiet, known bool) {
+	if l.reader.Buffered() > 0 {
+		return false, true
+	}
 	conn, ok := l.Conn.(syscall.Conn)
 	if !ok {
-		return false
+		return true, false
 	}
 	raw, err := conn.SyscallConn()
 	if err != nil {
-		return false
+		return false, true
 	}
-	quiet := false
 	var b [1]byte
 	err = raw.Read(func(fd uintptr) bool {
 		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		quiet = errors.Is(err, syscall.EAGAIN)
 		return true
 	})
-	return err == nil && quiet
+	return err == nil && quiet, true
 }
 
 func (s *Sender) putIdle(l *connection) {
--- a/internal/ops/accesslogger/accesslogger.go
+++ b/internal/ops/accesslogger/accesslogger.go
@@ -168,6 +168,9 @@
 		if a.AfterEvent > 0 {
 			after = fmt.Sprintf(" after event %d", a.AfterEvent)
 		}
+		if a.Verified != "" {
+			after += " verified by " + string(a.Verified)
+		}
 		if a.Events > 0 {
 			events = fmt.Sprintf(" events %d", a.Events)
 		}
--- a/internal/peer/wrapper/wrapper.go
+++ b/internal/peer/wrapper/wrapper.go
@@ -48,10 +48,12 @@
 	headerTarget = headerPrefix + "Target"
 	headerHost   = headerPrefix + "Host"
 	headerProbe  = headerPrefix + "Probe"
+	// headerVerify is not known to daemons of older versions.
+	headerVerify = headerPrefix + "Verify"
 )
 
-// probeTrue is the value of the header of a probe.
-const probeTrue = "1"
+// headerTrue is the value of a header that is set or missing.
+const headerTrue = "1"
 
 // Outcome is how a peer dealt with a wrapped request.
 type Outcome string
@@ -91,6 +93,9 @@
 	// Probe: nothing is sent to the endpoint. The peer only connects to it; the outcome is Answered if
 	// that succeeds.
 	Probe bool
+	// Verify: only the endpoint's incarnation may get the request, and not one that listens at its address before it is
+	// listed.
+	Verify bool
 	// Method, Target and Host are those for the endpoint, Header its headers.
 	Method string
 	Target string
@@ -118,7 +123,10 @@
 	h.Set(headerTarget, r.Target)
 	h.Set(headerHost, r.Host)
 	if r.Probe {
-		h.Set(headerProbe, probeTrue)
+		h.Set(headerProbe, headerTrue)
+	}
+	if r.Verify {
+		h.Set(headerVerify, headerTrue)
 	}
 	return h
 }
@@ -136,7 +144,7 @@
 	r := &Request{
 		Service: identifier.Service(h.Get(headerService)), Endpoint: identifier.Endpoint(h.Get(headerEndpoint)),
 		StartTime: identifier.StartTime(start), ID: identifier.Request(h.Get(headerRequest)),
-		Fingerprint: identifier.Fingerprint(h.Get(headerFingerprint)), Probe: h.Get(headerProbe) == probeTrue,
+		Fingerprint: identifier.Fingerprint(h.Get(headerFingerprint)), Probe: h.Get(headerProbe) == headerTrue, Verify: h.Get(headerVerify) == headerTrue,
 		Method: h.Get(headerMethod), Target: h.Get(headerTarget), Host: h.Get(headerHost), Header: make(http.Header, len(h)),
 	}
 	if r.Service == "" || r.Endpoint == "" || !r.Probe && (r.Method == "" || r.Target == "") {
--- a/internal/role/gateway/engines_test.go
+++ b/internal/role/gateway/engines_test.go
@@ -94,6 +94,8 @@
 	refusesID func(place int, id string) bool
 	// version returns the version of an engine's software; nil means that engines state none.
 	version func(place int) string
+	// withoutReports: engines do not report their state.
+	withoutReports bool
 	// behave returns the behaviour of an engine that runs a request; nil serves all.
 	behave func(place int, r *http.Request) hosting.Behaviour
 
@@ -180,7 +182,7 @@
 	}
 	engine := hosting.NewEngine(hosting.Config{
 		Version: version, ID: id, Service: modelService, Zone: fmt.Sprintf("zone-%d", place%e.f.zones), Address: address.String(), StreamLength: engineEvents,
-		StartedUnixMilli: time.Now().UnixMilli(),
+		StartedUnixMilli: time.Now().UnixMilli(), OmitReports: e.withoutReports,
 	})
 	server := &http.Server{}
 	var once sync.Once
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -70,6 +70,7 @@
 	"brasschute/internal/peer/syncer"
 	"brasschute/internal/platform/inventory"
 	"brasschute/internal/platform/pruner"
+	"brasschute/internal/platform/refresher"
 	"brasschute/internal/platform/registrar"
 	"brasschute/internal/route/budgeter"
 	"brasschute/internal/route/demandmeter"
@@ -91,6 +92,7 @@
 	"brasschute/internal/serve/proxier"
 	"brasschute/internal/serve/receiver"
 	"brasschute/internal/serve/relayer"
+	"brasschute/internal/serve/verifier"
 	"brasschute/platform"
 
 	"github.com/charmbracelet/log"
@@ -289,8 +291,10 @@
 	storedFleetSize atomic.Int64
 	started         time.Time
 
-	stopping        atomic.Bool
-	endpointsListed atomic.Bool
+	stopping          atomic.Bool
+	endpointsListed   atomic.Bool
+	endpointRefresher *refresher.Refresher
+	verifier          *verifier.Verifier
 	// applying is held while objects are added to the mirror and put in force.
 	applying sync.Mutex
 	// endpointsAnsweredAt is when the store last answered a call about endpoints, as the time of uptime.
@@ -378,6 +382,7 @@
 		Host: d.Host, Dialer: g.c.Network, Confirm: g.refusesPeers, Unreachable: g.unreachableToPeers, Leaving: g.registry.Leaving, Presence: g.registry.Presence, OnChange: g.gossipEndings, OnEnd: g.recordEnd, Logger: g.c.Logger, Metrics: g.scope,
 	})
 	g.tree.Add(g.quarantine)
+	g.buildVerifier()
 	g.buildProxier()
 	g.buildScheduling()
 	g.buildClients()
@@ -409,7 +414,7 @@
 		Dispatcher: g.dispatcher, Codec: platform.Codec{}, Budget: g, OnBegin: g.countRequest, Demand: &g.demandMeter, Quarantine: g.quarantine,
 		Versions: g.splitter, Origins: g.origins, Permits: g.permits, ReplyObserver: g, SilenceObserver: g,
 		Answers: answerreader.New(answerreader.Config{MaxBytes: maxAnswerBytes, TotalBytes: g.shares.Answers, Metrics: g.scope}),
-		Drainer: g.drainer, Ends: listEnds{g},
+		Drainer: g.drainer, Ends: listEnds{g}, Incarnations: g.verifier,
 	})
 }
 
--- a/internal/role/gateway/outofstep_test.go
+++ b/internal/role/gateway/outofstep_test.go
@@ -76,6 +76,8 @@
 		f.rate, f.zones = wideLink, zonesOfRelease
 		r := &release{versionedFleet: &versionedFleet{testFleet: f, runs: make(map[string][]streamRun)}}
 		f.prepare = func(c *Config) {
+			// Many streams of one daemon break at once.
+			c.Deployment.Bounds.RetryReserve = 10 * versionedStreams
 			if affects := cut(len(f.daemons)); affects != nil {
 				n := newFaultyNetwork(c.Network, affects)
 				r.links, c.Network = append(r.links, n), n
--- a/internal/role/gateway/paths.go
+++ b/internal/role/gateway/paths.go
@@ -44,7 +44,7 @@
 func (g *Gateway) buildProxier() {
 	g.proxier = proxier.New(proxier.Config{
 		Registry: g.registry, Dispatcher: g.dispatcher, Tracker: g.paths, Endpoints: g.endpointsOf, Codec: platform.Codec{}, ReplyObserver: g, Quarantine: g.quarantine,
-		Bodies: g.messages,
+		Bodies: g.messages, Incarnations: g.verifier,
 		OnOutcome: func(o wrapper.Outcome) {
 			g.scope.Tagged(map[string]string{"outcome": string(o)}).Counter("peer_requests").Inc(1)
 		},
--- a/internal/role/gateway/streams.go
+++ b/internal/role/gateway/streams.go
@@ -14,6 +14,7 @@
 	"brasschute/internal/platform/object"
 	"brasschute/internal/platform/refresher"
 	"brasschute/internal/route/versiontracker"
+	"brasschute/internal/serve/verifier"
 	"brasschute/platform"
 )
 
@@ -46,7 +47,7 @@
 	})
 	g.tree.Add(saver)
 	g.origins = origintracker.New(origintracker.Config{
-		Saver: saver, Readers: g.originReaders, ListWait: g.listWait, Current: g.listIsCurrent, Refresh: g.newEndpointRefresher().Refresh,
+		Saver: saver, Readers: g.originReaders, ListWait: g.listWait, Current: g.listIsCurrent, Refresh: g.endpointRefresher.Refresh,
 		Host: g.c.Deployment.Host, Versions: g.versions, Select: g.assigner.Select, Retention: streamRetention, Metrics: g.scope,
 		Dial: func(address string) origintracker.Peer { return g.dialPeer(address) },
 	})
@@ -70,6 +71,27 @@
 	return g.watchesStore(), known
 }
 
+// buildVerifier builds what verifies incarnations of endpoints.
+func (g *Gateway) buildVerifier() {
+	g.endpointRefresher = g.newEndpointRefresher()
+	g.verifier = verifier.New(verifier.Config{
+		Codec: platform.Codec{}, EntryDelay: entryDelay, ListedAsOf: g.listedAsOf, Refresh: g.endpointRefresher.Refresh, OnEnd: func(i identifier.EndpointIncarnation, at time.Time) {
+			g.recordEnd(i.Endpoint, i.Born, at)
+		},
+		Listed:  func(i identifier.EndpointIncarnation) bool { return g.registry.Find(i.Endpoint, i.Born) != nil },
+		Metrics: g.scope,
+	})
+}
+
+// listedAsOf returns the time at which the list of endpoints was known to be current last.
+func (g *Gateway) listedAsOf() time.Time {
+	at := g.versions.ConfirmedAt()
+	if at.IsZero() {
+		return at
+	}
+	return time.Now().Add(at.Sub(g.uptime()))
+}
+
 // newEndpointRefresher returns what brings the list of endpoints up to date with the store.
 func (g *Gateway) newEndpointRefresher() *refresher.Refresher {
 	return refresher.New(refresher.Config{
--- a/internal/role/gateway/versions_test.go
+++ b/internal/role/gateway/versions_test.go
@@ -275,3 +275,61 @@
 		time.Sleep(entryDelay)
 	})
 }
+
+// checkIdleRestarts lets streams begin while some engines are idle, starts those again with other software, under their ids,
+// and breaks the streams off. Nobody has seen the engines end, and their new entries come at their next heartbeat.
+func (v *versionedFleet) checkIdleRestarts(daemon func(n int) int) {
+	v.t.Helper()
+	const restarted, heartbeat = engineCount / 3, 1200 * time.Millisecond
+	var upgraded atomic.Bool
+	isRestarted := func(place int) bool { return place < restarted }
+	v.engines.version = func(place int) string {
+		if upgraded.Load() && isRestarted(place) {
+			return "v1"
+		}
+		return "v0"
+	}
+	v.engines.recordDelay = heartbeat
+	v.engines.refuses = func(place int) bool { return !upgraded.Load() && isRestarted(place) }
+	v.engines.slow.Store(true)
+	var clients sync.WaitGroup
+	var complete atomic.Int32
+	for n := range versionedStreams {
+		clients.Go(func() {
+			if _, r := v.begin(daemon(n), brokenStream); r.complete {
+				complete.Add(1)
+			}
+		})
+	}
+	time.Sleep(slowRunTime / 4)
+	v.engines.slow.Store(false)
+	upgraded.Store(true)
+	v.engines.exitSome(isRestarted)
+	clients.Wait()
+	v.check(int(complete.Load()))
+	time.Sleep(2 * heartbeat)
+}
+
+// Guards against a stream that goes on at an idle engine that has started again, unseen, with other software, before its new
+// entry is listed.
+func TestStreamsAvoidIdleEnginesThatStartedAgain(t *testing.T) {
+	for _, reports := range []bool{true, false} {
+		t.Run(fmt.Sprint("reports ", reports), func(t *testing.T) {
+			inFleetOfVersions(t, 8, 1, func(v *versionedFleet) {
+				v.engines.withoutReports = !reports
+				v.checkIdleRestarts(func(n int) int { return n % len(v.daemons) })
+			})
+		})
+	}
+}
+
+// Guards against the same at a daemon that is partitioned from the engines, whose requests go through another one.
+func TestStreamsThroughPeersAvoidIdleEnginesThatStartedAgain(t *testing.T) {
+	inRelease(t, 4, firstOnly(toEngines), func(r *release) {
+		r.setFault(linkReset)
+		for range 20 {
+			r.begin(0, "sound")
+		}
+		r.checkIdleRestarts(func(int) int { return 0 })
+	})
+}
--- a/internal/route/versiontracker/versiontracker.go
+++ b/internal/route/versiontracker/versiontracker.go
@@ -185,6 +185,13 @@
 	}
 }
 
+// ConfirmedAt returns the time at which the list was known to be current last; zero if it never was.
+func (t *Tracker) ConfirmedAt() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.confirmedAt
+}
+
 // ConfirmFirst records that no version served before this daemon started. A setting can't prove that: a process that
 // is started again may have the settings of its predecessor.
 func (t *Tracker) ConfirmFirst() {
--- a/internal/serve/dispatcher/peers.go
+++ b/internal/serve/dispatcher/peers.go
@@ -171,11 +171,11 @@
 func (d *Dispatcher) sendThrough(ctx context.Context, r *Request, p Peer) (*Response, wrapper.Outcome, error) {
 	w := wrapper.Request{
 		Service: r.To.Service, Endpoint: r.To.Endpoint, StartTime: r.To.StartTime, ID: r.ID, Fingerprint: r.Fingerprint, Parts: r.Parts,
-		Method: r.Message.Method, Target: r.Message.Target, Host: r.Message.Host, Header: r.Message.Header,
+		Method: r.Message.Method, Target: r.Message.Target, Host: r.Message.Host, Header: r.Message.Header, Verify: r.Message.Verify != nil,
 	}
 	message := *r.Message
 	message.Address, message.Method, message.Target, message.Host, message.Header = p.Address, http.MethodPost, wrapper.Path, p.Address, w.Encode()
-	message.KeepAlive, message.OnConnect = keepPeerAlive, nil
+	message.KeepAlive, message.OnConnect, message.Verify = keepPeerAlive, nil, nil
 	x, err := d.c.PeerSender.Send(ctx, &message)
 	switch {
 	case errors.Is(err, sender.ErrUnsent) && ctx.Err() == nil:
--- a/internal/serve/proxier/proxier.go
+++ b/internal/serve/proxier/proxier.go
@@ -42,6 +42,7 @@
 	"brasschute/internal/serve/dispatcher"
 	"brasschute/internal/serve/replyreader"
 	"brasschute/internal/serve/request"
+	"brasschute/internal/serve/verifier"
 )
 
 const (
@@ -71,6 +72,11 @@
 	ReportGivenUp(a *crashreporter.Attempt, reason crashreporter.Reason)
 }
 
+// Incarnations verifies which incarnation of an endpoint is at the other end of a connection.
+type Incarnations interface {
+	Verify(ctx context.Context, c verifier.Conn, i identifier.EndpointIncarnation) verifier.Result
+}
+
 // Config holds the dependencies of a proxier.
 type Config struct {
 	Registry   *registry.Registry
@@ -81,6 +87,8 @@
 	Codec         replyreader.Codec
 	ReplyObserver replyreader.Observer
 	Quarantine    Quarantine
+	// Incarnations verifies endpoints, where a peer asks for that.
+	Incarnations Incarnations
 	// Bodies reads the bodies of requests and bounds the memory that they take together.
 	Bodies *bodyreader.Reader
 	// OnOutcome is called with the outcome of each request of a peer.
@@ -278,7 +286,17 @@
 			}
 			return ready
 		},
-		Matches: replyreader.Matches(codec, j.wrapped.ID), KeepAlive: replyreader.KeepAlive(codec),
+		Matches: replyreader.Matches(codec, j.wrapped.ID), KeepAlive: replyreader.KeepAlive(codec), Verify: j.verify(),
+	}
+}
+
+// verify returns what verifies the endpoint; nil if the peer does not ask for that.
+func (j *job) verify() func(context.Context, *sender.Conn) bool {
+	if !j.wrapped.Verify {
+		return nil
+	}
+	return func(ctx context.Context, c *sender.Conn) bool {
+		return j.p.c.Incarnations.Verify(ctx, c, j.pick.EndpointIncarnation()).Passed()
 	}
 }
 
--- a/internal/serve/relayer/attempt.go
+++ b/internal/serve/relayer/attempt.go
@@ -195,7 +195,7 @@
 			}
 			return ready
 		},
-		Matches: replyreader.Matches(codec, j.q.ID), KeepAlive: replyreader.KeepAlive(codec),
+		Matches: replyreader.Matches(codec, j.q.ID), KeepAlive: replyreader.KeepAlive(codec), Verify: j.verifyOf(pick),
 	}
 }
 
--- a/internal/serve/relayer/relayer.go
+++ b/internal/serve/relayer/relayer.go
@@ -53,6 +53,7 @@
 	"brasschute/internal/serve/replyreader"
 	"brasschute/internal/serve/request"
 	"brasschute/internal/serve/silencejudge"
+	"brasschute/internal/serve/verifier"
 )
 
 const (
@@ -116,6 +117,8 @@
 	Answers *answerreader.Reader
 	// Ends knows which incarnations of endpoints have ended.
 	Ends Ends
+	// Incarnations verifies endpoints before streams go on there.
+	Incarnations Incarnations
 	// Drainer says when requests have to end because the daemon stops.
 	Drainer *drainer.Drainer
 }
@@ -161,6 +164,11 @@
 	EndedBefore(i identifier.EndpointIncarnation, at time.Time) bool
 }
 
+// Incarnations verifies which incarnation of an endpoint is at the other end of a connection.
+type Incarnations interface {
+	Verify(ctx context.Context, c verifier.Conn, i identifier.EndpointIncarnation) verifier.Result
+}
+
 // Quarantine holds back requests that bring endpoints down.
 type Quarantine interface {
 	// Admit decides whether a request may be sent. It is called right before each send.
@@ -223,6 +231,8 @@
 	// AfterEvent is the number of the event after which the attempt continues the stream; 0 for a
 	// new one.
 	AfterEvent int
+	// Verified is how it was verified that the endpoint is the incarnation that is listed; empty if it was not.
+	Verified verifier.Result
 	// Events is the number of events that the client was sent of it.
 	Events    int
 	Predicted time.Duration
--- a/internal/serve/relayer/version.go
+++ b/internal/serve/relayer/version.go
@@ -47,6 +47,18 @@
 	return !j.originKnown || j.origin == "" || !j.r.c.Ends.EndedBefore(i, time.Now())
 }
 
+// verifyOf returns what verifies the endpoint of a stream that goes on; nil if any process may get the request.
+func (j *job) verifyOf(pick *registry.Pick) func(context.Context, *sender.Conn) bool {
+	if !j.originKnown || j.origin == "" || j.r.c.Incarnations == nil {
+		return nil
+	}
+	return func(ctx context.Context, c *sender.Conn) bool {
+		result := j.r.c.Incarnations.Verify(ctx, c, pick.EndpointIncarnation())
+		j.res.Attempts[len(j.res.Attempts)-1].Verified = result
+		return result.Passed()
+	}
+}
+
 // reasonOriginUnknown is the reason if a stream can't go on, as its version is not known.
 const reasonOriginUnknown = "it is not known at which version the stream began"
 
--- a/internal/standin/hosting/hosting.go
+++ b/internal/standin/hosting/hosting.go
@@ -94,6 +94,8 @@
 	StreamLength int
 	// Spot marks a reclaimable engine.
 	Spot bool
+	// OmitReports makes it know no reports of its state.
+	OmitReports bool
 	// StartedUnixMilli is the start time in milliseconds since 1970; 0 leaves it out of the entry.
 	StartedUnixMilli int64
 	// Batch, if not nil, makes it a model engine with continuous batching, which reads the sizes
@@ -193,6 +195,24 @@
 	return e.held
 }
 
+// reportPath is the path at which an engine reports its state.
+const reportPath = "/api/report"
+
+// report answers a call for the engine's state.
+func (e *Engine) report(w http.ResponseWriter) {
+	if e.c.OmitReports {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	e.mu.Lock()
+	state := map[string]any{"Stage": "mixed", "Busy": false, "State": "ready"}
+	if e.c.StartedUnixMilli > 0 {
+		state["born"] = e.c.StartedUnixMilli
+	}
+	e.mu.Unlock()
+	answer(w, http.StatusOK, state)
+}
+
 // Record returns the engine's entry in the store, with a state such as "ready".
 func (e *Engine) Record(state string) map[string]any {
 	e.mu.Lock()
@@ -211,6 +231,10 @@
 
 // ServeHTTP handles one request by the behaviour chosen for it.
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodGet && r.URL.Path == reportPath {
+		e.report(w)
+		return
+	}
 	body, _ := io.ReadAll(r.Body)
 	e.mu.Lock()
 	e.received++
