--- a/internal/peer/origintracker/origintracker_test.go
+++ b/internal/peer/origintracker/origintracker_test.go
@@ -96,7 +96,7 @@
 		Select: func(id string, n int, now time.Time) []assigner.Daemon {
 			return assigner.New(assigner.Config{Daemons: func(time.Time) []assigner.Daemon { return f.live(i) }}).Select(id, n, now)
 		},
-		Current: func() bool { return f.clock().Sub(d.confirmedAt) < currentTime },
+		Current: func() bool { return f.current(d) },
 		Refresh: func(context.Context) error { return f.refresh(d) },
 		Dial:    func(address string) Peer { return link{f, d, address} },
 	})
@@ -183,7 +183,10 @@
 
 // refresh shows the list of versions to a daemon unless it is partitioned.
 func (f *fleet) refresh(d *daemon) error {
-	if d.partitioned {
+	f.mu.Lock()
+	now, partitioned := f.now, d.partitioned
+	f.mu.Unlock()
+	if partitioned {
 		return errPartitioned
 	}
 	changed := d.versions.Observe(func(yield func(identifier.Service, identifier.Version) bool) {
@@ -193,12 +196,21 @@
 			}
 		}
 	})
-	d.confirmedAt = f.clock()
-	d.versions.Confirm(d.confirmedAt)
+	d.versions.Confirm(now)
+	f.mu.Lock()
+	d.confirmedAt = now
+	f.mu.Unlock()
 	d.CopyPending(context.Background(), changed)
 	return nil
 }
 
+// current reports whether a daemon's list was confirmed lately.
+func (f *fleet) current(d *daemon) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.now.Sub(d.confirmedAt) < currentTime
+}
+
 // pass lets time pass. Daemons that are not partitioned confirm their lists, and the others what they heard last.
 func (f *fleet) pass(d time.Duration) {
 	for ; d > 0; d -= time.Second {
