verifier: reaching each result does not depend on the draws

TestResults now has a case for each result, and demands exactly that result of it: stricter than 'some draw ended so'. The draws are checked as before.

--- a/internal/serve/verifier/verifier_test.go
+++ b/internal/serve/verifier/verifier_test.go
@@ -109,13 +109,10 @@
 // Guards against a request that is meant for one incarnation and goes to another, whenever the endpoint starts again and
 // whatever the list shows.
 func TestPassedConnectionLeadsToTheIncarnation(t *testing.T) {
-	passed := make(map[Result]int)
 	rapid.Check(t, func(rt *rapid.T) {
 		d := drawCase(rt)
 		synctest.Test(t, func(t *testing.T) {
-			r, problem := d.play()
-			passed[r]++
-			if problem != "" {
+			if r, problem := d.play(); problem != "" {
 				t.Errorf("%s: %s", r, problem)
 			}
 		})
@@ -123,10 +120,24 @@
 			rt.Fatalf("%+v", d)
 		}
 	})
-	for _, r := range []Result{Age, Report, Waiting, Ended, Unknown} {
-		if passed[r] == 0 {
-			t.Errorf("no draw ended with %s", r)
-		}
+}
+
+// Guards against a result that is never reached, so that streams wait or are refused where something could be shown.
+func TestResults(t *testing.T) {
+	once, twice := []time.Duration{0}, []time.Duration{0, time.Second}
+	lives := []time.Duration{100 * time.Millisecond, time.Minute}
+	for want, d := range map[Result]drawnCase{
+		Age:     {delays: once, lives: lives, available: true, followed: true, idle: 2 * entryDelay},
+		Report:  {delays: once, lives: lives, available: true, reports: true},
+		Waiting: {delays: once, lives: lives, available: true},
+		Ended:   {delays: twice, lives: lives, available: true, reports: true, before: 200 * time.Millisecond},
+		Unknown: {delays: once, lives: lives},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			if r, problem := d.play(); r != want || problem != "" {
+				t.Errorf("%s, want %s: %s", r, want, problem)
+			}
+		})
 	}
 }
 
