--- a/internal/role/gateway/quotas.go
+++ b/internal/role/gateway/quotas.go
@@ -17,25 +17,30 @@
 	// peer is left to ask.
 	quotaKey = "fleet/quotas"
 	// quotaStoreInterval is how often the lease holder stores the levels. An older record is less
-	// useful, because everything requested since then is subtracted.
+	// useful, because everything requested since then is subtracted. Levels that fall steeply are stored when it
+	// looks at them, every quotaCheckInterval.
 	quotaStoreInterval = time.Second
+	quotaCheckInterval = quotaStoreInterval / 4
 )
 
 // runQuotaStore stores the levels of all quotas while the lease is held. It is a service of its
 // own so that a slow store does not delay scaling orders.
 func (u *duties) runQuotaStore(ctx context.Context) error {
-	return waiter.Every(ctx, quotaStoreInterval, func(ctx context.Context) {
-		if _, held := u.g.lease.Held(); held && !u.g.stopping.Load() {
-			u.storeQuotas(ctx)
+	var last quotalimiter.Snapshot
+	return waiter.Every(ctx, quotaCheckInterval, func(ctx context.Context) {
+		if _, held := u.g.lease.Held(); !held || u.g.stopping.Load() {
+			return
+		}
+		now := u.g.quotaLimiter.Snapshot(u.g.clock.Now())
+		if len(now.Levels) > 0 && (now.At.Sub(last.At).Abs() >= quotaStoreInterval || now.FallsSteeply(&last)) {
+			last = now
+			u.storeQuotas(ctx, &now)
 		}
 	})
 }
 
-func (u *duties) storeQuotas(ctx context.Context) {
-	r := u.g.quotaLimiter.Snapshot(u.g.clock.Now())
-	if len(r.Levels) == 0 {
-		return
-	}
+// storeQuotas stores the levels.
+func (u *duties) storeQuotas(ctx context.Context, r *quotalimiter.Snapshot) {
 	o, err := u.g.store.Put(ctx, quotaKey, u.storedQuotasVersion, r)
 	if errors.Is(err, object.ErrConflict) {
 		// Another holder wrote it before, or the answer to this one's write was lost.
--- a/internal/route/quotalimiter/bucket.go
+++ b/internal/route/quotalimiter/bucket.go
@@ -20,6 +20,8 @@
 	// is assumed to admit per second.
 	reserved     float64
 	presumedRate float64
+	// shaped: recent has the charges at the times at which they were made, also those from before this daemon started.
+	shaped bool
 	// charged is the total that this daemon has charged, chargedAtUpdate that total as of the last
 	// update from a peer.
 	charged         float64
--- a/internal/route/quotalimiter/slidingwindow.go
+++ b/internal/route/quotalimiter/slidingwindow.go
@@ -30,6 +30,26 @@
 	}
 }
 
+// parts returns the charges in so many equal parts of the window, the oldest first. n divides slotCount.
+func (w *slidingWindow) parts(n int) []float64 {
+	out := make([]float64, n)
+	for i := range slotCount {
+		out[i*n/slotCount] += w.slots[(w.newest+1+i)%slotCount]
+	}
+	return out
+}
+
+// fill replaces the charges by those of equal parts of the window that ended at a time, the oldest first.
+func (w *slidingWindow) fill(parts []float64, end time.Time) {
+	*w = slidingWindow{window: w.window, newest: slotCount - 1, newestStart: end.Add(-w.slotDuration())}
+	for i := range slotCount {
+		if len(parts) > 0 {
+			w.slots[i] = max(parts[i*len(parts)/slotCount], 0) * float64(len(parts)) / slotCount
+		}
+		w.sum += w.slots[i]
+	}
+}
+
 // advance drops charges that are older than the window.
 func (w *slidingWindow) advance(now time.Time) {
 	duration := w.slotDuration()
--- a/internal/route/quotalimiter/update.go
+++ b/internal/route/quotalimiter/update.go
@@ -255,7 +255,7 @@
 	b.adoptedAt = now
 	target := b.level() + (level+unreported-b.level())/float64(b.adopted)
 	b.tokens = target
-	if b.adopted == 1 {
+	if b.adopted == 1 && !b.shaped {
 		// The times of the charges are not known. Charged now, they would count for a whole window,
 		// while those of the peers leave their windows second by second.
 		b.recent.spread(b.minCharged(target), now)
--- a/internal/route/quotalimiter/window_test.go
+++ b/internal/route/quotalimiter/window_test.go
@@ -160,3 +160,60 @@
 		}
 	})
 }
+
+// Guards against an allowance that is granted twice, as new processes do not know when the charges of a sudden load were made:
+// spread over the window they leave it at once.
+func TestMassRestartInASuddenLoadKeepsTheQuota(t *testing.T) {
+	const usualShare, factor = 0.5, 7.5
+	const usual = usualShare * 400_000 / tokens
+	for _, age := range []time.Duration{100 * time.Millisecond, 300 * time.Millisecond} {
+		for _, killedAfter := range []time.Duration{1500 * time.Millisecond, 3 * time.Second, 5 * time.Second} {
+			synctest.Test(t, func(t *testing.T) {
+				r := rand.New(rand.NewPCG(31, 32))
+				o := newOrganisation(400_000)
+				f := newFleet()
+				f.load(r, o, usual, 20*time.Second, noPartition)
+				f.load(r, o, factor*usual, killedAfter-age, noPartition)
+				snapshot := f.daemons[0].Snapshot(time.Now())
+				f.load(r, o, factor*usual, age, noPartition)
+				time.Sleep(500 * time.Millisecond)
+				for i := range f.daemons {
+					f.daemons[i] = newDaemon()
+					f.daemons[i].Restore(snapshot, time.Since(snapshot.At))
+				}
+				for range 16 {
+					// Daemons that start hear of each other often.
+					f.exchange(noPartition)
+					f.load(r, o, factor*usual, 250*time.Millisecond, noPartition)
+				}
+				f.load(r, o, usual, window, noPartition)
+				if got, limit := f.maxInWindow(), limitOf(o); got > limit {
+					t.Errorf("killed %v after the load began, snapshot of %v before: %.0f tokens in one window, limit %.0f", killedAfter, age, got, limit)
+				}
+			})
+		}
+	}
+}
+
+// Guards against a snapshot whose charges are counted at other times than they were made, or lost.
+func TestRestoredWindowKeepsItsTimes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := slidingWindow{window: window, newestStart: time.Now()}
+		for n := range 6 {
+			w.advance(time.Now())
+			w.add(float64(100 * (n + 1)))
+			time.Sleep(time.Second)
+		}
+		w.advance(time.Now())
+		restored := slidingWindow{window: window}
+		restored.fill(w.parts(snapshotParts), time.Now())
+		for range 10 {
+			if d := w.sum - restored.sum; d > 1 || d < -1 {
+				t.Errorf("%.0f restored, want %.0f", restored.sum, w.sum)
+			}
+			time.Sleep(time.Second)
+			w.advance(time.Now())
+			restored.advance(time.Now())
+		}
+	})
+}
