quotalimiter: peers whose updates are late are presumed to see the same load

Cause: until a peer is silent for three seconds its last rate is extrapolated, which is from before the load. The hosts that are cut off hear each other, so none of them is isolated, and both sides spend the whole saved allowance.

Change: a peer whose update is late (1.25 times the gossip delay) is presumed to have charged no less than the daemons in touch since then, in proportion to what they and it charged before. Also where a process is replaced, and where a peer falls silent. The fake fleet of the tests can exchange accounts evenly from one load to the next.

--- a/internal/route/quotalimiter/bucket.go
+++ b/internal/route/quotalimiter/bucket.go
@@ -26,6 +26,10 @@
 	// update from a peer.
 	charged         float64
 	chargedAtUpdate float64
+	// known is the total that this daemon and its peers have charged, as far as reported in time. ownRecent is what this daemon
+	// has charged of late.
+	known     float64
+	ownRecent decayingSum
 	// rate and burst are the effective quota; lowLevel is the level below which shares decide.
 	rate     float64
 	burst    float64
@@ -157,3 +161,17 @@
 	}
 	b.shareLevel = max(b.shareLevel-charge, minShareLevel)
 }
+
+// decayingSum is a sum of amounts that count for half after each recentHalfLife.
+type decayingSum struct {
+	sum float64
+	of  time.Time
+}
+
+func (s *decayingSum) at(now time.Time) float64 {
+	return s.sum * math.Exp2(-now.Sub(s.of).Seconds()/recentHalfLife.Seconds())
+}
+
+func (s *decayingSum) add(amount float64, now time.Time) {
+	s.sum, s.of = s.at(now)+amount, now
+}
--- a/internal/route/quotalimiter/quotalimiter.go
+++ b/internal/route/quotalimiter/quotalimiter.go
@@ -30,6 +30,9 @@
 //
 // # Silent peers
 //
+// While the update of a peer is late, the peer is presumed to charge in proportion to the daemons in
+// touch: both sides of a partition see a sudden load, and would spend the same allowance on it.
+//
 // A peer from which no update has come for the silence timeout may be dead, or partitioned and
 // still serving. Until it is forgotten, an equal share of the quota is reserved for it, so that
 // both sides of a partition together stay within the quota. When updates arrive again, what the
@@ -69,6 +72,12 @@
 	// minSilence. Until then its last rate is extrapolated.
 	silenceFactor = 2.5
 	minSilence    = 3 * time.Second
+	// An update of a peer is late after lateFactor times the gossip delay. How much of an organisation's load a peer has is told
+	// by its charges, which count for half after each recentHalfLife: a load that has just begun must not outweigh the usual one,
+	// as peers report it at different times. minKnownPart bounds what the charges of few daemons tell about those of many.
+	lateFactor     = 1.25
+	recentHalfLife = 10 * time.Second
+	minKnownPart   = 0.1
 	// A daemon that receives no updates for isolationFactor times the longest recent gap between
 	// two updates, at least minIsolationGap, is isolated and admits at most its equal share.
 	// initialMaxGap stands for the longest gap at start; a gap decays over gapDecayTime. With a
@@ -318,6 +327,8 @@
 	b.take(charge)
 	b.spendShare(charge, d.Level)
 	b.charged += charge
+	b.known += charge
+	b.ownRecent.add(charge, now)
 	return d
 }
 
--- a/internal/route/quotalimiter/quotalimiter_test.go
+++ b/internal/route/quotalimiter/quotalimiter_test.go
@@ -27,6 +27,9 @@
 	admitted []charge
 	// ideal is the fraction of the last load that a single bucket would admit.
 	ideal float64
+	// exchangedAt is when the last exchange was. It is kept from one load to the next if evenly is set.
+	exchangedAt time.Time
+	evenly      bool
 }
 
 type charge struct {
@@ -114,11 +117,13 @@
 	const step = 10 * time.Millisecond
 	sent, admitted, ideal := 0, 0, 0
 	level, at := o.Burst, time.Now()
-	exchangedAt := time.Now()
+	if !f.evenly {
+		f.exchangedAt = time.Now()
+	}
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(step) {
-		if time.Since(exchangedAt) >= period {
+		if time.Since(f.exchangedAt) >= period {
 			f.exchange(partitioned)
-			exchangedAt = time.Now()
+			f.exchangedAt = time.Now()
 		}
 		for n := perSecond * step.Seconds(); n > 0; n-- {
 			if r.Float64() >= n {
--- a/internal/route/quotalimiter/regroup.go
+++ b/internal/route/quotalimiter/regroup.go
@@ -38,7 +38,11 @@
 			sum := all.usageOf(name)
 			sum.rate += usage.rate
 			sum.demand += usage.demand
+			sum.part += usage.part
 			sum.rateKnown = true
+			if b := l.buckets[name]; b != nil {
+				sum.knownAt = b.known
+			}
 		}
 		delete(l.peers, k)
 	}
--- a/internal/route/quotalimiter/update.go
+++ b/internal/route/quotalimiter/update.go
@@ -1,6 +1,7 @@
 package quotalimiter
 
 import (
+	"math"
 	"time"
 
 	"brasschute/internal/core/identifier"
@@ -79,6 +80,11 @@
 	spanStart time.Time
 	// presumed is what it was assumed to have charged unreported when it fell silent.
 	presumed float64
+	// recent is what it has charged of late, part that as a fraction of what all daemons have, and knownAt is bucket.known, both
+	// as of its last update.
+	recent  decayingSum
+	part    float64
+	knownAt float64
 }
 
 func (p *peer) usageOf(o identifier.Organisation) *peerUsage {
@@ -181,6 +187,10 @@
 	now := time.Now()
 	unreported, _ := l.refresh(b, name, now)
 	charged := max(account.Total-usage.total, 0)
+	if !usage.spanStart.IsZero() {
+		usage.recent.add(charged, now)
+	}
+	defer func() { usage.knownAt, usage.part = b.known, l.partOfRecent(b, name, usage, now) }()
 	switch timeout := l.silenceTimeout(); {
 	case ahead && account.NoLevel:
 		// What it charged cannot be told apart from what this daemon has missed.
@@ -194,6 +204,7 @@
 		b.take(max(charged-covered, -usage.presumed))
 	default:
 		b.take(charged)
+		b.known += charged
 	}
 }
 
@@ -236,7 +247,7 @@
 		for name, usage := range p.byOrg {
 			if b := l.buckets[name]; b != nil && unreported > 0 {
 				l.refresh(b, name, now)
-				b.take(usage.rate * unreported.Seconds())
+				b.take(usage.presumedCharge(b, unreported, l.isLate(p, now), l.contact(name, now)))
 			}
 		}
 		delete(l.peers, k)
@@ -282,27 +293,33 @@
 // worth of the quota again.
 func (l *Limiter) unreported(o identifier.Organisation, now time.Time) (charged, demand float64) {
 	timeout := l.silenceTimeout()
+	b := l.buckets[o]
+	var c contact
+	counted := false
 	for _, p := range l.peers {
 		usage := p.byOrg[o]
 		if usage == nil {
 			continue
 		}
 		demand += usage.demand
-		since := now.Sub(p.heardAt)
+		since, late := now.Sub(p.heardAt), l.isLate(p, now)
+		if late && !counted {
+			c, counted = l.contact(o, now), true
+		}
 		switch {
 		case since < timeout && usage.rateKnown:
-			charged += usage.rate * since.Seconds()
+			charged += usage.presumedCharge(b, since, late, c)
 		case since < timeout:
 			// Only one update has arrived: assume that the peer admits its share of its clients'
 			// demand.
 			charged += l.admittedDemand(o, usage.demand) * since.Seconds()
-		case usage.rate > 0 && l.buckets[o] != nil:
-			usage.presumed = usage.rate * timeout.Seconds()
+		case usage.rate > 0 && b != nil:
+			usage.presumed = usage.presumedCharge(b, timeout, late, c)
 			usage.rate = 0
-			l.buckets[o].take(usage.presumed)
+			b.take(usage.presumed)
 		}
 	}
-	if b := l.buckets[o]; b != nil && b.savedFraction > 0 {
+	if b != nil && b.savedFraction > 0 {
 		// Peers estimate about the same level as this daemon: together they admit what is left and
 		// what flows in, however high their earlier rates were.
 		charged = min(charged, max(b.level(), 0)+b.rate*gossipTime.Seconds())
@@ -310,6 +327,56 @@
 	return charged, demand
 }
 
+// presumedCharge estimates what a peer has charged in the time since its last update: as much as before, at the rate of then.
+// A peer whose next update is late may be partitioned, and a load that is new here is new there, too: it is presumed to have
+// charged no less than the daemons in touch have since, in proportion to what they and the peer charged before.
+func (u *peerUsage) presumedCharge(b *bucket, since time.Duration, late bool, c contact) float64 {
+	atRate := u.rate * since.Seconds()
+	if b == nil || !late {
+		return atRate
+	}
+	known := b.known - u.knownAt + c.unreported
+	// Few requests tell little: one standard deviation is left out.
+	known -= math.Sqrt(max(known, 0) * b.meanCharge)
+	return max(atRate, known*u.part/max(1-c.latePart, minKnownPart))
+}
+
+// contact is what this daemon knows of how an organisation's load is spread over daemons in touch and over those whose updates
+// are late: what the former have charged since their updates, at their rates, and the part of all charges that the latter have.
+type contact struct {
+	unreported, latePart float64
+}
+
+func (l *Limiter) contact(o identifier.Organisation, now time.Time) (c contact) {
+	for _, p := range l.peers {
+		if u := p.byOrg[o]; u != nil && l.isLate(p, now) {
+			c.latePart += u.part
+		} else if u != nil {
+			c.unreported += u.rate * now.Sub(p.heardAt).Seconds()
+		}
+	}
+	return c
+}
+
+// partOfRecent returns what a peer has charged of late as a fraction of what all daemons have.
+func (l *Limiter) partOfRecent(b *bucket, o identifier.Organisation, usage *peerUsage, now time.Time) float64 {
+	all := b.ownRecent.at(now)
+	for _, p := range l.peers {
+		if u := p.byOrg[o]; u != nil {
+			all += u.recent.at(now)
+		}
+	}
+	if all <= 0 {
+		return 0
+	}
+	return usage.recent.at(now) / all
+}
+
+// isLate reports whether a peer's next update is overdue.
+func (l *Limiter) isLate(p *peer, now time.Time) bool {
+	return float64(now.Sub(p.heardAt)) > lateFactor*float64(l.c.GossipDelay())
+}
+
 // admittedDemand returns how much of a demand is admitted: all of it, or its share of the rate.
 func (l *Limiter) admittedDemand(o identifier.Organisation, demand float64) float64 {
 	b := l.buckets[o]
--- a/internal/route/quotalimiter/window_test.go
+++ b/internal/route/quotalimiter/window_test.go
@@ -1,6 +1,7 @@
 package quotalimiter
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"testing/synctest"
@@ -217,3 +218,33 @@
 		}
 	})
 }
+
+// Guards against a saved allowance that is spent on both sides of a partition, as each side presumes that the other goes on as
+// before a sudden load that has reached both. The daemons of a side hear each other, so none of them is isolated.
+func TestPartitionInASuddenLoadKeepsTheQuota(t *testing.T) {
+	for cut := 1; cut <= daemons/2; cut++ {
+		for _, after := range []time.Duration{0, 300 * time.Millisecond, time.Second} {
+			for seed := range uint64(6) {
+				t.Run(fmt.Sprintf("%d daemons after %v, seed %d", cut, after, seed), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) { partitionInASuddenLoad(t, cut, after, seed) })
+				})
+			}
+		}
+	}
+}
+
+// partitionInASuddenLoad partitions some daemons from the others for a time, a while after a sudden load has begun.
+func partitionInASuddenLoad(t *testing.T, cut int, after time.Duration, seed uint64) {
+	const usualShare, factor = 0.5, 7.5
+	const usual = usualShare * 400_000 / tokens
+	r := rand.New(rand.NewPCG(seed, 33))
+	o := newOrganisation(400_000)
+	f := newFleet()
+	f.evenly = true
+	f.load(r, o, usual, 20*time.Second+time.Duration(seed)*period/6, noPartition)
+	f.load(r, o, factor*usual, after, noPartition)
+	f.load(r, o, factor*usual, 5500*time.Millisecond, func(from, to int) bool { return (from < cut) != (to < cut) })
+	f.load(r, o, factor*usual, time.Second, noPartition)
+	f.load(r, o, usual, window, noPartition)
+	f.wantWithin(t, o)
+}
