quotalimiter: what leaves the window is reserved for the other side of a partition, too

What callers would see: in a partition of 12 s or more in a sudden load, both sides admit what leaves the window once more (QUOTA).

Cause: while peers are silent their fraction of the rate is charged. When the charges of a sudden load leave the window, several times the rate is freed per second, and of that nothing was reserved.

--- a/internal/route/quotalimiter/bucket.go
+++ b/internal/route/quotalimiter/bucket.go
@@ -20,6 +20,8 @@
 	// is assumed to admit per second.
 	reserved     float64
 	presumedRate float64
+	// settled: all that recent holds was charged since this daemon joined the fleet, so that what leaves it is known.
+	settled bool
 	// shaped: recent has the charges at the times at which they were made, also those from before this daemon started.
 	shaped bool
 	// charged is the total that this daemon has charged, chargedAtUpdate that total as of the last
@@ -84,13 +86,17 @@
 
 // refill advances the bucket to now. Presumed unreported charges of peers raise the maximum level:
 // if the bucket overflowed meanwhile, these charges would be paid twice once they are reported. The
-// fraction reserved for silent peers is charged as time passes, and the same fraction of the saved
-// tokens at once, because both sides of a partition would spend them.
+// fraction reserved for silent peers is charged as time passes, of what flows in or leaves the window,
+// and the same fraction of the saved tokens at once, because both sides of a partition would spend them.
 func (b *bucket) refill(now time.Time, unreported, reserved float64) {
 	elapsed := now.Sub(b.at).Seconds()
 	b.recent.advance(now)
 	b.tokens = max(min(b.burst+unreported, b.tokens+b.rate*elapsed), -b.rate*b.recent.window.Seconds())
-	charge := reserved * min(b.rate, b.presumedRate) * elapsed
+	freed := b.rate
+	if b.settled {
+		freed = max(freed, b.recent.expiring())
+	}
+	charge := reserved * min(freed, b.presumedRate) * elapsed
 	if reserved > b.reserved {
 		charge += (reserved - b.reserved) * max(b.level()-unreported, 0)
 	}
--- a/internal/route/quotalimiter/quotalimiter.go
+++ b/internal/route/quotalimiter/quotalimiter.go
@@ -371,6 +371,7 @@
 	b.maxOverdraft, b.savedFraction = burst, saved
 	b.delayFactor = max(float64(l.c.GossipDelay())/float64(usualGossipDelay), 1)
 	b.presumedRate = l.presumedRate(o.Name)
+	b.settled = b.at.Sub(l.start) > joinTime+l.c.Window
 	b.lowLevel = lowLevelFraction * burst
 }
 
--- a/internal/route/quotalimiter/window_test.go
+++ b/internal/route/quotalimiter/window_test.go
@@ -226,7 +226,22 @@
 		for _, after := range []time.Duration{0, 300 * time.Millisecond, time.Second} {
 			for seed := range uint64(6) {
 				t.Run(fmt.Sprintf("%d daemons after %v, seed %d", cut, after, seed), func(t *testing.T) {
-					synctest.Test(t, func(t *testing.T) { partitionInASuddenLoad(t, cut, after, seed) })
+					synctest.Test(t, func(t *testing.T) { partitionInASuddenLoad(t, cut, after, 5500*time.Millisecond, seed) })
+				})
+			}
+		}
+	}
+}
+
+// Guards against an allowance that is spent on both sides of a partition once more, when the charges of a sudden load leave the
+// window.
+func TestLongPartitionInASuddenLoadKeepsTheQuota(t *testing.T) {
+	for cut := 1; cut <= daemons/2; cut++ {
+		for _, length := range []time.Duration{12 * time.Second, 20 * time.Second} {
+			for seed := range uint64(12) {
+				after := time.Duration(seed%4) * 500 * time.Millisecond
+				t.Run(fmt.Sprintf("%d daemons for %v, seed %d", cut, length, seed), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) { partitionInASuddenLoad(t, cut, after, length, seed) })
 				})
 			}
 		}
@@ -234,7 +249,7 @@
 }
 
 // partitionInASuddenLoad partitions some daemons from the others for a time, a while after a sudden load has begun.
-func partitionInASuddenLoad(t *testing.T, cut int, after time.Duration, seed uint64) {
+func partitionInASuddenLoad(t *testing.T, cut int, after, length time.Duration, seed uint64) {
 	const usualShare, factor = 0.5, 7.5
 	const usual = usualShare * 400_000 / tokens
 	r := rand.New(rand.NewPCG(seed, 33))
@@ -243,7 +258,7 @@
 	f.evenly = true
 	f.load(r, o, usual, 20*time.Second+time.Duration(seed)*period/6, noPartition)
 	f.load(r, o, factor*usual, after, noPartition)
-	f.load(r, o, factor*usual, 5500*time.Millisecond, func(from, to int) bool { return (from < cut) != (to < cut) })
+	f.load(r, o, factor*usual, length, func(from, to int) bool { return (from < cut) != (to < cut) })
 	f.load(r, o, factor*usual, time.Second, noPartition)
 	f.load(r, o, usual, window, noPartition)
 	f.wantWithin(t, o)
