quarantiner: an earlier record of an ending leads to a new decision

What callers would see: a request that did no harm is refused at some daemons (held), and the one that crashes engines is sent there.

Cause: of two requests with as many points the one that had enough of them first is held. The first record of an ending is kept at all daemons; where the earlier record came second, suspect.update put it into place, reported no change, and the decision was not made anew.

Change: merging reports apart whether others must learn of a change and whether a record was replaced. The latter leads to a new decision and to no message.

--- a/internal/route/quarantiner/quarantiner.go
+++ b/internal/route/quarantiner/quarantiner.go
@@ -190,6 +190,9 @@
 	answered answeredSet
 	// running holds the attempts in progress that have delivered nothing yet.
 	running map[identifier.Fingerprint]map[*attempt]bool
+	// undecided is set if an ending was replaced by another daemon's record of it since the last decision. The other
+	// daemons have that already, or learn of it with the next message.
+	undecided bool
 	// evicted counts the suspects that were dropped for lack of space.
 	evicted int
 }
@@ -288,13 +291,14 @@
 	return z.change(func(now time.Time) bool { return z.lift(f, now) })
 }
 
-// change changes endings and decides anew if apply reports that it has changed any. apply is called with the lock
-// held.
+// change changes endings and decides anew if any has changed. apply is called with the lock held, and reports whether other
+// daemons must learn of a change.
 func (z *Quarantiner) change(apply func(now time.Time) bool) bool {
 	var turned []*Suspect
 	z.mu.Lock()
 	changed := apply(time.Now())
-	if changed {
+	if changed || z.undecided {
+		z.undecided = false
 		turned = z.decide()
 	}
 	z.mu.Unlock()
@@ -363,7 +367,8 @@
 		if e.Depth > 0 {
 			z.weigh(f, e, now)
 		}
-		isNew = s.merge(e) || isNew
+		added, replaced := s.merge(e)
+		isNew, z.undecided = added || isNew, replaced || z.undecided
 	}
 	if isNew {
 		s.changed = now
--- a/internal/route/quarantiner/quarantiner_test.go
+++ b/internal/route/quarantiner/quarantiner_test.go
@@ -247,3 +247,32 @@
 		}
 	})
 }
+
+// Guards against daemons with the same endings that hold different requests, as an earlier record of an ending, which decides
+// which of two requests is held, came after a later one.
+func TestEarlierRecordOfAnEndingDecides(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		at := func(n int, after time.Duration) Ending {
+			e := ending(n)
+			e.Seen, e.At = "host-9", start.Add(after)
+			return e
+		}
+		time.Sleep(time.Minute)
+		x := Suspect{Fingerprint: "x", Endings: []Ending{at(1, time.Second), at(2, 2*time.Second)}}
+		later := Suspect{Fingerprint: "z", Endings: []Ending{at(1, time.Second), at(3, 3*time.Second)}}
+		earlier := Suspect{Fingerprint: "z", Endings: []Ending{at(1, time.Second), at(3, 1500*time.Millisecond)}}
+		z, other := New(Config{Host: "host-0"}), New(Config{Host: "host-1"})
+		z.Merge([]Suspect{x, later})
+		if !held(z, "x") || held(z, "z") {
+			t.Fatalf("want only x held: %+v", z.List())
+		}
+		z.Merge([]Suspect{earlier})
+		other.Merge([]Suspect{x, earlier})
+		for _, f := range []identifier.Fingerprint{"x", "z"} {
+			if held(z, f) != held(other, f) {
+				t.Errorf("%s: %+v, want %+v", f, z.List(), other.List())
+			}
+		}
+	})
+}
--- a/internal/route/quarantiner/suspect.go
+++ b/internal/route/quarantiner/suspect.go
@@ -114,18 +114,19 @@
 	return i >= 0 && !s.endings[i].Void
 }
 
-// merge adds an ending, or updates the known one, and reports whether anything changed that counts.
-func (s *suspect) merge(e *Ending) bool {
+// merge adds an ending, or updates the known one. It reports whether other daemons must learn of it, and whether another one is
+// kept in the place of the known one, on which the decision may depend, too.
+func (s *suspect) merge(e *Ending) (isNew, replaced bool) {
 	if i := s.find(e); i >= 0 {
 		return s.update(i, e)
 	}
-	return s.insert(e)
+	return s.insert(e), false
 }
 
 // update updates a known ending with what another daemon knows of it. Of the requests with a part, that which was sent last is
 // kept: the part came to the endpoint even after others had ended. Of those that saw it, the first one is kept, so that all
 // daemons keep the same.
-func (s *suspect) update(i int, e *Ending) bool {
+func (s *suspect) update(i int, e *Ending) (isNew, replaced bool) {
 	known, first := s.endings[i], s.endings[i]
 	if later := e.sentAfter(&known); later || !known.sentAfter(e) && cmp.Or(e.compare(&known), cmp.Compare(e.Request, known.Request)) < 0 {
 		first = *e
@@ -137,7 +138,7 @@
 	}
 	s.endings = slices.Delete(s.endings, i, i+1)
 	s.insert(&first)
-	return first.Void != known.Void || first.Weak != known.Weak
+	return first.Void != known.Void || first.Weak != known.Weak, first != known
 }
 
 // sentAfter reports whether the request of an ending with a part was sent later than another one. Times that peers tell
