integration: clients that do not read begin their streams

Traced; two causes, both in the test, and no stream was unread in the failing run:

- The endpoints of the test sent events without a number.
PROTOCOL: "a series of events with increasing ids".
- The crowd came before all endpoints were listed: 24 of 40 clients got 503 "no endpoint can serve" and kept their connections.
The test waits for the endpoints now.

The crowd, the bounds and the checks are the same. All clients begin a stream now, where some did not.

--- a/integration/crowd_test.go
+++ b/integration/crowd_test.go
@@ -322,7 +322,8 @@
 	}
 }
 
-// addEndlessService adds a route to endpoints that send a form of endless responses, and waits until it is in force.
+// addEndlessService adds a route to endpoints that send a form of endless responses, and waits until it is in force and all
+// endpoints are listed: too few of them would refuse a part of the crowd.
 func (to *crowdTarget) addEndlessService(t *testing.T, form *endlessForm) {
 	t.Helper()
 	to.s.configure(func(c *hostedConfig) {
@@ -333,6 +334,15 @@
 	eventually(t, "the route", func() error {
 		return checkEqual("configuration", to.s.hosts[0].configurationInForce(), to.s.config.Version)
 	})
+	eventually(t, "the endpoints", func() error {
+		listed := 0
+		for _, e := range to.s.hosts[0].view(t).Endpoints {
+			if string(e.Service) == form.name {
+				listed++
+			}
+		}
+		return checkEqual("endpoints", listed, endlessEndpoints)
+	})
 }
 
 // checkGateway checks a crowd at a gateway.
@@ -389,7 +399,10 @@
 // Guards against clients that don't read their streams and hold connections, and what waits for them, for ever.
 func TestCrowdOfClientsThatDoNotRead(t *testing.T) {
 	to := newCrowdGateway(t)
-	form := endlessForm{name: "unread", head: signedHead + "Content-Type: text/event-stream\r\n\r\n", repeated: "data: " + strings.Repeat("#", 16<<10) + "\n\n", streams: true}
+	form := endlessForm{
+		name: "unread", head: signedHead + "Content-Type: text/event-stream\r\n\r\n",
+		repeated: "id: %d\ndata: " + strings.Repeat("#", 16<<10) + "\n\n", streams: true, numbered: true,
+	}
 	to.addEndlessService(t, &form)
 	pid := to.process.cmd.Process.Pid
 	const spare = 8
--- a/integration/endless_test.go
+++ b/integration/endless_test.go
@@ -33,11 +33,11 @@
 )
 
 // endlessForm is a response without an end: it begins with head, in which %s stands for the request's
-// id, and goes on with repeated.
+// id, and goes on with repeated, in which %d stands for the number of the event if they are numbered.
 type endlessForm struct {
-	name           string
-	head, repeated string
-	streams        bool
+	name              string
+	head, repeated    string
+	streams, numbered bool
 }
 
 const signedHead = "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Stamp: stamp\r\n"
@@ -82,13 +82,17 @@
 	} else {
 		_, err = io.WriteString(c, e.form.head)
 	}
-	for err == nil {
-		if e.sent.Add(int64(len(e.form.repeated))) > maxSentBytes {
+	for n := 1; err == nil; n++ {
+		piece := e.form.repeated
+		if e.form.numbered {
+			piece = fmt.Sprintf(piece, n)
+		}
+		if e.sent.Add(int64(len(piece))) > maxSentBytes {
 			// The rest is silence, until the daemon closes the connection.
 			_, _ = io.Copy(io.Discard, c)
 			return
 		}
-		_, err = io.WriteString(c, e.form.repeated)
+		_, err = io.WriteString(c, piece)
 	}
 }
 
