decayingsum: one sum that decays, for the scheduler and the quotas

The scheduler's is a package now, and both call it; a half-life of 10 s is a time of 14.427 s. Values differ by rounding.

Tests of both packages pass, none changed.

--- a/internal/route/quotalimiter/bucket.go
+++ b/internal/route/quotalimiter/bucket.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"brasschute/internal/core/decayingsum"
 )
 
 // bucket is the fleet's token bucket for one organisation, as estimated by this daemon.
@@ -31,7 +33,7 @@
 	// known is the total that this daemon and its peers have charged, as far as reported in time. ownRecent is what this daemon
 	// has charged of late.
 	known     float64
-	ownRecent decayingSum
+	ownRecent decayingsum.Sum
 	// rate and burst are the effective quota; lowLevel is the level below which shares decide.
 	rate     float64
 	burst    float64
@@ -167,17 +169,3 @@
 	}
 	b.shareLevel = max(b.shareLevel-charge, minShareLevel)
 }
-
-// decayingSum is a sum of amounts that count for half after each recentHalfLife.
-type decayingSum struct {
-	sum float64
-	of  time.Time
-}
-
-func (s *decayingSum) at(now time.Time) float64 {
-	return s.sum * math.Exp2(-now.Sub(s.of).Seconds()/recentHalfLife.Seconds())
-}
-
-func (s *decayingSum) add(amount float64, now time.Time) {
-	s.sum, s.of = s.at(now)+amount, now
-}
--- a/internal/route/quotalimiter/quotalimiter.go
+++ b/internal/route/quotalimiter/quotalimiter.go
@@ -73,11 +73,11 @@
 	silenceFactor = 2.5
 	minSilence    = 3 * time.Second
 	// An update of a peer is late after lateFactor times the gossip delay. How much of an organisation's load a peer has is told
-	// by its charges, which count for half after each recentHalfLife: a load that has just begun must not outweigh the usual one,
-	// as peers report it at different times. minKnownPart bounds what the charges of few daemons tell about those of many.
-	lateFactor     = 1.25
-	recentHalfLife = 10 * time.Second
-	minKnownPart   = 0.1
+	// by its charges of recentTime, a half-life of ten seconds: a load that has just begun must not outweigh the usual one, as
+	// peers report it at different times. minKnownPart bounds what the charges of few daemons tell about those of many.
+	lateFactor   = 1.25
+	recentTime   = 14427 * time.Millisecond
+	minKnownPart = 0.1
 	// A daemon that receives no updates for isolationFactor times the longest recent gap between
 	// two updates, at least minIsolationGap, is isolated and admits at most its equal share.
 	// initialMaxGap stands for the longest gap at start; a gap decays over gapDecayTime. With a
@@ -328,7 +328,7 @@
 	b.spendShare(charge, d.Level)
 	b.charged += charge
 	b.known += charge
-	b.ownRecent.add(charge, now)
+	b.ownRecent.Add(charge, recentTime, now)
 	return d
 }
 
--- a/internal/route/quotalimiter/update.go
+++ b/internal/route/quotalimiter/update.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"brasschute/internal/core/decayingsum"
 	"brasschute/internal/core/identifier"
 )
 
@@ -82,7 +83,7 @@
 	presumed float64
 	// recent is what it has charged of late, part that as a fraction of what all daemons have, and knownAt is bucket.known, both
 	// as of its last update.
-	recent  decayingSum
+	recent  decayingsum.Sum
 	part    float64
 	knownAt float64
 }
@@ -188,7 +189,7 @@
 	unreported, _ := l.refresh(b, name, now)
 	charged := max(account.Total-usage.total, 0)
 	if !usage.spanStart.IsZero() {
-		usage.recent.add(charged, now)
+		usage.recent.Add(charged, recentTime, now)
 	}
 	defer func() { usage.knownAt, usage.part = b.known, l.partOfRecent(b, name, usage, now) }()
 	switch timeout := l.silenceTimeout(); {
@@ -360,16 +361,16 @@
 
 // partOfRecent returns what a peer has charged of late as a fraction of what all daemons have.
 func (l *Limiter) partOfRecent(b *bucket, o identifier.Organisation, usage *peerUsage, now time.Time) float64 {
-	all := b.ownRecent.at(now)
+	all := b.ownRecent.Value(recentTime, now)
 	for _, p := range l.peers {
 		if u := p.byOrg[o]; u != nil {
-			all += u.recent.at(now)
+			all += u.recent.Value(recentTime, now)
 		}
 	}
 	if all <= 0 {
 		return 0
 	}
-	return usage.recent.at(now) / all
+	return usage.recent.Value(recentTime, now) / all
 }
 
 // isLate reports whether a peer's next update is overdue.
--- a/internal/route/scheduler/shares.go
+++ b/internal/route/scheduler/shares.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"brasschute/internal/core/decayingsum"
 	"brasschute/internal/core/identifier"
 )
 
@@ -19,7 +20,7 @@
 // shares counts what organisations got of the endpoint recently, by their weights. Each rank counts by
 // itself: what an organisation gets in a rank that is served in full is not scarce.
 type shares struct {
-	used map[shareKey]decayingSum
+	used map[shareKey]decayingsum.Sum
 	// means holds the mean of each rank that was asked for at meansAt; infinite if only one
 	// organisation or none got anything.
 	means   map[int]float64
@@ -31,27 +32,8 @@
 	rank         int
 }
 
-// decayingSum is a sum whose parts lose their weight over time.
-type decayingSum struct {
-	sum float64
-	at  time.Time
-}
-
-// value returns the sum at a time.
-func (d decayingSum) value(over time.Duration, now time.Time) float64 {
-	if d.sum == 0 {
-		return 0
-	}
-	return d.sum * math.Exp(-now.Sub(d.at).Seconds()/over.Seconds())
-}
-
-// add adds an amount.
-func (d *decayingSum) add(amount float64, over time.Duration, now time.Time) {
-	*d = decayingSum{d.value(over, now) + amount, now}
-}
-
 func newShares() shares {
-	return shares{used: make(map[shareKey]decayingSum), means: make(map[int]float64)}
+	return shares{used: make(map[shareKey]decayingsum.Sum), means: make(map[int]float64)}
 }
 
 // add records that a request takes tokens of prefill.
@@ -66,13 +48,13 @@
 	}
 	clear(s.means)
 	used := s.used[key]
-	used.add(tokens/weight, shareTime, now)
+	used.Add(tokens/weight, shareTime, now)
 	s.used[key] = used
 }
 
 // of returns what the organisation of a request got in its rank, divided by its weight.
 func (s *shares) of(r *Request, now time.Time) float64 {
-	return s.used[shareKey{r.Organisation, r.Rank}].value(shareTime, now)
+	return s.used[shareKey{r.Organisation, r.Rank}].Value(shareTime, now)
 }
 
 // over reports whether the organisation of a request got more than the mean in its rank.
@@ -85,7 +67,7 @@
 	if !known {
 		sum, n := 0.0, 0.0
 		for key, used := range s.used {
-			if v := used.value(shareTime, now); key.rank == r.Rank && v >= 1 {
+			if v := used.Value(shareTime, now); key.rank == r.Rank && v >= 1 {
 				sum += v
 				n++
 			}
@@ -103,7 +85,7 @@
 	var least shareKey
 	lowest := math.Inf(1)
 	for key, used := range s.used {
-		if v := used.value(shareTime, now); v < lowest {
+		if v := used.Value(shareTime, now); v < lowest {
 			least, lowest = key, v
 		}
 	}
