quotalimiter: the time after which updates are late is computed once

It was asked for anew for each peer of each request. Now it is computed once per request, like the time after which peers are silent, and the charges of peers that are not late are not passed through the estimate for late ones.

Behaviour as before; no test changed.

--- a/internal/route/quotalimiter/update.go
+++ b/internal/route/quotalimiter/update.go
@@ -248,7 +248,11 @@
 		for name, usage := range p.byOrg {
 			if b := l.buckets[name]; b != nil && unreported > 0 {
 				l.refresh(b, name, now)
-				b.take(usage.presumedCharge(b, unreported, l.isLate(p, now), l.contact(name, now)))
+				charged := usage.rate * unreported.Seconds()
+				if now.Sub(p.heardAt) > l.lateAfter() {
+					charged = usage.presumedCharge(b, unreported, l.contact(name, now))
+				}
+				b.take(charged)
 			}
 		}
 		delete(l.peers, k)
@@ -293,7 +297,7 @@
 // reserved, are taken from the bucket for good: otherwise a partition would admit three seconds'
 // worth of the quota again.
 func (l *Limiter) unreported(o identifier.Organisation, now time.Time) (charged, demand float64) {
-	timeout := l.silenceTimeout()
+	timeout, lateAfter := l.silenceTimeout(), l.lateAfter()
 	b := l.buckets[o]
 	var c contact
 	counted := false
@@ -303,19 +307,21 @@
 			continue
 		}
 		demand += usage.demand
-		since, late := now.Sub(p.heardAt), l.isLate(p, now)
-		if late && !counted {
+		since := now.Sub(p.heardAt)
+		if !counted && since > lateAfter {
 			c, counted = l.contact(o, now), true
 		}
 		switch {
+		case since <= lateAfter && usage.rateKnown:
+			charged += usage.rate * since.Seconds()
 		case since < timeout && usage.rateKnown:
-			charged += usage.presumedCharge(b, since, late, c)
+			charged += usage.presumedCharge(b, since, c)
 		case since < timeout:
 			// Only one update has arrived: assume that the peer admits its share of its clients'
 			// demand.
 			charged += l.admittedDemand(o, usage.demand) * since.Seconds()
 		case usage.rate > 0 && b != nil:
-			usage.presumed = usage.presumedCharge(b, timeout, late, c)
+			usage.presumed = usage.presumedCharge(b, timeout, c)
 			usage.rate = 0
 			b.take(usage.presumed)
 		}
@@ -328,12 +334,12 @@
 	return charged, demand
 }
 
-// presumedCharge estimates what a peer has charged in the time since its last update: as much as before, at the rate of then.
-// A peer whose next update is late may be partitioned, and a load that is new here is new there, too: it is presumed to have
-// charged no less than the daemons in touch have since, in proportion to what they and the peer charged before.
-func (u *peerUsage) presumedCharge(b *bucket, since time.Duration, late bool, c contact) float64 {
+// presumedCharge estimates what a peer whose next update is late has charged in the time since its last one. It may be
+// partitioned, and a load that is new here is new there, too: it is presumed to have charged no less than the daemons in touch
+// have since, in proportion to what they and the peer charged before, and no less than at its last rate.
+func (u *peerUsage) presumedCharge(b *bucket, since time.Duration, c contact) float64 {
 	atRate := u.rate * since.Seconds()
-	if b == nil || !late {
+	if b == nil {
 		return atRate
 	}
 	known := b.known - u.knownAt + c.unreported
@@ -349,11 +355,15 @@
 }
 
 func (l *Limiter) contact(o identifier.Organisation, now time.Time) (c contact) {
+	lateAfter := l.lateAfter()
 	for _, p := range l.peers {
-		if u := p.byOrg[o]; u != nil && l.isLate(p, now) {
+		u, since := p.byOrg[o], now.Sub(p.heardAt)
+		switch {
+		case u == nil:
+		case since > lateAfter:
 			c.latePart += u.part
-		} else if u != nil {
-			c.unreported += u.rate * now.Sub(p.heardAt).Seconds()
+		default:
+			c.unreported += u.rate * since.Seconds()
 		}
 	}
 	return c
@@ -373,9 +383,9 @@
 	return usage.recent.Value(recentTime, now) / all
 }
 
-// isLate reports whether a peer's next update is overdue.
-func (l *Limiter) isLate(p *peer, now time.Time) bool {
-	return float64(now.Sub(p.heardAt)) > lateFactor*float64(l.c.GossipDelay())
+// lateAfter returns the time without updates after which the next one of a peer is overdue.
+func (l *Limiter) lateAfter() time.Duration {
+	return time.Duration(lateFactor * float64(l.c.GossipDelay()))
 }
 
 // admittedDemand returns how much of a demand is admitted: all of it, or its share of the rate.
