quotalimiter: a daemon that fell silent is charged once when it is replaced

What callers would see: refusals below the quota after a host came back later than three seconds.

When its host then starts a new daemon, replacePeer asked what the former one had charged unreported: that was zero at a rate of zero, and is now estimated from the charges of the daemons in touch, a second time.

Change: nothing more is presumed of a peer whose rate is zero. It charged nothing, or all of it has been taken.

--- a/internal/route/quotalimiter/update.go
+++ b/internal/route/quotalimiter/update.go
@@ -339,7 +339,8 @@
 // have since, in proportion to what they and the peer charged before, and no less than at its last rate.
 func (u *peerUsage) presumedCharge(b *bucket, since time.Duration, c contact) float64 {
 	atRate := u.rate * since.Seconds()
-	if b == nil {
+	if b == nil || u.rate == 0 {
+		// It has not charged anything, or was presumed to have when it fell silent.
 		return atRate
 	}
 	known := b.known - u.knownAt + c.unreported
--- a/internal/route/quotalimiter/window_test.go
+++ b/internal/route/quotalimiter/window_test.go
@@ -263,3 +263,26 @@
 	f.load(r, o, usual, window, noPartition)
 	f.wantWithin(t, o)
 }
+
+// Guards against charges that are taken twice: once when a daemon falls silent, and again when its host starts a new one.
+func TestReplacedDaemonIsChargedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const charge = 20_000
+		o := newOrganisation(200_000)
+		l, started := newDaemon(), time.Now()
+		peer := Update{Host: "peer", Incarnation: 1}
+		for n := range 40 {
+			time.Sleep(period)
+			l.Admit(o, charge)
+			if n < 30 {
+				peer.Age, peer.Accounts = time.Since(started), map[identifier.Organisation]Account{o.Name: {Total: float64(n * charge)}}
+				l.Merge(peer)
+			}
+		}
+		before := l.Accounts()[o.Name].Level
+		l.Merge(Update{Host: peer.Host, Incarnation: 2, Age: period, Accounts: map[identifier.Organisation]Account{o.Name: {}}})
+		if after := l.Accounts()[o.Name].Level; after < before-1 {
+			t.Errorf("level %.0f after the new daemon's first update, %.0f before", after, before)
+		}
+	})
+}
