quotalimiter: a window that is spread is filled from one part

spread repeated what fill does; a record without parts is read like one of the version before, so that fill needs no case for it. The two loads of the new tests have names. The checks are the same; all tests of the package pass.

--- a/internal/route/quotalimiter/slidingwindow.go
+++ b/internal/route/quotalimiter/slidingwindow.go
@@ -24,10 +24,7 @@
 // spread replaces the charges by a sum spread evenly over the window that ends now, with the oldest
 // slot at the very start of the window.
 func (w *slidingWindow) spread(sum float64, now time.Time) {
-	w.newestStart, w.sum = now.Add(-w.slotDuration()), sum
-	for i := range w.slots {
-		w.slots[i] = sum / slotCount
-	}
+	w.fill([]float64{sum}, now)
 }
 
 // parts returns the charges in so many equal parts of the window, the oldest first. n divides slotCount.
@@ -39,13 +36,12 @@
 	return out
 }
 
-// fill replaces the charges by those of equal parts of the window that ended at a time, the oldest first.
+// fill replaces the charges by those of equal parts of the window that ended at a time, the oldest first. There is at least one
+// part.
 func (w *slidingWindow) fill(parts []float64, end time.Time) {
 	*w = slidingWindow{window: w.window, newest: slotCount - 1, newestStart: end.Add(-w.slotDuration())}
 	for i := range slotCount {
-		if len(parts) > 0 {
-			w.slots[i] = max(parts[i*len(parts)/slotCount], 0) * float64(len(parts)) / slotCount
-		}
+		w.slots[i] = max(parts[i*len(parts)/slotCount], 0) * float64(len(parts)) / slotCount
 		w.sum += w.slots[i]
 	}
 }
--- a/internal/route/quotalimiter/snapshot.go
+++ b/internal/route/quotalimiter/snapshot.go
@@ -95,7 +95,7 @@
 	if !ok {
 		return
 	}
-	if recent, ok := l.restored.Recent[o]; ok {
+	if recent := l.restored.Recent[o]; len(recent) > 0 {
 		l.restoreWindow(b, o, level, recent, now)
 		return
 	}
@@ -110,7 +110,7 @@
 }
 
 // restoreWindow sets a bucket to a stored level and the charges of the window before it. The charges keep their times: spread
-// over the window, those of a sudden load would leave it long before they are as old as it.
+// over the window, those of a sudden load would leave it as soon as it began to move.
 func (l *Limiter) restoreWindow(b *bucket, o identifier.Organisation, level float64, recent []float64, now time.Time) {
 	age := now.Sub(l.restored.At)
 	refilled := b.rate * age.Seconds()
--- a/internal/route/quotalimiter/window_test.go
+++ b/internal/route/quotalimiter/window_test.go
@@ -162,21 +162,26 @@
 	})
 }
 
+// usualLoad is half of the quota of an organisation with a rate of 400,000, suddenLoad the most that it sends at once, both in
+// requests per second.
+const (
+	usualLoad  = 0.5 * 400_000 / tokens
+	suddenLoad = 7.5 * usualLoad
+)
+
 // Guards against an allowance that is granted twice, as new processes do not know when the charges of a sudden load were made:
 // spread over the window they leave it at once.
 func TestMassRestartInASuddenLoadKeepsTheQuota(t *testing.T) {
-	const usualShare, factor = 0.5, 7.5
-	const usual = usualShare * 400_000 / tokens
 	for _, age := range []time.Duration{100 * time.Millisecond, 300 * time.Millisecond} {
 		for _, killedAfter := range []time.Duration{1500 * time.Millisecond, 3 * time.Second, 5 * time.Second} {
 			synctest.Test(t, func(t *testing.T) {
 				r := rand.New(rand.NewPCG(31, 32))
 				o := newOrganisation(400_000)
 				f := newFleet()
-				f.load(r, o, usual, 20*time.Second, noPartition)
-				f.load(r, o, factor*usual, killedAfter-age, noPartition)
+				f.load(r, o, usualLoad, 20*time.Second, noPartition)
+				f.load(r, o, suddenLoad, killedAfter-age, noPartition)
 				snapshot := f.daemons[0].Snapshot(time.Now())
-				f.load(r, o, factor*usual, age, noPartition)
+				f.load(r, o, suddenLoad, age, noPartition)
 				time.Sleep(500 * time.Millisecond)
 				for i := range f.daemons {
 					f.daemons[i] = newDaemon()
@@ -185,9 +190,9 @@
 				for range 16 {
 					// Daemons that start hear of each other often.
 					f.exchange(noPartition)
-					f.load(r, o, factor*usual, 250*time.Millisecond, noPartition)
+					f.load(r, o, suddenLoad, 250*time.Millisecond, noPartition)
 				}
-				f.load(r, o, usual, window, noPartition)
+				f.load(r, o, usualLoad, window, noPartition)
 				if got, limit := f.maxInWindow(), limitOf(o); got > limit {
 					t.Errorf("killed %v after the load began, snapshot of %v before: %.0f tokens in one window, limit %.0f", killedAfter, age, got, limit)
 				}
@@ -250,17 +255,15 @@
 
 // partitionInASuddenLoad partitions some daemons from the others for a time, a while after a sudden load has begun.
 func partitionInASuddenLoad(t *testing.T, cut int, after, length time.Duration, seed uint64) {
-	const usualShare, factor = 0.5, 7.5
-	const usual = usualShare * 400_000 / tokens
 	r := rand.New(rand.NewPCG(seed, 33))
 	o := newOrganisation(400_000)
 	f := newFleet()
 	f.evenly = true
-	f.load(r, o, usual, 20*time.Second+time.Duration(seed)*period/6, noPartition)
-	f.load(r, o, factor*usual, after, noPartition)
-	f.load(r, o, factor*usual, length, func(from, to int) bool { return (from < cut) != (to < cut) })
-	f.load(r, o, factor*usual, time.Second, noPartition)
-	f.load(r, o, usual, window, noPartition)
+	f.load(r, o, usualLoad, 20*time.Second+time.Duration(seed)*period/6, noPartition)
+	f.load(r, o, suddenLoad, after, noPartition)
+	f.load(r, o, suddenLoad, length, func(from, to int) bool { return (from < cut) != (to < cut) })
+	f.load(r, o, suddenLoad, time.Second, noPartition)
+	f.load(r, o, usualLoad, window, noPartition)
 	f.wantWithin(t, o)
 }
 
